--- /dev/null
+++ b/internal/platform/store.go
@@ -0,0 +1,68 @@
+// Package platform speaks to the platform's key-value service: the one place
+// where anything that must last or be agreed is kept.
+package platform
+
+import (
+	"context"
+	"time"
+)
+
+// Entry is one key of the platform's service as it stood at one moment.
+type Entry struct {
+	Path     string // absolute, starts with "/"
+	Version  uint64 // counts the writes to this path; 0 means the path has never been written
+	Revision uint64 // counts the writes to the whole store; orders entries of different paths
+	Value    []byte // at most MaxValue bytes; nil in a deleted entry
+	Deleted  bool   // a deleted path keeps its version, so that versions never go back
+}
+
+// MaxValue is the largest value that the platform takes, in bytes.
+const MaxValue = 1 << 20
+
+// Lease is a key that the platform drops by itself at a deadline.
+type Lease struct {
+	Path   string
+	Holder string
+	Epoch  uint64    // grows each time the lease changes hands; fences an old holder
+	Until  time.Time // by the holder's own clock, counted from before the call was sent
+}
+
+// Instance is one line of the platform's list of instances. The list lags.
+type Instance struct {
+	ID          string
+	Incarnation uint64 // grows each time the process starts anew
+	Address     string // peers' address, IP:port
+	Callers     string // callers' address, IP:port
+	Operators   string // operators' address, IP:port
+	Place       string
+	Domain      string
+	Region      string
+	Leaving     bool
+}
+
+// Store is all that firlever asks of a platform. Another key-value service is
+// put behind it by writing these methods; each returns an error of this
+// package's types.
+type Store interface {
+	// Get reads one path. A path never written gives *NotFoundError.
+	Get(ctx context.Context, path string) (Entry, error)
+	// List reads every entry under a prefix, with the revision it is true at.
+	List(ctx context.Context, prefix string) ([]Entry, uint64, error)
+	// Swap writes value if the path still has the given version; 0 creates.
+	// A lost race gives *ConflictError with the newer entry; an answer that
+	// never came gives *UncertainError: the write may have landed.
+	Swap(ctx context.Context, path string, version uint64, value []byte) (Entry, error)
+	// Delete removes a path if it still has the given version.
+	Delete(ctx context.Context, path string, version uint64) (Entry, error)
+	// Acquire takes or renews a lease for ttl. A lease held by another gives *HeldError.
+	Acquire(ctx context.Context, path, holder string, ttl time.Duration) (Lease, error)
+	// Release gives a lease up.
+	Release(ctx context.Context, lease Lease) error
+	// Watch waits for entries under prefix past the revision, and returns them
+	// with the revision to watch from next. It returns none when wait is over.
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Entry, uint64, error)
+	// Register puts this instance in the platform's list, or renews its line.
+	Register(ctx context.Context, in Instance) error
+	// Instances reads the list of live and leaving instances. It lags.
+	Instances(ctx context.Context) ([]Instance, error)
+}
