Find a caller's home place by longest prefix

Cause: look-ups need the place of a caller's address among 260,000 prefixes, while documents change.

Change: internal/block, an immutable table over bart's copy-on-write trie, changed by the difference of one document. Of two documents that claim one prefix the first path is in force and both are reported. Weighed against a lock and against building anew, see docs/design/blocks.md.

Six breaks on purpose (no clone of the trie, none of the conflicts, unsorted claimants, the wrong next claim, changed places missed, mapped addresses not unmapped) each failed a test.

--- /dev/null
+++ b/internal/block/errors.go
@@ -0,0 +1,49 @@
+package block
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Reason says what is wrong with a block.
+type Reason string
+
+// Reasons of a fault.
+const (
+	ReasonPrefix Reason = "not a prefix in CIDR form"
+	ReasonHost   Reason = "bits set below the length of the prefix"
+	ReasonPlace  Reason = "names no place"
+	ReasonTwice  Reason = "prefix stands twice in the document"
+)
+
+// Fault is one fault of a document.
+type Fault struct {
+	Block  int // position in the document, from 0; -1 where it is a matter of two
+	Prefix string
+	Reason Reason
+}
+
+// DocumentError refuses a document with all of its faults.
+type DocumentError struct {
+	Document string
+	Faults   []Fault
+}
+
+// Error names the document and each fault.
+func (e *DocumentError) Error() string {
+	parts := make([]string, len(e.Faults))
+	for i, f := range e.Faults {
+		parts[i] = fmt.Sprintf("block %d %q: %s", f.Block, f.Prefix, f.Reason)
+	}
+	return fmt.Sprintf("%s: %s", e.Document, strings.Join(parts, "; "))
+}
+
+// FullError says that a table can number no more documents or places.
+type FullError struct {
+	What string // documents or places
+}
+
+// Error names what there is too much of.
+func (e *FullError) Error() string {
+	return fmt.Sprintf("block table holds no more than %d %s", most, e.What)
+}
