Add the shift cap of a service at one owner

Cause: traffic that moves between places must grow by at most a cap, whoever asks for it, and several owners share one cap.

Change: internal/shift counts admissions in one-second windows. Shares are stretches of the cap, and a common phase gives out whole requests, so the sum over the owners keeps the cap in every window.

--- /dev/null
+++ b/internal/shift/ramp_test.go
@@ -0,0 +1,204 @@
+package shift
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/firlever/firlever/internal/invariant"
+)
+
+var begin = time.Unix(1_000_000, 0)
+
+func newRamp(t testing.TB, c Cap) *Ramp {
+	t.Helper()
+	counter := invariant.New(func(_ invariant.Name, s string) { t.Error(s) })
+	r, err := New(Config{Counter: counter})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.SetCap(begin.Add(-window), c)
+	return r
+}
+
+// saturate asks every 4 ms for one window and returns what passed.
+func saturate(r *Ramp, from time.Time) int {
+	n := 0
+	for d := time.Duration(0); d < window; d += 4 * time.Millisecond {
+		for r.Admit(from.Add(d)) {
+			n++
+		}
+	}
+	return n
+}
+
+func TestRampGrowth(t *testing.T) {
+	tests := map[string]struct {
+		shares []Share
+		want   []int // admitted in each window under saturation
+	}{
+		"none":    {nil, []int{0, 0, 0}},
+		"whole":   {Divide(5, []int{1}), []int{5, 10, 15, 20}},
+		"part":    {Divide(4, []int{1, 1})[:1], []int{2, 4, 6, 8}},
+		"lower":   {[]Share{Divide(4, []int{10})[0].Lower(5, 10)}, []int{2, 4, 6, 8}},
+		"upper":   {[]Share{Divide(4, []int{10})[0].Upper(5, 10)}, []int{2, 4, 6, 8}},
+		"no room": {Divide(5, []int{0, 0}), []int{0, 0}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRamp(t, Cap{Version: 1, Shares: tt.shares})
+			for i, want := range tt.want {
+				if got := saturate(r, begin.Add(time.Duration(i)*window)); got != want {
+					t.Errorf("window %d: got %d, want %d", i, got, want)
+				}
+			}
+		})
+	}
+}
+
+func TestFractionPasses(t *testing.T) {
+	r := newRamp(t, Cap{Version: 1, Shares: Divide(2, []int{1, 1, 1, 1, 1})[1:2]}) // 0.4 a second
+	got := 0
+	for i := range 100 {
+		got = saturate(r, begin.Add(time.Duration(i)*window))
+	}
+	if got < 39 || got > 41 {
+		t.Errorf("got %d a second after 100 s, want 40 give or take 1", got)
+	}
+}
+
+func TestPacing(t *testing.T) {
+	r := newRamp(t, Cap{Version: 1, Shares: Divide(80, []int{1})})
+	got := 0
+	for r.Admit(begin) {
+		got++
+	}
+	if want := 1 + 80/DefaultBurst; got != want {
+		t.Errorf("got %d at the start of the window, want %d", got, want)
+	}
+	if got, want := r.RetryAt(begin), begin.Add(window/80); !got.Equal(want) {
+		t.Errorf("got next at %v, want %v", got, want)
+	}
+}
+
+func TestClockSteps(t *testing.T) {
+	tests := map[string]struct {
+		step time.Duration // from the end of the second window, all 10 used
+		want []int         // admitted in the seconds that follow
+	}{
+		"none":       {0, []int{15, 20}},
+		"back a bit": {-1100 * time.Millisecond, []int{0, 15}}, // none until the clock is there again
+		"back far":   {-time.Hour, []int{0, 15}},               // two windows become one
+		"on far":     {time.Hour, []int{5, 10}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRamp(t, Cap{Version: 1, Shares: Divide(5, []int{1})})
+			saturate(r, begin)
+			saturate(r, begin.Add(window))
+			for i, want := range tt.want {
+				from := begin.Add(time.Duration(i+2)*window + tt.step)
+				if got := saturate(r, from); got != want {
+					t.Errorf("second %d: got %d, want %d", i, got, want)
+				}
+			}
+		})
+	}
+}
+
+func TestNewVersion(t *testing.T) {
+	r := newRamp(t, Cap{Version: 1, Shares: Divide(5, []int{1})})
+	saturate(r, begin)
+	r.SetCap(begin.Add(window), Cap{Version: 2, Shares: Divide(50, []int{1})})
+	for i, want := range []int{10, 15, 20, 70} {
+		if got := saturate(r, begin.Add(time.Duration(i+1)*window)); got != want {
+			t.Errorf("window %d: got %d, want %d", i+1, got, want)
+		}
+	}
+	if got := r.Counts(begin.Add(4 * window)).Version; got != 2 {
+		t.Errorf("got version %d, want 2", got)
+	}
+}
+
+func TestWait(t *testing.T) {
+	tests := map[string]struct {
+		shares []Share
+		ahead  int
+		by     time.Duration
+		want   Action
+	}{
+		"room":         {Divide(5, []int{1}), 0, window, Serve},
+		"behind one":   {Divide(5, []int{1}), 1, window, Queue},
+		"next windows": {Divide(5, []int{1}), 16, 4 * window, Queue},
+		"too late":     {Divide(5, []int{1}), 16, window, Refuse},
+		"never":        {nil, 0, time.Hour, Refuse},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRamp(t, Cap{Version: 1, Shares: tt.shares})
+			got := r.Wait(begin, begin.Add(tt.by), tt.ahead)
+			if got.Action != tt.want {
+				t.Errorf("got %v at %v, want %v", got.Action, got.At, tt.want)
+			}
+		})
+	}
+}
+
+// TestOwnersKeepCap counts what several owners of changing targets admit, by
+// its own clock, and holds the sum against the cap.
+func TestOwnersKeepCap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(0, 12).Draw(t, "cap")
+		allowances := rapid.SliceOfN(rapid.IntRange(0, 10), 1, 8).Draw(t, "allowances")
+		shares := Divide(limit, allowances)
+		counter := invariant.New(func(_ invariant.Name, s string) { t.Error(s) })
+		owners := make([]*Ramp, rapid.IntRange(1, 5).Draw(t, "owners"))
+		for i := range owners {
+			owners[i], _ = New(Config{Counter: counter})
+		}
+		before, seconds := 0, rapid.IntRange(3, 20).Draw(t, "seconds")
+		for s := range seconds {
+			sum := 0
+			for _, ms := range []int{1, 400, 999} {
+				now := begin.Add(time.Duration(s)*window + time.Duration(ms)*time.Millisecond)
+				if rapid.Bool().Draw(t, "change") {
+					assign(t, now, owners, shares)
+				}
+				sum += ask(t, now, owners)
+			}
+			if got, want := sum-before, limit; got > want {
+				t.Fatalf("second %d: grew by %d, cap is %d", s, got, want)
+			}
+			before = sum
+		}
+	})
+}
+
+func assign(t *rapid.T, now time.Time, owners []*Ramp, shares []Share) {
+	parts := make([][]Share, len(owners))
+	for _, s := range shares {
+		i := rapid.IntRange(0, len(owners)-1).Draw(t, "owner")
+		parts[i] = append(parts[i], s)
+	}
+	for i, r := range owners {
+		r.SetCap(now, Cap{Version: 1, Shares: parts[i]})
+	}
+}
+
+func ask(t *rapid.T, now time.Time, owners []*Ramp) int {
+	n := 0
+	for _, r := range owners {
+		for range rapid.IntRange(0, 40).Draw(t, "asked") {
+			room, at := r.Room(now), r.RetryAt(now)
+			ok := r.Admit(now)
+			if ok != (room > 0) || ok != at.Equal(now) {
+				t.Fatalf("admitted %v with room %d and the next at %v", ok, room, at)
+			}
+			if ok {
+				n++
+			}
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/shift/share.go
@@ -0,0 +1,84 @@
+package shift
+
+import "slices"
+
+// unit is one request a second in the fixed-point numbers of a Share. Shares
+// are integers so that borders which touch are equal on every owner.
+const unit = 1 << 20
+
+// golden is 2^64 divided by the golden ratio: its multiples spread evenly.
+const golden = 0x9E3779B97F4A7C15
+
+// Share is a stretch of a service's cap at one place: its owner may use what
+// lies between the two ends. Shares of different owners never overlap.
+type Share struct {
+	from, to int64 // 0 <= from <= to, in 1/unit of a request a second
+}
+
+// Divide cuts a cap, in requests a second gained each second, into one share
+// for each target, in proportion to the targets' allowances. The order of the
+// targets must be the same on every owner. The shares sum to the cap exactly.
+func Divide(limit int, allowances []int) []Share {
+	shares := make([]Share, len(allowances))
+	total := int64(0)
+	for _, n := range allowances {
+		total += int64(max(n, 0))
+	}
+	if total == 0 {
+		return shares
+	}
+	all, sum := int64(max(limit, 0))*unit, int64(0)
+	for i, n := range allowances {
+		from := scale(all, sum, total)
+		sum += int64(max(n, 0))
+		shares[i] = Share{from: from, to: scale(all, sum, total)}
+	}
+	return shares
+}
+
+// Lower returns the lower n of total parts of the share.
+func (s Share) Lower(n, total int) Share {
+	return Share{from: s.from, to: s.cut(n, total)}
+}
+
+// Upper returns what Lower leaves.
+func (s Share) Upper(n, total int) Share {
+	return Share{from: s.cut(n, total), to: s.to}
+}
+
+// PerSecond returns the growth in requests a second that the share allows each
+// second, as an average.
+func (s Share) PerSecond() float64 { return float64(s.to-s.from) / unit }
+
+func (s Share) cut(n, total int) int64 {
+	if total <= 0 {
+		return s.from
+	}
+	n = min(max(n, 0), total)
+	return s.from + scale(s.to-s.from, int64(n), int64(total))
+}
+
+// units returns the whole requests that the share allows to gain in a window.
+// Shares that cover a cap of n get n units together in every window.
+func (s Share) units(window int64) int {
+	phase := int64(uint64(window) * golden >> 44) // 0 <= phase < unit
+	return int((s.to+phase)/unit - (s.from+phase)/unit)
+}
+
+// scale returns v*n/d without overflow for n <= d.
+func scale(v, n, d int64) int64 {
+	return v/d*n + v%d*n/d
+}
+
+func unitsOf(shares []Share, window int64) int {
+	n := 0
+	for _, s := range shares {
+		n += s.units(window)
+	}
+	return n
+}
+
+// grows tells whether the shares ever allow a gain.
+func grows(shares []Share) bool {
+	return slices.ContainsFunc(shares, func(s Share) bool { return s.to > s.from })
+}
