--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -68,3 +68,33 @@
 func (e *TooLargeError) Error() string {
 	return fmt.Sprintf("platform: value of %s is %d bytes, at most %d", e.Path, e.Size, MaxValue)
 }
+
+// InvalidError says that a call can't be made as asked; nothing was done.
+type InvalidError struct {
+	Call   string
+	Reason string
+}
+
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("platform: invalid %s: %s", e.Call, e.Reason)
+}
+
+// AnswerError says that an answer does not follow the protocol of docs/platform.md.
+type AnswerError struct {
+	Status int // HTTP status
+	Reason string
+}
+
+func (e *AnswerError) Error() string {
+	return fmt.Sprintf("platform: answer with status %d: %s", e.Status, e.Reason)
+}
+
+// FormatError says that an entry's value is no document of ours.
+type FormatError struct {
+	Path   string
+	Reason string
+}
+
+func (e *FormatError) Error() string {
+	return fmt.Sprintf("platform: %s holds no document: %s", e.Path, e.Reason)
+}
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -9,11 +9,11 @@
 
 // Entry is one key of the platform's service as it stood at one moment.
 type Entry struct {
-	Path     string // absolute, starts with "/"
-	Version  uint64 // counts the writes to this path; 0 means the path has never been written
-	Revision uint64 // counts the writes to the whole store; orders entries of different paths
-	Value    []byte // at most MaxValue bytes; nil in a deleted entry
-	Deleted  bool   // a deleted path keeps its version, so that versions never go back
+	Path     string `json:"path"`              // absolute, starts with "/"
+	Version  uint64 `json:"version"`           // counts the writes to this path; 0 means the path has never been written
+	Revision uint64 `json:"revision"`          // counts the writes to the whole store; orders entries of different paths
+	Value    []byte `json:"value,omitempty"`   // at most MaxValue bytes; nil in a deleted entry
+	Deleted  bool   `json:"deleted,omitempty"` // a deleted path keeps its version, so that versions never go back
 }
 
 // MaxValue is the largest value that the platform takes, in bytes.
@@ -29,15 +29,15 @@
 
 // Instance is one line of the platform's list of instances. The list lags.
 type Instance struct {
-	ID          string
-	Incarnation uint64 // grows each time the process starts anew
-	Address     string // peers' address, IP:port
-	Callers     string // callers' address, IP:port
-	Operators   string // operators' address, IP:port
-	Place       string
-	Domain      string
-	Region      string
-	Leaving     bool
+	ID          string `json:"id"`
+	Incarnation uint64 `json:"incarnation"` // grows each time the process starts anew
+	Address     string `json:"address"`     // peers' address, IP:port
+	Callers     string `json:"callers"`     // callers' address, IP:port
+	Operators   string `json:"operators"`   // operators' address, IP:port
+	Place       string `json:"place"`
+	Domain      string `json:"domain"`
+	Region      string `json:"region"`
+	Leaving     bool   `json:"leaving,omitempty"`
 }
 
 // Store is all that firlever asks of a platform. Another key-value service is
