--- /dev/null
+++ b/internal/emulator/target/answer.go
@@ -0,0 +1,147 @@
+package target
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"io"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// An answer is a run of little-endian words: its length in bytes, a checksum of
+// that length and the request id, then words drawn from the checksum. Each byte
+// follows from the id and the length, so that a cut, crossed or damaged answer
+// shows.
+const (
+	wordLen   = 8
+	headerLen = 2 * wordLen
+	bufferLen = 32 << 10 // a multiple of wordLen
+)
+
+// AnswerError says that a body is not the whole answer to its request.
+type AnswerError struct {
+	ID     string // of the request
+	Offset int64  // bytes that were right
+	Fault  string
+	Err    error // the read's failure; may be nil
+}
+
+func (e *AnswerError) Error() string {
+	s := fmt.Sprintf("target: answer to %s after %d bytes: %s", e.ID, e.Offset, e.Fault)
+	if e.Err != nil {
+		s += ": " + e.Err.Error()
+	}
+	return s
+}
+
+// Unwrap returns the read's failure.
+func (e *AnswerError) Unwrap() error { return e.Err }
+
+// AnswerLen returns the length in bytes of an answer for which size bytes were
+// asked: never less than the header.
+func AnswerLen(size int64) int64 { return max(size, headerLen) }
+
+// Answer returns the body that answers request id: AnswerLen(size) bytes.
+func Answer(id string, size int64) io.Reader {
+	size = AnswerLen(size)
+	return io.LimitReader(&words{size: uint64(size), sum: checksum(id, uint64(size))}, size)
+}
+
+// VerifyAnswer reads r to its end and returns an *AnswerError unless it held
+// the whole answer to request id and nothing else.
+func VerifyAnswer(id string, r io.Reader) error {
+	header := make([]byte, headerLen)
+	n, err := io.ReadFull(r, header)
+	if err != nil {
+		return &AnswerError{ID: id, Offset: int64(n), Fault: "no header", Err: err}
+	}
+	size := binary.LittleEndian.Uint64(header)
+	sum := checksum(id, size)
+	if binary.LittleEndian.Uint64(header[wordLen:]) != sum {
+		return &AnswerError{ID: id, Fault: "header is damaged or another request's"}
+	}
+	return verifyRest(id, r, &words{size: size, sum: sum, next: headerLen / wordLen}, int64(size)-headerLen)
+}
+
+// verifyRest compares r with the rest bytes that want goes on with.
+func verifyRest(id string, r io.Reader, want *words, rest int64) error {
+	got, expected := make([]byte, bufferLen), make([]byte, bufferLen)
+	offset := int64(headerLen)
+	for rest > 0 {
+		part := got[:min(rest, bufferLen)]
+		n, err := io.ReadFull(r, part)
+		if err != nil {
+			return &AnswerError{ID: id, Offset: offset + int64(n), Fault: "cut short", Err: err}
+		}
+		want.fill(expected)
+		if !bytes.Equal(part, expected[:n]) {
+			return &AnswerError{ID: id, Offset: offset, Fault: "wrong bytes"}
+		}
+		offset += int64(n)
+		rest -= int64(n)
+	}
+	n, err := io.ReadFull(r, got[:1])
+	if n > 0 {
+		return &AnswerError{ID: id, Offset: offset, Fault: "more than declared"}
+	}
+	if err != io.EOF {
+		return &AnswerError{ID: id, Offset: offset, Fault: "no clean end", Err: err}
+	}
+	return nil
+}
+
+func checksum(id string, size uint64) uint64 {
+	b := binary.LittleEndian.AppendUint64([]byte(id), size)
+	return xxhash.Sum64(b)
+}
+
+// words generates an answer without an end.
+type words struct {
+	size uint64
+	sum  uint64
+	next uint64 // index of the next word
+	part []byte // of the word before, not yet read
+}
+
+func (g *words) Read(b []byte) (int, error) {
+	n := copy(b, g.part)
+	g.part = g.part[n:]
+	whole := (len(b) - n) / wordLen * wordLen
+	g.fill(b[n : n+whole])
+	n += whole
+	if n < len(b) {
+		word := make([]byte, wordLen)
+		g.fill(word)
+		m := copy(b[n:], word)
+		g.part = word[m:]
+		n += m
+	}
+	return n, nil
+}
+
+// fill writes whole words only.
+func (g *words) fill(b []byte) {
+	for ; len(b) >= wordLen; b = b[wordLen:] {
+		binary.LittleEndian.PutUint64(b, g.word())
+	}
+}
+
+func (g *words) word() uint64 {
+	i := g.next
+	g.next++
+	switch i {
+	case 0:
+		return g.size
+	case 1:
+		return g.sum
+	}
+	return mix(g.sum + i*0x9e3779b97f4a7c15)
+}
+
+// mix is the finalizer of SplitMix64.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/internal/emulator/target/journal.go
@@ -0,0 +1,248 @@
+package target
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/firlever/firlever/internal/invariant"
+)
+
+// Scope names a place, a service in a place, or one target: Service and Target
+// are empty in the wider ones.
+type Scope struct {
+	Place   string
+	Service string
+	Target  string
+}
+
+// Work is one request that a target starts to work on.
+type Work struct {
+	ID      string // of the request
+	Key     string // idempotency key; empty for none
+	Service string
+	Place   string
+	Target  string
+	Home    string // place of the caller; empty when not told
+}
+
+func (w Work) scopes() [3]Scope {
+	return [3]Scope{
+		{Place: w.Place},
+		{Place: w.Place, Service: w.Service},
+		{Place: w.Place, Service: w.Service, Target: w.Target},
+	}
+}
+
+// Use is what a scope's targets did.
+type Use struct {
+	Now   int       // requests in flight
+	Peak  int       // most in flight at one time
+	Limit int       // 0 when none was set
+	Runs  int       // requests started
+	Late  int       // requests started after the scope had to be left alone
+	Last  time.Time // when the last request ended
+}
+
+// Violation is one broken invariant.
+type Violation struct {
+	Name   invariant.Name
+	At     time.Time
+	Detail string
+}
+
+// Journal records what all the emulated targets of a process did, as the
+// ground truth that the program's own belief is held against. It is safe for
+// concurrent use.
+type Journal struct {
+	mu         sync.Mutex
+	epoch      time.Time // start of the first window
+	counter    *invariant.Counter
+	records    map[string]*record
+	uses       map[Scope]*Use
+	leaving    map[Scope]time.Time // deadline after which a scope gets no new work
+	shifts     map[Scope][]int     // shifted requests by window
+	violations []Violation         // the first maxViolations of them
+}
+
+// record is what is known of one request id or idempotency key.
+type record struct {
+	runs    int
+	once    bool // not idempotent: at most one run
+	refused bool // the caller was told that it was not run
+}
+
+const (
+	window        = time.Second
+	maxViolations = 100
+)
+
+// NewJournal makes a journal whose one-second windows begin at epoch. Checks
+// are counted in counter, which may be nil.
+func NewJournal(counter *invariant.Counter, epoch time.Time) *Journal {
+	return &Journal{
+		epoch:   epoch,
+		counter: counter,
+		records: map[string]*record{},
+		uses:    map[Scope]*Use{},
+		leaving: map[Scope]time.Time{},
+		shifts:  map[Scope][]int{},
+	}
+}
+
+// SetLimit sets how many requests may be in flight in a scope; 0 for no limit.
+func (j *Journal) SetLimit(s Scope, limit int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.use(s).Limit = limit
+}
+
+// Leave says that a scope gets no new work after deadline.
+func (j *Journal) Leave(s Scope, deadline time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.leaving[s] = deadline
+}
+
+// Return undoes Leave.
+func (j *Journal) Return(s Scope) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	delete(j.leaving, s)
+}
+
+// Once says that a request id or idempotency key may run at most once. Say it
+// before the request is sent.
+func (j *Journal) Once(key string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	r := j.record(key)
+	r.once = true
+	j.checkOnce(key, r, time.Now())
+}
+
+// Refused says that the caller was told, as the last word on a request id or
+// key, that it was not run. A run before or after is a violation.
+func (j *Journal) Refused(key string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	r := j.record(key)
+	r.refused = true
+	j.checkRefused(key, r, time.Now())
+}
+
+// Start records that a target starts to work. Finish must follow.
+func (j *Journal) Start(w Work, now time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.run(w.ID, now)
+	if w.Key != w.ID {
+		j.run(w.Key, now)
+	}
+	for _, s := range w.scopes() {
+		j.enter(s, now)
+	}
+	j.shift(w, now)
+}
+
+// Finish records that the work of Start ended, in whatever way.
+func (j *Journal) Finish(w Work, now time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, s := range w.scopes() {
+		u := j.use(s)
+		u.Now--
+		u.Last = now
+	}
+}
+
+// run counts one run of a request id or key.
+func (j *Journal) run(key string, now time.Time) {
+	if key == "" {
+		return
+	}
+	r := j.record(key)
+	r.runs++
+	if r.once {
+		j.checkOnce(key, r, now)
+	}
+	if r.refused {
+		j.checkRefused(key, r, now)
+	}
+}
+
+func (j *Journal) checkOnce(key string, r *record, now time.Time) {
+	j.check(invariant.AtMostOnce, r.runs <= 1, now, func() string {
+		return fmt.Sprintf("%s ran %d times", key, r.runs)
+	})
+}
+
+func (j *Journal) checkRefused(key string, r *record, now time.Time) {
+	j.check(invariant.NotRunTrue, r.runs == 0, now, func() string {
+		return fmt.Sprintf("%s was refused as not run and ran %d times", key, r.runs)
+	})
+}
+
+// enter counts one more request in flight in s.
+func (j *Journal) enter(s Scope, now time.Time) {
+	u := j.use(s)
+	u.Now++
+	u.Runs++
+	u.Peak = max(u.Peak, u.Now)
+	if u.Limit > 0 {
+		j.check(invariant.RegionLimit, u.Now <= u.Limit, now, func() string {
+			return fmt.Sprintf("%+v has %d requests in flight, limit %d", s, u.Now, u.Limit)
+		})
+	}
+	deadline, ok := j.leaving[s]
+	if !ok {
+		return
+	}
+	late := now.After(deadline)
+	if late {
+		u.Late++
+	}
+	j.check(invariant.Leaving, !late, now, func() string {
+		return fmt.Sprintf("%+v got new work %s too late", s, now.Sub(deadline))
+	})
+}
+
+// shift counts work for another place's caller in its window.
+func (j *Journal) shift(w Work, now time.Time) {
+	if w.Home == "" || w.Home == w.Place || now.Before(j.epoch) {
+		return
+	}
+	s := Scope{Place: w.Place, Service: w.Service}
+	i := int(now.Sub(j.epoch) / window)
+	counts := j.shifts[s]
+	for len(counts) <= i {
+		counts = append(counts, 0)
+	}
+	counts[i]++
+	j.shifts[s] = counts
+}
+
+func (j *Journal) check(n invariant.Name, ok bool, now time.Time, detail func() string) {
+	j.counter.Check(n, ok, detail)
+	if !ok && len(j.violations) < maxViolations {
+		j.violations = append(j.violations, Violation{Name: n, At: now, Detail: detail()})
+	}
+}
+
+func (j *Journal) record(key string) *record {
+	r := j.records[key]
+	if r == nil {
+		r = &record{}
+		j.records[key] = r
+	}
+	return r
+}
+
+func (j *Journal) use(s Scope) *Use {
+	u := j.uses[s]
+	if u == nil {
+		u = &Use{}
+		j.uses[s] = u
+	}
+	return u
+}
--- /dev/null
+++ b/internal/emulator/target/listener.go
@@ -0,0 +1,54 @@
+package target
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// listener closes connections over the limit at once and makes new ones wait
+// before their first byte is read.
+type listener struct {
+	net.Listener
+	limit   int64
+	cost    time.Duration
+	open    atomic.Int64
+	peak    atomic.Int64
+	refused atomic.Int64
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		n := l.open.Add(1)
+		if n <= l.limit {
+			l.peak.Store(max(l.peak.Load(), n))
+			return &conn{Conn: c, l: l, cost: l.cost}, nil
+		}
+		l.open.Add(-1)
+		l.refused.Add(1)
+		_ = c.Close()
+	}
+}
+
+type conn struct {
+	net.Conn
+	l     *listener
+	cost  time.Duration
+	first sync.Once
+	once  sync.Once
+}
+
+func (c *conn) Read(b []byte) (int, error) {
+	c.first.Do(func() { time.Sleep(c.cost) })
+	return c.Conn.Read(b)
+}
+
+func (c *conn) Close() error {
+	c.once.Do(func() { c.l.open.Add(-1) })
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/emulator/target/serve.go
@@ -0,0 +1,195 @@
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Headers that a target reads or writes.
+const (
+	headerRequest = "Firlever-Request"
+	headerTimeout = "Firlever-Timeout"
+	headerKey     = "Firlever-Key"
+	headerHome    = "Firlever-Home"
+	headerOutcome = "Firlever-Outcome"
+
+	outcomeNotRun  = "not-run"
+	outcomeUnknown = "unknown"
+)
+
+// MaxSize is the most bytes that a request may ask for, by the query's size.
+const MaxSize = 1 << 30
+
+// load is the body of a load answer.
+type load struct {
+	Slots int `json:"slots"`
+	Busy  int `json:"busy"`
+}
+
+// ServeHTTP answers probes and requests.
+func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/health":
+		t.serveHealth(w, r)
+	case "/load":
+		t.serveLoad(w, r)
+	default:
+		t.serveWork(w, r)
+	}
+}
+
+func (t *Target) serveHealth(w http.ResponseWriter, r *http.Request) {
+	s, report, ok := t.probe(r)
+	if !ok {
+		return
+	}
+	if !s.healthy && !report.AlwaysHealthy {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (t *Target) serveLoad(w http.ResponseWriter, r *http.Request) {
+	s, report, ok := t.probe(r)
+	if !ok {
+		return
+	}
+	if report.AlwaysIdle {
+		s.busy = 0
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(load{Slots: t.cfg.Slots, Busy: s.busy})
+}
+
+// probe returns what a report made now knows, after the probe's cost.
+func (t *Target) probe(r *http.Request) (sample, Report, bool) {
+	if !sleep(r.Context(), time.Now().Add(t.cfg.ProbeCost)) {
+		return sample{}, Report{}, false
+	}
+	t.mu.Lock()
+	report := t.report
+	t.mu.Unlock()
+	return t.slots.asOf(time.Now().Add(-report.Lag)), report, true
+}
+
+// serveWork runs one request, if it's whole, in time, and there's a slot.
+func (t *Target) serveWork(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel, ok := withTimeout(r)
+	defer cancel()
+	size, sizeOK := t.size(r)
+	if !ok || !sizeOK {
+		refuse(w, http.StatusBadRequest)
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		refuse(w, http.StatusBadRequest)
+		return
+	}
+	if ctx.Err() != nil || !t.slots.acquire(ctx) {
+		refuse(w, http.StatusServiceUnavailable)
+		return
+	}
+	work := t.work(r)
+	finish := t.start(work)
+	defer finish()
+	if !sleep(ctx, t.due()) {
+		w.Header().Set(headerOutcome, outcomeUnknown)
+		w.WriteHeader(http.StatusGatewayTimeout)
+		return
+	}
+	t.answer(ctx, w, work.ID, size, finish)
+}
+
+// start records the work in the journal. The returned function records its end
+// and frees the slot, once.
+func (t *Target) start(work Work) func() {
+	t.journal.Start(work, time.Now())
+	return sync.OnceFunc(func() {
+		t.journal.Finish(work, time.Now())
+		t.slots.release()
+	})
+}
+
+// due returns when the work that starts now is done.
+func (t *Target) due() time.Time {
+	now := time.Now()
+	return now.Add(t.pace.next(now))
+}
+
+func (t *Target) work(r *http.Request) Work {
+	return Work{
+		ID:      r.Header.Get(headerRequest),
+		Key:     r.Header.Get(headerKey),
+		Service: t.cfg.Service,
+		Place:   t.cfg.Place,
+		Target:  t.cfg.Name,
+		Home:    r.Header.Get(headerHome),
+	}
+}
+
+// size returns how many bytes the request asks for.
+func (t *Target) size(r *http.Request) (int64, bool) {
+	s := r.URL.Query().Get("size")
+	if s == "" {
+		return t.cfg.Size, true
+	}
+	n, err := strconv.ParseInt(s, 10, 64)
+	return n, err == nil && n >= 0 && n <= MaxSize
+}
+
+// withTimeout returns the request's context, ended at its own timeout too.
+func withTimeout(r *http.Request) (context.Context, context.CancelFunc, bool) {
+	s := r.Header.Get(headerTimeout)
+	if s == "" {
+		return r.Context(), func() {}, true
+	}
+	ms, err := strconv.ParseInt(s, 10, 32)
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
+	return ctx, cancel, err == nil
+}
+
+// refuse answers a request of which nothing ran.
+func refuse(w http.ResponseWriter, status int) {
+	w.Header().Set(headerOutcome, outcomeNotRun)
+	w.WriteHeader(status)
+}
+
+// answer streams the body at the configured pace. It calls finish before the
+// last byte, so that nobody can hold a whole answer to work still in flight. A
+// body that can't be finished breaks the connection.
+func (t *Target) answer(ctx context.Context, w http.ResponseWriter, id string, size int64, finish func()) {
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.FormatInt(AnswerLen(size), 10))
+	body := Answer(id, size)
+	if !t.stream(ctx, w, body, AnswerLen(size)-1) {
+		panic(http.ErrAbortHandler)
+	}
+	finish()
+	if _, err := io.Copy(w, body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// stream copies n bytes at the configured pace, and returns false if it can't.
+func (t *Target) stream(ctx context.Context, w http.ResponseWriter, body io.Reader, n int64) bool {
+	start := time.Now()
+	for sent := int64(0); sent < n; {
+		part, err := io.CopyN(w, body, min(bufferLen, n-sent))
+		sent += part
+		if err != nil || ctx.Err() != nil {
+			return false
+		}
+		if t.cfg.Pace == 0 {
+			continue
+		}
+		due := start.Add(time.Duration(float64(sent) / float64(t.cfg.Pace) * float64(time.Second)))
+		if http.NewResponseController(w).Flush() != nil || !sleep(ctx, due) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/emulator/target/slots.go
@@ -0,0 +1,122 @@
+package target
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// slots admits work: so many requests at one time, a short queue behind them.
+// It keeps the past that a lagging report needs.
+type slots struct {
+	mu       sync.Mutex
+	free     chan struct{} // one token for each free slot
+	size     int
+	queue    int
+	admitted int // waiting and busy, at most size + queue
+	busy     int
+	draining bool
+	healthy  bool
+	past     []sample // by time; the last is the present
+}
+
+// sample is the state from a time on, until the next sample.
+type sample struct {
+	at      time.Time
+	busy    int
+	healthy bool
+}
+
+// keep is how long the past is kept, and the longest lag of a report.
+const keep = 10 * time.Second
+
+func newSlots(size, queue int, now time.Time) *slots {
+	s := &slots{free: make(chan struct{}, size), size: size, queue: queue, healthy: true}
+	for range size {
+		s.free <- struct{}{}
+	}
+	s.past = []sample{{at: now, healthy: true}}
+	return s
+}
+
+// acquire takes a slot, waiting in the queue when there's room in it. It
+// returns false if the request is refused: nothing ran.
+func (s *slots) acquire(ctx context.Context) bool {
+	if !s.admit() {
+		return false
+	}
+	select {
+	case <-s.free:
+	case <-ctx.Done():
+		s.leave()
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy++
+	s.note(time.Now())
+	return true
+}
+
+// admit counts a request in, to wait for a slot.
+func (s *slots) admit() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining || s.admitted >= s.size+s.queue {
+		return false
+	}
+	s.admitted++
+	return true
+}
+
+// leave counts out a request that waited in vain.
+func (s *slots) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.admitted--
+}
+
+func (s *slots) release() {
+	s.mu.Lock()
+	s.admitted--
+	s.busy--
+	s.note(time.Now())
+	s.mu.Unlock()
+	s.free <- struct{}{}
+}
+
+func (s *slots) setDraining(draining bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = draining
+	s.note(time.Now())
+}
+
+func (s *slots) setHealthy(healthy bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.healthy = healthy
+	s.note(time.Now())
+}
+
+// note appends the present to the past and drops what no report needs.
+func (s *slots) note(now time.Time) {
+	s.past = append(s.past, sample{at: now, busy: s.busy, healthy: s.healthy && !s.draining})
+	old := 0
+	for old+1 < len(s.past) && now.Sub(s.past[old+1].at) > keep {
+		old++
+	}
+	s.past = s.past[old:]
+}
+
+// asOf returns the state at a time; the oldest known one before that.
+func (s *slots) asOf(at time.Time) sample {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := len(s.past) - 1; i > 0; i-- {
+		if !s.past[i].at.After(at) {
+			return s.past[i]
+		}
+	}
+	return s.past[0]
+}
--- /dev/null
+++ b/internal/emulator/target/truth.go
@@ -0,0 +1,85 @@
+package target
+
+import (
+	"cmp"
+	"slices"
+)
+
+// ScopeUse is a scope and what its targets did.
+type ScopeUse struct {
+	Scope
+	Use
+}
+
+// Ran returns how many runs of a request id or idempotency key were started.
+func (j *Journal) Ran(key string) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if r := j.records[key]; r != nil {
+		return r.runs
+	}
+	return 0
+}
+
+// Use returns what the targets of a scope did.
+func (j *Journal) Use(s Scope) Use {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if u := j.uses[s]; u != nil {
+		return *u
+	}
+	return Use{}
+}
+
+// Peak returns the most requests of a service that were in flight in a place.
+func (j *Journal) Peak(service, place string) int {
+	return j.Use(Scope{Place: place, Service: service}).Peak
+}
+
+// Place returns what all the targets of a place did.
+func (j *Journal) Place(place string) Use { return j.Use(Scope{Place: place}) }
+
+// Uses returns all scopes by place, service and target.
+func (j *Journal) Uses() []ScopeUse {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	uses := make([]ScopeUse, 0, len(j.uses))
+	for s, u := range j.uses {
+		uses = append(uses, ScopeUse{Scope: s, Use: *u})
+	}
+	slices.SortFunc(uses, func(a, b ScopeUse) int {
+		return cmp.Or(
+			cmp.Compare(a.Place, b.Place),
+			cmp.Compare(a.Service, b.Service),
+			cmp.Compare(a.Target, b.Target),
+		)
+	})
+	return uses
+}
+
+// Shifts returns how many requests of other places' callers a service started
+// in a place, by one-second windows from the journal's epoch.
+func (j *Journal) Shifts(service, place string) []int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return slices.Clone(j.shifts[Scope{Place: place, Service: service}])
+}
+
+// ShiftGrowth returns by how much the shifted requests of a service in a place
+// grew at most from one window to the next. A target starts work later than an
+// instance admits it, so that some may count in the next window.
+func (j *Journal) ShiftGrowth(service, place string) int {
+	before, growth := 0, 0
+	for _, n := range j.Shifts(service, place) {
+		growth = max(growth, n-before)
+		before = n
+	}
+	return growth
+}
+
+// Violations returns the first violations in the order they were seen.
+func (j *Journal) Violations() []Violation {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return slices.Clone(j.violations)
+}
