Emulate the links between places over loopback

Cause: the demo and the tests need the latencies and faults of the network between places, on one machine and switchable while traffic flows. Change: delay lines before real connections, in both directions, that keep order and throughput; cuts, refusals, loss, delay and bandwidth by ordered pair of places; the same for packets; a TCP proxy for real processes.

--- /dev/null
+++ b/internal/emulator/link/conn.go
@@ -0,0 +1,240 @@
+package link
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// conn is a connection with a delay line in each direction. It stands at the
+// dialler's end, and stands for the network between: what the far end has not
+// got yet is in the lines.
+type conn struct {
+	net.Conn
+	out, in   *line
+	readPast  *deadline
+	writePast *deadline
+	once      sync.Once
+	closed    chan struct{} // Close was called
+}
+
+// readLen is how many bytes of the far end are taken at one time.
+const readLen = 32 << 10
+
+// DialContext dials addr over TCP as from one point to another: it takes a
+// round trip, and as long as ctx allows while the path is cut.
+func (l *Links) DialContext(ctx context.Context, from, to Point, addr string) (net.Conn, error) {
+	out, in := l.path(from, to), l.path(to, from)
+	if err := cross(ctx, out); err != nil {
+		return nil, dialError(addr, err)
+	}
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", addr)
+	if crossErr := cross(ctx, in); crossErr != nil {
+		if c != nil {
+			_ = c.Close()
+		}
+		return nil, dialError(addr, crossErr)
+	}
+	if err != nil {
+		return nil, errors.Annotate(err, "Links.DialContext")
+	}
+	return wrap(c, out, in), nil
+}
+
+// Dialer returns DialContext as http.Transport takes it; locate says at which
+// point an address is.
+func (l *Links) Dialer(from Point, locate func(addr string) Point) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, _, addr string) (net.Conn, error) {
+		return l.DialContext(ctx, from, locate(addr), addr)
+	}
+}
+
+func dialError(addr string, err error) error {
+	return errors.Annotatef(&net.OpError{Op: "dial", Net: "tcp", Err: err}, "Links.DialContext %s", addr)
+}
+
+// cross waits as long as one packet takes over p, sent again while p is cut.
+func cross(ctx context.Context, p *path) error {
+	f, changed := p.state()
+	for f.Cut && !f.Refuse {
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		f, changed = p.state()
+	}
+	if f.Refuse {
+		return syscall.ECONNREFUSED
+	}
+	d := p.oneWay(f)
+	if p.links.chance(f.Loss) {
+		d += resend
+	}
+	if d == 0 {
+		return nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// wrap puts lines before an open connection.
+func wrap(c net.Conn, out, in *path) *conn {
+	w := &conn{
+		Conn:      c,
+		out:       newLine(out),
+		in:        newLine(in),
+		readPast:  newDeadline(),
+		writePast: newDeadline(),
+		closed:    make(chan struct{}),
+	}
+	go w.send()
+	go w.receive()
+	return w
+}
+
+// send carries what the dialler wrote to the far end, also after Close, and
+// closes the connection to it.
+func (c *conn) send() {
+	err := c.sendAll()
+	if err == syscall.ECONNRESET {
+		c.setLinger()
+	} else {
+		c.closeWrite()
+		<-c.closed
+	}
+	_ = c.Conn.Close()
+}
+
+// sendAll returns what ended the line, or the failure of a write.
+func (c *conn) sendAll() error {
+	b := make([]byte, readLen)
+	for {
+		n, err := c.out.read(b, nil, nil)
+		if err != nil {
+			return err
+		}
+		if _, err := c.Conn.Write(b[:n]); err != nil {
+			c.out.end(net.ErrClosed)
+			c.in.end(errors.Trace(err))
+			return err
+		}
+	}
+}
+
+// setLinger makes the far end see a reset.
+func (c *conn) setLinger() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
+func (c *conn) closeWrite() {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+	}
+}
+
+// receive takes in what the far end writes.
+func (c *conn) receive() {
+	b := make([]byte, readLen)
+	for {
+		n, err := c.Conn.Read(b)
+		if n > 0 {
+			if _, err := c.in.write(b[:n], c.closed, nil); err != nil {
+				c.in.end(err)
+				return
+			}
+		}
+		if err != nil {
+			c.in.end(endOf(err))
+			return
+		}
+	}
+}
+
+// endOf keeps a clean end as readers compare it.
+func endOf(err error) error {
+	if err == io.EOF {
+		return io.EOF
+	}
+	return errors.Trace(err)
+}
+
+// Read returns what the far end wrote and has arrived.
+func (c *conn) Read(b []byte) (int, error) {
+	if len(b) == 0 {
+		return 0, nil
+	}
+	n, err := c.in.read(b, c.closed, c.readPast.wait())
+	return n, c.opError("read", err)
+}
+
+// Write returns when b is on its way.
+func (c *conn) Write(b []byte) (int, error) {
+	if isClosed(c.closed) {
+		return 0, c.opError("write", net.ErrClosed)
+	}
+	n := 0
+	for n < len(b) {
+		part := b[n:min(len(b), n+readLen)]
+		m, err := c.out.write(part, c.closed, c.writePast.wait())
+		n += m
+		if err != nil {
+			return n, c.opError("write", err)
+		}
+	}
+	return n, nil
+}
+
+func (c *conn) opError(op string, err error) error {
+	if err == nil || err == io.EOF {
+		return err
+	}
+	return &net.OpError{Op: op, Net: "tcp", Addr: c.RemoteAddr(), Err: err}
+}
+
+// CloseWrite ends the stream to the far end, after what is on its way.
+func (c *conn) CloseWrite() error {
+	c.out.end(io.EOF)
+	return nil
+}
+
+// Close closes the dialler's end. The far end gets what is on its way, then
+// the end of the stream.
+func (c *conn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	c.out.end(net.ErrClosed)
+	return nil
+}
+
+// SetDeadline sets those of Read and Write.
+func (c *conn) SetDeadline(at time.Time) error {
+	c.readPast.set(at)
+	c.writePast.set(at)
+	return nil
+}
+
+// SetReadDeadline sets the deadline of Read.
+func (c *conn) SetReadDeadline(at time.Time) error {
+	c.readPast.set(at)
+	return nil
+}
+
+// SetWriteDeadline sets the deadline of Write.
+func (c *conn) SetWriteDeadline(at time.Time) error {
+	c.writePast.set(at)
+	return nil
+}
--- /dev/null
+++ b/internal/emulator/link/links.go
@@ -0,0 +1,107 @@
+// Package link emulates the network between places over loopback: connections
+// and packets arrive after the one-way delay of their places, and faults can be
+// switched on and off by pair of places while traffic flows.
+package link
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// Point is one end of a link: an instance or target in a place, or a caller
+// whose home the place is.
+type Point struct {
+	Place  string
+	Caller bool
+}
+
+// At is the point of what runs in a place.
+func At(place string) Point { return Point{Place: place} }
+
+// CallerAt is the point of a caller at home in a place.
+func CallerAt(place string) Point { return Point{Place: place, Caller: true} }
+
+// Location says where a place is.
+type Location struct {
+	Region string
+	Domain string // failure domain
+}
+
+// Latency is the one-way delay by how far two points are from each other.
+type Latency struct {
+	Domain time.Duration // within one failure domain
+	Region time.Duration // between failure domains of one region
+	World  time.Duration // between regions, and to places without a location
+	Caller time.Duration // added when one end is a caller
+}
+
+// Links holds the delays and faults between places. It is safe for concurrent
+// use.
+type Links struct {
+	places  map[string]Location // never changed after New
+	latency Latency
+
+	mu    sync.Mutex
+	rng   *rand.Rand
+	paths map[pair]*path
+}
+
+// pair is an ordered pair of points.
+type pair struct{ from, to Point }
+
+// New makes links without faults. The seed is that of losses and duplicates.
+func New(places map[string]Location, latency Latency, seed uint64) *Links {
+	return &Links{
+		places:  places,
+		latency: latency,
+		rng:     rand.New(rand.NewPCG(seed, 0)),
+		paths:   map[pair]*path{},
+	}
+}
+
+// Delay returns the one-way delay without faults.
+func (l *Links) Delay(from, to Point) time.Duration {
+	d := l.between(from.Place, to.Place)
+	if from.Caller != to.Caller {
+		d += l.latency.Caller
+	}
+	return d
+}
+
+func (l *Links) between(from, to string) time.Duration {
+	if from == to {
+		return l.latency.Domain
+	}
+	a, b := l.places[from], l.places[to]
+	switch {
+	case a.Region == "" || a.Region != b.Region:
+		return l.latency.World
+	case a.Domain == b.Domain:
+		return l.latency.Domain
+	}
+	return l.latency.Region
+}
+
+// path returns the one way from one point to another, the same one each time.
+func (l *Links) path(from, to Point) *path {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	key := pair{from, to}
+	p := l.paths[key]
+	if p == nil {
+		p = &path{links: l, delay: l.Delay(from, to), changed: make(chan struct{})}
+		l.paths[key] = p
+	}
+	return p
+}
+
+// chance returns true with the given probability.
+func (l *Links) chance(p float64) bool {
+	if p <= 0 {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rng.Float64() < p
+}
--- /dev/null
+++ b/internal/emulator/link/packet.go
@@ -0,0 +1,44 @@
+package link
+
+import (
+	"net"
+	"time"
+)
+
+// packetConn delays, loses and duplicates what it sends.
+type packetConn struct {
+	net.PacketConn
+	links  *Links
+	from   Point
+	locate func(net.Addr) Point
+}
+
+// PacketConn wraps a socket at one point, so that packets arrive as over the
+// links; locate says at which point an address is. Each socket wraps only what
+// it sends.
+func (l *Links) PacketConn(c net.PacketConn, from Point, locate func(net.Addr) Point) net.PacketConn {
+	return &packetConn{PacketConn: c, links: l, from: from, locate: locate}
+}
+
+// WriteTo sends b and tells nothing of its loss.
+func (c *packetConn) WriteTo(b []byte, addr net.Addr) (int, error) {
+	p := c.links.path(c.from, c.locate(addr))
+	f, _ := p.state()
+	if f.Cut || f.Refuse || c.links.chance(f.Loss) {
+		return len(b), nil
+	}
+	c.send(append([]byte(nil), b...), addr, p.oneWay(f))
+	if c.links.chance(f.Duplicate) {
+		c.send(append([]byte(nil), b...), addr, p.oneWay(f))
+	}
+	return len(b), nil
+}
+
+// send writes b after a delay. A socket closed meanwhile loses it.
+func (c *packetConn) send(b []byte, addr net.Addr, d time.Duration) {
+	if d == 0 {
+		_, _ = c.PacketConn.WriteTo(b, addr)
+		return
+	}
+	time.AfterFunc(d, func() { _, _ = c.PacketConn.WriteTo(b, addr) })
+}
--- /dev/null
+++ b/internal/emulator/link/proxy.go
@@ -0,0 +1,93 @@
+package link
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+
+	"github.com/juju/errors"
+)
+
+// Proxy forwards TCP connections to an address over links, so that faults can
+// be put between real processes.
+type Proxy struct {
+	ln       net.Listener
+	links    *Links
+	from, to Point
+	addr     string
+	ctx      context.Context // ends with Close
+	cancel   context.CancelFunc
+	work     sync.WaitGroup
+}
+
+// NewProxy forwards each connection of ln to addr, as from one point to
+// another, until Close.
+func NewProxy(ln net.Listener, links *Links, from, to Point, addr string) *Proxy {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &Proxy{ln: ln, links: links, from: from, to: to, addr: addr, ctx: ctx, cancel: cancel}
+	p.work.Go(p.serve)
+	return p
+}
+
+// Addr returns the address to connect to.
+func (p *Proxy) Addr() string { return p.ln.Addr().String() }
+
+// Close breaks all connections and waits until they have ended.
+func (p *Proxy) Close() error {
+	p.cancel()
+	err := p.ln.Close()
+	p.work.Wait()
+	return errors.Annotate(err, "Proxy.Close")
+}
+
+func (p *Proxy) serve() {
+	for {
+		c, err := p.ln.Accept()
+		if err != nil {
+			return
+		}
+		p.work.Go(func() { p.forward(c) })
+	}
+}
+
+// forward carries one connection. When it breaks on one side, the other side
+// is reset.
+func (p *Proxy) forward(near net.Conn) {
+	far, err := p.links.DialContext(p.ctx, p.from, p.to, p.addr)
+	if err != nil {
+		abort(near)
+		return
+	}
+	stop := context.AfterFunc(p.ctx, func() {
+		abort(near)
+		abort(far)
+	})
+	defer stop()
+	var both sync.WaitGroup
+	both.Go(func() { carry(far, near) })
+	both.Go(func() { carry(near, far) })
+	both.Wait()
+	_ = far.Close()
+	_ = near.Close()
+}
+
+// carry copies one direction and passes its end on.
+func carry(dst, src net.Conn) {
+	_, err := io.Copy(dst, src)
+	half, ok := dst.(interface{ CloseWrite() error })
+	if err != nil || !ok {
+		abort(src)
+		abort(dst)
+		return
+	}
+	_ = half.CloseWrite()
+}
+
+// abort closes a connection so that the other end sees it broken.
+func abort(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
