Run each keyed request at most once

Cause: non-idempotent requests need a home that alone may run them. Change: internal/once: authenticated keys of one incarnation, and the Book that decides run, running, answered, unknown and the refusals.

--- /dev/null
+++ b/internal/once/sweep.go
@@ -0,0 +1,60 @@
+package once
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Stats tells how full a book is and what it has decided.
+type Stats struct {
+	Records int // kept
+	Running int // under way; a planned stop waits until it is 0
+	Bytes   int // counted for records and answers
+	counts  [verdictKinds]uint64
+}
+
+// Verdicts returns how many verdicts of a kind the book has given.
+func (s Stats) Verdicts(kind VerdictKind) uint64 {
+	if kind >= verdictKinds {
+		return 0
+	}
+	return s.counts[kind]
+}
+
+// Stats returns the present figures.
+func (b *Book) Stats() Stats {
+	return Stats{Records: len(b.records), Running: b.running, Bytes: b.bytes, counts: b.counts}
+}
+
+// Close makes the book begin nothing new. Attempts under way go on, and records
+// are still told.
+func (b *Book) Close() { b.closed = true }
+
+// Sweep drops the records past their deadline, but for those under way, and
+// returns how many it dropped.
+func (b *Book) Sweep(now time.Time) int {
+	now = b.clock(now)
+	n := 0
+	for len(b.expiry) > 0 && !now.Before(b.expiry[0].until) {
+		r := heap.Pop(&b.expiry).(*record)
+		if r.running() {
+			continue // Finish puts it back
+		}
+		b.drop(r)
+		n++
+	}
+	return n
+}
+
+// Next returns when Sweep next has something to do; zero if never.
+func (b *Book) Next() time.Time {
+	if len(b.expiry) == 0 {
+		return time.Time{}
+	}
+	return b.expiry[0].until
+}
+
+func (b *Book) drop(r *record) {
+	b.bytes -= recordSize + r.outcome.size()
+	delete(b.records, r.number)
+}
