--- a/pkg/settings/duration.go
+++ b/pkg/settings/duration.go
@@ -6,11 +6,11 @@
 // only how a document is written: programs store deadlines.
 type Duration time.Duration
 
-// UnmarshalText reads a duration such as 2s.
+// UnmarshalText reads a duration such as 2s. Anything else gives *DurationError.
 func (d *Duration) UnmarshalText(b []byte) error {
 	v, err := time.ParseDuration(string(b))
 	if err != nil {
-		return err
+		return &DurationError{Text: string(b)}
 	}
 	*d = Duration(v)
 	return nil
--- /dev/null
+++ b/pkg/settings/strict.go
@@ -0,0 +1,236 @@
+package settings
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/token"
+)
+
+// Bounds of form. No document of ours needs more; beyond them the library's
+// time grows with the square of the size.
+const (
+	MaxLine   = 4096 // bytes of a line
+	maxDepth  = 16   // of brackets
+	maxColumn = 64   // of a key or of an item's dash outside brackets
+	maxKeys   = 4096 // of one mapping outside brackets
+	maxFaults = 100  // listed of one document
+)
+
+// refusedTokens are the parts of YAML that the documents do without: each of
+// them lets a document mean something other than what it shows.
+var refusedTokens = map[token.Type]string{
+	token.AnchorType:      "an anchor",
+	token.AliasType:       "an alias",
+	token.TagType:         "a tag",
+	token.MergeKeyType:    "a merge key",
+	token.DirectiveType:   "a directive",
+	token.MappingKeyType:  "a '?' key",
+	token.DocumentEndType: "an end-of-document mark",
+	token.InvalidType:     "an invalid character",
+}
+
+// scan looks through the tokens for what the parser must not see.
+type scan struct {
+	depth int                // of brackets
+	keys  [maxColumn + 1]int // keys so far of the open mapping that starts at the column
+}
+
+// checkTokens gives the first fault of form.
+func checkTokens(tokens token.Tokens) []Fault {
+	var s scan
+	for i, t := range tokens {
+		if reason := s.next(i, t); reason != "" {
+			return []Fault{{Line: t.Position.Line, Reason: reason}}
+		}
+	}
+	return nil
+}
+
+func (s *scan) next(i int, t *token.Token) string {
+	if name, ok := refusedTokens[t.Type]; ok {
+		return name + " is not allowed"
+	}
+	switch t.Type {
+	case token.SequenceStartType, token.MappingStartType:
+		s.depth++
+	case token.SequenceEndType, token.MappingEndType:
+		s.depth--
+	case token.SequenceEntryType:
+		return s.column(t.Position.Column, false)
+	case token.MappingValueType:
+		if s.depth == 0 && t.Prev != nil {
+			return s.column(t.Prev.Position.Column, true)
+		}
+	case token.DocumentHeaderType:
+		if i > 0 {
+			return "a second document is not allowed"
+		}
+	}
+	if s.depth > maxDepth {
+		return "nested too deep"
+	}
+	return ""
+}
+
+// column closes the mappings to the right of column c, and counts a key there.
+func (s *scan) column(c int, key bool) string {
+	if c < 0 || c > maxColumn {
+		return "nested too deep"
+	}
+	clear(s.keys[c+1:])
+	if key {
+		s.keys[c]++
+	}
+	if s.keys[c] > maxKeys {
+		return fmt.Sprintf("has over %d fields in one mapping", maxKeys)
+	}
+	return ""
+}
+
+// shape compares a document's nodes with the type that they are to fill: the
+// library by itself takes "5", 5.7 or null for a whole number.
+type shape struct {
+	faults []Fault
+	lines  map[string]int // line of each field; nil unless wanted
+}
+
+var durationType = reflect.TypeFor[Duration]()
+
+func (s *shape) add(field string, n ast.Node, format string, args ...any) {
+	if len(s.faults) >= maxFaults {
+		return
+	}
+	s.faults = append(s.faults, Fault{Field: field, Line: lineOf(n), Reason: fmt.Sprintf(format, args...)})
+}
+
+func lineOf(n ast.Node) int {
+	if t := n.GetToken(); t != nil {
+		return t.Position.Line
+	}
+	return 0
+}
+
+func (s *shape) walk(field string, n ast.Node, t reflect.Type) {
+	if s.lines != nil {
+		s.lines[field] = lineOf(n)
+	}
+	switch {
+	case t == durationType:
+		s.duration(field, n)
+	case t.Kind() == reflect.Struct:
+		s.fields(field, n, t)
+	case t.Kind() == reflect.Map:
+		s.entries(field, n, t.Elem())
+	case t.Kind() == reflect.Slice:
+		s.items(field, n, t.Elem())
+	default:
+		s.scalar(field, n, t)
+	}
+}
+
+func (s *shape) duration(field string, n ast.Node) {
+	text, ok := n.(*ast.StringNode)
+	if !ok {
+		s.add(field, n, "must be a length of time such as 1500ms or 2s")
+		return
+	}
+	var d Duration
+	if err := d.UnmarshalText([]byte(text.Value)); err != nil {
+		s.add(field, n, "%v", err)
+	}
+}
+
+func (s *shape) scalar(field string, n ast.Node, t reflect.Type) {
+	var ok bool
+	switch t.Kind() {
+	case reflect.String:
+		_, ok = n.(*ast.StringNode)
+	case reflect.Bool:
+		_, ok = n.(*ast.BoolNode)
+	default:
+		_, ok = n.(*ast.IntegerNode)
+	}
+	if !ok {
+		s.add(field, n, "must be %s, not %s", typeNames[t.Kind()], strings.ToLower(n.Type().String()))
+	}
+}
+
+var typeNames = map[reflect.Kind]string{
+	reflect.String: "a text on one line (quote it if it looks like a number)",
+	reflect.Bool:   "true or false",
+	reflect.Int:    "a whole number",
+	reflect.Int64:  "a whole number",
+}
+
+func (s *shape) items(field string, n ast.Node, t reflect.Type) {
+	list, ok := n.(*ast.SequenceNode)
+	if !ok {
+		s.add(field, n, "must be a list")
+		return
+	}
+	for i, v := range list.Values {
+		s.walk(fmt.Sprintf("%s[%d]", field, i), v, t)
+	}
+}
+
+func (s *shape) entries(field string, n ast.Node, t reflect.Type) {
+	for _, e := range s.pairs(field, n) {
+		if key, ok := s.key(field, e); ok {
+			s.walk(join(field, key), e.Value, t)
+		}
+	}
+}
+
+func (s *shape) fields(field string, n ast.Node, t reflect.Type) {
+	for _, e := range s.pairs(field, n) {
+		key, ok := s.key(field, e)
+		if !ok {
+			continue
+		}
+		f, ok := fieldNamed(t, key)
+		if !ok {
+			s.add(join(field, clip(key)), e.Key, "unknown field")
+			continue
+		}
+		s.walk(join(field, key), e.Value, f.Type)
+	}
+}
+
+func (s *shape) pairs(field string, n ast.Node) []*ast.MappingValueNode {
+	switch m := n.(type) {
+	case *ast.MappingNode:
+		return m.Values
+	case *ast.MappingValueNode:
+		return []*ast.MappingValueNode{m}
+	}
+	s.add(field, n, "must be a mapping of fields")
+	return nil
+}
+
+func (s *shape) key(field string, e *ast.MappingValueNode) (string, bool) {
+	key, ok := e.Key.(*ast.StringNode)
+	if !ok {
+		s.add(field, e.Key, "a key must be a text (quote it if it looks like a number)")
+		return "", false
+	}
+	return key.Value, true
+}
+
+func fieldNamed(t reflect.Type, name string) (reflect.StructField, bool) {
+	for i := range t.NumField() {
+		if t.Field(i).Tag.Get("yaml") == name {
+			return t.Field(i), true
+		}
+	}
+	return reflect.StructField{}, false
+}
+
+func join(field, key string) string {
+	if field == "" {
+		return key
+	}
+	return field + "." + key
+}
