Add the health of targets

Cause: targets start cold, fail, shed and mislead about themselves, and the owner must know how many of their slots it may use.

Change: internal/health keeps a book of targets by own observations first: ejection with a floor, probes, slow start, hints from claims, and ageing toward the allowance when nothing is measured.

--- /dev/null
+++ b/internal/health/config.go
@@ -0,0 +1,79 @@
+package health
+
+import (
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Config sets up a Book. Its durations are turned into deadlines at once.
+type Config struct {
+	Failures int // consecutive failures that eject a target
+	Percent  int // of failures among recent outcomes that ejects a target
+	Samples  int // outcomes needed before Percent counts
+	Floor    int // percent of the targets that may be ejected at one time
+
+	Eject  time.Duration // of the first ejection; each further one doubles it
+	Most   time.Duration // longest ejection
+	Jitter int           // percent by which an ejection may be shorter
+	Probe  time.Duration // how long a probe may take before the next is due
+
+	Fresh  time.Duration // how long an own observation outranks claims
+	Idle   time.Duration // without own observation for so long, a target is cold
+	Step   time.Duration // the least time between two changes of a cold target's slots
+	Silent time.Duration // without observation or claim for so long, the weight begins to age
+	Age    time.Duration // between two steps of ageing
+}
+
+// ConfigError lists all faults of a Config.
+type ConfigError struct{ Faults []string }
+
+// Error lists the faults.
+func (e *ConfigError) Error() string { return "health: " + strings.Join(e.Faults, "; ") }
+
+// Defaults fills what is not set.
+func (c *Config) Defaults() {
+	set(&c.Failures, 5)
+	set(&c.Percent, 50)
+	set(&c.Samples, 20)
+	set(&c.Floor, 50)
+	set(&c.Eject, time.Second)
+	set(&c.Most, time.Minute)
+	set(&c.Jitter, 20)
+	set(&c.Probe, time.Second)
+	set(&c.Fresh, 5*time.Second)
+	set(&c.Idle, 5*time.Minute)
+	set(&c.Step, 500*time.Millisecond)
+	set(&c.Silent, 30*time.Second)
+	set(&c.Age, 10*time.Second)
+}
+
+// Validate returns a *ConfigError that names every fault.
+func (c *Config) Validate() error {
+	var faults []string
+	check := func(ok bool, fault string) {
+		if !ok {
+			faults = append(faults, fault)
+		}
+	}
+	check(c.Failures > 0, "failures is below 1")
+	check(c.Percent > 0 && c.Percent <= 100, "percent is not within 1 and 100")
+	check(c.Samples > 0, "samples is below 1")
+	check(c.Floor >= 0 && c.Floor <= 100, "floor is not within 0 and 100")
+	check(c.Jitter >= 0 && c.Jitter <= 100, "jitter is not within 0 and 100")
+	check(c.Eject > 0 && c.Eject <= c.Most, "eject is not within 0 and most")
+	check(min(c.Probe, c.Fresh, c.Step, c.Age) > 0, "probe, fresh, step or age is not above 0")
+	check(c.Fresh <= c.Silent && c.Silent <= c.Idle, "fresh, silent and idle don't grow in this order")
+	if faults == nil {
+		return nil
+	}
+	return errors.Trace(&ConfigError{Faults: faults})
+}
+
+func set[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
