Close gaps that broken code showed in the stand-in's tests

Cause: with the check of an older incarnation, or of a lease's old epoch, taken out, the tests still passed; escaped wait parameters made the server's fuzz target wait for real. Change: a row and a test that catch both; the store under the fuzz target answers watches at once.

--- a/internal/emulator/kv/local_test.go
+++ b/internal/emulator/kv/local_test.go
@@ -98,6 +98,13 @@
 	}
 }
 
+// impatient is a Local whose watches don't wait.
+type impatient struct{ *Local }
+
+func (l impatient) Watch(ctx context.Context, prefix string, after uint64, _ time.Duration) ([]platform.Entry, uint64, error) {
+	return l.Local.Watch(ctx, prefix, after, 0)
+}
+
 func FuzzServer(f *testing.F) {
 	f.Add("PUT", platform.RouteEntry, "path=/a&version=0", "value")
 	f.Add("GET", platform.RouteWatch, "prefix=/&after=0&wait=0", "")
@@ -106,12 +113,13 @@
 	f.Add("DELETE", platform.RouteEntry, "path=/a&version=18446744073709551616", "")
 	f.Fuzz(func(t *testing.T, method, route, query, body string) {
 		r, err := http.NewRequest(method, "http://kv", strings.NewReader(body))
-		if err != nil || strings.Contains(query, "wait=") && !strings.Contains(query, "wait=0") {
+		if err != nil {
 			return
 		}
 		r.URL.Path, r.URL.RawQuery = route, query
 		w := httptest.NewRecorder()
-		NewServer(NewLocal(newService(t), func() time.Time { return start })).ServeHTTP(w, r)
+		local := NewLocal(newService(t), func() time.Time { return start })
+		NewServer(impatient{local}).ServeHTTP(w, r)
 		if w.Code >= http.StatusInternalServerError {
 			t.Errorf("got status %d: %s", w.Code, w.Body)
 		}
--- a/internal/emulator/kv/service_test.go
+++ b/internal/emulator/kv/service_test.go
@@ -151,6 +151,22 @@
 	}
 }
 
+func TestReleaseOfOldEpoch(t *testing.T) {
+	s := newService(t)
+	old, _ := s.Acquire("/l", "a", time.Second, start)
+	now := start.Add(time.Second)
+	renewed, _ := s.Acquire("/l", "a", time.Second, now)
+	if err := s.Release(old, now); err == nil {
+		t.Error("an old epoch of the same holder released the lease")
+	}
+	if err := s.Release(renewed, now); err != nil {
+		t.Error(err)
+	}
+	if l, err := s.Acquire("/l", "b", time.Second, now); l.Epoch != 3 {
+		t.Errorf("got epoch %d %v, want 3", l.Epoch, err)
+	}
+}
+
 func TestChanges(t *testing.T) {
 	s := newService(t)
 	for i := range uint64(3 * logSlack) {
@@ -190,6 +206,7 @@
 		"shown":             {show, []uint64{1}},
 		"change not shown":  {2*show - 1, []uint64{1}},
 		"change shown":      {2 * show, []uint64{2}},
+		"late one ignored":  {2*show + 1, []uint64{2}},
 		"gone, still shown": {3*show + gone - 1, []uint64{2}},
 		"gone":              {3*show + gone, nil},
 	}
