Bound growth by all versions of a cap still in force

Cause: two changes of a shift cap within its spread time left only the last one replaced in the bound, while other owners could still use the one before.

Change: a ramp keeps every replaced cap until its own deadline; the lowest counts.

Broken on purpose on a copy, each caught by TestNewVersion: old caps ignored, only the last one kept, all dropped at the next change.

Conclusion: the bound holds through quick changes in a row.

--- a/internal/shift/ramp.go
+++ b/internal/shift/ramp.go
@@ -10,6 +10,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -47,14 +48,19 @@
 
 // Ramp holds back the shifted requests of one service at one owner.
 type Ramp struct {
-	cfg      Config
-	cap      Cap
-	old      Cap       // in force before cap; counts until oldUntil
-	oldUntil time.Time // zero when there was no other version
-	latest   time.Time // latest time seen; a window never goes back below it by less than maxHold
-	win      win
-	total    uint64
-	held     uint64
+	cfg    Config
+	cap    Cap
+	old    []oldCap  // other versions that may still be in force elsewhere, oldest first
+	latest time.Time // latest time seen; a window never goes back below it by less than maxHold
+	win    win
+	total  uint64
+	held   uint64
+}
+
+// oldCap is a cap that another version has replaced.
+type oldCap struct {
+	shares []Share
+	until  time.Time // counts before it
 }
 
 // New makes a ramp that admits nothing until SetCap. It returns a *ConfigError.
@@ -68,13 +74,13 @@
 
 // SetCap puts a cap in force. A lower one counts at once, a higher one from the
 // next window on, as the owner who had those shares may have used them in this
-// one. After a change of version the lower of both counts until every owner has
-// the new one.
+// one. After a change of version the lowest counts until every owner has the new
+// one.
 func (r *Ramp) SetCap(now time.Time, c Cap) {
 	now = r.advance(now)
 	if r.cap.Version != c.Version && r.cap.Version != 0 {
-		r.old = r.cap
-		r.oldUntil = now.Add(r.cfg.Spread)
+		r.old = slices.DeleteFunc(r.old, func(o oldCap) bool { return !now.Before(o.until) })
+		r.old = append(r.old, oldCap{shares: r.cap.Shares, until: now.Add(r.cfg.Spread)})
 	}
 	r.cap = c
 	r.win.budget = min(r.win.budget, r.win.before+r.units(r.win.number))
@@ -142,7 +148,9 @@
 		}
 		r.win.move(now) // the counts stay: two windows become one
 		r.latest = now
-		r.oldUntil = minTime(r.oldUntil, now.Add(r.cfg.Spread))
+		for i := range r.old {
+			r.old[i].until = now.Add(r.cfg.Spread)
+		}
 		return now
 	}
 	r.latest = now
@@ -160,8 +168,10 @@
 // units returns by how much the window may exceed the one before it.
 func (r *Ramp) units(number int64) int {
 	n := unitsOf(r.cap.Shares, number)
-	if time.Unix(number, 0).Before(r.oldUntil) {
-		n = min(n, unitsOf(r.old.Shares, number))
+	for _, o := range r.old {
+		if time.Unix(number, 0).Before(o.until) {
+			n = min(n, unitsOf(o.shares, number))
+		}
 	}
 	return n
 }
@@ -174,10 +184,3 @@
 			w.number, w.admitted, w.before, r.units(w.number), r.cap.Version)
 	})
 }
-
-func minTime(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
--- a/internal/shift/ramp_test.go
+++ b/internal/shift/ramp_test.go
@@ -111,13 +111,14 @@
 	r := newRamp(t, Cap{Version: 1, Shares: Divide(5, []int{1})})
 	saturate(r, begin)
 	r.SetCap(begin.Add(window), Cap{Version: 2, Shares: Divide(50, []int{1})})
-	for i, want := range []int{10, 15, 20, 70} {
+	r.SetCap(begin.Add(window), Cap{Version: 3, Shares: Divide(20, []int{1})})
+	for i, want := range []int{10, 15, 20, 40} { // the first version counts for 3 s
 		if got := saturate(r, begin.Add(time.Duration(i+1)*window)); got != want {
 			t.Errorf("window %d: got %d, want %d", i+1, got, want)
 		}
 	}
-	if got := r.Counts(begin.Add(4 * window)).Version; got != 2 {
-		t.Errorf("got version %d, want 2", got)
+	if got := r.Counts(begin.Add(4 * window)).Version; got != 3 {
+		t.Errorf("got version %d, want 3", got)
 	}
 }
 
