Restore the book of idempotency keys

Excluded: other files of both packages are as their tests ran them. Before: the module does not build. After: it builds and internal/once passes, the random runs included.

--- a/internal/once/book.go
+++ b/internal/once/book.go
@@ -1,126 +1,217 @@
-// Package replica keeps an instance's copy of the operators' documents, and
-// finds what two copies have to tell each other. It does no input or output.
-package replica
+package once
 
 import (
-	"bytes"
-	"encoding/binary"
+	"container/heap"
 	"fmt"
-	"sort"
-
-	"github.com/cespare/xxhash/v2"
+	"strings"
+	"time"
 
 	"github.com/firlever/firlever/internal/invariant"
-	"github.com/firlever/firlever/pkg/settings"
 )
 
-// BucketCount is the number of buckets that paths are spread over by their hash.
-const BucketCount = 256
+// Book holds the records of one incarnation's keys.
+type Book struct {
+	cfg     Config
+	issuer  *Issuer
+	checks  *invariant.Counter
+	records map[[numberSize]byte]*record
+	expiry  deadlines // records to be dropped; one that is under way past its deadline is not in it
+	latest  time.Time // never goes back, so that a clock set back can't revive a key whose record is gone
+	bytes   int       // of records and answers; never over cfg.Bytes
+	running int       // records without an outcome
+	closed  bool
+	counts  [verdictKinds]uint64
+}
 
-// Buckets holds one hash for each bucket, over the paths and versions in it.
-type Buckets [BucketCount]uint64
+// New makes the book of one incarnation. cfg must be valid; checks may be nil.
+func New(cfg Config, issuer *Issuer, checks *invariant.Counter) *Book {
+	return &Book{
+		cfg:     cfg,
+		issuer:  issuer,
+		checks:  checks,
+		records: make(map[[numberSize]byte]*record),
+	}
+}
 
-// Version says which version of a path an instance holds.
-type Version struct {
-	Path    string
-	Version uint64
+// Issue makes a key. Its life is cut to Config.Life. A key takes no memory here
+// until it begins.
+func (b *Book) Issue(now, until time.Time) Key {
+	now = b.clock(now)
+	last := now.Add(b.cfg.Life)
+	if until.After(last) {
+		until = last
+	}
+	return b.issuer.Issue(until)
 }
 
-// Set is one copy of the documents. It is not safe for concurrent use.
-type Set struct {
-	checks  *invariant.Counter
-	docs    [BucketCount]map[string]settings.Document // by path; versions never go back
-	hashes  Buckets                                   // always of docs; the sum over a bucket's documents
-	root    uint64                                    // the sum of hashes
-	count   int                                       // of documents, deleted ones too
-	applied uint64                                    // documents taken so far; never goes back
+// Begin says what to do with a request that brings key. After VerdictRun the
+// one who asked must call Dispatch just before the first byte goes to a target,
+// and Finish in any case.
+func (b *Book) Begin(now time.Time, key Key, fp Fingerprint, request string) Verdict {
+	v := b.begin(b.clock(now), key, fp, request)
+	b.counts[v.Kind]++
+	return v
 }
 
-// New makes an empty set that counts its checks in c, which may be nil.
-func New(c *invariant.Counter) *Set {
-	s := &Set{checks: c}
-	for i := range s.docs {
-		s.docs[i] = make(map[string]settings.Document)
+func (b *Book) begin(now time.Time, key Key, fp Fingerprint, request string) Verdict {
+	if kind := b.admit(key); kind != 0 {
+		return Verdict{Kind: kind}
+	}
+	r := b.records[key.number]
+	if r == nil {
+		return b.first(now, key, fp, request)
+	}
+	if r.fingerprint != fp {
+		return Verdict{Kind: VerdictMismatch}
+	}
+	switch r.outcome.Kind {
+	case OutcomeAnswered:
+		return Verdict{Kind: VerdictAnswered, Request: r.request, Outcome: r.outcome}
+	case OutcomeUnknown:
+		return Verdict{Kind: VerdictUnknown, Request: r.request}
+	case OutcomeNotRun:
+		return b.again(now, r, request)
+	default:
+		return Verdict{Kind: VerdictRunning, Request: r.request}
 	}
-	return s
 }
 
-// Apply takes a document if it is newer than the one held, and reports whether
-// it did. Its body must not be changed afterwards.
-func (s *Set) Apply(doc settings.Document) bool {
-	held, ok := s.Get(doc.Path)
-	if doc.Version > held.Version {
-		s.put(doc, held)
-		return true
-	}
-	if ok && doc.Version == held.Version {
-		s.checks.Check(invariant.ConfigForward, same(doc, held), func() string {
-			return fmt.Sprintf("%s has two bodies at version %d", doc.Path, doc.Version)
-		})
+// admit judges a key by itself; 0 means that it is genuine and at home.
+func (b *Book) admit(key Key) VerdictKind {
+	switch {
+	case key.instance == b.issuer.instance && key.incarnation < b.issuer.incarnation:
+		return VerdictGone
+	case !b.issuer.Home(key):
+		return VerdictForeign
+	case !b.issuer.Genuine(key):
+		return VerdictForged
+	default:
+		return 0
 	}
-	return false
 }
 
-func same(a, b settings.Document) bool {
-	return a.Deleted == b.Deleted && bytes.Equal(a.Body, b.Body)
+func (b *Book) first(now time.Time, key Key, fp Fingerprint, request string) Verdict {
+	switch {
+	case !now.Before(key.Until()):
+		return Verdict{Kind: VerdictExpired}
+	case b.closed:
+		return Verdict{Kind: VerdictClosed}
+	case len(b.records) >= b.cfg.Records || b.bytes+recordSize > b.cfg.Bytes:
+		return Verdict{Kind: VerdictFull}
+	}
+	r := &record{number: key.number, fingerprint: fp, until: key.Until()}
+	b.records[key.number] = r
+	b.bytes += recordSize
+	heap.Push(&b.expiry, r)
+	return b.start(r, request)
 }
 
-// put stores a document in place of the one held, whose version is 0 if none is.
-func (s *Set) put(doc, held settings.Document) {
-	s.checks.Check(invariant.ConfigForward, doc.Version > held.Version, func() string {
-		return fmt.Sprintf("%s goes from version %d to %d", doc.Path, held.Version, doc.Version)
-	})
-	b := Bucket(doc.Path)
-	delta := hash(doc)
-	if held.Version > 0 {
-		delta -= hash(held)
-	} else {
-		s.count++
-	}
-	s.docs[b][doc.Path] = doc
-	s.hashes[b] += delta
-	s.root += delta
-	s.applied++
+// again lets a request run anew after a proof that nothing ran.
+func (b *Book) again(now time.Time, r *record, request string) Verdict {
+	if !now.Before(r.until) {
+		return Verdict{Kind: VerdictExpired}
+	}
+	if b.closed {
+		return Verdict{Kind: VerdictClosed}
+	}
+	return b.start(r, request)
 }
 
-// Bucket returns the bucket of a path.
-func Bucket(path string) int { return int(xxhash.Sum64String(path) % BucketCount) }
-
-func hash(doc settings.Document) uint64 {
-	var d xxhash.Digest
-	d.ResetWithSeed(0)
-	var version [8]byte
-	binary.BigEndian.PutUint64(version[:], doc.Version)
-	_, _ = d.Write(version[:]) // never fails
-	_, _ = d.WriteString(doc.Path)
-	return d.Sum64()
+func (b *Book) start(r *record, request string) Verdict {
+	r.outcome = Outcome{}
+	r.attempt++
+	r.request = strings.Clone(request[:min(len(request), maxRequest)])
+	b.running++
+	return Verdict{Kind: VerdictRun, Attempt: r.attempt}
 }
 
-// Get returns the document at path. A deleted one is returned as such.
-func (s *Set) Get(path string) (settings.Document, bool) {
-	doc, ok := s.docs[Bucket(path)][path]
-	return doc, ok
+// Dispatch is called just before the first byte goes to a target, and says
+// whether it may go. When the key's deadline has passed the attempt ends as
+// OutcomeNotRun.
+func (b *Book) Dispatch(now time.Time, key Key, attempt uint32) bool {
+	now = b.clock(now)
+	r := b.current(key, attempt)
+	if r == nil || r.dispatches > 0 {
+		return false
+	}
+	if !now.Before(r.until) {
+		b.end(r, Outcome{Kind: OutcomeNotRun})
+		return false
+	}
+	r.dispatches++
+	b.checks.Check(invariant.AtMostOnce, r.dispatches <= maxDispatches && b.records[key.number] == r, func() string {
+		return fmt.Sprintf("key %s dispatched %d times without a proof between", key, r.dispatches)
+	})
+	return true
 }
 
-// Len returns the number of documents held, deleted ones too.
-func (s *Set) Len() int { return s.count }
+// Withdraw says that the dispatch of this attempt is proved to have run
+// nothing, so that the same attempt may dispatch to another target. It returns
+// false, and changes nothing, without a proof or for a past attempt.
+func (b *Book) Withdraw(key Key, attempt uint32, proof Proof) bool {
+	r := b.current(key, attempt)
+	if r == nil || proof == ProofNone {
+		return false
+	}
+	r.dispatches = 0
+	return true
+}
 
-// Applied returns how many documents were taken so far: a set with the same
-// figure as before hasn't changed.
-func (s *Set) Applied() uint64 { return s.applied }
+// Finish records how an attempt ended, and returns the outcome on record, which
+// is the one that callers must be told: OutcomeNotRun without a proof after a
+// dispatch becomes OutcomeUnknown. It returns false for a past attempt, which
+// changes nothing.
+func (b *Book) Finish(now time.Time, key Key, attempt uint32, outcome Outcome) (Outcome, bool) {
+	b.clock(now)
+	r := b.current(key, attempt)
+	if r == nil {
+		return Outcome{}, false
+	}
+	switch {
+	case outcome.Kind == OutcomeNotRun && outcome.Proof != ProofNone:
+		r.dispatches = 0
+	case outcome.Kind == OutcomeNotRun && r.dispatches > 0:
+		outcome = Outcome{Kind: OutcomeUnknown}
+	case outcome.Kind != OutcomeNotRun && outcome.Kind != OutcomeAnswered:
+		outcome = Outcome{Kind: OutcomeUnknown}
+	}
+	b.end(r, outcome)
+	return r.outcome, true
+}
 
-// Documents returns every document by path, deleted ones too.
-func (s *Set) Documents() []settings.Document {
-	docs := make([]settings.Document, 0, s.count)
-	for _, bucket := range s.docs {
-		for _, doc := range bucket {
-			docs = append(docs, doc)
-		}
+// current returns the record of an attempt that is under way, or nil.
+func (b *Book) current(key Key, attempt uint32) *record {
+	if !b.issuer.Genuine(key) {
+		return nil
+	}
+	r := b.records[key.number]
+	if r == nil || !r.running() || r.attempt != attempt {
+		return nil
 	}
-	sortDocuments(docs)
-	return docs
+	return r
 }
 
-func sortDocuments(docs []settings.Document) {
-	sort.Slice(docs, func(i, j int) bool { return docs[i].Path < docs[j].Path })
+func (b *Book) end(r *record, outcome Outcome) {
+	if outcome.Kind == OutcomeNotRun {
+		b.checks.Check(invariant.NotRunTrue, r.dispatches == 0, func() string {
+			return fmt.Sprintf("request %s recorded as not run after a dispatch", r.request)
+		})
+	}
+	if n := outcome.size(); n > b.cfg.Answer || b.bytes+n > b.cfg.Bytes {
+		outcome = Outcome{Kind: outcome.Kind, Status: outcome.Status, Dropped: true}
+	}
+	b.bytes += outcome.size()
+	b.running--
+	r.outcome = outcome
+	if r.place == notInHeap {
+		heap.Push(&b.expiry, r)
+	}
+}
+
+// clock returns now, or the latest time seen if the clock has gone back.
+func (b *Book) clock(now time.Time) time.Time {
+	if now.After(b.latest) {
+		b.latest = now
+	}
+	return b.latest
 }
