Add the client for callers

Cause: callers need look-ups, fail-over and keys, and must know for each request whether it was answered, not run, or may have run.

Change: pkg/caller with Lookup (cached, one at a time, refreshed ahead, stale when nobody can be reached) and Do (typed outcomes, retries within a budget, the same key only).

Not run yet against real instances.

--- /dev/null
+++ b/pkg/caller/answer.go
@@ -0,0 +1,107 @@
+package caller
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Limits of the answer to a look-up.
+const (
+	maxAnswer    = 1 << 20 // bytes
+	maxInstances = 256
+	maxKey       = 512 // bytes
+	maxAge       = time.Hour
+)
+
+// Instance is one instance that a service can be reached through.
+type Instance struct {
+	ID      string `json:"id"`
+	Address string `json:"address"` // IP:port
+	Place   string `json:"place"`
+}
+
+// Answer says which instances to use for a service.
+type Answer struct {
+	Service   string
+	Place     string     // the caller's home place
+	Until     time.Time  // when the answer stops being fresh, by this machine's clock
+	Instances []Instance // in the order to try them; never empty
+	Stale     bool       // past Until, and no instance could be asked for another
+}
+
+// Key is an idempotency key and where its home is.
+type Key struct {
+	Value string // empty for no key
+	Home  string // address of the instance that issued it; may be empty
+}
+
+// wireAnswer is the body of the answer to a look-up. Its "until" is left alone:
+// it is by another machine's clock, and max-age says the same.
+type wireAnswer struct {
+	Service   string     `json:"service"`
+	Place     string     `json:"place"`
+	Instances []Instance `json:"instances"`
+	Keys      []string   `json:"keys"`
+}
+
+// decodeAnswer reads the answer to a look-up. Errors are an *AnswerError.
+func decodeAnswer(r io.Reader) (wireAnswer, error) {
+	b, err := io.ReadAll(io.LimitReader(r, maxAnswer+1))
+	if err != nil {
+		return wireAnswer{}, &AnswerError{Reason: "cut short", Err: err}
+	}
+	if len(b) > maxAnswer {
+		return wireAnswer{}, &AnswerError{Reason: "too large"}
+	}
+	var a wireAnswer
+	if err := json.Unmarshal(b, &a); err != nil {
+		return wireAnswer{}, &AnswerError{Reason: "not JSON", Err: err}
+	}
+	if reason := a.fault(); reason != "" {
+		return wireAnswer{}, &AnswerError{Reason: reason}
+	}
+	return a, nil
+}
+
+// fault returns what is wrong with the answer, or nothing.
+func (a wireAnswer) fault() string {
+	switch {
+	case len(a.Instances) == 0:
+		return "names no instance"
+	case len(a.Instances) > maxInstances:
+		return "names too many instances"
+	case slices.ContainsFunc(a.Instances, func(i Instance) bool { return !validAddress(i.Address) }):
+		return "names an address that isn't IP:port"
+	case slices.ContainsFunc(a.Keys, func(k string) bool { return !validKey(k) }):
+		return "holds a malformed key"
+	}
+	return ""
+}
+
+// validKey says whether a key can stand in a header.
+func validKey(s string) bool {
+	outside := func(r rune) bool { return r <= ' ' || r > '~' }
+	return s != "" && len(s) <= maxKey && strings.IndexFunc(s, outside) < 0
+}
+
+// freshFor returns how long an answer may be cached from before it was asked
+// for; 0 when the header doesn't say.
+func freshFor(h http.Header) time.Duration {
+	for part := range strings.SplitSeq(h.Get("Cache-Control"), ",") {
+		text, ok := strings.CutPrefix(strings.TrimSpace(part), "max-age=")
+		if !ok {
+			continue
+		}
+		n, err := strconv.ParseUint(text, 10, 31)
+		if err != nil {
+			return 0
+		}
+		return min(time.Duration(n)*time.Second, maxAge)
+	}
+	return 0
+}
--- /dev/null
+++ b/pkg/caller/body.go
@@ -0,0 +1,59 @@
+package caller
+
+import (
+	"context"
+	"io"
+	"net/http"
+)
+
+// body is an answer's body that ends with io.EOF only when it is whole.
+type body struct {
+	request string
+	source  io.ReadCloser
+	cancel  context.CancelFunc // ends the attempt's context
+	got     int64
+	want    int64 // -1 when not announced
+	endless bool  // its end would look like a lost connection
+	err     error // once set, every Read returns it
+}
+
+func newBody(k *call, resp *http.Response, cancel context.CancelFunc) *body {
+	b := &body{request: k.id, source: resp.Body, cancel: cancel, want: resp.ContentLength}
+	chunked := len(resp.TransferEncoding) > 0
+	b.endless = resp.ContentLength < 0 && !chunked && resp.Body != http.NoBody
+	if k.req.Method == http.MethodHead {
+		b.want, b.endless = 0, false
+	}
+	return b
+}
+
+// Read reads the body. Its error is io.EOF or an *IncompleteError.
+func (b *body) Read(p []byte) (int, error) {
+	if b.err != nil {
+		return 0, b.err
+	}
+	n, err := b.source.Read(p)
+	b.got += int64(n)
+	switch {
+	case err == nil:
+		return n, nil
+	case err == io.EOF && !b.endless && (b.want < 0 || b.got == b.want):
+		b.err = io.EOF
+	case err == io.EOF:
+		b.err = b.incomplete(io.ErrUnexpectedEOF)
+	default:
+		b.err = b.incomplete(err)
+	}
+	return n, b.err
+}
+
+func (b *body) incomplete(err error) *IncompleteError {
+	return &IncompleteError{Request: b.request, Got: b.got, Want: b.want, Err: err}
+}
+
+// Close ends the answer; what is left of it is given up.
+func (b *body) Close() error {
+	err := b.source.Close()
+	b.cancel()
+	return err
+}
--- /dev/null
+++ b/pkg/caller/client.go
@@ -0,0 +1,105 @@
+package caller
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Client looks up services and sends requests. It is safe for concurrent use;
+// a program needs one.
+type Client struct {
+	cfg       Config
+	transport *http.Transport
+	budget    *budget
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	services map[string]*entry    // by team/service; only services that were asked for
+	avoided  map[string]time.Time // addresses of instances that failed, and until when they're tried last
+}
+
+// New returns a client. The error is a *ConfigError that names each fault.
+func New(cfg Config) (*Client, error) {
+	cfg = cfg.Defaults()
+	if err := cfg.Validate(); err != nil {
+		return nil, errors.Annotate(err, "caller.New")
+	}
+	cfg.Entries = slices.Clone(cfg.Entries)
+	seed := cfg.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	c := &Client{
+		cfg:      cfg,
+		budget:   newBudget(cfg.Burst, cfg.Ratio),
+		random:   rand.New(rand.NewPCG(seed, seed)),
+		services: map[string]*entry{},
+		avoided:  map[string]time.Time{},
+	}
+	c.transport = &http.Transport{
+		DialContext:         c.dial,
+		DisableCompression:  true, // an answer is passed on as it is, with its own length
+		MaxIdleConnsPerHost: cfg.Idle,
+		IdleConnTimeout:     time.Minute,
+	}
+	return c, nil
+}
+
+// Close closes the connections that no request uses.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Connect)
+	defer cancel()
+	return c.cfg.Dial(ctx, network, address)
+}
+
+// avoid makes an instance the last to be tried for a while.
+func (c *Client) avoid(address string) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for other, until := range c.avoided {
+		if !now.Before(until) {
+			delete(c.avoided, other)
+		}
+	}
+	c.avoided[address] = now.Add(c.cfg.Avoid)
+}
+
+// order returns the addresses, each once, those to avoid last.
+func (c *Client) order(addresses []string) []string {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var first, last []string
+	for _, address := range addresses {
+		switch {
+		case slices.Contains(first, address), slices.Contains(last, address):
+		case now.Before(c.avoided[address]):
+			last = append(last, address)
+		default:
+			first = append(first, address)
+		}
+	}
+	return append(first, last...)
+}
+
+// jitter returns d times a factor drawn from low to high.
+func (c *Client) jitter(d time.Duration, low, high float64) time.Duration {
+	return time.Duration(float64(d) * (low + (high-low)*c.random.Float64()))
+}
+
+// shuffled returns the configured entries in a drawn order. It needs c.mu.
+func (c *Client) shuffled() []string {
+	list := slices.Clone(c.cfg.Entries)
+	c.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list
+}
--- /dev/null
+++ b/pkg/caller/request.go
@@ -0,0 +1,164 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Headers between callers and instances.
+const (
+	headerKey     = "Firlever-Key"
+	headerTimeout = "Firlever-Timeout" // milliseconds
+	headerRequest = "Firlever-Request"
+	headerOutcome = "Firlever-Outcome"
+	headerReason  = "Firlever-Reason"
+	headerRetry   = "Firlever-Retry" // milliseconds
+)
+
+// Request is a request to a service. Do doesn't change it; it may be sent again.
+type Request struct {
+	Method     string      // empty means GET
+	Path       string      // below the service, begins with /; may hold a query; empty means /
+	Header     http.Header // may be nil
+	Idempotent bool        // running it twice is right, whatever the method
+	Once       bool        // must not run twice, whatever the method; goes before Idempotent
+	Key        Key         // of an earlier try with an unknown outcome; otherwise leave it empty
+
+	// Body is called for a new reader of the body for each try; nil means no
+	// body. What it returns is closed.
+	Body   func() (io.ReadCloser, error)
+	Length int64 // of the body in bytes; -1 when not known
+}
+
+// SetBytes makes b the body.
+func (r *Request) SetBytes(b []byte) {
+	r.Length = int64(len(b))
+	r.Body = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(b)), nil }
+}
+
+func (r *Request) idempotent() bool {
+	if r.Once {
+		return false
+	}
+	switch r.Method {
+	case "", http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
+	}
+	return r.Idempotent
+}
+
+// call is one Do.
+type call struct {
+	client     *Client
+	ctx        context.Context
+	req        *Request
+	service    string
+	id         string
+	key        Key
+	idempotent bool
+	mayRun     bool  // an attempt so far may have run
+	last       error // of the last attempt; a *NotRunError or an *UnknownError
+}
+
+func (c *Client) newCall(ctx context.Context, service string, req *Request) *call {
+	id := req.Header.Get(headerRequest)
+	if id == "" {
+		id = rand.Text()
+	}
+	return &call{client: c, ctx: ctx, req: req, service: service, id: id, key: req.Key, idempotent: req.idempotent()}
+}
+
+func (k *call) notRun(reason string, err error) *NotRunError {
+	return &NotRunError{Service: k.service, Request: k.id, Reason: reason, Err: err}
+}
+
+func (k *call) unknown(reason string, err error) *UnknownError {
+	return &UnknownError{Service: k.service, Request: k.id, Key: k.key, Reason: reason, Err: err}
+}
+
+// target returns the address of the request at an instance, or nil when the
+// path can't be sent.
+func (k *call) target(address string) *url.URL {
+	path := or(k.req.Path, "/")
+	if !strings.HasPrefix(path, "/") {
+		return nil
+	}
+	u, err := url.ParseRequestURI("http://" + address + "/call/" + k.service + path)
+	if err != nil {
+		return nil
+	}
+	return u
+}
+
+// request makes the HTTP request of one attempt.
+func (k *call) request(ctx context.Context, address string) (*http.Request, *NotRunError) {
+	u := k.target(address)
+	if u == nil {
+		return nil, k.notRun(ReasonRequest, &PathError{Path: k.req.Path})
+	}
+	req, err := http.NewRequestWithContext(ctx, or(k.req.Method, http.MethodGet), u.String(), nil)
+	if err != nil {
+		return nil, k.notRun(ReasonRequest, err)
+	}
+	if k.req.Header != nil {
+		req.Header = k.req.Header.Clone()
+	}
+	req.Header.Set(headerRequest, k.id)
+	req.Header.Del(headerKey)
+	if k.key.Value != "" {
+		req.Header.Set(headerKey, k.key.Value)
+	}
+	if deadline, ok := k.ctx.Deadline(); ok {
+		left := time.Until(deadline).Milliseconds()
+		if left <= 0 {
+			return nil, k.notRun(ReasonTimeout, context.DeadlineExceeded)
+		}
+		req.Header.Set(headerTimeout, strconv.FormatInt(left, 10))
+	}
+	return req, k.setBody(req)
+}
+
+func (k *call) setBody(req *http.Request) *NotRunError {
+	if k.req.Body == nil || k.req.Length == 0 {
+		if repeated(req.Method) {
+			req.Body = empty{}
+		}
+		return nil
+	}
+	body, err := k.req.Body()
+	if err != nil {
+		return k.notRun(ReasonRequest, err)
+	}
+	req.Body = body
+	req.ContentLength = k.req.Length
+	if !repeated(req.Method) {
+		req.GetBody = k.req.Body
+	}
+	return nil
+}
+
+// repeated says whether http.Transport would repeat a request by itself after a
+// connection broke, past our budget. It doesn't when there is a body that it
+// can't get again. A request that had no byte written it repeats in any case
+// where it can, which is right.
+func repeated(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
+	}
+	return false
+}
+
+// empty is a body of no bytes; the transport sends none, but can't know that it
+// may be had again.
+type empty struct{}
+
+func (empty) Read([]byte) (int, error) { return 0, io.EOF }
+func (empty) Close() error             { return nil }
