Add the open-loop load engine

Cause: the demo, the command line and the measurements need one honest source of requests, whose latency counts from the intended start. Benchmarks of the links.

--- /dev/null
+++ b/internal/emulator/link/conn_bench_test.go
@@ -0,0 +1,83 @@
+package link
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// BenchmarkRoundTrip measures one byte there and back over loopback, plain and
+// through links of the given one-way delay.
+func BenchmarkRoundTrip(b *testing.B) {
+	benches := map[string]time.Duration{"plain": -1, "0ms": 0, "1.5ms": 1500 * time.Microsecond}
+	for name, delay := range benches {
+		b.Run(name, func(b *testing.B) {
+			c := dialEcho(b, delay)
+			defer c.Close()
+			one := make([]byte, 1)
+			for b.Loop() {
+				_, _ = c.Write(one)
+				if _, err := io.ReadFull(c, one); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkBulk measures how many bytes/s a link of 1.5 ms carries.
+func BenchmarkBulk(b *testing.B) {
+	for name, delay := range map[string]time.Duration{"plain": -1, "1.5ms": 1500 * time.Microsecond} {
+		b.Run(name, func(b *testing.B) {
+			const size = 1 << 20
+			c := dialEcho(b, delay)
+			defer c.Close()
+			b.SetBytes(size)
+			part := make([]byte, size)
+			go func() {
+				for {
+					if _, err := c.Write(part); err != nil {
+						return
+					}
+				}
+			}()
+			got := make([]byte, size)
+			for b.Loop() {
+				if _, err := io.ReadFull(c, got); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// dialEcho connects to a server that sends back each byte at once.
+func dialEcho(b *testing.B, delay time.Duration) net.Conn {
+	b.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	go func() {
+		far, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(far, struct{ io.Reader }{far})
+		_ = far.Close()
+	}()
+	b.Cleanup(func() { _ = ln.Close() })
+	var c net.Conn
+	if delay < 0 {
+		c, err = net.Dial("tcp", ln.Addr().String())
+	} else {
+		l := New(nil, Latency{Domain: delay}, 1)
+		c, err = l.DialContext(context.Background(), At("a"), At("a"), ln.Addr().String())
+	}
+	if err != nil {
+		b.Fatal(err)
+	}
+	return c
+}
--- /dev/null
+++ b/internal/load/arrivals.go
@@ -0,0 +1,40 @@
+package load
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// arrivals draws the intended starts of one stream: a Poisson process whose
+// rate grows in a straight line during the ramp.
+type arrivals struct {
+	rng    *rand.Rand
+	rate   float64 // requests/s after the ramp
+	ramp   float64 // s
+	expect float64 // requests expected until the last start
+}
+
+func newArrivals(rate float64, ramp time.Duration, seed, stream uint64) *arrivals {
+	return &arrivals{
+		rng:  rand.New(rand.NewPCG(seed, stream)),
+		rate: rate,
+		ramp: ramp.Seconds(),
+	}
+}
+
+// next returns the next intended start, counted from the beginning.
+func (a *arrivals) next() time.Duration {
+	a.expect += a.rng.ExpFloat64()
+	return time.Duration(a.invert(a.expect) * float64(time.Second))
+}
+
+// invert returns after how many seconds n requests are expected: the inverse
+// of the rate's integral.
+func (a *arrivals) invert(n float64) float64 {
+	inRamp := a.rate * a.ramp / 2
+	if n < inRamp {
+		return math.Sqrt(2 * n * a.ramp / a.rate)
+	}
+	return a.ramp + (n-inRamp)/a.rate
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,117 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// engine is one run of a plan.
+type engine struct {
+	plan   Plan
+	do     Do
+	start  time.Time
+	slots  chan struct{} // one for each request in flight
+	held   atomic.Uint64
+	unsent atomic.Uint64
+	work   sync.WaitGroup
+	tables *tables
+}
+
+// Run sends what the plan says and returns when all requests have ended. When
+// ctx ends, it sends no more and lets those in flight end. It returns a
+// *PlanError when the plan is faulty.
+func Run(ctx context.Context, plan Plan, do Do) (*Report, error) {
+	plan.Streams = append([]Stream(nil), plan.Streams...)
+	plan.Defaults()
+	if err := plan.Validate(); err != nil {
+		return nil, errors.Annotate(err, "load.Run")
+	}
+	e := &engine{
+		plan:   plan,
+		do:     do,
+		start:  time.Now(),
+		slots:  make(chan struct{}, plan.InFlight),
+		tables: newTables(plan.Streams),
+	}
+	var streams sync.WaitGroup
+	for i := range plan.Streams {
+		streams.Go(func() { e.stream(ctx, i) })
+	}
+	streams.Wait()
+	sent := time.Since(e.start)
+	e.work.Wait()
+	return e.tables.report(sent, e.held.Load(), e.unsent.Load()), nil
+}
+
+// stream sends the requests of one stream, each at its time; those that are
+// late at once.
+func (e *engine) stream(ctx context.Context, i int) {
+	s := &e.plan.Streams[i]
+	times := newArrivals(s.Rate, e.plan.Ramp, e.plan.Seed, uint64(i))
+	for n := 0; ; n++ {
+		at := times.next()
+		if at >= e.plan.For {
+			return
+		}
+		due := e.start.Add(at)
+		if !sleepUntil(ctx, due) || !e.acquire(ctx) {
+			return
+		}
+		r := Request{
+			Stream:   s,
+			ID:       fmt.Sprintf("%s-%d-%d", e.plan.Prefix, i, n),
+			Due:      due,
+			Deadline: due.Add(s.Timeout),
+		}
+		e.work.Go(func() { e.send(ctx, r) })
+	}
+}
+
+// acquire waits while too many requests are in flight, and counts that it had to.
+func (e *engine) acquire(ctx context.Context) bool {
+	select {
+	case e.slots <- struct{}{}:
+		return true
+	default:
+	}
+	e.held.Add(1)
+	select {
+	case e.slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		e.unsent.Add(1)
+		return false
+	}
+}
+
+// send runs one request to its end, also after ctx has ended.
+func (e *engine) send(ctx context.Context, r Request) {
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.Deadline)
+	defer cancel()
+	result := e.do(ctx, r)
+	took := time.Since(r.Due)
+	<-e.slots
+	e.tables.add(r.Service, result, took)
+}
+
+// sleepUntil returns false if ctx ended before. A time that has passed takes
+// no wait.
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	wait := time.Until(at)
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/load/tables.go
@@ -0,0 +1,106 @@
+package load
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Histograms hold microseconds up to ten minutes, to three digits.
+const (
+	maxLatency = 10 * time.Minute
+	digits     = 3
+)
+
+// tables counts the results by service.
+type tables struct {
+	services map[string]*table // never changed after newTables
+}
+
+// table counts the results of one service.
+type table struct {
+	mu       sync.Mutex
+	counts   Counts
+	latency  *hdrhistogram.Histogram // of answered requests, in µs
+	reasons  map[Reason]uint64
+	places   map[string]uint64 // answered, by serving place
+	examples []string          // the first wrong answers
+}
+
+// maxExamples is how many wrong answers of a service are told in full.
+const maxExamples = 5
+
+func newTables(streams []Stream) *tables {
+	t := &tables{services: map[string]*table{}}
+	for _, s := range streams {
+		t.services[s.Service] = &table{
+			latency: hdrhistogram.New(1, maxLatency.Microseconds(), digits),
+			reasons: map[Reason]uint64{},
+			places:  map[string]uint64{},
+		}
+	}
+	return t
+}
+
+func (t *tables) add(service string, r Result, took time.Duration) {
+	s := t.services[service]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.add(r)
+	if r.Wrong != nil && len(s.examples) < maxExamples {
+		s.examples = append(s.examples, r.Wrong.Error())
+	}
+	if r.Outcome != Answered {
+		s.reasons[Reason{Outcome: r.Outcome, Word: r.Reason}]++
+		return
+	}
+	us := min(max(took, time.Microsecond), maxLatency).Microseconds()
+	_ = s.latency.RecordValue(us) // in range, so it can't fail
+	if r.Place != "" {
+		s.places[r.Place]++
+	}
+}
+
+// report is called when nothing is added any more.
+func (t *tables) report(sent time.Duration, held, unsent uint64) *Report {
+	r := &Report{Seconds: sent.Seconds(), Held: held, Unsent: unsent}
+	for name, s := range t.services {
+		r.Services = append(r.Services, s.report(name))
+		r.Counts.sum(s.counts)
+	}
+	slices.SortFunc(r.Services, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
+	return r
+}
+
+func (s *table) report(name string) Service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := Service{
+		Name:   name,
+		Counts: s.counts,
+		P50:    s.quantile(50),
+		P99:    s.quantile(99),
+		P999:   s.quantile(99.9),
+		Max:    millis(s.latency.Max()),
+		Wrongs: s.examples,
+	}
+	for reason, n := range s.reasons {
+		reason.Count = n
+		r.Errors = append(r.Errors, reason)
+	}
+	slices.SortFunc(r.Errors, func(a, b Reason) int {
+		return cmp.Or(cmp.Compare(a.Outcome, b.Outcome), cmp.Compare(a.Word, b.Word))
+	})
+	for place, n := range s.places {
+		r.Places = append(r.Places, Place{Name: place, Answered: n})
+	}
+	slices.SortFunc(r.Places, func(a, b Place) int { return cmp.Compare(a.Name, b.Name) })
+	return r
+}
+
+func (s *table) quantile(q float64) float64 { return millis(s.latency.ValueAtQuantile(q)) }
+
+func millis(us int64) float64 { return float64(us) / 1000 }
