Keep emulated delays to a tenth of a millisecond

Cause: the runtime's timers wake an idle process up to a millisecond late, as much as the delays between places. Change: emulator/clock, one thread in nanosleep; links, targets and the load engine take it, and without it stay in the runtime's (or virtual) time.

--- /dev/null
+++ b/internal/emulator/clock/sleep_linux.go
@@ -0,0 +1,12 @@
+package clock
+
+import (
+	"syscall"
+	"time"
+)
+
+// nanosleep blocks its thread; a signal may end it early.
+func nanosleep(d time.Duration) {
+	ts := syscall.NsecToTimespec(d.Nanoseconds())
+	_ = syscall.Nanosleep(&ts, nil)
+}
--- /dev/null
+++ b/internal/emulator/clock/sleep_other.go
@@ -0,0 +1,7 @@
+//go:build !linux
+
+package clock
+
+import "time"
+
+func nanosleep(d time.Duration) { time.Sleep(d) }
--- a/internal/emulator/link/conn.go
+++ b/internal/emulator/link/conn.go
@@ -80,14 +80,10 @@
 	if d == 0 {
 		return nil
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !p.links.clock.SleepUntil(ctx, time.Now().Add(d)) {
 		return ctx.Err()
 	}
+	return nil
 }
 
 // wrap puts lines before an open connection.
--- a/internal/emulator/link/conn_bench_test.go
+++ b/internal/emulator/link/conn_bench_test.go
@@ -6,15 +6,27 @@
 	"net"
 	"testing"
 	"time"
+
+	"github.com/firlever/firlever/internal/emulator/clock"
 )
 
 // BenchmarkRoundTrip measures one byte there and back over loopback, plain and
 // through links of the given one-way delay.
 func BenchmarkRoundTrip(b *testing.B) {
-	benches := map[string]time.Duration{"plain": -1, "0ms": 0, "1.5ms": 1500 * time.Microsecond}
-	for name, delay := range benches {
+	c := clock.Start()
+	defer c.Close()
+	benches := map[string]struct {
+		delay time.Duration // none when negative
+		clock *clock.Clock
+	}{
+		"plain":           {-1, nil},
+		"0ms":             {0, c},
+		"1.5ms":           {1500 * time.Microsecond, c},
+		"1.5ms, no clock": {1500 * time.Microsecond, nil},
+	}
+	for name, bb := range benches {
 		b.Run(name, func(b *testing.B) {
-			c := dialEcho(b, delay)
+			c := dialEcho(b, bb.delay, bb.clock)
 			defer c.Close()
 			one := make([]byte, 1)
 			for b.Loop() {
@@ -29,10 +41,12 @@
 
 // BenchmarkBulk measures how many bytes/s a link of 1.5 ms carries.
 func BenchmarkBulk(b *testing.B) {
+	cl := clock.Start()
+	defer cl.Close()
 	for name, delay := range map[string]time.Duration{"plain": -1, "1.5ms": 1500 * time.Microsecond} {
 		b.Run(name, func(b *testing.B) {
 			const size = 1 << 20
-			c := dialEcho(b, delay)
+			c := dialEcho(b, delay, cl)
 			defer c.Close()
 			b.SetBytes(size)
 			part := make([]byte, size)
@@ -54,7 +68,7 @@
 }
 
 // dialEcho connects to a server that sends back each byte at once.
-func dialEcho(b *testing.B, delay time.Duration) net.Conn {
+func dialEcho(b *testing.B, delay time.Duration, cl *clock.Clock) net.Conn {
 	b.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -73,7 +87,7 @@
 	if delay < 0 {
 		c, err = net.Dial("tcp", ln.Addr().String())
 	} else {
-		l := New(nil, Latency{Domain: delay}, 1)
+		l := New(nil, Latency{Domain: delay}, 1, cl)
 		c, err = l.DialContext(context.Background(), At("a"), At("a"), ln.Addr().String())
 	}
 	if err != nil {
--- a/internal/emulator/link/conn_test.go
+++ b/internal/emulator/link/conn_test.go
@@ -22,7 +22,7 @@
 		"b": {Region: "r", Domain: "b"},
 		"c": {Region: "s", Domain: "c"},
 	}
-	return New(places, Latency{Region: 2 * ms, World: 20 * ms, Caller: 1 * ms}, 1)
+	return New(places, Latency{Region: 2 * ms, World: 20 * ms, Caller: 1 * ms}, 1, nil)
 }
 
 func TestDelay(t *testing.T) {
--- a/internal/emulator/link/line.go
+++ b/internal/emulator/link/line.go
@@ -124,11 +124,11 @@
 		if f.Refuse {
 			return 0, syscall.ECONNRESET
 		}
-		n, wait, err := l.tryTake(b, f)
+		n, due, err := l.tryTake(b, f)
 		if n > 0 || err != nil {
 			return n, err
 		}
-		if err := l.wait(wait, changed, stop, deadline); err != nil {
+		if err := l.wait(due, changed, stop, deadline); err != nil {
 			return 0, err
 		}
 	}
@@ -136,15 +136,15 @@
 
 // wait returns when there may be something to take: when the timer of the next
 // chunk ends, or something changes.
-func (l *line) wait(d time.Duration, changed, stop, deadline <-chan struct{}) error {
-	var due <-chan time.Time
-	if d > 0 {
-		timer := time.NewTimer(d)
+func (l *line) wait(due time.Time, changed, stop, deadline <-chan struct{}) error {
+	var fired <-chan time.Time
+	if !due.IsZero() {
+		timer := l.path.links.clock.Timer(due)
 		defer timer.Stop()
-		due = timer.C
+		fired = timer.C
 	}
 	select {
-	case <-due:
+	case <-fired:
 	case <-l.filled:
 	case <-changed:
 	case <-stop:
@@ -155,23 +155,23 @@
 	return nil
 }
 
-// tryTake takes what is due. With nothing due it returns how long to wait for
-// the next chunk; 0 when there's none or the path is cut.
-func (l *line) tryTake(b []byte, f Fault) (int, time.Duration, error) {
+// tryTake takes what is due. With nothing due it returns when the next
+// chunk is; zero when there's none or the path is cut.
+func (l *line) tryTake(b []byte, f Fault) (int, time.Time, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if f.Cut || len(l.chunks) == 0 {
-		return 0, 0, nil
+		return 0, time.Time{}, nil
 	}
-	n := 0
+	n, now := 0, time.Now()
 	for n < len(b) && len(l.chunks) > 0 {
 		first := &l.chunks[0]
-		if wait := time.Until(first.due); wait > 0 {
-			return l.took(n), wait, nil
+		if first.due.After(now) {
+			return l.took(n), first.due, nil
 		}
 		if len(first.b) == 0 {
 			if n == 0 {
-				return 0, 0, l.ended
+				return 0, time.Time{}, l.ended
 			}
 			break
 		}
@@ -182,7 +182,7 @@
 			l.chunks = l.chunks[1:]
 		}
 	}
-	return l.took(n), 0, nil
+	return l.took(n), time.Time{}, nil
 }
 
 func (l *line) took(n int) int {
--- a/internal/emulator/link/links.go
+++ b/internal/emulator/link/links.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/firlever/firlever/internal/emulator/clock"
 )
 
 // Point is one end of a link: an instance or target in a place, or a caller
@@ -41,6 +43,7 @@
 type Links struct {
 	places  map[string]Location // never changed after New
 	latency Latency
+	clock   *clock.Clock
 
 	mu    sync.Mutex
 	rng   *rand.Rand
@@ -50,11 +53,13 @@
 // pair is an ordered pair of points.
 type pair struct{ from, to Point }
 
-// New makes links without faults. The seed is that of losses and duplicates.
-func New(places map[string]Location, latency Latency, seed uint64) *Links {
+// New makes links without faults. The seed is that of losses and duplicates;
+// the clock may be nil.
+func New(places map[string]Location, latency Latency, seed uint64, c *clock.Clock) *Links {
 	return &Links{
 		places:  places,
 		latency: latency,
+		clock:   c,
 		rng:     rand.New(rand.NewPCG(seed, 0)),
 		paths:   map[pair]*path{},
 	}
--- a/internal/emulator/link/packet.go
+++ b/internal/emulator/link/packet.go
@@ -40,5 +40,5 @@
 		_, _ = c.PacketConn.WriteTo(b, addr)
 		return
 	}
-	time.AfterFunc(d, func() { _, _ = c.PacketConn.WriteTo(b, addr) })
+	c.links.clock.AfterFunc(time.Now().Add(d), func() { _, _ = c.PacketConn.WriteTo(b, addr) })
 }
--- a/internal/emulator/target/config.go
+++ b/internal/emulator/target/config.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strings"
 	"time"
+
+	"github.com/firlever/firlever/internal/emulator/clock"
 )
 
 // Config describes one emulated target.
@@ -31,6 +33,7 @@
 	Pace int64 // bytes/s of one answer's body; 0 sets no limit
 
 	Report Report
+	Clock  *clock.Clock // may be nil
 }
 
 // Report says how the health and load answers differ from the truth.
--- a/internal/emulator/target/listener.go
+++ b/internal/emulator/target/listener.go
@@ -1,10 +1,13 @@
 package target
 
 import (
+	"context"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/firlever/firlever/internal/emulator/clock"
 )
 
 // listener closes connections over the limit at once and makes new ones wait
@@ -13,11 +16,21 @@
 	net.Listener
 	limit   int64
 	cost    time.Duration
+	clock   *clock.Clock
 	open    atomic.Int64
 	peak    atomic.Int64
 	refused atomic.Int64
 }
 
+func newListener(ln net.Listener, cfg Config) *listener {
+	return &listener{
+		Listener: ln,
+		limit:    int64(cfg.Connections),
+		cost:     cfg.ConnectionCost,
+		clock:    cfg.Clock,
+	}
+}
+
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
@@ -44,7 +57,9 @@
 }
 
 func (c *conn) Read(b []byte) (int, error) {
-	c.first.Do(func() { time.Sleep(c.cost) })
+	c.first.Do(func() {
+		c.l.clock.SleepUntil(context.Background(), time.Now().Add(c.cost))
+	})
 	return c.Conn.Read(b)
 }
 
--- a/internal/emulator/target/pace.go
+++ b/internal/emulator/target/pace.go
@@ -1,7 +1,6 @@
 package target
 
 import (
-	"context"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -65,15 +64,3 @@
 	defer p.mu.Unlock()
 	p.slowdown = factor
 }
-
-// sleep waits until a deadline and returns false if ctx ended before.
-func sleep(ctx context.Context, deadline time.Time) bool {
-	timer := time.NewTimer(time.Until(deadline))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/emulator/target/serve.go
+++ b/internal/emulator/target/serve.go
@@ -67,7 +67,7 @@
 
 // probe returns what a report made now knows, after the probe's cost.
 func (t *Target) probe(r *http.Request) (sample, Report, bool) {
-	if !sleep(r.Context(), time.Now().Add(t.cfg.ProbeCost)) {
+	if !t.cfg.Clock.SleepUntil(r.Context(), time.Now().Add(t.cfg.ProbeCost)) {
 		return sample{}, Report{}, false
 	}
 	t.mu.Lock()
@@ -96,7 +96,7 @@
 	work := t.work(r)
 	finish := t.start(work)
 	defer finish()
-	if !sleep(ctx, t.due()) {
+	if !t.cfg.Clock.SleepUntil(ctx, t.due()) {
 		w.Header().Set(headerOutcome, outcomeUnknown)
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
@@ -187,7 +187,7 @@
 			continue
 		}
 		due := start.Add(time.Duration(float64(sent) / float64(t.cfg.Pace) * float64(time.Second)))
-		if http.NewResponseController(w).Flush() != nil || !sleep(ctx, due) {
+		if http.NewResponseController(w).Flush() != nil || !t.cfg.Clock.SleepUntil(ctx, due) {
 			return false
 		}
 	}
--- a/internal/emulator/target/target.go
+++ b/internal/emulator/target/target.go
@@ -44,7 +44,7 @@
 	t := &Target{
 		cfg:     cfg,
 		journal: j,
-		ln:      &listener{Listener: ln, limit: int64(cfg.Connections), cost: cfg.ConnectionCost},
+		ln:      newListener(ln, cfg),
 		slots:   newSlots(cfg.Slots, cfg.Queue, now),
 		pace:    newPace(cfg, now),
 		done:    make(chan struct{}),
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/firlever/firlever/internal/emulator/clock"
 )
 
 // Plan says what to send, and for how long.
@@ -18,6 +20,7 @@
 	Seed     uint64        // the same seed gives the same requests at the same times
 	InFlight int           // requests in flight at most; those over it are held up and counted
 	Prefix   string        // of the request ids; must be unique to a run
+	Clock    *clock.Clock  // keeps the intended starts; may be nil
 }
 
 // Stream is one kind of request that arrives at random times.
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -59,7 +59,7 @@
 			return
 		}
 		due := e.start.Add(at)
-		if !sleepUntil(ctx, due) || !e.acquire(ctx) {
+		if !e.plan.Clock.SleepUntil(ctx, due) || !e.acquire(ctx) {
 			return
 		}
 		r := Request{
@@ -98,20 +98,3 @@
 	<-e.slots
 	e.tables.add(r.Service, result, took)
 }
-
-// sleepUntil returns false if ctx ended before. A time that has passed takes
-// no wait.
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	wait := time.Until(at)
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
