Test what breaking the stand-ins on purpose did not show

Change: tests for the end of work before the last byte, freed queue room, ended timeouts, a damaged length and resets at both ends of a proxy. An order check in the delay line that nothing could need is gone.

--- a/internal/emulator/link/line.go
+++ b/internal/emulator/link/line.go
@@ -20,11 +20,10 @@
 	take sync.Mutex // held by the one that waits for bytes
 
 	mu     sync.Mutex
-	chunks []chunk // by due
+	chunks []chunk // in order; one that is due waits for those before it
 	size   int     // bytes in chunks, at most lineSize plus one chunk
 	free   time.Time
-	last   time.Time // due of the chunk put in last
-	ended  error     // what comes after the chunks; nil while open
+	ended  error // what comes after the chunks; nil while open
 
 	filled  chan struct{} // signals to take
 	emptied chan struct{} // signals to put
@@ -94,10 +93,6 @@
 	if l.path.links.chance(f.Loss) {
 		due = due.Add(resend)
 	}
-	if due.Before(l.last) {
-		due = l.last
-	}
-	l.last = due
 	return due
 }
 
--- a/internal/emulator/link/proxy_test.go
+++ b/internal/emulator/link/proxy_test.go
@@ -1,8 +1,10 @@
 package link
 
 import (
+	"errors"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 )
 
@@ -64,25 +66,48 @@
 	}
 }
 
-func TestProxyBreaksOpenConnections(t *testing.T) {
+func TestProxyBreaksBothEnds(t *testing.T) {
 	ln := listen(t)
 	defer ln.Close()
-	go echo(ln)
 	l := testLinks()
 	p := NewProxy(listen(t), l, At("a"), At("b"), ln.Addr().String())
+	near, far := connect(t, p, ln)
+	defer near.Close()
+	defer far.Close()
+	l.SetBoth("a", "b", Fault{Refuse: true})
+	ends := map[string]net.Conn{"near": near, "far": far, "new": dial(t, p)}
+	for name, c := range ends {
+		if _, err := c.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("got %v at the %s end, want a reset", err, name)
+		}
+	}
+	if err := p.Close(); err != nil {
+		t.Errorf("got %v, want a clean close", err)
+	}
+}
+
+func dial(t *testing.T, p *Proxy) net.Conn {
+	t.Helper()
 	c, err := net.Dial("tcp", p.Addr())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer c.Close()
-	if _, err := c.Write([]byte("over")); err != nil {
+	return c
+}
+
+// connect returns both ends of a connection through p, after a byte went over.
+func connect(t *testing.T, p *Proxy, ln net.Listener) (near, far net.Conn) {
+	t.Helper()
+	near = dial(t, p)
+	if _, err := near.Write([]byte("x")); err != nil {
 		t.Fatal(err)
 	}
-	l.SetBoth("a", "b", Fault{Refuse: true})
-	if _, err := c.Read(make([]byte, 1)); err == nil || err == io.EOF {
-		t.Errorf("got %v, want a reset", err)
+	far, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
 	}
-	if err := p.Close(); err != nil {
-		t.Errorf("got %v, want a clean close", err)
+	if _, err := far.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
 	}
+	return near, far
 }
--- a/internal/emulator/target/answer_test.go
+++ b/internal/emulator/target/answer_test.go
@@ -13,6 +13,8 @@
 	whole, _ := io.ReadAll(Answer("a", size))
 	damaged := bytes.Clone(whole)
 	damaged[size/2] ^= 1
+	longer := bytes.Clone(whole)
+	longer[0]++ // declares one byte more
 	tests := map[string]struct {
 		body io.Reader
 		want string // fault; empty when whole
@@ -25,6 +27,7 @@
 		"cut short": {bytes.NewReader(whole[:size-1]), "cut short"},
 		"too long":  {bytes.NewReader(append(bytes.Clone(whole), 0)), "more than declared"},
 		"damaged":   {bytes.NewReader(damaged), "wrong bytes"},
+		"longer":    {bytes.NewReader(append(longer, 0)), "header is damaged or another request's"},
 		"no end":    {io.MultiReader(bytes.NewReader(whole), iotest.ErrReader(io.ErrUnexpectedEOF)), "no clean end"},
 	}
 	for name, tt := range tests {
--- a/internal/emulator/target/target_test.go
+++ b/internal/emulator/target/target_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -175,6 +176,59 @@
 	return l.Busy
 }
 
+// lastByte notes the requests in flight when the whole body is written.
+type lastByte struct {
+	*httptest.ResponseRecorder
+	j    *Journal
+	want int64
+	busy int
+}
+
+func (w *lastByte) Write(b []byte) (int, error) {
+	n, err := w.ResponseRecorder.Write(b)
+	if int64(w.Body.Len()) == w.want {
+		w.busy = w.j.Place("p").Now
+	}
+	return n, err
+}
+
+func TestFinishedBeforeLastByte(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, Config{Size: 100_000})
+		w := &lastByte{ResponseRecorder: httptest.NewRecorder(), j: b.j, want: 100_000, busy: -1}
+		b.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/a", nil))
+		if got, want := w.busy, 0; got != want {
+			t.Errorf("got %d in flight at the last byte, want %d", got, want)
+		}
+	})
+}
+
+func TestManyRequests(t *testing.T) {
+	tests := map[string]struct {
+		timeout string
+		status  int
+		ran     int
+	}{
+		"answered": {"", 200, 50},
+		"no time":  {"0", 503, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, Config{Slots: 1, Queue: 1})
+				for range 50 {
+					if got, _, _, _ := b.get(t.Context(), t, "/a", "r", tt.timeout); got != tt.status {
+						t.Errorf("got %d, want %d", got, tt.status)
+					}
+				}
+				if got := b.j.Ran("r"); got != tt.ran {
+					t.Errorf("got %d runs, want %d", got, tt.ran)
+				}
+			})
+		})
+	}
+}
+
 func TestConnectionLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, Config{Connections: 1, Mean: time.Second})
