Hold membership by probes, suspicion and refutation

Cause: instances must know who is alive without a coordination service, at a cost that does not grow with the world. Change: internal/member, a core without I/O after SWIM; acks carry promises to the place's roster.

--- /dev/null
+++ b/internal/member/learn.go
@@ -0,0 +1,66 @@
+package member
+
+import (
+	"slices"
+	"time"
+
+	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/internal/wire"
+)
+
+// Learn takes the platform's list in. It lags, so it only adds members and
+// newer incarnations, and lets go of the dead that it no longer names; it never
+// makes a member dead.
+func (l *List) Learn(now time.Time, list []platform.Instance) {
+	named := make(map[string]bool, len(list))
+	for _, in := range list {
+		named[in.ID] = true
+	}
+	order := slices.Clone(list)
+	// A random order, so that instances hold different samples of a place.
+	l.rng.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+	for _, in := range order {
+		l.learn(now, in)
+	}
+	for _, m := range l.members {
+		m.listed = named[m.in.ID]
+		switch {
+		case m.listed:
+			m.forgetBy = time.Time{}
+		case m.state == wire.State_STATE_DEAD && m.forgetBy.IsZero():
+			m.forgetBy = now.Add(l.cfg.Forget)
+		}
+	}
+}
+
+func (l *List) learn(now time.Time, in platform.Instance) {
+	held := &member{in: in}
+	if in.ID == l.self.in.ID {
+		if in.Incarnation > l.self.in.Incarnation {
+			l.replace(now)
+		}
+		return
+	}
+	_, known := l.members[in.ID]
+	l.apply(now, held.news(true))
+	if !known {
+		l.news.drop(in.ID) // the others read the list too
+	}
+}
+
+// Leave announces this instance's planned stop to its place and to some of the
+// rest; it goes on answering pings until it stops.
+func (l *List) Leave(now time.Time) []Send {
+	sends := l.observe(now)
+	if l.self.in.Leaving {
+		return sends
+	}
+	l.self.in.Leaving = true
+	l.pass(l.self, false)
+	for _, m := range l.placePeers() {
+		sends = append(sends, l.probe(now, m))
+	}
+	l.domainDue, l.remoteDue = now, now
+	sends = append(sends, l.pingDomain(now)...)
+	return append(sends, l.pingRemote(now)...)
+}
--- /dev/null
+++ b/internal/member/list.go
@@ -0,0 +1,174 @@
+package member
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/firlever/firlever/internal/wire"
+)
+
+// List holds the members that one instance knows: all of its domain, and a
+// sample of each other place.
+type List struct {
+	cfg     Config
+	rng     *rand.Rand
+	self    *member // never in members
+	members map[string]*member
+	ids     []string       // keys of members, sorted
+	domain  int            // members of the own domain
+	place   int            // members of the own place
+	places  map[string]int // members held of each place beyond the domain
+	changes []Change
+	news    queue
+
+	last     time.Time // latest time that a call passed in
+	sequence uint64    // of the latest ping; never goes down
+	probes   []*probe  // in flight, by sequence
+	relays   []relay   // pings sent for others, by sequence
+
+	placeDue, domainDue, remoteDue, deadDue, seedDue time.Time
+
+	placeAt             string // id of the place peer pinged last
+	domainRing, farRing ring
+	deadAt              string // id of the dead member pinged last
+	seedAt              int
+
+	replaced    bool // a newer incarnation of this instance was seen
+	roster      uint64
+	rosterNames map[string]bool
+	root        uint64
+	rooms       []*wire.Room
+	releases    []*wire.Release
+}
+
+// New makes a list that knows nobody but itself. The error is a *ConfigError.
+func New(cfg Config, now time.Time) (*List, error) {
+	cfg.Defaults()
+	if err := cfg.Validate(); err != nil {
+		return nil, err
+	}
+	l := &List{
+		cfg:     cfg,
+		rng:     rand.New(rand.NewPCG(cfg.Seed, cfg.Self.Incarnation)),
+		self:    &member{in: cfg.Self, since: now},
+		members: map[string]*member{},
+		places:  map[string]int{},
+		last:    now,
+
+		placeDue: now, domainDue: now, remoteDue: now, deadDue: now, seedDue: now,
+	}
+	l.sequence = uint64(l.rng.Uint32())
+	return l, nil
+}
+
+// Self returns this instance.
+func (l *List) Self() Member { return l.self.view() }
+
+// Get returns one member other than this instance.
+func (l *List) Get(id string) (Member, bool) {
+	m, ok := l.members[id]
+	if !ok {
+		return Member{}, false
+	}
+	return m.view(), true
+}
+
+// Members returns all that is held, without this instance, sorted by id.
+func (l *List) Members() []Member {
+	return l.views(func(*member) bool { return true })
+}
+
+// Alive returns the members of a place that are alive or suspected, and not
+// leaving, sorted by id. Like Members, it leaves this instance out.
+func (l *List) Alive(place string) []Member {
+	return l.views(func(m *member) bool {
+		return m.in.Place == place && m.state != wire.State_STATE_DEAD && !m.in.Leaving
+	})
+}
+
+// Domain returns the members of a domain, sorted by id.
+func (l *List) Domain(domain string) []Member {
+	return l.views(func(m *member) bool { return m.in.Domain == domain })
+}
+
+func (l *List) views(want func(*member) bool) []Member {
+	var views []Member
+	for _, m := range l.where(want) {
+		views = append(views, m.view())
+	}
+	return views
+}
+
+func (l *List) where(want func(*member) bool) []*member {
+	var found []*member
+	for _, id := range l.ids {
+		if m := l.members[id]; want(m) {
+			found = append(found, m)
+		}
+	}
+	return found
+}
+
+// Changes returns what happened since the last call, oldest first.
+func (l *List) Changes() []Change {
+	changes := l.changes
+	l.changes = nil
+	return changes
+}
+
+// Acked tells what the acks of one peer prove. Acks of an earlier incarnation
+// of the peer, and acks passed on by others, don't count.
+func (l *List) Acked(id string) Ack {
+	if m, ok := l.members[id]; ok {
+		return m.ack
+	}
+	return Ack{}
+}
+
+// Promised returns when this instance last acked a ping of the peer with a
+// promise not to remove it from the roster; zero if never. A later removal has
+// to wait from then on for the whole term.
+func (l *List) Promised(id string) time.Time {
+	if m, ok := l.members[id]; ok {
+		return m.promised
+	}
+	return time.Time{}
+}
+
+// SetRoster tells the version of the place's roster in force here, and whom it
+// names. Acks promise only to those.
+func (l *List) SetRoster(version uint64, ids []string) {
+	l.roster = version
+	l.rosterNames = make(map[string]bool, len(ids))
+	for _, id := range ids {
+		l.rosterNames[id] = true
+	}
+}
+
+// SetRoot sets the documents' hash that goes out with each packet.
+func (l *List) SetRoot(root uint64) { l.root = root }
+
+func (l *List) change(now time.Time, kind ChangeKind, m *member) {
+	l.changes = append(l.changes, Change{Kind: kind, At: now, Member: m.view()})
+	if len(l.changes) > maxChanges {
+		l.changes = slices.Delete(l.changes, 0, 1)
+	}
+}
+
+// maxChanges bounds what is kept for a caller that does not drain Changes.
+const maxChanges = 4096
+
+// near tells if the member is in the own place, and local if in the own domain.
+func (l *List) near(m *member) bool {
+	return m.in.Place == l.self.in.Place && l.local(m)
+}
+
+func (l *List) local(m *member) bool { return m.in.Domain == l.self.in.Domain }
+
+// living returns the members that are not dead: those of the domain, or the rest.
+func (l *List) living(local bool) []*member {
+	return l.where(func(m *member) bool {
+		return m.state != wire.State_STATE_DEAD && l.local(m) == local
+	})
+}
--- /dev/null
+++ b/internal/member/member.go
@@ -0,0 +1,124 @@
+package member
+
+import (
+	"time"
+
+	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/internal/wire"
+)
+
+// State is how a member stands.
+type State int
+
+// The states of a member.
+const (
+	Alive State = iota
+	Leaving
+	Suspect
+	Dead
+)
+
+// String names the state in one word.
+func (s State) String() string {
+	return [...]string{"alive", "leaving", "suspect", "dead"}[s]
+}
+
+// Member is a copy of what is held of one member.
+type Member struct {
+	platform.Instance
+	State State
+	Since time.Time // when the state was entered, by the own clock
+}
+
+// ChangeKind is what happened to a member.
+type ChangeKind int
+
+// The kinds of change.
+const (
+	BecameAlive   ChangeKind = iota // new, or no longer suspected or dead
+	BecameLeaving                   // announced its planned stop
+	BecameSuspect                   // does not answer; may yet refute
+	BecameDead                      // did not refute in time
+	Back                            // runs under a new incarnation
+	Forgotten                       // no longer held
+	Accused                         // others suspect this instance, or hold it dead; it refuted
+	Woke                            // this process was paused: its rights are to be confirmed again
+	Replaced                        // a newer incarnation of this very instance runs: this one must stop
+)
+
+// String names the change in one word.
+func (k ChangeKind) String() string {
+	return [...]string{
+		"alive", "leaving", "suspect", "dead", "back", "forgotten", "accused", "woke", "replaced",
+	}[k]
+}
+
+// Change is one event. For Accused, Woke and Replaced the member is this instance.
+type Change struct {
+	Kind   ChangeKind
+	At     time.Time
+	Member Member
+}
+
+// Ack is what a peer's own acks prove, by the own clock.
+type Ack struct {
+	Sent     time.Time // when the latest ping was sent that the peer acked; zero if none was
+	Promised time.Time // the same, of acks that promise to the roster; zero if none did
+	Roster   uint64    // the roster version in the latest promise
+}
+
+// Send is a packet to be sent.
+type Send struct {
+	To     string // IP:port
+	Packet *wire.Packet
+}
+
+// member is what is held of one member.
+type member struct {
+	in         platform.Instance // Incarnation never goes down while the member is held
+	refutation uint64            // never goes down within an incarnation
+	state      wire.State
+	since      time.Time
+	suspectBy  time.Time // set while suspect: dead from then on
+	forgetBy   time.Time // set while dead and unlisted
+	listed     bool      // the platform's list named it when last read
+	ack        Ack       // of this incarnation
+	promised   time.Time // when this instance last promised to it
+}
+
+func (m *member) view() Member {
+	return Member{Instance: m.in, State: m.public(), Since: m.since}
+}
+
+func (m *member) public() State {
+	switch {
+	case m.state == wire.State_STATE_DEAD:
+		return Dead
+	case m.state == wire.State_STATE_SUSPECT:
+		return Suspect
+	case m.in.Leaving:
+		return Leaving
+	}
+	return Alive
+}
+
+// news tells of the member; full adds its addresses and place.
+func (m *member) news(full bool) *wire.News {
+	n := &wire.News{
+		Id: m.in.ID, Incarnation: m.in.Incarnation, Refutation: m.refutation,
+		State: m.state, Leaving: m.in.Leaving,
+	}
+	if full {
+		n.Address, n.Callers, n.Operators = m.in.Address, m.in.Callers, m.in.Operators
+		n.Place, n.Domain, n.Region = m.in.Place, m.in.Domain, m.in.Region
+	}
+	return n
+}
+
+func instanceOf(n *wire.News) platform.Instance {
+	return platform.Instance{
+		ID: n.GetId(), Incarnation: n.GetIncarnation(), Leaving: n.GetLeaving(),
+		Address: n.GetAddress(), Callers: n.GetCallers(), Operators: n.GetOperators(),
+		Place: n.GetPlace(), Domain: n.GetDomain(), Region: n.GetRegion(),
+	}
+}
--- /dev/null
+++ b/internal/member/packet.go
@@ -0,0 +1,146 @@
+package member
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/firlever/firlever/internal/wire"
+)
+
+// maxReport bounds what SetReport takes, in bytes: it leaves room for news.
+const maxReport = 600
+
+// introduceAfter is how many Probes without an ack it takes until pings carry
+// this instance's addresses again.
+const introduceAfter = 5
+
+// ReportError says that a report is too large for a packet.
+type ReportError struct{ Size int }
+
+func (e *ReportError) Error() string {
+	return fmt.Sprintf("member: report of %d bytes, at most %d", e.Size, maxReport)
+}
+
+// SetReport sets what pings tell the place's peers. The error is a *ReportError,
+// and the report before stays.
+func (l *List) SetReport(rooms []*wire.Room, releases []*wire.Release) error {
+	size := proto.Size(&wire.Packet{Rooms: rooms, Releases: releases})
+	if size > maxReport {
+		return &ReportError{Size: size}
+	}
+	l.rooms, l.releases = rooms, releases
+	return nil
+}
+
+// packet makes a packet to a member, or to an unknown listener if m is nil.
+func (l *List) packet(m *member, kind wire.Kind, sequence uint64) *wire.Packet {
+	p := &wire.Packet{
+		From: l.self.in.ID, Incarnation: l.self.in.Incarnation,
+		Refutation: l.self.refutation, Leaving: l.self.in.Leaving,
+		Kind: kind, Sequence: sequence, Roster: l.roster, Root: l.root,
+	}
+	if m != nil {
+		p.To, p.ToIncarnation = m.in.ID, m.in.Incarnation
+		l.accuse(p, m)
+	}
+	return p
+}
+
+// accuse tells a suspected or dead member so, that it may refute.
+func (l *List) accuse(p *wire.Packet, m *member) {
+	if m.state != wire.State_STATE_ALIVE {
+		p.News = append(p.News, m.news(false))
+	}
+}
+
+// finish adds the news that still fits. News of the domain stays in it.
+func (l *List) finish(p *wire.Packet, m *member) *wire.Packet {
+	if m == nil || !l.local(m) {
+		return p
+	}
+	p.News = append(p.News, l.news.take(l, l.near(m))...)
+	return p
+}
+
+// ping makes a ping. It carries the own addresses unless the peer is of the
+// domain and acked lately: a peer beyond it may not hold this instance.
+func (l *List) ping(now time.Time, m *member, sequence uint64) *wire.Packet {
+	p := l.packet(m, wire.Kind_KIND_PING, sequence)
+	if m == nil || !l.local(m) || now.Sub(m.ack.Sent) > introduceAfter*l.cfg.Probe {
+		l.introduce(p)
+	}
+	if m != nil && l.local(m) {
+		p.Known = uint32(len(l.living(true)) + 1)
+	}
+	if m != nil && l.near(m) {
+		p.Rooms, p.Releases = l.rooms, l.releases
+	}
+	return l.finish(p, m)
+}
+
+func (l *List) introduce(p *wire.Packet) {
+	p.News = append(p.News, l.self.news(true))
+}
+
+// ack answers a ping. It tells a peer that introduced itself of one member, and
+// a peer that knows fewer of the domain of as many as fit.
+func (l *List) ack(now time.Time, m *member, ping *wire.Packet) *wire.Packet {
+	p := l.packet(m, wire.Kind_KIND_ACK, ping.GetSequence())
+	if l.members[m.in.ID] == m && l.near(m) && l.rosterNames[m.in.ID] {
+		p.Promise = true
+		m.promised = now
+	}
+	if ping.GetTo() == "" {
+		l.introduce(p)
+	}
+	p = l.finish(p, m)
+	fewer := ping.GetKnown() > 0 && int(ping.GetKnown()) < len(l.living(true))+1
+	if fewer && l.local(m) {
+		l.tell(p, l.living(true), true)
+	} else if introduced(ping) {
+		l.tell(p, l.known(m), false)
+	}
+	return p
+}
+
+func introduced(p *wire.Packet) bool {
+	return slices.ContainsFunc(p.GetNews(), func(n *wire.News) bool { return n.GetId() == p.GetFrom() })
+}
+
+// tell adds random ones of the members to p: one, or as many as fit.
+func (l *List) tell(p *wire.Packet, known []*member, many bool) {
+	l.rng.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
+	size := proto.Size(p)
+	for _, m := range known {
+		n := m.news(true)
+		if size += proto.Size(n) + newsOverhead; size > wire.MaxPacket {
+			return
+		}
+		p.News = append(p.News, n)
+		if !many {
+			return
+		}
+	}
+}
+
+// known picks the members that a peer may be told of: of the domain, or half
+// of the time those beyond it. A peer beyond it is told of the own place only.
+func (l *List) known(to *member) []*member {
+	far := l.local(to) && l.rng.IntN(2) == 0
+	found := l.where(func(m *member) bool {
+		switch {
+		case m == to || m.state != wire.State_STATE_ALIVE:
+			return false
+		case !l.local(to):
+			return l.near(m)
+		}
+		return l.local(m) != far
+	})
+	if len(found) == 0 && far {
+		return l.living(true)
+	}
+	return found
+}
