Keep a broken attempt's slot until its target has noticed

Change: the slot is given back 100 ms later; an answered or refused attempt gives it back at once. Excluded: cutting the target's deadline, which it may honour late too. Before: a third request is served beside two broken ones. After: it waits.

--- a/internal/core/arrival.go
+++ b/internal/core/arrival.go
@@ -74,12 +74,12 @@
 		n.forward(now, f, key)
 		return false
 	}
-	n.settle(now, f, verdict)
+	n.judge(now, f, verdict)
 	return false
 }
 
-// settle answers a keyed request that must not run, or not again.
-func (n *Node) settle(now time.Time, f *flight, v once.Verdict) {
+// judge answers a keyed request that must not run, or not again.
+func (n *Node) judge(now time.Time, f *flight, v once.Verdict) {
 	switch v.Kind {
 	case once.VerdictAnswered:
 		delete(n.flights, f.id)
--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -23,6 +23,7 @@
 	Cache  time.Duration // how long callers may keep the answer of a look-up
 	Spill  time.Duration // predicted wait at home over which another place is tried
 	Probe  time.Duration // time between probes of one target
+	Settle time.Duration // how long a target may go on with an attempt that was broken off
 	Grace  time.Duration // time after the start before a silent peer counts as dead
 	Queue  int           // requests that may wait
 	Keys   int           // records of idempotency keys that may be kept
@@ -51,6 +52,7 @@
 	setDuration(&c.Spill, 60*time.Millisecond)
 	setDuration(&c.Probe, time.Second)
 	setDuration(&c.Grace, 5*time.Second)
+	setDuration(&c.Settle, 100*time.Millisecond)
 	if c.Skew == 0 {
 		c.Skew = 0.05
 	}
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -28,15 +28,16 @@
 	book   *owner.Book
 	roster rosterState
 
-	flights  map[ID]*flight
-	queue    *queue.Queue
-	once     *once.Book
-	retry    retry.Policy
-	services map[settings.ServiceID]*service // of the snapshot
-	address  map[owner.TargetKey]string      // of the place's targets
-	probes   map[owner.TargetKey]time.Time   // when each target is probed next
-	started  time.Time
-	stopping bool
+	flights   map[ID]*flight
+	queue     *queue.Queue
+	once      *once.Book
+	retry     retry.Policy
+	services  map[settings.ServiceID]*service // of the snapshot
+	address   map[owner.TargetKey]string      // of the place's targets
+	probes    map[owner.TargetKey]time.Time   // when each target is probed next
+	started   time.Time
+	settlings []settling // slots of broken attempts, by time
+	stopping  bool
 
 	out []Decision // decisions of the step under way
 }
@@ -108,6 +109,7 @@
 	for _, item := range n.queue.Expire(now) {
 		n.refuse(now, n.flights[ID(item.ID)], ReasonDeadline, nil)
 	}
+	n.settleDue(now)
 	n.once.Sweep(now)
 	if n.snapshot != nil {
 		n.recapAll(now)
--- a/internal/core/outcome.go
+++ b/internal/core/outcome.go
@@ -40,7 +40,7 @@
 func (n *Node) leaveStage(now time.Time, f *flight, ev Finished) {
 	switch f.stage {
 	case stageTarget:
-		n.book.Done(f.target)
+		n.freeSlot(now, f, ev)
 		n.observe(now, f, ev)
 		f.tried = append(f.tried, f.target.Name)
 	case stagePeer:
@@ -54,6 +54,15 @@
 	}
 }
 
+// freeSlot gives the attempt's slot back, at once if the target is done with it.
+func (n *Node) freeSlot(now time.Time, f *flight, ev Finished) {
+	if ev.Result == Failed {
+		n.settle(now, f.target)
+		return
+	}
+	n.book.Done(f.target)
+}
+
 func (n *Node) observe(now time.Time, f *flight, ev Finished) {
 	kind := health.Failed
 	switch {
