--- /dev/null
+++ b/internal/callers/header.go
@@ -0,0 +1,71 @@
+package callers
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Headers of requests and answers, towards callers, peers and targets alike.
+const (
+	HeaderKey     = "Firlever-Key"     // idempotency key
+	HeaderTimeout = "Firlever-Timeout" // time left for the request, whole milliseconds
+	HeaderRequest = "Firlever-Request" // request id
+	HeaderOutcome = "Firlever-Outcome" // one of the outcomes below
+	HeaderReason  = "Firlever-Reason"  // a core.Reason
+	HeaderRetry   = "Firlever-Retry"   // when to come back, milliseconds from now
+	HeaderHome    = "Firlever-Home"    // the caller's home place
+	HeaderFrom    = "Firlever-From"    // the instance that handed the request off
+)
+
+// Outcomes of a request.
+const (
+	OutcomeAnswered = "answered"
+	OutcomeNotRun   = "not-run"
+	OutcomeUnknown  = "unknown"
+)
+
+// hopHeaders concern one connection only and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// copyHeader passes end-to-end headers on.
+func copyHeader(dst, src http.Header) {
+	for name, values := range src {
+		dst[name] = append(dst[name][:0:0], values...)
+	}
+	for _, name := range src.Values("Connection") {
+		dst.Del(name)
+	}
+	for _, name := range hopHeaders {
+		dst.Del(name)
+	}
+}
+
+// setTimeout writes the time left until a deadline.
+func setTimeout(h http.Header, now, deadline time.Time) {
+	left := max(deadline.Sub(now).Milliseconds(), 0)
+	h.Set(HeaderTimeout, strconv.FormatInt(left, 10))
+}
+
+// retryAfter reads when a refusal says to come back; zero if it does not.
+func retryAfter(h http.Header, now time.Time) time.Time {
+	ms, err := strconv.ParseInt(h.Get(HeaderRetry), 10, 32)
+	if err != nil || ms < 0 {
+		return time.Time{}
+	}
+	return now.Add(time.Duration(ms) * time.Millisecond)
+}
+
+// setRetry writes when to come back, in our header and in the standard one.
+func setRetry(h http.Header, now, at time.Time) {
+	if at.IsZero() {
+		return
+	}
+	wait := max(at.Sub(now), 0)
+	h.Set(HeaderRetry, strconv.FormatInt(wait.Milliseconds()+1, 10))
+	seconds := (wait + time.Second - 1) / time.Second
+	h.Set("Retry-After", strconv.FormatInt(int64(max(seconds, 1)), 10))
+}
--- /dev/null
+++ b/internal/core/apply.go
@@ -0,0 +1,210 @@
+package core
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/firlever/firlever/internal/block"
+	"github.com/firlever/firlever/internal/health"
+	"github.com/firlever/firlever/internal/once"
+	"github.com/firlever/firlever/internal/owner"
+	"github.com/firlever/firlever/internal/queue"
+	"github.com/firlever/firlever/internal/retry"
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+// build makes the parts of a new node.
+func (n *Node) build() error {
+	c := n.cfg
+	var err error
+	n.book, err = owner.New(owner.Config{
+		Self: c.Instance, Incarnation: c.Incarnation, Place: c.Place,
+		Term: c.Term, Skew: c.Skew, Lag: c.Lag, Checks: c.Checks,
+	})
+	if err != nil {
+		return err
+	}
+	keys := once.Defaults()
+	keys.Records = c.Keys
+	issuer, err := once.NewIssuer(c.Instance, c.Incarnation, c.Secret, newKeyRand(c.Seed))
+	if err != nil {
+		return err
+	}
+	n.once = once.New(keys, issuer, c.Checks)
+	waiting := queue.Defaults()
+	waiting.Length = c.Queue
+	n.queue = queue.New(waiting)
+	n.blocks = block.New()
+	n.retry, err = retry.NewPolicy(retry.Config{})
+	return err
+}
+
+func compareTargets(a, b owner.TargetKey) int {
+	if c := a.Service.Compare(b.Service); c != 0 {
+		return c
+	}
+	return strings.Compare(a.Name, b.Name)
+}
+
+// applied puts a new snapshot in force.
+func (n *Node) applied(now time.Time, s *settings.Snapshot) {
+	old := n.snapshot
+	n.snapshot = s
+	n.applyBlocks(old, s)
+	specs := n.specs(s)
+	n.book.SetSpecs(now, specs)
+	n.applyTargets(now, specs)
+	n.applyServices(now, s)
+	n.applyShares(s)
+	n.pump(now)
+}
+
+// applyBlocks takes in the block documents that differ from those in force.
+func (n *Node) applyBlocks(old, s *settings.Snapshot) {
+	had := make(map[string]settings.BlockDocument)
+	if old != nil {
+		for _, doc := range old.BlockDocuments() {
+			had[doc.Path] = doc
+		}
+	}
+	for _, doc := range s.BlockDocuments() {
+		before, ok := had[doc.Path]
+		delete(had, doc.Path)
+		if !ok || !before.Same(doc) {
+			n.updateBlocks(doc.Path, doc.Blocks)
+		}
+	}
+	for path := range had {
+		n.updateBlocks(path, nil)
+	}
+}
+
+// updateBlocks replaces one document's blocks. A table that is full keeps the
+// old ones: a caller steered by an old block is better off than one by none.
+func (n *Node) updateBlocks(path string, blocks []settings.Block) {
+	if table, err := n.blocks.Update(path, blocks); err == nil {
+		n.blocks = table
+	}
+}
+
+// specs works out the place's targets and what each may take.
+func (n *Node) specs(s *settings.Snapshot) []owner.Spec {
+	var specs []owner.Spec
+	for _, id := range s.Services() {
+		service, _ := s.Service(id)
+		if site, ok := service.Site(n.cfg.Place); ok {
+			specs = append(specs, n.siteSpecs(s, service, site)...)
+		}
+	}
+	place, _ := s.Place(n.cfg.Place)
+	allowances := make([]int, len(specs))
+	for i, spec := range specs {
+		allowances[i] = spec.Allowance
+	}
+	for i, quota := range owner.Quotas(place.Limit, allowances) {
+		specs[i].Quota = quota
+	}
+	return specs
+}
+
+func (n *Node) siteSpecs(s *settings.Snapshot, service *settings.CompiledService, site settings.Site) []owner.Spec {
+	id := service.ID()
+	drained := s.PlaceDrained(id, n.cfg.Place)
+	allowances := owner.Allowances(site)
+	specs := make([]owner.Spec, 0, len(site.Targets))
+	for i, t := range site.Targets {
+		specs = append(specs, owner.Spec{
+			Key:       owner.TargetKey{Service: id, Name: t.Name},
+			Address:   t.Address,
+			Allowance: allowances[i],
+			Timeout:   service.Timeout(),
+			Drained:   drained || s.TargetDrained(id, t.Name),
+		})
+	}
+	return specs
+}
+
+// applyTargets forgets targets that have gone and probes new ones at once.
+func (n *Node) applyTargets(now time.Time, specs []owner.Spec) {
+	kept := make(map[owner.TargetKey]string, len(specs))
+	for _, spec := range specs {
+		kept[spec.Key] = spec.Address
+		if _, ok := n.address[spec.Key]; !ok {
+			n.probes[spec.Key] = now
+		}
+	}
+	for key := range n.address {
+		if _, ok := kept[key]; !ok {
+			delete(n.probes, key)
+		}
+	}
+	n.address = kept
+}
+
+// applyServices refits what is kept of each service. Targets that were there
+// before the first snapshot count as warm: the instance is new, they are not.
+func (n *Node) applyServices(now time.Time, s *settings.Snapshot) {
+	for id := range n.services {
+		if _, ok := s.Service(id); !ok {
+			delete(n.services, id)
+			n.queue.Forget(id)
+		}
+	}
+	for _, id := range s.Services() {
+		compiled, _ := s.Service(id)
+		site, _ := compiled.Site(n.cfg.Place)
+		state := n.service(now, id)
+		first := state.rev == 0
+		state.refit(compiled, site, max(s.Version(settings.ServicePath(id)), 1))
+		for _, key := range state.keys {
+			state.health.Add(now, key, first)
+		}
+		n.recap(now, state)
+	}
+}
+
+func (n *Node) applyShares(s *settings.Snapshot) {
+	for _, name := range s.Teams() {
+		n.queue.SetShare(name, s.Share(name))
+	}
+}
+
+// recapAll follows changes of ownership and tenure.
+func (n *Node) recapAll(now time.Time) {
+	for _, id := range n.snapshot.Services() {
+		n.recap(now, n.service(now, id))
+	}
+}
+
+// probeDue asks for the health of owned targets that are due.
+func (n *Node) probeDue(now time.Time) {
+	for _, key := range n.book.Owned() {
+		due, ok := n.probes[key]
+		if !ok || now.Before(due) {
+			continue
+		}
+		n.probes[key] = now.Add(n.cfg.Probe)
+		n.decide(Probe{Target: key, Address: n.address[key]})
+	}
+}
+
+// probed takes in what a target claims of itself.
+func (n *Node) probed(now time.Time, ev Probed) {
+	s, ok := n.services[ev.Target.Service]
+	if !ok || !slices.Contains(s.keys, ev.Target) {
+		return
+	}
+	if ev.Err {
+		s.health.Observe(now, ev.Target, health.Failed, 0)
+		return
+	}
+	s.health.Claim(now, ev.Target, ev.Healthy, ev.Slots, ev.Busy)
+	n.pump(now)
+}
+
+// weight is how many slots of a target health lets this instance use.
+func (n *Node) weight(now time.Time, key owner.TargetKey) int {
+	s := n.service(now, key.Service)
+	return s.health.Weight(now, key, s.limits[key])
+}
--- /dev/null
+++ b/internal/core/arrival.go
@@ -0,0 +1,153 @@
+package core
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/firlever/firlever/internal/once"
+	"github.com/firlever/firlever/internal/queue"
+)
+
+// arrived takes in a new request and decides its first step.
+func (n *Node) arrived(now time.Time, ev Arrived) {
+	f := &flight{id: ev.ID, req: ev.Request, origin: ev.Origin}
+	n.flights[f.id] = f
+	if n.snapshot == nil {
+		n.refuse(now, f, ReasonNoSettings, nil)
+		return
+	}
+	service, ok := n.snapshot.Service(f.req.Service)
+	if !ok {
+		n.refuse(now, f, ReasonNoService, nil)
+		return
+	}
+	f.service = service
+	f.home = n.homeOf(f.req)
+	f.idempotent = service.Idempotent(f.req.Method, f.req.Path)
+	if limit := now.Add(service.Timeout()); f.req.Deadline.IsZero() || f.req.Deadline.After(limit) {
+		f.req.Deadline = limit
+	}
+	n.service(now, f.req.Service).budget.Request(now)
+	if !f.idempotent && f.origin != FromPeer && !n.claim(now, f) {
+		return
+	}
+	n.place(now, f, "")
+}
+
+// homeOf finds the caller's home place. A caller that no block has is at home
+// where it asked first, so that it counts as shifted anywhere else.
+func (n *Node) homeOf(r Request) string {
+	if r.Home != "" {
+		return r.Home
+	}
+	if home, ok := n.blockPlace(r.Caller); ok {
+		return home
+	}
+	return n.cfg.Place
+}
+
+func (n *Node) blockPlace(a netip.Addr) (string, bool) {
+	if !a.IsValid() {
+		return "", false
+	}
+	return n.blocks.Lookup(a)
+}
+
+// claim begins the key of a non-idempotent request. It returns false when the
+// request has had its decision: it is forwarded, repeated or refused.
+func (n *Node) claim(now time.Time, f *flight) bool {
+	if f.req.Key == "" {
+		n.refuse(now, f, ReasonNoKey, nil)
+		return false
+	}
+	key, err := once.ParseKey(f.req.Key)
+	if err != nil {
+		n.refuse(now, f, ReasonBadKey, nil)
+		return false
+	}
+	verdict := n.once.Begin(now, key, f.req.Print, f.req.Name)
+	if verdict.Kind == once.VerdictRun {
+		f.key, f.keyed, f.turn = key, true, verdict.Attempt
+		return true
+	}
+	if verdict.Kind == once.VerdictForeign {
+		n.forward(now, f, key)
+		return false
+	}
+	n.judge(now, f, verdict)
+	return false
+}
+
+// judge answers a keyed request that must not run, or not again.
+func (n *Node) judge(now time.Time, f *flight, v once.Verdict) {
+	switch v.Kind {
+	case once.VerdictAnswered:
+		delete(n.flights, f.id)
+		n.decide(Repeat{ID: f.id, Answer: v.Outcome})
+	case once.VerdictRunning:
+		f.sooner(now.Add(retryRunning))
+		n.unknown(f, ReasonKeyRunning, nil)
+	case once.VerdictUnknown:
+		n.unknown(f, ReasonKeyUnknown, nil)
+	case once.VerdictExpired:
+		// The record may be gone with the key's deadline, so nothing is known of an earlier run.
+		n.unknown(f, ReasonKeyExpired, nil)
+	case once.VerdictClosed:
+		n.refuse(now, f, ReasonStopping, nil)
+	case once.VerdictFull:
+		f.sooner(now.Add(retryFull))
+		n.refuse(now, f, ReasonKeysFull, nil)
+	case once.VerdictGone:
+		n.unknown(f, ReasonHomeGone, nil)
+	default:
+		n.refuse(now, f, ReasonBadKey, nil)
+	}
+}
+
+// forward sends a request to the incarnation that its key is bound to.
+func (n *Node) forward(now time.Time, f *flight, key once.Key) {
+	peer, ok := n.peer(key.Instance())
+	switch {
+	case f.origin == FromForward, ok && peer.Incarnation != key.Incarnation():
+		n.unknown(f, ReasonHomeGone, nil)
+	case !ok:
+		f.sooner(now.Add(retryFull))
+		n.unknown(f, ReasonHomeCut, nil)
+	default:
+		f.stage, f.peer = stageForward, peer.ID
+		n.decide(Forward{ID: f.id, Peer: peer, Deadline: f.req.Deadline, Reason: ReasonKeyHome})
+	}
+}
+
+// hold puts a request in the queue, or refuses it at once when its deadline
+// can't be met there.
+func (n *Node) hold(now time.Time, f *flight, passed []Passed) {
+	if n.requeue(now, f) {
+		n.decide(Hold{ID: f.id, Until: f.req.Deadline, Passed: passed})
+	}
+}
+
+// requeue puts a request in the queue. It returns false if it was refused.
+func (n *Node) requeue(now time.Time, f *flight) bool {
+	verdict := n.queue.Push(now, queue.Item{
+		ID:       uint64(f.id),
+		Service:  f.req.Service,
+		Bulk:     f.service.Bulk(),
+		Shifted:  f.shifted(n.cfg.Place),
+		Deadline: f.req.Deadline,
+	})
+	if verdict.Kind != queue.VerdictQueued {
+		f.sooner(verdict.RetryAt)
+		n.refuse(now, f, f.reason(), nil)
+		return false
+	}
+	f.stage = stageQueued
+	return true
+}
+
+func (f *flight) reason() Reason {
+	if f.held == "" {
+		return ReasonFull
+	}
+	return f.held
+}
--- /dev/null
+++ b/internal/core/event.go
@@ -0,0 +1,168 @@
+package core
+
+import (
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/firlever/firlever/internal/once"
+	"github.com/firlever/firlever/internal/owner"
+	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+// ID names one request inside one instance. The shell gives each request a new one.
+type ID uint64
+
+// Event is something that happened to an instance. The shell tells the node of
+// each by Node.Step and carries out the decisions that come back.
+type Event interface{ event() }
+
+// Request is what the node needs to know of a request to place it.
+type Request struct {
+	Service    settings.ServiceID
+	Method     string
+	Path       string // below the service, starts with "/"
+	Caller     netip.Addr
+	Home       string // the caller's home place if a peer has already found it
+	Name       string // request id as the caller sees it
+	Key        string // idempotency key; empty if the caller sent none
+	Print      once.Fingerprint
+	Deadline   time.Time
+	Replayable bool // the body can be sent again
+}
+
+// Origin says who brought a request.
+type Origin int
+
+// Origins of a request.
+const (
+	FromCaller  Origin = iota // straight from a caller
+	FromPeer                  // handed off by the instance that the caller asked
+	FromForward               // forwarded to this instance because it is the key's home
+)
+
+// Arrived tells of a new request.
+type Arrived struct {
+	ID      ID
+	Origin  Origin
+	Request Request
+}
+
+// Result is how one attempt ended.
+type Result int
+
+// Results of an attempt.
+const (
+	Answered Result = iota // the whole answer was passed on
+	NotRun                 // proof that nothing ran: refused connection or a refusal that says so
+	Failed                 // anything else: the work may have run
+)
+
+// Finished tells how the latest attempt of a request ended. A slot is held
+// until then.
+type Finished struct {
+	ID      ID
+	Result  Result
+	Status  int
+	Took    time.Duration
+	Header  http.Header // for the record of a non-idempotent request
+	Body    []byte      // for the same
+	Proof   once.Proof  // of NotRun
+	Dropped bool        // the answer was too large to give Header and Body
+	Reason  Reason      // a peer's reason for not running it
+	Retry   time.Time
+	Final   bool // bytes of the answer have gone to the caller: no other attempt
+}
+
+// Cancelled tells that the caller has gone, or its deadline has passed.
+type Cancelled struct{ ID ID }
+
+// Room is what an owner says of its free capacity for one service.
+type Room struct {
+	Service settings.ServiceID
+	Free    int
+	Queued  int
+}
+
+// RoomHeard brings a peer's rooms.
+type RoomHeard struct {
+	Peer  string
+	Rooms []Room
+}
+
+// Peer is another instance as the membership sees it.
+type Peer struct {
+	ID          string
+	Incarnation uint64
+	Address     string
+	Callers     string
+	Place       string
+	Domain      string
+	Region      string
+	Leaving     bool
+}
+
+// PeersChanged replaces the list of live peers, sorted by id, without this instance.
+type PeersChanged struct{ Peers []Peer }
+
+// Applied brings a new snapshot of the operators' documents.
+type Applied struct{ Snapshot *settings.Snapshot }
+
+// RosterRead brings the roster as the platform gave it. Sent is when the call went out.
+type RosterRead struct {
+	Roster owner.Roster
+	Sent   time.Time
+}
+
+// RosterHeard brings a roster that a peer passed on.
+type RosterHeard struct{ Roster owner.Roster }
+
+// PeerAcked tells that a peer acked a heartbeat sent at Sent, with the promise
+// that goes with it.
+type PeerAcked struct {
+	Peer        string
+	Incarnation uint64
+	Sent        time.Time
+	Roster      uint64
+}
+
+// Listed brings the platform's lagging list of instances.
+type Listed struct{ Instances []platform.Instance }
+
+// Released brings what a peer still holds of targets that it does not own.
+type Released struct{ Release owner.Release }
+
+// SwapFailed tells that a roster's write is proved not to have landed.
+type SwapFailed struct{ Removed string }
+
+// Probed brings the answer of a health probe, or says that there was none.
+type Probed struct {
+	Target  owner.TargetKey
+	Err     bool
+	Healthy bool
+	Slots   int
+	Busy    int
+}
+
+// Stopping tells that this instance has begun a planned stop.
+type Stopping struct{}
+
+// Tick tells that time has passed.
+type Tick struct{}
+
+func (Arrived) event()      {}
+func (Finished) event()     {}
+func (Cancelled) event()    {}
+func (RoomHeard) event()    {}
+func (PeersChanged) event() {}
+func (Applied) event()      {}
+func (RosterRead) event()   {}
+func (RosterHeard) event()  {}
+func (PeerAcked) event()    {}
+func (Listed) event()       {}
+func (Released) event()     {}
+func (SwapFailed) event()   {}
+func (Probed) event()       {}
+func (Stopping) event()     {}
+func (Tick) event()         {}
--- /dev/null
+++ b/internal/core/flight.go
@@ -0,0 +1,55 @@
+package core
+
+import (
+	"slices"
+	"time"
+
+	"github.com/firlever/firlever/internal/once"
+	"github.com/firlever/firlever/internal/owner"
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+// stage is where a request stands inside the instance.
+type stage int
+
+const (
+	stageNew     stage = iota
+	stageQueued        // waits for a slot
+	stageTarget        // holds a slot of f.target
+	stagePeer          // handed to f.peer
+	stageForward       // forwarded to its key's home
+)
+
+// flight is one request from its arrival to its final answer.
+type flight struct {
+	id      ID
+	req     Request
+	origin  Origin
+	service *settings.CompiledService
+	home    string // the caller's home place; never empty
+
+	idempotent bool
+	keyed      bool     // this instance is the home of key, which is begun
+	key        once.Key // valid if keyed
+	turn       uint32   // attempt of the key's record, valid if keyed
+
+	stage    stage
+	target   owner.TargetKey // valid in stageTarget
+	peer     string          // valid in stagePeer and stageForward
+	exposed  bool            // an attempt may have run: "not run" would no longer be true
+	attempts int
+	tried    []string  // targets and instances that have refused it; never tried again
+	held     Reason    // why it was last held back
+	retryAt  time.Time // soonest time at which a refusing peer would take it
+}
+
+// shifted says whether serving f in a place counts against the shift cap.
+func (f *flight) shifted(place string) bool { return f.home != place }
+
+func (f *flight) hasTried(name string) bool { return slices.Contains(f.tried, name) }
+
+func (f *flight) sooner(at time.Time) {
+	if f.retryAt.IsZero() || at.Before(f.retryAt) {
+		f.retryAt = at
+	}
+}
--- /dev/null
+++ b/internal/core/lookup.go
@@ -0,0 +1,72 @@
+package core
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+// maxInstances is how many instances an answer of a look-up names.
+const maxInstances = 4
+
+// maxKeys is how many idempotency keys one look-up may ask for.
+const maxKeys = 64
+
+// NoServiceError says that no document declares the service.
+type NoServiceError struct{ Service settings.ServiceID }
+
+func (e *NoServiceError) Error() string { return "core: no service " + e.Service.String() }
+
+// Lookup tells a caller which instances to ask for a service, and gives keys
+// for non-idempotent requests. It returns a *NoServiceError for an unknown service.
+func (n *Node) Lookup(now time.Time, id settings.ServiceID, caller netip.Addr, keys int) (Lookup, error) {
+	if n.snapshot == nil {
+		return Lookup{}, &NoServiceError{Service: id}
+	}
+	service, ok := n.snapshot.Service(id)
+	if !ok {
+		return Lookup{}, &NoServiceError{Service: id}
+	}
+	home, _ := n.blockPlace(caller)
+	l := Lookup{Service: id, Place: home, Until: now.Add(n.cfg.Cache)}
+	l.Instances = n.instancesFor(id, service, home)
+	until := l.Until.Add(service.Timeout())
+	for range min(keys, maxKeys) {
+		l.Keys = append(l.Keys, n.once.Issue(now, until).String())
+	}
+	return l, nil
+}
+
+// instancesFor orders instances by how near their place is to the caller's home.
+// Within a place a random one comes first, so that callers spread.
+func (n *Node) instancesFor(id settings.ServiceID, service *settings.CompiledService, home string) []Peer {
+	f := &flight{service: service, home: home}
+	f.req.Service = id
+	var list []Peer
+	for _, place := range n.placesFor(f) {
+		if n.snapshot.PlaceDrained(id, place) {
+			continue
+		}
+		list = append(list, n.shuffled(place)...)
+		if len(list) >= maxInstances {
+			return list[:maxInstances]
+		}
+	}
+	return list
+}
+
+// shuffled lists a place's instances that take new work, in random order.
+func (n *Node) shuffled(place string) []Peer {
+	var list []Peer
+	if place == n.cfg.Place && !n.stopping && !n.snapshot.InstanceDrained(n.cfg.Instance) {
+		list = append(list, Peer{ID: n.cfg.Instance, Incarnation: n.cfg.Incarnation, Place: place})
+	}
+	for _, p := range n.peers {
+		if p.Place == place && !p.Leaving && !n.snapshot.InstanceDrained(p.ID) {
+			list = append(list, p)
+		}
+	}
+	n.cfg.Rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list
+}
--- /dev/null
+++ b/internal/core/node.go
@@ -0,0 +1,126 @@
+// Package core decides for one entry instance: where each request goes, when
+// it waits, and when it is refused. It has no sockets, files, timers or clock;
+// its environment tells it of events and carries out its decisions.
+package core
+
+import (
+	"slices"
+	"time"
+
+	"github.com/firlever/firlever/internal/block"
+	"github.com/firlever/firlever/internal/invariant"
+	"github.com/firlever/firlever/internal/once"
+	"github.com/firlever/firlever/internal/owner"
+	"github.com/firlever/firlever/internal/queue"
+	"github.com/firlever/firlever/internal/retry"
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+// Node is the state of one entry instance. It is not safe for concurrent use.
+type Node struct {
+	cfg      Config
+	snapshot *settings.Snapshot // nil until the first documents arrive
+	blocks   *block.Table
+
+	peers  []Peer          // live peers, sorted by id, without this instance
+	rooms  map[string]desk // what each peer of peers last said of its room
+	seen   map[string]time.Time
+	book   *owner.Book
+	roster rosterState
+
+	flights   map[ID]*flight
+	queue     *queue.Queue
+	once      *once.Book
+	retry     retry.Policy
+	services  map[settings.ServiceID]*service // of the snapshot
+	address   map[owner.TargetKey]string      // of the place's targets
+	probes    map[owner.TargetKey]time.Time   // when each target is probed next
+	started   time.Time
+	settlings []settling // slots of broken attempts, by time
+	stopping  bool
+
+	out []Decision // decisions of the step under way
+}
+
+// New makes a node. It returns a *ConfigError if cfg is at fault.
+func New(cfg Config, now time.Time) (*Node, error) {
+	cfg.Defaults()
+	if err := cfg.Validate(); err != nil {
+		return nil, err
+	}
+	n := &Node{
+		cfg:      cfg,
+		rooms:    make(map[string]desk),
+		seen:     make(map[string]time.Time),
+		flights:  make(map[ID]*flight),
+		services: make(map[settings.ServiceID]*service),
+		address:  make(map[owner.TargetKey]string),
+		probes:   make(map[owner.TargetKey]time.Time),
+		started:  now,
+	}
+	if err := n.build(); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+// Step tells the node of one event and returns what has to be done about it.
+// The returned decisions are valid until the next call.
+func (n *Node) Step(now time.Time, ev Event) []Decision {
+	n.out = n.out[:0]
+	switch ev := ev.(type) {
+	case Arrived:
+		n.arrived(now, ev)
+	case Finished:
+		n.finished(now, ev)
+	case Cancelled:
+		n.cancelled(now, ev)
+	case RoomHeard:
+		n.roomHeard(now, ev)
+	case PeersChanged:
+		n.peersChanged(now, ev)
+	case Applied:
+		n.applied(now, ev.Snapshot)
+	case RosterRead:
+		n.rosterRead(now, ev)
+	case RosterHeard:
+		n.setRoster(now, ev.Roster)
+	case PeerAcked:
+		n.book.Ack(ev.Peer, ev.Incarnation, ev.Sent, ev.Roster)
+	case Listed:
+		n.listed(now, ev)
+	case Released:
+		n.book.Released(now, ev.Release)
+		n.pump(now)
+	case SwapFailed:
+		n.book.Abandon(ev.Removed)
+	case Probed:
+		n.probed(now, ev)
+	case Stopping:
+		n.stop(now)
+	case Tick:
+		n.tick(now)
+	}
+	return slices.Clone(n.out)
+}
+
+// tick does what time alone brings about.
+func (n *Node) tick(now time.Time) {
+	for _, item := range n.queue.Expire(now) {
+		n.refuse(now, n.flights[ID(item.ID)], ReasonDeadline, nil)
+	}
+	n.settleDue(now)
+	n.once.Sweep(now)
+	if n.snapshot != nil {
+		n.recapAll(now)
+		n.probeDue(now)
+	}
+	n.tendRoster(now)
+	n.pump(now)
+}
+
+func (n *Node) decide(d Decision) { n.out = append(n.out, d) }
+
+func (n *Node) check(name invariant.Name, ok bool, detail func() string) {
+	n.cfg.Checks.Check(name, ok, detail)
+}
--- /dev/null
+++ b/internal/core/node_test.go
@@ -0,0 +1,194 @@
+package core
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/firlever/firlever/internal/invariant"
+	"github.com/firlever/firlever/internal/owner"
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+var begin = time.Unix(1_000_000, 0)
+
+// testNode is a node that owns one target with two slots in place east; the
+// service has a second place, west.
+func testNode(t *testing.T, change func(*Config)) *Node {
+	t.Helper()
+	cfg := Config{
+		Instance: "i1", Incarnation: 1, Place: "east", Domain: "east", Region: "coast",
+		Checks: invariant.New(func(n invariant.Name, d string) { t.Errorf("invariant %s: %s", n, d) }),
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	n, err := New(cfg, begin)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.Step(begin, Applied{Snapshot: testSnapshot(t, "")})
+	n.Step(begin, RosterRead{Roster: testRoster(t, "i1"), Sent: begin})
+	return n
+}
+
+func testRoster(t *testing.T, instances ...string) owner.Roster {
+	t.Helper()
+	var r owner.Roster
+	for _, id := range instances {
+		next, err := r.Join(id, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r = next
+	}
+	return r
+}
+
+func testSnapshot(t *testing.T, drain string) *settings.Snapshot {
+	t.Helper()
+	docs := []settings.Document{
+		{Path: "/places/east", Version: 1, Body: []byte("region: coast\ndomain: east\nlimit: 2\n")},
+		{Path: "/places/west", Version: 1, Body: []byte("region: coast\ndomain: west\nlimit: 2\n")},
+		{Path: "/blocks/all", Version: 1, Body: []byte("blocks:\n  - {prefix: 10.1.0.0/16, place: east}\n  - {prefix: 10.2.0.0/16, place: west}\n")},
+		{Path: "/teams/shop/services/orders", Version: 1, Body: []byte(testService)},
+	}
+	if drain != "" {
+		docs = append(docs, settings.Document{Path: "/drains/test", Version: 1, Body: []byte(drain)})
+	}
+	s, err := settings.Compile(docs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+const testService = `
+class: interactive
+timeout: 2s
+shift: 1
+places:
+  east: {limit: 2, targets: [{name: e, address: "127.0.0.1:1", slots: 2, connections: 9}]}
+  west: {limit: 2, targets: [{name: w, address: "127.0.0.1:2", slots: 2, connections: 9}]}
+`
+
+func request(id ID, caller string) Arrived {
+	return Arrived{ID: id, Request: Request{
+		Service: settings.ServiceID{Team: "shop", Name: "orders"}, Method: "GET", Path: "/",
+		Caller: netip.MustParseAddr(caller), Name: fmt.Sprint(id), Replayable: true,
+	}}
+}
+
+// name tells a decision in one word, with the reason of a refusal.
+func name(decisions []Decision) string {
+	for _, d := range decisions {
+		switch d := d.(type) {
+		case Serve:
+			return "serve"
+		case Hand:
+			return "hand"
+		case Hold:
+			return "hold"
+		case Refuse:
+			return "refuse " + string(d.Reason)
+		}
+	}
+	return "nothing"
+}
+
+func TestPlacement(t *testing.T) {
+	west := Peer{ID: "i2", Incarnation: 1, Place: "west", Domain: "west", Region: "coast"}
+	tests := map[string]struct {
+		drain  string
+		peers  []Peer
+		before int // requests from home that are in flight
+		caller string
+		want   string
+	}{
+		"own target":                  {caller: "10.1.0.1", want: "serve"},
+		"full, a short wait":          {before: 2, caller: "10.1.0.1", want: "hold"},
+		"home elsewhere":              {peers: []Peer{west}, caller: "10.2.0.1", want: "hand"},
+		"home out of reach":           {caller: "10.2.0.1", want: "serve"},
+		"drained here":                {drain: "place: east\n", peers: []Peer{west}, caller: "10.1.0.1", want: "hand"},
+		"drained here, nobody beyond": {drain: "place: east\n", caller: "10.1.0.1", want: "refuse no-targets"},
+		"no block: home is here":      {caller: "192.0.2.1", want: "serve"},
+	}
+	for name_, tt := range tests {
+		t.Run(name_, func(t *testing.T) {
+			n := testNode(t, nil)
+			n.Step(begin, Applied{Snapshot: testSnapshot(t, tt.drain)})
+			n.Step(begin, PeersChanged{Peers: tt.peers})
+			at := begin.Add(2 * time.Second) // the shift cap's first window is closed
+			for i := range tt.before {
+				n.Step(at, request(ID(i+1), "10.1.0.1"))
+			}
+			if got := name(n.Step(at, request(99, tt.caller))); got != tt.want {
+				t.Errorf("got %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestShiftCapHoldsBack(t *testing.T) {
+	n := testNode(t, nil)
+	at := begin.Add(2 * time.Second)
+	if got := name(n.Step(at, request(1, "10.2.0.1"))); got != "serve" {
+		t.Fatalf("got %q, want the cap's first request served", got)
+	}
+	if got := name(n.Step(at, request(2, "10.2.0.1"))); got != "hold" {
+		t.Errorf("got %q, want the second to wait for the cap", got)
+	}
+	if got := name(n.Step(at, request(3, "10.1.0.1"))); got != "serve" {
+		t.Errorf("got %q, want a request from home served meanwhile", got)
+	}
+}
+
+func TestSlotOfBrokenAttemptSettles(t *testing.T) {
+	tests := map[string]struct {
+		result Result
+		after  time.Duration
+		want   string
+	}{
+		"answered":       {Answered, 0, "serve"},
+		"broken":         {Failed, 0, "hold"},
+		"broken, before": {Failed, 99 * time.Millisecond, "hold"},
+		"broken, after":  {Failed, 100 * time.Millisecond, "serve"},
+	}
+	for name_, tt := range tests {
+		t.Run(name_, func(t *testing.T) {
+			n := testNode(t, nil)
+			n.Step(begin, request(1, "10.1.0.1"))
+			n.Step(begin, request(2, "10.1.0.1"))
+			n.Step(begin, Finished{ID: 1, Result: tt.result, Final: true})
+			n.Step(begin.Add(tt.after), Tick{})
+			if got := name(n.Step(begin.Add(tt.after), request(3, "10.1.0.1"))); got != tt.want {
+				t.Errorf("got %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestRefusalIsTrue(t *testing.T) {
+	tests := map[string]struct {
+		first   Result
+		unknown bool
+	}{
+		"refused, nothing ran": {NotRun, false},
+		"failed, may have run": {Failed, true},
+	}
+	for name_, tt := range tests {
+		t.Run(name_, func(t *testing.T) {
+			n := testNode(t, nil)
+			n.Step(begin, request(1, "10.1.0.1"))
+			decisions := n.Step(begin, Finished{ID: 1, Result: tt.first})
+			if name(decisions) == "hold" {
+				decisions = n.Step(begin.Add(3*time.Second), Tick{})
+			}
+			r, ok := decisions[0].(Refuse)
+			if !ok || r.Unknown != tt.unknown {
+				t.Errorf("got %+v, want a refusal with unknown %v", decisions, tt.unknown)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/core/outcome.go
@@ -0,0 +1,151 @@
+package core
+
+import (
+	"time"
+
+	"github.com/firlever/firlever/internal/health"
+	"github.com/firlever/firlever/internal/once"
+	"github.com/firlever/firlever/internal/retry"
+)
+
+// When a caller is told to come back.
+const (
+	retryRunning = 50 * time.Millisecond  // the key's first request is under way
+	retryFull    = 200 * time.Millisecond // nothing better is known
+)
+
+// finished takes in the end of an attempt.
+func (n *Node) finished(now time.Time, ev Finished) {
+	f, ok := n.flights[ev.ID]
+	if !ok {
+		return
+	}
+	n.leaveStage(now, f, ev)
+	switch {
+	case ev.Result == Answered:
+		n.end(now, f, once.Outcome{
+			Kind: once.OutcomeAnswered, Status: ev.Status, Header: ev.Header, Body: ev.Body, Dropped: ev.Dropped,
+		})
+	case ev.Final:
+		n.end(now, f, once.Outcome{Kind: once.OutcomeUnknown})
+	case ev.Result == NotRun:
+		n.again(now, f, ev, true)
+	default:
+		n.again(now, f, ev, false)
+	}
+	n.pump(now)
+}
+
+// leaveStage gives back what the attempt held and learns from how it went.
+func (n *Node) leaveStage(now time.Time, f *flight, ev Finished) {
+	switch f.stage {
+	case stageTarget:
+		n.freeSlot(now, f, ev)
+		n.observe(now, f, ev)
+		f.tried = append(f.tried, f.target.Name)
+	case stagePeer:
+		n.roomBack(now, f.peer, f.req.Service, ev)
+		f.tried = append(f.tried, f.peer)
+	}
+	f.stage = stageNew
+	f.exposed = f.exposed || ev.Result == Failed
+	if !ev.Retry.IsZero() {
+		f.sooner(ev.Retry)
+	}
+}
+
+// freeSlot gives the attempt's slot back, at once if the target is done with it.
+func (n *Node) freeSlot(now time.Time, f *flight, ev Finished) {
+	if ev.Result == Failed {
+		n.settle(now, f.target)
+		return
+	}
+	n.book.Done(f.target)
+}
+
+func (n *Node) observe(now time.Time, f *flight, ev Finished) {
+	kind := health.Failed
+	switch {
+	case ev.Result == Answered:
+		kind = health.OK
+	case ev.Result == NotRun && ev.Proof == once.ProofRefusal:
+		kind = health.Refused
+	case !now.Before(f.req.Deadline):
+		kind = health.Timeout
+	}
+	n.queue.Completed(now, f.req.Service, ev.Took)
+	n.service(now, f.req.Service).health.Observe(now, f.target, kind, ev.Took)
+}
+
+// again decides whether a request whose attempt gave no answer is tried anew.
+func (n *Node) again(now time.Time, f *flight, ev Finished, proof bool) {
+	reason := ev.Reason
+	if reason == "" {
+		reason = ReasonTargetError
+	}
+	if f.keyed && proof {
+		n.once.Withdraw(f.key, f.turn, ev.Proof)
+	}
+	if f.keyed && !proof {
+		n.once.Finish(now, f.key, f.turn, once.Outcome{Kind: once.OutcomeUnknown})
+	}
+	if !n.mayRetry(now, f, proof) {
+		n.refuse(now, f, reason, nil)
+		return
+	}
+	n.place(now, f, ReasonRetry)
+}
+
+// mayRetry asks the retry policy. Only the instance that the caller asked retries.
+func (n *Node) mayRetry(now time.Time, f *flight, proof bool) bool {
+	d := n.retry.Decide(now, retry.Attempt{
+		Idempotent: f.idempotent,
+		NotRun:     proof,
+		Handed:     f.origin == FromPeer,
+		Streamed:   !f.req.Replayable,
+		Tried:      f.attempts,
+		Targets:    1,
+		Expected:   now,
+		Deadline:   f.req.Deadline,
+	}, n.service(now, f.req.Service).budget)
+	return d.Retry()
+}
+
+// end closes a request whose answer, whole or cut short, is on its way.
+func (n *Node) end(now time.Time, f *flight, o once.Outcome) {
+	if f.keyed {
+		n.once.Finish(now, f.key, f.turn, o)
+	}
+	delete(n.flights, f.id)
+}
+
+// refuse gives the final answer "not run", or "unknown" after an attempt that
+// may have run. The request is not on any target, and is forgotten here.
+func (n *Node) refuse(now time.Time, f *flight, reason Reason, passed []Passed) {
+	if f.exposed {
+		n.unknown(f, reason, passed)
+		return
+	}
+	if f.keyed {
+		n.once.Finish(now, f.key, f.turn, once.Outcome{Kind: once.OutcomeNotRun})
+	}
+	delete(n.flights, f.id)
+	n.decide(Refuse{ID: f.id, Reason: reason, RetryAt: f.retryAt, Passed: passed})
+}
+
+// unknown gives the final answer "may have run".
+func (n *Node) unknown(f *flight, reason Reason, passed []Passed) {
+	delete(n.flights, f.id)
+	n.decide(Refuse{ID: f.id, Unknown: true, Reason: reason, RetryAt: f.retryAt, Passed: passed})
+}
+
+// cancelled drops a request that waits. One that is on its way ends by the
+// shell's Finished, since its slot is held until then.
+func (n *Node) cancelled(now time.Time, ev Cancelled) {
+	f, ok := n.flights[ev.ID]
+	if !ok || f.stage != stageQueued {
+		return
+	}
+	n.queue.Cancel(now, uint64(f.id))
+	n.refuse(now, f, ReasonDeadline, nil)
+}
--- /dev/null
+++ b/internal/core/roster.go
@@ -0,0 +1,174 @@
+package core
+
+import (
+	"time"
+
+	"github.com/firlever/firlever/internal/owner"
+)
+
+// rosterState is how the node tends its place's roster.
+type rosterState struct {
+	read  bool      // the platform has given the roster at least once
+	after time.Time // no change is asked for before
+	left  bool      // this instance is in a planned stop
+}
+
+// swapEvery spaces this instance's tries to change the roster.
+const swapEvery = 500 * time.Millisecond
+
+// rosterRead takes in the platform's own copy, which confirms this instance's rights.
+func (n *Node) rosterRead(now time.Time, ev RosterRead) {
+	n.roster.read = true
+	n.setRoster(now, ev.Roster)
+	n.book.Confirm(ev.Sent, ev.Roster.Version)
+	n.tendRoster(now)
+	n.pump(now)
+}
+
+func (n *Node) setRoster(now time.Time, r owner.Roster) {
+	if n.book.SetRoster(now, r) && n.snapshot != nil {
+		n.recapAll(now)
+		n.pump(now)
+	}
+}
+
+// Roster is the newest roster that this instance knows.
+func (n *Node) Roster() owner.Roster { return n.book.Roster() }
+
+// MayAck says whether this instance may ack a peer's heartbeat: the ack is a
+// promise not to take the peer's targets for a term.
+func (n *Node) MayAck(now time.Time, peer string, incarnation, version uint64) bool {
+	return n.book.MayAck(now, peer, incarnation, version)
+}
+
+// Release is what this instance still holds of targets that it does not own.
+func (n *Node) Release() owner.Release { return n.book.Release() }
+
+// Confirmed says whether this instance's rights to its targets are confirmed.
+func (n *Node) Confirmed(now time.Time) bool { return n.book.Tenure(now) == owner.Confirmed }
+
+// tendRoster asks for the next change that the roster needs.
+func (n *Node) tendRoster(now time.Time) {
+	if !n.roster.read || now.Before(n.roster.after) {
+		return
+	}
+	if n.roster.left {
+		n.tendLeave(now)
+		return
+	}
+	r := n.book.Roster()
+	if next, err := r.Join(n.cfg.Instance, n.cfg.Incarnation); err == nil {
+		n.swap(now, SwapRoster{Next: next, Reason: ReasonJoin})
+		return
+	}
+	if n.removeDead(now, r) {
+		return
+	}
+	if lines := n.book.Forgettable(now); len(lines) > 0 {
+		n.swap(now, SwapRoster{Next: r.Forget(lines), Reason: ReasonTidy})
+	}
+}
+
+// tendLeave marks this instance's line as leaving, and removes it when nothing
+// is in flight any more.
+func (n *Node) tendLeave(now time.Time) {
+	r := n.book.Roster()
+	if next, err := r.MarkLeaving(n.cfg.Instance, n.cfg.Incarnation); err == nil {
+		n.swap(now, SwapRoster{Next: next, Reason: ReasonLeave})
+		return
+	}
+	if !n.book.Idle() {
+		return
+	}
+	if next, err := r.Remove(n.cfg.Instance, n.cfg.Incarnation, true); err == nil {
+		n.swap(now, SwapRoster{Next: next, Reason: ReasonLeave})
+	}
+}
+
+func (n *Node) removeDead(now time.Time, r owner.Roster) bool {
+	for _, m := range r.Members {
+		if !n.dead(now, m) || !n.book.Removable(now, m.Instance) {
+			continue
+		}
+		next, err := n.book.Remove(now, m.Instance)
+		if err != nil {
+			continue
+		}
+		n.swap(now, SwapRoster{Next: next, Removed: m.Instance, Reason: ReasonDead})
+		return true
+	}
+	return false
+}
+
+// dead says whether a roster member has been silent for longer than a term.
+func (n *Node) dead(now time.Time, m owner.Member) bool {
+	if m.Instance == n.cfg.Instance || now.Before(n.started.Add(n.cfg.Grace)) {
+		return false
+	}
+	if p, ok := n.peer(m.Instance); ok && p.Incarnation == m.Incarnation {
+		return false
+	}
+	return now.Sub(n.seen[m.Instance]) > n.cfg.Term
+}
+
+func (n *Node) swap(now time.Time, d SwapRoster) {
+	n.roster.after = now.Add(swapEvery + n.jitter(swapEvery))
+	n.decide(d)
+}
+
+func (n *Node) jitter(most time.Duration) time.Duration {
+	return time.Duration(n.cfg.Rand.Int64N(int64(most)))
+}
+
+// stop begins a planned stop: others take this instance's targets over as its
+// work ends.
+func (n *Node) stop(now time.Time) {
+	n.stopping = true
+	n.roster.left = true
+	n.once.Close()
+	n.tendRoster(now)
+}
+
+// Idle says whether no request is inside this instance, and its line has left
+// the roster.
+func (n *Node) Idle() bool {
+	_, ok := n.book.Roster().Member(n.cfg.Instance)
+	return len(n.flights) == 0 && !ok
+}
+
+// Open is how many requests are inside this instance.
+func (n *Node) Open() int { return len(n.flights) }
+
+// peersChanged takes in the membership's list.
+func (n *Node) peersChanged(now time.Time, ev PeersChanged) {
+	n.peers = ev.Peers
+	live := make(map[string]bool, len(ev.Peers))
+	for _, p := range ev.Peers {
+		n.seen[p.ID] = now
+		live[p.ID] = true
+	}
+	for id := range n.rooms {
+		if !live[id] {
+			delete(n.rooms, id)
+		}
+	}
+	n.pump(now)
+}
+
+func (n *Node) peer(id string) (Peer, bool) {
+	for _, p := range n.peers {
+		if p.ID == id {
+			return p, true
+		}
+	}
+	return Peer{}, false
+}
+
+// listed takes in the platform's list of instances.
+func (n *Node) listed(now time.Time, ev Listed) {
+	list := make([]owner.Listing, 0, len(ev.Instances))
+	for _, in := range ev.Instances {
+		list = append(list, owner.Listing{Instance: in.ID, Incarnation: in.Incarnation})
+	}
+	n.book.Listed(now, list)
+}
--- /dev/null
+++ b/internal/core/route.go
@@ -0,0 +1,246 @@
+package core
+
+import (
+	"time"
+
+	"github.com/firlever/firlever/internal/invariant"
+	"github.com/firlever/firlever/internal/owner"
+)
+
+// place decides where a request goes. The home place comes first, then this
+// instance's place, then others by how far they are. reason is set when a
+// request comes back from the queue or from an attempt that ran nothing.
+func (n *Node) place(now time.Time, f *flight, reason Reason) {
+	if !now.Before(f.req.Deadline) {
+		n.refuse(now, f, ReasonDeadline, nil)
+		return
+	}
+	passed, done := n.tryPlaces(now, f, reason)
+	if done {
+		return
+	}
+	if f.origin != FromPeer && !n.servesHere(f) {
+		n.refuse(now, f, f.reason(), passed)
+		return
+	}
+	n.hold(now, f, passed)
+}
+
+// tryPlaces sends the request off if any way has room now.
+func (n *Node) tryPlaces(now time.Time, f *flight, reason Reason) ([]Passed, bool) {
+	var passed []Passed
+	for _, p := range n.placesFor(f) {
+		if n.rank(f, p) >= rankRegion && n.worthWaiting(now, f) {
+			break
+		}
+		why, done := n.tryPlace(now, f, p, reason)
+		if done {
+			return nil, true
+		}
+		passed = append(passed, Passed{Way: p, Reason: why})
+		f.held = why
+	}
+	return passed, false
+}
+
+// worthWaiting says that a slot here is expected so soon that the request is
+// not shifted to another place: a shift is cold, limited and far.
+func (n *Node) worthWaiting(now time.Time, f *flight) bool {
+	if f.origin == FromPeer || !n.servesHere(f) || n.ownSlots(now, f.req.Service) == 0 {
+		return false
+	}
+	return n.queue.Wait(now, f.req.Service) < n.cfg.Spill
+}
+
+// tryPlace tries one place and says why it was not taken.
+func (n *Node) tryPlace(now time.Time, f *flight, place string, reason Reason) (Reason, bool) {
+	if n.snapshot.PlaceDrained(f.req.Service, place) {
+		return ReasonDrained, false
+	}
+	if place != n.cfg.Place {
+		return n.tryPeers(now, f, place, or(reason, ReasonPlaceFree))
+	}
+	why, done := n.tryOwn(now, f, or(reason, ReasonOwnFree))
+	if done || f.origin == FromPeer {
+		return why, done
+	}
+	if _, done := n.tryPeers(now, f, place, or(reason, ReasonPeerFree)); done {
+		return "", true
+	}
+	return why, false
+}
+
+func or(a, b Reason) Reason {
+	if a != "" {
+		return a
+	}
+	return b
+}
+
+// tryOwn serves the request from a target that this instance owns.
+func (n *Node) tryOwn(now time.Time, f *flight, reason Reason) (Reason, bool) {
+	if why := n.ownRoom(now, f); why != "" {
+		return why, false
+	}
+	key, ok := n.pick(now, f)
+	if !ok || !n.book.Take(now, key) {
+		return ReasonFull, false
+	}
+	n.serve(now, f, key, reason)
+	return "", true
+}
+
+// ownRoom says what keeps this instance from serving f itself, or "".
+func (n *Node) ownRoom(now time.Time, f *flight) Reason {
+	if n.stopping && f.origin == FromPeer {
+		return ReasonStopping
+	}
+	if f.shifted(n.cfg.Place) {
+		ramp := n.service(now, f.req.Service).ramp
+		if ramp.Room(now) < 1 {
+			f.sooner(ramp.RetryAt(now))
+			return ReasonShiftCap
+		}
+	}
+	if n.book.FreeService(now, f.req.Service) < 1 {
+		return ReasonFull
+	}
+	return ""
+}
+
+// serve commits the request to a target whose slot it holds.
+func (n *Node) serve(now time.Time, f *flight, key owner.TargetKey, reason Reason) {
+	if f.keyed && !n.once.Dispatch(now, f.key, f.turn) {
+		n.book.Done(key)
+		n.refuse(now, f, ReasonKeyExpired, nil)
+		return
+	}
+	shifted := f.shifted(n.cfg.Place)
+	if shifted {
+		n.check(invariant.ShiftCap, n.service(now, f.req.Service).ramp.Admit(now), func() string {
+			return f.req.Service.String() + " admitted a shifted request without room"
+		})
+	}
+	n.check(invariant.Leaving, !n.snapshot.TargetDrained(f.req.Service, key.Name), func() string {
+		return key.Name + " got new work while drained"
+	})
+	f.stage, f.target = stageTarget, key
+	f.attempts++
+	n.decide(Serve{
+		ID: f.id, Target: key, Address: n.address[key], Deadline: f.req.Deadline,
+		Attempt: f.attempts, Shifted: shifted, Home: f.home, Reason: reason,
+	})
+}
+
+// pick chooses among the owned targets by what is in flight on each and how
+// much health lets it take.
+func (n *Node) pick(now time.Time, f *flight) (owner.TargetKey, bool) {
+	return n.book.Pick(now, f.req.Service, func(key owner.TargetKey) int {
+		if f.hasTried(key.Name) {
+			return 0
+		}
+		return n.weight(now, key)
+	})
+}
+
+// tryPeers hands the request to the peer of a place that has the most room.
+func (n *Node) tryPeers(now time.Time, f *flight, place string, reason Reason) (Reason, bool) {
+	if f.origin == FromPeer {
+		return ReasonFull, false
+	}
+	peer, why := n.choosePeer(now, f, place)
+	if why != "" {
+		return why, false
+	}
+	n.hand(now, f, peer, reason)
+	return "", true
+}
+
+// hand commits the request to a peer.
+func (n *Node) hand(now time.Time, f *flight, peer Peer, reason Reason) {
+	if f.keyed && !n.once.Dispatch(now, f.key, f.turn) {
+		n.refuse(now, f, ReasonKeyExpired, nil)
+		return
+	}
+	n.roomTaken(peer.ID, f.req.Service)
+	f.stage, f.peer = stagePeer, peer.ID
+	f.attempts++
+	n.decide(Hand{
+		ID: f.id, Peer: peer, Deadline: f.req.Deadline, Attempt: f.attempts, Home: f.home, Reason: reason,
+	})
+}
+
+// placesFor lists the places that may serve f, in the order to try.
+func (n *Node) placesFor(f *flight) []string {
+	if f.origin == FromPeer {
+		return []string{n.cfg.Place}
+	}
+	all := f.service.Places()
+	order := make([]string, 0, len(all))
+	for rank := range rankCount {
+		for _, p := range all {
+			if n.rank(f, p) == rank {
+				order = append(order, p)
+			}
+		}
+	}
+	return order
+}
+
+// Ranks of a place for a request, nearest first.
+const (
+	rankHome = iota
+	rankHere
+	rankRegion
+	rankFar
+	rankCount
+)
+
+func (n *Node) rank(f *flight, place string) int {
+	switch {
+	case place == f.home:
+		return rankHome
+	case place == n.cfg.Place:
+		return rankHere
+	}
+	if p, ok := n.snapshot.Place(place); ok && p.Region == n.cfg.Region {
+		return rankRegion
+	}
+	return rankFar
+}
+
+// servesHere says whether waiting in this instance's queue can help f.
+func (n *Node) servesHere(f *flight) bool {
+	if _, ok := f.service.Site(n.cfg.Place); !ok {
+		return false
+	}
+	return !n.snapshot.PlaceDrained(f.req.Service, n.cfg.Place)
+}
+
+// pump gives free slots to waiting requests.
+func (n *Node) pump(now time.Time) {
+	for {
+		item, ok := n.queue.Pop(now, func(service settingsID, shifted bool) bool {
+			return n.canServe(now, service, shifted)
+		})
+		if !ok {
+			return
+		}
+		f := n.flights[ID(item.ID)]
+		f.stage = stageNew
+		if _, done := n.tryPlaces(now, f, ReasonQueue); !done {
+			n.requeue(now, f)
+			return
+		}
+	}
+}
+
+// canServe says whether a waiting request of a service could go somewhere in
+// this place now.
+func (n *Node) canServe(now time.Time, service settingsID, shifted bool) bool {
+	if shifted && n.service(now, service).ramp.Room(now) < 1 {
+		return false
+	}
+	_, ok := n.book.Pick(now, service, func(key owner.TargetKey) int { return n.weight(now, key) })
+	return ok
+}
--- /dev/null
+++ b/internal/core/service.go
@@ -0,0 +1,93 @@
+package core
+
+import (
+	"time"
+
+	"github.com/firlever/firlever/internal/health"
+	"github.com/firlever/firlever/internal/owner"
+	"github.com/firlever/firlever/internal/retry"
+	"github.com/firlever/firlever/internal/shift"
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+// service is what the node keeps of one service between snapshots.
+type service struct {
+	ramp   *shift.Ramp
+	health *health.Book[owner.TargetKey] // of the service's targets in this place
+	budget *retry.Budget
+	shares map[owner.TargetKey]shift.Share // each target's part of the shift cap
+	limits map[owner.TargetKey]int         // each target's allowance
+	keys   []owner.TargetKey               // of the place's targets, in the document's order
+	rev    uint64                          // version of the service's document
+}
+
+// newService makes the state of a service. The configurations are constant and
+// valid, so their errors can't happen.
+func (n *Node) newService(now time.Time) *service {
+	s := &service{}
+	s.ramp, _ = shift.New(shift.Config{Counter: n.cfg.Checks})
+	s.health, _ = health.New(health.Config{}, compareTargets, n.cfg.Rand)
+	s.budget, _ = retry.NewBudget(now, retry.Config{})
+	return s
+}
+
+// service gives the state of a service, and makes it when it is new.
+func (n *Node) service(now time.Time, id settings.ServiceID) *service {
+	s, ok := n.services[id]
+	if !ok {
+		s = n.newService(now)
+		n.services[id] = s
+	}
+	return s
+}
+
+// refit takes in the service's targets of a new snapshot.
+func (s *service) refit(c *settings.CompiledService, site settings.Site, rev uint64) {
+	allowances := owner.Allowances(site)
+	shares := shift.Divide(c.Shift(), allowances)
+	s.rev = rev
+	old := s.limits
+	s.keys = s.keys[:0]
+	s.shares = make(map[owner.TargetKey]shift.Share, len(shares))
+	s.limits = make(map[owner.TargetKey]int, len(shares))
+	for i, t := range site.Targets {
+		key := owner.TargetKey{Service: c.ID(), Name: t.Name}
+		s.keys = append(s.keys, key)
+		s.shares[key] = shares[i]
+		s.limits[key] = allowances[i]
+	}
+	for key := range old {
+		if _, ok := s.limits[key]; !ok {
+			s.health.Remove(key)
+		}
+	}
+}
+
+// recap gives the ramp the shares of the targets that this instance may use
+// now. An old owner that has lapsed keeps the lower part of a share, and the
+// new one has the upper part.
+func (n *Node) recap(now time.Time, s *service) {
+	lapsed := n.book.Tenure(now) == owner.Lapsed
+	shares := make([]shift.Share, 0, len(s.keys))
+	for _, key := range s.keys {
+		usable, limit := n.book.Usable(now, key), s.limits[key]
+		if usable == 0 || limit == 0 {
+			continue
+		}
+		if lapsed {
+			shares = append(shares, s.shares[key].Lower(usable, limit))
+		} else {
+			shares = append(shares, s.shares[key].Upper(limit-usable, limit))
+		}
+	}
+	s.ramp.SetCap(now, shift.Cap{Version: s.rev, Shares: shares})
+}
+
+// ownSlots is how many slots of a service this instance may use now, used ones included.
+func (n *Node) ownSlots(now time.Time, id settings.ServiceID) int {
+	total := 0
+	for _, key := range n.service(now, id).keys {
+		total += n.book.Usable(now, key)
+	}
+	return total
+}
--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,93 @@
+// Package dispatch stands between the node, which only decides, and the
+// goroutines that carry its decisions out.
+package dispatch
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/firlever/firlever/internal/core"
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+// pending is how many decisions one request may have waiting: it is held at
+// most once before a decision that its goroutine must act on.
+const pending = 8
+
+// Dispatcher guards a node and passes each decision to whom it concerns. It is
+// safe for concurrent use.
+type Dispatcher struct {
+	now     func() time.Time
+	control func(core.Decision) // takes decisions that belong to no request; must not block
+
+	mu      sync.Mutex
+	node    *core.Node // guarded by mu
+	last    core.ID
+	waiting map[core.ID]chan core.Decision // one for each open request
+}
+
+// New makes a dispatcher for a node. control is called for each decision that
+// is not about a request; it must not block, nor call the dispatcher.
+func New(node *core.Node, now func() time.Time, control func(core.Decision)) *Dispatcher {
+	return &Dispatcher{
+		now:     now,
+		control: control,
+		node:    node,
+		waiting: make(map[core.ID]chan core.Decision),
+	}
+}
+
+// Now is the time by the clock that the node is driven by.
+func (d *Dispatcher) Now() time.Time { return d.now() }
+
+// Open gives a new request its id and the channel of its decisions.
+func (d *Dispatcher) Open() (core.ID, <-chan core.Decision) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.last++
+	ch := make(chan core.Decision, pending)
+	d.waiting[d.last] = ch
+	return d.last, ch
+}
+
+// Close ends a request's channel.
+func (d *Dispatcher) Close(id core.ID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.waiting, id)
+}
+
+// Step tells the node of an event and passes its decisions on.
+func (d *Dispatcher) Step(ev core.Event) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, dec := range d.node.Step(d.now(), ev) {
+		d.pass(dec)
+	}
+}
+
+func (d *Dispatcher) pass(dec core.Decision) {
+	id, ok := core.RequestOf(dec)
+	if !ok {
+		d.control(dec)
+		return
+	}
+	if ch, ok := d.waiting[id]; ok {
+		ch <- dec
+	}
+}
+
+// Lookup answers a caller's look-up.
+func (d *Dispatcher) Lookup(id settings.ServiceID, caller netip.Addr, keys int) (core.Lookup, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.node.Lookup(d.now(), id, caller, keys)
+}
+
+// Read runs f with the node locked. f must not keep the node.
+func (d *Dispatcher) Read(f func(now time.Time, n *core.Node)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f(d.now(), d.node)
+}
--- /dev/null
+++ b/internal/instance/config.go
@@ -0,0 +1,102 @@
+// Package instance runs one entry instance: it puts sockets, files and timers
+// round the node of package core.
+package instance
+
+import (
+	"net"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/firlever/firlever/internal/core"
+	"github.com/firlever/firlever/internal/invariant"
+	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/internal/targets"
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+// Config is what an instance is told at its start, by flags and environment
+// variables.
+type Config struct {
+	ID        string // unique among instances
+	Callers   string // address for callers, IP:port
+	Peers     string // address for other instances, IP:port, TCP and UDP
+	Operators string // address for operators, IP:port
+	Place     string
+	Domain    string
+	Region    string
+	Join      []string // peers' addresses of instances to begin with; may be empty
+
+	Linger time.Duration // how long a planned stop goes on serving cached look-ups
+	Policy core.Policy
+	Seed   uint64 // of random choices; 0 takes one from the clock
+
+	Store  platform.Store                               // required
+	Dial   targets.Dial                                 // to targets and peers; nil takes the standard dialer
+	Packet func(address string) (net.PacketConn, error) // opens the peers' UDP socket; nil takes the standard one
+	Checks *invariant.Counter                           // nil makes one
+	Log    *log.Logger                                  // nil logs nothing
+}
+
+// Defaults fills in what is zero.
+func (c *Config) Defaults() {
+	if c.Domain == "" {
+		c.Domain = c.Place
+	}
+	if c.Linger == 0 {
+		c.Linger = 6 * time.Second
+	}
+	if c.Policy == "" {
+		c.Policy = core.PolicyOwner
+	}
+	if c.Checks == nil {
+		c.Checks = invariant.New(nil)
+	}
+}
+
+// ConfigError lists every fault of a Config at once.
+type ConfigError struct{ Faults []string }
+
+func (e *ConfigError) Error() string { return "instance: " + strings.Join(e.Faults, "; ") }
+
+// Validate returns a *ConfigError that names every fault, or nil.
+func (c *Config) Validate() error {
+	f := faults{}
+	f.name("id", c.ID)
+	f.name("place", c.Place)
+	f.name("domain", c.Domain)
+	f.name("region", c.Region)
+	f.address("callers", c.Callers)
+	f.address("peers", c.Peers)
+	f.address("operators", c.Operators)
+	for _, a := range c.Join {
+		f.address("join", a)
+	}
+	f.need(c.Linger >= 0, "linger is negative")
+	f.need(c.Store != nil, "platform is not set")
+	if len(f.list) > 0 {
+		return &ConfigError{Faults: f.list}
+	}
+	return nil
+}
+
+type faults struct{ list []string }
+
+func (f *faults) need(ok bool, fault string) {
+	if !ok {
+		f.list = append(f.list, fault)
+	}
+}
+
+func (f *faults) name(field, v string) {
+	f.need(settings.ValidName(v), field+" "+quote(v)+" is not a name (lower-case letters, digits, '-')")
+}
+
+func (f *faults) address(field, v string) {
+	a, err := netip.ParseAddrPort(v)
+	f.need(err == nil && a.Addr().IsValid(), field+" "+quote(v)+" is not IP:port")
+}
+
+func quote(s string) string { return `"` + s + `"` }
--- /dev/null
+++ b/internal/instance/instance.go
@@ -0,0 +1,223 @@
+package instance
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/firlever/firlever/internal/callers"
+	"github.com/firlever/firlever/internal/core"
+	"github.com/firlever/firlever/internal/dispatch"
+	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/internal/targets"
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+// Timers of an instance.
+const (
+	tickEvery     = 10 * time.Millisecond
+	headerTimeout = 5 * time.Second // for a caller to send a request's headers
+	idleTimeout   = 2 * time.Minute
+	maxHeader     = 32 << 10
+	queueLength   = 64 // of decisions that wait to be carried out
+)
+
+// Instance is one running entry instance.
+type Instance struct {
+	cfg         Config
+	incarnation uint64
+	desk        *dispatch.Dispatcher
+	docs        *documents
+	client      *targets.Client
+	server      *callers.Server
+	members     *gossip
+	swaps       chan core.SwapRoster
+	probes      chan core.Probe
+	unequal     chan platform.Instance // peers whose documents differ
+	rpc         *http.Client           // of control calls to peers
+
+	listeners []net.Listener // callers', peers' and operators', in this order
+	servers   []*http.Server // of listeners
+	cancel    context.CancelFunc
+	loops     sync.WaitGroup
+}
+
+// New makes an instance and opens its sockets. It serves nothing before Start.
+// It returns a *ConfigError if cfg is at fault.
+func New(cfg Config) (*Instance, error) {
+	cfg.Defaults()
+	if err := cfg.Validate(); err != nil {
+		return nil, err
+	}
+	in := &Instance{
+		cfg:         cfg,
+		incarnation: uint64(time.Now().UnixNano()),
+		client:      targets.New(cfg.Dial),
+		swaps:       make(chan core.SwapRoster, 1),
+		probes:      make(chan core.Probe, queueLength),
+		unequal:     make(chan platform.Instance, 1),
+		rpc:         &http.Client{Transport: &http.Transport{DialContext: cfg.Dial}, Timeout: syncTimeout},
+	}
+	if err := in.listen(); err != nil {
+		return nil, errors.Annotate(err, "instance.New")
+	}
+	if err := in.build(); err != nil {
+		in.closeSockets()
+		return nil, errors.Annotate(err, "instance.New")
+	}
+	return in, nil
+}
+
+// listen opens the three TCP addresses, and notes the ports that were chosen.
+func (in *Instance) listen() error {
+	for _, address := range []*string{&in.cfg.Callers, &in.cfg.Peers, &in.cfg.Operators} {
+		ln, err := net.Listen("tcp", *address)
+		if err != nil {
+			in.closeSockets()
+			return &ListenError{Address: *address, Err: err}
+		}
+		*address = ln.Addr().String()
+		in.listeners = append(in.listeners, ln)
+	}
+	return nil
+}
+
+// ListenError says that an address can't be served.
+type ListenError struct {
+	Address string
+	Err     error
+}
+
+func (e *ListenError) Error() string {
+	return "instance: listen on " + e.Address + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Err }
+
+func (in *Instance) build() error {
+	cfg := core.Config{
+		Instance: in.cfg.ID, Incarnation: in.incarnation,
+		Place: in.cfg.Place, Domain: in.cfg.Domain, Region: in.cfg.Region,
+		Policy: in.cfg.Policy, Rand: newRand(in.cfg.Seed), Checks: in.cfg.Checks,
+	}
+	rand.Read(cfg.Secret[:])
+	rand.Read(cfg.Seed[:])
+	node, err := core.New(cfg, time.Now())
+	if err != nil {
+		return err
+	}
+	in.desk = dispatch.New(node, time.Now, in.control)
+	in.docs = newDocuments(in.cfg.Checks, in.cfg.Log, in.force)
+	in.server = callers.New(callers.Config{
+		Instance: in.cfg.ID, Callers: in.cfg.Callers, Checks: in.cfg.Checks, Log: in.cfg.Log,
+	}, in.desk, in.client)
+	in.members, err = newGossip(in)
+	return err
+}
+
+func newRand(seed uint64) *mathrand.Rand {
+	if seed == 0 {
+		var b [8]byte
+		rand.Read(b[:])
+		seed = binary.LittleEndian.Uint64(b[:])
+	}
+	return mathrand.New(mathrand.NewPCG(seed, seed))
+}
+
+// control takes decisions that are not about one request. It is called with
+// the dispatcher locked, so it only passes them on.
+func (in *Instance) control(d core.Decision) {
+	switch d := d.(type) {
+	case core.SwapRoster:
+		select {
+		case in.swaps <- d:
+		default: // one is under way; the node asks again
+		}
+	case core.Probe:
+		select {
+		case in.probes <- d:
+		default: // the next round asks again
+		}
+	}
+}
+
+func (in *Instance) force(s *settings.Snapshot) { in.desk.Step(core.Applied{Snapshot: s}) }
+
+func (in *Instance) now() time.Time { return in.desk.Now() }
+
+// self is this instance's line in lists of instances.
+func (in *Instance) self() platform.Instance {
+	return platform.Instance{
+		ID: in.cfg.ID, Incarnation: in.incarnation,
+		Address: in.cfg.Peers, Callers: in.cfg.Callers, Operators: in.cfg.Operators,
+		Place: in.cfg.Place, Domain: in.cfg.Domain, Region: in.cfg.Region,
+	}
+}
+
+// Callers is the address that callers use, with the port that was chosen.
+func (in *Instance) Callers() string { return in.cfg.Callers }
+
+// Operators is the address that operators use, with the port that was chosen.
+func (in *Instance) Operators() string { return in.cfg.Operators }
+
+// Peers is the address that other instances use, with the port that was chosen.
+func (in *Instance) Peers() string { return in.cfg.Peers }
+
+// Start begins to serve.
+func (in *Instance) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	in.cancel = cancel
+	handlers := []http.Handler{in.server.Callers(), in.peerHandler(), in.operatorHandler()}
+	for i, ln := range in.listeners {
+		srv := &http.Server{
+			Handler: handlers[i], ReadHeaderTimeout: headerTimeout,
+			IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		}
+		in.servers = append(in.servers, srv)
+		go srv.Serve(ln)
+	}
+	for _, loop := range []func(context.Context){in.tick, in.watch, in.register, in.tendRoster, in.probe, in.sync} {
+		in.loops.Go(func() { loop(ctx) })
+	}
+	in.members.start()
+}
+
+// tick tells the node that time passes.
+func (in *Instance) tick(ctx context.Context) {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			in.desk.Step(core.Tick{})
+		}
+	}
+}
+
+// Kill ends the instance as a crash would: connections break, nobody is told.
+func (in *Instance) Kill() {
+	in.cancel()
+	in.members.close()
+	for _, srv := range in.servers {
+		srv.Close()
+	}
+	in.loops.Wait()
+	in.client.Close()
+	in.rpc.CloseIdleConnections()
+}
+
+func (in *Instance) closeSockets() {
+	for _, ln := range in.listeners {
+		ln.Close()
+	}
+}
--- /dev/null
+++ b/internal/instance/instance_test.go
@@ -0,0 +1,166 @@
+package instance
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/firlever/firlever/internal/emulator/kv"
+	"github.com/firlever/firlever/internal/emulator/target"
+	"github.com/firlever/firlever/internal/invariant"
+	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/pkg/caller"
+
+	mathrand "math/rand/v2"
+)
+
+const patience = 20 * time.Second // the longest that a test waits for what has to come
+
+// fleet is a platform, one place's target and instances, all over loopback.
+type fleet struct {
+	t       *testing.T
+	store   platform.Store
+	journal *target.Journal
+	checks  *invariant.Counter
+	list    []*Instance
+}
+
+func newFleet(t *testing.T, n int) *fleet {
+	t.Helper()
+	checks := invariant.New(func(name invariant.Name, detail string) { t.Errorf("invariant %s: %s", name, detail) })
+	service, err := kv.New(kv.Defaults(), mathrand.New(mathrand.NewPCG(1, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fleet{t: t, store: kv.NewLocal(service, time.Now), checks: checks}
+	f.journal = target.NewJournal(checks, time.Now())
+	f.configure(f.target("one"))
+	for i := range n {
+		f.start(fmt.Sprintf("i%d", i))
+	}
+	return f
+}
+
+// target starts a stand-in and returns its address.
+func (f *fleet) target(name string) string {
+	f.t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	cfg := target.Config{Service: "shop/orders", Place: "east", Name: name, Slots: 4}
+	tg, err := target.Start(ln, cfg, f.journal)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { tg.Close() })
+	return tg.Addr()
+}
+
+func (f *fleet) configure(address string) {
+	f.put("/places/east", "region: coast\ndomain: east\nlimit: 4\n")
+	f.put("/blocks/all", "blocks:\n  - {prefix: 127.0.0.0/8, place: east}\n")
+	f.put("/teams/shop/services/orders", "class: interactive\ntimeout: 2s\nshift: 10\nplaces:\n  east:\n    limit: 4\n"+
+		"    targets:\n      - {name: one, address: \""+address+"\", slots: 4, connections: 100}\n")
+}
+
+func (f *fleet) put(path, body string) {
+	f.t.Helper()
+	if _, err := platform.PutDocument(context.Background(), f.store, path, 0, []byte(body), "setup"); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fleet) start(id string) *Instance {
+	f.t.Helper()
+	cfg := Config{
+		ID: id, Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Operators: "127.0.0.1:0",
+		Place: "east", Domain: "east", Region: "coast", Store: f.store, Checks: f.checks, Linger: time.Millisecond,
+	}
+	for _, other := range f.list {
+		cfg.Join = append(cfg.Join, other.Peers())
+	}
+	in, err := New(cfg)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	in.Start()
+	f.list = append(f.list, in)
+	return in
+}
+
+func (f *fleet) client() *caller.Client {
+	f.t.Helper()
+	var entries []string
+	for _, in := range f.list {
+		entries = append(entries, in.Callers())
+	}
+	c, err := caller.New(caller.Config{Entries: entries})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// ask repeats a request until it is answered: at the start nothing may be in force yet.
+func (f *fleet) ask(c *caller.Client, r *caller.Request) string {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for {
+		resp, err := c.Do(ctx, "shop/orders", r)
+		if err == nil {
+			defer resp.Body.Close()
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				f.t.Fatal(err)
+			}
+			return string(b)
+		}
+		if ctx.Err() != nil {
+			f.t.Fatalf("no answer: %v", err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func TestRequestsAreServed(t *testing.T) {
+	tests := map[string]caller.Request{
+		"idempotent":     {Method: http.MethodGet, Path: "/status", Idempotent: true},
+		"non-idempotent": {Method: http.MethodPost, Path: "/dispatch"},
+	}
+	for name, r := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 2)
+			defer func() {
+				for _, in := range f.list {
+					in.Kill()
+				}
+			}()
+			if got := f.ask(f.client(), &r); got == "" {
+				t.Errorf("got an empty answer, want the target's")
+			}
+			if got := f.journal.Use(target.Scope{Place: "east"}).Runs; got != 1 {
+				t.Errorf("got %d runs, want 1", got)
+			}
+		})
+	}
+}
+
+func TestStopCutsNothing(t *testing.T) {
+	f := newFleet(t, 2)
+	defer f.list[0].Kill()
+	c := f.client()
+	f.ask(c, &caller.Request{Method: http.MethodGet, Path: "/", Idempotent: true})
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if err := f.list[1].Stop(ctx); err != nil {
+		t.Fatalf("got %v, want a clean stop", err)
+	}
+	f.ask(c, &caller.Request{Method: http.MethodGet, Path: "/", Idempotent: true})
+}
--- /dev/null
+++ b/internal/instance/probe.go
@@ -0,0 +1,80 @@
+package instance
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/firlever/firlever/internal/core"
+)
+
+const (
+	probeTimeout = 500 * time.Millisecond
+	probers      = 4       // probes under way at one time
+	maxLoad      = 4 << 10 // bytes of a load report
+)
+
+// load is what a target reports of itself.
+type load struct {
+	Slots int `json:"slots"`
+	Busy  int `json:"busy"`
+}
+
+// probe carries out the node's probes, a few at a time.
+func (in *Instance) probe(ctx context.Context) {
+	done := make(chan struct{})
+	for range probers {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			in.prober(ctx)
+		}()
+	}
+	for range probers {
+		<-done
+	}
+}
+
+func (in *Instance) prober(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case p := <-in.probes:
+			in.desk.Step(in.probeOnce(ctx, p))
+		}
+	}
+}
+
+// probeOnce asks a target for its load, which also tells that it is there.
+func (in *Instance) probeOnce(ctx context.Context, p core.Probe) core.Probed {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	got := core.Probed{Target: p.Target}
+	health, err := in.get(ctx, p.Address, "/health")
+	if err != nil {
+		got.Err = true
+		return got
+	}
+	health.Body.Close()
+	got.Healthy = health.StatusCode == http.StatusOK
+	resp, err := in.get(ctx, p.Address, "/load")
+	if err != nil {
+		return got
+	}
+	defer resp.Body.Close()
+	var l load
+	if json.NewDecoder(io.LimitReader(resp.Body, maxLoad)).Decode(&l) == nil {
+		got.Slots, got.Busy = l.Slots, l.Busy
+	}
+	return got
+}
+
+func (in *Instance) get(ctx context.Context, address, path string) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	return in.client.Send(ctx, r)
+}
--- /dev/null
+++ b/internal/instance/stop.go
@@ -0,0 +1,64 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"github.com/firlever/firlever/internal/core"
+	"github.com/firlever/firlever/internal/invariant"
+)
+
+// stopTick is how often a planned stop looks whether it is done.
+const stopTick = 20 * time.Millisecond
+
+// Stop is a planned stop. Peers and look-ups stop naming this instance, it goes
+// on serving callers until their cached look-ups have run out, finishes what is
+// in flight, and hands its targets over. When ctx ends first, what is left is
+// cut, and Stop returns a *CutError.
+func (in *Instance) Stop(ctx context.Context) error {
+	in.members.leave()
+	in.desk.Step(core.Stopping{})
+	linger, cancel := context.WithTimeout(ctx, in.cfg.Linger)
+	<-linger.Done()
+	cancel()
+	open := in.waitIdle(ctx)
+	in.cfg.Checks.Check(invariant.GracefulStop, open == 0, func() string {
+		return in.cfg.ID + " stopped with requests in flight"
+	})
+	in.Kill()
+	if open > 0 {
+		return &CutError{Requests: open}
+	}
+	return nil
+}
+
+// waitIdle waits until no request is left inside. It returns how many were
+// left when ctx ended.
+func (in *Instance) waitIdle(ctx context.Context) int {
+	t := time.NewTicker(stopTick)
+	defer t.Stop()
+	for {
+		open, idle := in.open()
+		if idle || (open == 0 && ctx.Err() != nil) {
+			return 0
+		}
+		select {
+		case <-ctx.Done():
+			open, _ := in.open()
+			return open
+		case <-t.C:
+		}
+	}
+}
+
+func (in *Instance) open() (int, bool) {
+	var open int
+	var idle bool
+	in.desk.Read(func(_ time.Time, n *core.Node) { open, idle = n.Open(), n.Idle() })
+	return open, idle
+}
+
+// CutError says that a planned stop ran out of time with requests in flight.
+type CutError struct{ Requests int }
+
+func (e *CutError) Error() string { return "instance: stop cut requests in flight" }
--- /dev/null
+++ b/internal/instance/sync.go
@@ -0,0 +1,209 @@
+package instance
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/internal/replica"
+	"github.com/firlever/firlever/internal/wire"
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+// How documents spread among instances.
+const (
+	syncTimeout = 3 * time.Second
+	pushPeers   = 3         // peers that are told of a new document at once
+	maxPush     = 64 << 10  // bytes of documents that are pushed rather than fetched
+	maxFetch    = 512 << 10 // bytes of documents in one answer
+	maxPaths    = 1024      // paths in one question
+)
+
+// differs notes that a peer's documents differ from ours.
+func (in *Instance) differs(peer platform.Instance) {
+	select {
+	case in.unequal <- peer:
+	default: // one is being asked already; a later packet tells again
+	}
+}
+
+// sync asks peers whose documents differ for what is missing here.
+func (in *Instance) sync(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case p := <-in.unequal:
+			if err := in.pull(ctx, p); err != nil && in.cfg.Log != nil {
+				in.cfg.Log.Debug("sync failed", "instance", p.ID, "err", err)
+			}
+		}
+	}
+}
+
+// pull fetches from a peer the documents that are newer there. The messages are
+// small when little differs.
+func (in *Instance) pull(ctx context.Context, p platform.Instance) error {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	client := in.peerClient(p)
+	var buckets replica.Buckets
+	in.docs.Read(func(s *replica.Set) { buckets = s.Buckets() })
+	digest, err := client.Digest(ctx, &wire.DigestRequest{Buckets: buckets[:]})
+	if err != nil {
+		return err
+	}
+	missing := in.missing(digest.Versions)
+	for len(missing) > 0 {
+		resp, err := client.Fetch(ctx, &wire.FetchRequest{Paths: missing[:min(len(missing), maxPaths)]})
+		if err != nil {
+			return err
+		}
+		if len(resp.Documents) == 0 {
+			return nil
+		}
+		in.takeDocuments(fromWire(resp.Documents))
+		missing = missing[min(len(resp.Documents), len(missing)):]
+	}
+	return nil
+}
+
+func (in *Instance) missing(remote []*wire.Version) []string {
+	versions := make([]replica.Version, 0, len(remote))
+	for _, v := range remote {
+		versions = append(versions, replica.Version{Path: v.Path, Version: v.Version})
+	}
+	var paths []string
+	in.docs.Read(func(s *replica.Set) {
+		for _, v := range s.Missing(versions) {
+			paths = append(paths, v.Path)
+		}
+	})
+	return paths
+}
+
+// takeDocuments puts documents in force and tells a few peers of what is new.
+func (in *Instance) takeDocuments(docs []settings.Document) {
+	changed := in.docs.Apply(docs)
+	if len(changed) == 0 {
+		return
+	}
+	in.push(changed)
+}
+
+// push hands new documents to a few random peers. Those that miss it learn
+// from the next packet of the membership.
+func (in *Instance) push(paths []string) {
+	docs := in.named(paths, maxPush)
+	if len(docs) == 0 {
+		return
+	}
+	members := in.members.Members()
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	for _, m := range members[:min(len(members), pushPeers)] {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), syncTimeout)
+			defer cancel()
+			in.peerClient(m.Instance).Push(ctx, &wire.PushRequest{Documents: docs})
+		}()
+	}
+}
+
+// named gives the documents of these paths, up to about so many bytes.
+func (in *Instance) named(paths []string, most int) []*wire.Document {
+	var docs []*wire.Document
+	size := 0
+	in.docs.Read(func(s *replica.Set) {
+		for _, path := range paths {
+			doc, ok := s.Get(path)
+			if !ok {
+				continue
+			}
+			size += len(doc.Body)
+			if size > most && len(docs) > 0 {
+				return
+			}
+			docs = append(docs, toWire(doc))
+		}
+	})
+	return docs
+}
+
+func toWire(d settings.Document) *wire.Document {
+	return &wire.Document{Path: d.Path, Version: d.Version, Value: d.Body, Deleted: d.Deleted}
+}
+
+func fromWire(docs []*wire.Document) []settings.Document {
+	list := make([]settings.Document, 0, len(docs))
+	for _, d := range docs {
+		list = append(list, settings.Document{Path: d.Path, Version: d.Version, Body: d.Value, Deleted: d.Deleted})
+	}
+	return list
+}
+
+func (in *Instance) peerClient(p platform.Instance) wire.Peer {
+	return wire.NewPeerProtobufClient("http://"+p.Address, in.rpc)
+}
+
+// peerHandler serves the peers' address: hand-offs and control.
+func (in *Instance) peerHandler() http.Handler {
+	r := chi.NewRouter()
+	in.server.Peers(r)
+	twirp := wire.NewPeerServer(&peerServer{in: in})
+	r.Mount(twirp.PathPrefix(), twirp)
+	return r
+}
+
+// peerServer answers other instances.
+type peerServer struct{ in *Instance }
+
+// Digest names the versions of the documents in buckets that differ.
+func (s *peerServer) Digest(_ context.Context, r *wire.DigestRequest) (*wire.DigestResponse, error) {
+	var remote replica.Buckets
+	copy(remote[:], r.Buckets)
+	resp := &wire.DigestResponse{}
+	s.in.docs.Read(func(set *replica.Set) {
+		resp.Root = set.Root()
+		for _, bucket := range set.Differ(remote) {
+			for _, v := range set.Digest(bucket) {
+				resp.Versions = append(resp.Versions, &wire.Version{Path: v.Path, Version: v.Version})
+			}
+		}
+	})
+	return resp, nil
+}
+
+// Fetch reads documents by path.
+func (s *peerServer) Fetch(_ context.Context, r *wire.FetchRequest) (*wire.FetchResponse, error) {
+	return &wire.FetchResponse{Documents: s.in.named(r.Paths, maxFetch)}, nil
+}
+
+// Push takes documents in.
+func (s *peerServer) Push(_ context.Context, r *wire.PushRequest) (*wire.PushResponse, error) {
+	s.in.takeDocuments(fromWire(r.Documents))
+	return &wire.PushResponse{Root: s.in.docs.Root()}, nil
+}
+
+// Status tells what is in force here.
+func (s *peerServer) Status(_ context.Context, _ *wire.StatusRequest) (*wire.StatusResponse, error) {
+	resp := &wire.StatusResponse{Id: s.in.cfg.ID, Incarnation: s.in.incarnation, Root: s.in.docs.Root()}
+	for _, d := range s.in.docs.Documents() {
+		resp.Versions = append(resp.Versions, &wire.Version{Path: d.Path, Version: d.Version})
+	}
+	return resp, nil
+}
+
+// isWatcher says whether this instance watches the platform for its domain.
+func (in *Instance) isWatcher() bool {
+	var ids []string
+	for _, m := range in.members.Members() {
+		if m.Domain == in.cfg.Domain && m.State.String() == "alive" {
+			ids = append(ids, m.ID)
+		}
+	}
+	return replica.Watchers(ids, in.cfg.ID, watchers)
+}
--- /dev/null
+++ b/internal/operator/client.go
@@ -0,0 +1,181 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+// maxAnswer bounds what a client reads of an answer, in bytes.
+const maxAnswer = 64 << 20
+
+// UnreachableError says that an instance gave no answer. A change that was sent
+// may have landed.
+type UnreachableError struct {
+	Address string
+	Err     error
+}
+
+func (e *UnreachableError) Error() string {
+	return fmt.Sprintf("operator: no answer from %s: %v", e.Address, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnreachableError) Unwrap() error { return e.Err }
+
+// AnswerError says that an answer is none that this program knows.
+type AnswerError struct {
+	Status int // HTTP status
+	Reason string
+}
+
+func (e *AnswerError) Error() string {
+	return fmt.Sprintf("operator: answer with status %d: %s", e.Status, e.Reason)
+}
+
+// Client asks one instance on its operators' address. Its errors are *Problem,
+// *UnreachableError and *AnswerError. It is safe for concurrent use.
+type Client struct {
+	address string
+	token   string
+	http    *http.Client
+}
+
+// NewClient makes a client of the instance at address, IP:port.
+func NewClient(address, token string) *Client {
+	t := &http.Transport{DisableCompression: true, IdleConnTimeout: time.Minute}
+	return &Client{address: address, token: token, http: &http.Client{Transport: t}}
+}
+
+// Close drops the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Get reads a document: from the platform, or the one in force at the instance.
+func (c *Client) Get(ctx context.Context, path string, here bool) (settings.Document, error) {
+	header, body, err := c.do(ctx, http.MethodGet, "/v1/documents"+path, source(here), nil, nil)
+	if err != nil {
+		return settings.Document{}, err
+	}
+	version, err := ParseVersion(header.Values("ETag"))
+	if err != nil {
+		return settings.Document{}, &AnswerError{Status: http.StatusOK, Reason: "no version"}
+	}
+	return settings.Document{Path: path, Version: version, Body: body}, nil
+}
+
+// List reads the versions of all documents under a prefix.
+func (c *Client) List(ctx context.Context, prefix string, here bool) ([]Version, error) {
+	query := source(here)
+	query.Set("prefix", prefix)
+	var list List
+	err := c.get(ctx, "/v1/documents", query, &list)
+	return list.Documents, err
+}
+
+func source(here bool) url.Values {
+	if here {
+		return url.Values{"source": {"instance"}}
+	}
+	return url.Values{}
+}
+
+// Put writes doc if the document still has doc.Version, or deletes it. write
+// names this change; first promises that it was not sent before.
+func (c *Client) Put(ctx context.Context, doc settings.Document, write string, first bool) (Change, error) {
+	method := http.MethodPut
+	if doc.Deleted {
+		method = http.MethodDelete
+	}
+	header := http.Header{"If-Match": {FormatVersion(doc.Version)}, HeaderWrite: {write}}
+	if first {
+		header.Set(HeaderTry, TryFirst)
+	}
+	_, body, err := c.do(ctx, method, "/v1/documents"+doc.Path, nil, header, doc.Body)
+	var change Change
+	if err == nil {
+		err = decode(body, &change)
+	}
+	return change, err
+}
+
+// Write asks what became of a change to the document at path from version.
+func (c *Client) Write(ctx context.Context, write, path string, version uint64) (Change, error) {
+	query := url.Values{"path": {path}, "version": {strconv.FormatUint(version, 10)}}
+	var change Change
+	err := c.get(ctx, "/v1/writes/"+url.PathEscape(write), query, &change)
+	return change, err
+}
+
+// Status asks for the state of the instance.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var status Status
+	err := c.get(ctx, "/v1/status", nil, &status)
+	return status, err
+}
+
+// Fleet asks for the state of all instances, with the versions of the given
+// documents.
+func (c *Client) Fleet(ctx context.Context, paths []string) ([]Report, error) {
+	var fleet Fleet
+	err := c.get(ctx, "/v1/fleet", url.Values{"path": paths}, &fleet)
+	return fleet.Reports, err
+}
+
+func (c *Client) get(ctx context.Context, route string, query url.Values, v any) error {
+	_, body, err := c.do(ctx, http.MethodGet, route, query, nil, nil)
+	if err != nil {
+		return err
+	}
+	return decode(body, v)
+}
+
+func decode(body []byte, v any) error {
+	if err := json.Unmarshal(body, v); err != nil {
+		return &AnswerError{Status: http.StatusOK, Reason: err.Error()}
+	}
+	return nil
+}
+
+func (c *Client) do(ctx context.Context, method, route string, query url.Values, header http.Header, body []byte) (http.Header, []byte, error) {
+	u := url.URL{Scheme: "http", Host: c.address, Path: route, RawQuery: query.Encode()}
+	r, err := http.NewRequestWithContext(ctx, method, u.String(), bytes.NewReader(body))
+	if err != nil {
+		return nil, nil, &UnreachableError{Address: c.address, Err: err}
+	}
+	for name, values := range header {
+		r.Header[name] = values
+	}
+	if c.token != "" {
+		r.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	resp, err := c.http.Do(r)
+	if err != nil {
+		return nil, nil, &UnreachableError{Address: c.address, Err: err}
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return nil, nil, &UnreachableError{Address: c.address, Err: err}
+	}
+	return resp.Header, answer, refusal(resp.StatusCode, answer)
+}
+
+// refusal is the error that an answer stands for, if any.
+func refusal(status int, body []byte) error {
+	if status == http.StatusOK || status == http.StatusAccepted {
+		return nil
+	}
+	p := &Problem{}
+	if err := json.Unmarshal(body, p); err != nil || p.Code == "" {
+		return &AnswerError{Status: status, Reason: "not one of firlever's"}
+	}
+	return p
+}
--- /dev/null
+++ b/internal/operator/config.go
@@ -0,0 +1,78 @@
+// Package operator serves operators: their settings, the state of instances,
+// health, readiness and metrics. It speaks HTTP on the operators' address; see
+// docs/operations.md. Client is the other side.
+package operator
+
+import (
+	"context"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+// Config is what a Server needs. Bootstrap may be empty; all else is needed.
+type Config struct {
+	Store    platform.Store
+	Snapshot func() *settings.Snapshot // in force; never nil
+	// Documents are all documents in force here, deleted ones too.
+	Documents func() []settings.Document
+	// Apply puts documents that were just written in force at once here.
+	Apply  func([]settings.Document)
+	Status func() Status
+	// Fleet asks every instance that can be reached for its status. The
+	// operator's token is in the context; see Gather.
+	Fleet   func(ctx context.Context) []Report
+	Metrics http.Handler
+	Ready   func() error // nil, or why the instance should get no work
+	Log     *log.Logger
+
+	// Bootstrap is the hex SHA-256 of a token that opens everything as long
+	// as the system team has no token of its own.
+	Bootstrap string
+}
+
+// ConfigError names every fault of a Config.
+type ConfigError struct{ Faults []string }
+
+func (e *ConfigError) Error() string {
+	return fmt.Sprintf("operator: invalid configuration: %s", strings.Join(e.Faults, "; "))
+}
+
+// Validate returns a *ConfigError that names every fault, or nil.
+func (c Config) Validate() error {
+	var faults []string
+	need := func(ok bool, name string) {
+		if !ok {
+			faults = append(faults, name+" is missing")
+		}
+	}
+	need(c.Store != nil, "store")
+	need(c.Snapshot != nil, "snapshot")
+	need(c.Documents != nil, "documents")
+	need(c.Apply != nil, "apply")
+	need(c.Status != nil, "status")
+	need(c.Fleet != nil, "fleet")
+	need(c.Metrics != nil, "metrics")
+	need(c.Ready != nil, "ready")
+	need(c.Log != nil, "log")
+	if c.Bootstrap != "" && !ValidHash(c.Bootstrap) {
+		faults = append(faults, "bootstrap is not a SHA-256 in 64 lower-case hex digits")
+	}
+	if faults != nil {
+		return &ConfigError{Faults: faults}
+	}
+	return nil
+}
+
+// ValidHash says whether s is the hash of a token that is not empty, as a
+// team's document holds it.
+func ValidHash(s string) bool {
+	raw, err := hex.DecodeString(s)
+	return err == nil && hex.EncodeToString(raw) == s && len(s) == len(settings.HashToken("")) && s != settings.HashToken("")
+}
--- /dev/null
+++ b/internal/operator/documents.go
@@ -0,0 +1,113 @@
+package operator
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+// List is the answer to a list of documents.
+type List struct {
+	Documents []Version `json:"documents"`
+}
+
+// authorize gives the path of a request, once its token opens it for the role.
+func (s *Server) authorize(r *http.Request, role string) (access, settings.Path, error) {
+	a, err := s.access(r)
+	if err != nil {
+		return a, settings.Path{}, err
+	}
+	p, err := parseDocumentPath(chi.URLParam(r, "*"))
+	if err != nil {
+		return a, p, err
+	}
+	return a, p, a.may(p, role)
+}
+
+func (s *Server) getDocument(w http.ResponseWriter, r *http.Request) error {
+	_, p, err := s.authorize(r, settings.RoleRead)
+	if err != nil {
+		return err
+	}
+	doc, err := s.read(r, p)
+	if err != nil {
+		return err
+	}
+	if doc.Deleted {
+		return &Problem{Code: CodeNotFound, Reason: "the document was deleted", Path: doc.Path, Version: doc.Version, Deleted: true}
+	}
+	w.Header().Set("ETag", FormatVersion(doc.Version))
+	w.Header().Set("Content-Type", "application/yaml")
+	_, _ = w.Write(doc.Body) // the client sees that the answer is cut
+	return nil
+}
+
+func (s *Server) read(r *http.Request, p settings.Path) (settings.Document, error) {
+	here, err := parseSource(r.URL.Query())
+	if err != nil {
+		return settings.Document{}, err
+	}
+	if here {
+		return s.inForce(p.String())
+	}
+	entry, err := s.cfg.Store.Get(r.Context(), p.String())
+	if err != nil {
+		return settings.Document{}, err
+	}
+	return platform.DecodeDocument(entry)
+}
+
+func (s *Server) inForce(path string) (settings.Document, error) {
+	for _, doc := range s.cfg.Documents() {
+		if doc.Path == path {
+			return doc, nil
+		}
+	}
+	return settings.Document{}, &platform.NotFoundError{Path: path}
+}
+
+// listDocuments lists what the token may read.
+func (s *Server) listDocuments(w http.ResponseWriter, r *http.Request) error {
+	a, err := s.access(r)
+	if err != nil {
+		return err
+	}
+	prefix, err := parsePrefix(r.URL.Query())
+	if err != nil {
+		return err
+	}
+	docs, err := s.list(r, prefix)
+	if err != nil {
+		return err
+	}
+	docs = filter(docs, func(doc settings.Document) bool {
+		p, err := settings.ParsePath(doc.Path)
+		return err == nil && a.may(p, settings.RoleRead) == nil
+	})
+	sendJSON(w, http.StatusOK, List{Documents: Versions(docs)})
+	return nil
+}
+
+func (s *Server) list(r *http.Request, prefix string) ([]settings.Document, error) {
+	here, err := parseSource(r.URL.Query())
+	if err != nil {
+		return nil, err
+	}
+	if here {
+		return filter(s.cfg.Documents(), func(doc settings.Document) bool {
+			return strings.HasPrefix(doc.Path, prefix)
+		}), nil
+	}
+	entries, _, err := s.cfg.Store.List(r.Context(), prefix)
+	var docs []settings.Document
+	for _, e := range entries {
+		if doc, bad := platform.DecodeDocument(e); bad == nil {
+			docs = append(docs, doc)
+		}
+	}
+	return docs, err
+}
--- /dev/null
+++ b/internal/operator/gather.go
@@ -0,0 +1,53 @@
+package operator
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/firlever/firlever/internal/platform"
+)
+
+const (
+	gatherAtOnce  = 16
+	gatherTimeout = 2 * time.Second // for one instance
+)
+
+// Gather makes the Fleet function of a Config: it asks each instance of list on
+// its operators' address, with the token of the operator who asks, so that each
+// decides by itself what it shows. The reports come sorted by instance.
+func Gather(list func(ctx context.Context) []platform.Instance) func(ctx context.Context) []Report {
+	return func(ctx context.Context) []Report {
+		instances := slices.Clone(list(ctx))
+		slices.SortFunc(instances, func(a, b platform.Instance) int { return strings.Compare(a.ID, b.ID) })
+		reports := make([]Report, len(instances))
+		slots := make(chan struct{}, gatherAtOnce)
+		var group sync.WaitGroup
+		for i, in := range instances {
+			slots <- struct{}{}
+			group.Go(func() {
+				reports[i] = ask(ctx, in)
+				<-slots
+			})
+		}
+		group.Wait()
+		return reports
+	}
+}
+
+func ask(ctx context.Context, in platform.Instance) Report {
+	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
+	defer cancel()
+	client := NewClient(in.Operators, bearerFrom(ctx))
+	defer client.Close()
+	report := Report{Instance: in.ID, Address: in.Operators}
+	status, err := client.Status(ctx)
+	if err != nil {
+		report.Error = err.Error()
+		return report
+	}
+	report.Status = &status
+	return report
+}
--- /dev/null
+++ b/internal/operator/problem.go
@@ -0,0 +1,166 @@
+package operator
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+// Code is the kind of a Problem.
+type Code string
+
+// Kinds of problems, each with its HTTP status.
+const (
+	CodeInvalid      Code = "invalid"       // 400
+	CodeUnauthorized Code = "unauthorized"  // 401: no token, or one of no team
+	CodeForbidden    Code = "forbidden"     // 403: a token of another team, or of a lower role
+	CodeNotFound     Code = "not-found"     // 404; Version is set for a deleted document
+	CodeMethod       Code = "method"        // 405
+	CodeConflict     Code = "conflict"      // 409, with the newer Version and Body
+	CodeTooLarge     Code = "too-large"     // 413
+	CodeFaults       Code = "faults"        // 422, with all Faults
+	CodePrecondition Code = "precondition"  // 428: If-Match is missing
+	CodeInternal     Code = "internal"      // 500
+	CodeUnavailable  Code = "unavailable"   // 503: the platform can't be reached
+	CodeBusy         Code = "busy"          // 503: too much at one time
+	CodeFormat       Code = "not-documents" // 502: the platform holds something else there
+)
+
+var statuses = map[Code]int{
+	CodeInvalid:      http.StatusBadRequest,
+	CodeUnauthorized: http.StatusUnauthorized,
+	CodeForbidden:    http.StatusForbidden,
+	CodeNotFound:     http.StatusNotFound,
+	CodeMethod:       http.StatusMethodNotAllowed,
+	CodeConflict:     http.StatusConflict,
+	CodeTooLarge:     http.StatusRequestEntityTooLarge,
+	CodeFaults:       http.StatusUnprocessableEntity,
+	CodePrecondition: http.StatusPreconditionRequired,
+	CodeInternal:     http.StatusInternalServerError,
+	CodeUnavailable:  http.StatusServiceUnavailable,
+	CodeBusy:         http.StatusServiceUnavailable,
+	CodeFormat:       http.StatusBadGateway,
+}
+
+// retrySeconds is when to come back after CodeBusy and CodeUnavailable.
+const retrySeconds = 1
+
+// Problem is the body of every answer that is not a success, and the error of
+// a Client.
+type Problem struct {
+	Code    Code    `json:"code"`
+	Reason  string  `json:"reason"`
+	Outcome string  `json:"outcome,omitempty"` // of a write: refused or unknown
+	Write   string  `json:"write,omitempty"`
+	Path    string  `json:"path,omitempty"`
+	Version uint64  `json:"version,omitempty"` // the newer one
+	Deleted bool    `json:"deleted,omitempty"`
+	Body    string  `json:"body,omitempty"`
+	Faults  []Fault `json:"faults,omitempty"`
+}
+
+// Fault is one thing wrong with a document.
+type Fault struct {
+	Path   string `json:"path"`
+	Field  string `json:"field,omitempty"`
+	Line   int    `json:"line,omitempty"`
+	Reason string `json:"reason"`
+}
+
+func (p *Problem) Error() string {
+	if p.Faults == nil {
+		return fmt.Sprintf("operator: %s: %s", p.Code, p.Reason)
+	}
+	lines := make([]string, 0, len(p.Faults))
+	for _, f := range p.Faults {
+		lines = append(lines, settings.Fault(f).String())
+	}
+	return fmt.Sprintf("operator: %s: %s", p.Code, strings.Join(lines, "; "))
+}
+
+// newProblem puts an error of the platform or the settings into an answer's form.
+func newProblem(err error) *Problem {
+	var (
+		problem  *Problem
+		faults   *settings.FaultsError
+		conflict *platform.ConflictError
+		missing  *platform.NotFoundError
+		large    *platform.TooLargeError
+		format   *platform.FormatError
+		busy     *platform.BusyError
+		down     *platform.UnavailableError
+		role     *settings.RoleError
+	)
+	code := CodeInternal
+	switch {
+	case errors.As(err, &problem):
+		return problem
+	case errors.As(err, &faults):
+		return &Problem{Code: CodeFaults, Reason: fmt.Sprintf("%d faults", len(faults.Faults)), Faults: faultsOf(faults)}
+	case errors.As(err, &conflict):
+		return conflictProblem(conflict)
+	case errors.As(err, &missing):
+		code = CodeNotFound
+	case errors.As(err, &large):
+		code = CodeTooLarge
+	case errors.As(err, &format):
+		code = CodeFormat
+	case errors.As(err, &busy):
+		code = CodeBusy
+	case errors.As(err, &down):
+		code = CodeUnavailable
+	case errors.As(err, &role):
+		code = CodeForbidden
+	}
+	return &Problem{Code: code, Reason: err.Error()}
+}
+
+func faultsOf(err *settings.FaultsError) []Fault {
+	list := make([]Fault, 0, len(err.Faults))
+	for _, f := range err.Faults {
+		list = append(list, Fault(f))
+	}
+	return list
+}
+
+func conflictProblem(err *platform.ConflictError) *Problem {
+	p := &Problem{Code: CodeConflict, Reason: err.Error(), Path: err.Path, Version: err.Now.Version}
+	doc, bad := platform.DecodeDocument(err.Now)
+	if bad != nil {
+		p.Reason += "; " + bad.Error()
+		return p
+	}
+	p.Deleted = doc.Deleted
+	p.Body = string(doc.Body)
+	return p
+}
+
+func (p *Problem) send(w http.ResponseWriter) {
+	if p.Code == CodeBusy || p.Code == CodeUnavailable {
+		w.Header().Set("Retry-After", strconv.Itoa(retrySeconds))
+	}
+	if p.Code == CodeUnauthorized {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+	}
+	if p.Version > 0 {
+		w.Header().Set("ETag", FormatVersion(p.Version))
+	}
+	sendJSON(w, statuses[p.Code], p)
+}
+
+func sendJSON(w http.ResponseWriter, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)+1))
+	w.WriteHeader(status)
+	_, _ = w.Write(append(body, '\n')) // the client sees that the answer is cut
+}
--- /dev/null
+++ b/internal/operator/status.go
@@ -0,0 +1,154 @@
+package operator
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/firlever/firlever/internal/invariant"
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+// Status is the state of one instance at one moment, as it knows it.
+type Status struct {
+	Instance    string            `json:"instance"`
+	Incarnation uint64            `json:"incarnation"`
+	Place       string            `json:"place"`
+	Domain      string            `json:"domain"`
+	Region      string            `json:"region"`
+	Ready       bool              `json:"ready"`
+	Reason      string            `json:"reason,omitempty"` // why it isn't ready
+	Root        string            `json:"root"`             // hash over the versions of all documents, in hex
+	Count       int               `json:"count"`            // of documents, deleted ones too
+	Documents   []Version         `json:"documents,omitempty"`
+	Peers       []Peer            `json:"peers,omitempty"`
+	Places      []Place           `json:"places,omitempty"`
+	Services    []Service         `json:"services,omitempty"`
+	Targets     []Target          `json:"targets,omitempty"`
+	Drains      []Drain           `json:"drains,omitempty"`
+	Invariants  []invariant.Count `json:"invariants,omitempty"`
+}
+
+// Version is one document's version in force.
+type Version struct {
+	Path    string `json:"path"`
+	Version uint64 `json:"version"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+// Peer is another instance as this one sees it.
+type Peer struct {
+	ID      string `json:"id"`
+	Address string `json:"address"` // peers' address
+	Place   string `json:"place"`
+	State   string `json:"state"` // e.g. alive, suspect, leaving, dead
+}
+
+// Load is how far a limit is used, in requests.
+type Load struct {
+	Limit    int `json:"limit"`
+	Use      int `json:"use"` // in flight
+	Queued   int `json:"queued"`
+	Free     int `json:"free"`     // slots that are free now
+	Headroom int `json:"headroom"` // Limit less Use, less what is drained or down
+}
+
+// Place is the load of one place over all services, as this instance knows it.
+type Place struct {
+	Name string `json:"name"`
+	Load
+}
+
+// Service is the load of one service in one place.
+type Service struct {
+	Service string `json:"service"` // team/name
+	Place   string `json:"place"`
+	Load
+	Shifted float64 `json:"shifted"` // shifted requests/s now
+	Cap     int     `json:"cap"`     // by how much that may grow each second
+}
+
+// Target is the state of one target.
+type Target struct {
+	Name      string `json:"name"`
+	Service   string `json:"service"` // team/name
+	Place     string `json:"place"`
+	Address   string `json:"address"`
+	Owner     string `json:"owner"`     // instance that sends to it; empty when none does
+	Allowance int    `json:"allowance"` // requests that the owner may have in flight there
+	Use       int    `json:"use"`       // in flight; known to its owner alone
+	Health    string `json:"health"`
+	Drained   bool   `json:"drained"`
+}
+
+// Drain is a drain under way.
+type Drain struct {
+	Path     string    `json:"path"`
+	Place    string    `json:"place,omitempty"`
+	Instance string    `json:"instance,omitempty"`
+	Service  string    `json:"service,omitempty"` // team/name
+	Target   string    `json:"target,omitempty"`
+	Reason   string    `json:"reason,omitempty"`
+	Left     int       `json:"left"`            // requests in flight there
+	Finish   time.Time `json:"finish,omitzero"` // predicted; zero when not known
+}
+
+// Report is the status of one instance, or why it could not be had.
+type Report struct {
+	Instance string  `json:"instance"`
+	Address  string  `json:"address"` // operators' address
+	Status   *Status `json:"status,omitempty"`
+	Error    string  `json:"error,omitempty"`
+}
+
+// Versions lists the documents for Status.Documents, sorted by path.
+func Versions(docs []settings.Document) []Version {
+	list := make([]Version, 0, len(docs))
+	for _, d := range docs {
+		list = append(list, Version{Path: d.Path, Version: d.Version, Deleted: d.Deleted})
+	}
+	slices.SortFunc(list, func(a, b Version) int { return strings.Compare(a.Path, b.Path) })
+	return list
+}
+
+// only leaves what a team may see: its own services, targets, drains and
+// documents, and what belongs to no team.
+func (s Status) only(team string) Status {
+	own := func(service string) bool { return strings.HasPrefix(service, team+"/") }
+	s.Documents = filter(s.Documents, func(d Version) bool {
+		return strings.HasPrefix(d.Path, settings.TeamsPrefix+team+"/")
+	})
+	s.Services = filter(s.Services, func(v Service) bool { return own(v.Service) })
+	s.Targets = filter(s.Targets, func(t Target) bool { return own(t.Service) })
+	s.Drains = filter(s.Drains, func(d Drain) bool { return d.Service == "" || own(d.Service) })
+	return s
+}
+
+// at leaves the versions of the given paths alone.
+func (s Status) at(paths []string) Status {
+	s.Documents = filter(s.Documents, func(d Version) bool { return slices.Contains(paths, d.Path) })
+	return s
+}
+
+func filter[T any](list []T, keep func(T) bool) []T {
+	var kept []T
+	for _, v := range list {
+		if keep(v) {
+			kept = append(kept, v)
+		}
+	}
+	return kept
+}
+
+type bearerKey struct{}
+
+func withBearer(ctx context.Context, bearer string) context.Context {
+	return context.WithValue(ctx, bearerKey{}, bearer)
+}
+
+// bearerFrom is the token of the operator whose request this is.
+func bearerFrom(ctx context.Context) string {
+	bearer, _ := ctx.Value(bearerKey{}).(string)
+	return bearer
+}
--- a/internal/owner/book.go
+++ b/internal/owner/book.go
@@ -40,6 +40,7 @@
 	budget        int       // sum of usable quotas of owned lines, tenure confirmed
 	half          int       // the same, tenure lapsed
 	charged       int       // sum of charges of owned lines
+	seq           uint64    // of the last release
 	turn          int       // where Pick starts next
 }
 
@@ -117,6 +118,9 @@
 	if !ok || own.Incarnation != b.cfg.Incarnation {
 		own = Member{}
 	}
+	if own.Since != b.own.Since {
+		b.platformUntil = time.Time{}
+	}
 	b.own = own
 	b.noteFormer(now)
 	for _, m := range r.Members {
--- a/internal/owner/history.go
+++ b/internal/owner/history.go
@@ -20,7 +20,8 @@
 
 func compareKeys(a, b TargetKey) int {
 	return cmp.Or(
-		a.Service.Compare(b.Service),
+		cmp.Compare(a.Service.Team, b.Service.Team),
+		cmp.Compare(a.Service.Name, b.Service.Name),
 		cmp.Compare(a.Name, b.Name),
 	)
 }
--- a/internal/owner/release.go
+++ b/internal/owner/release.go
@@ -16,16 +16,19 @@
 	From        string
 	Incarnation uint64
 	Version     uint64 // of the sender's roster: it takes nothing that this version gives to others
+	Seq         uint64 // grows with each release of an incarnation
 	Held        []Held // sorted by key
 }
 
 // Release returns this instance's release, to be sent to every other instance
 // of the place.
 func (b *Book) Release() Release {
+	b.seq++
 	r := Release{
 		From:        b.cfg.Self,
 		Incarnation: b.cfg.Incarnation,
 		Version:     b.roster.Version,
+		Seq:         b.seq,
 	}
 	for _, l := range b.order {
 		if !l.mine && (l.inFlight > 0 || l.charged > 0) {
@@ -35,12 +38,11 @@
 	return r
 }
 
-// Released takes a peer's release. An older one that comes late does no harm:
-// until the next it reserves too much.
+// Released takes a peer's release. Old and doubled ones are ignored.
 func (b *Book) Released(now time.Time, r Release) {
 	b.newer(now, r.From, r.Incarnation)
 	p := b.peer(r.From, r.Incarnation)
-	if p == nil || (p.hasRelease && r.Version < p.release.Version) {
+	if p == nil || (p.hasRelease && r.Seq <= p.release.Seq) {
 		return
 	}
 	p.version = max(p.version, r.Version)
--- a/internal/owner/tenure.go
+++ b/internal/owner/tenure.go
@@ -32,6 +32,7 @@
 	incarnation uint64
 	version     uint64    // newest roster it is known to have
 	ackUntil    time.Time // tenure by its ack ends here
+	promised    time.Time // this instance acked, and won't remove it before this
 	removing    bool      // a write that removes it may be under way: no ack
 	release     Release   // newest
 	heard       time.Time // when release came
@@ -54,15 +55,15 @@
 // Confirm notes that the platform answered a read, sent at the given time, with
 // this roster version. Give the roster itself to SetRoster first if it is newer.
 func (b *Book) Confirm(sent time.Time, version uint64) {
-	if version > b.roster.Version {
+	if b.own.Instance == "" || version < b.own.Since || version > b.roster.Version {
 		return
 	}
 	b.platformUntil = later(b.platformUntil, sent.Add(b.cfg.Term))
 }
 
 // Ack notes a peer's ack of a heartbeat that was sent at the given time;
-// version is the peer's roster version. The peer said that it had begun no
-// removal of this instance by then.
+// version is the peer's roster version. The peer promised not to remove this
+// instance before Term after it.
 func (b *Book) Ack(peer string, incarnation uint64, sent time.Time, version uint64) {
 	p := b.peer(peer, incarnation)
 	if p == nil {
@@ -73,8 +74,7 @@
 }
 
 // MayAck decides whether to ack a heartbeat of a peer that has the given roster
-// version. An ack says that this instance knows no roster without the peer and
-// has begun to write none. Send no ack on false.
+// version, and notes the promise that the ack makes. Send no ack on false.
 func (b *Book) MayAck(now time.Time, peer string, incarnation, version uint64) bool {
 	b.newer(now, peer, incarnation)
 	p := b.peer(peer, incarnation)
@@ -83,7 +83,11 @@
 	}
 	p.version = max(p.version, version)
 	m, ok := b.roster.Member(peer)
-	return ok && m.Incarnation == incarnation && !p.removing
+	if !ok || m.Incarnation != incarnation || version < m.Since || p.removing {
+		return false
+	}
+	p.promised = now.Add(b.skewed(b.cfg.Term))
+	return true
 }
 
 // Tenure returns the state of tenure at now.
@@ -113,10 +117,9 @@
 }
 
 // Removable reports whether this instance may write a roster without the peer:
-// the peer knows a roster by which it needs this instance's acks, so that it
-// lapses without them; or its process is proved to have ended. Whether the peer
-// seems dead is for the caller to judge.
-func (b *Book) Removable(peer string) bool {
+// its last ack to it has run out, and the peer knows a roster in which this
+// instance's ack is needed; or the peer is proved to have ended.
+func (b *Book) Removable(now time.Time, peer string) bool {
 	m, ok := b.roster.Member(peer)
 	if !ok || b.own.Instance == "" || peer == b.own.Instance {
 		return false
@@ -125,7 +128,7 @@
 		return true
 	}
 	p := b.peer(peer, m.Incarnation)
-	if p == nil {
+	if p == nil || now.Before(p.promised) {
 		return false
 	}
 	return m.Since > b.own.Since || p.version >= b.own.Since
@@ -134,7 +137,7 @@
 // Remove returns the roster without the peer, to be written at once. From now
 // on the peer gets no ack, until a newer roster still names it or Abandon.
 func (b *Book) Remove(now time.Time, peer string) (Roster, error) {
-	if !b.Removable(peer) {
+	if !b.Removable(now, peer) {
 		return Roster{}, &NotRemovableError{Instance: peer}
 	}
 	m, _ := b.roster.Member(peer)
@@ -156,7 +159,7 @@
 	}
 }
 
-// NotRemovableError says that a peer may hold its tenure without this instance.
+// NotRemovableError says that a promise to a peer still stands.
 type NotRemovableError struct{ Instance string }
 
 func (e *NotRemovableError) Error() string { return "owner: may not remove " + e.Instance + " yet" }
--- /dev/null
+++ b/internal/queue/class.go
@@ -0,0 +1,163 @@
+package queue
+
+import "github.com/firlever/firlever/pkg/settings"
+
+// Can says whether a request of a service could start now.
+type Can func(service settings.ServiceID, shifted bool) bool
+
+// line holds the waiting items of one service in one class. Shifted items have
+// a lane of their own, so that a shift cap doesn't hold up the others.
+type line struct {
+	service settings.ServiceID
+	local   lane
+	shifted lane
+	n       int // items in both lanes
+}
+
+func newLine(service settings.ServiceID) *line {
+	l := &line{service: service}
+	l.local.line = l
+	l.shifted.line = l
+	return l
+}
+
+func (l *line) lane(shifted bool) *lane {
+	if shifted {
+		return &l.shifted
+	}
+	return &l.local
+}
+
+// first returns the oldest item that could start now, or nil.
+func (l *line) first(can Can) *entry {
+	a, b := l.local.head, l.shifted.head
+	if b != nil && (a == nil || b.seq < a.seq) {
+		a, b = b, a
+	}
+	for _, e := range [...]*entry{a, b} {
+		if e != nil && can(l.service, e.item.Shifted) {
+			return e
+		}
+	}
+	return nil
+}
+
+// group holds the lines of one team in one class.
+type group struct {
+	team    string
+	lines   ring[*line] // those with items
+	deficit float64     // pops that the team may take before its turn ends
+	granted bool        // whether this turn's quantum has been added
+}
+
+// first returns the next item of the team that could start now, or nil.
+func (g *group) first(can Can) *entry {
+	for range g.lines.len() {
+		if e := g.lines.at().first(can); e != nil {
+			return e
+		}
+		g.lines.advance()
+	}
+	return nil
+}
+
+// class shares its pops among teams by deficit round robin.
+type class struct {
+	lines  map[settings.ServiceID]*line // those with items
+	groups map[string]*group            // those with items
+	turns  ring[*group]                 // the same groups, in the order of their turns
+}
+
+func newClass() *class {
+	return &class{
+		lines:  make(map[settings.ServiceID]*line),
+		groups: make(map[string]*group),
+	}
+}
+
+func (c *class) waiting(service settings.ServiceID) int {
+	if l := c.lines[service]; l != nil {
+		return l.n
+	}
+	return 0
+}
+
+func (c *class) add(e *entry) {
+	id := e.item.Service
+	l := c.lines[id]
+	if l == nil {
+		l = newLine(id)
+		c.lines[id] = l
+		c.group(id.Team).lines.add(l)
+	}
+	l.lane(e.item.Shifted).push(e)
+	l.n++
+}
+
+func (c *class) group(team string) *group {
+	g := c.groups[team]
+	if g == nil {
+		g = &group{team: team}
+		c.groups[team] = g
+		c.turns.add(g)
+	}
+	return g
+}
+
+func (c *class) remove(e *entry) {
+	l := e.lane.line
+	e.lane.remove(e)
+	l.n--
+	if l.n > 0 {
+		return
+	}
+	delete(c.lines, l.service)
+	g := c.groups[l.service.Team]
+	g.lines.remove(l)
+	if g.lines.len() == 0 {
+		delete(c.groups, g.team)
+		c.turns.remove(g)
+	}
+}
+
+// pop takes the next item that could start now, or returns nil. A team whose
+// every line is blocked loses its turn.
+func (c *class) pop(can Can, share func(team string) int) *entry {
+	for range c.turns.len() {
+		g := c.turns.at()
+		if !g.granted {
+			g.granted = true
+			g.deficit += c.quantum(g, share)
+		}
+		e := g.first(can)
+		if e == nil {
+			g.deficit = 0
+			c.endTurn(g)
+			continue
+		}
+		g.deficit--
+		g.lines.advance()
+		if g.deficit < 1 {
+			c.endTurn(g)
+		}
+		c.remove(e)
+		return e
+	}
+	return nil
+}
+
+func (c *class) endTurn(g *group) {
+	g.granted = false
+	c.turns.advance()
+}
+
+// quantum is a turn's pops: the team's share over the least share of the teams
+// that wait, so 1 or more.
+func (c *class) quantum(g *group, share func(team string) int) float64 {
+	own := share(g.team)
+	least := own
+	for _, other := range c.turns.all() {
+		least = min(least, share(other.team))
+	}
+	return float64(own) / float64(least)
+}
--- /dev/null
+++ b/internal/queue/goodput_test.go
@@ -0,0 +1,157 @@
+package queue
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+const (
+	slots    = 50
+	leastJob = 10 * time.Millisecond
+	moreJob  = 10 * time.Millisecond // mean of the exponential part
+	budget   = 200 * time.Millisecond
+	runFor   = 10 * time.Second
+	bound    = 1000 // length of the queues bounded by length
+	capacity = float64(slots) / (float64(leastJob+moreJob) / float64(time.Second))
+)
+
+// policy is a queue before one station.
+type policy interface {
+	push(now time.Time, it Item) bool
+	pop(now time.Time) (Item, bool)
+	completed(now time.Time, took time.Duration)
+}
+
+type deadlineQueue struct{ q *Queue }
+
+func (p deadlineQueue) push(now time.Time, it Item) bool {
+	return p.q.Push(now, it).Kind == VerdictQueued
+}
+
+func (p deadlineQueue) pop(now time.Time) (Item, bool) { return p.q.Pop(now, always) }
+
+func (p deadlineQueue) completed(now time.Time, took time.Duration) {
+	p.q.Completed(now, settings.ServiceID{}, took)
+}
+
+// plainQueue is bounded by length alone.
+type plainQueue struct {
+	items []Item
+	check bool // drop what has expired when it is popped
+	lifo  int  // length from which the newest goes first; 0 is never
+}
+
+func (p *plainQueue) push(_ time.Time, it Item) bool {
+	if len(p.items) >= bound {
+		return false
+	}
+	p.items = append(p.items, it)
+	return true
+}
+
+func (p *plainQueue) pop(now time.Time) (Item, bool) {
+	for len(p.items) > 0 {
+		var it Item
+		last := len(p.items) - 1
+		if p.lifo > 0 && last >= p.lifo {
+			it, p.items = p.items[last], p.items[:last]
+		} else {
+			it, p.items = p.items[0], p.items[1:]
+		}
+		if !p.check || now.Before(it.Deadline) {
+			return it, true
+		}
+	}
+	return Item{}, false
+}
+
+func (p *plainQueue) completed(time.Time, time.Duration) {}
+
+// job is a request in a slot.
+type job struct {
+	end, start, deadline time.Time
+}
+
+type jobs []job
+
+func (j jobs) Len() int           { return len(j) }
+func (j jobs) Less(a, b int) bool { return j[a].end.Before(j[b].end) }
+func (j jobs) Swap(a, b int)      { j[a], j[b] = j[b], j[a] }
+func (j *jobs) Push(x any)        { *j = append(*j, x.(job)) }
+
+func (j *jobs) Pop() any {
+	last := len(*j) - 1
+	x := (*j)[last]
+	*j = (*j)[:last]
+	return x
+}
+
+// goodput returns answers within their deadline as a part of what the station
+// can do, and the part of the admitted that was late. Demand is Poisson at load
+// times the capacity; a late request holds its slot to its end.
+func goodput(p policy, load float64) (good, late float64) {
+	rnd := rand.New(rand.NewPCG(1, 2))
+	var busy jobs
+	var done, missed int
+	arrival := start
+	for id := uint64(1); ; id++ {
+		arrival = arrival.Add(seconds(rnd.ExpFloat64() / (load * capacity)))
+		if arrival.Sub(start) > runFor {
+			break
+		}
+		for len(busy) > 0 && busy[0].end.Before(arrival) {
+			j := heap.Pop(&busy).(job)
+			p.completed(j.end, j.end.Sub(j.start))
+			if j.end.After(j.deadline) {
+				missed++
+			} else {
+				done++
+			}
+			fill(p, &busy, j.end, rnd)
+		}
+		p.push(arrival, Item{ID: id, Deadline: arrival.Add(budget)})
+		fill(p, &busy, arrival, rnd)
+	}
+	return float64(done) / (capacity * runFor.Seconds()), float64(missed) / float64(done+missed)
+}
+
+func fill(p policy, busy *jobs, now time.Time, rnd *rand.Rand) {
+	for len(*busy) < slots {
+		it, ok := p.pop(now)
+		if !ok {
+			return
+		}
+		took := leastJob + seconds(rnd.ExpFloat64()*moreJob.Seconds())
+		heap.Push(busy, job{end: now.Add(took), start: now, deadline: it.Deadline})
+	}
+}
+
+// TestGoodput prints the table of docs/design/overload.md.
+func TestGoodput(t *testing.T) {
+	tests := map[string]struct {
+		policy func() policy
+		least  float64 // part of the goodput at capacity kept at twice capacity
+	}{
+		"FIFO by length":                {func() policy { return &plainQueue{} }, 0},
+		"FIFO by length, check at pop":  {func() policy { return &plainQueue{check: true} }, 0},
+		"adaptive LIFO":                 {func() policy { return &plainQueue{check: true, lifo: slots} }, 0},
+		"FIFO with deadline prediction": {func() policy { return deadlineQueue{New(Defaults())} }, 0.95},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			atCapacity, _ := goodput(tt.policy(), 1)
+			for _, load := range []float64{1.2, 2, 4} {
+				got, late := goodput(tt.policy(), load)
+				t.Logf("load %.1f: goodput %.3f of capacity, at load 1 %.3f, kept %.3f, late %.4f",
+					load, got, atCapacity, got/atCapacity, late)
+				if got < tt.least*atCapacity {
+					t.Errorf("got %.3f, want at least %.2f of %.3f", got, tt.least, atCapacity)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/queue/item.go
@@ -0,0 +1,122 @@
+package queue
+
+import (
+	"time"
+
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+// Item is a request that waits. The queue holds no more of it than this.
+type Item struct {
+	ID       uint64 // unique among the items that wait
+	Service  settings.ServiceID
+	Bulk     bool
+	Shifted  bool      // its caller's home is another place
+	Deadline time.Time // by which its answer must be complete
+}
+
+// VerdictKind says whether a request may wait.
+type VerdictKind uint8
+
+// Kinds of verdict. All but VerdictQueued are final: the request was not run.
+const (
+	VerdictQueued    VerdictKind = iota + 1
+	VerdictFull                  // the queue is at its length
+	VerdictLate                  // its deadline can't be met as things go
+	VerdictExpired               // its deadline has passed already
+	VerdictDuplicate             // an item with its ID waits
+)
+
+// String returns a word for logs and the wire's reason.
+func (k VerdictKind) String() string {
+	switch k {
+	case VerdictQueued:
+		return "queued"
+	case VerdictFull:
+		return "full"
+	case VerdictLate:
+		return "late"
+	case VerdictExpired:
+		return "expired"
+	case VerdictDuplicate:
+		return "duplicate"
+	default:
+		return "none"
+	}
+}
+
+// Verdict is Push's answer.
+type Verdict struct {
+	Kind    VerdictKind
+	Start   time.Time // when a slot is expected
+	RetryAt time.Time // of VerdictFull and VerdictLate: when to come back
+}
+
+// entry is an item in its lane and in the heap of last starts.
+type entry struct {
+	item       Item
+	seq        uint64    // order of arrival
+	last       time.Time // from which it isn't started any more; never after its deadline
+	prev, next *entry    // in its lane
+	lane       *lane
+	place      int // in the heap of last starts
+}
+
+// lane is a first-in first-out list. Its zero value is empty.
+type lane struct {
+	head, tail *entry
+	line       *line // that it belongs to
+}
+
+func (l *lane) push(e *entry) {
+	e.lane = l
+	e.prev = l.tail
+	if l.tail == nil {
+		l.head = e
+	} else {
+		l.tail.next = e
+	}
+	l.tail = e
+}
+
+func (l *lane) remove(e *entry) {
+	if e.prev == nil {
+		l.head = e.next
+	} else {
+		e.prev.next = e.next
+	}
+	if e.next == nil {
+		l.tail = e.prev
+	} else {
+		e.next.prev = e.prev
+	}
+	e.prev, e.next = nil, nil
+}
+
+// lastStarts is a heap of entries, the earliest last start first.
+type lastStarts []*entry
+
+func (d lastStarts) Len() int           { return len(d) }
+func (d lastStarts) Less(i, j int) bool { return d[i].last.Before(d[j].last) }
+
+func (d lastStarts) Swap(i, j int) {
+	d[i], d[j] = d[j], d[i]
+	d[i].place = i
+	d[j].place = j
+}
+
+// Push is for container/heap.
+func (d *lastStarts) Push(x any) {
+	e := x.(*entry)
+	e.place = len(*d)
+	*d = append(*d, e)
+}
+
+// Pop is for container/heap.
+func (d *lastStarts) Pop() any {
+	last := len(*d) - 1
+	e := (*d)[last]
+	(*d)[last] = nil
+	*d = (*d)[:last]
+	return e
+}
--- /dev/null
+++ b/internal/queue/queue.go
@@ -0,0 +1,226 @@
+package queue
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+const defaultShare = 1
+
+// Queue holds the requests of one instance that wait for a slot.
+type Queue struct {
+	cfg         Config
+	shares      map[string]int // weights of teams; each over 0
+	stations    map[settings.ServiceID]*station
+	entries     map[uint64]*entry // all that wait, by ID
+	interactive *class
+	bulk        *class
+	starts      lastStarts // of all that wait
+	expired     []*entry   // taken out, to be told by the next Expire
+	skipped     int        // interactive pops since the last bulk one, while bulk waited
+	seq         uint64     // grows with each Push
+}
+
+// New makes an empty queue. cfg must be valid.
+func New(cfg Config) *Queue {
+	return &Queue{
+		cfg:         cfg,
+		shares:      make(map[string]int),
+		stations:    make(map[settings.ServiceID]*station),
+		entries:     make(map[uint64]*entry),
+		interactive: newClass(),
+		bulk:        newClass(),
+	}
+}
+
+// SetShare sets the weight of a team at a contested place. Teams never set, or
+// set to less than 1, weigh 1.
+func (q *Queue) SetShare(team string, weight int) {
+	q.shares[team] = max(weight, defaultShare)
+}
+
+func (q *Queue) share(team string) int { return max(q.shares[team], defaultShare) }
+
+// Forget drops what was learnt of a service that is no longer configured.
+func (q *Queue) Forget(service settings.ServiceID) {
+	if q.ahead(service, true) == 0 {
+		delete(q.stations, service)
+	}
+}
+
+// Push lets an item wait, or refuses it at once.
+func (q *Queue) Push(now time.Time, it Item) Verdict {
+	if _, ok := q.entries[it.ID]; ok {
+		return Verdict{Kind: VerdictDuplicate}
+	}
+	if !now.Before(it.Deadline) {
+		return Verdict{Kind: VerdictExpired}
+	}
+	q.expire(now)
+	s := q.station(now, it.Service)
+	ahead := q.ahead(it.Service, it.Bulk)
+	first := now.Add(s.wait(ahead))
+	if len(q.entries) >= q.cfg.Length {
+		return Verdict{Kind: VerdictFull, Start: first, RetryAt: q.retryAt(now, s, s.wait(ahead)/2)}
+	}
+	last := it.Deadline.Add(-s.usual())
+	if ahead == 0 {
+		// Else nothing would run that could mend a wrong estimate.
+		last = it.Deadline
+	}
+	if over := first.Sub(last); over > 0 {
+		return Verdict{Kind: VerdictLate, Start: first, RetryAt: q.retryAt(now, s, over)}
+	}
+	q.add(it, last)
+	s.waiting(now, q.ahead(it.Service, true))
+	return Verdict{Kind: VerdictQueued, Start: first}
+}
+
+// ahead returns how many items of a service are popped before a new one.
+func (q *Queue) ahead(service settings.ServiceID, bulk bool) int {
+	n := q.interactive.waiting(service)
+	if bulk {
+		n += q.bulk.waiting(service)
+	}
+	return n
+}
+
+// retryAt spreads the returns of those refused: each is told a moment one
+// completion later than the one before, within the bounds of the configuration.
+func (q *Queue) retryAt(now time.Time, s *station, after time.Duration) time.Time {
+	at := now.Add(max(after, q.cfg.RetryMin))
+	if rate, known := s.rate(); known && rate > leastRate {
+		next := s.retry.Add(seconds(1 / rate))
+		if next.After(at) {
+			at = next
+		}
+	}
+	if last := now.Add(q.cfg.RetryMax); at.After(last) {
+		return last
+	}
+	s.retry = at
+	return at
+}
+
+func (q *Queue) station(now time.Time, service settings.ServiceID) *station {
+	s := q.stations[service]
+	if s == nil {
+		s = &station{window: q.cfg.Window, at: now}
+		q.stations[service] = s
+	}
+	s.settle(now)
+	return s
+}
+
+func (q *Queue) class(it Item) *class {
+	if it.Bulk {
+		return q.bulk
+	}
+	return q.interactive
+}
+
+func (q *Queue) add(it Item, last time.Time) {
+	q.seq++
+	e := &entry{item: it, seq: q.seq, last: last}
+	q.entries[it.ID] = e
+	heap.Push(&q.starts, e)
+	q.class(it).add(e)
+}
+
+// Pop takes the next item that could start now. It asks can at most once for
+// each service, class and shifted or not that waits.
+func (q *Queue) Pop(now time.Time, can Can) (Item, bool) {
+	q.expire(now)
+	classes := [...]*class{q.interactive, q.bulk}
+	if q.skipped >= q.cfg.BulkEvery-1 {
+		slices.Reverse(classes[:])
+	}
+	for _, c := range classes {
+		e := c.pop(can, q.share)
+		if e == nil {
+			continue
+		}
+		q.countSkipped(c)
+		q.forget(now, e)
+		return e.item, true
+	}
+	return Item{}, false
+}
+
+func (q *Queue) countSkipped(popped *class) {
+	if popped == q.bulk || q.bulk.turns.len() == 0 {
+		q.skipped = 0
+		return
+	}
+	q.skipped++
+}
+
+// forget takes out of the indexes an entry that has left its class.
+func (q *Queue) forget(now time.Time, e *entry) {
+	delete(q.entries, e.item.ID)
+	heap.Remove(&q.starts, e.place)
+	service := e.item.Service
+	q.station(now, service).waiting(now, q.ahead(service, true))
+}
+
+// expire takes out all items past their last start.
+func (q *Queue) expire(now time.Time) {
+	for len(q.starts) > 0 && !now.Before(q.starts[0].last) {
+		e := q.starts[0]
+		q.class(e.item).remove(e)
+		q.forget(now, e)
+		q.expired = append(q.expired, e)
+	}
+}
+
+// Expire returns, once, the items that waited too long to be answered before
+// their deadline. They were not run.
+func (q *Queue) Expire(now time.Time) []Item {
+	q.expire(now)
+	items := make([]Item, 0, len(q.expired))
+	for _, e := range q.expired {
+		items = append(items, e.item)
+	}
+	q.expired = nil
+	return items
+}
+
+// Cancel takes out an item, and says whether it waited.
+func (q *Queue) Cancel(now time.Time, id uint64) bool {
+	e := q.entries[id]
+	if e == nil {
+		return false
+	}
+	q.class(e.item).remove(e)
+	q.forget(now, e)
+	return true
+}
+
+// Completed tells that a request of a service has ended and freed its slot,
+// however it ended. took counts from its dispatch.
+func (q *Queue) Completed(now time.Time, service settings.ServiceID, took time.Duration) {
+	q.station(now, service).completed(now, took)
+}
+
+// Next returns when Expire next has something to return; zero if never.
+func (q *Queue) Next() time.Time {
+	switch {
+	case len(q.expired) > 0:
+		return q.expired[0].last
+	case len(q.starts) > 0:
+		return q.starts[0].last
+	default:
+		return time.Time{}
+	}
+}
+
+// Len returns how many items wait.
+func (q *Queue) Len() int { return len(q.entries) }
+
+// Wait predicts how long a new interactive request of a service would wait.
+func (q *Queue) Wait(now time.Time, service settings.ServiceID) time.Duration {
+	return q.station(now, service).wait(q.ahead(service, false))
+}
--- /dev/null
+++ b/internal/queue/ring.go
@@ -0,0 +1,51 @@
+package queue
+
+import "slices"
+
+// ring goes round its members in the order of their coming. Its zero value is
+// empty. It is made for tens of members: remove is linear.
+type ring[T comparable] struct {
+	members []T
+	next    int // index of the member whose turn it is; 0 when empty
+}
+
+func (r *ring[T]) len() int { return len(r.members) }
+
+// all returns the members; they must not be changed.
+func (r *ring[T]) all() []T { return r.members }
+
+// at returns the member whose turn it is. The ring must not be empty.
+func (r *ring[T]) at() T { return r.members[r.next] }
+
+// advance gives the turn to the next member.
+func (r *ring[T]) advance() {
+	r.next++
+	if r.next >= len(r.members) {
+		r.next = 0
+	}
+}
+
+// add makes v the last in turn.
+func (r *ring[T]) add(v T) {
+	if r.next == 0 {
+		r.members = append(r.members, v)
+		return
+	}
+	r.members = slices.Insert(r.members, r.next, v)
+	r.next++
+}
+
+// remove takes v out; if it was v's turn, the next member has it.
+func (r *ring[T]) remove(v T) {
+	i := slices.Index(r.members, v)
+	if i < 0 {
+		return
+	}
+	r.members = slices.Delete(r.members, i, i+1)
+	if i < r.next {
+		r.next--
+	}
+	if r.next >= len(r.members) {
+		r.next = 0
+	}
+}
--- /dev/null
+++ b/internal/queue/station.go
@@ -0,0 +1,96 @@
+package queue
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	enough     = 8.0       // completions that make an estimate
+	enoughBusy = 0.25      // or this part of the window spent with items waiting
+	meanGain   = 1.0 / 8   // weight of one more completion in the usual time
+	spreadGain = 1.0 / 4   // and in its spread
+	spreads    = 4         // mean deviations above the mean that a request is given
+	leastRate  = 1e-3      // completions a second; below it the wait is as good as endless
+	endless    = time.Hour // stands for such a wait
+)
+
+// station estimates how fast requests of one service complete. Only time during
+// which items wait is counted: otherwise it would measure how fast requests come.
+type station struct {
+	window time.Duration
+	at     time.Time // up to which busy and done are brought
+	since  bool      // whether items have waited since at
+	busy   float64   // seconds with items waiting, decayed over the window
+	done   float64   // completions in them, decayed alike
+	mean   float64   // seconds that a request usually takes; 0 when none was seen
+	spread float64   // mean deviation from mean, seconds
+	retry  time.Time // return named to the last one refused; the next is told a later one
+}
+
+// settle brings the estimates up to now.
+func (s *station) settle(now time.Time) {
+	if !now.After(s.at) {
+		return
+	}
+	passed := now.Sub(s.at).Seconds()
+	s.at = now
+	window := s.window.Seconds()
+	keep := math.Exp(-passed / window)
+	s.done *= keep
+	s.busy *= keep
+	if s.since {
+		s.busy += window * (1 - keep)
+	}
+}
+
+func (s *station) waiting(now time.Time, n int) {
+	s.settle(now)
+	s.since = n > 0
+}
+
+func (s *station) completed(now time.Time, took time.Duration) {
+	s.settle(now)
+	if s.since {
+		s.done++
+	}
+	v := took.Seconds()
+	if s.mean == 0 {
+		s.mean = v
+		s.spread = v / 2
+		return
+	}
+	s.spread += spreadGain * (math.Abs(v-s.mean) - s.spread)
+	s.mean += meanGain * (v - s.mean)
+}
+
+// rate returns completions a second while items wait; false when too little
+// has been seen.
+func (s *station) rate() (float64, bool) {
+	if s.done < enough && s.busy < enoughBusy*s.window.Seconds() {
+		return 0, false
+	}
+	if s.busy <= 0 {
+		return 0, false
+	}
+	return s.done / s.busy, true
+}
+
+// wait predicts how long a request waits that has n others before it.
+func (s *station) wait(n int) time.Duration {
+	rate, known := s.rate()
+	if n == 0 || !known {
+		return 0
+	}
+	if rate < leastRate {
+		return endless
+	}
+	return min(endless, seconds(float64(n)/rate))
+}
+
+// usual returns how long a request takes once started, with room for spread.
+func (s *station) usual() time.Duration {
+	return seconds(s.mean + spreads*s.spread)
+}
+
+func seconds(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
--- a/pkg/settings/blocks.go
+++ b/pkg/settings/blocks.go
@@ -3,39 +3,84 @@
 import (
 	"fmt"
 	"slices"
+	"unique"
 )
 
 // linkBlocks leaves out blocks of unknown places, and of two blocks with the
 // same prefix the one whose document comes later: each instance must leave out
 // the same one, whatever came to it first.
 func (b *builder) linkBlocks(docs []*Parsed) {
-	if b.sameBlocks(docs) {
-		b.s.blocks = b.prev.blocks
+	if b.linkChanged(docs) {
 		return
 	}
 	seen := make(map[string]struct{})
 	for _, p := range docs {
 		blocks := b.keepBlocks(p, seen)
-		b.s.blocks = append(b.s.blocks, BlockDocument{Path: p.document.Path, Version: p.Version(), Blocks: blocks})
+		b.s.blocks = append(b.s.blocks, blockDocument(p, blocks))
 	}
 }
 
-// sameBlocks says that neither the documents nor the places have changed, and
-// that nothing was left out before.
-func (b *builder) sameBlocks(docs []*Parsed) bool {
-	if len(docs) != len(b.prev.blocks) || !slices.Equal(b.s.names, b.prev.names) {
+func blockDocument(p *Parsed, blocks []Block) BlockDocument {
+	return BlockDocument{Path: p.document.Path, Version: p.Version(), Blocks: blocks}
+}
+
+// linkChanged is the short way: it looks at changed documents alone, and
+// passes once over the prefixes of the others. It says no when the places
+// changed or a block would be left out; a document that lost a block before
+// counts as changed.
+func (b *builder) linkChanged(docs []*Parsed) bool {
+	if !slices.Equal(b.s.names, b.prev.names) {
 		return false
 	}
-	for i, p := range docs {
-		old := b.prev.blocks[i]
-		whole := BlockDocument{Path: p.document.Path, Version: p.Version(), Blocks: p.blocks.Blocks}
-		if !whole.Same(old) {
+	old := make(map[string]BlockDocument, len(b.prev.blocks))
+	for _, d := range b.prev.blocks {
+		old[d.Path] = d
+	}
+	var all, same []BlockDocument
+	changed := make(map[string]struct{})
+	for _, p := range docs {
+		d := blockDocument(p, p.blocks.Blocks)
+		all = append(all, d)
+		if d.Same(old[d.Path]) {
+			same = append(same, d)
+		} else if !b.addNew(changed, d.Blocks) {
 			return false
 		}
 	}
+	if anyIn(changed, same) {
+		return false
+	}
+	b.s.blocks = all
 	return true
 }
 
+// addNew adds the prefixes to seen, unless one is there or its place is unknown.
+func (b *builder) addNew(seen map[string]struct{}, blocks []Block) bool {
+	for _, block := range blocks {
+		_, twice := seen[block.Prefix]
+		_, known := b.s.places[block.Place]
+		if twice || !known {
+			return false
+		}
+		seen[block.Prefix] = struct{}{}
+	}
+	return true
+}
+
+func anyIn(seen map[string]struct{}, docs []BlockDocument) bool {
+	if len(seen) == 0 {
+		return false
+	}
+	for _, d := range docs {
+		for _, block := range d.Blocks {
+			if _, ok := seen[block.Prefix]; ok {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // keepBlocks gives the document's own slice when nothing is left out.
 func (b *builder) keepBlocks(p *Parsed, seen map[string]struct{}) []Block {
 	all := p.blocks.Blocks
@@ -43,12 +88,11 @@
 	for i, block := range all {
 		_, twice := seen[block.Prefix]
 		_, known := b.s.places[block.Place]
-		field := fmt.Sprintf("blocks[%d]", i)
 		switch {
 		case twice:
-			b.add(p, field+".prefix", duplicateFault, block.Prefix)
+			b.add(p, fmt.Sprintf("blocks[%d].prefix", i), duplicateFault, block.Prefix)
 		case !known:
-			b.add(p, field+".place", unknownPlace, block.Place)
+			b.add(p, fmt.Sprintf("blocks[%d].place", i), unknownPlace, block.Place)
 		default:
 			seen[block.Prefix] = struct{}{}
 			continue
@@ -66,3 +110,10 @@
 	}
 	return kept
 }
+
+// intern keeps one copy of each place's name: there are far fewer than blocks.
+func (b *Blocks) intern() {
+	for i, block := range b.Blocks {
+		b.Blocks[i].Place = unique.Make(block.Place).Value()
+	}
+}
--- a/pkg/settings/document.go
+++ b/pkg/settings/document.go
@@ -1,6 +1,9 @@
 // Package settings holds the documents that operators keep under paths: their
 // types, strict parsing, validation, and the compiled snapshot that an
 // instance steers by. It does no input or output.
+//
+// The documents are plain structs with exported fields, because the yaml
+// library fills them; what is compiled from them has accessors alone.
 package settings
 
 // Document is one operator's document as kept under its path.
--- a/pkg/settings/parse.go
+++ b/pkg/settings/parse.go
@@ -84,6 +84,7 @@
 		})
 	case KindBlocks:
 		p.blocks = &Blocks{}
+		defer p.blocks.intern()
 		return decode(body, p.blocks, p.blocks.faults)
 	case KindTeam:
 		p.team = &Team{}
--- a/pkg/settings/snapshot.go
+++ b/pkg/settings/snapshot.go
@@ -9,8 +9,8 @@
 	teams    map[string]Team
 	teamList []string // sorted keys of teams
 	services map[ServiceID]*CompiledService
-	ids      []ServiceID // sorted keys of services
-	blocks   []BlockDocument
+	ids      []ServiceID     // sorted keys of services
+	blocks   []BlockDocument // sorted by path
 	drains   drainSet
 }
 
@@ -24,7 +24,7 @@
 // Same says that b and other hold the same blocks for certain: a table that
 // took in one need not look at the other.
 func (b BlockDocument) Same(other BlockDocument) bool {
-	if b.Path != other.Path || b.Version != other.Version || len(b.Blocks) != len(other.Blocks) {
+	if b.Path != other.Path || len(b.Blocks) != len(other.Blocks) {
 		return false
 	}
 	return len(b.Blocks) == 0 || &b.Blocks[0] == &other.Blocks[0]
--- a/pkg/settings/snapshot_test.go
+++ b/pkg/settings/snapshot_test.go
@@ -128,7 +128,7 @@
 }
 
 func TestCheckLetsRepairsThrough(t *testing.T) {
-	have := append(world(), doc("/teams/b/services/s", 1, "class: x\n"))
+	have := append(world(), doc("/drains/lost", 1, "place: gone\n"), doc("/teams/b/services/s", 1, "class: x\n"))
 	if err := Check(have, doc("/places/new", 0, validPlace)); err != nil {
 		t.Errorf("got %v, want no fault of another document", err)
 	}
--- a/pkg/settings/token.go
+++ b/pkg/settings/token.go
@@ -34,7 +34,8 @@
 
 // Authorize says whether bearer is a token of the team with the role; write
 // implies read. The error is *UnknownTokenError or *RoleError. It compares
-// hashes with all tokens of the team, in constant time.
+// hashes with all tokens of the team, in constant time. An empty bearer opens
+// nothing: a team's document can't hold its hash.
 func (s *Snapshot) Authorize(team, bearer, role string) error {
 	hash := []byte(HashToken(bearer))
 	var found Token
@@ -44,7 +45,7 @@
 		}
 	}
 	switch {
-	case found.Hash == "" || bearer == "":
+	case found.Hash == "":
 		return &UnknownTokenError{Team: team}
 	case found.Role == RoleWrite && (role == RoleWrite || role == RoleRead):
 		return nil
