--- a/internal/core/node_test.go
+++ b/internal/core/node_test.go
@@ -80,8 +80,8 @@
 	}}
 }
 
-// name tells a decision in one word, with the reason of a refusal.
-func name(decisions []Decision) string {
+// word tells a decision in one word, with the reason of a refusal.
+func word(decisions []Decision) string {
 	for _, d := range decisions {
 		switch d := d.(type) {
 		case Serve:
@@ -114,8 +114,8 @@
 		"drained here, nobody beyond": {drain: "place: east\n", caller: "10.1.0.1", want: "refuse no-targets"},
 		"no block: home is here":      {caller: "192.0.2.1", want: "serve"},
 	}
-	for name_, tt := range tests {
-		t.Run(name_, func(t *testing.T) {
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
 			n := testNode(t, nil)
 			n.Step(begin, Applied{Snapshot: testSnapshot(t, tt.drain)})
 			n.Step(begin, PeersChanged{Peers: tt.peers})
@@ -123,7 +123,7 @@
 			for i := range tt.before {
 				n.Step(at, request(ID(i+1), "10.1.0.1"))
 			}
-			if got := name(n.Step(at, request(99, tt.caller))); got != tt.want {
+			if got := word(n.Step(at, request(99, tt.caller))); got != tt.want {
 				t.Errorf("got %q, want %q", got, tt.want)
 			}
 		})
@@ -133,13 +133,13 @@
 func TestShiftCapHoldsBack(t *testing.T) {
 	n := testNode(t, nil)
 	at := begin.Add(2 * time.Second)
-	if got := name(n.Step(at, request(1, "10.2.0.1"))); got != "serve" {
+	if got := word(n.Step(at, request(1, "10.2.0.1"))); got != "serve" {
 		t.Fatalf("got %q, want the cap's first request served", got)
 	}
-	if got := name(n.Step(at, request(2, "10.2.0.1"))); got != "hold" {
+	if got := word(n.Step(at, request(2, "10.2.0.1"))); got != "hold" {
 		t.Errorf("got %q, want the second to wait for the cap", got)
 	}
-	if got := name(n.Step(at, request(3, "10.1.0.1"))); got != "serve" {
+	if got := word(n.Step(at, request(3, "10.1.0.1"))); got != "serve" {
 		t.Errorf("got %q, want a request from home served meanwhile", got)
 	}
 }
@@ -155,14 +155,14 @@
 		"broken, before": {Failed, 99 * time.Millisecond, "hold"},
 		"broken, after":  {Failed, 100 * time.Millisecond, "serve"},
 	}
-	for name_, tt := range tests {
-		t.Run(name_, func(t *testing.T) {
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
 			n := testNode(t, nil)
 			n.Step(begin, request(1, "10.1.0.1"))
 			n.Step(begin, request(2, "10.1.0.1"))
 			n.Step(begin, Finished{ID: 1, Result: tt.result, Final: true})
 			n.Step(begin.Add(tt.after), Tick{})
-			if got := name(n.Step(begin.Add(tt.after), request(3, "10.1.0.1"))); got != tt.want {
+			if got := word(n.Step(begin.Add(tt.after), request(3, "10.1.0.1"))); got != tt.want {
 				t.Errorf("got %q, want %q", got, tt.want)
 			}
 		})
@@ -177,12 +177,12 @@
 		"refused, nothing ran": {NotRun, false},
 		"failed, may have run": {Failed, true},
 	}
-	for name_, tt := range tests {
-		t.Run(name_, func(t *testing.T) {
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
 			n := testNode(t, nil)
 			n.Step(begin, request(1, "10.1.0.1"))
 			decisions := n.Step(begin, Finished{ID: 1, Result: tt.first})
-			if name(decisions) == "hold" {
+			if word(decisions) == "hold" {
 				decisions = n.Step(begin.Add(3*time.Second), Tick{})
 			}
 			r, ok := decisions[0].(Refuse)
