Count decisions and serve metrics; log the ways not taken

Change: internal/metrics keeps tally metrics in the Prometheus format: decisions by kind, service and reason, latency, limits and use, invariants' checks and violations, failures of the platform. Each routing decision's line names the places that were weighed and why they were passed. Cause: operators had no way to see what an instance decides.

--- a/internal/callers/exchange.go
+++ b/internal/callers/exchange.go
@@ -28,8 +28,9 @@
 	id   core.ID
 	req  core.Request
 	body *body
-	rest string // path and query below the prefix, as it came
-	gone bool   // the caller has gone, but a keyed request runs on
+	rest string    // path and query below the prefix, as it came
+	came time.Time // when it arrived
+	gone bool      // the caller has gone, but a keyed request runs on
 }
 
 // run acts on decisions until the request has had its final answer.
@@ -50,7 +51,7 @@
 
 // act carries one decision out. It returns true when the request is over.
 func (x *exchange) act(ctx context.Context, d core.Decision) bool {
-	x.s.logDecision(x.req, d)
+	x.s.note(x.req, d)
 	switch d := d.(type) {
 	case core.Serve:
 		return x.attempt(ctx, d.Deadline, x.toTarget(d), x.fromTarget)
--- a/internal/callers/log.go
+++ b/internal/callers/log.go
@@ -1,27 +1,69 @@
 package callers
 
-import "github.com/firlever/firlever/internal/core"
+import (
+	"github.com/firlever/firlever/internal/core"
+	"github.com/firlever/firlever/internal/metrics"
+)
 
-// logDecision writes one line for a routing decision.
-func (s *Server) logDecision(req core.Request, d core.Decision) {
+// Kinds of decision, in logs and metrics.
+const (
+	kindServe   = "serve"
+	kindHand    = "hand"
+	kindForward = "forward"
+	kindHold    = "hold"
+	kindRepeat  = "repeat"
+	kindRefuse  = "refuse"
+	kindUnknown = "unknown"
+)
+
+// note counts a decision and writes its line.
+func (s *Server) note(req core.Request, d core.Decision) {
+	kind, reason := describe(d)
+	s.cfg.Metrics.Decided(metrics.Decision{Kind: kind, Service: req.Service.String(), Reason: string(reason)})
 	if s.cfg.Log == nil {
 		return
 	}
-	l := s.cfg.Log.With("request", req.Name, "service", req.Service)
+	fields := []any{"request", req.Name, "service", req.Service, "reason", reason}
+	s.cfg.Log.Info(kind, append(fields, details(d)...)...)
+}
+
+// describe gives a decision's kind and reason.
+func describe(d core.Decision) (string, core.Reason) {
+	switch d := d.(type) {
+	case core.Serve:
+		return kindServe, d.Reason
+	case core.Hand:
+		return kindHand, d.Reason
+	case core.Forward:
+		return kindForward, d.Reason
+	case core.Hold:
+		return kindHold, core.ReasonFull
+	case core.Repeat:
+		return kindRepeat, core.ReasonRepeat
+	case core.Refuse:
+		if d.Unknown {
+			return kindUnknown, d.Reason
+		}
+		return kindRefuse, d.Reason
+	}
+	return "", ""
+}
+
+// details gives the fields that only one kind has, with the ways not taken.
+func details(d core.Decision) []any {
 	switch d := d.(type) {
 	case core.Serve:
-		l.Info("serve", "target", d.Target.Name, "attempt", d.Attempt, "reason", d.Reason,
-			"home", d.Home, "shifted", d.Shifted, "passed", d.Passed)
+		return []any{"target", d.Target.Name, "attempt", d.Attempt, "home", d.Home, "shifted", d.Shifted, "passed", d.Passed}
 	case core.Hand:
-		l.Info("hand", "instance", d.Peer.ID, "place", d.Peer.Place, "attempt", d.Attempt,
-			"reason", d.Reason, "passed", d.Passed)
+		return []any{"instance", d.Peer.ID, "place", d.Peer.Place, "attempt", d.Attempt, "home", d.Home, "passed", d.Passed}
 	case core.Forward:
-		l.Info("forward", "instance", d.Peer.ID, "reason", d.Reason)
+		return []any{"instance", d.Peer.ID}
 	case core.Hold:
-		l.Info("hold", "until", d.Until, "passed", d.Passed)
+		return []any{"until", d.Until, "passed", d.Passed}
 	case core.Repeat:
-		l.Info("repeat", "status", d.Answer.Status)
+		return []any{"status", d.Answer.Status}
 	case core.Refuse:
-		l.Info("refuse", "reason", d.Reason, "unknown", d.Unknown, "retry", d.RetryAt, "passed", d.Passed)
+		return []any{"retry", d.RetryAt, "passed", d.Passed}
 	}
+	return nil
 }
--- a/internal/callers/relay.go
+++ b/internal/callers/relay.go
@@ -32,6 +32,7 @@
 		return x.stream(resp, start, began)
 	}
 	x.finish(began, x.answered(resp, start))
+	x.s.cfg.Metrics.Answered(x.req.Service.String(), x.s.desk.Now().Sub(x.came))
 	x.checkWhole(resp, int64(len(start)))
 	x.head(resp)
 	x.w.Header().Set("Content-Length", itoa(int64(len(start))))
@@ -77,6 +78,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	x.finish(began, core.Finished{Result: core.Answered, Status: resp.StatusCode, Dropped: true})
+	x.s.cfg.Metrics.Answered(x.req.Service.String(), x.s.desk.Now().Sub(x.came))
 	x.checkWhole(resp, n)
 	return true
 }
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -16,6 +16,7 @@
 	"github.com/firlever/firlever/internal/core"
 	"github.com/firlever/firlever/internal/dispatch"
 	"github.com/firlever/firlever/internal/invariant"
+	"github.com/firlever/firlever/internal/metrics"
 	"github.com/firlever/firlever/internal/targets"
 	"github.com/firlever/firlever/pkg/settings"
 )
@@ -25,7 +26,8 @@
 	Instance string
 	Callers  string // this instance's own address for callers
 	Checks   *invariant.Counter
-	Log      *log.Logger
+	Log      *log.Logger  // nil logs nothing
+	Metrics  *metrics.Set // nil counts nothing
 }
 
 // Server serves callers and peers. It is safe for concurrent use.
@@ -77,7 +79,7 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, origin core.Origin, req core.Request, b *body) {
 	id, decisions := s.desk.Open()
 	defer s.desk.Close(id)
-	x := &exchange{s: s, w: w, r: r, id: id, req: req, body: b}
+	x := &exchange{s: s, w: w, r: r, id: id, req: req, body: b, came: s.desk.Now()}
 	ctx := r.Context()
 	if req.Key != "" {
 		ctx = context.WithoutCancel(ctx)
--- a/internal/core/arrival.go
+++ b/internal/core/arrival.go
@@ -13,12 +13,12 @@
 	f := &flight{id: ev.ID, req: ev.Request, origin: ev.Origin}
 	n.flights[f.id] = f
 	if n.snapshot == nil {
-		n.refuse(now, f, ReasonNoSettings, nil)
+		n.refuse(now, f, ReasonNoSettings)
 		return
 	}
 	service, ok := n.snapshot.Service(f.req.Service)
 	if !ok {
-		n.refuse(now, f, ReasonNoService, nil)
+		n.refuse(now, f, ReasonNoService)
 		return
 	}
 	f.service = service
@@ -57,12 +57,12 @@
 // request has had its decision: it is forwarded, repeated or refused.
 func (n *Node) claim(now time.Time, f *flight) bool {
 	if f.req.Key == "" {
-		n.refuse(now, f, ReasonNoKey, nil)
+		n.refuse(now, f, ReasonNoKey)
 		return false
 	}
 	key, err := once.ParseKey(f.req.Key)
 	if err != nil {
-		n.refuse(now, f, ReasonBadKey, nil)
+		n.refuse(now, f, ReasonBadKey)
 		return false
 	}
 	verdict := n.once.Begin(now, key, f.req.Print, f.req.Name)
@@ -86,21 +86,21 @@
 		n.decide(Repeat{ID: f.id, Answer: v.Outcome})
 	case once.VerdictRunning:
 		f.sooner(now.Add(retryRunning))
-		n.unknown(f, ReasonKeyRunning, nil)
+		n.unknown(f, ReasonKeyRunning)
 	case once.VerdictUnknown:
-		n.unknown(f, ReasonKeyUnknown, nil)
+		n.unknown(f, ReasonKeyUnknown)
 	case once.VerdictExpired:
 		// The record may be gone with the key's deadline, so nothing is known of an earlier run.
-		n.unknown(f, ReasonKeyExpired, nil)
+		n.unknown(f, ReasonKeyExpired)
 	case once.VerdictClosed:
-		n.refuse(now, f, ReasonStopping, nil)
+		n.refuse(now, f, ReasonStopping)
 	case once.VerdictFull:
 		f.sooner(now.Add(retryFull))
-		n.refuse(now, f, ReasonKeysFull, nil)
+		n.refuse(now, f, ReasonKeysFull)
 	case once.VerdictGone:
-		n.unknown(f, ReasonHomeGone, nil)
+		n.unknown(f, ReasonHomeGone)
 	default:
-		n.refuse(now, f, ReasonBadKey, nil)
+		n.refuse(now, f, ReasonBadKey)
 	}
 }
 
@@ -109,10 +109,10 @@
 	peer, ok := n.peer(key.Instance())
 	switch {
 	case f.origin == FromForward, ok && peer.Incarnation != key.Incarnation():
-		n.unknown(f, ReasonHomeGone, nil)
+		n.unknown(f, ReasonHomeGone)
 	case !ok:
 		f.sooner(now.Add(retryFull))
-		n.unknown(f, ReasonHomeCut, nil)
+		n.unknown(f, ReasonHomeCut)
 	default:
 		f.stage, f.peer = stageForward, peer.ID
 		n.decide(Forward{ID: f.id, Peer: peer, Deadline: f.req.Deadline, Reason: ReasonKeyHome})
@@ -121,9 +121,9 @@
 
 // hold puts a request in the queue, or refuses it at once when its deadline
 // can't be met there.
-func (n *Node) hold(now time.Time, f *flight, passed []Passed) {
+func (n *Node) hold(now time.Time, f *flight) {
 	if n.requeue(now, f) {
-		n.decide(Hold{ID: f.id, Until: f.req.Deadline, Passed: passed})
+		n.decide(Hold{ID: f.id, Until: f.req.Deadline, Passed: f.passed})
 	}
 }
 
@@ -138,7 +138,7 @@
 	})
 	if verdict.Kind != queue.VerdictQueued {
 		f.sooner(verdict.RetryAt)
-		n.refuse(now, f, f.reason(), nil)
+		n.refuse(now, f, f.reason())
 		return false
 	}
 	f.stage = stageQueued
--- a/internal/core/flight.go
+++ b/internal/core/flight.go
@@ -39,6 +39,7 @@
 	exposed  bool            // an attempt may have run: "not run" would no longer be true
 	attempts int
 	tried    []string  // targets and instances that have refused it; never tried again
+	passed   []Passed  // ways weighed and not taken in the latest try
 	held     Reason    // why it was last held back
 	retryAt  time.Time // soonest time at which a refusing peer would take it
 }
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -107,7 +107,7 @@
 // tick does what time alone brings about.
 func (n *Node) tick(now time.Time) {
 	for _, item := range n.queue.Expire(now) {
-		n.refuse(now, n.flights[ID(item.ID)], ReasonDeadline, nil)
+		n.refuse(now, n.flights[ID(item.ID)], ReasonDeadline)
 	}
 	n.settleDue(now)
 	n.once.Sweep(now)
--- a/internal/core/outcome.go
+++ b/internal/core/outcome.go
@@ -90,7 +90,7 @@
 		n.once.Finish(now, f.key, f.turn, once.Outcome{Kind: once.OutcomeUnknown})
 	}
 	if !n.mayRetry(now, f, proof) {
-		n.refuse(now, f, reason, nil)
+		n.refuse(now, f, reason)
 		return
 	}
 	n.place(now, f, ReasonRetry)
@@ -121,22 +121,22 @@
 
 // refuse gives the final answer "not run", or "unknown" after an attempt that
 // may have run. The request is not on any target, and is forgotten here.
-func (n *Node) refuse(now time.Time, f *flight, reason Reason, passed []Passed) {
+func (n *Node) refuse(now time.Time, f *flight, reason Reason) {
 	if f.exposed {
-		n.unknown(f, reason, passed)
+		n.unknown(f, reason)
 		return
 	}
 	if f.keyed {
 		n.once.Finish(now, f.key, f.turn, once.Outcome{Kind: once.OutcomeNotRun})
 	}
 	delete(n.flights, f.id)
-	n.decide(Refuse{ID: f.id, Reason: reason, RetryAt: f.retryAt, Passed: passed})
+	n.decide(Refuse{ID: f.id, Reason: reason, RetryAt: f.retryAt, Passed: f.passed})
 }
 
 // unknown gives the final answer "may have run".
-func (n *Node) unknown(f *flight, reason Reason, passed []Passed) {
+func (n *Node) unknown(f *flight, reason Reason) {
 	delete(n.flights, f.id)
-	n.decide(Refuse{ID: f.id, Unknown: true, Reason: reason, RetryAt: f.retryAt, Passed: passed})
+	n.decide(Refuse{ID: f.id, Unknown: true, Reason: reason, RetryAt: f.retryAt, Passed: f.passed})
 }
 
 // cancelled drops a request that waits. One that is on its way ends by the
@@ -147,5 +147,5 @@
 		return
 	}
 	n.queue.Cancel(now, uint64(f.id))
-	n.refuse(now, f, ReasonDeadline, nil)
+	n.refuse(now, f, ReasonDeadline)
 }
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -12,35 +12,34 @@
 // request comes back from the queue or from an attempt that ran nothing.
 func (n *Node) place(now time.Time, f *flight, reason Reason) {
 	if !now.Before(f.req.Deadline) {
-		n.refuse(now, f, ReasonDeadline, nil)
+		n.refuse(now, f, ReasonDeadline)
 		return
 	}
-	passed, done := n.tryPlaces(now, f, reason)
-	if done {
+	if n.tryPlaces(now, f, reason) {
 		return
 	}
 	if f.origin != FromPeer && !n.servesHere(f) {
-		n.refuse(now, f, f.reason(), passed)
+		n.refuse(now, f, f.reason())
 		return
 	}
-	n.hold(now, f, passed)
+	n.hold(now, f)
 }
 
 // tryPlaces sends the request off if any way has room now.
-func (n *Node) tryPlaces(now time.Time, f *flight, reason Reason) ([]Passed, bool) {
-	var passed []Passed
+func (n *Node) tryPlaces(now time.Time, f *flight, reason Reason) bool {
+	f.passed = nil
 	for _, p := range n.placesFor(f) {
 		if n.rank(f, p) >= rankRegion && n.worthWaiting(now, f) {
 			break
 		}
 		why, done := n.tryPlace(now, f, p, reason)
 		if done {
-			return nil, true
+			return true
 		}
-		passed = append(passed, Passed{Way: p, Reason: why})
+		f.passed = append(f.passed, Passed{Way: p, Reason: why})
 		f.held = why
 	}
-	return passed, false
+	return false
 }
 
 // worthWaiting says that a slot here is expected so soon that the request is
@@ -112,7 +111,7 @@
 func (n *Node) serve(now time.Time, f *flight, key owner.TargetKey, reason Reason) {
 	if f.keyed && !n.once.Dispatch(now, f.key, f.turn) {
 		n.book.Done(key)
-		n.refuse(now, f, ReasonKeyExpired, nil)
+		n.refuse(now, f, ReasonKeyExpired)
 		return
 	}
 	shifted := f.shifted(n.cfg.Place)
@@ -128,7 +127,7 @@
 	f.attempts++
 	n.decide(Serve{
 		ID: f.id, Target: key, Address: n.address[key], Deadline: f.req.Deadline,
-		Attempt: f.attempts, Shifted: shifted, Home: f.home, Reason: reason,
+		Attempt: f.attempts, Shifted: shifted, Home: f.home, Reason: reason, Passed: f.passed,
 	})
 }
 
@@ -159,7 +158,7 @@
 // hand commits the request to a peer.
 func (n *Node) hand(now time.Time, f *flight, peer Peer, reason Reason) {
 	if f.keyed && !n.once.Dispatch(now, f.key, f.turn) {
-		n.refuse(now, f, ReasonKeyExpired, nil)
+		n.refuse(now, f, ReasonKeyExpired)
 		return
 	}
 	n.roomTaken(peer.ID, f.req.Service)
@@ -167,6 +166,7 @@
 	f.attempts++
 	n.decide(Hand{
 		ID: f.id, Peer: peer, Deadline: f.req.Deadline, Attempt: f.attempts, Home: f.home, Reason: reason,
+		Passed: f.passed,
 	})
 }
 
@@ -228,7 +228,7 @@
 		}
 		f := n.flights[ID(item.ID)]
 		f.stage = stageNew
-		if _, done := n.tryPlaces(now, f, ReasonQueue); !done {
+		if !n.tryPlaces(now, f, ReasonQueue) {
 			n.requeue(now, f)
 			return
 		}
--- /dev/null
+++ b/internal/core/status.go
@@ -0,0 +1,83 @@
+package core
+
+import (
+	"time"
+
+	"github.com/firlever/firlever/internal/owner"
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+// TargetStatus is one target as its owner sees it.
+type TargetStatus struct {
+	Key      owner.TargetKey
+	Address  string
+	Owner    string
+	Limit    int // its part of the service's limit
+	Usable   int // slots that this instance may use of it now; 0 unless it is the owner
+	InFlight int // requests of this instance
+	Health   string
+	Drained  bool
+}
+
+// ServiceStatus is one service at this instance.
+type ServiceStatus struct {
+	Service  settings.ServiceID
+	Limit    int // of the service in this place
+	Usable   int // slots that this instance may use now
+	InFlight int // requests of this instance at its targets
+	Shifted  int // shifted requests admitted in this second
+	Cap      int // by how much shifted requests may grow each second, over all owners
+}
+
+// Status is what a node tells operators and metrics.
+type Status struct {
+	Services  []ServiceStatus
+	Targets   []TargetStatus
+	Queued    int
+	Open      int
+	Peers     int
+	Confirmed bool
+	Stopping  bool
+}
+
+// Status describes the node as it is now.
+func (n *Node) Status(now time.Time) Status {
+	st := Status{
+		Queued: n.queue.Len(), Open: len(n.flights), Peers: len(n.peers),
+		Confirmed: n.Confirmed(now), Stopping: n.stopping,
+	}
+	if n.snapshot == nil {
+		return st
+	}
+	for _, id := range n.snapshot.Services() {
+		compiled, _ := n.snapshot.Service(id)
+		site, ok := compiled.Site(n.cfg.Place)
+		if !ok {
+			continue
+		}
+		targets := n.targetStatus(now, id)
+		st.Targets = append(st.Targets, targets...)
+		s := ServiceStatus{Service: id, Limit: site.Limit, Cap: compiled.Shift()}
+		s.Shifted = n.service(now, id).ramp.Counts(now).Admitted
+		for _, t := range targets {
+			s.Usable += t.Usable
+			s.InFlight += t.InFlight
+		}
+		st.Services = append(st.Services, s)
+	}
+	return st
+}
+
+func (n *Node) targetStatus(now time.Time, id settings.ServiceID) []TargetStatus {
+	s := n.service(now, id)
+	list := make([]TargetStatus, 0, len(s.keys))
+	for _, key := range s.keys {
+		list = append(list, TargetStatus{
+			Key: key, Address: n.address[key], Owner: n.book.Owner(key),
+			Limit: s.limits[key], Usable: n.book.Usable(now, key), InFlight: n.book.InFlight(key),
+			Health:  string(s.health.State(now, key)),
+			Drained: n.snapshot.TargetDrained(id, key.Name) || n.snapshot.PlaceDrained(id, n.cfg.Place),
+		})
+	}
+	return list
+}
--- a/internal/instance/config.go
+++ b/internal/instance/config.go
@@ -12,6 +12,7 @@
 
 	"github.com/firlever/firlever/internal/core"
 	"github.com/firlever/firlever/internal/invariant"
+	"github.com/firlever/firlever/internal/metrics"
 	"github.com/firlever/firlever/internal/platform"
 	"github.com/firlever/firlever/internal/targets"
 	"github.com/firlever/firlever/pkg/settings"
@@ -33,11 +34,12 @@
 	Policy core.Policy
 	Seed   uint64 // of random choices; 0 takes one from the clock
 
-	Store  platform.Store                               // required
-	Dial   targets.Dial                                 // to targets and peers; nil takes the standard dialer
-	Packet func(address string) (net.PacketConn, error) // opens the peers' UDP socket; nil takes the standard one
-	Checks *invariant.Counter                           // nil makes one
-	Log    *log.Logger                                  // nil logs nothing
+	Store   platform.Store                               // required
+	Dial    targets.Dial                                 // to targets and peers; nil takes the standard dialer
+	Packet  func(address string) (net.PacketConn, error) // opens the peers' UDP socket; nil takes the standard one
+	Checks  *invariant.Counter                           // nil makes one
+	Metrics *metrics.Set                                 // nil counts nothing
+	Log     *log.Logger                                  // nil logs nothing
 }
 
 // Defaults fills in what is zero.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -118,6 +118,7 @@
 	in.docs = newDocuments(in.cfg.Checks, in.cfg.Log, in.force)
 	in.server = callers.New(callers.Config{
 		Instance: in.cfg.ID, Callers: in.cfg.Callers, Checks: in.cfg.Checks, Log: in.cfg.Log,
+		Metrics: in.cfg.Metrics,
 	}, in.desk, in.client)
 	in.members, err = newGossip(in)
 	return err
@@ -184,7 +185,7 @@
 		in.servers = append(in.servers, srv)
 		go srv.Serve(ln)
 	}
-	for _, loop := range []func(context.Context){in.tick, in.watch, in.register, in.tendRoster, in.probe, in.sync} {
+	for _, loop := range []func(context.Context){in.tick, in.watch, in.register, in.tendRoster, in.probe, in.sync, in.show} {
 		in.loops.Go(func() { loop(ctx) })
 	}
 	in.members.start()
--- a/internal/instance/log.go
+++ b/internal/instance/log.go
@@ -3,6 +3,7 @@
 import "github.com/firlever/firlever/internal/core"
 
 func (in *Instance) platformFailed(call string, err error) {
+	in.cfg.Metrics.PlatformFailed(call)
 	if in.cfg.Log != nil {
 		in.cfg.Log.Warn("platform failed", "call", call, "err", err)
 	}
--- /dev/null
+++ b/internal/instance/status.go
@@ -0,0 +1,40 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"github.com/firlever/firlever/internal/core"
+	"github.com/firlever/firlever/internal/metrics"
+)
+
+// showEvery is how often the gauges are set.
+const showEvery = time.Second
+
+// show keeps the gauges up to date.
+func (in *Instance) show(ctx context.Context) {
+	for ctx.Err() == nil {
+		in.cfg.Metrics.Show(in.gauges())
+		sleep(ctx, showEvery)
+	}
+}
+
+func (in *Instance) gauges() metrics.State {
+	st := in.Status()
+	state := metrics.State{
+		Queued: st.Queued, Peers: st.Peers, Confirmed: st.Confirmed, Counts: in.cfg.Checks.Counts(),
+	}
+	for _, s := range st.Services {
+		state.Services = append(state.Services, metrics.Service{
+			Name: s.Service.String(), Limit: s.Usable, InFlight: s.InFlight,
+		})
+	}
+	return state
+}
+
+// Status is what the node tells of itself now.
+func (in *Instance) Status() core.Status {
+	var st core.Status
+	in.desk.Read(func(now time.Time, n *core.Node) { st = n.Status(now) })
+	return st
+}
--- /dev/null
+++ b/internal/metrics/set.go
@@ -0,0 +1,175 @@
+// Package metrics keeps an instance's metrics and serves them for scraping.
+package metrics
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/uber-go/tally/v4"
+	reporter "github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/firlever/firlever/internal/invariant"
+)
+
+// Names of the metrics, below the prefix.
+const (
+	prefix         = "firlever"
+	nameDecisions  = "decisions"            // counter: kind, service, reason
+	nameLatency    = "latency_seconds"      // histogram: service; answered requests, from arrival to the last byte
+	nameChecks     = "invariant_checks"     // gauge: invariant
+	nameViolations = "invariant_violations" // gauge: invariant; anything but 0 is a fault of firlever
+	nameLimit      = "limit"                // gauge: service; slots that this instance may use now
+	nameInFlight   = "in_flight"            // gauge: service; slots in use
+	nameQueued     = "queued"               // gauge; requests that wait
+	namePeers      = "peers"                // gauge; instances known to be alive
+	nameConfirmed  = "confirmed"            // gauge; 1 while the rights to targets are confirmed
+	namePlatform   = "platform_failures"    // counter: call
+)
+
+const reportEvery = time.Second
+
+// latencyBuckets are the upper bounds of the latency histogram, in seconds.
+var latencyBuckets = tally.ValueBuckets{
+	0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30,
+}
+
+// sanitize keeps names as Prometheus takes them, and lets values hold what
+// services and instances are named with.
+var sanitize = tally.SanitizeOptions{
+	NameCharacters:       reporter.DefaultSanitizerOpts.NameCharacters,
+	KeyCharacters:        reporter.DefaultSanitizerOpts.KeyCharacters,
+	ValueCharacters:      tally.ValidCharacters{Ranges: tally.AlphanumericRange, Characters: []rune{'_', '-', '/', '.'}},
+	ReplacementCharacter: tally.DefaultReplacementCharacter,
+}
+
+// Decision names a counter of decisions.
+type Decision struct {
+	Kind    string
+	Service string
+	Reason  string
+}
+
+// Set holds an instance's metrics. It is safe for concurrent use, and a nil Set
+// takes everything and keeps nothing.
+type Set struct {
+	scope   tally.Scope
+	closer  io.Closer
+	handler http.Handler
+
+	mu        sync.Mutex
+	decisions map[Decision]tally.Counter // guarded by mu
+	latency   map[string]tally.Histogram // by service; guarded by mu
+}
+
+// New makes an empty set. Close ends it.
+func New() *Set {
+	registry := prometheus.NewRegistry()
+	rep := reporter.NewReporter(reporter.Options{Registerer: registry, Gatherer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 prefix,
+		CachedReporter:         rep,
+		Separator:              reporter.DefaultSeparator,
+		SanitizeOptions:        &sanitize,
+		OmitCardinalityMetrics: true,
+	}, reportEvery)
+	return &Set{
+		scope:     scope,
+		closer:    closer,
+		handler:   promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		decisions: make(map[Decision]tally.Counter),
+		latency:   make(map[string]tally.Histogram),
+	}
+}
+
+// Handler serves the metrics in the Prometheus text format.
+func (s *Set) Handler() http.Handler { return s.handler }
+
+// Close stops the reports.
+func (s *Set) Close() error { return s.closer.Close() }
+
+// Decided counts a decision.
+func (s *Set) Decided(d Decision) {
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	c, ok := s.decisions[d]
+	if !ok {
+		c = s.scope.Tagged(map[string]string{
+			"kind": d.Kind, "service": d.Service, "reason": d.Reason,
+		}).Counter(nameDecisions)
+		s.decisions[d] = c
+	}
+	s.mu.Unlock()
+	c.Inc(1)
+}
+
+// Answered notes how long an answered request took.
+func (s *Set) Answered(service string, took time.Duration) {
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	h, ok := s.latency[service]
+	if !ok {
+		h = s.scope.Tagged(map[string]string{"service": service}).Histogram(nameLatency, latencyBuckets)
+		s.latency[service] = h
+	}
+	s.mu.Unlock()
+	h.RecordValue(took.Seconds())
+}
+
+// PlatformFailed counts a call to the platform that failed.
+func (s *Set) PlatformFailed(call string) {
+	if s == nil {
+		return
+	}
+	s.scope.Tagged(map[string]string{"call": call}).Counter(namePlatform).Inc(1)
+}
+
+// Service is what an instance may use and uses of one service.
+type Service struct {
+	Name     string
+	Limit    int
+	InFlight int
+}
+
+// State is what the gauges show.
+type State struct {
+	Services  []Service
+	Queued    int
+	Peers     int
+	Confirmed bool
+	Counts    []invariant.Count
+}
+
+// Show sets the gauges.
+func (s *Set) Show(st State) {
+	if s == nil {
+		return
+	}
+	for _, v := range st.Services {
+		scope := s.scope.Tagged(map[string]string{"service": v.Name})
+		scope.Gauge(nameLimit).Update(float64(v.Limit))
+		scope.Gauge(nameInFlight).Update(float64(v.InFlight))
+	}
+	s.scope.Gauge(nameQueued).Update(float64(st.Queued))
+	s.scope.Gauge(namePeers).Update(float64(st.Peers))
+	s.scope.Gauge(nameConfirmed).Update(asFloat(st.Confirmed))
+	for _, c := range st.Counts {
+		scope := s.scope.Tagged(map[string]string{"invariant": string(c.Name)})
+		scope.Gauge(nameChecks).Update(float64(c.Checks))
+		scope.Gauge(nameViolations).Update(float64(c.Violations))
+	}
+}
+
+func asFloat(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/metrics/set_test.go
@@ -0,0 +1,49 @@
+package metrics
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/firlever/firlever/internal/invariant"
+)
+
+func TestScrape(t *testing.T) {
+	s := New()
+	s.Decided(Decision{Kind: "serve", Service: "shop/orders", Reason: "own-free"})
+	s.Decided(Decision{Kind: "serve", Service: "shop/orders", Reason: "own-free"})
+	s.Answered("shop/orders", 3*time.Millisecond)
+	s.PlatformFailed("watch")
+	s.Show(State{
+		Services:  []Service{{Name: "shop/orders", Limit: 4, InFlight: 1}},
+		Confirmed: true,
+		Counts:    []invariant.Count{{Name: invariant.AtMostOnce, Checks: 7}},
+	})
+	s.Close() // reports what is left
+	w := httptest.NewRecorder()
+	s.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	tests := map[string]string{
+		"decisions": `firlever_decisions{kind="serve",reason="own-free",service="shop/orders"} 2`,
+		"latency":   `firlever_latency_seconds_count{service="shop/orders"} 1`,
+		"limit":     `firlever_limit{service="shop/orders"} 4`,
+		"confirmed": `firlever_confirmed 1`,
+		"checks":    `firlever_invariant_checks{invariant="at-most-once"} 7`,
+		"platform":  `firlever_platform_failures{call="watch"} 1`,
+	}
+	for name, want := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := w.Body.String(); !strings.Contains(got, want) {
+				t.Errorf("got %s\nwant a line %q", got, want)
+			}
+		})
+	}
+}
+
+func TestNilSet(_ *testing.T) {
+	var s *Set
+	s.Decided(Decision{})
+	s.Answered("", 0)
+	s.PlatformFailed("")
+	s.Show(State{Queued: 1})
+}
