Add the command line of operators

Operators need settings, status and drains from a shell and from scripts.

One file for each subcommand, exit codes that tell invalid, conflict, not yet known and not reachable apart, and a variable for every flag. A change whose answer was lost is sent once more under its name, and never guessed.

--- /dev/null
+++ b/cmd/firlever/config_put.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"github.com/firlever/firlever/internal/operator"
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+const configPutHelp = `Write a document, from a file or from stdin ("-").
+
+--if-version names the version that you read; 0 creates. If the document has
+another one now, nothing is written, that one is printed, and the exit code is 3.
+
+When an answer is lost the program asks again. If it still can't tell whether
+the change landed, the exit code is 4: read the document, or ask for the write
+by the name that is printed, before you try again.`
+
+func newConfigPutCommand() *cobra.Command {
+	var conn connection
+	var version uint64
+	cmd := &cobra.Command{
+		Use:     "put PATH FILE|-",
+		Short:   "Write a document",
+		Long:    configPutHelp,
+		Example: "  firlever config put /places/hob-a place.yaml --if-version 7",
+		Args:    exactly(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			body, err := readDocument(args[1], cmd.InOrStdin())
+			if err != nil {
+				return err
+			}
+			doc := settings.Document{Path: args[0], Version: version, Body: body}
+			if _, err := settings.Parse(doc); err != nil {
+				return err
+			}
+			return change(cmd, &conn, doc)
+		},
+	}
+	conn.flags(cmd)
+	versionFlag(cmd, &version)
+	return cmd
+}
+
+const configDeleteHelp = `Delete a document that has still the version that you read. Its versions go on:
+to write it again, name the version of the deletion.`
+
+func newConfigDeleteCommand() *cobra.Command {
+	var conn connection
+	var version uint64
+	cmd := &cobra.Command{
+		Use:     "delete PATH",
+		Short:   "Delete a document",
+		Long:    configDeleteHelp,
+		Example: "  firlever config delete /teams/payments/services/old --if-version 3",
+		Args:    exactly(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if _, err := settings.ParsePath(args[0]); err != nil {
+				return err
+			}
+			return change(cmd, &conn, settings.Document{Path: args[0], Version: version, Deleted: true})
+		},
+	}
+	conn.flags(cmd)
+	versionFlag(cmd, &version)
+	return cmd
+}
+
+func versionFlag(cmd *cobra.Command, to *uint64) {
+	cmd.Flags().Uint64Var(to, "if-version", 0, "version that you read; 0 creates")
+}
+
+// change sends a change and prints what became of it.
+func change(cmd *cobra.Command, conn *connection, doc settings.Document) error {
+	return conn.with(cmd, func(ctx context.Context, client *operator.Client) error {
+		done, err := send(ctx, client, doc)
+		if err != nil {
+			printNewer(cmd, err)
+			return err
+		}
+		_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s is at version %d\n", done.Path, done.Version)
+		return err
+	})
+}
+
+// printNewer prints the document that a change lost to.
+func printNewer(cmd *cobra.Command, err error) {
+	var p *operator.Problem
+	if !errors.As(err, &p) || p.Code != operator.CodeConflict {
+		return
+	}
+	if p.Deleted {
+		fmt.Fprintf(cmd.OutOrStdout(), "# deleted at version %d\n", p.Version)
+		return
+	}
+	fmt.Fprintf(cmd.OutOrStdout(), "# version %d\n%s", p.Version, p.Body)
+}
--- /dev/null
+++ b/cmd/firlever/exit.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"strings"
+
+	"github.com/firlever/firlever/internal/files"
+	"github.com/firlever/firlever/internal/load"
+	"github.com/firlever/firlever/internal/operator"
+	"github.com/firlever/firlever/pkg/caller"
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+// Exit codes, as the help of the root command explains them.
+const (
+	exitDone = iota
+	exitFailed
+	exitInvalid
+	exitConflict
+	exitUnknown
+	exitUnreachable
+)
+
+// usageError says that a command can't be run as it was given.
+type usageError struct {
+	Command string
+	Reason  string
+}
+
+func (e *usageError) Error() string {
+	return fmt.Sprintf("%s: %s (see %s --help)", e.Command, e.Reason, e.Command)
+}
+
+// unknownError says that a change may have landed.
+type unknownError struct{ operator.Change }
+
+func (e *unknownError) Error() string {
+	return fmt.Sprintf("not yet known whether write %s to %s landed: %s", e.Write, e.Path, e.Reason)
+}
+
+// exitCode is the code for what a command returned.
+func exitCode(err error) int {
+	var (
+		problem     *operator.Problem
+		unknown     *unknownError
+		unreachable *operator.UnreachableError
+		lookup      *caller.LookupError
+	)
+	switch {
+	case err == nil:
+		return exitDone
+	case isInvalid(err):
+		return exitInvalid
+	case errors.As(err, &unknown):
+		return exitUnknown
+	case errors.As(err, &unreachable):
+		return exitUnreachable
+	case errors.As(err, &lookup) && !lookup.Refused:
+		return exitUnreachable
+	case errors.As(err, &problem):
+		return problemCode(problem.Code)
+	}
+	return exitFailed
+}
+
+func problemCode(code operator.Code) int {
+	switch code {
+	case operator.CodeConflict:
+		return exitConflict
+	case operator.CodeUnavailable, operator.CodeBusy:
+		return exitUnreachable
+	case operator.CodeNotFound, operator.CodeInternal, operator.CodeFormat:
+		return exitFailed
+	}
+	return exitInvalid
+}
+
+func isInvalid(err error) bool {
+	var (
+		usage  *usageError
+		faults *settings.FaultsError
+		path   *settings.PathError
+		config *caller.ConfigError
+		plan   *load.PlanError
+		name   *files.NameError
+		empty  *files.EmptyError
+		file   *fs.PathError
+	)
+	return errors.As(err, &usage) || errors.As(err, &faults) || errors.As(err, &path) ||
+		errors.As(err, &config) || errors.As(err, &plan) || errors.As(err, &name) || errors.As(err, &empty) || errors.As(err, &file)
+}
+
+// describe is an error as an operator reads it: each fault on its own line.
+func describe(err error) string {
+	var faults *settings.FaultsError
+	var problem *operator.Problem
+	switch {
+	case errors.As(err, &faults):
+		return describeFaults(faults.Faults)
+	case errors.As(err, &problem) && problem.Code == operator.CodeFaults:
+		list := make([]settings.Fault, 0, len(problem.Faults))
+		for _, f := range problem.Faults {
+			list = append(list, settings.Fault(f))
+		}
+		return describeFaults(list)
+	}
+	return err.Error()
+}
+
+func describeFaults(faults []settings.Fault) string {
+	lines := []string{fmt.Sprintf("%d faults", len(faults))}
+	for _, f := range faults {
+		lines = append(lines, "  "+f.String())
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/cmd/firlever/main_test.go
@@ -0,0 +1,297 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/spf13/cobra"
+
+	"github.com/firlever/firlever/internal/emulator/kv"
+	"github.com/firlever/firlever/internal/operator"
+	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+const (
+	place  = "region: hobart\nlimit: 10\n"
+	system = "tokens:\n  - {name: w, role: write, hash: HASH}\n"
+	team   = "tokens:\n  - {name: w, role: write, hash: HASH}\n"
+	view   = `class: interactive
+timeout: 2s
+shift: 5
+places:
+  hob-a:
+    limit: 2
+    targets:
+      - {name: t1, address: "10.1.0.1:9000", slots: 2, connections: 4}
+`
+)
+
+// run runs the program, and returns what it printed and its exit code.
+func run(args ...string) (stdout, stderr string, code int) {
+	root := newRoot()
+	var out, faults bytes.Buffer
+	root.SetOut(&out)
+	root.SetErr(&faults)
+	root.SetArgs(args)
+	err := root.ExecuteContext(context.Background())
+	if err != nil {
+		faults.WriteString(describe(err))
+	}
+	return out.String(), faults.String(), exitCode(err)
+}
+
+// instance serves operators over the stand-in of the platform, and sets the
+// variables that lead the program there.
+func instance(t *testing.T) *kv.Local {
+	t.Helper()
+	service, err := kv.New(kv.Defaults(), rand.New(rand.NewPCG(1, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	store := kv.NewLocal(service, time.Now)
+	var mu sync.Mutex
+	snapshot, _ := settings.CompileLenient(nil)
+	var docs []settings.Document
+	status := func() operator.Status {
+		mu.Lock()
+		defer mu.Unlock()
+		s := operator.Status{Instance: "i1", Place: "hob-a", Ready: true, Root: "abcd", Documents: operator.Versions(docs)}
+		s.Services = []operator.Service{{Service: "payments/ledger-view", Place: "hob-a", Load: operator.Load{Limit: 2, Headroom: 1}}}
+		s.Targets = []operator.Target{{Name: "t1", Owner: "i1", Service: "payments/ledger-view"}}
+		for _, d := range snapshot.Drains() {
+			s.Drains = append(s.Drains, operator.Drain{Path: d.Path, Place: d.Drain.Place, Left: 3, Reason: d.Drain.Reason})
+		}
+		return s
+	}
+	server, err := operator.New(operator.Config{
+		Store:     store,
+		Snapshot:  func() *settings.Snapshot { mu.Lock(); defer mu.Unlock(); return snapshot },
+		Documents: func() []settings.Document { mu.Lock(); defer mu.Unlock(); return docs },
+		Apply: func(more []settings.Document) {
+			mu.Lock()
+			defer mu.Unlock()
+			snapshot, _ = settings.Advance(snapshot, more)
+			docs = append(docs, more...)
+		},
+		Status: status,
+		Fleet: func(context.Context) []operator.Report {
+			s := status()
+			return []operator.Report{{Instance: "i1", Status: &s}, {Instance: "i2", Error: "no answer"}}
+		},
+		Metrics: http.NotFoundHandler(), Ready: func() error { return nil },
+		Log: log.New(io.Discard), Bootstrap: settings.HashToken("first"),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	web := httptest.NewServer(server)
+	t.Cleanup(web.Close)
+	t.Setenv("FIRLEVER_ADDRESS", web.Listener.Addr().String())
+	t.Setenv("FIRLEVER_TOKEN", "first")
+	return store
+}
+
+func file(t *testing.T, body string) string {
+	t.Helper()
+	name := filepath.Join(t.TempDir(), "document.yaml")
+	if err := os.WriteFile(name, []byte(strings.ReplaceAll(body, "HASH", settings.HashToken("secret"))), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return name
+}
+
+// step is one command of a session of an operator.
+type step struct {
+	args []string
+	code int
+	want string // in what is printed
+}
+
+func steps(t *testing.T, list []step) {
+	t.Helper()
+	for _, s := range list {
+		stdout, stderr, code := run(s.args...)
+		if code != s.code || !strings.Contains(stdout+stderr, s.want) {
+			t.Errorf("%v: got code %d %q %q, want %d with %q", s.args, code, stdout, stderr, s.code, s.want)
+		}
+	}
+}
+
+func TestSession(t *testing.T) {
+	instance(t)
+	steps(t, []step{
+		{[]string{"config", "put", "/places/hob-a", file(t, place)}, 0, "version 1"},
+		{[]string{"config", "put", "/teams/payments/services/ledger-view", file(t, view)}, 0, "version 1"},
+		{[]string{"config", "get", "/places/hob-a"}, 0, "limit: 10"},
+		{[]string{"config", "get", "/places/hob-a", "--here"}, 0, "version 1"},
+		{[]string{"config", "get", "/places/hob-b"}, 1, "not-found"},
+		{[]string{"config", "put", "/places/hob-a", file(t, place)}, 3, "# version 1\nregion"},
+		{[]string{"config", "put", "/places/hob-a", file(t, "limit: 0\nfoo: 1\n"), "--if-version", "1"}, 2, "foo"},
+		{[]string{"config", "list", "/places/"}, 0, "/places/hob-a  1"},
+		{[]string{"config", "status", "/places/hob-a"}, 0, "hob-a  abcd"},
+		{[]string{"drain", "place", "hob-a", "--reason", "new: \"switches\""}, 0, "/drains/place-hob-a at version 1"},
+		{[]string{"status", "--targets"}, 0, "place hob-a"},
+		{[]string{"config", "get", "/drains/place-hob-a"}, 0, `new: \"switches\"`},
+		{[]string{"undrain", "place", "hob-a"}, 0, "no longer drained"},
+		{[]string{"undrain", "place", "hob-a"}, 0, "not drained"},
+		{[]string{"drain", "place", "hob-a"}, 0, "version 3"},
+		{[]string{"drain", "place", "hob-z"}, 2, "no place"},
+		{[]string{"drain", "target", "payments/ledger-view", "t1"}, 0, "/teams/payments/drains/target-ledger-view-t1-"},
+		{[]string{"drain", "target", "payments/ledger-view", "t9"}, 2, "no target"},
+		{[]string{"drain", "place", "hob-a", "--service", "payments/ledger-view"}, 0, "/teams/payments/drains/place-hob-a-ledger-view-"},
+		{[]string{"drain", "instance", "Hob.1:7"}, 0, "/drains/instance--ob-1-7-"},
+		{[]string{"drain", "instance", "a/b"}, 2, "instance"},
+		{[]string{"config", "delete", "/places/hob-a", "--if-version", "1"}, 2, "no place"},
+		{[]string{"config", "put", "/teams/system/team", file(t, system)}, 0, "version 1"},
+		{[]string{"config", "list"}, 2, "unauthorized"},
+		{[]string{"config", "list", "--token", "secret", "--json"}, 0, `"path": "/places/hob-a"`},
+		{[]string{"status", "--token", "secret", "--json"}, 0, `"instance": "i2"`},
+	})
+}
+
+func TestOffline(t *testing.T) {
+	t.Setenv("FIRLEVER_ADDRESS", "127.0.0.1:1")
+	steps(t, []step{
+		{[]string{"config", "check", "../../examples/tidewright"}, 0, "no fault"},
+		{[]string{"config", "check", "../../examples/moreton-bay"}, 0, "no fault"},
+		{[]string{"config", "check", "../../examples/tidewright/places/hob-a.yaml"}, 0, "1 documents"},
+		{[]string{"config", "check", file(t, "limit: 0\n"), "--path", "/places/a"}, 2, "2 faults"},
+		{[]string{"config", "check", file(t, place)}, 2, "no document is kept"},
+		{[]string{"config", "check", "none"}, 2, "none"},
+		{[]string{"config", "check"}, 2, "wants 1 to 1 arguments, got 0"},
+		{[]string{"config", "chek", "x"}, 2, "no command chek"},
+		{[]string{"nothing"}, 2, "no command nothing"},
+		{[]string{"status", "--nothing"}, 2, "unknown flag"},
+		{[]string{"config", "get", "places"}, 2, "path"},
+		{[]string{"status"}, 5, "no answer"},
+		{[]string{"drain", "place", "hob-a"}, 5, "no answer"},
+		{[]string{"config", "put", "/places/hob-a", file(t, place)}, 5, "no answer"},
+		{[]string{"lookup", "payments"}, 2, "team/name"},
+		{[]string{"lookup", "payments/x", "--entries", "127.0.0.1:1"}, 5, "look up"},
+		{[]string{"lookup", "payments/x", "--entries", "here"}, 2, "IP:port"},
+		{[]string{"load", "payments/x", "--rate", "0"}, 2, "rate"},
+		{[]string{"load", "payments/x", "--entries", "127.0.0.1:1", "--for", "100ms", "--json"}, 0, `"answered":0`},
+		{[]string{"platform", "--writes", "0"}, 2, "writes"},
+		{[]string{"version"}, 0, "firlever "},
+		{[]string{"--help"}, 0, "Exit codes"},
+	})
+}
+
+func TestVariables(t *testing.T) {
+	t.Setenv("FIRLEVER_TIMEOUT", "soon")
+	t.Setenv("FIRLEVER_JSON", "perhaps")
+	steps(t, []step{{[]string{"status"}, 2, `FIRLEVER_JSON="perhaps"`}, {[]string{"status"}, 2, `FIRLEVER_TIMEOUT="soon"`}})
+	steps(t, []step{{[]string{"status", "--timeout", "1s", "--json=false", "--address", "127.0.0.1:1"}, 5, "no answer"}})
+}
+
+// TestAnswerLost cuts the connection after a change was made.
+func TestAnswerLost(t *testing.T) {
+	store := instance(t)
+	tests := map[string]struct {
+		cut  int  // answers
+		busy bool // the instance refuses the second try
+		code int
+		want string
+	}{
+		"once":           {1, false, exitDone, "is at version 1"},
+		"twice":          {2, false, exitUnknown, "not yet known whether write "},
+		"once-then-busy": {1, true, exitUnknown, "not yet known whether write "},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			path := "/places/" + name
+			target := os.Getenv("FIRLEVER_ADDRESS")
+			cut := tt.cut
+			web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if cut == 0 && tt.busy {
+					w.WriteHeader(http.StatusServiceUnavailable)
+					_, _ = io.WriteString(w, `{"code":"busy","reason":"too much"}`)
+					return
+				}
+				r.URL.Scheme, r.URL.Host, r.RequestURI = "http", target, ""
+				resp, err := http.DefaultTransport.RoundTrip(r)
+				if err != nil || cut > 0 {
+					cut--
+					panic(http.ErrAbortHandler)
+				}
+				defer resp.Body.Close()
+				w.WriteHeader(resp.StatusCode)
+				_, _ = io.Copy(w, resp.Body)
+			}))
+			defer web.Close()
+			steps(t, []step{{[]string{"config", "put", path, file(t, place), "--address", web.Listener.Addr().String()}, tt.code, tt.want}})
+			if e, err := store.Get(t.Context(), path); err != nil || e.Version != 1 {
+				t.Errorf("got version %d %v, want 1", e.Version, err)
+			}
+		})
+	}
+}
+
+func TestExitCodes(t *testing.T) {
+	problem := func(c operator.Code) error { return &operator.Problem{Code: c} }
+	tests := map[string]struct {
+		err  error
+		want int
+	}{
+		"done":        {nil, 0},
+		"other":       {io.EOF, 1},
+		"conflict":    {problem(operator.CodeConflict), 3},
+		"forbidden":   {problem(operator.CodeForbidden), 2},
+		"faults":      {problem(operator.CodeFaults), 2},
+		"unavailable": {fmt.Errorf("x: %w", problem(operator.CodeUnavailable)), 5},
+		"platform":    {&platform.UnavailableError{}, 1},
+		"unknown":     {&unknownError{}, 4},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := exitCode(tt.err); got != tt.want {
+				t.Errorf("got %d, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestDrainNamesDiffer(t *testing.T) {
+	long := strings.Repeat("x", settings.MaxName)
+	tests := map[string][2][]string{
+		"parts":  {{"a-b", "c"}, {"a", "b-c"}},
+		"case":   {{"A"}, {"B"}},
+		"long":   {{long + "1"}, {long + "2"}},
+		"spaced": {{"a.b"}, {"a-b"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			a, b := drainName("target", tt[0]...), drainName("target", tt[1]...)
+			if a == b || !settings.ValidName(a) || !settings.ValidName(b) {
+				t.Errorf("got %s and %s, want two names", a, b)
+			}
+		})
+	}
+}
+
+// TestHelp asks that a newcomer finds what each command does and an example.
+func TestHelp(t *testing.T) {
+	var walk func(cmd *cobra.Command)
+	walk = func(cmd *cobra.Command) {
+		if cmd.Short == "" || cmd.Runnable() && !cmd.HasSubCommands() && cmd.Example == "" && cmd.Name() != "version" {
+			t.Errorf("%s: got no example or summary", cmd.CommandPath())
+		}
+		for _, sub := range cmd.Commands() {
+			walk(sub)
+		}
+	}
+	walk(newRoot())
+}
--- /dev/null
+++ b/cmd/firlever/status.go
@@ -0,0 +1,163 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/firlever/firlever/internal/operator"
+)
+
+const statusHelp = `Show all instances, and how far the limits of each place are used: requests in
+flight, queued, free slots and headroom. --targets adds each target as its owner
+sees it. Drains under way come last, with what is still in flight there.
+
+You see your own team's services and targets; tokens of the team "system" see all.`
+
+func newStatusCommand() *cobra.Command {
+	var conn connection
+	var asJSON, targets bool
+	cmd := &cobra.Command{
+		Use:     "status",
+		Short:   "Show instances, places, targets and drains",
+		Long:    statusHelp,
+		Example: "  firlever status --targets\n  firlever status --json",
+		Args:    exactly(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return conn.with(cmd, func(ctx context.Context, client *operator.Client) error {
+				reports, err := client.Fleet(ctx, nil)
+				if err != nil {
+					return err
+				}
+				if asJSON {
+					return writeJSON(cmd.OutOrStdout(), operator.Fleet{Reports: reports})
+				}
+				return writeStatus(cmd.OutOrStdout(), reports, targets)
+			})
+		},
+	}
+	conn.flags(cmd)
+	jsonFlag(cmd, &asJSON)
+	cmd.Flags().BoolVar(&targets, "targets", false, "show each target too")
+	return cmd
+}
+
+func writeStatus(w io.Writer, reports []operator.Report, targets bool) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	writeInstances(t, reports)
+	writeLoads(t, reports)
+	if targets {
+		writeTargets(t, reports)
+	}
+	writeDrains(t, reports)
+	return t.Flush()
+}
+
+func writeInstances(w io.Writer, reports []operator.Report) {
+	fmt.Fprintln(w, "instance\tplace\tstate\taddress")
+	for _, r := range reports {
+		if r.Status == nil {
+			fmt.Fprintf(w, "%s\t\tnot reachable\t%s\n", r.Instance, r.Address)
+			continue
+		}
+		state := "ready"
+		if !r.Status.Ready {
+			state = "not ready: " + r.Status.Reason
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", r.Instance, r.Status.Place, state, r.Address)
+	}
+}
+
+// writeLoads shows what each instance of a place knows of it: an instance
+// counts the requests at the targets that it owns.
+func writeLoads(w io.Writer, reports []operator.Report) {
+	fmt.Fprintln(w, "\nplace\tservice\tinstance\tlimit\tuse\tqueued\tfree\theadroom\tshifted/s\tcap")
+	for _, r := range reports {
+		if r.Status == nil {
+			continue
+		}
+		for _, p := range r.Status.Places {
+			fmt.Fprintf(w, "%s\t(all)\t%s\t%s\t\t\n", p.Name, r.Instance, loadCells(p.Load))
+		}
+		for _, s := range r.Status.Services {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%.1f\t%d\n", s.Place, s.Service, r.Instance, loadCells(s.Load), s.Shifted, s.Cap)
+		}
+	}
+}
+
+func loadCells(l operator.Load) string {
+	return fmt.Sprintf("%d\t%d\t%d\t%d\t%d", l.Limit, l.Use, l.Queued, l.Free, l.Headroom)
+}
+
+// writeTargets shows each target once, as its owner sees it.
+func writeTargets(w io.Writer, reports []operator.Report) {
+	fmt.Fprintln(w, "\ntarget\tservice\tplace\taddress\towner\tallowance\tuse\thealth\tdrained")
+	for _, r := range reports {
+		if r.Status == nil {
+			continue
+		}
+		for _, t := range r.Status.Targets {
+			if t.Owner != r.Instance {
+				continue
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%s\t%v\n",
+				t.Name, t.Service, t.Place, t.Address, t.Owner, t.Allowance, t.Use, t.Health, t.Drained)
+		}
+	}
+}
+
+// writeDrains shows each drain once, with what is in flight at all instances.
+func writeDrains(w io.Writer, reports []operator.Report) {
+	drains := mergeDrains(reports)
+	if len(drains) == 0 {
+		return
+	}
+	fmt.Fprintln(w, "\ndrain\tof\tleft\tfinish\treason")
+	for _, d := range drains {
+		finish := "-"
+		if !d.Finish.IsZero() {
+			finish = d.Finish.Format(time.TimeOnly)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\n", d.Path, drained(d), d.Left, finish, d.Reason)
+	}
+}
+
+// mergeDrains adds up what is left of each drain; the last to finish counts.
+func mergeDrains(reports []operator.Report) []operator.Drain {
+	var all []operator.Drain
+	at := make(map[string]int)
+	for _, r := range reports {
+		if r.Status == nil {
+			continue
+		}
+		for _, d := range r.Status.Drains {
+			i, ok := at[d.Path]
+			if !ok {
+				at[d.Path] = len(all)
+				all = append(all, d)
+				continue
+			}
+			all[i].Left += d.Left
+			if d.Finish.After(all[i].Finish) {
+				all[i].Finish = d.Finish
+			}
+		}
+	}
+	return all
+}
+
+func drained(d operator.Drain) string {
+	switch {
+	case d.Instance != "":
+		return "instance " + d.Instance
+	case d.Target != "":
+		return "target " + d.Target + " of " + d.Service
+	case d.Service != "":
+		return d.Service + " in " + d.Place
+	}
+	return "place " + d.Place
+}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -17,10 +19,11 @@
 // maxAnswer bounds what a client reads of an answer, in bytes.
 const maxAnswer = 64 << 20
 
-// UnreachableError says that an instance gave no answer. A change that was sent
-// may have landed.
+// UnreachableError says that an instance gave no answer. A change may have landed if
+// it was sent.
 type UnreachableError struct {
 	Address string
+	Sent    bool // the request may have reached it
 	Err     error
 }
 
@@ -158,16 +161,22 @@
 	}
 	resp, err := c.http.Do(r)
 	if err != nil {
-		return nil, nil, &UnreachableError{Address: c.address, Err: err}
+		return nil, nil, &UnreachableError{Address: c.address, Sent: sent(err), Err: err}
 	}
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
-		return nil, nil, &UnreachableError{Address: c.address, Err: err}
+		return nil, nil, &UnreachableError{Address: c.address, Sent: true, Err: err}
 	}
 	return resp.Header, answer, refusal(resp.StatusCode, answer)
 }
 
+// sent says whether a request that failed may have been sent.
+func sent(err error) bool {
+	var dial *net.OpError
+	return !errors.As(err, &dial) || dial.Op != "dial"
+}
+
 // refusal is the error that an answer stands for, if any.
 func refusal(status int, body []byte) error {
 	if status == http.StatusOK || status == http.StatusAccepted {
