--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -17,6 +17,7 @@
 	InFlight int // requests of this instance
 	Health   string
 	Drained  bool
+	Usual    time.Duration // recent length of its answers; 0 before the first
 }
 
 // ServiceStatus is one service at this instance.
@@ -25,6 +26,7 @@
 	Limit    int // of the service in this place
 	Usable   int // slots that this instance may use now
 	InFlight int // requests of this instance at its targets
+	Free     int // slots that could take a request now
 	Shifted  int // shifted requests admitted in this second
 	Cap      int // by how much shifted requests may grow each second, over all owners
 }
@@ -57,7 +59,7 @@
 		}
 		targets := n.targetStatus(now, id)
 		st.Targets = append(st.Targets, targets...)
-		s := ServiceStatus{Service: id, Limit: site.Limit, Cap: compiled.Shift()}
+		s := ServiceStatus{Service: id, Limit: site.Limit, Cap: compiled.Shift(), Free: n.book.FreeService(now, id)}
 		s.Shifted = n.service(now, id).ramp.Counts(now).Admitted
 		for _, t := range targets {
 			s.Usable += t.Usable
@@ -76,6 +78,7 @@
 			Key: key, Address: n.address[key], Owner: n.book.Owner(key),
 			Limit: s.limits[key], Usable: n.book.Usable(now, key), InFlight: n.book.InFlight(key),
 			Health:  string(s.health.State(now, key)),
+			Usual:   s.health.Latency(key),
 			Drained: n.snapshot.TargetDrained(id, key.Name) || n.snapshot.PlaceDrained(id, n.cfg.Place),
 		})
 	}
--- a/internal/instance/config.go
+++ b/internal/instance/config.go
@@ -30,6 +30,8 @@
 	Region    string
 	Join      []string // peers' addresses of instances to begin with; may be empty
 
+	Bootstrap string // hex SHA-256 of a token that opens everything until the system team has one
+
 	Linger time.Duration // how long a planned stop goes on serving cached look-ups
 	Policy core.Policy
 	Seed   uint64 // of random choices; 0 takes one from the clock
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -37,6 +37,7 @@
 	docs        *documents
 	client      *targets.Client
 	server      *callers.Server
+	operators   http.Handler
 	members     *gossip
 	swaps       chan core.SwapRoster
 	probes      chan core.Probe
@@ -120,7 +121,10 @@
 		Instance: in.cfg.ID, Callers: in.cfg.Callers, Checks: in.cfg.Checks, Log: in.cfg.Log,
 		Metrics: in.cfg.Metrics,
 	}, in.desk, in.client)
-	in.members, err = newGossip(in)
+	if in.members, err = newGossip(in); err != nil {
+		return err
+	}
+	in.operators, err = in.operatorHandler()
 	return err
 }
 
@@ -176,7 +180,7 @@
 func (in *Instance) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	in.cancel = cancel
-	handlers := []http.Handler{in.server.Callers(), in.peerHandler(), in.operatorHandler()}
+	handlers := []http.Handler{in.server.Callers(), in.peerHandler(), in.operators}
 	for i, ln := range in.listeners {
 		srv := &http.Server{
 			Handler: handlers[i], ReadHeaderTimeout: headerTimeout,
--- a/internal/instance/operators.go
+++ b/internal/instance/operators.go
@@ -1,24 +1,177 @@
 package instance
 
 import (
+	"context"
+	"fmt"
+	"io"
 	"net/http"
+	"time"
 
-	"github.com/go-chi/chi/v5"
+	"github.com/charmbracelet/log"
+	"github.com/juju/errors"
+
+	"github.com/firlever/firlever/internal/core"
+	"github.com/firlever/firlever/internal/member"
+	"github.com/firlever/firlever/internal/metrics"
+	"github.com/firlever/firlever/internal/operator"
+	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/pkg/settings"
 )
 
+// finishFactor is how many usual service times a drain is predicted to take.
+const finishFactor = 3
+
+// NoSettingsError says that no configuration has arrived yet.
+type NoSettingsError struct{}
+
+func (e *NoSettingsError) Error() string { return "instance: no configuration has arrived yet" }
+
+// NoTenureError says that this instance's rights to its targets are not confirmed.
+type NoTenureError struct{}
+
+func (e *NoTenureError) Error() string {
+	return "instance: the rights to targets are not confirmed; half of each is used"
+}
+
 // operatorHandler serves the operators' address.
-func (in *Instance) operatorHandler() http.Handler {
-	r := chi.NewRouter()
-	r.Get("/health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	r.Get("/ready", in.ready)
-	return r
+func (in *Instance) operatorHandler() (http.Handler, error) {
+	logger := in.cfg.Log
+	if logger == nil {
+		logger = log.New(io.Discard)
+	}
+	set := in.cfg.Metrics
+	if set == nil {
+		set = metrics.New()
+	}
+	s, err := operator.New(operator.Config{
+		Store:     in.cfg.Store,
+		Snapshot:  in.snapshot,
+		Documents: in.docs.Documents,
+		Apply:     in.takeDocuments,
+		Status:    in.report,
+		Fleet:     operator.Gather(in.fleet),
+		Metrics:   set.Handler(),
+		Ready:     in.ready,
+		Log:       logger,
+		Bootstrap: in.cfg.Bootstrap,
+	})
+	if err != nil {
+		return nil, errors.Annotate(err, "Instance.operatorHandler")
+	}
+	return s.HTTP().Handler, nil
+}
+
+// snapshot is what is in force, empty before the first documents.
+func (in *Instance) snapshot() *settings.Snapshot {
+	if s := in.docs.Snapshot(); s != nil {
+		return s
+	}
+	s, _ := settings.CompileLenient(nil)
+	return s
 }
 
-// ready tells whether this instance can serve: it has a configuration.
-func (in *Instance) ready(w http.ResponseWriter, _ *http.Request) {
+// ready says why this instance should get no work, or nil.
+func (in *Instance) ready() error {
 	if in.docs.Snapshot() == nil {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+		return &NoSettingsError{}
+	}
+	return nil
+}
+
+// fleet lists the instances that this one knows, itself included.
+func (in *Instance) fleet(context.Context) []platform.Instance {
+	list := []platform.Instance{in.self()}
+	for _, m := range in.members.Members() {
+		if m.State != member.Dead {
+			list = append(list, m.Instance)
+		}
+	}
+	return list
+}
+
+// report is what this instance tells operators of itself.
+func (in *Instance) report() operator.Status {
+	st := in.Status()
+	r := operator.Status{
+		Instance: in.cfg.ID, Incarnation: in.incarnation,
+		Place: in.cfg.Place, Domain: in.cfg.Domain, Region: in.cfg.Region,
+		Ready: true, Root: fmt.Sprintf("%016x", in.docs.Root()),
+		Documents:  operator.Versions(in.docs.Documents()),
+		Invariants: in.cfg.Checks.Counts(),
+	}
+	r.Count = len(r.Documents)
+	if err := in.ready(); err != nil {
+		r.Ready, r.Reason = false, err.Error()
+	} else if !st.Confirmed {
+		r.Reason = (&NoTenureError{}).Error()
+	}
+	for _, m := range in.members.Members() {
+		r.Peers = append(r.Peers, operator.Peer{ID: m.ID, Address: m.Address, Place: m.Place, State: m.State.String()})
+	}
+	in.reportLoad(&r, st)
+	in.reportDrains(&r, st)
+	return r
+}
+
+// reportLoad tells of the place's services and targets.
+func (in *Instance) reportLoad(r *operator.Status, st core.Status) {
+	place := operator.Place{Name: in.cfg.Place}
+	for _, s := range st.Services {
+		load := operator.Load{Limit: s.Usable, Use: s.InFlight, Free: s.Free, Headroom: max(s.Usable-s.InFlight, 0)}
+		r.Services = append(r.Services, operator.Service{
+			Service: s.Service.String(), Place: in.cfg.Place, Load: load,
+			Shifted: float64(s.Shifted), Cap: s.Cap,
+		})
+		place.Limit += load.Limit
+		place.Use += load.Use
+		place.Free += load.Free
+		place.Headroom += load.Headroom
+	}
+	place.Queued = st.Queued
+	r.Places = append(r.Places, place)
+	for _, t := range st.Targets {
+		r.Targets = append(r.Targets, operator.Target{
+			Name: t.Key.Name, Service: t.Key.Service.String(), Place: in.cfg.Place, Address: t.Address,
+			Owner: t.Owner, Allowance: t.Usable, Use: t.InFlight, Health: t.Health, Drained: t.Drained,
+		})
+	}
+}
+
+// reportDrains tells of the drains that concern this instance, and predicts
+// when they are done.
+func (in *Instance) reportDrains(r *operator.Status, st core.Status) {
+	for _, d := range in.snapshot().Drains() {
+		drain := operator.Drain{
+			Path: d.Path, Place: d.Drain.Place, Instance: d.Drain.Instance,
+			Target: d.Drain.Target, Reason: d.Drain.Reason,
+		}
+		if d.Service != (settings.ServiceID{}) {
+			drain.Service = d.Service.String()
+		}
+		var wait time.Duration
+		for _, t := range st.Targets {
+			if drains(drain, in.cfg.Place, t) {
+				drain.Left += t.InFlight
+				wait = max(wait, t.Usual*finishFactor)
+			}
+		}
+		if drain.Instance == in.cfg.ID {
+			drain.Left = st.Open
+		}
+		if drain.Left > 0 && wait > 0 {
+			drain.Finish = in.now().Add(wait)
+		}
+		r.Drains = append(r.Drains, drain)
+	}
+}
+
+// drains says whether a drain concerns a target of this place.
+func drains(d operator.Drain, place string, t core.TargetStatus) bool {
+	if d.Service != "" && d.Service != t.Key.Service.String() {
+		return false
+	}
+	if d.Target != "" {
+		return d.Target == t.Key.Name
 	}
-	w.WriteHeader(http.StatusOK)
+	return d.Place == place
 }
