--- a/cmd/firlever/main_test.go
+++ b/cmd/firlever/main_test.go
@@ -53,9 +53,9 @@
 	return out.String(), faults.String(), exitCode(err)
 }
 
-// instance serves operators over the stand-in of the platform, and sets the
+// testInstance serves operators over the stand-in of the platform, and sets the
 // variables that lead the program there.
-func instance(t *testing.T) *kv.Local {
+func testInstance(t *testing.T) *kv.Local {
 	t.Helper()
 	service, err := kv.New(kv.Defaults(), rand.New(rand.NewPCG(1, 1)))
 	if err != nil {
@@ -131,7 +131,7 @@
 }
 
 func TestSession(t *testing.T) {
-	instance(t)
+	testInstance(t)
 	steps(t, []step{
 		{[]string{"config", "put", "/places/hob-a", file(t, place)}, 0, "version 1"},
 		{[]string{"config", "put", "/teams/payments/services/ledger-view", file(t, view)}, 0, "version 1"},
@@ -199,7 +199,7 @@
 
 // TestAnswerLost cuts the connection after a change was made.
 func TestAnswerLost(t *testing.T) {
-	store := instance(t)
+	store := testInstance(t)
 	tests := map[string]struct {
 		cut  int  // answers
 		busy bool // the instance refuses the second try
--- a/cmd/firlever/root.go
+++ b/cmd/firlever/root.go
@@ -48,6 +48,7 @@
 		newLoadCommand(),
 		newLookupCommand(),
 		newPlatformCommand(),
+		newServeCommand(),
 		newVersionCommand(),
 	)
 	return root
--- /dev/null
+++ b/cmd/firlever/serve.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/spf13/cobra"
+
+	"github.com/firlever/firlever/internal/core"
+	"github.com/firlever/firlever/internal/instance"
+	"github.com/firlever/firlever/internal/metrics"
+	"github.com/firlever/firlever/internal/platform"
+)
+
+const serveHelp = `Run an entry instance: it answers look-ups, steers requests to targets, and
+serves operators.
+
+An instance keeps nothing on disk. It reads the operators' settings from the
+platform, or from other instances while the platform is out of reach; --join
+names some of those for that case. On SIGTERM it stops in plan: it leaves the
+look-ups, finishes what is in flight and hands its targets over. A second
+signal ends it at once.`
+
+const serveExample = `  firlever serve --id hob-a-1 --place hob-a --region hobart \
+    --callers 127.0.0.1:7100 --peers 127.0.0.1:7200 --operators 127.0.0.1:7300 \
+    --platform 127.0.0.1:7400`
+
+// serveFlags is what serve is told besides the instance's own configuration.
+type serveFlags struct {
+	platform string
+	policy   string
+	level    string
+	patience time.Duration
+}
+
+func newServeCommand() *cobra.Command {
+	var cfg instance.Config
+	var flags serveFlags
+	cmd := &cobra.Command{
+		Use:     "serve",
+		Short:   "Run an entry instance",
+		Long:    serveHelp,
+		Example: serveExample,
+		Args:    exactly(0),
+		RunE:    func(cmd *cobra.Command, _ []string) error { return serve(cmd, cfg, flags) },
+	}
+	f := cmd.Flags()
+	f.StringVar(&cfg.ID, "id", "", "name of this instance, unique among all")
+	f.StringVar(&cfg.Place, "place", "", "place that this instance is in")
+	f.StringVar(&cfg.Domain, "domain", "", "failure domain that it is in; the place if left out")
+	f.StringVar(&cfg.Region, "region", "", "region that it is in")
+	f.StringVar(&cfg.Callers, "callers", "127.0.0.1:7100", "address for callers, IP:port")
+	f.StringVar(&cfg.Peers, "peers", "127.0.0.1:7200", "address for other instances, IP:port, TCP and UDP")
+	f.StringVar(&cfg.Operators, "operators", "127.0.0.1:7300", "address for operators, IP:port")
+	f.StringSliceVar(&cfg.Join, "join", nil, "peers' addresses of instances to begin with")
+	f.StringVar(&cfg.Bootstrap, "bootstrap", "", "hex SHA-256 of a token that opens everything until the system team has one")
+	f.DurationVar(&cfg.Linger, "linger", 6*time.Second, "how long a planned stop goes on serving cached look-ups")
+	f.StringVar(&flags.platform, "platform", "", "address of the platform's key-value service, IP:port")
+	f.StringVar(&flags.policy, "policy", string(core.PolicyOwner), "how targets are chosen; others than owner are for measurements")
+	f.StringVar(&flags.level, "log", "info", "least level that is logged: debug, info, warn, error")
+	f.DurationVar(&flags.patience, "patience", time.Minute, "longest that a planned stop waits for requests in flight")
+	return cmd
+}
+
+func serve(cmd *cobra.Command, cfg instance.Config, flags serveFlags) error {
+	logger, err := newLogger(cmd.ErrOrStderr(), flags.level)
+	if err != nil {
+		return &usageError{Command: cmd.CommandPath(), Reason: err.Error()}
+	}
+	cfg.Log = logger.With("instance", cfg.ID)
+	cfg.Metrics = metrics.New()
+	cfg.Policy = core.Policy(flags.policy)
+	if flags.platform != "" {
+		cfg.Store = platform.NewClient(flags.platform)
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
+	in, err := instance.New(cfg)
+	if err != nil {
+		return &usageError{Command: cmd.CommandPath(), Reason: err.Error()}
+	}
+	in.Start()
+	logger.Info("serving", "instance", cfg.ID, "callers", in.Callers(), "peers", in.Peers(), "operators", in.Operators())
+	<-signals
+	return stopServing(in, signals, flags.patience)
+}
+
+// stopServing stops in plan; another signal or the end of patience cuts it short.
+func stopServing(in *instance.Instance, signals <-chan os.Signal, patience time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	go func() {
+		<-signals
+		cancel()
+	}()
+	return in.Stop(ctx)
+}
+
+func newLogger(w io.Writer, level string) (*log.Logger, error) {
+	parsed, err := log.ParseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	return log.NewWithOptions(w, log.Options{Level: parsed, ReportTimestamp: true, TimeFormat: time.RFC3339Nano}), nil
+}
