--- a/internal/member/list_test.go
+++ b/internal/member/list_test.go
@@ -104,6 +104,10 @@
 			if got := w.count(BecameDead); got != 0 {
 				t.Errorf("got %d deaths, want 0", got)
 			}
+			// One bad link between two: helpers answer for each, so nobody is even suspected.
+			if got := w.count(BecameSuspect); got != 0 && (name == "one way" || name == "both ways") {
+				t.Errorf("got %d suspicions, want 0", got)
+			}
 		})
 	}
 }
@@ -300,6 +304,23 @@
 	}
 }
 
+func TestIncarnationNeverGoesBack(t *testing.T) {
+	l, _ := New(Config{Self: instance(0, 3, 1)}, start)
+	in := instance(1, 3, 1)
+	old := in
+	old.Incarnation--
+	for _, list := range [][]platform.Instance{{in}, {old}} {
+		l.Learn(start, list)
+	}
+	m := member{in: old}
+	l.apply(start, m.news(true))
+	m.state = wire.State_STATE_DEAD
+	l.apply(start, m.news(false))
+	if got, _ := l.Get(in.ID); got.Incarnation != in.Incarnation || got.State != Alive {
+		t.Errorf("got %+v, want incarnation %d alive", got, in.Incarnation)
+	}
+}
+
 func TestReceiveRefuses(t *testing.T) {
 	self := instance(0, 3, 1)
 	hello := func() *wire.Packet {
--- /dev/null
+++ b/internal/peer/udp.go
@@ -0,0 +1,241 @@
+// Package peer is the shell between instances: membership over UDP.
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/firlever/firlever/internal/member"
+	"github.com/firlever/firlever/internal/wire"
+)
+
+// DecodeError says that a datagram is no packet.
+type DecodeError struct {
+	Size int // bytes
+	Err  error
+}
+
+func (e *DecodeError) Error() string {
+	return fmt.Sprintf("peer: datagram of %d bytes is no packet: %v", e.Size, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *DecodeError) Unwrap() error { return e.Err }
+
+// SizeError says that a datagram is empty or larger than a packet may be.
+type SizeError struct{ Size int }
+
+func (e *SizeError) Error() string {
+	return fmt.Sprintf("peer: datagram of %d bytes, at most %d", e.Size, wire.MaxPacket)
+}
+
+// Counts is what a UDP has sent, taken in and passed over.
+type Counts struct {
+	Sent, SentBytes         uint64
+	Received, ReceivedBytes uint64
+	Unsent                  uint64 // sends that the socket refused
+	Garbage                 uint64 // datagrams that are no packet
+	Passed                  uint64 // packets that the list passed over
+}
+
+type tallies struct {
+	sent, sentBytes, received, receivedBytes, unsent, garbage, passed atomic.Uint64
+}
+
+// UDP runs a member.List over one socket. It is safe for concurrent use.
+type UDP struct {
+	conn    net.PacketConn
+	heard   func(time.Time, *wire.Packet)
+	changed func([]member.Change)
+	wake    chan struct{} // holds one token when the timer is to be set anew
+	tallies tallies
+
+	mu      sync.Mutex // guards what follows
+	list    *member.List
+	changes []member.Change // not yet handed on, oldest first
+	handing bool            // a goroutine is calling changed
+}
+
+// NewUDP makes a shell round list. heard is called with each packet that the
+// list took in, and changed with its changes; either may be nil, and neither is
+// called under the lock. changed is called by one goroutine at a time, in order.
+func NewUDP(conn net.PacketConn, list *member.List, heard func(time.Time, *wire.Packet), changed func([]member.Change)) *UDP {
+	return &UDP{conn: conn, list: list, heard: heard, changed: changed, wake: make(chan struct{}, 1)}
+}
+
+// Run reads and sends until ctx is done, closes the socket and returns nil; it
+// returns the socket's error if that fails before.
+func (u *UDP) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		<-ctx.Done()
+		_ = u.conn.Close() // ends the read loop; nothing is buffered
+	})
+	wg.Go(func() { u.tick(ctx) })
+	err := u.read(ctx)
+	cancel()
+	wg.Wait()
+	return err
+}
+
+// Do runs f with the list under the lock, sends what it returns and hands on
+// the changes. f must not keep the list.
+func (u *UDP) Do(f func(now time.Time, l *member.List) []member.Send) {
+	u.mu.Lock()
+	sends := f(time.Now(), u.list)
+	u.changes = append(u.changes, u.list.Changes()...)
+	u.mu.Unlock()
+	for _, s := range sends {
+		u.send(s)
+	}
+	u.hand()
+	select {
+	case u.wake <- struct{}{}:
+	default:
+	}
+}
+
+// hand calls changed with what happened, by one goroutine at a time and in order.
+func (u *UDP) hand() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for !u.handing && len(u.changes) > 0 {
+		changes := u.changes
+		u.changes = nil
+		if u.changed == nil {
+			return
+		}
+		u.handing = true
+		u.mu.Unlock()
+		u.changed(changes)
+		u.mu.Lock()
+		u.handing = false
+	}
+}
+
+// Counts returns what was sent, taken in and passed over so far.
+func (u *UDP) Counts() Counts {
+	t := &u.tallies
+	return Counts{
+		Sent: t.sent.Load(), SentBytes: t.sentBytes.Load(),
+		Received: t.received.Load(), ReceivedBytes: t.receivedBytes.Load(),
+		Unsent: t.unsent.Load(), Garbage: t.garbage.Load(), Passed: t.passed.Load(),
+	}
+}
+
+// tick calls Tick when it is due.
+func (u *UDP) tick(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			u.Do(func(now time.Time, l *member.List) []member.Send { return l.Tick(now) })
+		case <-u.wake:
+		}
+		u.mu.Lock()
+		next := u.list.Next()
+		u.mu.Unlock()
+		timer.Reset(time.Until(next))
+	}
+}
+
+// read takes datagrams in until the socket fails or ctx is done.
+func (u *UDP) read(ctx context.Context) error {
+	// One byte more than a packet may have shows one that is too large.
+	buf := make([]byte, wire.MaxPacket+1)
+	for {
+		n, _, err := u.conn.ReadFrom(buf)
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case errors.Is(err, net.ErrClosed):
+			return errors.Annotate(err, "UDP.Run")
+		case err != nil:
+			u.tallies.garbage.Add(1) // a refused send shows here on some systems
+			if !pause(ctx) {
+				return nil
+			}
+		default:
+			u.receive(buf[:n])
+		}
+	}
+}
+
+// readPause keeps a socket that only fails from taking a whole core.
+const readPause = 5 * time.Millisecond
+
+func pause(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(readPause):
+		return true
+	}
+}
+
+func (u *UDP) receive(data []byte) {
+	u.tallies.received.Add(1)
+	u.tallies.receivedBytes.Add(uint64(len(data)))
+	p, err := Decode(data)
+	if err != nil {
+		u.tallies.garbage.Add(1)
+		return
+	}
+	var at time.Time
+	u.Do(func(now time.Time, l *member.List) []member.Send {
+		var sends []member.Send
+		at = now
+		sends, err = l.Receive(now, p)
+		return sends
+	})
+	if err != nil {
+		u.tallies.passed.Add(1)
+		return
+	}
+	if u.heard != nil {
+		u.heard(at, p)
+	}
+}
+
+// Decode reads one datagram. The error is a *SizeError or a *DecodeError.
+func Decode(data []byte) (*wire.Packet, error) {
+	if len(data) == 0 || len(data) > wire.MaxPacket {
+		return nil, &SizeError{Size: len(data)}
+	}
+	p := &wire.Packet{}
+	if err := proto.Unmarshal(data, p); err != nil {
+		return nil, &DecodeError{Size: len(data), Err: err}
+	}
+	return p, nil
+}
+
+func (u *UDP) send(s member.Send) {
+	data, err := proto.Marshal(s.Packet)
+	if err != nil || len(data) > wire.MaxPacket {
+		u.tallies.unsent.Add(1)
+		return
+	}
+	to, err := netip.ParseAddrPort(s.To)
+	if err != nil {
+		u.tallies.unsent.Add(1)
+		return
+	}
+	if _, err := u.conn.WriteTo(data, net.UDPAddrFromAddrPort(to)); err != nil {
+		u.tallies.unsent.Add(1) // as good as lost on the way: the list probes again
+		return
+	}
+	u.tallies.sent.Add(1)
+	u.tallies.sentBytes.Add(uint64(len(data)))
+}
