Keep the domain's members apart from the rest

Cause: each packet went through all that is held, by look-ups in a map. Change: sorted slices of all members and of the domain's, and one deadline before which nothing can expire.

--- a/internal/member/indirect.go
+++ b/internal/member/indirect.go
@@ -47,8 +47,11 @@
 		return nil
 	}
 	var sends []Send
-	for _, local := range []bool{true, false} {
-		helpers := l.living(local)
+	for _, living := range []func() []*member{l.living, l.livingFar} {
+		if len(sends) >= l.cfg.Indirect {
+			break
+		}
+		helpers := living()
 		l.rng.Shuffle(len(helpers), func(i, j int) { helpers[i], helpers[j] = helpers[j], helpers[i] })
 		for _, h := range helpers {
 			if h == target || len(sends) >= l.cfg.Indirect {
--- a/internal/member/learn.go
+++ b/internal/member/learn.go
@@ -22,13 +22,14 @@
 	for _, in := range order {
 		l.learn(now, in)
 	}
-	for _, m := range l.members {
+	for _, m := range l.all {
 		m.listed = named[m.in.ID]
 		switch {
 		case m.listed:
 			m.forgetBy = time.Time{}
 		case m.state == wire.State_STATE_DEAD && m.forgetBy.IsZero():
 			m.forgetBy = now.Add(l.cfg.Forget)
+			l.expireAt(m.forgetBy)
 		}
 	}
 }
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -15,14 +15,15 @@
 	rng     *rand.Rand
 	self    *member // never in members
 	members map[string]*member
-	ids     []string       // keys of members, sorted
-	domain  int            // members of the own domain
+	all     []*member      // the values of members, sorted by id
+	local   []*member      // those of the own domain, sorted by id
 	place   int            // members of the own place
 	places  map[string]int // members held of each place beyond the domain
 	changes []Change
 	news    queue
 
 	last     time.Time // latest time that a call passed in
+	expireBy time.Time // no suspicion or memory of a dead member ends before; zero: none does
 	sequence uint64    // of the latest ping; never goes down
 	probes   []*probe  // in flight, by sequence
 	relays   []relay   // pings sent for others, by sequence
@@ -94,16 +95,16 @@
 
 func (l *List) views(want func(*member) bool) []Member {
 	var views []Member
-	for _, m := range l.where(want) {
+	for _, m := range where(l.all, want) {
 		views = append(views, m.view())
 	}
 	return views
 }
 
-func (l *List) where(want func(*member) bool) []*member {
+func where(members []*member, want func(*member) bool) []*member {
 	var found []*member
-	for _, id := range l.ids {
-		if m := l.members[id]; want(m) {
+	for _, m := range members {
+		if want(m) {
 			found = append(found, m)
 		}
 	}
@@ -161,14 +162,17 @@
 
 // near tells if the member is in the own place, and local if in the own domain.
 func (l *List) near(m *member) bool {
-	return m.in.Place == l.self.in.Place && l.local(m)
+	return m.in.Place == l.self.in.Place && l.isLocal(m)
 }
 
-func (l *List) local(m *member) bool { return m.in.Domain == l.self.in.Domain }
+func (l *List) isLocal(m *member) bool { return m.in.Domain == l.self.in.Domain }
 
-// living returns the members that are not dead: those of the domain, or the rest.
-func (l *List) living(local bool) []*member {
-	return l.where(func(m *member) bool {
-		return m.state != wire.State_STATE_DEAD && l.local(m) == local
-	})
+// living returns the members of the domain that are not dead.
+func (l *List) living() []*member {
+	return where(l.local, func(m *member) bool { return m.state != wire.State_STATE_DEAD })
+}
+
+// livingFar returns the members beyond the domain that are not dead.
+func (l *List) livingFar() []*member {
+	return where(l.all, func(m *member) bool { return m.state != wire.State_STATE_DEAD && !l.isLocal(m) })
 }
--- a/internal/member/news.go
+++ b/internal/member/news.go
@@ -42,7 +42,7 @@
 
 // take picks items for one packet, least sent first, and counts the sending.
 func (q *queue) take(l *List, near bool) []*wire.News {
-	limit := spread * bits.Len(uint(l.domain+1))
+	limit := spread * bits.Len(uint(len(l.local)+1))
 	slices.SortStableFunc(q.items, func(a, b *item) int { return a.sent(near) - b.sent(near) })
 	var picked []*wire.News
 	size := 0
@@ -58,7 +58,7 @@
 		i.count(near)
 	}
 	q.items = slices.DeleteFunc(q.items, func(i *item) bool {
-		return (i.near >= limit || l.place == 0) && (i.far >= limit || l.domain == l.place)
+		return (i.near >= limit || l.place == 0) && (i.far >= limit || len(l.local) == l.place)
 	})
 	return picked
 }
--- a/internal/member/packet.go
+++ b/internal/member/packet.go
@@ -58,7 +58,7 @@
 
 // finish adds the news that still fits. News of the domain stays in it.
 func (l *List) finish(p *wire.Packet, m *member) *wire.Packet {
-	if m == nil || !l.local(m) {
+	if m == nil || !l.isLocal(m) {
 		return p
 	}
 	p.News = append(p.News, l.news.take(l, l.near(m))...)
@@ -69,11 +69,11 @@
 // domain and acked lately: a peer beyond it may not hold this instance.
 func (l *List) ping(now time.Time, m *member, sequence uint64) *wire.Packet {
 	p := l.packet(m, wire.Kind_KIND_PING, sequence)
-	if m == nil || !l.local(m) || now.Sub(m.ack.Sent) > introduceAfter*l.cfg.Probe {
+	if m == nil || !l.isLocal(m) || now.Sub(m.ack.Sent) > introduceAfter*l.cfg.Probe {
 		l.introduce(p)
 	}
-	if m != nil && l.local(m) {
-		p.Known = uint32(len(l.living(true)) + 1)
+	if m != nil && l.isLocal(m) {
+		p.Known = uint32(len(l.living()) + 1)
 	}
 	if m != nil && l.near(m) {
 		p.Rooms, p.Releases = l.rooms, l.releases
@@ -97,9 +97,9 @@
 		l.introduce(p)
 	}
 	p = l.finish(p, m)
-	fewer := ping.GetKnown() > 0 && int(ping.GetKnown()) < len(l.living(true))+1
-	if fewer && l.local(m) {
-		l.tell(p, l.living(true), true)
+	fewer := ping.GetKnown() > 0 && int(ping.GetKnown()) < len(l.living())+1
+	if fewer && l.isLocal(m) {
+		l.tell(p, l.living(), true)
 	} else if introduced(ping) {
 		l.tell(p, l.known(m), false)
 	}
@@ -129,18 +129,13 @@
 // known picks the members that a peer may be told of: of the domain, or half
 // of the time those beyond it. A peer beyond it is told of the own place only.
 func (l *List) known(to *member) []*member {
-	far := l.local(to) && l.rng.IntN(2) == 0
-	found := l.where(func(m *member) bool {
-		switch {
-		case m == to || m.state != wire.State_STATE_ALIVE:
-			return false
-		case !l.local(to):
-			return l.near(m)
+	far := l.isLocal(to) && l.rng.IntN(2) == 0
+	if far {
+		if found := l.livingFar(); len(found) > 0 {
+			return found
 		}
-		return l.local(m) != far
-	})
-	if len(found) == 0 && far {
-		return l.living(true)
 	}
-	return found
+	return where(l.local, func(m *member) bool {
+		return m != to && m.state == wire.State_STATE_ALIVE && (l.isLocal(to) || l.near(m))
+	})
 }
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -78,9 +78,10 @@
 	}
 	l.change(now, Woke, l.self)
 	l.probes, l.relays = nil, nil
-	for _, m := range l.members {
+	for _, m := range l.all {
 		if m.state == wire.State_STATE_SUSPECT {
 			m.suspectBy = now.Add(l.cfg.Suspect)
+			l.expireAt(m.suspectBy)
 		}
 	}
 	var sends []Send
@@ -91,7 +92,7 @@
 }
 
 func (l *List) placePeers() []*member {
-	peers := l.where(func(m *member) bool { return l.near(m) && m.state != wire.State_STATE_DEAD })
+	peers := where(l.local, func(m *member) bool { return l.near(m) && m.state != wire.State_STATE_DEAD })
 	if len(peers) > l.cfg.PlaceProbes {
 		return l.after(peers, l.placeAt)[:l.cfg.PlaceProbes]
 	}
@@ -132,7 +133,7 @@
 		return nil
 	}
 	return l.pingRing(now, &l.domainRing, func(m *member) bool {
-		return l.local(m) && !l.near(m) && m.state != wire.State_STATE_DEAD
+		return l.isLocal(m) && !l.near(m) && m.state != wire.State_STATE_DEAD
 	})
 }
 
@@ -141,7 +142,7 @@
 	if !l.due(now, &l.remoteDue, l.cfg.RemoteProbes) {
 		return nil
 	}
-	return l.pingRing(now, &l.farRing, func(m *member) bool { return !l.local(m) })
+	return l.pingRing(now, &l.farRing, func(m *member) bool { return !l.isLocal(m) })
 }
 
 func (l *List) pingRing(now time.Time, r *ring, want func(*member) bool) []Send {
@@ -151,7 +152,7 @@
 	}
 	refill := func() []string {
 		var ids []string
-		for _, m := range l.where(want) {
+		for _, m := range where(l.all, want) {
 			ids = append(ids, m.in.ID)
 		}
 		return ids
@@ -168,7 +169,7 @@
 	if !l.due(now, &l.deadDue, 1) {
 		return nil
 	}
-	dead := l.where(func(m *member) bool { return l.local(m) && m.state == wire.State_STATE_DEAD })
+	dead := where(l.local, func(m *member) bool { return m.state == wire.State_STATE_DEAD })
 	if len(dead) == 0 {
 		return nil
 	}
@@ -182,7 +183,7 @@
 	if len(l.cfg.Seeds) == 0 || !l.due(now, &l.seedDue, 1) {
 		return nil
 	}
-	if len(l.living(true)) > 0 || len(l.living(false)) > 0 {
+	if len(l.living()) > 0 || len(l.livingFar()) > 0 {
 		l.seedDue = now.Add(seedEvery * l.cfg.Probe)
 	}
 	to := l.cfg.Seeds[l.seedAt%len(l.cfg.Seeds)]
--- a/internal/member/state.go
+++ b/internal/member/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/firlever/firlever/internal/platform"
@@ -16,10 +17,9 @@
 	}
 	m := &member{in: in, refutation: n.GetRefutation(), since: now}
 	l.members[in.ID] = m
-	at, _ := slices.BinarySearch(l.ids, in.ID)
-	l.ids = slices.Insert(l.ids, at, in.ID)
-	if l.local(m) {
-		l.domain++
+	l.all = insert(l.all, m)
+	if l.isLocal(m) {
+		l.local = insert(l.local, m)
 		l.place += l.countNear(m)
 		l.news.add(in.ID, true)
 	} else {
@@ -35,7 +35,7 @@
 // room tells if one more member can be held; it forgets a dead one for it.
 func (l *List) room(now time.Time, in platform.Instance) bool {
 	local := in.Domain == l.self.in.Domain
-	full := l.domain >= l.cfg.MaxDomain
+	full := len(l.local) >= l.cfg.MaxDomain
 	if !local {
 		held := l.places[in.Place]
 		full = held >= l.cfg.Sample || held == 0 && len(l.places) >= l.cfg.MaxPlaces
@@ -43,8 +43,8 @@
 	if !full {
 		return true
 	}
-	dead := l.where(func(m *member) bool {
-		return m.state == wire.State_STATE_DEAD && l.local(m) == local && (local || m.in.Place == in.Place)
+	dead := where(l.all, func(m *member) bool {
+		return m.state == wire.State_STATE_DEAD && l.isLocal(m) == local && (local || m.in.Place == in.Place)
 	})
 	if len(dead) == 0 {
 		return false
@@ -64,13 +64,11 @@
 func (l *List) forget(now time.Time, m *member) {
 	id := m.in.ID
 	delete(l.members, id)
-	if at, ok := slices.BinarySearch(l.ids, id); ok {
-		l.ids = slices.Delete(l.ids, at, at+1)
-	}
+	l.all = remove(l.all, m)
 	l.news.drop(id)
 	l.change(now, Forgotten, m)
-	if l.local(m) {
-		l.domain--
+	if l.isLocal(m) {
+		l.local = remove(l.local, m)
 		l.place -= l.countNear(m)
 		return
 	}
@@ -143,10 +141,12 @@
 	was := m.state
 	if s == wire.State_STATE_SUSPECT {
 		m.suspectBy = now.Add(l.cfg.Suspect)
+		l.expireAt(m.suspectBy)
 	}
 	m.forgetBy = time.Time{}
 	if s == wire.State_STATE_DEAD && !m.listed {
 		m.forgetBy = now.Add(l.cfg.Forget)
+		l.expireAt(m.forgetBy)
 	}
 	m.state = s
 	if was != s {
@@ -185,14 +185,44 @@
 	}
 }
 
+// expireAt has expireMembers look again at the deadline.
+func (l *List) expireAt(deadline time.Time) {
+	if l.expireBy.IsZero() || deadline.Before(l.expireBy) {
+		l.expireBy = deadline
+	}
+}
+
 // expireMembers ends suspicion by death, and forgets the long dead.
 func (l *List) expireMembers(now time.Time) {
-	for _, m := range l.where(func(*member) bool { return true }) {
+	if l.expireBy.IsZero() || now.Before(l.expireBy) {
+		return
+	}
+	l.expireBy = time.Time{}
+	for _, m := range slices.Clone(l.all) {
 		switch {
 		case m.state == wire.State_STATE_SUSPECT && !now.Before(m.suspectBy):
 			l.enter(now, m, wire.State_STATE_DEAD)
+		case m.state == wire.State_STATE_SUSPECT:
+			l.expireAt(m.suspectBy)
 		case !m.forgetBy.IsZero() && !now.Before(m.forgetBy):
 			l.forget(now, m)
+		case !m.forgetBy.IsZero():
+			l.expireAt(m.forgetBy)
 		}
 	}
 }
+
+func insert(members []*member, m *member) []*member {
+	at, _ := slices.BinarySearchFunc(members, m, byID)
+	return slices.Insert(members, at, m)
+}
+
+func remove(members []*member, m *member) []*member {
+	at, ok := slices.BinarySearchFunc(members, m, byID)
+	if !ok {
+		return members
+	}
+	return slices.Delete(members, at, at+1)
+}
+
+func byID(a, b *member) int { return strings.Compare(a.in.ID, b.in.ID) }
