--- a/internal/core/apply.go
+++ b/internal/core/apply.go
@@ -179,7 +179,7 @@
 
 // probeDue asks for the health of owned targets that are due.
 func (n *Node) probeDue(now time.Time) {
-	for _, key := range n.book.Owned() {
+	for _, key := range n.probedTargets(now) {
 		due, ok := n.probes[key]
 		if !ok || now.Before(due) {
 			continue
@@ -199,6 +199,7 @@
 		s.health.Observe(now, ev.Target, health.Failed, 0)
 		return
 	}
+	n.reports[ev.Target] = ev.Busy
 	s.health.Claim(now, ev.Target, ev.Healthy, ev.Slots, ev.Busy)
 	n.pump(now)
 }
--- a/internal/core/flight.go
+++ b/internal/core/flight.go
@@ -37,6 +37,7 @@
 	target   owner.TargetKey // valid in stageTarget
 	peer     string          // valid in stagePeer and stageForward
 	exposed  bool            // an attempt may have run: "not run" would no longer be true
+	unowned  bool            // sent by a baseline policy: holds no slot
 	attempts int
 	tried    []string  // targets and instances that have refused it; never tried again
 	passed   []Passed  // ways weighed and not taken in the latest try
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -34,6 +34,7 @@
 	retry     retry.Policy
 	services  map[settings.ServiceID]*service // of the snapshot
 	address   map[owner.TargetKey]string      // of the place's targets
+	reports   map[owner.TargetKey]int         // requests that targets last reported, for baselines
 	probes    map[owner.TargetKey]time.Time   // when each target is probed next
 	started   time.Time
 	settlings []settling // slots of broken attempts, by time
@@ -56,6 +57,7 @@
 		services: make(map[settings.ServiceID]*service),
 		address:  make(map[owner.TargetKey]string),
 		probes:   make(map[owner.TargetKey]time.Time),
+		reports:  make(map[owner.TargetKey]int),
 		started:  now,
 	}
 	if err := n.build(); err != nil {
--- a/internal/core/node_test.go
+++ b/internal/core/node_test.go
@@ -192,3 +192,26 @@
 		})
 	}
 }
+
+func TestBaselinesKnowNoLimit(t *testing.T) {
+	tests := map[string]struct {
+		policy Policy
+		want   string
+	}{
+		"owner":  {PolicyOwner, "hold"},
+		"random": {PolicyRandom, "serve"},
+		"two":    {PolicyTwo, "serve"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			n := testNode(t, func(cfg *Config) { cfg.Policy = tt.policy })
+			for i := range 2 {
+				n.Step(begin, request(ID(i+1), "10.1.0.1"))
+			}
+			if got := word(n.Step(begin, request(3, "10.1.0.1"))); got != tt.want {
+				t.Errorf("got %q, want %q", got, tt.want)
+			}
+			n.Step(begin, Finished{ID: 1, Result: Answered, Status: 200})
+		})
+	}
+}
--- a/internal/core/outcome.go
+++ b/internal/core/outcome.go
@@ -56,6 +56,9 @@
 
 // freeSlot gives the attempt's slot back, at once if the target is done with it.
 func (n *Node) freeSlot(now time.Time, f *flight, ev Finished) {
+	if f.unowned {
+		return
+	}
 	if ev.Result == Failed {
 		n.settle(now, f.target)
 		return
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -78,6 +78,9 @@
 
 // tryOwn serves the request from a target that this instance owns.
 func (n *Node) tryOwn(now time.Time, f *flight, reason Reason) (Reason, bool) {
+	if n.baseline() {
+		return n.tryBaseline(now, f, reason)
+	}
 	if why := n.ownRoom(now, f); why != "" {
 		return why, false
 	}
@@ -115,7 +118,7 @@
 		return
 	}
 	shifted := f.shifted(n.cfg.Place)
-	if shifted {
+	if shifted && !n.baseline() {
 		n.check(invariant.ShiftCap, n.service(now, f.req.Service).ramp.Admit(now), func() string {
 			return f.req.Service.String() + " admitted a shifted request without room"
 		})
