--- a/internal/operator/writes.go
+++ b/internal/operator/writes.go
@@ -49,12 +49,6 @@
 
 // change makes a change and puts it in force here.
 func (s *Server) change(ctx context.Context, c change) (platform.PutResult, error) {
-	if c.repeat {
-		result, err := s.resolve(ctx, c)
-		if result.Outcome != platform.Unknown {
-			return result, err
-		}
-	}
 	result, err := s.attempt(ctx, c)
 	if result.Outcome == platform.Unknown {
 		// Answers to writes are lost; those to reads may not be.
