Run membership by its own shell, with releases on every heartbeat

Cause: the instance polled the membership every 50 ms and copied all members each time; releases rode on pings under a wrong number. Change: internal/peer drives the list by its own deadlines; a packet is completed just before it is sent with the documents' hash, the roster's version, the promise that the node allows, and the release of what is held. A release that would not fit is left out rather than losing the heartbeat. An instance that a newer incarnation has replaced ends. Excluded: sending rooms with heartbeats; once a second is too old for them.

--- a/cmd/firlever/serve.go
+++ b/cmd/firlever/serve.go
@@ -87,7 +87,12 @@
 	}
 	in.Start()
 	logger.Info("serving", "instance", cfg.ID, "callers", in.Callers(), "peers", in.Peers(), "operators", in.Operators())
-	<-signals
+	select {
+	case <-in.Replaced():
+		in.Kill()
+		return &replacedError{ID: cfg.ID}
+	case <-signals:
+	}
 	return stopServing(in, signals, flags.patience)
 }
 
@@ -102,6 +107,11 @@
 	return in.Stop(ctx)
 }
 
+// replacedError says that a newer process runs under this instance's name.
+type replacedError struct{ ID string }
+
+func (e *replacedError) Error() string { return "a newer process runs as instance " + e.ID }
+
 func newLogger(w io.Writer, level string) (*log.Logger, error) {
 	parsed, err := log.ParseLevel(level)
 	if err != nil {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -41,6 +41,8 @@
 	members     *gossip
 	swaps       chan core.SwapRoster
 	probes      chan core.Probe
+	replaced    chan struct{} // closed when a newer incarnation of this instance runs
+	replaceOnce sync.Once
 	unequal     chan platform.Instance // peers whose documents differ
 	rpc         *http.Client           // of control calls to peers
 
@@ -64,6 +66,7 @@
 		swaps:       make(chan core.SwapRoster, 1),
 		probes:      make(chan core.Probe, queueLength),
 		unequal:     make(chan platform.Instance, 1),
+		replaced:    make(chan struct{}),
 		rpc:         &http.Client{Transport: &http.Transport{DialContext: cfg.Dial}, Timeout: syncTimeout},
 	}
 	if err := in.listen(); err != nil {
@@ -176,6 +179,12 @@
 // Peers is the address that other instances use, with the port that was chosen.
 func (in *Instance) Peers() string { return in.cfg.Peers }
 
+// Replaced is closed when a newer incarnation of this very instance runs: this
+// one has to end.
+func (in *Instance) Replaced() <-chan struct{} { return in.replaced }
+
+func (in *Instance) replace() { in.replaceOnce.Do(func() { close(in.replaced) }) }
+
 // Start begins to serve.
 func (in *Instance) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/peer/udp.go
+++ b/internal/peer/udp.go
@@ -50,11 +50,23 @@
 	sent, sentBytes, received, receivedBytes, unsent, garbage, passed atomic.Uint64
 }
 
+// Hooks are what a UDP calls, never under its lock. Each may be nil.
+type Hooks struct {
+	// Heard takes each packet that the list took in.
+	Heard func(time.Time, *wire.Packet)
+	// Rooms takes each packet that only tells of room.
+	Rooms func(*wire.Packet)
+	// Prepare completes a packet just before it is sent. cause is the packet
+	// that it answers, nil if it answers none.
+	Prepare func(p, cause *wire.Packet)
+	// Changed takes the list's changes, in order, from one goroutine at a time.
+	Changed func([]member.Change)
+}
+
 // UDP runs a member.List over one socket. It is safe for concurrent use.
 type UDP struct {
 	conn    net.PacketConn
-	heard   func(time.Time, *wire.Packet)
-	changed func([]member.Change)
+	hooks   Hooks
 	wake    chan struct{} // holds one token when the timer is to be set anew
 	tallies tallies
 
@@ -64,11 +76,9 @@
 	handing bool            // a goroutine is calling changed
 }
 
-// NewUDP makes a shell round list. heard is called with each packet that the
-// list took in, and changed with its changes; either may be nil, and neither is
-// called under the lock. changed is called by one goroutine at a time, in order.
-func NewUDP(conn net.PacketConn, list *member.List, heard func(time.Time, *wire.Packet), changed func([]member.Change)) *UDP {
-	return &UDP{conn: conn, list: list, heard: heard, changed: changed, wake: make(chan struct{}, 1)}
+// NewUDP makes a shell round list.
+func NewUDP(conn net.PacketConn, list *member.List, hooks Hooks) *UDP {
+	return &UDP{conn: conn, list: list, hooks: hooks, wake: make(chan struct{}, 1)}
 }
 
 // Run reads and sends until ctx is done, closes the socket and returns nil; it
@@ -89,12 +99,16 @@
 
 // Do runs f with the list under the lock, sends what it returns and hands on
 // the changes. f must not keep the list.
-func (u *UDP) Do(f func(now time.Time, l *member.List) []member.Send) {
+func (u *UDP) Do(f func(now time.Time, l *member.List) []member.Send) { u.do(nil, f) }
+
+// do is Do for what answers a packet.
+func (u *UDP) do(cause *wire.Packet, f func(now time.Time, l *member.List) []member.Send) {
 	u.mu.Lock()
 	sends := f(time.Now(), u.list)
 	u.changes = append(u.changes, u.list.Changes()...)
 	u.mu.Unlock()
 	for _, s := range sends {
+		u.prepare(s.Packet, cause)
 		u.send(s)
 	}
 	u.hand()
@@ -111,12 +125,12 @@
 	for !u.handing && len(u.changes) > 0 {
 		changes := u.changes
 		u.changes = nil
-		if u.changed == nil {
+		if u.hooks.Changed == nil {
 			return
 		}
 		u.handing = true
 		u.mu.Unlock()
-		u.changed(changes)
+		u.hooks.Changed(changes)
 		u.mu.Lock()
 		u.handing = false
 	}
@@ -193,8 +207,12 @@
 		u.tallies.garbage.Add(1)
 		return
 	}
+	if p.GetKind() == wire.Kind_KIND_UNSPECIFIED {
+		u.rooms(p)
+		return
+	}
 	var at time.Time
-	u.Do(func(now time.Time, l *member.List) []member.Send {
+	u.do(p, func(now time.Time, l *member.List) []member.Send {
 		var sends []member.Send
 		at = now
 		sends, err = l.Receive(now, p)
@@ -204,11 +222,26 @@
 		u.tallies.passed.Add(1)
 		return
 	}
-	if u.heard != nil {
-		u.heard(at, p)
+	if u.hooks.Heard != nil {
+		u.hooks.Heard(at, p)
+	}
+}
+
+func (u *UDP) rooms(p *wire.Packet) {
+	if u.hooks.Rooms != nil {
+		u.hooks.Rooms(p)
+	}
+}
+
+func (u *UDP) prepare(p, cause *wire.Packet) {
+	if u.hooks.Prepare != nil {
+		u.hooks.Prepare(p, cause)
 	}
 }
 
+// Send sends one packet that is none of the list's.
+func (u *UDP) Send(address string, p *wire.Packet) { u.send(member.Send{To: address, Packet: p}) }
+
 // Decode reads one datagram. The error is a *SizeError or a *DecodeError.
 func Decode(data []byte) (*wire.Packet, error) {
 	if len(data) == 0 || len(data) > wire.MaxPacket {
--- a/internal/peer/udp_test.go
+++ b/internal/peer/udp_test.go
@@ -83,18 +83,18 @@
 		var mu sync.Mutex
 		var kinds []member.ChangeKind
 		var heard int
-		a := NewUDP(h.listen(addrA), newList(t, "a", addrA), func(time.Time, *wire.Packet) {
+		a := NewUDP(h.listen(addrA), newList(t, "a", addrA), Hooks{Heard: func(time.Time, *wire.Packet) {
 			mu.Lock()
 			defer mu.Unlock()
 			heard++
-		}, func(changes []member.Change) {
+		}, Changed: func(changes []member.Change) {
 			mu.Lock()
 			defer mu.Unlock()
 			for _, c := range changes {
 				kinds = append(kinds, c.Kind)
 			}
-		})
-		b := NewUDP(h.listen(addrB), newList(t, "b", addrB, addrA), nil, nil)
+		}})
+		b := NewUDP(h.listen(addrB), newList(t, "b", addrB, addrA), Hooks{})
 		ctxA, stopA := context.WithCancel(t.Context())
 		ctxB, stopB := context.WithCancel(t.Context())
 		var wg sync.WaitGroup
@@ -134,7 +134,7 @@
 	}
 	defer other.Close()
 	addr := other.LocalAddr().String()
-	u := NewUDP(pc, newList(t, "a", pc.LocalAddr().String(), addr), nil, nil)
+	u := NewUDP(pc, newList(t, "a", pc.LocalAddr().String(), addr), Hooks{})
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- u.Run(ctx) }()
