--- a/internal/once/book_test.go
+++ b/internal/once/book_test.go
@@ -135,6 +135,10 @@
 	if !b.Dispatch(start, old, v.Attempt) {
 		t.Error("got no dispatch of what had begun, want one")
 	}
+	b.Finish(start, old, v.Attempt, Outcome{Kind: OutcomeNotRun, Proof: ProofRefusal})
+	if got := b.Begin(start, old, Fingerprint{}, "r3").Kind; got != VerdictClosed {
+		t.Errorf("again: got %v, want closed", got)
+	}
 }
 
 func TestSweepKeepsWhatRuns(t *testing.T) {
--- a/internal/queue/goodput_test.go
+++ b/internal/queue/goodput_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -90,13 +91,21 @@
 	return x
 }
 
-// goodput returns answers within their deadline as a part of what the station
-// can do, and the part of the admitted that was late. Demand is Poisson at load
-// times the capacity; a late request holds its slot to its end.
-func goodput(p policy, load float64) (good, late float64) {
+// figures of one run.
+type figures struct {
+	good   float64       // answers within their deadline, as a part of what the station can do
+	late   float64       // part of what was started that ended after its deadline
+	held   float64       // part of the demand that was let wait and then given up
+	median time.Duration // of the answers within their deadline, from arrival
+}
+
+// measure runs Poisson demand of load times the capacity. A late request holds
+// its slot to its end.
+func measure(p policy, load float64) figures {
 	rnd := rand.New(rand.NewPCG(1, 2))
 	var busy jobs
-	var done, missed int
+	var answers []time.Duration
+	var missed, queued, demand int
 	arrival := start
 	for id := uint64(1); ; id++ {
 		arrival = arrival.Add(seconds(rnd.ExpFloat64() / (load * capacity)))
@@ -109,14 +118,24 @@
 			if j.end.After(j.deadline) {
 				missed++
 			} else {
-				done++
+				answers = append(answers, j.end.Sub(j.deadline)+budget)
 			}
 			fill(p, &busy, j.end, rnd)
 		}
-		p.push(arrival, Item{ID: id, Deadline: arrival.Add(budget)})
+		demand++
+		if p.push(arrival, Item{ID: id, Deadline: arrival.Add(budget)}) {
+			queued++
+		}
 		fill(p, &busy, arrival, rnd)
 	}
-	return float64(done) / (capacity * runFor.Seconds()), float64(missed) / float64(done+missed)
+	slices.Sort(answers)
+	started := len(answers) + missed
+	return figures{
+		good:   float64(len(answers)) / (capacity * runFor.Seconds()),
+		late:   float64(missed) / float64(started),
+		held:   float64(queued-started-len(busy)) / float64(demand), // those that wait at the end too
+		median: answers[len(answers)/2],
+	}
 }
 
 func fill(p policy, busy *jobs, now time.Time, rnd *rand.Rand) {
@@ -143,13 +162,13 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			atCapacity, _ := goodput(tt.policy(), 1)
-			for _, load := range []float64{1.2, 2, 4} {
-				got, late := goodput(tt.policy(), load)
-				t.Logf("load %.1f: goodput %.3f of capacity, at load 1 %.3f, kept %.3f, late %.4f",
-					load, got, atCapacity, got/atCapacity, late)
-				if got < tt.least*atCapacity {
-					t.Errorf("got %.3f, want at least %.2f of %.3f", got, tt.least, atCapacity)
+			atCapacity := measure(tt.policy(), 1).good
+			for _, load := range []float64{1, 1.2, 2, 4} {
+				got := measure(tt.policy(), load)
+				t.Logf("load %.1f: goodput %.3f, kept %.3f, late %.4f, held then given up %.4f, median %v",
+					load, got.good, got.good/atCapacity, got.late, got.held, got.median.Round(time.Millisecond))
+				if got.good < tt.least*atCapacity {
+					t.Errorf("got %.3f, want at least %.2f of %.3f", got.good, tt.least, atCapacity)
 				}
 			}
 		})
--- a/internal/queue/item.go
+++ b/internal/queue/item.go
@@ -21,7 +21,7 @@
 // Kinds of verdict. All but VerdictQueued are final: the request was not run.
 const (
 	VerdictQueued    VerdictKind = iota + 1
-	VerdictFull                  // the queue is at its length
+	VerdictFull                  // the queue, or its team's part of it, is at its length
 	VerdictLate                  // its deadline can't be met as things go
 	VerdictExpired               // its deadline has passed already
 	VerdictDuplicate             // an item with its ID waits
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -13,7 +13,7 @@
 // Queue holds the requests of one instance that wait for a slot.
 type Queue struct {
 	cfg         Config
-	shares      map[string]int // weights of teams; each over 0
+	room        *room // counts all that wait, by team
 	stations    map[settings.ServiceID]*station
 	entries     map[uint64]*entry // all that wait, by ID
 	interactive *class
@@ -28,7 +28,7 @@
 func New(cfg Config) *Queue {
 	return &Queue{
 		cfg:         cfg,
-		shares:      make(map[string]int),
+		room:        newRoom(cfg.Length),
 		stations:    make(map[settings.ServiceID]*station),
 		entries:     make(map[uint64]*entry),
 		interactive: newClass(),
@@ -38,11 +38,7 @@
 
 // SetShare sets the weight of a team at a contested place. Teams never set, or
 // set to less than 1, weigh 1.
-func (q *Queue) SetShare(team string, weight int) {
-	q.shares[team] = max(weight, defaultShare)
-}
-
-func (q *Queue) share(team string) int { return max(q.shares[team], defaultShare) }
+func (q *Queue) SetShare(team string, weight int) { q.room.setShare(team, weight) }
 
 // Forget drops what was learnt of a service that is no longer configured.
 func (q *Queue) Forget(service settings.ServiceID) {
@@ -63,7 +59,7 @@
 	s := q.station(now, it.Service)
 	ahead := q.ahead(it.Service, it.Bulk)
 	first := now.Add(s.wait(ahead))
-	if len(q.entries) >= q.cfg.Length {
+	if !q.room.free(it.Service.Team) {
 		return Verdict{Kind: VerdictFull, Start: first, RetryAt: q.retryAt(now, s, s.wait(ahead)/2)}
 	}
 	last := it.Deadline.Add(-s.usual())
@@ -126,6 +122,7 @@
 	q.seq++
 	e := &entry{item: it, seq: q.seq, last: last}
 	q.entries[it.ID] = e
+	q.room.add(it.Service.Team)
 	heap.Push(&q.starts, e)
 	q.class(it).add(e)
 }
@@ -139,7 +136,7 @@
 		slices.Reverse(classes[:])
 	}
 	for _, c := range classes {
-		e := c.pop(can, q.share)
+		e := c.pop(can, q.room.share)
 		if e == nil {
 			continue
 		}
@@ -163,6 +160,7 @@
 	delete(q.entries, e.item.ID)
 	heap.Remove(&q.starts, e.place)
 	service := e.item.Service
+	q.room.remove(service.Team)
 	q.station(now, service).waiting(now, q.ahead(service, true))
 }
 
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -148,6 +148,75 @@
 	}
 }
 
+func TestRateCountsOnlyWhileItemsWait(t *testing.T) {
+	q, now := busyQueue(0) // ten a second: all that came, not all that could be done
+	q.Push(now, Item{ID: 1, Service: a1, Deadline: now.Add(time.Hour)})
+	if got := q.Wait(now, a1); got != 0 {
+		t.Errorf("got a wait of %v, want none before one was measured", got)
+	}
+}
+
+func TestWaitOfEmptyQueueIsNone(t *testing.T) {
+	q, now := busyQueue(1)
+	now = now.Add(time.Minute) // no completion
+	q.Cancel(now, 1)
+	if got := q.Wait(now, a1); got != 0 {
+		t.Errorf("got a wait of %v, want none", got)
+	}
+}
+
+func TestNoTeamFillsTheQueue(t *testing.T) {
+	cfg := Defaults()
+	cfg.Length = 20
+	q := New(cfg)
+	q.SetShare("a", 3)
+	q.SetShare("b", 2)
+	push := func(id uint64, service settings.ServiceID) int {
+		n := q.Len()
+		for range uint64(cfg.Length) {
+			q.Push(start, Item{ID: id, Service: service, Deadline: start.Add(time.Hour)})
+			id++
+		}
+		return q.Len() - n
+	}
+	if got := push(0, a1); got != 16 { // 6 of its own and the open 10
+		t.Errorf("got %d of a, want 16", got)
+	}
+	if got := push(100, b1); got != 4 {
+		t.Errorf("got %d of b, want 4", got)
+	}
+	for id := range uint64(10) {
+		q.Cancel(start, id)
+	}
+	push(200, b1)
+	q.SetShare("b", 1)
+	q.SetShare("a", 100)
+	if push(300, a1); q.Len() > cfg.Length {
+		t.Errorf("shares changed: got %d, want at most %d", q.Len(), cfg.Length)
+	}
+}
+
+func TestRing(t *testing.T) {
+	tests := map[string]struct{ advance, remove, want int }{
+		"one before the turn": {2, 0, 2},
+		"the turn itself":     {1, 1, 2},
+		"one after the turn":  {1, 2, 1},
+		"the last, in turn":   {3, 3, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := ring[int]{members: []int{0, 1, 2, 3}}
+			for range tt.advance {
+				r.advance()
+			}
+			r.remove(tt.remove)
+			if got := r.at(); got != tt.want {
+				t.Errorf("got %d in turn, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
 // TestRandomRuns checks that each item that may wait leaves exactly once, in
 // order, in time and only when it could start.
 func TestRandomRuns(t *testing.T) {
