--- a/internal/owner/book.go
+++ b/internal/owner/book.go
@@ -33,7 +33,7 @@
 	peers    map[string]*peer
 	ended    map[string]ending
 	learned  map[Member]time.Time // when a former line was first seen
-	unlisted map[string]time.Time // since when the platform's list has not named a line
+	unlisted map[Member]time.Time // since when the platform's list has not named a line
 
 	platformUntil time.Time // tenure by the platform ends here
 	refreshAt     time.Time // when a reserve next changes by itself; zero for never
@@ -63,7 +63,7 @@
 		peers:    make(map[string]*peer),
 		ended:    make(map[string]ending),
 		learned:  make(map[Member]time.Time),
-		unlisted: make(map[string]time.Time),
+		unlisted: make(map[Member]time.Time),
 	}, nil
 }
 
@@ -118,9 +118,6 @@
 	if !ok || own.Incarnation != b.cfg.Incarnation {
 		own = Member{}
 	}
-	if own.Since != b.own.Since {
-		b.platformUntil = time.Time{}
-	}
 	b.own = own
 	b.noteFormer(now)
 	for _, m := range r.Members {
--- a/internal/owner/ending.go
+++ b/internal/owner/ending.go
@@ -39,24 +39,24 @@
 }
 
 // Listed notes the platform's list as read at now. A line of the roster that
-// it has not named for all of Lag has ended.
+// it has not named for all of Lag has ended. Lag includes the time of the call.
 func (b *Book) Listed(now time.Time, list []Listing) {
 	listed := make(map[string]uint64, len(list))
 	for _, l := range list {
 		listed[l.Instance] = max(listed[l.Instance], l.Incarnation)
 	}
-	missing := make(map[string]time.Time)
+	missing := make(map[Member]time.Time)
 	for _, s := range b.roster.spans() {
 		incarnation, ok := listed[s.Instance]
 		if ok {
 			b.newer(now, s.Instance, incarnation)
 			continue
 		}
-		since, ok := b.unlisted[s.Instance]
+		since, ok := b.unlisted[s.Member]
 		if !ok {
 			since = now
 		}
-		missing[s.Instance] = since
+		missing[s.Member] = since
 		if !now.Before(since.Add(b.skewed(b.cfg.Lag))) {
 			b.Gone(now, s.Instance, s.Incarnation)
 		}
--- a/internal/owner/line.go
+++ b/internal/owner/line.go
@@ -15,11 +15,14 @@
 	quota     int       // in force; at most spec.Quota
 	raiseAt   time.Time // when spec's values come into force; zero when they are
 
-	inFlight  int     // requests of this instance at the target
-	charges   []*line // whose quota each of them uses; len(charges) == inFlight
-	charged   int     // requests of this instance that use this line's quota
-	heldSlots int     // reserved for earlier owners
-	heldQuota int     // reserved for earlier owners
+	inFlight int // requests of this instance at the target
+	// charges are the lines whose quota the requests use; len(charges) == inFlight.
+	// The oldest is given back first: so what stands now is gone when the requests
+	// in flight now are, whichever request was charged to which line.
+	charges   []*line
+	charged   int // requests of this instance that use this line's quota
+	heldSlots int // reserved for earlier owners
+	heldQuota int // reserved for earlier owners
 }
 
 // adopt takes a spec; what it raises holds from settled on.
--- a/internal/owner/slots.go
+++ b/internal/owner/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/firlever/firlever/internal/invariant"
@@ -129,11 +130,8 @@
 	if !ok || l.inFlight == 0 {
 		return
 	}
-	i := l.repay()
-	c := l.charges[i]
-	last := len(l.charges) - 1
-	l.charges[i] = l.charges[last]
-	l.charges = l.charges[:last]
+	c := l.charges[0]
+	l.charges = slices.Delete(l.charges, 0, 1)
 	l.inFlight--
 	c.charged--
 	if c.mine {
@@ -141,21 +139,6 @@
 	}
 }
 
-// repay picks the charge to give back: what belongs to another instance by now
-// goes first, then what was borrowed from another line.
-func (l *line) repay() int {
-	pick := 0
-	for i, c := range l.charges {
-		if !c.mine {
-			return i
-		}
-		if c != l {
-			pick = i
-		}
-	}
-	return pick
-}
-
 // InFlight returns how many requests this instance has at a target.
 func (b *Book) InFlight(key TargetKey) int {
 	if l, ok := b.lines[key]; ok {
--- a/internal/owner/tenure.go
+++ b/internal/owner/tenure.go
@@ -83,7 +83,7 @@
 	}
 	p.version = max(p.version, version)
 	m, ok := b.roster.Member(peer)
-	if !ok || m.Incarnation != incarnation || version < m.Since || p.removing {
+	if !ok || m.Incarnation != incarnation || p.removing {
 		return false
 	}
 	p.promised = now.Add(b.skewed(b.cfg.Term))
