Prove that an attempt was not sent by the bytes written

Cause: the transport repeats a request by itself when a kept connection turns out to be closed, also after it was written to: any GET, and a POST with an empty body and a caller's Idempotency-Key header. And an attempt on a kept connection that failed with no byte written counted as one that may have run.

Change: connections note whether anything was written for the attempt that has them. After an attempt that wrote, the next connection is sealed; after a failure without a byte, the connection is sealed and the proof holds.

Conclusion: no second dispatch by the transport; the proof is exact.

--- a/internal/targets/client.go
+++ b/internal/targets/client.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"sync/atomic"
 	"time"
 
 	"github.com/firlever/firlever/internal/once"
@@ -36,7 +35,7 @@
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
 	return &Client{transport: &http.Transport{
-		DialContext:            dial,
+		DialContext:            noting(dial),
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    idlePerTarget,
 		IdleConnTimeout:        idleTimeout,
@@ -72,26 +71,58 @@
 // Unwrap returns the cause.
 func (e *LostError) Unwrap() error { return e.Err }
 
-// Send makes one attempt. The transport must not repeat it by itself, so the
-// request's body has to be one that it can't rewind (see Once). Errors are
-// *NotSentError or *LostError.
+// Send makes one attempt. Errors are *NotSentError or *LostError. An attempt
+// that failed sends nothing afterwards.
 func (c *Client) Send(ctx context.Context, r *http.Request) (*http.Response, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, &NotSentError{Err: err}
 	}
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	var a attempt
+	trace := &httptrace.ClientTrace{GotConn: a.gotConn}
 	resp, err := c.transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	switch {
 	case err == nil:
 		return resp, nil
-	case !sent.Load() || refused(err):
+	case a.unsent():
 		return nil, &NotSentError{Err: err}
 	default:
 		return nil, &LostError{Err: err}
 	}
 }
 
+// attempt follows one request through the transport.
+type attempt struct {
+	conn *conn // the latest that it was given; nil before the first
+	sent bool  // something was written to an earlier one
+}
+
+// gotConn takes note of the connection that the transport chose. The transport
+// repeats requests by itself when a kept connection turns out to be closed,
+// also after it was written to: that one may have run, so the next connection
+// is sealed, and the repetition fails.
+func (a *attempt) gotConn(info httptrace.GotConnInfo) {
+	c, ok := info.Conn.(*conn)
+	if !ok {
+		a.sent = true
+		return
+	}
+	a.sent = !a.unsent()
+	a.conn = c
+	if a.sent {
+		c.seal()
+		return
+	}
+	c.begin()
+}
+
+// unsent says that nothing was written, and lets nothing be written from now on.
+func (a *attempt) unsent() bool {
+	if a.sent {
+		return false
+	}
+	return a.conn == nil || a.conn.seal()
+}
+
 // refused says whether the connection was never opened.
 func refused(err error) bool {
 	var op *net.OpError
--- /dev/null
+++ b/internal/targets/client_test.go
@@ -0,0 +1,156 @@
+package targets
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+)
+
+// closing is a target that answers the first request of each connection and
+// closes the connection on the second, when it has read it.
+type closing struct {
+	ln  net.Listener
+	got atomic.Int32 // requests read
+}
+
+func newClosing(t *testing.T) *closing {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	s := &closing{ln: ln}
+	go s.accept()
+	return s
+}
+
+func (s *closing) accept() {
+	for {
+		c, err := s.ln.Accept()
+		if err != nil {
+			return
+		}
+		go s.serve(c)
+	}
+}
+
+func (s *closing) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for range 2 {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, req.Body)
+		if s.got.Add(1)%2 == 1 {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	}
+}
+
+func newRequest(t *testing.T, method, address, body string) *http.Request {
+	t.Helper()
+	r, err := http.NewRequest(method, "http://"+address+"/", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Idempotency-Key", "k")
+	return r
+}
+
+// TestNoRepetition breaks a kept connection after the request was read: the
+// transport's own second try must not reach the target.
+func TestNoRepetition(t *testing.T) {
+	tests := map[string]struct{ method, body string }{
+		"get":              {http.MethodGet, ""},
+		"keyed empty post": {http.MethodPost, ""},
+		"post":             {http.MethodPost, "work"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, c := newClosing(t), New(nil)
+			defer c.Close()
+			address := s.ln.Addr().String()
+			resp, err := c.Send(context.Background(), newRequest(t, tt.method, address, tt.body))
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Body.Close()
+			_, err = c.Send(context.Background(), newRequest(t, tt.method, address, tt.body))
+			var lost *LostError
+			if !errors.As(err, &lost) {
+				t.Errorf("got %v, want a *LostError", err)
+			}
+			if got := s.got.Load(); got != 2 {
+				t.Errorf("got %d requests at the target, want 2", got)
+			}
+		})
+	}
+}
+
+// brokenConn fails before or after a byte has gone out.
+type brokenConn struct {
+	net.Conn
+	after bool
+}
+
+func (c brokenConn) Write(b []byte) (int, error) {
+	if c.after {
+		c.Conn.Write(b[:1])
+	}
+	return 0, io.ErrClosedPipe
+}
+
+func TestProofOfNotSent(t *testing.T) {
+	pipe := func(after bool) Dial {
+		return func(context.Context, string, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go io.Copy(io.Discard, far)
+			return brokenConn{near, after}, nil
+		}
+	}
+	refuse := func(context.Context, string, string) (net.Conn, error) {
+		return nil, &net.OpError{Op: "dial", Err: io.ErrClosedPipe}
+	}
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	tests := map[string]struct {
+		ctx  context.Context
+		dial Dial
+		want bool
+	}{
+		"refused":           {context.Background(), refuse, true},
+		"cancelled before":  {ended, pipe(true), true},
+		"broken on a write": {context.Background(), pipe(true), false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, err := New(tt.dial).Send(tt.ctx, newRequest(t, http.MethodPost, "10.0.0.1:80", "work"))
+			var notSent *NotSentError
+			if got := errors.As(err, &notSent); got != tt.want {
+				t.Errorf("got proof %v of %v, want %v", got, err, tt.want)
+			}
+		})
+	}
+}
+
+func TestSealedConnIsProof(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	c := &conn{Conn: near}
+	c.begin()
+	if got := c.seal(); !got {
+		t.Error("got no proof, want one: nothing was written")
+	}
+	if _, err := c.Write([]byte("late")); err == nil {
+		t.Error("got a write after the proof, want none")
+	}
+}
