Let a tick cost nothing for each service and peer

Cause: a hundred times a second each node worked out every service's cap anew, went through all owned targets, and searched the list of peers for each line of the roster. Change: caps follow a revision of the owner's book and the tenure; probes have one next deadline; peers are kept by id and by place; the places of a request are ranked in one pass. Only services with targets in the place are told to its peers. A tick still grows with the roster of the place, and a request with the targets that its instance owns.

--- a/internal/core/apply.go
+++ b/internal/core/apply.go
@@ -127,6 +127,7 @@
 
 // applyTargets forgets targets that have gone and probes new ones at once.
 func (n *Node) applyTargets(now time.Time, specs []owner.Spec) {
+	n.probeAt = now
 	kept := make(map[owner.TargetKey]string, len(specs))
 	for _, spec := range specs {
 		kept[spec.Key] = spec.Address
@@ -170,8 +171,20 @@
 	}
 }
 
-// recapAll follows changes of ownership and tenure.
+// rights is all that the services' caps depend on beside the settings.
+type rights struct {
+	revision uint64 // of what the book lets this instance use
+	tenure   owner.State
+}
+
+// recapAll follows changes of ownership and tenure. A tick mostly brings
+// neither, and then costs nothing for each service.
 func (n *Node) recapAll(now time.Time) {
+	r := rights{revision: n.book.Revision(now), tenure: n.book.Tenure(now)}
+	if r == n.capped {
+		return
+	}
+	n.capped = r
 	for _, id := range n.snapshot.Services() {
 		n.recap(now, n.service(now, id))
 	}
@@ -179,9 +192,17 @@
 
 // probeDue asks for the health of owned targets that are due.
 func (n *Node) probeDue(now time.Time) {
+	if now.Before(n.probeAt) {
+		return
+	}
+	n.probeAt = now.Add(n.cfg.Probe)
 	for _, key := range n.probedTargets(now) {
 		due, ok := n.probes[key]
-		if !ok || now.Before(due) {
+		if !ok {
+			continue
+		}
+		if now.Before(due) {
+			n.probeAt = earlier(n.probeAt, due)
 			continue
 		}
 		n.probes[key] = now.Add(n.cfg.Probe)
@@ -189,6 +210,13 @@
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // probed takes in what a target claims of itself.
 func (n *Node) probed(now time.Time, ev Probed) {
 	s, ok := n.services[ev.Target.Service]
--- a/internal/core/lookup.go
+++ b/internal/core/lookup.go
@@ -62,8 +62,8 @@
 	if place == n.cfg.Place && !n.stopping && !n.snapshot.InstanceDrained(n.cfg.Instance) {
 		list = append(list, Peer{ID: n.cfg.Instance, Incarnation: n.cfg.Incarnation, Place: place})
 	}
-	for _, p := range n.peers {
-		if p.Place == place && !p.Leaving && !n.snapshot.InstanceDrained(p.ID) {
+	for _, p := range n.peers.local[place] {
+		if !p.Leaving && !n.snapshot.InstanceDrained(p.ID) {
 			list = append(list, p)
 		}
 	}
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -22,7 +22,7 @@
 	snapshot *settings.Snapshot // nil until the first documents arrive
 	blocks   *block.Table
 
-	peers  []Peer          // live peers, sorted by id, without this instance
+	peers  peerList
 	rooms  map[string]desk // what each peer of peers last said of its room
 	seen   map[string]time.Time
 	book   *owner.Book
@@ -36,6 +36,8 @@
 	address   map[owner.TargetKey]string      // of the place's targets
 	reports   map[owner.TargetKey]int         // requests that targets last reported, for baselines
 	probes    map[owner.TargetKey]time.Time   // when each target is probed next
+	probeAt   time.Time                       // no target is due for a probe before
+	capped    rights                          // what the services' caps were last worked out from
 	started   time.Time
 	settlings []settling // slots of broken attempts, by time
 	stopping  bool
--- /dev/null
+++ b/internal/core/peers.go
@@ -0,0 +1,22 @@
+package core
+
+// peerList holds the live peers, without this instance.
+type peerList struct {
+	all   []Peer // sorted by id
+	byID  map[string]Peer
+	local map[string][]Peer // of each place, in the order of all
+}
+
+func newPeerList(peers []Peer) peerList {
+	l := peerList{all: peers, byID: make(map[string]Peer, len(peers)), local: make(map[string][]Peer)}
+	for _, p := range peers {
+		l.byID[p.ID] = p
+		l.local[p.Place] = append(l.local[p.Place], p)
+	}
+	return l
+}
+
+func (n *Node) peer(id string) (Peer, bool) {
+	p, ok := n.peers.byID[id]
+	return p, ok
+}
--- a/internal/core/room.go
+++ b/internal/core/room.go
@@ -84,8 +84,8 @@
 func (n *Node) choosePeer(now time.Time, f *flight, place string) (Peer, Reason) {
 	var best Peer
 	why, most := ReasonNoTargets, 0
-	for _, p := range n.peers {
-		if p.Place != place || p.Leaving || f.hasTried(p.ID) {
+	for _, p := range n.peers.local[place] {
+		if p.Leaving || f.hasTried(p.ID) {
 			continue
 		}
 		why = ReasonFull
@@ -101,23 +101,25 @@
 
 // roomNear says whether a peer of this place has room for the service.
 func (n *Node) roomNear(now time.Time, service settingsID) bool {
-	for _, p := range n.peers {
-		if p.Place == n.cfg.Place && !p.Leaving && n.roomAt(now, p.ID, service) > 0 {
+	for _, p := range n.peers.local[n.cfg.Place] {
+		if !p.Leaving && n.roomAt(now, p.ID, service) > 0 {
 			return true
 		}
 	}
 	return false
 }
 
-// Rooms is what this instance tells the peers of its place.
+// Rooms is what this instance tells the peers of its place: of each service that
+// has targets there.
 func (n *Node) Rooms(now time.Time) []Room {
 	if n.snapshot == nil {
 		return nil
 	}
 	var rooms []Room
 	for _, id := range n.snapshot.Services() {
-		free := n.book.FreeService(now, id)
-		rooms = append(rooms, Room{Service: id, Free: free})
+		if s, ok := n.services[id]; ok && len(s.keys) > 0 {
+			rooms = append(rooms, Room{Service: id, Free: n.book.FreeService(now, id)})
+		}
 	}
 	return rooms
 }
--- a/internal/core/roster.go
+++ b/internal/core/roster.go
@@ -27,6 +27,7 @@
 
 func (n *Node) setRoster(now time.Time, r owner.Roster) {
 	if n.book.SetRoster(now, r) && n.snapshot != nil {
+		n.probeAt = now
 		n.recapAll(now)
 		n.pump(now)
 	}
@@ -141,7 +142,7 @@
 
 // peersChanged takes in the membership's list.
 func (n *Node) peersChanged(now time.Time, ev PeersChanged) {
-	n.peers = ev.Peers
+	n.peers = newPeerList(ev.Peers)
 	live := make(map[string]bool, len(ev.Peers))
 	for _, p := range ev.Peers {
 		n.seen[p.ID] = now
@@ -155,15 +156,6 @@
 	n.pump(now)
 }
 
-func (n *Node) peer(id string) (Peer, bool) {
-	for _, p := range n.peers {
-		if p.ID == id {
-			return p, true
-		}
-	}
-	return Peer{}, false
-}
-
 // listed takes in the platform's list of instances.
 func (n *Node) listed(now time.Time, ev Listed) {
 	list := make([]owner.Listing, 0, len(ev.Instances))
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"github.com/firlever/firlever/internal/invariant"
@@ -178,16 +179,12 @@
 	if f.origin == FromPeer {
 		return []string{n.cfg.Place}
 	}
-	all := f.service.Places()
-	order := make([]string, 0, len(all))
-	for rank := range rankCount {
-		for _, p := range all {
-			if n.rank(f, p) == rank {
-				order = append(order, p)
-			}
-		}
+	var ranks [rankCount][]string
+	for _, p := range f.service.Places() {
+		rank := n.rank(f, p)
+		ranks[rank] = append(ranks[rank], p)
 	}
-	return order
+	return slices.Concat(ranks[:]...)
 }
 
 // Ranks of a place for a request, nearest first.
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -45,7 +45,7 @@
 // Status describes the node as it is now.
 func (n *Node) Status(now time.Time) Status {
 	st := Status{
-		Queued: n.queue.Len(), Open: len(n.flights), Peers: len(n.peers),
+		Queued: n.queue.Len(), Open: len(n.flights), Peers: len(n.peers.all),
 		Confirmed: n.Confirmed(now), Stopping: n.stopping,
 	}
 	if n.snapshot == nil {
--- a/internal/owner/book.go
+++ b/internal/owner/book.go
@@ -37,6 +37,7 @@
 
 	platformUntil time.Time // tenure by the platform ends here
 	refreshAt     time.Time // when a reserve next changes by itself; zero for never
+	revision      uint64    // grows when Usable of a target may have changed, tenure aside
 	budget        int       // sum of usable quotas of owned lines, tenure confirmed
 	half          int       // the same, tenure lapsed
 	charged       int       // sum of charges of owned lines
@@ -164,6 +165,7 @@
 			b.owned = append(b.owned, l)
 		}
 	}
+	b.revision++
 	b.refresh(now)
 }
 
@@ -192,6 +194,13 @@
 	return keys
 }
 
+// Revision returns a number that grows when Usable of a target may have changed
+// by anything but tenure.
+func (b *Book) Revision(now time.Time) uint64 {
+	b.catchUp(now)
+	return b.revision
+}
+
 // skewed returns a length that is at least d on every other clock.
 func (b *Book) skewed(d time.Duration) time.Duration {
 	return d + time.Duration(float64(d)*b.cfg.Skew) + 1
--- a/internal/owner/release.go
+++ b/internal/owner/release.go
@@ -57,14 +57,19 @@
 	for _, l := range b.order {
 		if !l.raiseAt.IsZero() && b.past(now, l.raiseAt) {
 			l.raise()
+			b.revision++
 		}
 	}
 	for _, l := range b.owned {
+		before := l.heldSlots
 		l.heldSlots, l.heldQuota = 0, 0
 		for _, c := range l.claims {
 			l.heldSlots += b.reserve(now, l.key, c, l.allowance, b.skewed(l.spec.Timeout), slotsOf)
 			l.heldQuota += b.reserve(now, l.key, c, l.quota, b.skewed(b.longest), quotaOf)
 		}
+		if l.heldSlots != before {
+			b.revision++
+		}
 		b.budget += l.share(Confirmed)
 		b.half += l.share(Lapsed)
 		b.charged += l.charged
