Let a waiting request follow the room of its place's peers

Cause: a request that waited at one owner stayed there although another owner of the place had free slots; only its own slots woke the queue. Change: the queue keeps lanes by way: what a peer handed over is bound to this instance's targets, all else may go to a peer that tells of room. Each waiting request has one try for each event. Before: the new test's request from a caller stays waiting. After: it is handed over; one from a peer still waits.

--- a/internal/core/arrival.go
+++ b/internal/core/arrival.go
@@ -133,7 +133,7 @@
 		ID:       uint64(f.id),
 		Service:  f.req.Service,
 		Bulk:     f.service.Bulk(),
-		Shifted:  f.shifted(n.cfg.Place),
+		Way:      queue.Way{Shifted: f.shifted(n.cfg.Place), Bound: f.origin == FromPeer},
 		Deadline: f.req.Deadline,
 	})
 	if verdict.Kind != queue.VerdictQueued {
--- a/internal/core/node_test.go
+++ b/internal/core/node_test.go
@@ -215,3 +215,35 @@
 		})
 	}
 }
+
+// TestWaitingFollowsRoomNear has a request wait for a peer's room: one that a
+// peer handed over must not be handed on.
+func TestWaitingFollowsRoomNear(t *testing.T) {
+	near := Peer{ID: "i2", Incarnation: 1, Place: "east", Domain: "east", Region: "coast"}
+	tests := map[string]struct {
+		origin Origin
+		want   string
+	}{
+		"from a caller": {FromCaller, "hand"},
+		"from a peer":   {FromPeer, "nothing"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			n := testNode(t, nil)
+			orders := settings.ServiceID{Team: "shop", Name: "orders"}
+			n.Step(begin, PeersChanged{Peers: []Peer{near}})
+			n.Step(begin, RoomHeard{Peer: "i2", Rooms: []Room{{Service: orders}}})
+			n.Step(begin, request(1, "10.1.0.1"))
+			n.Step(begin, request(2, "10.1.0.1"))
+			waiting := request(3, "10.1.0.1")
+			waiting.Origin = tt.origin
+			if got := word(n.Step(begin, waiting)); got != "hold" {
+				t.Fatalf("got %q, want it to wait", got)
+			}
+			heard := RoomHeard{Peer: "i2", Rooms: []Room{{Service: orders, Free: 1}}}
+			if got := word(n.Step(begin, heard)); got != tt.want {
+				t.Errorf("got %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -6,6 +6,7 @@
 
 	"github.com/firlever/firlever/internal/invariant"
 	"github.com/firlever/firlever/internal/owner"
+	"github.com/firlever/firlever/internal/queue"
 )
 
 // place decides where a request goes. The home place comes first, then this
@@ -217,11 +218,11 @@
 	return !n.snapshot.PlaceDrained(f.req.Service, n.cfg.Place)
 }
 
-// pump gives free slots to waiting requests.
+// pump gives free slots to waiting requests, each of which has one try.
 func (n *Node) pump(now time.Time) {
-	for {
-		item, ok := n.queue.Pop(now, func(service settingsID, shifted bool) bool {
-			return n.canServe(now, service, shifted)
+	for range n.queue.Len() {
+		item, ok := n.queue.Pop(now, func(service settingsID, way queue.Way) bool {
+			return n.canServe(now, service, way)
 		})
 		if !ok {
 			return
@@ -230,15 +231,18 @@
 		f.stage = stageNew
 		if !n.tryPlaces(now, f, ReasonQueue) {
 			n.requeue(now, f)
-			return
 		}
 	}
 }
 
 // canServe says whether a waiting request of a service could go somewhere in
 // this place now.
-func (n *Node) canServe(now time.Time, service settingsID, shifted bool) bool {
-	if shifted && n.service(now, service).ramp.Room(now) < 1 {
+func (n *Node) canServe(now time.Time, service settingsID, way queue.Way) bool {
+	return n.canServeOwn(now, service, way) || !way.Bound && n.roomNear(now, service)
+}
+
+func (n *Node) canServeOwn(now time.Time, service settingsID, way queue.Way) bool {
+	if way.Shifted && n.service(now, service).ramp.Room(now) < 1 {
 		return false
 	}
 	_, ok := n.book.Pick(now, service, func(key owner.TargetKey) int { return n.weight(now, key) })
--- a/internal/queue/class.go
+++ b/internal/queue/class.go
@@ -2,44 +2,62 @@
 
 import "github.com/firlever/firlever/pkg/settings"
 
+// Way says where an item may be served: it decides, with the service, whether
+// it could start now.
+type Way struct {
+	Shifted bool // its caller's home is another place: the shift cap counts it
+	Bound   bool // only this instance's own targets will do
+}
+
 // Can says whether a request of a service could start now.
-type Can func(service settings.ServiceID, shifted bool) bool
+type Can func(service settings.ServiceID, way Way) bool
+
+// ways is how many different Ways there are.
+const ways = 4
+
+// lane is the number of the lane for a way.
+func (w Way) lane() int {
+	n := 0
+	if w.Shifted {
+		n++
+	}
+	if w.Bound {
+		n += 2
+	}
+	return n
+}
 
-// line holds the waiting items of one service in one class. Shifted items have
-// a lane of their own, so that a shift cap doesn't hold up the others.
+// line holds the waiting items of one service in one class. Each way has a lane
+// of its own, so that what keeps one back doesn't hold up the others.
 type line struct {
 	service settings.ServiceID
-	local   lane
-	shifted lane
-	n       int // items in both lanes
+	lanes   [ways]lane
+	n       int // items in all lanes
 }
 
 func newLine(service settings.ServiceID) *line {
 	l := &line{service: service}
-	l.local.line = l
-	l.shifted.line = l
+	for i := range l.lanes {
+		l.lanes[i].line = l
+	}
 	return l
 }
 
-func (l *line) lane(shifted bool) *lane {
-	if shifted {
-		return &l.shifted
-	}
-	return &l.local
-}
+func (l *line) lane(w Way) *lane { return &l.lanes[w.lane()] }
 
 // first returns the oldest item that could start now, or nil.
 func (l *line) first(can Can) *entry {
-	a, b := l.local.head, l.shifted.head
-	if b != nil && (a == nil || b.seq < a.seq) {
-		a, b = b, a
-	}
-	for _, e := range [...]*entry{a, b} {
-		if e != nil && can(l.service, e.item.Shifted) {
-			return e
+	var oldest *entry
+	for i := range l.lanes {
+		e := l.lanes[i].head
+		if e == nil || oldest != nil && oldest.seq < e.seq {
+			continue
+		}
+		if can(l.service, e.item.Way) {
+			oldest = e
 		}
 	}
-	return nil
+	return oldest
 }
 
 // group holds the lines of one team in one class.
@@ -90,7 +108,7 @@
 		c.lines[id] = l
 		c.group(id.Team).lines.add(l)
 	}
-	l.lane(e.item.Shifted).push(e)
+	l.lane(e.item.Way).push(e)
 	l.n++
 }
 
--- a/internal/queue/item.go
+++ b/internal/queue/item.go
@@ -11,7 +11,7 @@
 	ID       uint64 // unique among the items that wait
 	Service  settings.ServiceID
 	Bulk     bool
-	Shifted  bool      // its caller's home is another place
+	Way      Way
 	Deadline time.Time // by which its answer must be complete
 }
 
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -128,7 +128,7 @@
 }
 
 // Pop takes the next item that could start now. It asks can at most once for
-// each service, class and shifted or not that waits.
+// each service, class and way that waits.
 func (q *Queue) Pop(now time.Time, can Can) (Item, bool) {
 	q.expire(now)
 	classes := [...]*class{q.interactive, q.bulk}
