--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -258,7 +258,7 @@
 					leave(got)
 				}
 				for _, it := range waiting {
-					same := it.Service == got.Service && it.Bulk == got.Bulk && it.Shifted == got.Shifted
+					same := it.Service == got.Service && it.Bulk == got.Bulk && it.Way == got.Way
 					if !ok && can(it.Service, it.Way) || ok && same && it.ID < got.ID {
 						t.Fatalf("got %v %+v while %+v could start", ok, got, it)
 					}
