--- a/cmd/firlever/serve.go
+++ b/cmd/firlever/serve.go
@@ -13,6 +13,7 @@
 
 	"github.com/firlever/firlever/internal/core"
 	"github.com/firlever/firlever/internal/instance"
+	"github.com/firlever/firlever/internal/invariant"
 	"github.com/firlever/firlever/internal/metrics"
 	"github.com/firlever/firlever/internal/platform"
 )
@@ -57,6 +58,9 @@
 	f.StringVar(&cfg.Callers, "callers", "127.0.0.1:7100", "address for callers, IP:port")
 	f.StringVar(&cfg.Peers, "peers", "127.0.0.1:7200", "address for other instances, IP:port, TCP and UDP")
 	f.StringVar(&cfg.Operators, "operators", "127.0.0.1:7300", "address for operators, IP:port")
+	f.StringVar(&cfg.AdvertiseCallers, "advertise-callers", "", "address that callers are told of, IP:port; --callers if left out")
+	f.StringVar(&cfg.AdvertisePeers, "advertise-peers", "", "address that other instances are told of, IP:port, TCP and UDP; --peers if left out")
+	f.StringVar(&cfg.Source, "source", "", "IP that connections to targets and other instances come from")
 	f.StringSliceVar(&cfg.Join, "join", nil, "peers' addresses of instances to begin with")
 	f.StringVar(&cfg.Bootstrap, "bootstrap", "", "hex SHA-256 of a token that opens everything until the system team has one")
 	f.DurationVar(&cfg.Linger, "linger", 6*time.Second, "how long a planned stop goes on serving cached look-ups")
@@ -74,6 +78,9 @@
 	}
 	cfg.Log = logger.With("instance", cfg.ID)
 	cfg.Metrics = metrics.New()
+	cfg.Checks = invariant.New(func(name invariant.Name, detail string) {
+		cfg.Log.Error("invariant broken", "name", name, "detail", detail)
+	})
 	cfg.Policy = core.Policy(flags.policy)
 	if flags.platform != "" {
 		cfg.Store = platform.NewClient(flags.platform)
--- a/internal/instance/config.go
+++ b/internal/instance/config.go
@@ -28,7 +28,12 @@
 	Place     string
 	Domain    string
 	Region    string
-	Join      []string // peers' addresses of instances to begin with; may be empty
+	Source    string // IP that connections to targets and peers come from; empty leaves it to the system
+
+	AdvertiseCallers string // where callers find this instance, IP:port; empty for the address that it listens at
+	AdvertisePeers   string // where other instances find it, IP:port, TCP and UDP; empty for the address that it listens at
+
+	Join []string // peers' addresses of instances to begin with; may be empty
 
 	Bootstrap string // hex SHA-256 of a token that opens everything until the system team has one
 
@@ -75,6 +80,11 @@
 	f.address("callers", c.Callers)
 	f.address("peers", c.Peers)
 	f.address("operators", c.Operators)
+	f.advertised("advertise callers", c.AdvertiseCallers)
+	f.advertised("advertise peers", c.AdvertisePeers)
+	if _, err := netip.ParseAddr(c.Source); c.Source != "" {
+		f.need(err == nil, "source "+quote(c.Source)+" is not an IP")
+	}
 	for _, a := range c.Join {
 		f.address("join", a)
 	}
@@ -103,4 +113,13 @@
 	f.need(err == nil && a.Addr().IsValid(), field+" "+quote(v)+" is not IP:port")
 }
 
+// advertised checks an address that others dial; empty is allowed.
+func (f *faults) advertised(field, v string) {
+	if v == "" {
+		return
+	}
+	a, err := netip.ParseAddrPort(v)
+	f.need(err == nil && a.Port() != 0 && !a.Addr().IsUnspecified(), field+" "+quote(v)+" is not IP:port to dial")
+}
+
 func quote(s string) string { return `"` + s + `"` }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -59,6 +59,9 @@
 	if err := cfg.Validate(); err != nil {
 		return nil, err
 	}
+	if cfg.Dial == nil && cfg.Source != "" {
+		cfg.Dial = targets.DialFrom(cfg.Source)
+	}
 	in := &Instance{
 		cfg:         cfg,
 		incarnation: uint64(time.Now().UnixNano()),
@@ -90,6 +93,12 @@
 		*address = ln.Addr().String()
 		in.listeners = append(in.listeners, ln)
 	}
+	if in.cfg.AdvertiseCallers == "" {
+		in.cfg.AdvertiseCallers = in.cfg.Callers
+	}
+	if in.cfg.AdvertisePeers == "" {
+		in.cfg.AdvertisePeers = in.cfg.Peers
+	}
 	return nil
 }
 
@@ -121,7 +130,7 @@
 	in.desk = dispatch.New(node, time.Now, in.control)
 	in.docs = newDocuments(in.cfg.Checks, in.cfg.Log, in.force)
 	in.server = callers.New(callers.Config{
-		Instance: in.cfg.ID, Callers: in.cfg.Callers, Checks: in.cfg.Checks, Log: in.cfg.Log,
+		Instance: in.cfg.ID, Callers: in.cfg.AdvertiseCallers, Checks: in.cfg.Checks, Log: in.cfg.Log,
 		Metrics: in.cfg.Metrics,
 	}, in.desk, in.client)
 	if in.members, err = newGossip(in); err != nil {
@@ -165,18 +174,18 @@
 func (in *Instance) self() platform.Instance {
 	return platform.Instance{
 		ID: in.cfg.ID, Incarnation: in.incarnation,
-		Address: in.cfg.Peers, Callers: in.cfg.Callers, Operators: in.cfg.Operators,
+		Address: in.cfg.AdvertisePeers, Callers: in.cfg.AdvertiseCallers, Operators: in.cfg.Operators,
 		Place: in.cfg.Place, Domain: in.cfg.Domain, Region: in.cfg.Region,
 	}
 }
 
-// Callers is the address that callers use, with the port that was chosen.
+// Callers is the address that is listened at for callers, with the port that was chosen.
 func (in *Instance) Callers() string { return in.cfg.Callers }
 
 // Operators is the address that operators use, with the port that was chosen.
 func (in *Instance) Operators() string { return in.cfg.Operators }
 
-// Peers is the address that other instances use, with the port that was chosen.
+// Peers is the address that is listened at for other instances, with the port that was chosen.
 func (in *Instance) Peers() string { return in.cfg.Peers }
 
 // Replaced is closed when a newer incarnation of this very instance runs: this
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -152,6 +153,49 @@
 	}
 }
 
+func TestAdvertisedAddresses(t *testing.T) {
+	tests := map[string]struct {
+		change func(*Config)
+		faults int
+		want   string // peers' address in lists of instances; empty for the one that is listened at
+	}{
+		"none":            {func(*Config) {}, 0, ""},
+		"peers":           {func(c *Config) { c.AdvertisePeers = "127.0.0.9:7200" }, 0, "127.0.0.9:7200"},
+		"no port":         {func(c *Config) { c.AdvertisePeers = "127.0.0.9:0" }, 1, ""},
+		"no IP of anyone": {func(c *Config) { c.AdvertiseCallers = "0.0.0.0:7100" }, 1, ""},
+		"all at fault":    {func(c *Config) { c.AdvertisePeers, c.AdvertiseCallers, c.Source = "a", "b", "c" }, 3, ""},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			cfg := Config{
+				ID: "i", Place: "p", Region: "r", Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Operators: "127.0.0.1:0",
+				Store: newFleet(t, 0).store,
+			}
+			tt.change(&cfg)
+			in, err := New(cfg)
+			var fault *ConfigError
+			if errors.As(err, &fault) || tt.faults > 0 {
+				if fault == nil || len(fault.Faults) != tt.faults {
+					t.Errorf("got %v, want %d faults", err, tt.faults)
+				}
+				return
+			}
+			in.Start()
+			defer in.Kill()
+			if got, want := in.self().Address, or(tt.want, in.Peers()); got != want {
+				t.Errorf("got %s, want %s", got, want)
+			}
+		})
+	}
+}
+
+func or(a, b string) string {
+	if a != "" {
+		return a
+	}
+	return b
+}
+
 func TestStopCutsNothing(t *testing.T) {
 	f := newFleet(t, 2)
 	defer f.list[0].Kill()
--- a/internal/targets/client.go
+++ b/internal/targets/client.go
@@ -24,6 +24,12 @@
 // Dial opens a connection; net.Dialer.DialContext by default.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
+// DialFrom gives a dialer whose connections come from one IP of this machine.
+func DialFrom(ip string) Dial {
+	d := &net.Dialer{Timeout: dialTimeout, LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}
+	return d.DialContext
+}
+
 // Client sends attempts. It is safe for concurrent use.
 type Client struct {
 	transport *http.Transport
