Hold a caller's leaving against no target

Cause: an attempt that the caller broke off counted as a failure of the target, and was tried again on others for nobody, each of which failed at once and counted too. Under overload, where callers give up first, healthy targets were ejected one after the other. The exchange now says that the caller has gone; the node frees the slot and ends the request.

--- a/internal/callers/exchange.go
+++ b/internal/callers/exchange.go
@@ -133,10 +133,15 @@
 // finish tells the node how the attempt ended.
 func (x *exchange) finish(began time.Time, ev core.Finished) {
 	ev.ID = x.id
+	ev.Gone = ev.Result != core.Answered && x.left()
 	ev.Took = x.s.desk.Now().Sub(began)
 	x.s.desk.Step(ev)
 }
 
+// left says whether the caller has gone, which broke the attempt off. A keyed
+// request runs on without its caller.
+func (x *exchange) left() bool { return x.req.Key == "" && x.r.Context().Err() != nil }
+
 // fromTarget takes in a target's answer.
 func (x *exchange) fromTarget(resp *http.Response, began time.Time) bool {
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderOutcome) == OutcomeNotRun {
--- a/internal/core/decision.go
+++ b/internal/core/decision.go
@@ -25,6 +25,7 @@
 	ReasonKeyHome     Reason = "key-home"        // the key belongs to another instance
 	ReasonFull        Reason = "full"            // every way is at its limit
 	ReasonDeadline    Reason = "deadline"        // the deadline can't be met
+	ReasonGone        Reason = "caller-gone"     // the caller broke the request off
 	ReasonShiftCap    Reason = "shift-cap"       // the shift cap holds the request back
 	ReasonDrained     Reason = "drained"         // all that could serve it is being drained
 	ReasonNoService   Reason = "no-service"      // no such service
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -73,6 +73,7 @@
 	Reason  Reason      // a peer's reason for not running it
 	Retry   time.Time
 	Final   bool // bytes of the answer have gone to the caller: no other attempt
+	Gone    bool // the caller broke it off, which tells nothing of the target
 }
 
 // Cancelled tells that the caller has gone, or its deadline has passed.
--- a/internal/core/node_test.go
+++ b/internal/core/node_test.go
@@ -169,6 +169,32 @@
 	}
 }
 
+func TestCallerWhoLeavesEjectsNoTarget(t *testing.T) {
+	tests := map[string]struct {
+		gone bool
+		want string
+	}{
+		"caller gone":   {true, "serve"},
+		"target failed": {false, "hold"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			n := testNode(t, nil)
+			now := begin
+			for i := range ID(8) {
+				n.Step(now, request(2*i, "10.1.0.1"))
+				n.Step(now, Finished{ID: 2 * i, Result: Failed, Gone: tt.gone, Final: true})
+				now = now.Add(200 * time.Millisecond)
+				n.Step(now, Tick{})
+			}
+			n.Step(now, request(100, "10.1.0.1")) // an ejected target that is the only one keeps half of its slots
+			if got := word(n.Step(now, request(101, "10.1.0.1"))); got != tt.want {
+				t.Errorf("got %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
 func TestRefusalIsTrue(t *testing.T) {
 	tests := map[string]struct {
 		first   Result
--- a/internal/core/outcome.go
+++ b/internal/core/outcome.go
@@ -26,6 +26,8 @@
 		n.end(now, f, once.Outcome{
 			Kind: once.OutcomeAnswered, Status: ev.Status, Header: ev.Header, Body: ev.Body, Dropped: ev.Dropped,
 		})
+	case ev.Gone:
+		n.refuse(now, f, ReasonGone)
 	case ev.Final:
 		n.end(now, f, once.Outcome{Kind: once.OutcomeUnknown})
 	case ev.Result == NotRun:
@@ -77,6 +79,9 @@
 		kind = health.Timeout
 	}
 	n.queue.Completed(now, f.req.Service, ev.Took)
+	if ev.Gone {
+		return
+	}
 	n.service(now, f.req.Service).health.Observe(now, f.target, kind, ev.Took)
 }
 
--- a/internal/core/room.go
+++ b/internal/core/room.go
@@ -51,11 +51,12 @@
 	r.free = max(r.free-1, 0)
 }
 
-// roomBack notes how a hand-off ended: an answer gives its slot back, a
+// roomBack notes how a hand-off ended: an answer, or a caller who gave
+// up, gives its slot back, a
 // refusal means that the peer is full until it says otherwise.
 func (n *Node) roomBack(now time.Time, peer string, service settingsID, ev Finished) {
 	r := n.roomOf(peer, service)
-	if ev.Result == Answered {
+	if ev.Result == Answered || ev.Gone {
 		r.free++
 		return
 	}
