Bring ejected targets back and keep the floor among one's own

Cause 1: an ejected target came back by an observation alone, and got no request that could give one: the answers to its health probes counted as claims only, and kept it from ageing. Once out, a target stayed out for good. Cause 2: the floor of ejections counted all targets of the place, but each instance observes and ejects only those that it owns; with half of the place's targets it could eject all that it had.

--- a/internal/core/apply.go
+++ b/internal/core/apply.go
@@ -229,6 +229,7 @@
 	}
 	n.reports[ev.Target] = ev.Busy
 	s.health.Claim(now, ev.Target, ev.Healthy, ev.Slots, ev.Busy)
+	s.health.Probed(now, ev.Target, ev.Healthy)
 	n.pump(now)
 }
 
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -71,6 +71,7 @@
 	shares := make([]shift.Share, 0, len(s.keys))
 	for _, key := range s.keys {
 		usable, limit := n.book.Usable(now, key), s.limits[key]
+		s.health.Own(key, usable > 0 || n.baseline())
 		if usable == 0 || limit == 0 {
 			continue
 		}
--- a/internal/health/book.go
+++ b/internal/health/book.go
@@ -102,6 +102,28 @@
 	}
 }
 
+// Probed takes in the answer to GET /health. It brings back an ejected target
+// whose time has passed, or ejects it again; it changes no other.
+func (b *Book[K]) Probed(now time.Time, key K, healthy bool) {
+	t := b.get(now, key)
+	if t == nil || !t.ejected || now.Before(t.until) {
+		return
+	}
+	outcome := Failed
+	if healthy {
+		outcome = OK
+	}
+	b.Observe(now, key, outcome, t.latency)
+}
+
+// Own says whether this instance uses a target; it is taken to use all that are
+// added. The floor of ejections counts those that it uses.
+func (b *Book[K]) Own(key K, own bool) {
+	if i, ok := b.find(key); ok {
+		b.targets[i].foreign = !own
+	}
+}
+
 // Claim takes in what a target says of itself. It is a hint that lowers the
 // weight while no own observation is fresh; it ejects and recovers nothing.
 func (b *Book[K]) Claim(now time.Time, key K, healthy bool, slots, busy int) {
--- a/internal/health/book_test.go
+++ b/internal/health/book_test.go
@@ -34,6 +34,15 @@
 	}
 }
 
+// failAll lets the first n targets fail until they're ejected.
+func failAll(b *Book[int], n int) {
+	for range 5 {
+		for key := range n {
+			b.Observe(begin, key, Failed, 0)
+		}
+	}
+}
+
 // TestWeight looks at target 0 of four.
 func TestWeight(t *testing.T) {
 	tests := map[string]struct {
@@ -103,11 +112,18 @@
 				b.Claim(begin.Add(at), 0, true, 10, 0)
 			}
 		}, 300 * time.Second, 1, Cold},
-		"silent":         {false, func(b *Book[int]) { times(b, 1, time.Second, Refused); times(b, 1, 2*time.Second, Refused) }, 35 * time.Second, 4, Aged},
-		"silent longer":  {false, func(b *Book[int]) { times(b, 1, time.Second, Refused) }, 45 * time.Second, 10, Aged},
-		"silent ejected": {false, func(b *Book[int]) { times(b, 5, 0, Failed) }, 45 * time.Second, 2, Aged},
-		"clock back":     {false, func(b *Book[int]) { times(b, 5, time.Hour, Failed); times(b, 1, 5*time.Second, OK) }, 5 * time.Second, 0, Ejected},
-		"back, later":    {false, func(b *Book[int]) { times(b, 5, time.Hour, Failed); b.ProbesDue(begin); times(b, 1, 5*time.Second, OK) }, 5 * time.Second, 1, Cold},
+		"probe of life": {false, func(b *Book[int]) { times(b, 5, 0, Failed); b.Probed(begin.Add(2*time.Second), 0, true) }, 2 * time.Second, 1, Cold},
+		"probe early":   {false, func(b *Book[int]) { times(b, 5, 0, Failed); b.Probed(begin.Add(time.Second), 0, true) }, 2 * time.Second, 0, Ejected},
+		"probe of warm": {false, func(b *Book[int]) { b.Probed(begin, 0, false) }, time.Second, 10, Warm},
+		"all own fail": { // others use the rest: one of two is left, the least bad
+			false, func(b *Book[int]) { b.Own(2, false); b.Own(3, false); failAll(b, 2) }, time.Second, 5, Reduced,
+		},
+		"the only own fails": {false, func(b *Book[int]) { b.Own(1, false); b.Own(2, false); b.Own(3, false); failAll(b, 1) }, time.Second, 0, Ejected},
+		"silent":             {false, func(b *Book[int]) { times(b, 1, time.Second, Refused); times(b, 1, 2*time.Second, Refused) }, 35 * time.Second, 4, Aged},
+		"silent longer":      {false, func(b *Book[int]) { times(b, 1, time.Second, Refused) }, 45 * time.Second, 10, Aged},
+		"silent ejected":     {false, func(b *Book[int]) { times(b, 5, 0, Failed) }, 45 * time.Second, 2, Aged},
+		"clock back":         {false, func(b *Book[int]) { times(b, 5, time.Hour, Failed); times(b, 1, 5*time.Second, OK) }, 5 * time.Second, 0, Ejected},
+		"back, later":        {false, func(b *Book[int]) { times(b, 5, time.Hour, Failed); b.ProbesDue(begin); times(b, 1, 5*time.Second, OK) }, 5 * time.Second, 1, Cold},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/health/target.go
+++ b/internal/health/target.go
@@ -14,7 +14,8 @@
 // target is what is known of one target.
 type target[K comparable] struct {
 	key       K
-	allowance int // as last given to Weight; 0 before
+	allowance int  // as last given to Weight; 0 before
+	foreign   bool // another instance uses it: nothing of it is observed here
 
 	open   int       // 1 <= open <= maxOpen; slots that may be used unless ejected
 	grown  int       // successes since open changed
--- a/internal/health/weight.go
+++ b/internal/health/weight.go
@@ -36,8 +36,12 @@
 // ejected returns the slots of an ejected target: none, unless too many are
 // ejected and this is one of the least bad.
 func (b *Book[K]) ejected(t *target[K]) (int, State) {
-	out, better := 0, 0
+	out, better, own := 0, 0, 0
 	for _, other := range b.targets {
+		if other.foreign {
+			continue
+		}
+		own++
 		if !other.ejected {
 			continue
 		}
@@ -46,13 +50,21 @@
 			better++
 		}
 	}
-	most := len(b.targets) * b.cfg.Floor / 100
-	if better >= out-most {
+	if better >= out-b.most(own) {
 		return 0, Ejected
 	}
 	return max(1, t.limit()/2), Reduced
 }
 
+// most is how many of this instance's own targets may be ejected at one time.
+// It is rounded up if other instances use some of the service's targets too.
+func (b *Book[K]) most(own int) int {
+	if own < len(b.targets) {
+		return (own*b.cfg.Floor + 99) / 100
+	}
+	return own * b.cfg.Floor / 100
+}
+
 // worse orders ejected targets by how much they failed.
 func (b *Book[K]) worse(t, other *target[K]) bool {
 	return cmp.Or(
