--- a/internal/emulator/link/conn.go
+++ b/internal/emulator/link/conn.go
@@ -29,11 +29,16 @@
 // DialContext dials addr over TCP as from one point to another: it takes a
 // round trip, and as long as ctx allows while the path is cut.
 func (l *Links) DialContext(ctx context.Context, from, to Point, addr string) (net.Conn, error) {
+	return l.DialFrom(ctx, nil, from, to, addr)
+}
+
+// DialFrom is DialContext from a local address; nil leaves it to the system.
+func (l *Links) DialFrom(ctx context.Context, local net.Addr, from, to Point, addr string) (net.Conn, error) {
 	out, in := l.path(from, to), l.path(to, from)
 	if err := cross(ctx, out); err != nil {
 		return nil, dialError(addr, err)
 	}
-	var d net.Dialer
+	d := net.Dialer{LocalAddr: local}
 	c, err := d.DialContext(ctx, "tcp", addr)
 	if crossErr := cross(ctx, in); crossErr != nil {
 		if c != nil {
