Run a whole deployment in one process by firlever demo

Nothing showed the parts working together under load and faults.

The demo serves the platform's stand-in, ten or nine real instances, a stand-in for each target of the documents and callers at home in each place, over loopback through emulated links, and holds what the targets ran against limits, drains and what callers were told. Addresses are rewritten, so that two runs fit on one machine.

--- /dev/null
+++ b/cmd/firlever/demo.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/spf13/cobra"
+
+	"github.com/firlever/firlever/internal/core"
+	"github.com/firlever/firlever/internal/demo"
+)
+
+// demoFlags are the flags of the demo command.
+type demoFlags struct {
+	settings string
+	length   time.Duration
+	seed     uint64
+	rate     float64
+	policy   string
+	faults   string
+	json     bool
+	verbose  bool
+}
+
+// ViolationError says that a run broke an invariant.
+type ViolationError struct{}
+
+func (e *ViolationError) Error() string { return "an invariant was broken; see the report" }
+
+func newDemoCommand() *cobra.Command {
+	var f demoFlags
+	cmd := &cobra.Command{
+		Use:   "demo",
+		Short: "Run a whole deployment in one process, under load, and report",
+		Long: `Run a platform, entry instances, targets and callers in one process, over
+loopback, with the latencies of the real places. Prints latency, headroom, drain
+time, refusals, and each invariant with its checks and violations. Exits with 1
+if one was broken.`,
+		Example: `  firlever demo
+  firlever demo --settings examples/tidewright --for 30s --faults kill,drain
+  firlever demo --faults all --seed 7 --json`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return runDemo(cmd, f) },
+	}
+	flags := cmd.Flags()
+	flags.StringVar(&f.settings, "settings", "examples/moreton-bay", "directory of the operators' documents")
+	flags.DurationVar(&f.length, "for", 10*time.Second, "how long callers send requests")
+	flags.Uint64Var(&f.seed, "seed", 1, "seed of arrivals, service times and faults")
+	flags.Float64Var(&f.rate, "rate", 0.5, "load as a share of the sites' capacity")
+	flags.StringVar(&f.policy, "policy", string(core.PolicyOwner), "owner, or the baselines random and two")
+	flags.StringVar(&f.faults, "faults", "none", "none, all, or a list of kill, drain, stop, cut, platform")
+	flags.BoolVar(&f.json, "json", false, "print the report as one line of JSON")
+	flags.BoolVar(&f.verbose, "verbose", false, "log each decision of the instances to the standard error")
+	return cmd
+}
+
+func runDemo(cmd *cobra.Command, f demoFlags) error {
+	kinds, err := demo.ParseFaults(f.faults)
+	if err != nil {
+		return err
+	}
+	docs, err := demo.Load(f.settings)
+	if err != nil {
+		return err
+	}
+	cfg := demo.Config{
+		Name: filepath.Base(f.settings), Documents: docs, For: f.length, Rate: f.rate,
+		Seed: f.seed, Policy: core.Policy(f.policy), Faults: kinds,
+	}
+	if f.verbose {
+		cfg.Log = log.NewWithOptions(os.Stderr, log.Options{ReportTimestamp: true, TimeFormat: "15:04:05.000"})
+	}
+	report, err := demo.Run(cmd.Context(), cfg)
+	if err != nil {
+		return err
+	}
+	write := report.WriteTable
+	if f.json {
+		write = report.WriteJSON
+	}
+	if err := write(cmd.OutOrStdout()); err != nil {
+		return err
+	}
+	if report.Violations > 0 {
+		return &ViolationError{}
+	}
+	return nil
+}
--- a/cmd/firlever/exit.go
+++ b/cmd/firlever/exit.go
@@ -6,6 +6,7 @@
 	"io/fs"
 	"strings"
 
+	"github.com/firlever/firlever/internal/demo"
 	"github.com/firlever/firlever/internal/files"
 	"github.com/firlever/firlever/internal/load"
 	"github.com/firlever/firlever/internal/operator"
@@ -86,10 +87,12 @@
 		plan   *load.PlanError
 		name   *files.NameError
 		empty  *files.EmptyError
+		run    *demo.ConfigError
 		file   *fs.PathError
 	)
 	return errors.As(err, &usage) || errors.As(err, &faults) || errors.As(err, &path) ||
-		errors.As(err, &config) || errors.As(err, &plan) || errors.As(err, &name) || errors.As(err, &empty) || errors.As(err, &file)
+		errors.As(err, &config) || errors.As(err, &plan) || errors.As(err, &name) || errors.As(err, &empty) || errors.As(err, &file) ||
+		errors.As(err, &run)
 }
 
 // describe is an error as an operator reads it: each fault on its own line.
--- /dev/null
+++ b/internal/demo/caller.go
@@ -0,0 +1,199 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	jujuerrors "github.com/juju/errors"
+
+	"github.com/firlever/firlever/internal/emulator/link"
+	"github.com/firlever/firlever/internal/emulator/target"
+	"github.com/firlever/firlever/internal/invariant"
+	"github.com/firlever/firlever/internal/load"
+	"github.com/firlever/firlever/pkg/caller"
+)
+
+// How callers act.
+const (
+	headerRequest = "Firlever-Request"
+	headerTimeout = "Firlever-Timeout"
+	idlePerTarget = 64
+	reasonCut     = "cut-short"
+	slow          = 500 * time.Millisecond // an answer that takes longer is logged
+	askAgain      = 3                      // tries to learn of an unknown outcome
+	askPause      = 200 * time.Millisecond // between them, unless told otherwise
+)
+
+// callers send the requests of a run, each from its home place.
+type callers struct {
+	f       *fleet
+	clients map[string]*caller.Client  // by home place
+	direct  map[string]*http.Transport // by home place
+}
+
+func newCallers(f *fleet) (*callers, error) {
+	addresses, err := homeAddresses(f.snapshot)
+	if err != nil {
+		return nil, err
+	}
+	c := &callers{f: f, clients: make(map[string]*caller.Client), direct: make(map[string]*http.Transport)}
+	for i, place := range f.snapshot.Places() {
+		dial := f.dialerOf(place, addresses[place])
+		cfg := caller.Config{Entries: f.roll.entries(place), Dial: dial, Seed: f.cfg.Seed + uint64(i)}
+		if c.clients[place], err = caller.New(cfg); err != nil {
+			return nil, jujuerrors.Annotate(err, "demo.newCallers")
+		}
+		c.direct[place] = &http.Transport{DialContext: dial, MaxIdleConnsPerHost: idlePerTarget, DisableCompression: true}
+	}
+	return c, nil
+}
+
+// dialerOf opens connections as a caller at home in a place, from an address of
+// its block.
+func (f *fleet) dialerOf(place, address string) func(context.Context, string, string) (net.Conn, error) {
+	var local net.Addr
+	if ip := net.ParseIP(address); ip != nil && ip.IsLoopback() {
+		local = &net.TCPAddr{IP: ip}
+	}
+	return func(ctx context.Context, _, to string) (net.Conn, error) {
+		return f.links.DialFrom(ctx, local, link.CallerAt(place), f.directory.locate(to), to)
+	}
+}
+
+func (c *callers) close() {
+	for _, client := range c.clients {
+		client.Close()
+	}
+	for _, t := range c.direct {
+		t.CloseIdleConnections()
+	}
+}
+
+// do sends one request, verifies its answer and tells the journal.
+func (c *callers) do(ctx context.Context, r load.Request) load.Result {
+	if strings.HasPrefix(r.Service, directTeam+"/") {
+		return c.callDirect(ctx, r)
+	}
+	if !r.Idempotent {
+		c.f.journal.Once(r.ID)
+	}
+	result := c.call(ctx, r)
+	c.log(r, result)
+	if result.Outcome == load.Refused {
+		c.f.journal.Refused(r.ID)
+	}
+	if result.Outcome == load.Answered {
+		c.f.truth.Check(invariant.WholeAnswer, result.Wrong == nil, func() string { return result.Wrong.Error() })
+	}
+	return result
+}
+
+// log tells of a request that failed or took long.
+func (c *callers) log(r load.Request, result load.Result) {
+	took := time.Since(r.Due)
+	if c.f.cfg.Log == nil || result.Outcome == load.Answered && took < slow {
+		return
+	}
+	c.f.cfg.Log.Warn("caller", "request", r.ID, "service", r.Service, "home", r.Place,
+		"outcome", result.Outcome, "reason", result.Reason, "took", took)
+}
+
+func (c *callers) call(ctx context.Context, r load.Request) load.Result {
+	req := &caller.Request{
+		Method: r.Method, Path: pathOf(r), Idempotent: r.Idempotent, Once: !r.Idempotent,
+		Header: http.Header{headerRequest: {r.ID}},
+	}
+	if r.Body > 0 {
+		req.SetBytes(make([]byte, r.Body))
+	}
+	var result load.Result
+	for range askAgain {
+		resp, err := c.clients[r.Place].Do(ctx, r.Service, req)
+		if err == nil {
+			result = read(r, resp.Status, resp.Body)
+			resp.Body.Close()
+			if result.Reason == reasonCut && r.Idempotent && ctx.Err() == nil {
+				continue
+			}
+			return result
+		}
+		result = failed(err)
+		var unknown *caller.UnknownError
+		if !errors.As(err, &unknown) || r.Idempotent || !pause(ctx, unknown.RetryAt) {
+			return result
+		}
+		req.Key = unknown.Key
+	}
+	return result
+}
+
+// pause waits until an unknown outcome may be asked for again. It returns false
+// when that is past the deadline.
+func pause(ctx context.Context, until time.Time) bool {
+	if until.IsZero() {
+		until = time.Now().Add(askPause)
+	}
+	t := time.NewTimer(time.Until(until))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+func failed(err error) load.Result {
+	var notRun *caller.NotRunError
+	var unknown *caller.UnknownError
+	switch {
+	case errors.As(err, &notRun):
+		return load.Result{Outcome: load.Refused, Reason: notRun.Reason}
+	case errors.As(err, &unknown) && errors.Is(err, context.Canceled):
+		// The client gave an instance up halfway to the deadline; nothing broke.
+		return load.Result{Outcome: load.Unknown, Reason: caller.ReasonTimeout}
+	case errors.As(err, &unknown):
+		return load.Result{Outcome: load.Unknown, Reason: unknown.Reason}
+	}
+	return load.Result{Outcome: load.Unknown, Reason: "error"}
+}
+
+// read verifies an answer. One that ends with an error was not passed off as
+// whole.
+func read(r load.Request, status int, body io.Reader) load.Result {
+	if status != http.StatusOK {
+		return load.Result{Outcome: load.Unknown, Reason: "status-" + strconv.Itoa(status)}
+	}
+	err := target.VerifyAnswer(r.ID, body)
+	var cut *caller.IncompleteError
+	if errors.As(err, &cut) {
+		return load.Result{Outcome: load.Unknown, Reason: reasonCut}
+	}
+	return load.Result{Outcome: load.Answered, Wrong: err}
+}
+
+func pathOf(r load.Request) string { return fmt.Sprintf("%s?size=%d", r.Path, r.Size) }
+
+// callDirect calls a target without an instance between.
+func (c *callers) callDirect(ctx context.Context, r load.Request) load.Result {
+	url := "http://" + c.f.direct[r.Place] + pathOf(r)
+	req, err := http.NewRequestWithContext(ctx, r.Method, url, nil)
+	if err != nil {
+		return load.Result{Outcome: load.Refused, Reason: "request"}
+	}
+	req.Header.Set(headerRequest, r.ID)
+	req.Header.Set(headerTimeout, strconv.FormatInt(time.Until(r.Deadline).Milliseconds(), 10))
+	resp, err := c.direct[r.Place].RoundTrip(req)
+	if err != nil {
+		return load.Result{Outcome: load.Unknown, Reason: "direct"}
+	}
+	defer resp.Body.Close()
+	return read(r, resp.StatusCode, resp.Body)
+}
--- /dev/null
+++ b/internal/demo/documents.go
@@ -0,0 +1,127 @@
+package demo
+
+import (
+	"cmp"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/goccy/go-yaml"
+	"github.com/juju/errors"
+
+	"github.com/firlever/firlever/examples"
+	"github.com/firlever/firlever/internal/files"
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+// Load reads a directory of documents. One that isn't there but has the name
+// of an example is taken from the program itself.
+func Load(dir string) ([]settings.Document, error) {
+	fsys := os.DirFS(dir)
+	if _, err := os.Stat(dir); err != nil {
+		built, subErr := examples.Dir(filepath.Base(dir))
+		if subErr != nil {
+			return nil, errors.Annotate(err, "demo.Load")
+		}
+		if _, statErr := fs.Stat(built, "."); statErr != nil {
+			return nil, errors.Annotate(err, "demo.Load")
+		}
+		fsys = built
+	}
+	docs, err := files.LoadDir(fsys)
+	return docs, errors.Annotate(err, "demo.Load")
+}
+
+// rewrite gives each target of the documents the address that move tells, so
+// that several runs fit on one machine.
+func rewrite(docs []settings.Document, move map[string]string) ([]settings.Document, error) {
+	out := make([]settings.Document, 0, len(docs))
+	for _, doc := range docs {
+		path, err := settings.ParsePath(doc.Path)
+		if err != nil {
+			return nil, errors.Annotate(err, "demo.rewrite")
+		}
+		if path.Kind == settings.KindService {
+			if doc.Body, err = rewriteService(doc.Body, move); err != nil {
+				return nil, errors.Annotatef(err, "demo.rewrite %s", doc.Path)
+			}
+		}
+		out = append(out, doc)
+	}
+	return out, nil
+}
+
+func rewriteService(body []byte, move map[string]string) ([]byte, error) {
+	var s settings.Service
+	if err := yaml.Unmarshal(body, &s); err != nil {
+		return nil, errors.Trace(err)
+	}
+	for _, site := range s.Places {
+		for i, t := range site.Targets {
+			site.Targets[i].Address = cmp.Or(move[t.Address], t.Address)
+		}
+	}
+	return yaml.Marshal(s)
+}
+
+// oncePaths finds for each service a path whose POST is not idempotent, if a
+// rule declares one.
+func oncePaths(docs []settings.Document) (map[settings.ServiceID]string, error) {
+	paths := make(map[settings.ServiceID]string)
+	for _, doc := range docs {
+		path, err := settings.ParsePath(doc.Path)
+		if err != nil {
+			return nil, errors.Annotate(err, "demo.oncePaths")
+		}
+		if path.Kind != settings.KindService {
+			continue
+		}
+		var s settings.Service
+		if err := yaml.Unmarshal(doc.Body, &s); err != nil {
+			return nil, errors.Annotatef(err, "demo.oncePaths %s", doc.Path)
+		}
+		if p, ok := oncePath(s); ok {
+			paths[settings.ServiceID{Team: path.Team, Name: path.Name}] = p
+		}
+	}
+	return paths, nil
+}
+
+// spread deals n instances out over the places, those with the highest limits
+// first.
+func spread(s *settings.Snapshot, n int) []seat {
+	places := slices.Clone(s.Places())
+	slices.SortStableFunc(places, func(a, b string) int {
+		pa, _ := s.Place(a)
+		pb, _ := s.Place(b)
+		return cmp.Compare(pb.Limit, pa.Limit)
+	})
+	seats := make([]seat, 0, n)
+	for i := range n {
+		place := places[i%len(places)]
+		seats = append(seats, seat{id: fmt.Sprintf("%s-%d", place, i/len(places)+1), place: place})
+	}
+	return seats
+}
+
+// seat is an instance's name and place.
+type seat struct{ id, place string }
+
+// homeAddresses finds an address of the callers of each place: the first one of
+// the place's first block.
+func homeAddresses(s *settings.Snapshot) (map[string]string, error) {
+	addresses := make(map[string]string)
+	for _, b := range s.Blocks() {
+		if _, ok := addresses[b.Place]; ok {
+			continue
+		}
+		a, err := hostOf(b.Prefix)
+		if err != nil {
+			return nil, errors.Annotate(err, "demo.homeAddresses")
+		}
+		addresses[b.Place] = a
+	}
+	return addresses, nil
+}
--- /dev/null
+++ b/internal/demo/plan.go
@@ -0,0 +1,115 @@
+package demo
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/firlever/firlever/internal/load"
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+// Shape of the load.
+const (
+	rampTime    = time.Second // over which the load grows
+	onceShare   = 0.5         // of a service with non-idempotent requests
+	onceBody    = 512         // bytes of a non-idempotent request's body
+	directRate  = 30          // direct calls/s at one place
+	directTeam  = "direct"    // marks the streams that leave the instances out
+	streamPath  = "/"
+	prefixStart = "demo"
+)
+
+// capacity is how many requests/s a site can take.
+func capacity(site settings.Site, w Work) float64 {
+	return float64(site.Limit) / w.slot().Seconds()
+}
+
+// oncePath is a path of the service whose POST is not idempotent, if any rule
+// declares one.
+func oncePath(s settings.Service) (string, bool) {
+	for _, r := range s.Rules {
+		if !r.Idempotent && (r.Method == "" || r.Method == http.MethodPost) {
+			return r.Prefix, true
+		}
+	}
+	return "", false
+}
+
+// planner makes the streams of a run.
+type planner struct {
+	snapshot *settings.Snapshot
+	profile  Profile
+	rate     float64
+	once     map[settings.ServiceID]string // path of non-idempotent requests
+}
+
+// streams are those of all services at all places, each place sending the share
+// of what its own sites can take.
+func (p planner) streams() []load.Stream {
+	var list []load.Stream
+	for _, id := range p.snapshot.Services() {
+		service, _ := p.snapshot.Service(id)
+		for _, place := range service.Places() {
+			site, _ := service.Site(place)
+			list = append(list, p.siteStreams(service, place, site)...)
+		}
+	}
+	return append(list, p.directStreams()...)
+}
+
+func (p planner) siteStreams(service *settings.CompiledService, place string, site settings.Site) []load.Stream {
+	w := p.profile.work(service)
+	rate := p.rate * capacity(site, w)
+	if rate <= 0 {
+		return nil
+	}
+	var list []load.Stream
+	path, keyed := p.once[service.ID()]
+	if keyed {
+		s := stream(service, place, rate*onceShare, w.Sizes[0])
+		s.Method, s.Path, s.Body, s.Idempotent = http.MethodPost, path, onceBody, false
+		list = append(list, s)
+		rate *= 1 - onceShare
+	}
+	for _, size := range w.Sizes {
+		list = append(list, stream(service, place, rate/float64(len(w.Sizes)), size))
+	}
+	return list
+}
+
+func stream(service *settings.CompiledService, place string, rate float64, size int64) load.Stream {
+	return load.Stream{
+		Service: service.ID().String(), Place: place, Rate: rate, Size: size,
+		Method: http.MethodGet, Path: streamPath, Idempotent: true, Timeout: service.Timeout(),
+	}
+}
+
+// directStreams call a target beside the service's own, in the callers' place
+// and over the same links, to measure what the instance between adds.
+func (p planner) directStreams() []load.Stream {
+	service, ok := p.measured()
+	if !ok {
+		return nil
+	}
+	var list []load.Stream
+	for _, place := range service.Places() {
+		s := stream(service, place, directRate, p.profile.work(service).Sizes[0])
+		s.Service = directName(service.ID())
+		list = append(list, s)
+	}
+	return list
+}
+
+func directName(id settings.ServiceID) string { return directTeam + "/" + id.Name }
+
+// measured is the service whose added latency is measured: the first
+// interactive one all of whose requests are idempotent.
+func (p planner) measured() (*settings.CompiledService, bool) {
+	for _, id := range p.snapshot.Services() {
+		service, _ := p.snapshot.Service(id)
+		if _, keyed := p.once[id]; !service.Bulk() && !keyed {
+			return service, true
+		}
+	}
+	return nil, false
+}
--- /dev/null
+++ b/internal/demo/process.go
@@ -0,0 +1,139 @@
+package demo
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/juju/errors"
+
+	"github.com/firlever/firlever/internal/emulator/link"
+	"github.com/firlever/firlever/internal/instance"
+	"github.com/firlever/firlever/internal/platform"
+)
+
+// process is one running instance with all its connections, so that it can die
+// as a process would.
+type process struct {
+	seat
+	in     *instance.Instance
+	client *platform.Client
+	conns  *connections
+}
+
+// kill ends the instance as SIGKILL would: every connection breaks, and what is
+// left of its goroutines reaches nobody.
+func (p *process) kill() {
+	p.conns.freeze()
+	p.in.Kill()
+	p.conns.closeAll()
+	p.client.Close()
+}
+
+// connections are those that a process has dialled. Safe for concurrent use.
+type connections struct {
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+	mu     sync.Mutex
+	frozen bool
+	open   map[*connection]struct{}
+}
+
+type connection struct {
+	net.Conn
+	of *connections
+}
+
+// Close closes the connection and forgets it.
+func (c *connection) Close() error {
+	c.of.mu.Lock()
+	delete(c.of.open, c)
+	c.of.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// Dial opens a connection. A frozen process gets none, nor an error before ctx
+// ends: it would act upon that.
+func (c *connections) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if c.isFrozen() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	raw, err := c.dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	conn := &connection{Conn: raw, of: c}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.frozen {
+		raw.Close()
+		return nil, net.ErrClosed
+	}
+	c.open[conn] = struct{}{}
+	return conn, nil
+}
+
+func (c *connections) isFrozen() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.frozen
+}
+
+func (c *connections) freeze() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.frozen = true
+}
+
+func (c *connections) closeAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.open {
+		conn.Conn.Close()
+	}
+	clear(c.open)
+}
+
+// portTries is how often a start is tried: the UDP port of a chosen TCP port
+// may be taken.
+const portTries = 20
+
+// startProcess runs a new incarnation of an instance.
+func (f *fleet) startProcess(s seat) (*process, error) {
+	var err error
+	for range portTries {
+		var p *process
+		if p, err = f.newProcess(s); err == nil {
+			for _, a := range []string{p.in.Callers(), p.in.Peers()} {
+				f.directory.add(a, link.At(s.place))
+			}
+			p.in.Start()
+			return p, nil
+		}
+	}
+	return nil, errors.Annotatef(err, "fleet.startProcess %s", s.id)
+}
+
+func (f *fleet) newProcess(s seat) (*process, error) {
+	at := link.At(s.place)
+	p := &process{seat: s, client: platform.NewClient(f.proxies[s.place].Addr())}
+	p.conns = &connections{dial: f.links.Dialer(at, f.directory.locate), open: make(map[*connection]struct{})}
+	place, _ := f.snapshot.Place(s.place)
+	cfg := instance.Config{
+		ID: s.id, Callers: loopback, Peers: loopback, Operators: loopback,
+		Place: s.place, Domain: place.Domain, Region: place.Region, Join: f.roll.peers(s.place),
+		Policy: f.cfg.Policy, Store: p.client, Dial: p.conns.Dial,
+		Packet: func(address string) (net.PacketConn, error) {
+			c, err := net.ListenPacket("udp", address)
+			if err != nil {
+				return nil, err
+			}
+			return f.links.PacketConn(c, at, f.directory.locateAddr), nil
+		},
+		Checks: f.program, Log: f.cfg.Log,
+	}
+	var err error
+	p.in, err = instance.New(cfg)
+	return p, err
+}
--- /dev/null
+++ b/internal/demo/target.go
@@ -0,0 +1,94 @@
+package demo
+
+import (
+	"net"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/firlever/firlever/internal/emulator/link"
+	"github.com/firlever/firlever/internal/emulator/target"
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+// How targets behave, beside what the profile says.
+const (
+	spreadOfWork = 0.2 // sigma of the log-normal service times
+	coldFactor   = 3
+	coldRequests = 50
+	coldTime     = 2 * time.Second
+	reportLag    = 300 * time.Millisecond
+)
+
+// startTargets starts a stand-in for each target of the documents, tells the
+// journal the limits, and rewrites the documents' addresses.
+func (f *fleet) startTargets() error {
+	move := make(map[string]string)
+	for _, id := range f.snapshot.Services() {
+		service, _ := f.snapshot.Service(id)
+		for _, place := range service.Places() {
+			site, _ := service.Site(place)
+			f.journal.SetLimit(target.Scope{Place: place, Service: id.String()}, site.Limit)
+			for _, t := range site.Targets {
+				address, err := f.startTarget(f.targetConfig(service, place, t), f.journal)
+				if err != nil {
+					return err
+				}
+				move[t.Address] = address
+			}
+		}
+	}
+	for _, name := range f.snapshot.Places() {
+		p, _ := f.snapshot.Place(name)
+		f.journal.SetLimit(target.Scope{Place: name}, p.Limit)
+	}
+	var err error
+	f.docs, err = rewrite(f.cfg.Documents, move)
+	return err
+}
+
+func (f *fleet) targetConfig(service *settings.CompiledService, place string, t settings.Target) target.Config {
+	w := f.profile.work(service)
+	return target.Config{
+		Service: service.ID().String(), Place: place, Name: t.Name,
+		Slots: t.Slots, Connections: t.Connections,
+		ConnectionCost: f.profile.Connection, ProbeCost: f.profile.Probe,
+		Mean: w.Mean, Spread: spreadOfWork, Seed: f.cfg.Seed + uint64(len(f.targets)),
+		Cold: coldFactor, WarmRequests: coldRequests, WarmFor: coldTime,
+		Pace: w.Pace, Report: target.Report{Lag: reportLag}, Clock: f.clock,
+	}
+}
+
+// startDirect starts, in each place, a target that only direct calls reach.
+func (f *fleet) startDirect(service *settings.CompiledService) error {
+	for _, place := range service.Places() {
+		site, _ := service.Site(place)
+		if len(site.Targets) == 0 {
+			continue
+		}
+		cfg := f.targetConfig(service, place, site.Targets[0])
+		cfg.Cold, cfg.WarmRequests, cfg.WarmFor = 1, 0, 0
+		address, err := f.startTarget(cfg, f.apart)
+		if err != nil {
+			return err
+		}
+		f.direct[place] = address
+	}
+	return nil
+}
+
+func (f *fleet) startTarget(cfg target.Config, j *target.Journal) (string, error) {
+	ln, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", errors.Annotate(err, "fleet.startTarget")
+	}
+	t, err := target.Start(ln, cfg, j)
+	if err != nil {
+		ln.Close()
+		return "", errors.Annotate(err, "fleet.startTarget")
+	}
+	f.targets = append(f.targets, t)
+	f.closers = append(f.closers, func() { t.Close() })
+	f.directory.add(t.Addr(), link.At(cfg.Place))
+	return t.Addr(), nil
+}
