Refute the platform's list by a sign of life

Cause: an instance that lives but can't reach the platform drops off the platform's list. Its peers took that as proof for ever that its process had ended, although they heard it, and removed it against their promise; after a pause, lists that had waited counted as read now. Change: a list's age counts from when it was asked for; an ack, heartbeat, release or newer list refutes it; a promise binds beside it. A removal that is still undecided is settled by writing the roster anew. Only the own incarnation's line keeps a stop from ending.

--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -128,8 +128,12 @@
 	Roster      uint64
 }
 
-// Listed brings the platform's lagging list of instances.
-type Listed struct{ Instances []platform.Instance }
+// Listed brings the platform's lagging list of instances. Sent is when the call
+// went out.
+type Listed struct {
+	Instances []platform.Instance
+	Sent      time.Time
+}
 
 // Released brings what a peer still holds of targets that it does not own.
 type Released struct{ Release owner.Release }
--- a/internal/core/roster.go
+++ b/internal/core/roster.go
@@ -62,7 +62,7 @@
 		n.swap(now, SwapRoster{Next: next, Reason: ReasonJoin})
 		return
 	}
-	if n.removeDead(now, r) {
+	if n.removeDead(now, r) || n.settleRemoval(now, r) {
 		return
 	}
 	if lines := n.book.Forgettable(now); len(lines) > 0 {
@@ -101,6 +101,19 @@
 	return false
 }
 
+// settleRemoval writes the roster anew, unchanged, when a removal whose answer
+// was lost still keeps this instance from acking a live peer: one of both writes
+// lands, and the other can't any more.
+func (n *Node) settleRemoval(now time.Time, r owner.Roster) bool {
+	for _, m := range r.Members {
+		if p, ok := n.peer(m.Instance); ok && p.Incarnation == m.Incarnation && n.book.Undecided(m.Instance) {
+			n.swap(now, SwapRoster{Next: r.Forget(nil), Reason: ReasonTidy})
+			return true
+		}
+	}
+	return false
+}
+
 // dead says whether a roster member has been silent for longer than a term.
 func (n *Node) dead(now time.Time, m owner.Member) bool {
 	if m.Instance == n.cfg.Instance || now.Before(n.started.Add(n.cfg.Grace)) {
@@ -131,10 +144,10 @@
 }
 
 // Idle says whether no request is inside this instance, and its line has left
-// the roster.
+// the roster. The line of an earlier incarnation is not its own.
 func (n *Node) Idle() bool {
-	_, ok := n.book.Roster().Member(n.cfg.Instance)
-	return len(n.flights) == 0 && !ok
+	m, ok := n.book.Roster().Member(n.cfg.Instance)
+	return len(n.flights) == 0 && (!ok || m.Incarnation != n.cfg.Incarnation)
 }
 
 // Open is how many requests are inside this instance.
@@ -162,5 +175,5 @@
 	for _, in := range ev.Instances {
 		list = append(list, owner.Listing{Instance: in.ID, Incarnation: in.Incarnation})
 	}
-	n.book.Listed(now, list)
+	n.book.Listed(now, ev.Sent, list)
 }
--- a/internal/instance/watch.go
+++ b/internal/instance/watch.go
@@ -165,11 +165,12 @@
 	if err := in.cfg.Store.Register(ctx, in.self()); err != nil {
 		return err
 	}
+	sent := in.now()
 	list, err := in.cfg.Store.Instances(ctx)
 	if err != nil {
 		return err
 	}
-	in.desk.Step(core.Listed{Instances: list})
+	in.desk.Step(core.Listed{Instances: list, Sent: sent})
 	in.members.Learn(list)
 	return nil
 }
--- a/internal/owner/book.go
+++ b/internal/owner/book.go
@@ -49,6 +49,7 @@
 type ending struct {
 	incarnation uint64
 	at          time.Time
+	listed      bool // concluded from the platform's list alone: a sign of life refutes it
 }
 
 // New makes an empty book: it owns nothing before its first roster. A faulty
--- a/internal/owner/ending.go
+++ b/internal/owner/ending.go
@@ -14,13 +14,32 @@
 	if instance == b.cfg.Self && incarnation >= b.cfg.Incarnation {
 		return
 	}
-	if e, ok := b.ended[instance]; ok && e.incarnation >= incarnation {
+	b.end(now, instance, ending{incarnation: incarnation, at: now})
+}
+
+// end notes an ending, unless as much is known already.
+func (b *Book) end(now time.Time, instance string, e ending) {
+	if old, ok := b.ended[instance]; ok && old.incarnation >= e.incarnation && (e.listed || !old.listed) {
 		return
 	}
-	b.ended[instance] = ending{incarnation: incarnation, at: now}
+	b.ended[instance] = e
 	b.refresh(now)
 }
 
+// lives notes a sign of life. The list may have left the process out because it
+// could not reach the platform.
+func (b *Book) lives(now time.Time, instance string, incarnation uint64) {
+	for m := range b.unlisted {
+		if m.Instance == instance && m.Incarnation <= incarnation {
+			delete(b.unlisted, m)
+		}
+	}
+	if e, ok := b.ended[instance]; ok && e.listed && e.incarnation <= incarnation {
+		delete(b.ended, instance)
+		b.refresh(now)
+	}
+}
+
 // newer notes that an incarnation was heard of: those before it have ended.
 func (b *Book) newer(now time.Time, instance string, incarnation uint64) {
 	if incarnation > 1 && b.named(instance, incarnation) {
@@ -38,9 +57,9 @@
 	return false
 }
 
-// Listed notes the platform's list as read at now. A line of the roster that
-// it has not named for all of Lag has ended. Lag includes the time of the call.
-func (b *Book) Listed(now time.Time, list []Listing) {
+// Listed notes the platform's list, asked for at sent. A line of the roster
+// that it has not named for all of Lag has ended, unless it shows a sign of life.
+func (b *Book) Listed(now, sent time.Time, list []Listing) {
 	listed := make(map[string]uint64, len(list))
 	for _, l := range list {
 		listed[l.Instance] = max(listed[l.Instance], l.Incarnation)
@@ -50,6 +69,7 @@
 		incarnation, ok := listed[s.Instance]
 		if ok {
 			b.newer(now, s.Instance, incarnation)
+			b.lives(now, s.Instance, incarnation)
 			continue
 		}
 		since, ok := b.unlisted[s.Member]
@@ -57,8 +77,8 @@
 			since = now
 		}
 		missing[s.Member] = since
-		if !now.Before(since.Add(b.skewed(b.cfg.Lag))) {
-			b.Gone(now, s.Instance, s.Incarnation)
+		if !sent.Before(since.Add(b.skewed(b.cfg.Lag))) && !b.isOwn(claim{Member: s.Member}) {
+			b.end(now, s.Instance, ending{incarnation: s.Incarnation, at: now, listed: true})
 		}
 	}
 	b.unlisted = missing
--- /dev/null
+++ b/internal/owner/ending_test.go
@@ -0,0 +1,65 @@
+package owner
+
+import (
+	"testing"
+	"time"
+)
+
+// listBook is the book of a, beside a live b that the list does not name.
+func listBook(t *testing.T) *Book {
+	t.Helper()
+	b, err := New(Config{Self: "a", Incarnation: 1, Place: "p"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, _ := Roster{}.Join("a", 1)
+	r, _ = r.Join("b", 1)
+	b.SetRoster(epoch, r)
+	return b
+}
+
+// TestListIsNoProof: what the list left out may live on without a way to the
+// platform.
+func TestListIsNoProof(t *testing.T) {
+	later := epoch.Add(2 * DefaultLag)
+	tests := map[string]struct {
+		sent  time.Time
+		then  func(*Book)
+		ended bool
+	}{
+		"for long":         {later, func(*Book) {}, true},
+		"an old list":      {epoch, func(*Book) {}, false},
+		"then a heartbeat": {later, func(b *Book) { b.MayAck(later, "b", 1, 2) }, false},
+		"then an ack":      {later, func(b *Book) { b.Ack("b", 1, later, 2) }, false},
+		"then a release":   {later, func(b *Book) { b.Released(later, Release{From: "b", Incarnation: 1, Version: 2}) }, false},
+		"then listed":      {later, func(b *Book) { b.Listed(later, later, []Listing{{"b", 1}}) }, false},
+		"a restart":        {later, func(b *Book) { b.MayAck(later, "b", 2, 2) }, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := listBook(t)
+			b.Listed(epoch, epoch, nil)
+			b.Listed(later, tt.sent, nil)
+			tt.then(b)
+			m, _ := b.roster.Member("b")
+			if got := b.finished(later.Add(time.Hour), m); got != tt.ended {
+				t.Errorf("got ended %v, want %v", got, tt.ended)
+			}
+		})
+	}
+}
+
+// TestPromiseOutlastsList: an ack binds even when the list leaves the peer out.
+func TestPromiseOutlastsList(t *testing.T) {
+	b := listBook(t)
+	later := epoch.Add(2 * DefaultLag)
+	b.MayAck(later.Add(-time.Second), "b", 1, 2)
+	b.Listed(epoch, epoch, nil)
+	b.Listed(later, later, nil)
+	if b.Removable(later, "b") {
+		t.Error("got removable under a promise, want not")
+	}
+	if !b.Removable(later.Add(2*DefaultTerm), "b") {
+		t.Error("got not removable after the promise, want removable")
+	}
+}
--- a/internal/owner/model_test.go
+++ b/internal/owner/model_test.go
@@ -281,9 +281,7 @@
 			}
 			n.book.SetRoster(m.local(n), roster)
 			n.book.Confirm(sent, roster.Version)
-			if m.local(n).Before(sent.Add(modelLag / 2)) {
-				n.book.Listed(m.local(n), list)
-			}
+			n.book.Listed(m.local(n), sent, list)
 		})
 	})
 }
--- a/internal/owner/release.go
+++ b/internal/owner/release.go
@@ -45,6 +45,7 @@
 	if p == nil || (p.hasRelease && r.Seq <= p.release.Seq) {
 		return
 	}
+	b.lives(now, r.From, r.Incarnation)
 	p.version = max(p.version, r.Version)
 	p.release, p.heard, p.hasRelease = r, now, true
 	b.refresh(now)
--- a/internal/owner/tenure.go
+++ b/internal/owner/tenure.go
@@ -69,6 +69,7 @@
 	if p == nil {
 		return
 	}
+	b.lives(sent, peer, incarnation)
 	p.version = max(p.version, version)
 	p.ackUntil = later(p.ackUntil, sent.Add(b.cfg.Term))
 }
@@ -81,6 +82,7 @@
 	if p == nil {
 		return false
 	}
+	b.lives(now, peer, incarnation)
 	p.version = max(p.version, version)
 	m, ok := b.roster.Member(peer)
 	if !ok || m.Incarnation != incarnation || p.removing {
@@ -118,20 +120,23 @@
 
 // Removable reports whether this instance may write a roster without the peer:
 // its last ack to it has run out, and the peer knows a roster in which this
-// instance's ack is needed; or the peer is proved to have ended.
+// instance's ack is needed or is no longer listed; or a newer incarnation proves
+// that the peer has ended.
 func (b *Book) Removable(now time.Time, peer string) bool {
 	m, ok := b.roster.Member(peer)
 	if !ok || b.own.Instance == "" || peer == b.own.Instance {
 		return false
 	}
-	if e, ok := b.ended[peer]; ok && e.incarnation >= m.Incarnation {
+	e, ended := b.ended[peer]
+	ended = ended && e.incarnation >= m.Incarnation
+	if ended && !e.listed {
 		return true
 	}
 	p := b.peer(peer, m.Incarnation)
 	if p == nil || now.Before(p.promised) {
 		return false
 	}
-	return m.Since > b.own.Since || p.version >= b.own.Since
+	return ended || m.Since > b.own.Since || p.version >= b.own.Since
 }
 
 // Remove returns the roster without the peer, to be written at once. From now
@@ -151,6 +156,13 @@
 	return next, nil
 }
 
+// Undecided reports whether a write that removes the peer may still land. Until a
+// newer roster is known, the peer gets no ack.
+func (b *Book) Undecided(peer string) bool {
+	p, ok := b.peers[peer]
+	return ok && p.removing
+}
+
 // Abandon notes that the write which Remove began is proved not to have been
 // sent. An uncertain write may still land: it must not be abandoned.
 func (b *Book) Abandon(peer string) {
