Let only the home answer for a key

Change: after a forward only the home's own refusal is passed on as "not run"; all else is unknown. An expired request that is gone is left alone. Excluded: a late refusal that the home gave before a later attempt ran.

--- a/internal/core/arrival.go
+++ b/internal/core/arrival.go
@@ -13,12 +13,12 @@
 	f := &flight{id: ev.ID, req: ev.Request, origin: ev.Origin}
 	n.flights[f.id] = f
 	if n.snapshot == nil {
-		n.refuse(now, f, ReasonNoSettings)
+		n.refuseBlind(now, f, ReasonNoSettings)
 		return
 	}
 	service, ok := n.snapshot.Service(f.req.Service)
 	if !ok {
-		n.refuse(now, f, ReasonNoService)
+		n.refuseBlind(now, f, ReasonNoService)
 		return
 	}
 	f.service = service
@@ -34,6 +34,17 @@
 	n.place(now, f, "")
 }
 
+// refuseBlind refuses a request of which this instance knows no service. An
+// earlier one with the same key may have run at the key's home.
+func (n *Node) refuseBlind(now time.Time, f *flight, reason Reason) {
+	if f.req.Key != "" && f.origin != FromPeer {
+		f.sooner(now.Add(retryFull))
+		n.unknown(f, reason)
+		return
+	}
+	n.refuse(now, f, reason)
+}
+
 // homeOf finds the caller's home place. A caller that no block has is at home
 // where it asked first, so that it counts as shifted anywhere else.
 func (n *Node) homeOf(r Request) string {
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -110,9 +110,7 @@
 
 // tick does what time alone brings about.
 func (n *Node) tick(now time.Time) {
-	for _, item := range n.queue.Expire(now) {
-		n.refuse(now, n.flights[ID(item.ID)], ReasonDeadline)
-	}
+	n.expire(now)
 	n.settleDue(now)
 	n.once.Sweep(now)
 	if n.snapshot != nil {
@@ -123,6 +121,16 @@
 	n.pump(now)
 }
 
+// expire refuses the requests that have waited too long. One that its caller
+// gave up in the same moment has had its refusal.
+func (n *Node) expire(now time.Time) {
+	for _, item := range n.queue.Expire(now) {
+		if f, ok := n.flights[ID(item.ID)]; ok {
+			n.refuse(now, f, ReasonDeadline)
+		}
+	}
+}
+
 func (n *Node) decide(d Decision) { n.out = append(n.out, d) }
 
 func (n *Node) check(name invariant.Name, ok bool, detail func() string) {
--- a/internal/core/outcome.go
+++ b/internal/core/outcome.go
@@ -20,6 +20,7 @@
 	if !ok {
 		return
 	}
+	forwarded := f.stage == stageForward
 	n.leaveStage(now, f, ev)
 	switch {
 	case ev.Result == Answered:
@@ -30,6 +31,8 @@
 		n.refuse(now, f, ReasonGone)
 	case ev.Final:
 		n.end(now, f, once.Outcome{Kind: once.OutcomeUnknown})
+	case forwarded:
+		n.forwarded(now, f, ev)
 	case ev.Result == NotRun:
 		n.again(now, f, ev, true)
 	default:
@@ -38,6 +41,22 @@
 	n.pump(now)
 }
 
+// forwarded ends a request whose key's home gave no answer. Nobody else may run
+// it, and only the home can say that the key has not run: a connection that was
+// never opened proves nothing of an earlier request with the key.
+func (n *Node) forwarded(now time.Time, f *flight, ev Finished) {
+	if ev.Result == NotRun && ev.Proof == once.ProofRefusal {
+		n.refuse(now, f, ev.Reason)
+		return
+	}
+	reason := ev.Reason
+	if reason == "" {
+		reason = ReasonHomeCut
+	}
+	f.sooner(now.Add(retryFull))
+	n.unknown(f, reason)
+}
+
 // leaveStage gives back what the attempt held and learns from how it went.
 func (n *Node) leaveStage(now time.Time, f *flight, ev Finished) {
 	switch f.stage {
