Run seeded random worlds over the core

Cause: the core's promises were tested package by package, never together under faults. Change: a harness in test files drives many nodes in virtual time from one event heap: places, regions, targets, callers, platform, messages, clocks and faults of every kind, all from one seed. A checker looks at what targets and callers see, never at what a node believes. Excluded: wire formats, sockets and the membership's own protocol.

--- /dev/null
+++ b/internal/core/caller_test.go
@@ -0,0 +1,235 @@
+package core_test
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/firlever/firlever/internal/core"
+	"github.com/firlever/firlever/internal/once"
+)
+
+// caller makes requests for one place's callers.
+type caller struct {
+	w       *world
+	id      int
+	place   int
+	address netip.Addr
+	cached  map[string]*lookup
+	n       int
+}
+
+// lookup is an answer that a caller keeps.
+type lookup struct {
+	until     time.Duration // by true time
+	instances []string
+	keys      []string
+}
+
+// call is one intended request, with the truth about it.
+type call struct {
+	c        *caller
+	name     string
+	service  string
+	key      string
+	tries    int
+	doubtful bool // an attempt with the present key may have run
+	answered bool
+	over     bool
+	asked    int // attempts sent
+	told     int // answers that came back
+	begun    time.Duration
+
+	ran  map[string]int // works begun, by key
+	all  int            // works begun
+	wait time.Duration  // how long attempts may take
+}
+
+const (
+	maxTries   = 6
+	callEvery  = 45 * time.Millisecond  // mean time between a caller's requests
+	quietEvery = 300 * time.Millisecond // the same after the faults
+)
+
+func newCaller(w *world, id int) *caller {
+	place := id % len(w.places)
+	c := &caller{w: w, id: id, place: place, cached: make(map[string]*lookup)}
+	c.address = netip.AddrFrom4([4]byte{10, byte(place), 0, byte(1 + id)})
+	w.after(warmUp/2+w.upTo(time.Second), c.next)
+	return c
+}
+
+// next makes a request now and then, sometimes many at once.
+func (c *caller) next() {
+	w := c.w
+	if w.now > load {
+		return
+	}
+	many := 1
+	if w.chance(0.02) {
+		many = 8
+	}
+	for range many {
+		service := serviceRead
+		if w.chance(0.4) {
+			service = serviceWrite
+		}
+		c.begin(service)
+	}
+	mean := callEvery
+	if w.now > quiet {
+		mean = quietEvery
+	}
+	w.after(time.Duration(w.rng.ExpFloat64()*float64(mean)), c.next)
+}
+
+func (c *caller) begin(service string) *call {
+	c.n++
+	k := &call{
+		c: c, service: service, begun: c.w.now, name: fmt.Sprintf("c%d.%d", c.id, c.n),
+		ran: make(map[string]int), wait: c.w.between(200*time.Millisecond, 2500*time.Millisecond),
+	}
+	c.w.calls = append(c.w.calls, k)
+	k.start()
+	return k
+}
+
+// start looks the service up, and sends a first attempt; sometimes two at once.
+func (k *call) start() {
+	l := k.c.lookup(k.service)
+	if l == nil || (k.service == serviceWrite && len(l.keys) == 0) {
+		k.over = true
+		return
+	}
+	if k.service == serviceWrite {
+		k.key = l.keys[len(l.keys)-1]
+		l.keys = l.keys[:len(l.keys)-1]
+		k.doubtful = false
+	}
+	k.try(l.instances[0])
+	if k.key != "" && k.c.w.chance(0.05) {
+		k.try(k.c.w.pickName())
+	}
+}
+
+func (w *world) pickName() string { return w.names[w.rng.IntN(len(w.names))] }
+
+// lookup answers from what is kept, or asks any instance that can be reached.
+func (c *caller) lookup(service string) *lookup {
+	w := c.w
+	l := c.cached[service]
+	if l != nil && w.now < l.until && (service != serviceWrite || len(l.keys) > 0) {
+		return l
+	}
+	for range 8 {
+		p := w.live[w.pickName()]
+		if p == nil || p.paused || w.links.cut[[2]int{endCallers, p.place}] > 0 {
+			continue
+		}
+		ans, err := p.node.Lookup(p.local(), serviceID(service), c.address, 6)
+		if err != nil || len(ans.Instances) == 0 {
+			continue
+		}
+		l = &lookup{until: w.now + lookupLife, keys: ans.Keys}
+		for _, in := range ans.Instances {
+			l.instances = append(l.instances, in.ID)
+		}
+		c.cached[service] = l
+		return l
+	}
+	return nil
+}
+
+// try sends one attempt to an instance.
+func (k *call) try(name string) {
+	w := k.c.w
+	k.tries++
+	k.asked++
+	req := core.Request{
+		Service: serviceID(k.service), Method: "GET", Path: "/", Caller: k.c.address,
+		Name: fmt.Sprintf("%s.%d", k.name, k.tries), Key: k.key, Replayable: !w.chance(0.1),
+	}
+	if k.service == serviceWrite {
+		req.Method = "POST"
+		req.Print = once.NewFingerprint(req.Method, k.name, nil)
+	}
+	a := &asked{k: k, key: k.key, name: req.Name}
+	place := w.home[name]
+	w.tracef("caller asks %s for %s", name, req.Name)
+	w.after(k.wait+time.Second, func() { a.back(answer{kind: core.Failed, reason: "no answer"}) })
+	w.after(w.delay(endCallers, place), func() { a.arrive(req, name) })
+}
+
+// asked is one attempt as its caller sees it.
+type asked struct {
+	k    *call
+	key  string
+	name string
+	over bool
+	x    *exchange
+}
+
+func (a *asked) arrive(req core.Request, name string) {
+	w := a.k.c.w
+	p := w.live[name]
+	if p == nil || w.links.cut[[2]int{endCallers, w.home[name]}] > 0 {
+		a.back(answer{kind: core.NotRun, reason: "refused connection"})
+		return
+	}
+	p.deliver(func() {
+		a.x = p.receive(core.FromCaller, req, a.k, a.k.wait, func(ans answer) {
+			if w.chance(0.02) {
+				return // lost on its way back
+			}
+			w.after(w.delay(p.place, endCallers), func() { a.back(ans) })
+		})
+	})
+}
+
+// back takes the answer of one attempt and decides what the caller does next.
+func (a *asked) back(ans answer) {
+	if a.over {
+		return
+	}
+	a.over = true
+	k, w := a.k, a.k.c.w
+	k.told++
+	w.tracef("caller got for %s: %d %s", a.name, ans.kind, ans.reason)
+	if a.x != nil && !a.x.done && !a.x.p.dead {
+		x := a.x
+		w.after(w.delay(endCallers, x.p.place), func() { x.p.deliver(x.cancel) })
+	}
+	w.check.told(a, ans)
+	switch {
+	case k.over || k.answered || w.now > load:
+		return
+	case ans.kind == core.Answered:
+		k.answered, k.over = true, true
+		return
+	case ans.kind == core.Failed && a.key == k.key:
+		k.doubtful = true
+	}
+	k.again(ans)
+}
+
+// again tries elsewhere with the same key, or afresh if nothing ran for sure.
+func (k *call) again(ans answer) {
+	w := k.c.w
+	if k.tries >= maxTries {
+		k.over = true
+		return
+	}
+	wait := w.between(time.Millisecond, 50*time.Millisecond)
+	if ans.retry > 0 {
+		wait += min(ans.retry, 500*time.Millisecond)
+	}
+	w.after(wait, func() {
+		switch {
+		case k.answered:
+		case k.key != "" && !k.doubtful && k.asked == k.told && w.chance(0.4):
+			k.start()
+		default:
+			k.try(w.pickName())
+		}
+	})
+}
--- /dev/null
+++ b/internal/core/checker_test.go
@@ -0,0 +1,238 @@
+package core_test
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/firlever/firlever/internal/core"
+)
+
+// checker holds what happened in truth against what is promised. It looks at
+// targets, callers and the platform, and never asks a node what it believes.
+type checker struct {
+	w     *world
+	fault string // the first violation
+
+	notRun map[string]bool // by name of a caller's request: it was told so
+	begun  map[string]int
+	held   *versions
+	finals int
+}
+
+func newChecker(w *world) *checker {
+	return &checker{w: w, notRun: make(map[string]bool), begun: make(map[string]int), held: newVersions(w)}
+}
+
+func (c *checker) failf(format string, args ...any) {
+	if c.fault != "" {
+		return
+	}
+	c.fault = fmt.Sprintf("at %v: ", c.w.now) + fmt.Sprintf(format, args...)
+	c.w.tracef("VIOLATION %s", c.fault)
+}
+
+// started takes in that a target has begun a request.
+func (c *checker) started(k *work) {
+	x := k.a.x
+	c.begun[x.req.Name]++
+	x.ran = true
+	if x.done || c.notRun[x.req.Name] {
+		c.failf("%s begins %s, which has had its final answer", k.t.key.Name, x.req.Name)
+	}
+	c.once(x.call, x.req.Key)
+	c.w.counts["works"]++
+	if !c.w.jumps {
+		c.limits(k.t)
+		c.drained(k)
+	}
+}
+
+// once checks that work with a key, and a call that isn't idempotent, begins once.
+func (c *checker) once(k *call, key string) {
+	if k.service != serviceWrite {
+		return
+	}
+	k.ran[key]++
+	k.all++
+	if k.ran[key] > 1 {
+		c.failf("%s has begun %d times with one key", k.name, k.ran[key])
+	}
+	if k.all > 1 {
+		c.failf("%s has begun %d times in all: a refusal said that it had not run", k.name, k.all)
+	}
+}
+
+// drained checks that no target gets new work 3 s after its drain, if its
+// owner could read the platform all the while.
+func (c *checker) drained(k *work) {
+	since, ok := c.w.isDrained(k.t)
+	p := k.a.x.p
+	if !ok || c.w.now <= since+3*time.Second || p.touched >= since {
+		return
+	}
+	c.failf("%s gets %s from %s, drained since %v", k.t.key.Name, k.a.x.req.Name, p, since)
+}
+
+// decided checks a decision as it is taken.
+func (c *checker) decided(x *exchange, d core.Decision) {
+	s, ok := d.(core.Serve)
+	if !ok {
+		return
+	}
+	t := c.w.targets[s.Address]
+	snap := x.p.snapshot
+	if snap.TargetDrained(t.key.Service, t.key.Name) || snap.PlaceDrained(t.key.Service, c.w.places[t.place]) {
+		c.failf("%s gives %s to %s, which its own documents drain", x.p, x.req.Name, t.key.Name)
+	}
+	if s.Deadline.After(x.req.Deadline) {
+		c.failf("%s serves %s past its deadline", x.p, x.req.Name)
+	}
+	if x.call.c.place != x.p.place {
+		c.w.counts["shifted"]++
+		c.shifted(x.p, t)
+	}
+}
+
+// finalGiven takes in an instance's one answer to a request.
+func (c *checker) finalGiven(x *exchange, ans answer) {
+	c.finals++
+	c.w.counts[fmt.Sprint("final ", ans.kind, " ", ans.reason)]++
+	if x.done {
+		c.failf("%s answers %s twice", x.p, x.req.Name)
+	}
+	if ans.kind != core.NotRun {
+		return
+	}
+	if x.ran {
+		c.failf("%s says that %s has not run (%s), but it has", x.p, x.req.Name, ans.reason)
+	}
+	if x.origin != core.FromPeer && !x.word && x.req.Key != "" && x.call.ran[x.req.Key] > 0 {
+		c.failf("%s says that %s has not run (%s), but its key has", x.p, x.req.Name, ans.reason)
+	}
+}
+
+// told takes in what a caller is told of one attempt.
+func (c *checker) told(a *asked, ans answer) {
+	switch ans.kind {
+	case core.Answered:
+		if !strings.HasPrefix(ans.body, a.k.name+".") {
+			c.failf("%s gets the answer of %q", a.name, ans.body)
+		}
+	case core.NotRun:
+		c.notRun[a.name] = true
+		if c.begun[a.name] > 0 {
+			c.failf("%s is told that it has not run (%s), but it has", a.name, ans.reason)
+		}
+	}
+}
+
+// forward checks the documents that a process puts in force.
+func (c *checker) forward(p *proc) {
+	for _, path := range c.w.store.paths {
+		v, old := p.snapshot.Version(path), p.versions[path]
+		if v == old {
+			continue
+		}
+		if v < old {
+			c.failf("%s goes back from version %d of %s to %d", p, old, path, v)
+			return
+		}
+		doc, _ := p.docs.Get(path)
+		if want := c.w.store.docs[path][v-1].doc; string(doc.Body) != string(want.Body) || doc.Deleted != want.Deleted {
+			c.failf("%s has another version %d of %s than was accepted", p, v, path)
+		}
+		p.versions[path] = v
+		c.held.left(p.place, path, old)
+	}
+}
+
+// gone takes in that a process has ended.
+func (c *checker) gone(p *proc) {
+	for _, path := range c.w.store.paths {
+		c.held.left(p.place, path, p.versions[path])
+	}
+}
+
+// stopped checks that a planned stop cuts nothing.
+func (c *checker) stopped(p *proc) {
+	if n := len(p.exchanges); n > 0 {
+		c.failf("%s stops with %d requests inside", p, n)
+	}
+	for _, t := range c.w.order {
+		for _, k := range t.works {
+			if k.a.x.p == p && !k.a.over {
+				c.failf("%s stops with %s at a target", p, k.a.x.req.Name)
+			}
+		}
+	}
+}
+
+// end checks what must hold when all has been quiet for long.
+func (c *checker) end() {
+	for _, name := range c.w.names {
+		p := c.w.live[name]
+		if p == nil {
+			c.failf("%s does not run at the end", name)
+			return
+		}
+		if len(p.exchanges) > 0 || p.node.Open() > 0 {
+			c.failf("%s has %d requests, its node %d, long after the last", p, len(p.exchanges), p.node.Open())
+		}
+		c.recovered(p)
+	}
+	c.answeredAgain()
+}
+
+// recovered checks that a process has all its rights back.
+func (c *checker) recovered(p *proc) {
+	r := p.node.Roster()
+	m, ok := r.Member(p.name)
+	if !p.node.Confirmed(p.local()) || !ok || m.Incarnation != p.incarnation || len(r.Former) > 0 {
+		c.failf("%s has not recovered: confirmed %v, roster %+v", p, p.node.Confirmed(p.local()), r)
+	}
+	for _, service := range []string{serviceRead, serviceWrite} {
+		c.wholeSite(p.place, service)
+	}
+}
+
+// wholeSite checks that the instances of a place may use all of a service's
+// limit, together.
+func (c *checker) wholeSite(place int, service string) {
+	free, want := 0, c.w.ample(service).sites[place].limit
+	for _, name := range c.w.names {
+		if c.w.home[name] != place {
+			continue
+		}
+		p := c.w.live[name]
+		if p == nil {
+			return
+		}
+		for _, r := range p.node.Rooms(p.local()) {
+			if r.Service == serviceID(service) {
+				free += r.Free
+			}
+		}
+	}
+	if free < want {
+		c.failf("%s has %d free slots in place %d, of %d", service, free, place, want)
+	}
+}
+
+// answeredAgain checks that calls are answered after the faults.
+func (c *checker) answeredAgain() {
+	asked, answered := 0, 0
+	for _, k := range c.w.calls {
+		if k.begun > quiet+recovery && k.begun < load-time.Second {
+			asked++
+			if k.answered {
+				answered++
+			}
+		}
+	}
+	if asked > 0 && answered*100 < asked*85 {
+		c.failf("only %d of %d calls were answered long after the faults", answered, asked)
+	}
+	c.w.counts["asked late"] += asked
+	c.w.counts["answered late"] += answered
+}
--- /dev/null
+++ b/internal/core/ending_test.go
@@ -0,0 +1,68 @@
+package core_test
+
+import (
+	"time"
+
+	"github.com/firlever/firlever/internal/core"
+)
+
+// kill ends the process at once. Its connections close, or nobody notices.
+func (p *proc) kill() {
+	if p.dead {
+		return
+	}
+	p.dead = true
+	p.w.live[p.name] = nil
+	p.w.check.gone(p)
+	p.w.tracef("%s dies", p)
+	closed := p.w.chance(0.6)
+	for id := core.ID(1); id <= p.lastID; id++ {
+		x := p.exchanges[id]
+		if x == nil || !closed {
+			continue
+		}
+		if x.attempt != nil && !x.attempt.over {
+			x.attempt.over = true
+			x.attempt.drop()
+		}
+		x.reply(answer{kind: core.Failed, reason: "connection lost"})
+	}
+}
+
+func (p *proc) pause() { p.paused = true }
+
+// wake goes on with all that came meanwhile, by the clock of now.
+func (p *proc) wake() {
+	if p.dead || !p.paused {
+		return
+	}
+	p.paused, p.touched = false, p.w.now
+	p.w.tracef("%s wakes with %d events", p, len(p.inbox))
+	inbox := p.inbox
+	p.inbox = nil
+	for _, do := range inbox {
+		p.deliver(do)
+	}
+}
+
+// stop is a planned stop, as a shell does it.
+func (p *proc) stop() {
+	if p.dead || p.leaving {
+		return
+	}
+	p.leaving = true
+	p.w.tracef("%s begins a planned stop", p)
+	p.step(core.Stopping{})
+	p.after(lingerFor, p.stopWhenIdle)
+}
+
+func (p *proc) stopWhenIdle() {
+	if !p.node.Idle() {
+		p.after(20*time.Millisecond, p.stopWhenIdle)
+		return
+	}
+	p.w.check.stopped(p)
+	p.kill()
+	p.w.counts["stops"]++
+	p.w.after(p.w.between(100*time.Millisecond, 3*time.Second), func() { p.w.start(p.name) })
+}
--- /dev/null
+++ b/internal/core/exchange_test.go
@@ -0,0 +1,235 @@
+package core_test
+
+import (
+	"time"
+
+	"github.com/firlever/firlever/internal/core"
+	"github.com/firlever/firlever/internal/once"
+)
+
+// answer is what one who asked gets to see.
+type answer struct {
+	kind   core.Result // Failed: nobody knows
+	body   string      // name of the request whose work gave it
+	reason core.Reason
+	retry  time.Duration // when to come back, from now; zero if not told
+}
+
+// exchange carries one request inside a process, as a shell does.
+type exchange struct {
+	p       *proc
+	id      core.ID
+	origin  core.Origin
+	req     core.Request
+	call    *call // the truth behind it
+	reply   func(answer)
+	attempt *attempt // under way, or nil
+	gone    bool     // the one who asked waits no more
+	done    bool
+	word    bool // its key's home has just said that it has not run
+	ran     bool // a target has begun work on an attempt of this exchange
+}
+
+// attempt is one try at a target or a peer.
+type attempt struct {
+	x    *exchange
+	home bool // it asks the key's home
+	over bool
+	work *work     // at a target
+	far  *exchange // at a peer
+	from time.Time
+}
+
+// receive takes a request in. left is the time that its headers give it.
+func (p *proc) receive(origin core.Origin, req core.Request, c *call, left time.Duration, reply func(answer)) *exchange {
+	p.lastID++
+	req.Deadline = p.local().Add(left)
+	x := &exchange{p: p, id: p.lastID, origin: origin, req: req, call: c, reply: reply}
+	p.exchanges[x.id] = x
+	p.w.tracef("%s gets %s (origin %d)", p, req.Name, origin)
+	p.step(core.Arrived{ID: x.id, Origin: origin, Request: req})
+	return x
+}
+
+// act carries out a decision about a request, a moment after it was taken.
+func (x *exchange) act(d core.Decision) {
+	if x.p.dead || x.done {
+		return
+	}
+	switch d := d.(type) {
+	case core.Serve:
+		x.serve(d)
+	case core.Hand:
+		x.send(core.FromPeer, d.Peer, d.Home, d.Deadline)
+	case core.Forward:
+		x.send(core.FromForward, d.Peer, "", d.Deadline)
+	}
+}
+
+// begin opens an attempt, unless its deadline has passed already.
+func (x *exchange) begin(deadline time.Time) (*attempt, time.Duration) {
+	a := &attempt{x: x, from: x.p.local()}
+	x.attempt = a
+	left := deadline.Sub(a.from)
+	if left <= 0 || x.gone {
+		a.result(core.Finished{Result: core.NotRun, Proof: once.ProofNoByte})
+		return nil, 0
+	}
+	x.p.after(left, func() { a.giveUp() })
+	return a, left
+}
+
+func (x *exchange) serve(d core.Serve) {
+	w := x.p.w
+	a, left := x.begin(d.Deadline)
+	if a == nil {
+		return
+	}
+	t := w.targets[d.Address]
+	left = left.Truncate(time.Millisecond)
+	w.after(w.between(200*time.Microsecond, 2*time.Millisecond), func() { t.receive(a, left) })
+}
+
+// send hands the request to another instance and waits for its answer.
+func (x *exchange) send(origin core.Origin, peer core.Peer, home string, deadline time.Time) {
+	w := x.p.w
+	a, left := x.begin(deadline)
+	if a == nil {
+		return
+	}
+	a.home = origin == core.FromForward
+	req := x.req
+	req.Home = home
+	w.after(w.delay(x.p.place, w.home[peer.ID]), func() { a.arrive(origin, req, peer.ID, left) })
+}
+
+// arrive is the moment at which the request would reach the peer.
+func (a *attempt) arrive(origin core.Origin, req core.Request, name string, left time.Duration) {
+	w := a.x.p.w
+	q := w.live[name]
+	switch {
+	case a.over:
+		return
+	case q == nil:
+		a.result(core.Finished{Result: core.NotRun, Proof: once.ProofNoConn})
+		return
+	case !w.open(a.x.p, q) && w.chance(0.5):
+		w.after(300*time.Millisecond, func() { a.result(core.Finished{Result: core.NotRun, Proof: once.ProofNoConn}) })
+		return
+	case !w.open(a.x.p, q):
+		return // sent into the void on a connection that still looked open
+	}
+	q.deliver(func() {
+		a.far = q.receive(origin, req, a.x.call, left, func(ans answer) { a.answered(q, ans) })
+	})
+}
+
+// answered sends a peer's answer back.
+func (a *attempt) answered(q *proc, ans answer) {
+	w := a.x.p.w
+	if !w.open(q, a.x.p) || w.chance(0.01) {
+		return
+	}
+	w.after(w.delay(q.place, a.x.p.place), func() { a.result(a.finished(ans)) })
+}
+
+func (a *attempt) finished(ans answer) core.Finished {
+	ev := core.Finished{Result: ans.kind, Reason: ans.reason, Body: []byte(ans.body), Status: 200}
+	if ans.kind == core.NotRun {
+		ev.Proof = once.ProofRefusal
+	}
+	if ans.retry > 0 {
+		ev.Retry = a.x.p.local().Add(ans.retry)
+	}
+	return ev
+}
+
+// result tells the node how the attempt ended, once its process runs.
+func (a *attempt) result(ev core.Finished) {
+	a.x.p.deliver(func() {
+		if a.over {
+			return
+		}
+		a.over = true
+		a.x.finish(a, ev)
+	})
+}
+
+// giveUp ends an attempt whose deadline has passed, or that nobody waits for.
+func (a *attempt) giveUp() {
+	if a.over {
+		return
+	}
+	a.over = true
+	a.drop()
+	a.x.finish(a, core.Finished{Result: core.Failed})
+}
+
+// drop closes the attempt's connection; the other side notices.
+func (a *attempt) drop() {
+	if a.work != nil {
+		a.work.abandon()
+	}
+	if far := a.far; far != nil {
+		w := a.x.p.w
+		w.after(w.delay(a.x.p.place, far.p.place), func() { far.p.deliver(far.cancel) })
+	}
+}
+
+// finish passes a result to the node, and a whole answer to the one who asked.
+func (x *exchange) finish(a *attempt, ev core.Finished) {
+	x.attempt = nil
+	x.word = a.home && ev.Result == core.NotRun && ev.Proof == once.ProofRefusal
+	ev.ID = x.id
+	ev.Took = x.p.local().Sub(a.from)
+	x.p.w.tracef("%s: %s ended, result %d %s", x.p, x.req.Name, ev.Result, ev.Reason)
+	if ev.Result == core.Answered || ev.Final {
+		x.final(answer{kind: ev.Result, body: string(ev.Body)})
+	}
+	x.p.step(ev)
+}
+
+// cancel tells that the one who asked has gone. Keyed requests run on.
+func (x *exchange) cancel() {
+	if x.done || x.req.Key != "" {
+		return
+	}
+	x.gone = true
+	if x.attempt != nil {
+		x.attempt.giveUp()
+		return
+	}
+	x.p.step(core.Cancelled{ID: x.id})
+}
+
+// decided takes a decision that ends the request; it returns false for others.
+func (x *exchange) decided(d core.Decision) bool {
+	switch d := d.(type) {
+	case core.Refuse:
+		ans := answer{kind: core.NotRun, reason: d.Reason}
+		if d.Unknown {
+			ans.kind = core.Failed
+		}
+		if !d.RetryAt.IsZero() {
+			ans.retry = max(d.RetryAt.Sub(x.p.local()), time.Millisecond)
+		}
+		x.final(ans)
+	case core.Repeat:
+		if d.Answer.Dropped {
+			x.final(answer{kind: core.Failed, reason: core.ReasonNotKept})
+			return true
+		}
+		x.final(answer{kind: core.Answered, body: string(d.Answer.Body), reason: core.ReasonRepeat})
+	default:
+		return false
+	}
+	return true
+}
+
+// final gives the one answer.
+func (x *exchange) final(ans answer) {
+	x.p.w.check.finalGiven(x, ans)
+	x.done = true
+	delete(x.p.exchanges, x.id)
+	x.reply(ans)
+}
--- /dev/null
+++ b/internal/core/gossip_test.go
@@ -0,0 +1,133 @@
+package core_test
+
+import (
+	"time"
+
+	"github.com/firlever/firlever/internal/core"
+	"github.com/firlever/firlever/internal/owner"
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+// ping is a heartbeat, with all that may ride on one.
+type ping struct {
+	from     *proc
+	sent     time.Time // by the sender's clock
+	leaving  bool
+	roster   owner.Roster
+	release  owner.Release
+	rooms    []core.Room
+	docs     []settings.Document // rarely
+	whole    bool                // docs is all that the sender has
+	tellsAll bool                // the roster itself goes along
+}
+
+// ping sends heartbeats to every other instance, with room and, now and then,
+// the roster and some documents.
+func (p *proc) ping() {
+	for _, name := range p.w.names {
+		to := p.w.live[name]
+		if to == nil || to == p {
+			continue
+		}
+		m := ping{
+			from: p, sent: p.local(), leaving: p.leaving, roster: p.node.Roster(),
+			release: p.node.Release(), rooms: p.node.Rooms(p.local()), tellsAll: p.w.chance(0.1),
+		}
+		if p.w.chance(0.2) {
+			m.docs = p.someDocs()
+			m.whole = len(m.docs) == p.docs.Len()
+		}
+		p.w.datagram(p, to, func() { to.pinged(m) })
+	}
+}
+
+// someDocs are some of the documents held, in any order.
+func (p *proc) someDocs() []settings.Document {
+	docs := p.docs.Documents()
+	p.w.rng.Shuffle(len(docs), func(i, j int) { docs[i], docs[j] = docs[j], docs[i] })
+	if len(docs) == 0 || p.w.chance(0.5) {
+		return docs
+	}
+	return docs[:p.w.rng.IntN(len(docs))]
+}
+
+// pinged takes a heartbeat in. An ack is a promise that the node has to allow.
+func (p *proc) pinged(m ping) {
+	p.hear(m.from, m.leaving)
+	if m.docs != nil && (p.snapshot != nil || m.whole) {
+		p.takeDocs(m.docs) // the first documents come whole, or callers' blocks may lack
+	}
+	if m.from.place != p.place {
+		return
+	}
+	if p.node.MayAck(p.local(), m.from.name, m.from.incarnation, m.roster.Version) {
+		p.ack(m)
+	}
+	p.step(core.Released{Release: m.release})
+	p.step(core.RoomHeard{Peer: m.from.name, Rooms: m.rooms})
+	if m.tellsAll {
+		p.step(core.RosterHeard{Roster: m.roster})
+	}
+}
+
+func (p *proc) ack(m ping) {
+	version := p.node.Roster().Version
+	p.w.datagram(p, m.from, func() {
+		m.from.hear(p, p.leaving)
+		m.from.step(core.PeerAcked{Peer: p.name, Incarnation: p.incarnation, Sent: m.sent, Roster: version})
+	})
+}
+
+// hear notes that a peer lives.
+func (p *proc) hear(from *proc, leaving bool) {
+	h := p.heard[from.name]
+	if h != nil && h.incarnation > from.incarnation {
+		return
+	}
+	p.heard[from.name] = &heard{at: p.local(), incarnation: from.incarnation, leaving: leaving}
+}
+
+// readRoster reads the place's roster from the platform.
+func (p *proc) readRoster() {
+	p.asking = true
+	sent := p.local()
+	done := func(next time.Duration) {
+		p.asking = false
+		p.rosterDue = p.local().Add(next)
+	}
+	p.w.store.ask(p, func() func() {
+		r := p.w.store.rosters[p.place]
+		return func() {
+			p.step(core.RosterRead{Roster: r, Sent: sent})
+			next := rosterSoon
+			if p.node.Confirmed(p.local()) {
+				next = rosterSlow
+			}
+			done(next)
+		}
+	}, func() { done(rosterSoon) })
+}
+
+// swapRoster asks the platform for a change of the roster.
+func (p *proc) swapRoster(d core.SwapRoster) {
+	p.w.tracef("%s asks for %s of version %d (removes %q)", p, d.Reason, d.Next.Version, d.Removed)
+	p.w.store.ask(p, func() func() {
+		landed := p.w.store.swap(p.place, d.Next)
+		return func() {
+			p.rosterDue = time.Time{}
+			if !landed && d.Removed != "" {
+				p.step(core.SwapFailed{Removed: d.Removed})
+			}
+		}
+	}, func() { p.rosterDue = time.Time{} })
+}
+
+// register renews the line in the platform's list, and reads the list.
+func (p *proc) register() {
+	sent := p.local()
+	p.w.store.ask(p, func() func() {
+		p.w.store.register(p.name, p.incarnation)
+		list := p.w.store.list(p.place)
+		return func() { p.step(core.Listed{Instances: list, Sent: sent}) }
+	}, func() {})
+}
--- /dev/null
+++ b/internal/core/limits_test.go
@@ -0,0 +1,196 @@
+package core_test
+
+import (
+	"time"
+
+	"github.com/firlever/firlever/internal/owner"
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+// slack is how long work may go on past the end that its owner knows of.
+const slack = 150 * time.Millisecond
+
+// versions tells which versions of a document are in force somewhere in a place.
+type versions struct {
+	w    *world
+	last map[heldKey]time.Duration // when a process last gave a version up
+	late []time.Duration           // by place: when a process last had one that had been replaced for longer than settled
+}
+
+type heldKey struct {
+	place   int
+	path    string
+	version uint64
+}
+
+func newVersions(w *world) *versions {
+	return &versions{w: w, last: make(map[heldKey]time.Duration)}
+}
+
+// left notes that a process has given a version up.
+func (h *versions) left(place int, path string, version uint64) {
+	if version == 0 {
+		return
+	}
+	h.last[heldKey{place, path, version}] = h.w.now
+	h.noteLate(place, path, version)
+}
+
+// noteLate notes a version that is in force for longer than the design says.
+func (h *versions) noteLate(place int, path string, version uint64) {
+	all := h.w.store.docs[path]
+	if int(version) < len(all) && h.w.now > all[version].at+settled {
+		if h.late == nil {
+			h.late = make([]time.Duration, len(h.w.places))
+		}
+		h.late[place] = h.w.now
+	}
+}
+
+// of are the versions in force in a place, or whose work may still go on.
+func (h *versions) of(place int, path string) []uint64 {
+	var list []uint64
+	now := make(map[uint64]bool)
+	for _, name := range h.w.names {
+		if p := h.w.live[name]; p != nil && p.place == place {
+			now[p.versions[path]] = true
+			h.noteLate(place, path, p.versions[path])
+		}
+	}
+	for v := uint64(1); v <= h.w.store.version(path); v++ {
+		at, ok := h.last[heldKey{place, path, v}]
+		if now[v] || (ok && h.w.now <= at+longest()+slack) {
+			list = append(list, v)
+		}
+	}
+	return list
+}
+
+// longest is how long a request may take by any clock.
+func longest() time.Duration { return timeout + time.Duration(skew*float64(timeout)) }
+
+// mixed says that versions were in force together for longer than the design
+// says that documents take, so lately that raised limits may be used as well.
+func (h *versions) mixed(place int) bool {
+	if h.late == nil || h.late[place] == 0 {
+		return false
+	}
+	return h.w.now <= h.late[place]+settled+2*longest()+slack
+}
+
+// site reads one version of a service's document.
+func (w *world) site(path string, version uint64, place int) (settings.Site, int) {
+	service := w.store.parsed(path, version).Service()
+	s, _ := service.Site(w.places[place])
+	return s, service.Shift()
+}
+
+// limits checks the target's slots, and the limits of its service and place.
+func (c *checker) limits(t *target) {
+	path := settings.ServicePath(t.key.Service)
+	list := c.held.of(t.place, path)
+	allowance, limit, sum := 0, 0, 0
+	most := make(map[owner.TargetKey]int)
+	for _, v := range list {
+		s, _ := c.w.site(path, v, t.place)
+		limit = max(limit, s.Limit)
+		for i, n := range owner.Allowances(s) {
+			key := owner.TargetKey{Service: t.key.Service, Name: s.Targets[i].Name}
+			most[key] = max(most[key], n)
+		}
+	}
+	for _, n := range most {
+		sum += n
+	}
+	allowance = most[t.key]
+	if len(t.works) > allowance {
+		c.failf("%s has %d in flight, its allowance is %d (versions %v)", t.key.Name, len(t.works), allowance, list)
+	}
+	site, all := 0, 0
+	for _, o := range c.w.order {
+		if o.place != t.place {
+			continue
+		}
+		all += len(o.works)
+		if o.key.Service == t.key.Service {
+			site += len(o.works)
+		}
+	}
+	if c.held.mixed(t.place) {
+		limit = sum
+	}
+	if site > limit {
+		c.failf("%s has %d in flight in place %d, its limit is %d (versions %v)", t.key.Service, site, t.place, limit, list)
+	}
+	c.placeLimit(t.place, all)
+}
+
+func (c *checker) placeLimit(place, all int) {
+	path := settings.PlacePath(c.w.places[place])
+	limit := 0
+	list := c.held.of(place, path)
+	for _, v := range list {
+		limit = max(limit, c.w.store.parsed(path, v).Place().Limit)
+	}
+	if all > limit && !c.held.mixed(place) {
+		c.failf("place %d has %d in flight, its limit is %d (versions %v)", place, all, limit, list)
+	}
+}
+
+// shifted counts a request from another place's callers that an owner admits.
+func (c *checker) shifted(p *proc, t *target) {
+	service := t.key.Service.Name
+	window := p.local().Unix()
+	counts := p.admitted[service]
+	if counts == nil {
+		counts = make(map[int64]int)
+		p.admitted[service] = counts
+	}
+	counts[window]++
+	if c.w.jumps {
+		return
+	}
+	limit := 0
+	path := settings.ServicePath(t.key.Service)
+	for _, v := range c.held.of(p.place, path) {
+		_, shift := c.w.site(path, v, p.place)
+		limit = max(limit, shift)
+	}
+	if grown := counts[window] - counts[window-1]; grown > limit {
+		c.failf("%s admits %d shifted requests more than a second ago, cap %d", p, grown, limit)
+	}
+	if c.w.aligned {
+		c.shiftedInAll(p.place, service, window, limit)
+	}
+}
+
+// shiftedInAll checks the sum over a place's owners, by clocks that agree.
+func (c *checker) shiftedInAll(place int, service string, window int64, limit int) {
+	grown, changed := 0, time.Duration(0)
+	seen := make(map[uint64]bool)
+	for _, p := range c.w.procs {
+		if p.place != place {
+			continue
+		}
+		grown += p.admitted[service][window] - p.admitted[service][window-1]
+		changed = max(changed, p.started)
+		if !p.dead {
+			seen[p.versions[servicePath(service)]] = true
+		}
+	}
+	for key, at := range c.held.last {
+		if key.place == place && key.path == servicePath(service) {
+			changed = max(changed, at)
+		}
+	}
+	if len(seen) > 1 || c.w.now < changed+4*time.Second {
+		for _, t := range c.w.order {
+			if t.place == place && t.key.Service.Name == service {
+				limit++ // one for each target's part, while versions differ
+			}
+		}
+	}
+	if grown > limit {
+		c.failf("place %d admits %d shifted requests of %s more than a second ago, cap %d", place, grown, service, limit)
+	}
+}
--- /dev/null
+++ b/internal/core/world_test.go
@@ -0,0 +1,250 @@
+package core_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/firlever/firlever/internal/owner"
+)
+
+// Bounds that the design is told, or takes by default.
+const (
+	term    = time.Second      // core.Config.Term
+	lag     = 4 * time.Second  // core.Config.Lag
+	skew    = 0.05             // core.Config.Skew
+	settled = 10 * time.Second // owner.DefaultSettle
+	broken  = 90 * time.Millisecond
+)
+
+// Phases of a run, in true time.
+const (
+	warmUp   = 4 * time.Second
+	quiet    = 40 * time.Second // faults have ended by now
+	recovery = 16 * time.Second // after the faults; from then on calls are answered
+	load     = 62 * time.Second // callers stop
+	ending   = 72 * time.Second
+)
+
+// epoch is where true time starts.
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// event happens at a true time.
+type event struct {
+	at  time.Duration
+	seq uint64
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int      { return len(e) }
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+func (e events) Less(i, j int) bool {
+	if e[i].at != e[j].at {
+		return e[i].at < e[j].at
+	}
+	return e[i].seq < e[j].seq
+}
+
+// Push is for container/heap.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop is for container/heap.
+func (e *events) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	*e = (*e)[:last]
+	return x
+}
+
+// world is everything around some nodes, in virtual time. One goroutine runs it.
+type world struct {
+	seed   uint64
+	rng    *rand.Rand
+	now    time.Duration
+	events events
+	seq    uint64
+
+	places  []string
+	names   []string         // of instances, fixed
+	home    map[string]int   // index of each instance's place
+	procs   []*proc          // every process that ever ran
+	live    map[string]*proc // by instance; nil while none runs
+	targets map[string]*target
+	order   []*target // targets, sorted
+	store   *store
+	links   links
+	callers []*caller
+	calls   []*call
+	check   *checker
+
+	aligned bool // clocks agree with true time
+	jumps   bool // clocks jump, which the bounds on time exclude
+	trace   []string
+	tracing bool
+	counts  map[string]int
+}
+
+func newWorld(seed uint64) *world {
+	w := &world{
+		seed:    seed,
+		rng:     rand.New(rand.NewPCG(seed, 7)),
+		home:    make(map[string]int),
+		live:    make(map[string]*proc),
+		targets: make(map[string]*target),
+		counts:  make(map[string]int),
+		links:   links{cut: make(map[[2]int]int), apart: make(map[[2]string]int)},
+	}
+	w.aligned = w.chance(0.35)
+	w.jumps = !w.aligned && w.chance(0.15)
+	w.check = newChecker(w)
+	w.store = newStore(w)
+	w.build()
+	return w
+}
+
+// build makes places, documents, targets, processes and callers.
+func (w *world) build() {
+	for i := range 2 + w.rng.IntN(2) {
+		w.places = append(w.places, fmt.Sprint("place-", i))
+	}
+	for i := range w.places {
+		for j := range 1 + w.rng.IntN(3) {
+			name := fmt.Sprintf("i-%d-%d", i, j)
+			w.names = append(w.names, name)
+			w.home[name] = i
+		}
+	}
+	w.firstDocuments()
+	for _, name := range w.names {
+		w.after(w.upTo(500*time.Millisecond), func() { w.start(name) })
+	}
+	for i := range 3 * len(w.places) {
+		w.callers = append(w.callers, newCaller(w, i))
+	}
+	w.scheduleFaults()
+}
+
+// run lets time pass until the end or the first violation.
+func (w *world) run() string {
+	for len(w.events) > 0 && w.check.fault == "" {
+		e := heap.Pop(&w.events).(event)
+		if e.at > ending {
+			break
+		}
+		w.now = e.at
+		e.do()
+	}
+	if w.check.fault == "" {
+		w.check.end()
+	}
+	return w.check.fault
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.events, event{at: w.now + d, seq: w.seq, do: do})
+}
+
+func (w *world) chance(p float64) bool { return w.rng.Float64() < p }
+
+// upTo is a random length below most.
+func (w *world) upTo(most time.Duration) time.Duration {
+	return time.Duration(w.rng.Int64N(int64(most)))
+}
+
+func (w *world) between(least, most time.Duration) time.Duration {
+	return least + w.upTo(most-least)
+}
+
+func (w *world) tracef(format string, args ...any) {
+	if w.tracing {
+		w.trace = append(w.trace, fmt.Sprintf("%9.4f ", w.now.Seconds())+fmt.Sprintf(format, args...))
+	}
+}
+
+// start runs a new process of an instance, unless one runs.
+func (w *world) start(name string) {
+	if w.live[name] != nil {
+		return
+	}
+	p := newProc(w, name)
+	w.procs = append(w.procs, p)
+	w.live[name] = p
+	p.begin()
+}
+
+// Ends of links that are not places.
+const (
+	endPlatform = 100
+	endCallers  = 101
+)
+
+// links is what the network does to messages now.
+type links struct {
+	cut   map[[2]int]int    // one way between two ends; counts the faults that do so
+	apart map[[2]string]int // the same between two instances
+	loss  float64           // of datagrams
+	slow  time.Duration     // extra delay, at random
+}
+
+// open says whether messages pass from one process to another.
+func (w *world) open(from, to *proc) bool {
+	return w.links.cut[[2]int{from.place, to.place}] == 0 && w.links.apart[[2]string{from.name, to.name}] == 0
+}
+
+// delay is how long a message takes between two ends.
+func (w *world) delay(a, b int) time.Duration {
+	d := w.between(300*time.Microsecond, 3*time.Millisecond)
+	if a != b {
+		d += 10 * time.Millisecond
+	}
+	if w.links.slow > 0 {
+		d += w.upTo(w.links.slow)
+	}
+	return d
+}
+
+// datagram sends a message that may be lost, doubled, late and out of order.
+func (w *world) datagram(from, to *proc, do func()) {
+	if !w.open(from, to) || w.chance(w.links.loss) {
+		return
+	}
+	for copies := 1; copies > 0; copies-- {
+		d := w.delay(from.place, to.place)
+		if w.chance(0.02) {
+			d += w.upTo(3 * time.Second)
+		}
+		w.after(d, func() { to.deliver(do) })
+		if w.chance(0.05) {
+			copies++
+		}
+	}
+}
+
+// region is the region of a place: the first two share one.
+func region(place int) string {
+	if place < 2 {
+		return "near"
+	}
+	return "far"
+}
+
+// isDrained says whether the platform's newest documents drain a target.
+func (w *world) isDrained(t *target) (time.Duration, bool) {
+	return w.store.drainedSince(t)
+}
+
+func keyOf(service, name string) owner.TargetKey {
+	return owner.TargetKey{Service: serviceID(service), Name: name}
+}
+
+// reachable notes whether anything keeps a process from the platform now.
+func (w *world) reachable(p *proc) bool {
+	l := w.links
+	return !w.store.down && l.loss == 0 && l.slow == 0 &&
+		l.cut[[2]int{p.place, endPlatform}] == 0 && l.cut[[2]int{endPlatform, p.place}] == 0
+}
