Bound a document's lines and empty values

Cause: the YAML parser makes a token for each value left empty and moves all later tokens for it, so that 192,000 lines of nested empty items (0.6 MiB) took 7.5 s and 64,000 lines of "- a:" 1.5 s.

Change: at most 32,768 lines, counted before the library sees the text, and at most 256 values left empty outside brackets. Each gives a fault with its line. Two older cases of TestParseRefuses (deep brackets, many keys) were longer than the new bound, which would have hidden what they test: they now use all lines that are allowed.

The tests of both bounds failed with the line bound raised on purpose.

--- a/pkg/settings/parse.go
+++ b/pkg/settings/parse.go
@@ -140,6 +140,9 @@
 	line := 0
 	for text := range bytes.Lines(body) {
 		line++
+		if line > MaxLines {
+			return nil, []Fault{{Line: line, Reason: fmt.Sprintf("has over %d lines, comments included", MaxLines)}}
+		}
 		if len(text) > MaxLine {
 			return nil, []Fault{{Line: line, Reason: fmt.Sprintf("line is %d bytes, at most %d", len(text), MaxLine)}}
 		}
--- a/pkg/settings/parse_test.go
+++ b/pkg/settings/parse_test.go
@@ -48,10 +48,14 @@
 		"tag":                {"/places/a", "region: !!str a\nlimit: 3\n", "", "tag"},
 		"not UTF-8":          {"/places/a", "region: \xff\n", "", "UTF-8"},
 		"too large":          {"/places/a", strings.Repeat("# a\n", MaxBody/4+1), "", "at most"},
-		"deep brackets":      {"/blocks/a", strings.Repeat("[\n", 100000), "", "deep"},
+		"deep brackets":      {"/blocks/a", strings.Repeat("[\n", MaxLines-1), "", "deep"},
 		"deep lists":         {"/blocks/a", strings.Repeat("- ", 2000), "", "deep"},
 		"long line":          {"/blocks/a", strings.Repeat("[],", 9000), "", "line is"},
-		"many keys":          {"/blocks/a", keys(50000), "", "fields in one mapping"},
+		"many comments":      {"/places/a", strings.Repeat("#\n", MaxLines) + validPlace, "", "lines"},
+		"many empty items":   {"/blocks/a", strings.Repeat("-\n", maxEmpty+1), "", "left empty"},
+		"many empty lists":   {"/blocks/a", strings.Repeat("-\n -\n  -\n", maxEmpty+1), "", "left empty"},
+		"many empty fields":  {"/blocks/a", strings.Repeat("- a: # none\n", maxEmpty+1), "", "left empty"},
+		"many keys":          {"/blocks/a", keys(MaxLines - 1), "", "fields in one mapping"},
 		"zero limit":         {"/places/a", "region: a\n", "limit", "from 1"},
 		"negative link":      {"/places/a", validPlace + "link: -1\n", "link", "negative"},
 		"prefix with bits":   {"/blocks/a", "blocks: [{prefix: 10.0.0.1/8, place: a}]\n", "blocks[0].prefix", "10.0.0.0/8"},
@@ -97,6 +101,32 @@
 	}
 }
 
+// TestParseTakesLongLists wants lists to be no empty values, wherever they stand.
+func TestParseTakesLongLists(t *testing.T) {
+	for name, item := range map[string]string{
+		"beside the name": "- {prefix: 10.%d.%d.0/24, place: a}\n",
+		"indented":        "  - {prefix: 10.%d.%d.0/24, place: a}\n",
+		"block form":      "  -\n    prefix: 10.%d.%d.0/24\n    place: a\n",
+	} {
+		var b strings.Builder
+		b.WriteString("blocks: # all\n")
+		for i := range 2 * maxEmpty {
+			fmt.Fprintf(&b, item, i>>8, i&255)
+		}
+		if _, err := Parse(doc("/blocks/a", 1, b.String())); err != nil {
+			t.Errorf("%s: got %v, want no fault", name, err)
+		}
+	}
+}
+
+// TestParseTakesTheMostLines wants the bound itself to be allowed.
+func TestParseTakesTheMostLines(t *testing.T) {
+	body := strings.Repeat("#\n", MaxLines-2) + validPlace
+	if _, err := Parse(doc("/places/a", 1, body)); err != nil {
+		t.Errorf("got %v, want no fault", err)
+	}
+}
+
 func keys(n int) string {
 	var b strings.Builder
 	for i := range n {
@@ -133,6 +163,8 @@
 	f.Add("/blocks/a", []byte("blocks: [{prefix: 10.0.0.0/8, place: a}]\n"))
 	f.Add("/teams/a/team", []byte("share: 2\ntokens: [{name: a, role: read, hash: "+HashToken("a")+"}]\n"))
 	f.Add("/drains/d", []byte("place: a\nreason: works\n"))
+	f.Add("/places/a", []byte(strings.Repeat("#\n", MaxLines+1)))
+	f.Add("/blocks/a", []byte(strings.Repeat("-\n -\n  -\n", maxEmpty+1)))
 	f.Fuzz(func(t *testing.T, path string, body []byte) {
 		p, err := Parse(Document{Path: path, Version: 1, Body: body})
 		var faults *FaultsError
--- a/pkg/settings/strict.go
+++ b/pkg/settings/strict.go
@@ -10,13 +10,16 @@
 )
 
 // Bounds of form. No document of ours needs more; beyond them the library's
-// time grows with the square of the size.
+// time grows with the square of the size: of a line, of a nesting, and of the
+// values left empty, for each of which it moves all later tokens.
 const (
-	MaxLine   = 4096 // bytes of a line
-	maxDepth  = 16   // of brackets
-	maxColumn = 64   // of a key or of an item's dash outside brackets
-	maxKeys   = 4096 // of one mapping outside brackets
-	maxFaults = 100  // listed of one document
+	MaxLine   = 4096    // bytes of a line
+	MaxLines  = 1 << 15 // of a document; 32 bytes a line on average in the largest
+	maxDepth  = 16      // of brackets
+	maxColumn = 64      // of a key or of an item's dash outside brackets
+	maxKeys   = 4096    // of one mapping outside brackets
+	maxEmpty  = 256     // values left empty outside brackets
+	maxFaults = 100     // listed of one document
 )
 
 // refusedTokens are the parts of YAML that the documents do without: each of
@@ -35,6 +38,7 @@
 // scan looks through the tokens for what the parser must not see.
 type scan struct {
 	depth int                // of brackets
+	empty int                // values left empty so far
 	keys  [maxColumn + 1]int // keys so far of the open mapping that starts at the column
 }
 
@@ -53,6 +57,11 @@
 	if name, ok := refusedTokens[t.Type]; ok {
 		return name + " is not allowed"
 	}
+	if s.depth == 0 && leftEmpty(t) {
+		if s.empty++; s.empty > maxEmpty {
+			return fmt.Sprintf("has over %d values left empty", maxEmpty)
+		}
+	}
 	switch t.Type {
 	case token.SequenceStartType, token.MappingStartType:
 		s.depth++
@@ -75,6 +84,28 @@
 	return ""
 }
 
+// leftEmpty reports whether t starts an item or a field's value, and nothing follows.
+func leftEmpty(t *token.Token) bool {
+	start := t
+	if t.Type == token.MappingValueType && t.Prev != nil {
+		start = t.Prev
+	} else if t.Type != token.SequenceEntryType {
+		return false
+	}
+	next := t.Next
+	for next != nil && next.Type == token.CommentType {
+		next = next.Next
+	}
+	if next == nil {
+		return true
+	}
+	if next.Position.Line == t.Position.Line || next.Position.Column > start.Position.Column {
+		return false
+	}
+	// A list may stand right below its field's name.
+	return start == t || next.Type != token.SequenceEntryType || next.Position.Column < start.Position.Column
+}
+
 // column closes the mappings to the right of column c, and counts a key there.
 func (s *scan) column(c int, key bool) string {
 	if c < 0 || c > maxColumn {
