Let a planned stop outlive the keys that callers hold

Cause: the book of keys closed as soon as a stop began, while callers hold keys with their cached look-ups for 5 s more: their non-idempotent requests were refused, truly but for no need. And a look-up at the stopping instance gave out more such keys. Now keys are begun until the look-ups have run out, and look-ups are refused with 503 while others serve, so that callers ask those.

--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -126,7 +127,7 @@
 	}
 	l, err := s.desk.Lookup(id, remote(r.RemoteAddr), keys)
 	if err != nil {
-		s.noService(w, err)
+		s.noLookup(w, err)
 		return
 	}
 	s.logLookup(l, remote(r.RemoteAddr))
@@ -151,11 +152,17 @@
 	return p.Callers
 }
 
-func (s *Server) noService(w http.ResponseWriter, err error) {
+// noLookup refuses a look-up.
+func (s *Server) noLookup(w http.ResponseWriter, err error) {
+	reason, status := core.ReasonNoService, http.StatusNotFound
+	var stopping *core.StoppingError
+	if errors.As(err, &stopping) {
+		reason, status = core.ReasonStopping, http.StatusServiceUnavailable
+	}
 	w.Header().Set(HeaderOutcome, OutcomeNotRun)
-	w.Header().Set(HeaderReason, string(core.ReasonNoService))
+	w.Header().Set(HeaderReason, string(reason))
 	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(http.StatusNotFound)
+	w.WriteHeader(status)
 	json.NewEncoder(w).Encode(refusal{Outcome: OutcomeNotRun, Reason: err.Error()})
 }
 
--- a/internal/core/lookup.go
+++ b/internal/core/lookup.go
@@ -18,8 +18,15 @@
 
 func (e *NoServiceError) Error() string { return "core: no service " + e.Service.String() }
 
+// StoppingError says that this instance is in a planned stop and others are to
+// be asked: what it answered would outlive it.
+type StoppingError struct{ Instance string }
+
+func (e *StoppingError) Error() string { return "core: " + e.Instance + " is in a planned stop" }
+
 // Lookup tells a caller which instances to ask for a service, and gives keys
-// for non-idempotent requests. It returns a *NoServiceError for an unknown service.
+// for non-idempotent requests. It returns a *NoServiceError for an unknown service,
+// and a *StoppingError in a planned stop while others serve.
 func (n *Node) Lookup(now time.Time, id settings.ServiceID, caller netip.Addr, keys int) (Lookup, error) {
 	if n.snapshot == nil {
 		return Lookup{}, &NoServiceError{Service: id}
@@ -31,6 +38,9 @@
 	home, _ := n.blockPlace(caller)
 	l := Lookup{Service: id, Place: home, Until: now.Add(n.cfg.Cache)}
 	l.Instances = n.instancesFor(id, service, home)
+	if n.stopping && len(l.Instances) > 0 {
+		return Lookup{}, &StoppingError{Instance: n.cfg.Instance}
+	}
 	until := l.Until.Add(service.Timeout())
 	for range min(keys, maxKeys) {
 		l.Keys = append(l.Keys, n.once.Issue(now, until).String())
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -41,6 +41,7 @@
 	started   time.Time
 	settlings []settling // slots of broken attempts, by time
 	stopping  bool
+	closeAt   time.Time // when a planned stop begins no keyed request any more
 
 	out []Decision // decisions of the step under way
 }
@@ -113,6 +114,7 @@
 	n.expire(now)
 	n.settleDue(now)
 	n.once.Sweep(now)
+	n.closeKeys(now)
 	if n.snapshot != nil {
 		n.recapAll(now)
 		n.probeDue(now)
--- a/internal/core/node_test.go
+++ b/internal/core/node_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
 	"testing"
@@ -195,6 +196,42 @@
 	}
 }
 
+// TestStopServesKeysGiven: callers go on using keys and instances that a look-up
+// gave them, until that runs out.
+func TestStopServesKeysGiven(t *testing.T) {
+	tests := map[string]struct {
+		after time.Duration // from the stop
+		want  string
+	}{
+		"at once":     {0, "serve"},
+		"still good":  {4900 * time.Millisecond, "serve"},
+		"has run out": {5 * time.Second, "refuse stopping"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			n := testNode(t, nil)
+			id := settings.ServiceID{Team: "shop", Name: "orders"}
+			l, err := n.Lookup(begin, id, netip.Addr{}, 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			n.Step(begin, PeersChanged{Peers: []Peer{{ID: "i2", Incarnation: 1, Place: "east", Domain: "east", Region: "coast"}}})
+			n.Step(begin, Stopping{})
+			now := begin.Add(tt.after)
+			n.Step(now, Tick{})
+			r := request(1, "10.1.0.1")
+			r.Request.Method, r.Request.Key = "POST", l.Keys[0]
+			if got := word(n.Step(now, r)); got != tt.want {
+				t.Errorf("got %q, want %q", got, tt.want)
+			}
+			var stopping *StoppingError
+			if _, err := n.Lookup(now, id, netip.Addr{}, 1); !errors.As(err, &stopping) {
+				t.Errorf("got %v from a look-up, want a StoppingError", err)
+			}
+		})
+	}
+}
+
 func TestRefusalIsTrue(t *testing.T) {
 	tests := map[string]struct {
 		first   Result
--- a/internal/core/roster.go
+++ b/internal/core/roster.go
@@ -135,14 +135,22 @@
 }
 
 // stop begins a planned stop: others take this instance's targets over as its
-// work ends.
+// work ends. Keys that callers have got with a look-up are good until it runs out.
 func (n *Node) stop(now time.Time) {
 	n.stopping = true
 	n.roster.left = true
-	n.once.Close()
+	n.closeAt = now.Add(n.cfg.Cache)
 	n.tendRoster(now)
 }
 
+// closeKeys begins no keyed request any more once the keys have run out that
+// were given before the planned stop.
+func (n *Node) closeKeys(now time.Time) {
+	if n.stopping && !now.Before(n.closeAt) {
+		n.once.Close()
+	}
+}
+
 // Idle says whether no request is inside this instance, and its line has left
 // the roster. The line of an earlier incarnation is not its own.
 func (n *Node) Idle() bool {
