--- a/internal/owner/book_test.go
+++ b/internal/owner/book_test.go
@@ -87,3 +87,28 @@
 		t.Errorf("got %d requests in %d runs, want more: the check sees nothing", taken, runs)
 	}
 }
+
+// TestLostAnswer is a removal whose writer never learns that it landed, while
+// the one removed can't learn either: the writer's acks must not keep it going.
+func TestLostAnswer(t *testing.T) {
+	removed := 0
+	for seed := range uint64(30) {
+		m := newModel(seed, t.Fatalf)
+		m.gossip = false
+		m.kill(2)
+		m.advance(4 * time.Second)
+		m.cut[1][modelNodes], m.cut[modelNodes][1] = true, true
+		m.start(3)
+		m.advance(4 * time.Second)
+		m.cut[1][0], m.cut[modelNodes][0] = true, true
+		m.advance(5 * time.Second)
+		m.cut[1][0] = false
+		m.advance(12 * time.Second)
+		if _, ok := m.roster.Member("instance-1"); !ok {
+			removed++
+		}
+	}
+	if removed == 0 {
+		t.Error("got no removal, want some: the check sees nothing")
+	}
+}
--- a/internal/owner/model_test.go
+++ b/internal/owner/model_test.go
@@ -16,7 +16,8 @@
 	modelLag     = 4 * time.Second
 	modelSettle  = 2 * time.Second
 	modelStep    = 100 * time.Millisecond
-	modelLimit   = 9 // of the place
+	modelSkew    = 0.25 // more than in life, so that runs meet it
+	modelLimit   = 9    // of the place
 	modelNodes   = 4
 )
 
@@ -109,11 +110,11 @@
 			n.inc = o.inc + 1
 		}
 	}
-	n.rate = []float64{1, 1 + DefaultSkew, 1, 1 + DefaultSkew/2}[m.rng.IntN(4)]
+	n.rate = []float64{1, 1 + modelSkew, 1, 1 + modelSkew/2}[m.rng.IntN(4)]
 	n.offset = time.Duration(m.rng.Int64N(int64(24 * time.Hour)))
 	checks := invariant.New(func(name invariant.Name, s string) { m.fail("%s: %s", name, s) })
 	book, err := New(Config{
-		Self: n.name(), Incarnation: n.inc, Place: "p", Lag: modelLag, Settle: modelSettle, Checks: checks,
+		Self: n.name(), Incarnation: n.inc, Place: "p", Lag: modelLag, Settle: modelSettle, Skew: modelSkew, Checks: checks,
 	})
 	if err != nil {
 		m.fail("New: %v", err)
