Take the platform's list as proof of an end only when told to

Cause: a list that drops lines which are not renewed names an instance no more that is cut off from the platform and its peers; its targets' new owner then used all of them beside the old one's half. A restart under the same ID, or the old owner's own release, is proof as before. Excluded: letting a lapsed owner fall to nothing after a time; a place that is cut off with one instance left would stop. Before: 10 of 10 slots free to the new owner after an hour. Conclusion: the price is half of a dead owner's targets until its ID starts again.

--- a/internal/core/apply.go
+++ b/internal/core/apply.go
@@ -20,7 +20,7 @@
 	var err error
 	n.book, err = owner.New(owner.Config{
 		Self: c.Instance, Incarnation: c.Incarnation, Place: c.Place,
-		Term: c.Term, Skew: c.Skew, Lag: c.Lag, Checks: c.Checks,
+		Term: c.Term, Skew: c.Skew, Lag: c.Lag, ListProves: c.ListProves, Checks: c.Checks,
 	})
 	if err != nil {
 		return err
--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -17,21 +17,22 @@
 	Domain      string
 	Region      string
 
-	Term   time.Duration // how long a confirmation of the roster lasts
-	Skew   float64       // bound on how far two clocks' rates differ, as a share
-	Lag    time.Duration // bound on how long the platform's list names a dead instance
-	Cache  time.Duration // how long callers may keep the answer of a look-up
-	Spill  time.Duration // predicted wait at home over which another place is tried
-	Probe  time.Duration // time between probes of one target
-	Settle time.Duration // how long a target may go on with an attempt that was broken off
-	Grace  time.Duration // time after the start before a silent peer counts as dead
-	Queue  int           // requests that may wait
-	Keys   int           // records of idempotency keys that may be kept
-	Policy Policy        // how targets and peers are chosen
-	Rand   *rand.Rand
-	Secret once.Secret // signs this incarnation's idempotency keys
-	Seed   [32]byte    // of the keys' numbers; never the same in two incarnations
-	Checks *invariant.Counter
+	Term       time.Duration // how long a confirmation of the roster lasts
+	Skew       float64       // bound on how far two clocks' rates differ, as a share
+	ListProves bool          // the platform's list names a process until it has ended for certain
+	Lag        time.Duration // bound on how long the platform's list names a dead instance
+	Cache      time.Duration // how long callers may keep the answer of a look-up
+	Spill      time.Duration // predicted wait at home over which another place is tried
+	Probe      time.Duration // time between probes of one target
+	Settle     time.Duration // how long a target may go on with an attempt that was broken off
+	Grace      time.Duration // time after the start before a silent peer counts as dead
+	Queue      int           // requests that may wait
+	Keys       int           // records of idempotency keys that may be kept
+	Policy     Policy        // how targets and peers are chosen
+	Rand       *rand.Rand
+	Secret     once.Secret // signs this incarnation's idempotency keys
+	Seed       [32]byte    // of the keys' numbers; never the same in two incarnations
+	Checks     *invariant.Counter
 }
 
 // Policy names a way of choosing where a request goes.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -119,7 +119,7 @@
 	cfg := core.Config{
 		Instance: in.cfg.ID, Incarnation: in.incarnation,
 		Place: in.cfg.Place, Domain: in.cfg.Domain, Region: in.cfg.Region,
-		Policy: in.cfg.Policy, Rand: newRand(in.cfg.Seed), Checks: in.cfg.Checks,
+		Policy: in.cfg.Policy, ListProves: in.cfg.ListProves, Rand: newRand(in.cfg.Seed), Checks: in.cfg.Checks,
 	}
 	rand.Read(cfg.Secret[:])
 	rand.Read(cfg.Seed[:])
--- a/internal/owner/config.go
+++ b/internal/owner/config.go
@@ -28,6 +28,7 @@
 	Term        time.Duration // how long one confirmation of tenure lasts
 	Skew        float64       // two clocks measure the same length within a factor of 1+Skew
 	Lag         time.Duration // the platform's list is at most this late
+	ListProves  bool          // the list names a process until it has ended for certain, also one that is cut off
 	Settle      time.Duration // a changed document is in force everywhere within this
 	Checks      *invariant.Counter
 }
--- a/internal/owner/ending.go
+++ b/internal/owner/ending.go
@@ -57,8 +57,10 @@
 	return false
 }
 
-// Listed notes the platform's list, asked for at sent. A line of the roster
-// that it has not named for all of Lag has ended, unless it shows a sign of life.
+// Listed notes the platform's list, asked for at sent. With Config.ListProves a
+// line of the roster that it has not named for all of Lag has ended, unless it
+// shows a sign of life. Without, a missing line proves nothing: the process may
+// be cut off, and still use half of its targets.
 func (b *Book) Listed(now, sent time.Time, list []Listing) {
 	listed := make(map[string]uint64, len(list))
 	for _, l := range list {
@@ -72,6 +74,9 @@
 			b.lives(now, s.Instance, incarnation)
 			continue
 		}
+		if !b.cfg.ListProves {
+			continue
+		}
 		since, ok := b.unlisted[s.Member]
 		if !ok {
 			since = now
--- a/internal/owner/ending_test.go
+++ b/internal/owner/ending_test.go
@@ -8,7 +8,7 @@
 // listBook is the book of a, beside a live b that the list does not name.
 func listBook(t *testing.T) *Book {
 	t.Helper()
-	b, err := New(Config{Self: "a", Incarnation: 1, Place: "p"})
+	b, err := New(Config{Self: "a", Incarnation: 1, Place: "p", ListProves: true})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -63,3 +63,38 @@
 		t.Error("got not removable after the promise, want removable")
 	}
 }
+
+// TestMissingLineProvesNothing: the process may be cut off and use half of its
+// targets still, however long the list leaves it out.
+func TestMissingLineProvesNothing(t *testing.T) {
+	tests := map[string]struct {
+		proves bool
+		want   int
+	}{
+		"a list of processes":     {true, 10},
+		"a list of registrations": {false, 5},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			key := TargetKey{Name: "t"}
+			b, err := New(Config{Self: "b", Incarnation: 1, Place: "p", ListProves: tt.proves})
+			if err != nil {
+				t.Fatal(err)
+			}
+			b.SetSpecs(epoch, []Spec{{Key: key, Allowance: 10, Quota: 10, Timeout: time.Second}})
+			both, _ := Roster{}.Join("a", 1)
+			both, _ = both.Join("b", 1)
+			cut, _ := both.Remove("a", 1, false)
+			b.SetRoster(epoch, both)
+			b.SetRoster(epoch, cut)
+			late := epoch.Add(time.Hour)
+			b.Listed(epoch, epoch, nil)
+			b.Listed(late, late, nil)
+			late = late.Add(time.Minute)
+			b.Confirm(late, cut.Version)
+			if got := b.Free(late, key); got != tt.want {
+				t.Errorf("got %d free, want %d", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/owner/model_test.go
+++ b/internal/owner/model_test.go
@@ -114,7 +114,7 @@
 	n.offset = time.Duration(m.rng.Int64N(int64(24 * time.Hour)))
 	checks := invariant.New(func(name invariant.Name, s string) { m.fail("%s: %s", name, s) })
 	book, err := New(Config{
-		Self: n.name(), Incarnation: n.inc, Place: "p", Lag: modelLag, Settle: modelSettle, Skew: modelSkew, Checks: checks,
+		Self: n.name(), Incarnation: n.inc, Place: "p", ListProves: true, Lag: modelLag, Settle: modelSettle, Skew: modelSkew, Checks: checks,
 	})
 	if err != nil {
 		m.fail("New: %v", err)
--- a/internal/owner/scene_test.go
+++ b/internal/owner/scene_test.go
@@ -40,7 +40,7 @@
 func bookOf(t *testing.T, self string, key TargetKey) *Book {
 	t.Helper()
 	fail := func(n invariant.Name, s string) { t.Errorf("%s: %s", n, s) }
-	b, err := New(Config{Self: self, Incarnation: 1, Place: "p", Checks: invariant.New(fail)})
+	b, err := New(Config{Self: self, Incarnation: 1, Place: "p", ListProves: true, Checks: invariant.New(fail)})
 	if err != nil {
 		t.Fatal(err)
 	}
