Point callers at the owners of their service's targets

Cause: look-ups named a place's instances in plain random order, so half of the requests to two instances came to the one without the slots. Change: within the place the first one is drawn by its share of the service's slots; an instance that owns none comes last.

--- a/internal/core/lookup.go
+++ b/internal/core/lookup.go
@@ -1,7 +1,9 @@
 package core
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/firlever/firlever/pkg/settings"
@@ -58,7 +60,7 @@
 		if n.snapshot.PlaceDrained(id, place) {
 			continue
 		}
-		list = append(list, n.shuffled(place)...)
+		list = append(list, n.shuffled(id, place)...)
 		if len(list) >= maxInstances {
 			return list[:maxInstances]
 		}
@@ -66,8 +68,10 @@
 	return list
 }
 
-// shuffled lists a place's instances that take new work, in random order.
-func (n *Node) shuffled(place string) []Peer {
+// shuffled lists a place's instances that take new work, in random order. In
+// this place, where the owners are known, an instance comes first as often as
+// its share of the service's slots: who asks an owner saves a hand-off.
+func (n *Node) shuffled(id settings.ServiceID, place string) []Peer {
 	var list []Peer
 	if place == n.cfg.Place && !n.stopping && !n.snapshot.InstanceDrained(n.cfg.Instance) {
 		list = append(list, Peer{ID: n.cfg.Instance, Incarnation: n.cfg.Incarnation, Place: place})
@@ -78,5 +82,28 @@
 		}
 	}
 	n.cfg.Rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	if place == n.cfg.Place {
+		n.byShare(id, list)
+	}
 	return list
 }
+
+// byShare orders a place's instances at random, weighted by the slots that each
+// owns of the service.
+func (n *Node) byShare(id settings.ServiceID, list []Peer) {
+	s, ok := n.services[id]
+	if !ok {
+		return
+	}
+	slots := make(map[string]int, len(list))
+	for _, key := range s.keys {
+		slots[n.book.Owner(key)] += s.limits[key]
+	}
+	// The least of exponential times with these rates is each one as often as
+	// its share; an instance without slots comes last.
+	times := make(map[string]float64, len(list))
+	for _, p := range list {
+		times[p.ID] = n.cfg.Rand.ExpFloat64() / float64(slots[p.ID])
+	}
+	slices.SortStableFunc(list, func(a, b Peer) int { return cmp.Compare(times[a.ID], times[b.ID]) })
+}
--- /dev/null
+++ b/internal/core/lookup_test.go
@@ -0,0 +1,43 @@
+package core
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/firlever/firlever/internal/owner"
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+// TestLookupFollowsOwners counts who comes first: the owner of all slots does,
+// whoever answers, and a leaving one never.
+func TestLookupFollowsOwners(t *testing.T) {
+	orders := settings.ServiceID{Team: "shop", Name: "orders"}
+	roster := testRoster(t, "i1", "i2")
+	tests := map[string]struct {
+		leaving bool
+		roster  owner.Roster
+	}{
+		"two instances":  {false, roster},
+		"one leaves":     {true, roster},
+		"only one owner": {false, owner.Roster{}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			n := testNode(t, nil)
+			n.Step(begin, RosterRead{Roster: tt.roster, Sent: begin})
+			near := Peer{ID: "i2", Incarnation: 1, Place: "east", Domain: "east", Region: "coast", Leaving: tt.leaving}
+			n.Step(begin, PeersChanged{Peers: []Peer{near}})
+			want := n.book.Owner(owner.TargetKey{Service: orders, Name: "e"})
+			for range 20 {
+				l, err := n.Lookup(begin, orders, netip.MustParseAddr("10.1.0.1"), 0)
+				if err != nil || len(l.Instances) == 0 {
+					t.Fatalf("got %v, %v; want instances", l.Instances, err)
+				}
+				first := l.Instances[0].ID
+				if !tt.leaving && first != want || tt.leaving && first == "i2" {
+					t.Fatalf("got %s first, want owner %s unless it leaves", first, want)
+				}
+			}
+		})
+	}
+}
