Refuse a peer's request where no target can take it

Cause: an instance knows nothing of the room of other places' instances, and hands a request to any of them. One that owned no target of the service let the request wait until its deadline, and its caller left. Excluded: a lost answer; the log shows the hold and no other decision, in a place that was idle.

Change: such a request is refused at once as not run, and the instance that handed it over goes on to the next.

The new test gets a hold without the change.

--- a/internal/core/node_test.go
+++ b/internal/core/node_test.go
@@ -310,3 +310,19 @@
 		})
 	}
 }
+
+// TestPeersRequestNeedsOwnTarget has a peer hand a request over to an instance
+// that owns none of the service's targets: to wait there would be in vain.
+func TestPeersRequestNeedsOwnTarget(t *testing.T) {
+	n := testNode(t, nil)
+	without, err := testRoster(t, "i1", "i2").Remove("i1", 1, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.Step(begin, RosterRead{Roster: without, Sent: begin})
+	handed := request(1, "10.1.0.1")
+	handed.Origin = FromPeer
+	if got, want := word(n.Step(begin, handed)), "refuse no-targets"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -20,11 +20,15 @@
 	if n.tryPlaces(now, f, reason) {
 		return
 	}
-	if f.origin != FromPeer && !n.servesHere(f) {
+	switch {
+	case f.origin == FromPeer && n.ownSlots(now, f.req.Service) == 0:
+		// Only its own targets may serve it, and none of them is this service's.
+		n.refuse(now, f, ReasonNoTargets)
+	case f.origin != FromPeer && !n.servesHere(f):
 		n.refuse(now, f, f.reason())
-		return
+	default:
+		n.hold(now, f)
 	}
-	n.hold(now, f)
 }
 
 // tryPlaces sends the request off if any way has room now.
