Keep an instance's control cost apart from the size of the world

Cause, measured by BenchmarkCapacityFleet, Rooms and Restart over loopback: an instance told its place's peers of every service four times a second, 414 bytes/s for each service; each read the whole list of instances every 15 to 30 seconds, whose size grows with the world; an instance confirmed by the others' acks missed a newer roster for 30 s; each packet waited for the lock under which documents are read, which takes seconds for 260,000 blocks; documents of up to 64 KB were pushed to three peers by every instance. Change: a packet tells of two services that have changed and at times of one that has not; the list is read every 5 to 10 minutes, and soon when a member is missing or a former one may hold something; the version in peers' packets says when to read the roster; the root hash is read without the lock; documents over 16 KB are fetched, not pushed. Weighed and left: the list read by watchers alone, since each instance needs it to find its place's members. Breaking it on purpose: without news of rosters TestRosterFollows fails. Conclusion: stays. With 30 busy services a peer's room is up to 4 s old; the peer's own count decides.

--- a/internal/instance/documents.go
+++ b/internal/instance/documents.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"github.com/charmbracelet/log"
 
@@ -16,6 +17,8 @@
 	force func(*settings.Snapshot) // puts a snapshot in force; called with mu held, so in order
 	log   *log.Logger
 
+	root atomic.Uint64 // of set; read for each packet, also while documents are read
+
 	mu       sync.Mutex
 	set      *replica.Set
 	snapshot *settings.Snapshot // nil before the first documents
@@ -42,6 +45,7 @@
 	if len(newer) == 0 {
 		return nil
 	}
+	d.root.Store(d.set.Root())
 	d.snapshot, d.faults = settings.Advance(d.snapshot, newer)
 	d.logChange(newer)
 	d.force(d.snapshot)
@@ -75,11 +79,7 @@
 }
 
 // Root is the hash of all paths and versions held.
-func (d *documents) Root() uint64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.set.Root()
-}
+func (d *documents) Root() uint64 { return d.root.Load() }
 
 // Read runs f with the set locked. f must not keep the set.
 func (d *documents) Read(f func(*replica.Set)) {
--- a/internal/instance/gossip.go
+++ b/internal/instance/gossip.go
@@ -24,6 +24,7 @@
 	udp  *peer.UDP
 	stop context.CancelFunc
 	done sync.WaitGroup
+	told toldRooms // used by the goroutine of tellRooms alone
 
 	mu     sync.Mutex
 	near   map[string]bool // instances of this place; guarded by mu
@@ -79,6 +80,9 @@
 	if !ok || m.Incarnation != p.Incarnation {
 		return
 	}
+	if m.Place == g.in.cfg.Place {
+		g.in.rosterNamed(p.Roster)
+	}
 	if p.Root != g.in.docs.Root() {
 		g.in.differs(m.Instance)
 	}
@@ -175,8 +179,12 @@
 		near = l.Alive(g.in.cfg.Place)
 		return nil
 	})
+	picked := g.told.pick(rooms)
+	if len(picked) == 0 {
+		return
+	}
 	p := &wire.Packet{From: g.in.cfg.ID, Incarnation: g.in.incarnation}
-	peer.SetRooms(p, rooms)
+	peer.SetRooms(p, picked)
 	for _, m := range near {
 		g.udp.Send(m.Address, p)
 	}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -44,6 +45,7 @@
 	replaced    chan struct{} // closed when a newer incarnation of this instance runs
 	replaceOnce sync.Once
 	unequal     chan platform.Instance // peers whose documents differ
+	heardRoster atomic.Uint64          // newest version that a peer of the place was heard to have
 	rpc         *http.Client           // of control calls to peers
 
 	listeners []net.Listener // callers', peers' and operators', in this order
@@ -207,7 +209,7 @@
 		in.servers = append(in.servers, srv)
 		go srv.Serve(ln)
 	}
-	for _, loop := range []func(context.Context){in.tick, in.watch, in.register, in.tendRoster, in.probe, in.sync, in.show} {
+	for _, loop := range []func(context.Context){in.tick, in.watch, in.register, in.learn, in.tendRoster, in.probe, in.sync, in.show} {
 		in.loops.Go(func() { loop(ctx) })
 	}
 	in.members.start()
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/firlever/firlever/internal/core"
 	"github.com/firlever/firlever/internal/emulator/kv"
 	"github.com/firlever/firlever/internal/emulator/target"
 	"github.com/firlever/firlever/internal/invariant"
@@ -208,3 +209,24 @@
 	}
 	f.ask(c, &caller.Request{Method: http.MethodGet, Path: "/", Idempotent: true})
 }
+
+// An instance whose rights the others' acks confirm has no need to read the
+// roster; it has to follow it all the same.
+func TestRosterFollows(t *testing.T) {
+	f := newFleet(t, 5)
+	defer func() {
+		for _, in := range f.list {
+			in.Kill()
+		}
+	}()
+	began := time.Now()
+	for _, in := range f.list {
+		for members := 0; members < len(f.list); {
+			if time.Since(began) > patience {
+				t.Fatalf("got %d members in the roster of %s, want %d", members, in.cfg.ID, len(f.list))
+			}
+			time.Sleep(20 * time.Millisecond)
+			in.desk.Read(func(_ time.Time, n *core.Node) { members = len(n.Roster().Members) })
+		}
+	}
+}
--- a/internal/instance/roster.go
+++ b/internal/instance/roster.go
@@ -46,12 +46,30 @@
 	}
 }
 
+// rosterNamed notes the version of the roster that a peer of the place has.
+func (in *Instance) rosterNamed(version uint64) {
+	for {
+		heard := in.heardRoster.Load()
+		if version <= heard || in.heardRoster.CompareAndSwap(heard, version) {
+			return
+		}
+	}
+}
+
+// rosterNews says whether a peer has a newer roster than this instance. Its
+// acks still confirm this instance's rights, so nothing else would tell in time.
+func (in *Instance) rosterNews() bool {
+	var held uint64
+	in.desk.Read(func(_ time.Time, n *core.Node) { held = n.Roster().Version })
+	return in.heardRoster.Load() > held
+}
+
 // rosterDue is when the roster has to be read next.
 func (in *Instance) rosterDue(read time.Time) time.Time {
 	if read.IsZero() {
 		return read
 	}
-	if in.confirmed() {
+	if in.confirmed() && !in.rosterNews() {
 		return read.Add(rosterSlow)
 	}
 	return read.Add(rosterSoon)
--- a/internal/instance/sync.go
+++ b/internal/instance/sync.go
@@ -18,7 +18,7 @@
 const (
 	syncTimeout = 3 * time.Second
 	pushPeers   = 3         // peers that are told of a new document at once
-	maxPush     = 64 << 10  // bytes of documents that are pushed rather than fetched
+	maxPush     = 16 << 10  // bytes of documents that are pushed rather than fetched
 	maxFetch    = 512 << 10 // bytes of documents in one answer
 	maxPaths    = 1024      // paths in one question
 )
--- a/internal/instance/watch.go
+++ b/internal/instance/watch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"strings"
 	"time"
 
@@ -111,66 +110,3 @@
 		in.desk.Step(core.RosterHeard{Roster: r})
 	}
 }
-
-// register keeps this instance in the platform's list, and learns from the list.
-func (in *Instance) register(ctx context.Context) {
-	var b backoff
-	young := in.now().Add(youngFor)
-	for ctx.Err() == nil {
-		if err := in.registerOnce(ctx); err != nil {
-			in.platformFailed("register", err)
-			b.wait(ctx)
-			continue
-		}
-		b.reset()
-		in.waitRegister(ctx, young, in.now().Add(registerEvery/2+rand.N(registerEvery/2)))
-	}
-}
-
-const (
-	registerEvery = 30 * time.Second // the longest time between two registrations
-	listSoon      = time.Second      // the same while others may be missing here
-	youngFor      = 5 * time.Second  // after the start: those who start together are not listed yet
-)
-
-// waitRegister waits for the next registration. It is due early when the list
-// has to be read for others: in the first moments, or for a member of the roster.
-func (in *Instance) waitRegister(ctx context.Context, young, due time.Time) {
-	for ctx.Err() == nil && in.now().Before(due) {
-		sleep(ctx, listSoon/2+rand.N(listSoon/2))
-		if in.now().Before(young) || in.missesMember() {
-			return
-		}
-	}
-}
-
-// missesMember says whether the place's roster names an instance of which
-// nothing is known here: it can't be probed before the platform's list, which
-// lags, tells its address.
-func (in *Instance) missesMember() bool {
-	known := make(map[string]bool)
-	for _, m := range in.members.Members() {
-		known[m.ID] = true
-	}
-	var roster owner.Roster
-	in.desk.Read(func(_ time.Time, n *core.Node) { roster = n.Roster() })
-	return slices.ContainsFunc(roster.Members, func(m owner.Member) bool {
-		return m.Instance != in.cfg.ID && !known[m.Instance]
-	})
-}
-
-func (in *Instance) registerOnce(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if err := in.cfg.Store.Register(ctx, in.self()); err != nil {
-		return err
-	}
-	sent := in.now()
-	list, err := in.cfg.Store.Instances(ctx)
-	if err != nil {
-		return err
-	}
-	in.desk.Step(core.Listed{Instances: list, Sent: sent})
-	in.members.Learn(list)
-	return nil
-}
