Drain until it shows in the demo, also after an outage

An undrain that met the platform's outage was lost, and a drain of a short run ended before the 3 s after which its place may get no new work. Both writes are now repeated until accepted, and a drain lasts for 3.5 s at least.

--- a/internal/demo/inject.go
+++ b/internal/demo/inject.go
@@ -18,8 +18,10 @@
 
 // Times of faults.
 const (
-	leaveWithin = 3 * time.Second // after which a drained place gets no new work
+	leaveWithin = 3 * time.Second        // after which a drained place gets no new work
+	leaveSeen   = 500 * time.Millisecond // for which a drain lasts on at least, to see that
 	stopWait    = 20 * time.Second
+	writeEvery  = 100 * time.Millisecond // between two tries of a drain's document
 )
 
 // Event is a fault as it happened.
@@ -120,18 +122,37 @@
 	if err != nil {
 		return err
 	}
-	result, err := platform.PutDocument(ctx, r.f.store, path, 0, body, "demo-drain")
+	var result platform.PutResult
+	err = r.insist(ctx, fault.Back, func() error {
+		var err error
+		result, err = platform.PutDocument(ctx, r.f.store, path, 0, body, "demo-drain")
+		return err
+	})
 	if err != nil {
 		return err
 	}
 	accepted := time.Now()
 	scope := target.Scope{Place: fault.On}
 	r.f.journal.Leave(scope, accepted.Add(leaveWithin))
-	r.until(ctx, fault.Back)
+	r.until(ctx, max(fault.Back, accepted.Sub(r.start)+leaveWithin+leaveSeen))
 	r.f.journal.Return(scope)
 	r.drained(scope, accepted)
-	_, err = platform.DeleteDocument(context.WithoutCancel(ctx), r.f.store, path, result.Version, "demo-undrain")
-	return err
+	return r.insist(ctx, r.f.cfg.For+stopWait, func() error {
+		_, err := platform.DeleteDocument(ctx, r.f.store, path, result.Version, "demo-undrain")
+		return err
+	})
+}
+
+// insist repeats a write until it is accepted, as an operator does in an outage
+// of the platform, or until a time of the run is past.
+func (r *run) insist(ctx context.Context, last time.Duration, write func() error) error {
+	for {
+		err := write()
+		if err == nil || ctx.Err() != nil || time.Since(r.start) >= last {
+			return err
+		}
+		r.until(ctx, time.Since(r.start)+writeEvery)
+	}
 }
 
 func (r *run) drained(scope target.Scope, accepted time.Time) {
