--- /dev/null
+++ b/internal/callers/body_test.go
@@ -0,0 +1,197 @@
+package callers
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/firlever/firlever/internal/core"
+)
+
+const longBody = 20 * maxReplay
+
+// TestLongBody streams a body to a target that reads it, answers early, or
+// can't be reached: it arrives whole or not at all.
+func TestLongBody(t *testing.T) {
+	reads := func(w http.ResponseWriter, r *http.Request) {
+		b, err := io.ReadAll(r.Body)
+		if err != nil || strings.Trim(string(b), "x") != "" {
+			return
+		}
+		w.Header().Set("X-Got", itoa(int64(len(b))))
+	}
+	early := func(w http.ResponseWriter, r *http.Request) {
+		http.NewResponseController(w).EnableFullDuplex()
+		w.Write([]byte(strings.Repeat("y", maxWhole+1)))
+		http.NewResponseController(w).Flush()
+		b, _ := io.ReadAll(r.Body)
+		io.WriteString(w, itoa(int64(len(b))))
+	}
+	dead := "127.0.0.1:1" // refuses connections
+	tests := map[string]struct {
+		addresses []string
+		declared  bool
+		want      string
+	}{
+		"declared":          {[]string{target(t, reads)}, true, OutcomeAnswered},
+		"chunked":           {[]string{target(t, reads)}, false, OutcomeAnswered},
+		"early answer":      {[]string{target(t, early)}, false, OutcomeAnswered},
+		"refused, retried":  {[]string{dead, target(t, reads)}, true, OutcomeAnswered},
+		"refused by all":    {[]string{dead, dead[:len(dead)-1] + "2"}, true, OutcomeNotRun + " " + string(core.ReasonTargetError)},
+		"refused, no other": {[]string{dead}, false, OutcomeNotRun + " " + string(core.ReasonTargetError)},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := newRig(t, "i1", tt.addresses...)
+			r, err := http.NewRequest("PUT", g.callers.URL+"/call/shop/orders/", strings.NewReader(strings.Repeat("x", longBody)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !tt.declared {
+				r.ContentLength, r.Body = -1, io.NopCloser(r.Body)
+			}
+			r.Header.Set(HeaderKey, g.key())
+			resp, err := http.DefaultClient.Do(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			b, err := io.ReadAll(resp.Body)
+			if err != nil || outcome(resp) != tt.want {
+				t.Fatalf("got %q, %v, want %q", outcome(resp), err, tt.want)
+			}
+			got := resp.Header.Get("X-Got") + strings.Trim(string(b), "y")
+			if want := itoa(longBody); tt.want == OutcomeAnswered && got != want {
+				t.Errorf("got %q bytes at the target, want %q", got, want)
+			}
+			g.idle()
+		})
+	}
+}
+
+// TestBodyBrokenOff cuts a request's body: nobody else is to blame for that.
+func TestBodyBrokenOff(t *testing.T) {
+	tests := map[string]string{
+		"short":         "Content-Length: 9\r\n\r\nabc",
+		"long":          "Content-Length: 99999\r\n\r\n" + strings.Repeat("x", maxReplay+9),
+		"short chunked": "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+		"long chunked":  "Transfer-Encoding: chunked\r\n\r\n10009\r\n" + strings.Repeat("x", maxReplay+9) + "\r\n",
+	}
+	for name, rest := range tests {
+		t.Run(name, func(t *testing.T) {
+			whole := make(chan bool, 1)
+			g := newRig(t, "i1", target(t, func(_ http.ResponseWriter, r *http.Request) {
+				_, err := io.Copy(io.Discard, r.Body)
+				whole <- err == nil
+			}))
+			c := g.raw("PUT /call/shop/orders/ HTTP/1.1\r\nHost: a\r\nFirlever-Key: " + g.key() + "\r\n" + rest)
+			if strings.HasPrefix(name, "long") {
+				g.wait("the request at its target", func(st core.Status) bool { return st.Targets[0].InFlight == 1 })
+			}
+			c.Close()
+			g.idle()
+			select {
+			case got := <-whole:
+				if got {
+					t.Error("got a whole body at the target, want it cut")
+				}
+			default:
+			}
+		})
+	}
+}
+
+// TestCallerGoesAway leaves a request that the target works on.
+func TestCallerGoesAway(t *testing.T) {
+	tests := map[string]struct {
+		keyed     bool
+		cancelled bool // the target's work
+		again     string
+	}{
+		"idempotent": {false, true, ""},
+		"keyed":      {true, false, "answered repeat"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			started, finish, ended := make(chan bool), make(chan bool), make(chan bool, 1)
+			g := newRig(t, "i1", target(t, func(w http.ResponseWriter, r *http.Request) {
+				io.Copy(io.Discard, r.Body)
+				started <- true
+				select {
+				case <-r.Context().Done():
+				case <-finish:
+				}
+				ended <- r.Context().Err() != nil
+				io.WriteString(w, "done")
+			}))
+			header := []string{}
+			method := "GET"
+			if tt.keyed {
+				method, header = "POST", []string{HeaderKey, g.key()}
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			gone := make(chan error)
+			go func() {
+				_, err := g.do(ctx, method, "/call/shop/orders/", nil, header...)
+				gone <- err
+			}()
+			<-started
+			cancel()
+			<-gone
+			if !tt.cancelled {
+				close(finish)
+			}
+			if got := <-ended; got != tt.cancelled {
+				t.Errorf("got cancelled %v, want %v", got, tt.cancelled)
+			}
+			g.idle()
+			if tt.again == "" {
+				return
+			}
+			if r, body := g.ask(method, "/call/shop/orders/", "", header...); outcome(r) != tt.again || body != "done" {
+				t.Errorf("got %q %q, want %q", outcome(r), body, tt.again)
+			}
+		})
+	}
+}
+
+// TestSlowReaderHoldsNoSlot asks for a short answer and does not read it.
+func TestSlowReaderHoldsNoSlot(t *testing.T) {
+	g := newRig(t, "i1", target(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Write(make([]byte, maxWhole))
+	}))
+	g.raw("GET /call/shop/orders/ HTTP/1.1\r\nHost: a\r\n\r\n")
+	g.idle()
+}
+
+// TestSlowReaderEnds reads nothing of an answer that fits no buffer: the
+// request's deadline ends it.
+func TestSlowReaderEnds(t *testing.T) {
+	g := newRig(t, "i1", target(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Write(make([]byte, 64<<20))
+	}))
+	g.raw("GET /call/shop/orders/ HTTP/1.1\r\nHost: a\r\nFirlever-Timeout: 200\r\n\r\n")
+	g.wait("the request", func(st core.Status) bool { return st.Open == 1 })
+	g.idle()
+}
+
+// TestDeadline is passed on to the target, and enforced when the target is late.
+func TestDeadline(t *testing.T) {
+	left := make(chan string, 1)
+	g := newRig(t, "i1", target(t, func(_ http.ResponseWriter, r *http.Request) {
+		left <- r.Header.Get(HeaderTimeout)
+		<-r.Context().Done()
+	}))
+	r, _ := g.ask("GET", "/call/shop/orders/", "", HeaderTimeout, "100")
+	if got, want := outcome(r), OutcomeUnknown+" "+string(core.ReasonTargetError); got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	ms, err := time.ParseDuration(<-left + "ms")
+	if err != nil || ms <= 0 || ms > 100*time.Millisecond {
+		t.Errorf("got %v, %v left at the target, want at most 100ms", ms, err)
+	}
+	g.idle()
+}
--- a/internal/callers/exchange.go
+++ b/internal/callers/exchange.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
-	"net/url"
 	"time"
 
 	"github.com/firlever/firlever/internal/core"
+	"github.com/firlever/firlever/internal/dispatch"
 	"github.com/firlever/firlever/internal/once"
 	"github.com/firlever/firlever/internal/targets"
 )
@@ -21,6 +22,10 @@
 	PrefixGrant   = "/grant/"
 )
 
+// maxRefusal is how much of a peer's refusal is read, so that its connection
+// can be kept.
+const maxRefusal = 4 << 10
+
 // exchange carries one request from its arrival to its final answer.
 type exchange struct {
 	s    *Server
@@ -29,20 +34,22 @@
 	id   core.ID
 	req  core.Request
 	ask  core.Ask // of the peer that handed it off; Peer is empty otherwise
+	to   route
 	body *body
-	rest string    // path and query below the prefix, as it came
 	came time.Time // when it arrived
-	gone bool      // the caller has gone, but a keyed request runs on
+	gone bool      // the caller has gone, but the attempt runs on
 }
 
 // run acts on decisions until the request has had its final answer.
-func (x *exchange) run(ctx context.Context, decisions <-chan core.Decision) {
-	done := ctx.Done()
+func (x *exchange) run(box *dispatch.Mailbox) {
+	done := x.r.Context().Done()
 	for {
 		select {
-		case d := <-decisions:
-			if x.act(ctx, d) {
-				return
+		case <-box.Ready():
+			for _, d := range box.Take() {
+				if x.act(d) {
+					return
+				}
 			}
 		case <-done:
 			done = nil
@@ -52,17 +59,20 @@
 }
 
 // act carries one decision out. It returns true when the request is over.
-func (x *exchange) act(ctx context.Context, d core.Decision) bool {
+func (x *exchange) act(d core.Decision) bool {
 	x.s.note(x.req, d)
 	switch d := d.(type) {
 	case core.Serve:
-		return x.attempt(ctx, d.Deadline, x.toTarget(d), x.fromTarget)
+		t := try{deadline: d.Deadline, runOn: d.RunOn, home: d.Home}
+		return x.attempt(t, x.outgoing(t, d.Address, ""), x.fromTarget)
 	case core.Hand:
-		out := x.toPeer(PrefixHand, d.Peer, d.Home)
+		t := try{deadline: d.Deadline, runOn: d.RunOn, home: d.Home, peer: true}
+		out := x.outgoing(t, d.Peer.Address, PrefixHand)
 		setCount(out.Header, HeaderWant, d.Want)
-		return x.attempt(ctx, d.Deadline, out, x.fromOwner(d))
+		return x.attempt(t, out, x.fromOwner(d))
 	case core.Forward:
-		return x.attempt(ctx, d.Deadline, x.toPeer(PrefixForward, d.Peer, ""), x.fromPeer)
+		t := try{deadline: d.Deadline, runOn: true, home: d.Home, peer: true}
+		return x.attempt(t, x.outgoing(t, d.Peer.Address, PrefixForward), x.fromPeer)
 	case core.Repeat:
 		x.repeat(d)
 		return true
@@ -73,58 +83,77 @@
 	return false
 }
 
-// toTarget builds the request for a target.
-func (x *exchange) toTarget(d core.Serve) *http.Request {
-	out := x.outgoing(d.Address, x.req.Path)
-	out.Header.Set(HeaderHome, d.Home)
-	return out
+// try is one attempt.
+type try struct {
+	deadline time.Time
+	runOn    bool // it goes on when the caller goes away
+	peer     bool // it goes to another instance
+	home     string
+	began    time.Time
+	part     *part
 }
 
-// toPeer builds the request for another instance.
-func (x *exchange) toPeer(prefix string, p core.Peer, home string) *http.Request {
-	out := x.outgoing(p.Address, prefix+x.req.Service.String()+x.req.Path)
-	out.Header.Set(HeaderFrom, x.s.cfg.Instance)
-	if home != "" {
-		out.Header.Set(HeaderHome, home)
+// outgoing builds the request for a target, or for a peer that serves prefix.
+func (x *exchange) outgoing(t try, address, prefix string) *http.Request {
+	if prefix != "" {
+		prefix += x.to.service.String()
 	}
-	return out
-}
-
-func (x *exchange) outgoing(address, path string) *http.Request {
 	out := &http.Request{
 		Method:        x.r.Method,
-		URL:           &url.URL{Scheme: "http", Host: address, Path: path, RawQuery: x.r.URL.RawQuery},
+		URL:           x.to.target(address, prefix, x.r.URL),
 		Host:          x.r.Host,
-		Header:        make(http.Header, len(x.r.Header)+4),
-		Body:          targets.Once(x.body.reader()),
+		Header:        make(http.Header, len(x.r.Header)+6),
+		Body:          http.NoBody,
 		ContentLength: x.body.size,
 	}
 	copyHeader(out.Header, x.r.Header)
-	if x.body.size == 0 {
-		out.Body = http.NoBody
+	if out.Header.Get("User-Agent") == "" {
+		out.Header.Set("User-Agent", "") // or the transport adds its own
 	}
-	out.Header.Set(HeaderRequest, x.req.Name)
+	x.setOwn(out.Header, t)
 	return out
 }
 
-// attempt sends the request and takes in how that went. read tells the result
-// of an answer whose headers have come, and relays it.
-func (x *exchange) attempt(ctx context.Context, deadline time.Time, out *http.Request, read reader) bool {
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+// setOwn sets our own headers of a request.
+func (x *exchange) setOwn(h http.Header, t try) {
+	h.Set(HeaderRequest, x.req.Name)
+	h.Set(HeaderHome, t.home)
+	if x.req.Key != "" {
+		h.Set(HeaderKey, x.req.Key)
+	}
+	if t.peer {
+		h.Set(HeaderFrom, x.s.cfg.Instance)
+	}
+}
+
+// attempt sends the request and takes in how that went. read takes in an
+// answer whose headers have come, and relays it.
+func (x *exchange) attempt(t try, out *http.Request, read reader) bool {
+	ctx := x.r.Context()
+	if t.runOn {
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithDeadline(ctx, t.deadline)
 	defer cancel()
-	began := x.s.desk.Now()
-	setTimeout(out.Header, began, deadline)
+	t.part = x.body.part()
+	defer t.part.stop()
+	if x.body.size != 0 {
+		out.Body = t.part
+	}
+	x.readBy(t.deadline.Add(replyTime))
+	t.began = x.s.desk.Now()
+	setTimeout(out.Header, t.began, t.deadline)
 	resp, err := x.s.client.Send(ctx, out)
 	if err != nil {
-		x.finish(began, failure(err))
+		x.fail(t, failure(err))
 		return false
 	}
 	defer resp.Body.Close()
-	return read(resp, began)
+	return read(t, resp)
 }
 
 // reader takes in an answer. It returns true when the request is over.
-type reader func(resp *http.Response, began time.Time) bool
+type reader func(t try, resp *http.Response) bool
 
 func failure(err error) core.Finished {
 	var notSent *targets.NotSentError
@@ -134,54 +163,58 @@
 	return core.Finished{Result: core.Failed}
 }
 
+// fail tells the node of an attempt without an answer, and whose fault it was.
+func (x *exchange) fail(t try, ev core.Finished) {
+	t.part.stop()
+	ev.Spent = x.body.spent.Load()
+	ev.Gone = ev.Gone || x.body.broke.Load() || !t.runOn && x.r.Context().Err() != nil
+	x.finish(t, ev)
+}
+
 // finish tells the node how the attempt ended.
-func (x *exchange) finish(began time.Time, ev core.Finished) {
+func (x *exchange) finish(t try, ev core.Finished) {
 	ev.ID = x.id
-	ev.Gone = ev.Result != core.Answered && x.left()
-	ev.Took = x.s.desk.Now().Sub(began)
+	ev.Took = x.s.desk.Now().Sub(t.began)
 	x.s.desk.Step(ev)
 }
 
-// left says whether the caller has gone, which broke the attempt off. A keyed
-// request runs on without its caller.
-func (x *exchange) left() bool { return x.req.Key == "" && x.r.Context().Err() != nil }
-
-// fromTarget takes in a target's answer.
-func (x *exchange) fromTarget(resp *http.Response, began time.Time) bool {
+// fromTarget takes in a target's answer. Of its headers with our names only
+// the refusal that proves that nothing ran is understood.
+func (x *exchange) fromTarget(t try, resp *http.Response) bool {
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderOutcome) == OutcomeNotRun {
-		x.finish(began, core.Finished{
-			Result: core.NotRun, Proof: once.ProofRefusal, Retry: retryAfter(resp.Header, began),
+		x.fail(t, core.Finished{
+			Result: core.NotRun, Proof: once.ProofRefusal, Retry: retryAfter(resp.Header, x.s.desk.Now()),
 		})
 		return false
 	}
-	return x.relay(resp, began)
+	return x.relay(t, resp)
 }
 
 // fromOwner takes in the answer of a peer that a request was handed to, and
 // what it offers along with it.
 func (x *exchange) fromOwner(d core.Hand) reader {
-	return func(resp *http.Response, began time.Time) bool {
-		ev := heard(resp.Header, began, d.Peer)
+	return func(t try, resp *http.Response) bool {
+		ev := heard(resp.Header, t.began, d.Peer)
 		ev.ID, ev.Service, ev.Home = x.id, x.req.Service, d.Home
 		x.s.desk.Step(ev)
-		return x.fromPeer(resp, began)
+		return x.fromPeer(t, resp)
 	}
 }
 
 // fromPeer takes in another instance's answer.
-func (x *exchange) fromPeer(resp *http.Response, began time.Time) bool {
-	now := x.s.desk.Now()
+func (x *exchange) fromPeer(t try, resp *http.Response) bool {
 	ev := core.Finished{
 		Result: core.Failed,
 		Reason: core.Reason(resp.Header.Get(HeaderReason)),
-		Retry:  retryAfter(resp.Header, now),
+		Retry:  retryAfter(resp.Header, x.s.desk.Now()),
 	}
 	switch resp.Header.Get(HeaderOutcome) {
 	case OutcomeAnswered:
-		return x.relay(resp, began)
+		return x.relay(t, resp)
 	case OutcomeNotRun:
 		ev.Result, ev.Proof = core.NotRun, once.ProofRefusal
 	}
-	x.finish(began, ev)
+	io.CopyN(io.Discard, resp.Body, maxRefusal)
+	x.fail(t, ev)
 	return false
 }
--- a/internal/callers/grant.go
+++ b/internal/callers/grant.go
@@ -52,10 +52,11 @@
 func (s *Server) grant(w http.ResponseWriter, r *http.Request) {
 	id, err := settings.ParseServiceID(chi.URLParam(r, "team") + "/" + chi.URLParam(r, "service"))
 	if err != nil {
-		s.badRequest(w, err)
+		s.badRequest(w, http.StatusBadRequest, err)
 		return
 	}
 	setOffer(w.Header(), s.desk.Now(), s.desk.Offer(askOf(r.Header, id)))
+	s.writeBy(w, s.desk.Now().Add(replyTime))
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/internal/callers/header.go
+++ b/internal/callers/header.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -32,31 +34,32 @@
 	OutcomeUnknown  = "unknown"
 )
 
-// hopHeaders concern one connection only and are not passed on.
+// ownPrefix begins the names of our own headers.
+const ownPrefix = "Firlever-"
+
+// hopHeaders concern one connection only and are not passed on. Expect is among
+// them since this instance itself asks its caller for the body.
 var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Connection", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
-// peerHeaders are between two instances only and are not passed on.
-var peerHeaders = []string{
-	HeaderHome, HeaderFrom, HeaderWant, HeaderRelease, HeaderFree, HeaderGrant, HeaderUntil,
-}
-
-// copyHeader passes end-to-end headers on.
+// copyHeader passes end-to-end headers on. Ours are never passed on, only set
+// anew: a caller could pose as a peer by them, and a target as an instance.
 func copyHeader(dst, src http.Header) {
 	for name, values := range src {
-		dst[name] = append(dst[name][:0:0], values...)
+		if !strings.HasPrefix(name, ownPrefix) {
+			dst[name] = slices.Clone(values)
+		}
 	}
-	for _, name := range src.Values("Connection") {
-		dst.Del(name)
+	for _, line := range src.Values("Connection") {
+		for name := range strings.SplitSeq(line, ",") {
+			dst.Del(strings.TrimSpace(name))
+		}
 	}
 	for _, name := range hopHeaders {
 		dst.Del(name)
 	}
-	for _, name := range peerHeaders {
-		dst.Del(name)
-	}
 }
 
 // count reads a header that holds a whole number; 0 if it holds none.
--- a/internal/callers/relay.go
+++ b/internal/callers/relay.go
@@ -2,10 +2,9 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"io"
 	"net/http"
-	"time"
+	"sync"
 
 	"github.com/firlever/firlever/internal/core"
 	"github.com/firlever/firlever/internal/invariant"
@@ -17,83 +16,135 @@
 	chunkSize = 32 << 10 // of a streamed answer
 )
 
+var chunks = sync.Pool{New: func() any { return new([chunkSize]byte) }}
+
 // relay passes an answer on. A short one is read whole first: that frees the
 // target's slot early, and an answer cut short can still be replaced.
-func (x *exchange) relay(resp *http.Response, began time.Time) bool {
-	if resp.ContentLength > maxWhole {
-		return x.stream(resp, nil, began)
+func (x *exchange) relay(t try, resp *http.Response) bool {
+	if resp.StatusCode == http.StatusSwitchingProtocols || !x.ends(resp) {
+		x.fail(t, core.Finished{Result: core.Failed, Reason: core.ReasonNoEnd})
+		return false
 	}
-	start, err := io.ReadAll(io.LimitReader(resp.Body, maxWhole+1))
+	if resp.ContentLength > maxWhole && x.hasBody(resp.StatusCode) {
+		return x.stream(t, resp, nil)
+	}
+	start, err := readStart(resp)
 	if err != nil {
-		x.finish(began, core.Finished{Result: core.Failed})
+		x.fail(t, core.Finished{Result: core.Failed})
 		return false
 	}
 	if len(start) > maxWhole {
-		return x.stream(resp, start, began)
+		return x.stream(t, resp, start)
 	}
-	x.finish(began, x.answered(resp, start))
+	x.checkWhole(resp, len(start))
+	x.finish(t, x.answered(resp, start))
 	x.s.cfg.Metrics.Answered(x.req.Service.String(), x.s.desk.Now().Sub(x.came))
-	x.checkWhole(resp, int64(len(start)))
-	x.head(resp)
-	x.w.Header().Set("Content-Length", itoa(int64(len(start))))
-	if resp.Request != nil && x.r.Method == http.MethodHead {
-		x.w.Header().Set("Content-Length", resp.Header.Get("Content-Length"))
-	}
-	x.w.WriteHeader(resp.StatusCode)
-	x.write(start)
+	x.own(OutcomeAnswered, core.Reason(peerReason(t, resp)))
+	x.whole(resp.StatusCode, resp.Header, start)
 	return true
 }
 
+// ends says whether the answer's end can be told from a broken connection: one
+// without a length that isn't chunked ends the same either way.
+func (x *exchange) ends(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || !x.hasBody(resp.StatusCode)
+}
+
+// hasBody says whether an answer of this status has a body.
+func (x *exchange) hasBody(status int) bool {
+	return x.r.Method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// readStart reads an answer up to a byte over maxWhole.
+func readStart(resp *http.Response) ([]byte, error) {
+	if resp.ContentLength < 0 || resp.Body == http.NoBody {
+		return io.ReadAll(io.LimitReader(resp.Body, maxWhole+1))
+	}
+	start := make([]byte, resp.ContentLength)
+	_, err := io.ReadFull(resp.Body, start)
+	return start, err
+}
+
+// peerReason is why a peer gave the answer, if it says so; targets have no say.
+func peerReason(t try, resp *http.Response) string {
+	if !t.peer {
+		return ""
+	}
+	return resp.Header.Get(HeaderReason)
+}
+
 // answered is the event of a whole answer, with what a key's record needs.
 func (x *exchange) answered(resp *http.Response, whole []byte) core.Finished {
 	ev := core.Finished{Result: core.Answered, Status: resp.StatusCode}
 	if x.req.Key != "" {
-		ev.Header = resp.Header.Clone()
+		ev.Header = make(http.Header, len(resp.Header))
+		copyHeader(ev.Header, resp.Header)
 		ev.Body = whole
 	}
 	return ev
 }
 
-// head writes the answer's headers, with ours.
-func (x *exchange) head(resp *http.Response) {
-	h := x.w.Header()
-	copyHeader(h, resp.Header)
-	x.own(h, OutcomeAnswered)
-}
-
 // own sets the headers that are always ours.
-func (x *exchange) own(h http.Header, outcome string) {
+func (x *exchange) own(outcome string, reason core.Reason) {
+	h := x.w.Header()
 	h.Set(HeaderOutcome, outcome)
 	h.Set(HeaderRequest, x.req.Name)
+	if reason != "" {
+		h.Set(HeaderReason, string(reason))
+	}
 	if x.req.From != "" {
 		setOffer(h, x.s.desk.Now(), x.s.desk.Offer(x.ask))
 	}
 }
 
+// whole writes an answer that is all here.
+func (x *exchange) whole(status int, header http.Header, body []byte) {
+	h := x.w.Header()
+	copyHeader(h, header)
+	switch {
+	case x.hasBody(status):
+		h.Set("Content-Length", itoa(int64(len(body))))
+	case status == http.StatusNoContent:
+		h.Del("Content-Length")
+	}
+	x.writeBy(x.s.desk.Now().Add(replyTime))
+	x.w.WriteHeader(status)
+	if len(body) > 0 {
+		x.w.Write(body)
+	}
+}
+
 // stream passes a long answer on in constant memory. One that is cut short
-// ends by closing the connection, never as if it were whole.
-func (x *exchange) stream(resp *http.Response, start []byte, began time.Time) bool {
-	x.head(resp)
+// ends by breaking the connection, never as if it were whole.
+func (x *exchange) stream(t try, resp *http.Response, start []byte) bool {
+	x.own(OutcomeAnswered, core.Reason(peerReason(t, resp)))
+	copyHeader(x.w.Header(), resp.Header)
+	x.writeBy(t.deadline)
 	x.w.WriteHeader(resp.StatusCode)
-	n, err := x.copy(io.MultiReader(bytes.NewReader(start), resp.Body))
+	n, err := x.copy(t, io.MultiReader(bytes.NewReader(start), resp.Body), resp.ContentLength < 0)
 	if err != nil {
-		x.finish(began, core.Finished{Result: core.Failed, Final: true})
-		panic(http.ErrAbortHandler)
+		x.fail(t, core.Finished{Result: core.Failed, Final: true, Gone: x.gone})
+		x.abort()
 	}
-	x.finish(began, core.Finished{Result: core.Answered, Status: resp.StatusCode, Dropped: true})
-	x.s.cfg.Metrics.Answered(x.req.Service.String(), x.s.desk.Now().Sub(x.came))
 	x.checkWhole(resp, n)
+	x.finish(t, core.Finished{Result: core.Answered, Status: resp.StatusCode, Dropped: true})
+	if x.gone {
+		x.abort()
+	}
+	x.s.cfg.Metrics.Answered(x.req.Service.String(), x.s.desk.Now().Sub(x.came))
 	return true
 }
 
-// copy streams r to the caller, and counts the bytes.
-func (x *exchange) copy(r io.Reader) (int64, error) {
-	buf := make([]byte, chunkSize)
-	var total int64
+// copy streams r to the caller, and counts the bytes. The length of a steady
+// trickle is unknown, so it goes out as it comes.
+func (x *exchange) copy(t try, r io.Reader, flush bool) (int, error) {
+	buf := chunks.Get().(*[chunkSize]byte)
+	defer chunks.Put(buf)
+	total := 0
 	for {
-		n, err := r.Read(buf)
-		total += int64(n)
-		if werr := x.write(buf[:n]); werr != nil {
+		n, err := r.Read(buf[:])
+		total += n
+		if werr := x.write(buf[:n], t.runOn, flush); werr != nil {
 			return total, werr
 		}
 		if err == io.EOF {
@@ -105,22 +156,52 @@
 	}
 }
 
-// write gives bytes to the caller. A keyed request goes on without its caller,
-// so that its outcome gets recorded.
-func (x *exchange) write(b []byte) error {
+// write gives bytes to the caller. A non-idempotent request goes on without
+// its caller, so that its outcome gets recorded.
+func (x *exchange) write(b []byte, runOn, flush bool) error {
 	if x.gone || len(b) == 0 {
 		return nil
 	}
 	_, err := x.w.Write(b)
-	if err != nil && x.req.Key != "" {
-		x.gone = true
+	if err == nil && flush {
+		err = http.NewResponseController(x.w).Flush()
+	}
+	if err == nil {
+		return nil
+	}
+	x.gone = true
+	if runOn {
 		return nil
 	}
 	return err
 }
 
-func (x *exchange) checkWhole(resp *http.Response, n int64) {
-	whole := resp.ContentLength < 0 || resp.ContentLength == n || x.r.Method == http.MethodHead
+// abort breaks the caller's connection in the midst of an answer. It does not
+// return. HTTP/1.0 takes a closed connection for the end of an answer, so there
+// the connection is reset.
+func (x *exchange) abort() {
+	if !x.r.ProtoAtLeast(1, 1) {
+		reset(x.w)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetter is what TCP connections can do.
+type resetter interface{ SetLinger(seconds int) error }
+
+func reset(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if r, ok := c.(resetter); ok {
+		r.SetLinger(0)
+	}
+	c.Close()
+}
+
+func (x *exchange) checkWhole(resp *http.Response, n int) {
+	whole := resp.ContentLength < 0 || resp.ContentLength == int64(n) || !x.hasBody(resp.StatusCode)
 	x.s.cfg.Checks.Check(invariant.WholeAnswer, whole, func() string {
 		return x.req.Name + ": an answer of another length was passed off as whole"
 	})
@@ -128,64 +209,11 @@
 
 // repeat gives a key's recorded answer.
 func (x *exchange) repeat(d core.Repeat) {
-	h := x.w.Header()
-	copyHeader(h, d.Answer.Header)
-	x.own(h, OutcomeAnswered)
-	h.Set(HeaderReason, string(core.ReasonRepeat))
-	h.Del("Content-Length")
 	if d.Answer.Dropped {
 		// The work is done, but its answer was too large to keep.
-		x.final(core.Refuse{ID: d.ID, Unknown: true, Reason: core.ReasonNotKept})
+		x.refuse(core.Refuse{ID: d.ID, Unknown: true, Reason: core.ReasonNotKept})
 		return
 	}
-	x.w.WriteHeader(d.Answer.Status)
-	x.write(d.Answer.Body)
-}
-
-// refusal is the body of an answer that is not from a target.
-type refusal struct {
-	Outcome string `json:"outcome"`
-	Reason  string `json:"reason"`
-	Request string `json:"request"`
-	Retry   int64  `json:"retry,omitempty"` // milliseconds from now
-}
-
-// refuse gives the final answer of a request that none of the targets answered.
-func (x *exchange) refuse(d core.Refuse) { x.final(d) }
-
-func (x *exchange) final(d core.Refuse) {
-	outcome := OutcomeNotRun
-	if d.Unknown {
-		outcome = OutcomeUnknown
-	}
-	now := x.s.desk.Now()
-	h := x.w.Header()
-	x.own(h, outcome)
-	h.Set(HeaderReason, string(d.Reason))
-	h.Set("Content-Type", "application/json")
-	setRetry(h, now, d.RetryAt)
-	body := refusal{Outcome: outcome, Reason: string(d.Reason), Request: x.req.Name}
-	if !d.RetryAt.IsZero() {
-		body.Retry = max(d.RetryAt.Sub(now).Milliseconds(), 0) + 1
-	}
-	x.w.WriteHeader(statusOf(d))
-	json.NewEncoder(x.w).Encode(body)
-}
-
-// statusOf maps a refusal to the status that HTTP clients expect.
-func statusOf(d core.Refuse) int {
-	switch d.Reason {
-	case core.ReasonNoKey, core.ReasonBadKey:
-		return http.StatusBadRequest
-	case core.ReasonNoService:
-		return http.StatusNotFound
-	case core.ReasonKeyRunning:
-		return http.StatusConflict
-	case core.ReasonKeyExpired:
-		return http.StatusGone
-	}
-	if d.Unknown {
-		return http.StatusBadGateway
-	}
-	return http.StatusServiceUnavailable
+	x.own(OutcomeAnswered, core.ReasonRepeat)
+	x.whole(d.Answer.Status, d.Answer.Header, d.Answer.Body)
 }
--- a/internal/callers/request.go
+++ b/internal/callers/request.go
@@ -1,20 +1,16 @@
 package callers
 
 import (
-	"bytes"
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/firlever/firlever/internal/core"
 	"github.com/firlever/firlever/internal/once"
-	"github.com/firlever/firlever/pkg/settings"
 )
 
 // Limits of what a caller may send.
@@ -23,6 +19,8 @@
 	maxKey     = 512              // bytes of an idempotency key
 	maxName    = 128              // bytes of a request id
 	maxTimeout = 10 * time.Minute // a longer timeout is cut to this
+	bodyTime   = 10 * time.Second // for the first maxReplay bytes of a body
+	replyTime  = 5 * time.Second  // for a caller to take an answer that is ready
 )
 
 // BadRequestError says what is wrong with a request. It has not run.
@@ -30,85 +28,59 @@
 
 func (e *BadRequestError) Error() string { return "callers: bad request: " + e.Fault }
 
-// body is a request's body, kept whole if it is short.
-type body struct {
-	start []byte    // read already
-	rest  io.Reader // nil if start is all of it
-	used  bool      // rest has been given out
-	size  int64     // declared length, -1 if it was not declared
-}
-
-// readBody reads the start of a body.
-func readBody(r *http.Request) (*body, error) {
-	b := &body{size: r.ContentLength}
-	if r.Body == nil || r.Body == http.NoBody {
-		return b, nil
-	}
-	start, err := io.ReadAll(io.LimitReader(r.Body, maxReplay+1))
-	if err != nil {
-		return nil, &BadRequestError{Fault: "body: " + err.Error()}
-	}
-	b.start = start
-	if len(start) > maxReplay {
-		b.rest = r.Body
-		return b, nil
-	}
-	b.size = int64(len(start))
-	return b, nil
-}
-
-func (b *body) replayable() bool { return b.rest == nil || !b.used }
-
-// reader gives the body for one attempt.
-func (b *body) reader() io.Reader {
-	if b.rest == nil {
-		return bytes.NewReader(b.start)
-	}
-	b.used = true
-	return io.MultiReader(bytes.NewReader(b.start), b.rest)
-}
-
-// parse reads what the node must know of a request.
-func parse(r *http.Request, prefix string, now time.Time, b *body) (core.Request, error) {
-	service, path, err := splitPath(r.URL.Path, prefix)
-	if err != nil {
-		return core.Request{}, err
-	}
+// parse reads what the node must know of a request, but for its body.
+func parse(r *http.Request, to route, now time.Time) (core.Request, error) {
 	req := core.Request{
-		Service:    service,
+		Service:    to.service,
 		Method:     r.Method,
-		Path:       path,
+		Path:       to.path,
 		Key:        r.Header.Get(HeaderKey),
 		Name:       r.Header.Get(HeaderRequest),
-		Replayable: b.rest == nil,
+		Caller:     remote(r.RemoteAddr),
+		Replayable: true,
 	}
-	if len(req.Key) > maxKey || len(req.Name) > maxName {
-		return req, &BadRequestError{Fault: "key or request id is too long"}
+	if err := check(r, req); err != nil {
+		return req, err
 	}
 	if req.Name == "" {
 		req.Name = newName()
 	}
+	var err error
 	req.Deadline, err = deadline(r.Header.Get(HeaderTimeout), now)
-	if err != nil {
-		return req, err
-	}
-	req.Caller = remote(r.RemoteAddr)
-	req.Print = once.NewFingerprint(r.Method, r.URL.RequestURI(), b.start)
-	return req, nil
+	return req, err
 }
 
-// splitPath takes /prefix/team/service/rest apart.
-func splitPath(p, prefix string) (settings.ServiceID, string, error) {
-	team, rest, ok1 := strings.Cut(strings.TrimPrefix(p, prefix), "/")
-	name, rest, _ := strings.Cut(rest, "/")
-	if !ok1 || name == "" {
-		return settings.ServiceID{}, "", &BadRequestError{Fault: "path names no service"}
+// check refuses headers that can be read in more ways than one, or not at all.
+func check(r *http.Request, req core.Request) error {
+	for _, name := range []string{HeaderKey, HeaderRequest, HeaderTimeout} {
+		if len(r.Header.Values(name)) > 1 {
+			return &BadRequestError{Fault: name + " is given more than once"}
+		}
 	}
-	id, err := settings.ParseServiceID(team + "/" + name)
-	if err != nil {
-		return settings.ServiceID{}, "", &BadRequestError{Fault: err.Error()}
+	switch {
+	case methodRefused(r.Method):
+		return &BadRequestError{Fault: "method " + r.Method + " is not passed on"}
+	case len(req.Key) > maxKey || !printable(req.Key):
+		return &BadRequestError{Fault: HeaderKey + " is too long or not printable"}
+	case len(req.Name) > maxName || !printable(req.Name):
+		return &BadRequestError{Fault: HeaderRequest + " is too long or not printable"}
+	}
+	return nil
+}
+
+// printable says whether s is ASCII without blanks.
+func printable(s string) bool {
+	for _, c := range []byte(s) {
+		if c <= ' ' || c > '~' {
+			return false
+		}
 	}
-	return id, "/" + rest, nil
+	return true
+}
+
+// fingerprint is the same whichever way the request came by.
+func fingerprint(r *http.Request, to route, b *body) once.Fingerprint {
+	return once.NewFingerprint(r.Method, to.service.String()+to.raw+"?"+r.URL.RawQuery, b.start)
 }
 
 // deadline turns the time left into a deadline; the zero time if none was given.
--- /dev/null
+++ b/internal/callers/rig_test.go
@@ -0,0 +1,210 @@
+package callers
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/firlever/firlever/internal/core"
+	"github.com/firlever/firlever/internal/dispatch"
+	"github.com/firlever/firlever/internal/invariant"
+	"github.com/firlever/firlever/internal/owner"
+	"github.com/firlever/firlever/internal/targets"
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+// patience is the longest that a test waits for what has to come.
+const patience = 10 * time.Second
+
+// rig is one instance's shell round a real node, over loopback.
+type rig struct {
+	t       *testing.T
+	id      string
+	desk    *dispatch.Dispatcher
+	server  *Server
+	callers *httptest.Server
+	peers   *httptest.Server
+}
+
+// newRig starts an instance in place east with the given targets' addresses.
+func newRig(t *testing.T, id string, addresses ...string) *rig {
+	t.Helper()
+	checks := invariant.New(func(n invariant.Name, d string) { t.Errorf("invariant %s: %s", n, d) })
+	node, err := core.New(core.Config{
+		Instance: id, Incarnation: 1, Place: "east", Domain: "east", Region: "coast",
+		Term: time.Hour, Checks: checks, Settle: time.Nanosecond,
+	}, time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := &rig{t: t, id: id, desk: dispatch.New(node, time.Now, func(core.Decision) {})}
+	client := targets.New(nil)
+	g.server = New(Config{Instance: id, Checks: checks}, g.desk, client)
+	g.callers = httptest.NewServer(g.server.Callers())
+	r := chi.NewRouter()
+	g.server.Peers(r)
+	g.peers = httptest.NewServer(r)
+	ctx, cancel := context.WithCancel(context.Background())
+	go g.tick(ctx)
+	t.Cleanup(func() { cancel(); g.callers.Close(); g.peers.Close(); client.Close() })
+	g.desk.Step(core.Applied{Snapshot: rigSettings(t, addresses)})
+	roster, err := owner.Roster{}.Join(id, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.desk.Step(core.RosterRead{Roster: roster, Sent: time.Now()})
+	return g
+}
+
+// tick lets time pass for the node.
+func (g *rig) tick(ctx context.Context) {
+	for t := time.NewTicker(5 * time.Millisecond); ctx.Err() == nil; <-t.C {
+		g.desk.Step(core.Tick{})
+	}
+}
+
+func rigSettings(t *testing.T, addresses []string) *settings.Snapshot {
+	t.Helper()
+	service := "class: interactive\ntimeout: 5s\nshift: 9\nplaces:\n  east:\n"
+	service += fmt.Sprintf("    limit: %d\n    targets:\n", 4*len(addresses))
+	for i, a := range addresses {
+		service += fmt.Sprintf("      - {name: t%d, address: %q, slots: 4, connections: 99}\n", i, a)
+	}
+	s, err := settings.Compile([]settings.Document{
+		{Path: "/places/east", Version: 1, Body: []byte("region: coast\ndomain: east\nlimit: 9\n")},
+		{Path: "/blocks/all", Version: 1, Body: []byte("blocks:\n  - {prefix: 127.0.0.0/8, place: east}\n")},
+		{Path: "/teams/shop/services/orders", Version: 1, Body: []byte(service)},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// target starts a target and returns its address.
+func target(t *testing.T, h http.HandlerFunc) string {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// rawTarget answers each request with bytes as they are, and closes.
+func rawTarget(t *testing.T, answer string) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					io.Copy(io.Discard, r.Body)
+					io.WriteString(c, answer)
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// raw sends bytes to the callers' address, and returns the connection.
+func (g *rig) raw(request string) net.Conn {
+	g.t.Helper()
+	c, err := net.Dial("tcp", g.callers.Listener.Addr().String())
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	io.WriteString(c, request)
+	return c
+}
+
+// do sends a request to the callers' address.
+func (g *rig) do(ctx context.Context, method, path string, body io.Reader, header ...string) (*http.Response, error) {
+	g.t.Helper()
+	r, err := http.NewRequestWithContext(ctx, method, g.callers.URL+path, body)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Add(header[i], header[i+1])
+	}
+	return http.DefaultClient.Do(r)
+}
+
+// ask is do for a request that has to be answered; it returns the body too.
+func (g *rig) ask(method, path, body string, header ...string) (*http.Response, string) {
+	g.t.Helper()
+	resp, err := g.do(context.Background(), method, path, strings.NewReader(body), header...)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	return resp, string(b)
+}
+
+// key asks for an idempotency key.
+func (g *rig) key() string {
+	g.t.Helper()
+	_, body := g.ask("GET", "/lookup/shop/orders?keys=1", "")
+	var l lookupAnswer
+	if err := json.Unmarshal([]byte(body), &l); err != nil || len(l.Keys) != 1 {
+		g.t.Fatalf("got %q, want one key", body)
+	}
+	return l.Keys[0]
+}
+
+// wait waits until the node is as ok wants it.
+func (g *rig) wait(what string, ok func(core.Status) bool) core.Status {
+	g.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		var st core.Status
+		g.desk.Step(core.Tick{})
+		g.desk.Read(func(now time.Time, n *core.Node) { st = n.Status(now) })
+		if ok(st) {
+			return st
+		}
+	}
+	g.t.Fatalf("waited in vain for %s", what)
+	return core.Status{}
+}
+
+// idle waits until nothing is left of any request.
+func (g *rig) idle() core.Status {
+	g.t.Helper()
+	return g.wait("an idle node", func(st core.Status) bool {
+		for _, s := range st.Targets {
+			if s.InFlight > 0 {
+				return false
+			}
+		}
+		return st.Open == 0 && st.Queued == 0
+	})
+}
+
+func outcome(r *http.Response) string {
+	return strings.TrimSpace(r.Header.Get(HeaderOutcome) + " " + r.Header.Get(HeaderReason))
+}
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -3,8 +3,6 @@
 package callers
 
 import (
-	"context"
-	"encoding/json"
 	"errors"
 	"net/http"
 	"net/netip"
@@ -46,6 +44,8 @@
 // Callers is the handler of the callers' address.
 func (s *Server) Callers() http.Handler {
 	r := chi.NewRouter()
+	r.NotFound(s.noPath)
+	r.MethodNotAllowed(s.noPath)
 	r.Get(PrefixLookup+"{team}/{service}", s.lookup)
 	r.HandleFunc(PrefixCall+"*", s.handler(PrefixCall, core.FromCaller))
 	return r
@@ -58,49 +58,63 @@
 	r.Post(PrefixGrant+"{team}/{service}", s.grant)
 }
 
+func (s *Server) noPath(w http.ResponseWriter, _ *http.Request) {
+	s.badRequest(w, http.StatusNotFound, &BadRequestError{Fault: "nothing is served under this path and method"})
+}
+
 // handler serves requests that come in by one way.
 func (s *Server) handler(prefix string, origin core.Origin) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		b, err := readBody(r)
-		if err != nil {
-			s.badRequest(w, err)
-			return
-		}
-		req, err := parse(r, prefix, s.desk.Now(), b)
+		x, err := s.take(w, r, prefix)
 		if err != nil {
-			s.badRequest(w, err)
+			s.badRequest(w, http.StatusBadRequest, err)
 			return
 		}
 		if origin != core.FromCaller {
-			req.Home = r.Header.Get(HeaderHome)
+			x.req.Home = r.Header.Get(HeaderHome)
 		}
 		if origin == core.FromPeer {
-			req.From = r.Header.Get(HeaderFrom)
+			x.req.From = r.Header.Get(HeaderFrom)
+			x.ask = askOf(r.Header, x.req.Service)
 		}
-		s.serve(w, r, origin, req, b)
+		s.serve(x, origin)
 	}
 }
 
-func (s *Server) serve(w http.ResponseWriter, r *http.Request, origin core.Origin, req core.Request, b *body) {
-	id, decisions := s.desk.Open()
-	defer s.desk.Close(id)
-	x := &exchange{s: s, ask: askOf(r.Header, req.Service), w: w, r: r, id: id, req: req, body: b, came: s.desk.Now()}
-	ctx := r.Context()
-	if req.Key != "" {
-		ctx = context.WithoutCancel(ctx)
+// take reads a request, its body up to maxReplay.
+func (s *Server) take(w http.ResponseWriter, r *http.Request, prefix string) (*exchange, error) {
+	x := &exchange{s: s, w: w, r: r, came: s.desk.Now()}
+	c := http.NewResponseController(w)
+	if r.ContentLength != 0 {
+		c.SetReadDeadline(x.came.Add(bodyTime))
 	}
-	s.desk.Step(core.Arrived{ID: id, Origin: origin, Request: req})
-	x.run(ctx, decisions)
+	var err error
+	if x.to, err = newRoute(r.URL, prefix); err != nil {
+		return nil, err
+	}
+	if x.req, err = parse(r, x.to, x.came); err != nil {
+		return nil, err
+	}
+	if x.body, err = readBody(r); err != nil {
+		return nil, err
+	}
+	if x.body.rest != nil {
+		// Otherwise the server would take the rest away from the target
+		// when an answer begins before all of it has come.
+		c.EnableFullDuplex()
+	} else if r.ContentLength != 0 {
+		c.SetReadDeadline(time.Time{})
+	}
+	x.req.Print = fingerprint(r, x.to, x.body)
+	return x, nil
 }
 
-// badRequest refuses what can't be understood. It has not run.
-func (s *Server) badRequest(w http.ResponseWriter, err error) {
-	h := w.Header()
-	h.Set(HeaderOutcome, OutcomeNotRun)
-	h.Set(HeaderReason, string(core.ReasonBadRequest))
-	h.Set("Content-Type", "application/json")
-	w.WriteHeader(http.StatusBadRequest)
-	json.NewEncoder(w).Encode(refusal{Outcome: OutcomeNotRun, Reason: err.Error()})
+func (s *Server) serve(x *exchange, origin core.Origin) {
+	id, box := s.desk.Open()
+	defer s.desk.Close(id)
+	x.id = id
+	s.desk.Step(core.Arrived{ID: id, Origin: origin, Request: x.req})
+	x.run(box)
 }
 
 // lookupAnswer is the answer of a look-up.
@@ -121,12 +135,12 @@
 func (s *Server) lookup(w http.ResponseWriter, r *http.Request) {
 	id, err := settings.ParseServiceID(chi.URLParam(r, "team") + "/" + chi.URLParam(r, "service"))
 	if err != nil {
-		s.badRequest(w, err)
+		s.badRequest(w, http.StatusBadRequest, err)
 		return
 	}
 	keys, err := strconv.Atoi(or(r.URL.Query().Get("keys"), "0"))
 	if err != nil || keys < 0 {
-		s.badRequest(w, &BadRequestError{Fault: "keys is not a count"})
+		s.badRequest(w, http.StatusBadRequest, &BadRequestError{Fault: "keys is not a count"})
 		return
 	}
 	l, err := s.desk.Lookup(id, remote(r.RemoteAddr), keys)
@@ -144,9 +158,9 @@
 		a.Instances = append(a.Instances, lookupInstance{ID: p.ID, Address: s.callersAddress(p), Place: p.Place})
 	}
 	seconds := int64(l.Until.Sub(s.desk.Now()) / time.Second)
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Cache-Control", "max-age="+itoa(seconds))
-	json.NewEncoder(w).Encode(a)
+	// An answer is for one caller: it depends on the address, and keys are used once.
+	w.Header().Set("Cache-Control", "private, max-age="+itoa(seconds))
+	s.writeJSON(w, http.StatusOK, a)
 }
 
 func (s *Server) callersAddress(p core.Peer) string {
@@ -163,11 +177,7 @@
 	if errors.As(err, &stopping) {
 		reason, status = core.ReasonStopping, http.StatusServiceUnavailable
 	}
-	w.Header().Set(HeaderOutcome, OutcomeNotRun)
-	w.Header().Set(HeaderReason, string(reason))
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	json.NewEncoder(w).Encode(refusal{Outcome: OutcomeNotRun, Reason: err.Error()})
+	s.refuseEarly(w, status, reason, err)
 }
 
 func (s *Server) logLookup(l core.Lookup, caller netip.Addr) {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -11,10 +11,6 @@
 	"github.com/firlever/firlever/pkg/settings"
 )
 
-// pending is how many decisions one request may have waiting: it is held at
-// most once before a decision that its goroutine must act on.
-const pending = 8
-
 // Dispatcher guards a node and passes each decision to whom it concerns. It is
 // safe for concurrent use.
 type Dispatcher struct {
@@ -24,7 +20,7 @@
 	mu      sync.Mutex
 	node    *core.Node // guarded by mu
 	last    core.ID
-	waiting map[core.ID]chan core.Decision // one for each open request
+	waiting map[core.ID]*Mailbox // one for each open request
 }
 
 // New makes a dispatcher for a node. control is called for each decision that
@@ -34,47 +30,55 @@
 		now:     now,
 		control: control,
 		node:    node,
-		waiting: make(map[core.ID]chan core.Decision),
+		waiting: make(map[core.ID]*Mailbox),
 	}
 }
 
 // Now is the time by the clock that the node is driven by.
 func (d *Dispatcher) Now() time.Time { return d.now() }
 
-// Open gives a new request its id and the channel of its decisions.
-func (d *Dispatcher) Open() (core.ID, <-chan core.Decision) {
+// Open gives a new request its id and the mailbox of its decisions.
+func (d *Dispatcher) Open() (core.ID, *Mailbox) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.last++
-	ch := make(chan core.Decision, pending)
-	d.waiting[d.last] = ch
-	return d.last, ch
+	m := newMailbox()
+	d.waiting[d.last] = m
+	return d.last, m
 }
 
-// Close ends a request's channel.
+// Close ends a request. If it has had no final answer, because its handler
+// broke off, the node is told, so that nothing of it is left behind.
 func (d *Dispatcher) Close(id core.ID) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.waiting, id)
+	d.step(core.Cancelled{ID: id})
+	d.step(core.Finished{ID: id, Result: core.Failed, Final: true, Gone: true})
 }
 
 // Step tells the node of an event and passes its decisions on.
 func (d *Dispatcher) Step(ev core.Event) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.step(ev)
+}
+
+func (d *Dispatcher) step(ev core.Event) {
 	for _, dec := range d.node.Step(d.now(), ev) {
 		d.pass(dec)
 	}
 }
 
+// pass never blocks. A decision for a request that has closed is dropped.
 func (d *Dispatcher) pass(dec core.Decision) {
 	id, ok := core.RequestOf(dec)
 	if !ok {
 		d.control(dec)
 		return
 	}
-	if ch, ok := d.waiting[id]; ok {
-		ch <- dec
+	if m, ok := d.waiting[id]; ok {
+		m.put(dec)
 	}
 }
 
--- /dev/null
+++ b/internal/dispatch/dispatcher_test.go
@@ -0,0 +1,110 @@
+package dispatch
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/firlever/firlever/internal/core"
+	"github.com/firlever/firlever/internal/owner"
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+var orders = settings.ServiceID{Team: "shop", Name: "orders"}
+
+const service = `
+class: interactive
+timeout: 2s
+shift: 1
+places:
+  east: {limit: 1, targets: [{name: e, address: "127.0.0.1:1", slots: 1, connections: 9}]}
+`
+
+// newDispatcher gives one whose node has one slot.
+func newDispatcher(t *testing.T) *Dispatcher {
+	t.Helper()
+	now := time.Unix(1_000_000, 0)
+	cfg := core.Config{Instance: "i1", Incarnation: 1, Place: "east", Domain: "east", Region: "coast", Settle: 1}
+	node, err := core.New(cfg, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := settings.Compile([]settings.Document{
+		{Path: "/places/east", Version: 1, Body: []byte("region: coast\ndomain: east\nlimit: 1\n")},
+		{Path: "/teams/shop/services/orders", Version: 1, Body: []byte(service)},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	roster, err := owner.Roster{}.Join("i1", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := New(node, func() time.Time { now = now.Add(time.Microsecond); return now }, func(core.Decision) {})
+	d.Step(core.Applied{Snapshot: s})
+	d.Step(core.RosterRead{Roster: roster, Sent: now})
+	return d
+}
+
+func (d *Dispatcher) arrive(deadline time.Time) (core.ID, *Mailbox) {
+	id, box := d.Open()
+	d.Step(core.Arrived{ID: id, Request: core.Request{
+		Service: orders, Method: "GET", Path: "/", Caller: netip.Addr{}, Deadline: deadline, Replayable: true,
+	}})
+	return id, box
+}
+
+// TestCloseLeavesNothing closes requests whose handlers broke off at any stage.
+func TestCloseLeavesNothing(t *testing.T) {
+	tests := map[string]struct {
+		others int // requests that hold the slot before
+		end    bool
+	}{
+		"at its target": {0, false},
+		"in the queue":  {1, false},
+		"answered":      {0, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDispatcher(t)
+			for range tt.others {
+				d.arrive(time.Time{})
+			}
+			id, box := d.arrive(time.Time{})
+			if len(box.Take()) != 1 {
+				t.Fatal("got no decision, want one")
+			}
+			if tt.end {
+				d.Step(core.Finished{ID: id, Result: core.Answered})
+			}
+			d.Close(id)
+			d.Step(core.Tick{})
+			d.Read(func(now time.Time, n *core.Node) {
+				st := n.Status(now)
+				if st.Open != tt.others || st.Queued != 0 || st.Services[0].InFlight != tt.others {
+					t.Errorf("got %d open, %d queued, %d in flight, want %d, 0, %d",
+						st.Open, st.Queued, st.Services[0].InFlight, tt.others, tt.others)
+				}
+			})
+		})
+	}
+}
+
+// TestMailboxHoldsUpNobody gives more decisions than anybody takes.
+func TestMailboxHoldsUpNobody(t *testing.T) {
+	const count = 1000
+	d := newDispatcher(t)
+	id, box := d.Open()
+	for range count {
+		d.pass(core.Hold{ID: id})
+	}
+	<-box.Ready()
+	if got := len(box.Take()); got != count {
+		t.Errorf("got %d decisions, want %d", got, count)
+	}
+	d.Close(id)
+	d.pass(core.Hold{ID: id})
+	if got := len(box.Take()); got != 0 {
+		t.Errorf("got %d decisions after the end, want 0", got)
+	}
+}
