--- /dev/null
+++ b/internal/procs/crash_test.go
@@ -0,0 +1,135 @@
+//go:build linux
+
+package procs
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/firlever/firlever/internal/emulator/target"
+)
+
+// await that the targets named get new work.
+func (f *fleet) awaitWork(place string, names []string) {
+	f.t.Helper()
+	for _, name := range names {
+		scope := target.Scope{Place: place, Service: service, Target: name}
+		before := f.runs(scope)
+		f.await("work for "+name, func() string {
+			if f.runs(scope) > before {
+				return ""
+			}
+			return "no run"
+		})
+	}
+}
+
+// victim picks an instance of a place that owns targets while another owns some too.
+func (f *fleet) victim(place string) (*node, []string) {
+	f.t.Helper()
+	var all [][]string
+	var found *node
+	var names []string
+	for _, n := range f.in(place) {
+		if !n.alive() {
+			continue
+		}
+		owned := n.owns()
+		all = append(all, owned)
+		if len(owned) == 0 {
+			f.t.Fatalf("the targets are owned %v, want some by each instance", all)
+		}
+		found, names = n, owned
+	}
+	return found, names
+}
+
+// TestKill: an instance is killed under load; its callers notice only latency,
+// and a replacement under its id serves again.
+func TestKill(t *testing.T) {
+	scenario(t, options{places: []place{{"a", 2, 6}, {"b", 1, 2}}, mean: 40 * time.Millisecond}, func(f *fleet) {
+		l := f.load("kill", traffic{home: "a", idempotent: 60, once: 20})
+		time.Sleep(time.Second)
+		dead, targets := f.victim("a")
+		dead.proc.kill()
+		f.await("the other instance owns all", func() string {
+			for _, n := range f.in("a") {
+				if n.alive() && len(n.owns()) == 6 {
+					return ""
+				}
+			}
+			return "some targets are owned by nobody"
+		})
+		f.awaitWork("a", targets)
+		incarnation := dead.incarnation()
+		dead.start()
+		f.settled()
+		f.awaitWork("a", targets)
+		f.awaitWork("a", dead.owns())
+		if st, err := dead.status(); err != nil || st.Incarnation <= incarnation {
+			t.Errorf("got incarnation %d (%v), want a newer one than %d", st.Incarnation, err, incarnation)
+		}
+		idempotent, _ := l.stop(t)
+		f.none("idempotent", idempotent)
+	})
+}
+
+// incarnation is the newest that the monitor has seen of the node.
+func (n *node) incarnation() uint64 {
+	n.f.watch.mu.Lock()
+	defer n.f.watch.mu.Unlock()
+	return n.f.watch.incarnations[n.id]
+}
+
+// TestPause: an instance is stopped for longer than its rights last, under more
+// load than the place takes, and wakes up to a crowd of waiting requests.
+func TestPause(t *testing.T) {
+	scenario(t, options{places: []place{{"a", 2, 6}}, mean: 150 * time.Millisecond, slots: 2, timeout: 2 * time.Second}, func(f *fleet) {
+		l := f.load("pause", traffic{home: "a", idempotent: 110, once: 20, timeout: 2 * time.Second})
+		time.Sleep(time.Second)
+		paused, targets := f.victim("a")
+		paused.proc.signal(t, syscall.SIGSTOP)
+		began := time.Now()
+		f.awaitWork("a", targets) // what ran at the time of the pause ends at once
+		time.Sleep(time.Until(began.Add(4 * time.Second)))
+		f.awaitWork("a", targets)
+		time.Sleep(time.Second)
+		crowd := f.crowd(paused, 60)
+		time.Sleep(300 * time.Millisecond)
+		t.Logf("paused for %s", time.Since(began).Round(time.Millisecond))
+		paused.proc.signal(t, syscall.SIGCONT)
+		crowd.Wait()
+		f.settled()
+		f.awaitWork("a", targets)
+		l.stop(t)
+		if peak := f.journal.Place("a").Peak; peak < 8 {
+			f.doubt("got at most %d requests in flight, want the place to be full", peak)
+		}
+	})
+}
+
+// crowd sends requests straight to one instance, to wait there.
+func (f *fleet) crowd(n *node, size int) *sync.WaitGroup {
+	var all sync.WaitGroup
+	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for i := range size {
+		all.Go(func() {
+			r, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/call/%s/crowd", n.callers, service), nil)
+			if err != nil {
+				return
+			}
+			r.Header.Set("Firlever-Request", fmt.Sprintf("crowd-%d-%d", f.number, i))
+			r.Header.Set("Firlever-Timeout", "3000")
+			if resp, err := client.Do(r); err == nil {
+				_, _ = io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+			}
+		})
+	}
+	return &all
+}
--- /dev/null
+++ b/internal/procs/fleet_test.go
@@ -0,0 +1,342 @@
+//go:build linux
+
+package procs
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/firlever/firlever/internal/emulator/kv"
+	"github.com/firlever/firlever/internal/emulator/link"
+	"github.com/firlever/firlever/internal/emulator/target"
+	"github.com/firlever/firlever/internal/operator"
+	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+// patience is the longest that a test waits for what has to come.
+const patience = 45 * time.Second
+
+const (
+	service   = "shop/orders"
+	token     = "procs"
+	platformP = "platform" // the platform's point
+	targetsP  = "targets"  // the near end of all links to targets
+)
+
+// place is a part of a fleet.
+type place struct {
+	name      string
+	instances int
+	targets   int
+}
+
+// options set up a fleet. The stand-ins take more than their documents say, so
+// that it is firlever alone that keeps the limits.
+type options struct {
+	places  []place
+	slots   int           // of each target, as its document says; 4
+	limit   int           // of the service in a place; all slots if 0
+	mean    time.Duration // service time; 5ms
+	timeout time.Duration // of the service; 3s
+	shift   int           // cap; 1000
+	linger  time.Duration // of a planned stop; that of serve if 0
+}
+
+func (o *options) defaults() {
+	setDefault(&o.slots, 4)
+	setDefault(&o.mean, 5*time.Millisecond)
+	setDefault(&o.timeout, 3*time.Second)
+	setDefault(&o.shift, 1000)
+}
+
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
+// fleet is a platform, target stand-ins and instances of several places.
+type fleet struct {
+	t       *testing.T
+	opts    options
+	number  int // of this fleet; its addresses follow from it
+	links   *link.Links
+	store   *kv.Local
+	kvAddr  string
+	journal *target.Journal
+	targets map[string][]*target.Target // by place
+	nodes   []*node
+	byIP    map[netip.Addr]link.Point // read only once processes run
+	watch   *monitor
+	doubts  []string // failures that a stall could explain
+	began   time.Time
+}
+
+var fleets atomic.Int32
+
+// newFleet starts all, and waits until each instance has confirmed rights.
+func newFleet(t *testing.T, opts options) *fleet {
+	t.Helper()
+	opts.defaults()
+	f := &fleet{
+		t: t, opts: opts, number: int(fleets.Add(1)),
+		began:   time.Now(),
+		links:   link.New(nil, link.Latency{}, 1, nil),
+		journal: target.NewJournal(nil, time.Now()),
+		targets: map[string][]*target.Target{},
+		byIP:    map[netip.Addr]link.Point{},
+	}
+	f.startPlatform()
+	for i, p := range opts.places {
+		f.startTargets(p)
+		for j := range p.instances + 1 { // one more can be started later
+			f.nodes = append(f.nodes, f.newNode(p.name, i, j+1))
+		}
+	}
+	f.configure()
+	for _, p := range opts.places {
+		for _, n := range f.in(p.name)[:p.instances] {
+			n.start()
+		}
+	}
+	f.watch = startMonitor(f)
+	f.settled()
+	return f
+}
+
+func (f *fleet) startPlatform() {
+	core, err := kv.New(kv.Defaults(), rand.New(rand.NewPCG(1, 1)))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.store = kv.NewLocal(core, time.Now)
+	ln := f.listen()
+	server := kv.NewServer(f.store)
+	go server.Serve(ln)
+	f.t.Cleanup(func() { server.Close() })
+	f.kvAddr = ln.Addr().String()
+}
+
+func (f *fleet) listen() net.Listener {
+	f.t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return ln
+}
+
+// proxy forwards to an address over the link between two points.
+func (f *fleet) proxy(from, to, addr string) string {
+	p := link.NewProxy(f.listen(), f.links, link.At(from), link.At(to), addr)
+	f.t.Cleanup(func() { p.Close() })
+	return p.Addr()
+}
+
+func (f *fleet) startTargets(p place) {
+	for i := range p.targets {
+		cfg := target.Config{
+			Service: service, Place: p.name, Name: fmt.Sprintf("%s-t%d", p.name, i),
+			Slots: 8 * f.opts.slots, Queue: 8 * f.opts.slots, Mean: f.opts.mean, Spread: 0.3, Seed: uint64(i + 1),
+		}
+		tg, err := target.Start(f.listen(), cfg, f.journal)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		f.t.Cleanup(func() { tg.Close() })
+		f.targets[p.name] = append(f.targets[p.name], tg)
+		f.journal.SetLimit(tg.Scope(), f.opts.slots)
+	}
+	f.journal.SetLimit(target.Scope{Place: p.name}, f.limit(p))
+	f.journal.SetLimit(target.Scope{Place: p.name, Service: service}, f.limit(p))
+}
+
+func (f *fleet) limit(p place) int {
+	if f.opts.limit > 0 {
+		return f.opts.limit
+	}
+	return p.targets * f.opts.slots
+}
+
+// home is the address that callers of a place come from.
+func (f *fleet) home(place int) string { return fmt.Sprintf("127.%d.%d.1", 20+f.number, 100+place) }
+
+func (f *fleet) placeIndex(name string) int {
+	for i, p := range f.opts.places {
+		if p.name == name {
+			return i
+		}
+	}
+	f.t.Fatalf("no place %s", name)
+	return -1
+}
+
+// configure writes the documents.
+func (f *fleet) configure() {
+	var blocks, sites strings.Builder
+	for i, p := range f.opts.places {
+		fmt.Fprintf(&blocks, "  - {prefix: %s/32, place: %s}\n", f.home(i), p.name)
+		fmt.Fprintf(&sites, "  %s:\n    limit: %d\n    targets:\n", p.name, f.limit(p))
+		for _, tg := range f.targets[p.name] {
+			name := tg.Config().Name
+			fmt.Fprintf(&sites, "      - {name: %s, address: %q, slots: %d, connections: 100}\n",
+				name, f.proxy(targetsP, name, tg.Addr()), f.opts.slots)
+		}
+		f.write("/places/"+p.name, fmt.Sprintf("region: coast\ndomain: %s\nlimit: %d\n", p.name, f.limit(p)))
+	}
+	f.write("/blocks/all", "blocks:\n"+blocks.String())
+	f.write("/teams/"+strings.Replace(service, "/", "/services/", 1),
+		fmt.Sprintf("class: interactive\ntimeout: %s\nshift: %d\nplaces:\n%s", f.opts.timeout, f.opts.shift, sites.String()))
+}
+
+// write creates a document in the platform itself.
+func (f *fleet) write(path, body string) {
+	f.t.Helper()
+	if _, err := platform.PutDocument(context.Background(), f.store, path, 0, []byte(body), "setup"); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// put writes a document through an instance, and returns the version that was accepted.
+func (f *fleet) put(n *node, path string, version uint64, body string) uint64 {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	c := operator.NewClient(n.operators, token)
+	defer c.Close()
+	name := fmt.Sprintf("w-%d-%d", f.number, rand.Uint64())
+	doc := settings.Document{Path: path, Version: version, Body: []byte(body)}
+	change, err := c.Put(ctx, doc, name, true)
+	if err != nil {
+		f.t.Fatalf("put %s at %s: %v", path, n.id, err)
+	}
+	return change.Version
+}
+
+// in lists the instances of a place, those not started too.
+func (f *fleet) in(place string) []*node {
+	var list []*node
+	for _, n := range f.nodes {
+		if n.place == place {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+// running lists the instances that run.
+func (f *fleet) running() []*node {
+	var list []*node
+	for _, n := range f.nodes {
+		if n.alive() {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+// settled waits until each running instance has confirmed rights, and each
+// target an owner that may use it.
+func (f *fleet) settled() {
+	f.t.Helper()
+	f.await("all instances confirmed and all targets owned", func() string {
+		usable := map[string]int{}
+		for _, n := range f.running() {
+			st, err := n.status()
+			if err != nil {
+				return err.Error()
+			}
+			if !st.Ready || st.Reason != "" {
+				return n.id + ": " + st.Reason
+			}
+			for _, tg := range st.Targets {
+				usable[tg.Name] += tg.Allowance
+			}
+		}
+		return f.unowned(usable)
+	})
+}
+
+func (f *fleet) unowned(usable map[string]int) string {
+	for place, list := range f.targets {
+		if !slices.ContainsFunc(f.in(place), (*node).alive) {
+			continue
+		}
+		for _, tg := range list {
+			if usable[tg.Config().Name] == 0 {
+				return tg.Config().Name + " is used by no instance"
+			}
+		}
+	}
+	return ""
+}
+
+// await waits until cond gives no reason to wait any more.
+func (f *fleet) await(what string, cond func() string) time.Duration {
+	f.t.Helper()
+	began := time.Now()
+	for {
+		reason := cond()
+		if reason == "" {
+			return time.Since(began)
+		}
+		if time.Since(began) > patience {
+			f.t.Fatalf("%s: still not after %s: %s\n%s", what, patience, reason, f.tails())
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// runs is how much work the targets of a scope have begun.
+func (f *fleet) runs(s target.Scope) int { return f.journal.Use(s).Runs }
+
+// tails is what the instances wrote last.
+func (f *fleet) tails() string {
+	var b strings.Builder
+	for _, n := range f.nodes {
+		if n.proc != nil {
+			fmt.Fprintf(&b, "--- %s\n%s\n", n.id, n.proc.out.tail(8))
+		}
+	}
+	return b.String()
+}
+
+// check ends a scenario: no invariant is broken, by the stand-ins' journal and
+// by what each instance tells of itself, and no process crashed.
+func (f *fleet) check() {
+	f.t.Helper()
+	f.watch.stop()
+	f.checkJournal()
+	f.watch.report(f.t)
+	for _, n := range f.nodes {
+		for _, p := range n.past {
+			if text := p.out.crash(); text != "" {
+				f.t.Errorf("%s: %s", n.id, text)
+			}
+		}
+	}
+}
+
+// bodyOf reads a document from the platform's stand-in.
+func bodyOf(t *testing.T, f *fleet, path string) []byte {
+	t.Helper()
+	e, err := f.store.Get(context.Background(), path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	doc, err := platform.DecodeDocument(e)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return doc.Body
+}
--- /dev/null
+++ b/internal/procs/links_test.go
@@ -0,0 +1,60 @@
+//go:build linux
+
+package procs
+
+import (
+	"testing"
+	"time"
+
+	"github.com/firlever/firlever/internal/emulator/link"
+)
+
+// TestBadLinks: links to targets and between instances are slow, late or half
+// open. Requests end by their deadline with a true outcome.
+func TestBadLinks(t *testing.T) {
+	scenario(t, options{places: []place{{"a", 2, 6}, {"b", 1, 2}}, mean: 20 * time.Millisecond, timeout: 2 * time.Second}, func(f *fleet) {
+		l := f.load("bad", traffic{home: "a", idempotent: 60, once: 20, timeout: 2 * time.Second})
+		large := f.load("bad-large", traffic{home: "a", idempotent: 4, size: 200 << 10, timeout: 2 * time.Second})
+		a := f.in("a")
+		name := func(i int) string { return f.targets["a"][i].Config().Name }
+		faults := []func(){
+			func() { f.links.Set(name(0), targetsP, link.Fault{Cut: true}) }, // answers vanish
+			func() { f.links.Set(targetsP, name(1), link.Fault{Cut: true}) }, // requests vanish
+			func() { f.links.SetBoth(targetsP, name(2), link.Fault{Delay: 300 * time.Millisecond}) },
+			func() { f.links.Set(name(3), targetsP, link.Fault{Bandwidth: 20 << 10}) },
+			func() { f.links.Set(a[0].id, a[1].id, link.Fault{Cut: true}) }, // one way
+			func() {
+				f.links.SetBoth(a[0].id, f.in("b")[0].id, link.Fault{Loss: 0.3, Delay: 100 * time.Millisecond})
+			},
+			func() { f.links.SetBoth(targetsP, name(4), link.Fault{Refuse: true}) },
+		}
+		for _, fault := range faults {
+			fault()
+			time.Sleep(1500 * time.Millisecond)
+		}
+		bad, _ := l.stop(t)
+		large.stop(t)
+		if bad.answered < bad.sent/2 {
+			f.doubt("got %d of %d idempotent requests answered, want half or more: one target was never harmed", bad.answered, bad.sent)
+		}
+		f.links.Clear()
+		f.settled()
+		f.recovered()
+	})
+}
+
+// recovered waits until a second of load is answered whole.
+func (f *fleet) recovered() {
+	f.t.Helper()
+	i := 0
+	f.await("all is answered again", func() string {
+		i++
+		l := f.load("again", traffic{home: "a", idempotent: 40 + i})
+		time.Sleep(time.Second)
+		idempotent, _ := l.stop(f.t)
+		if idempotent.failures() > 0 {
+			return idempotent.String()
+		}
+		return ""
+	})
+}
--- /dev/null
+++ b/internal/procs/network_test.go
@@ -0,0 +1,157 @@
+//go:build linux
+
+package procs
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+
+	"github.com/firlever/firlever/internal/emulator/link"
+)
+
+// gate stands before an instance's peers' address, TCP and UDP. It tells the
+// senders by their addresses, so that each pair of instances has its own link.
+type gate struct {
+	links  *link.Links
+	to     link.Point
+	locate func(netip.Addr) link.Point
+	ln     net.Listener
+	packet net.PacketConn
+	real   atomic.Pointer[net.UDPAddr] // of the instance; nil before it listens
+
+	mu      sync.Mutex
+	lines   map[link.Point]*line
+	proxies []*link.Proxy
+	closed  bool
+}
+
+// line hands the connections of one sender to its proxy.
+type line struct {
+	addr  net.Addr
+	conns chan net.Conn
+	once  sync.Once
+	done  chan struct{}
+}
+
+func (l *line) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *line) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return nil
+}
+
+func (l *line) Addr() net.Addr { return l.addr }
+
+// newGate listens at one port of ip for both TCP and UDP.
+func newGate(ip string, links *link.Links, to link.Point, locate func(netip.Addr) link.Point) (*gate, error) {
+	ln, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		return nil, err
+	}
+	packet, err := net.ListenPacket("udp", ln.Addr().String())
+	if err != nil {
+		ln.Close()
+		return nil, err
+	}
+	g := &gate{links: links, to: to, locate: locate, ln: ln, packet: packet, lines: map[link.Point]*line{}}
+	go g.carryPackets()
+	return g, nil
+}
+
+func (g *gate) addr() string { return g.ln.Addr().String() }
+
+// open begins to forward to the instance's own address.
+func (g *gate) open(address string) error {
+	udp, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return err
+	}
+	if g.real.Swap(udp) == nil {
+		go g.accept()
+	}
+	return nil
+}
+
+func (g *gate) accept() {
+	for {
+		c, err := g.ln.Accept()
+		if err != nil {
+			return
+		}
+		l := g.line(g.locate(ipOf(c.RemoteAddr())))
+		if l == nil {
+			c.Close()
+			return
+		}
+		select {
+		case l.conns <- c:
+		case <-l.done:
+			c.Close()
+		}
+	}
+}
+
+// line returns the line of a sender; nil after close.
+func (g *gate) line(from link.Point) *line {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		return nil
+	}
+	l := g.lines[from]
+	if l == nil {
+		l = &line{addr: g.ln.Addr(), conns: make(chan net.Conn), done: make(chan struct{})}
+		g.lines[from] = l
+		g.proxies = append(g.proxies, link.NewProxy(l, g.links, from, g.to, g.real.Load().String()))
+	}
+	return l
+}
+
+func (g *gate) carryPackets() {
+	out := map[link.Point]net.PacketConn{}
+	buf := make([]byte, 64<<10)
+	for {
+		n, addr, err := g.packet.ReadFrom(buf)
+		if err != nil {
+			return
+		}
+		own := g.real.Load()
+		if own == nil {
+			continue
+		}
+		from := g.locate(ipOf(addr))
+		if out[from] == nil {
+			out[from] = g.links.PacketConn(g.packet, from, func(net.Addr) link.Point { return g.to })
+		}
+		_, _ = out[from].WriteTo(buf[:n], own)
+	}
+}
+
+func (g *gate) close() {
+	g.ln.Close()
+	g.packet.Close()
+	g.mu.Lock()
+	g.closed = true
+	proxies := g.proxies
+	g.mu.Unlock()
+	for _, p := range proxies {
+		p.Close()
+	}
+}
+
+func ipOf(a net.Addr) netip.Addr {
+	ap, err := netip.ParseAddrPort(a.String())
+	if err != nil {
+		return netip.Addr{}
+	}
+	return ap.Addr().Unmap()
+}
--- /dev/null
+++ b/internal/procs/node_test.go
@@ -0,0 +1,224 @@
+//go:build linux
+
+package procs
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"regexp"
+	"sync"
+	"time"
+
+	"github.com/firlever/firlever/internal/emulator/link"
+	"github.com/firlever/firlever/internal/operator"
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+// node is one instance, over all processes that run under its id.
+type node struct {
+	f        *fleet
+	id       string
+	place    string
+	ip       string
+	gate     *gate  // others reach the instance through it
+	platform string // the instance reaches the platform through it
+
+	callers, peers, operators string // kept when the instance is started again
+
+	mu   sync.Mutex
+	proc *process   // nil before the first; guarded by mu
+	past []*process // all so far, proc too
+}
+
+var servingLine = regexp.MustCompile(`serving instance=\S+ callers=(\S+) peers=(\S+) operators=(\S+)`)
+
+func (f *fleet) newNode(place string, index, i int) *node {
+	n := &node{f: f, id: fmt.Sprintf("%s-%d", place, i), place: place}
+	n.ip = fmt.Sprintf("127.%d.%d.%d", 20+f.number, index, i)
+	f.byIP[netip.MustParseAddr(n.ip)] = link.At(n.id)
+	g, err := newGate(n.ip, f.links, link.At(n.id), func(a netip.Addr) link.Point { return f.byIP[a] })
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(g.close)
+	n.gate = g
+	n.platform = f.proxy(n.id, platformP, f.kvAddr)
+	n.callers, n.peers, n.operators = n.ip+":0", n.ip+":0", n.ip+":0"
+	f.t.Cleanup(n.end)
+	return n
+}
+
+// start runs a new process under the node's id and waits until it serves. It
+// begins with the peers that run now.
+func (n *node) start() {
+	n.f.t.Helper()
+	args := []string{
+		"serve", "--id", n.id, "--place", n.place, "--region", "coast", "--log", "info",
+		"--callers", n.callers, "--peers", n.peers, "--operators", n.operators,
+		"--advertise-peers", n.gate.addr(), "--source", n.ip,
+		"--platform", n.platform, "--bootstrap", settings.HashToken(token),
+	}
+	if d := n.f.opts.linger; d > 0 {
+		args = append(args, "--linger", d.String())
+	}
+	for _, other := range n.f.running() {
+		args = append(args, "--join", other.gate.addr())
+	}
+	p := startProcess(n.f.t, args...)
+	n.mu.Lock()
+	n.past = append(n.past, p)
+	n.mu.Unlock()
+	m := p.await(n.f.t, servingLine)
+	n.mu.Lock()
+	n.callers, n.peers, n.operators = m[1], m[2], m[3]
+	n.proc = p
+	n.mu.Unlock()
+	if err := n.gate.open(n.peers); err != nil {
+		n.f.t.Fatal(err)
+	}
+}
+
+func (n *node) end() {
+	for _, p := range n.past {
+		p.kill()
+	}
+}
+
+// alive says whether the node's process serves, also when it's stopped.
+func (n *node) alive() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.proc == nil {
+		return false
+	}
+	select {
+	case <-n.proc.done:
+		return false
+	default:
+		return true
+	}
+}
+
+func (n *node) status() (operator.Status, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	n.mu.Lock()
+	address := n.operators
+	n.mu.Unlock()
+	c := operator.NewClient(address, token)
+	defer c.Close()
+	return c.Status(ctx)
+}
+
+// version is that of a document in force at the node; 0 if it can't be told.
+func (n *node) version(path string) uint64 {
+	st, err := n.status()
+	if err != nil {
+		return 0
+	}
+	for _, d := range st.Documents {
+		if d.Path == path {
+			return d.Version
+		}
+	}
+	return 0
+}
+
+// owns lists the targets that the node may use now.
+func (n *node) owns() []string {
+	st, err := n.status()
+	if err != nil {
+		return nil
+	}
+	var names []string
+	for _, tg := range st.Targets {
+		if tg.Owner == n.id && tg.Allowance > 0 {
+			names = append(names, tg.Name)
+		}
+	}
+	return names
+}
+
+// monitor asks all running instances for their status again and again: a
+// version must never go back, and no invariant be broken.
+type monitor struct {
+	f    *fleet
+	done chan struct{}
+	over chan struct{}
+
+	mu           sync.Mutex
+	versions     map[string]uint64 // by instance, incarnation and path
+	checks       map[string]uint64 // by instance, incarnation and invariant
+	faults       map[string]bool
+	incarnations map[string]uint64 // newest by instance
+	asked        int
+}
+
+func startMonitor(f *fleet) *monitor {
+	m := &monitor{
+		f: f, done: make(chan struct{}), over: make(chan struct{}),
+		versions: map[string]uint64{}, checks: map[string]uint64{}, faults: map[string]bool{},
+		incarnations: map[string]uint64{},
+	}
+	go m.run()
+	return m
+}
+
+const monitorEvery = 300 * time.Millisecond
+
+func (m *monitor) run() {
+	defer close(m.over)
+	for {
+		m.ask()
+		select {
+		case <-m.done:
+			m.ask()
+			return
+		case <-time.After(monitorEvery):
+		}
+	}
+}
+
+func (m *monitor) ask() {
+	var all sync.WaitGroup
+	for _, n := range m.f.nodes {
+		if n.alive() {
+			all.Go(func() {
+				if st, err := n.status(); err == nil {
+					m.take(st)
+				}
+			})
+		}
+	}
+	all.Wait()
+}
+
+func (m *monitor) take(st operator.Status) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.asked++
+	m.incarnations[st.Instance] = max(m.incarnations[st.Instance], st.Incarnation)
+	who := fmt.Sprintf("%s/%d ", st.Instance, st.Incarnation)
+	for _, d := range st.Documents {
+		if was := m.versions[who+d.Path]; d.Version < was {
+			m.faults[fmt.Sprintf("%s%s went from version %d back to %d", who, d.Path, was, d.Version)] = true
+		}
+		m.versions[who+d.Path] = d.Version
+	}
+	for _, c := range st.Invariants {
+		m.checks[who+string(c.Name)] = uint64(c.Checks)
+		if c.Violations > 0 {
+			m.faults[fmt.Sprintf("%sbroke %s", who, c.Name)] = true
+		}
+	}
+}
+
+func (m *monitor) stop() {
+	select {
+	case <-m.done:
+	default:
+		close(m.done)
+	}
+	<-m.over
+}
--- /dev/null
+++ b/internal/procs/norace_test.go
@@ -0,0 +1,5 @@
+//go:build linux && !race
+
+package procs
+
+var buildFlags []string
--- /dev/null
+++ b/internal/procs/planned_test.go
@@ -0,0 +1,97 @@
+//go:build linux
+
+package procs
+
+import (
+	"fmt"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/firlever/firlever/internal/emulator/target"
+)
+
+// leaveWithin is how soon what is drained gets no new work.
+const leaveWithin = 3 * time.Second
+
+// drain writes a drain through an instance, and tells the journal when the
+// scope must be left alone.
+func (f *fleet) drain(n *node, path, body string, s target.Scope) {
+	f.t.Helper()
+	f.put(n, path, 0, body)
+	f.journal.Leave(s, time.Now().Add(leaveWithin))
+}
+
+// TestPlannedStop: an instance is stopped in plan, then a target and a place are
+// drained, all under load. Nothing is cut.
+func TestPlannedStop(t *testing.T) {
+	scenario(t, options{places: []place{{"a", 2, 4}, {"b", 2, 4}}, mean: 60 * time.Millisecond, slots: 6}, func(f *fleet) {
+		l := f.load("planned", traffic{home: "a", idempotent: 60, once: 20})
+		slow := f.load("large", traffic{home: "a", idempotent: 5, size: 300 << 10})
+		time.Sleep(time.Second)
+
+		stopped, targets := f.victim("a")
+		stopped.proc.signal(t, syscall.SIGTERM)
+		if code := stopped.proc.exit(t); code != 0 {
+			t.Errorf("got exit code %d of a planned stop, want 0:\n%s", code, stopped.proc.out.tail(10))
+		}
+		f.awaitWork("a", targets)
+
+		via := f.running()[0]
+		gone := f.targets["a"][0].Scope()
+		team, name, _ := strings.Cut(service, "/")
+		f.drain(via, "/teams/"+team+"/drains/one", fmt.Sprintf("service: %s\ntarget: %s\n", name, gone.Target), gone)
+		time.Sleep(leaveWithin + time.Second)
+		f.drain(via, "/drains/place", "place: a\n", target.Scope{Place: "a"})
+		time.Sleep(leaveWithin + 2*time.Second)
+		if use := f.journal.Place("a"); use.Now > 0 {
+			f.doubt("got %d requests in flight in the drained place, want none", use.Now)
+		}
+
+		idempotent, once := l.stop(t)
+		large, _ := slow.stop(t)
+		f.none("idempotent", idempotent)
+		f.none("once", once)
+		f.none("large answers", large)
+	})
+}
+
+// TestRollingReplacement: all instances are replaced in turn under load, then a
+// whole place is killed and started at once.
+func TestRollingReplacement(t *testing.T) {
+	scenario(t, options{places: []place{{"a", 2, 4}, {"b", 2, 4}}, linger: 1500 * time.Millisecond}, func(f *fleet) {
+		l := f.load("rolling", traffic{home: "a", idempotent: 60, once: 20})
+		for _, n := range f.running() {
+			n.proc.signal(t, syscall.SIGTERM)
+			if code := n.proc.exit(t); code != 0 {
+				t.Errorf("%s: got exit code %d of a planned stop, want 0", n.id, code)
+			}
+			n.start()
+			f.settled()
+		}
+		rolled, once := l.stop(t)
+		f.none("idempotent in the rolling replacement", rolled)
+		if n := once.count("unknown") + once.count("cut"); n > 0 {
+			f.doubt("got %d non-idempotent requests without a known end, want none", n)
+		}
+
+		l = f.load("restart", traffic{home: "a", idempotent: 60, once: 20})
+		time.Sleep(time.Second)
+		for _, n := range f.in("a")[:2] {
+			n.proc.kill()
+		}
+		time.Sleep(time.Second)
+		for _, n := range f.in("a")[:2] {
+			n.start()
+		}
+		f.settled()
+		for _, tg := range f.targets["a"] {
+			f.awaitWork("a", []string{tg.Config().Name})
+		}
+		restarted, _ := l.stop(t)
+		if restarted.answered < restarted.sent*19/20 {
+			f.doubt("restart of a place: got %d of %d answered, want 19 of 20: %s", restarted.answered, restarted.sent, restarted)
+		}
+	})
+}
