--- a/cmd/firlever/root.go
+++ b/cmd/firlever/root.go
@@ -50,6 +50,7 @@
 		newLookupCommand(),
 		newPlatformCommand(),
 		newServeCommand(),
+		newCompareCommand(),
 		newVersionCommand(),
 	)
 	return root
