Take the growing guesses of room back

The drained place that refused as full is the grants' matter now; internal/procs goes on checking it.

--- a/internal/core/room.go
+++ b/internal/core/room.go
@@ -16,16 +16,10 @@
 type room struct {
 	free  int       // never below zero
 	until time.Time // the peer asked not to be tried before; zero if it did not
-	heard bool      // the peer tells its room; else free is a guess
 }
 
-// Guesses of the room of a peer that has said nothing, as those of other places
-// never do. A guess grows by each answer, and a refusal ends it.
-const (
-	firstGuess = 8  // at first: a place that is drained hands off much at once
-	nextGuess  = 2  // after a refusal
-	mostGuess  = 64 // at most
-)
+// unheard is the room that a peer is taken to have before it has said anything.
+const unheard = 2
 
 func (n *Node) roomOf(peer string, service settingsID) *room {
 	d, ok := n.rooms[peer]
@@ -35,7 +29,7 @@
 	}
 	r, ok := d[service]
 	if !ok {
-		r = &room{free: firstGuess}
+		r = &room{free: unheard}
 		d[service] = r
 	}
 	return r
@@ -47,7 +41,6 @@
 		known := n.roomOf(ev.Peer, r.Service)
 		known.free = max(r.Free-r.Queued, 0)
 		known.until = time.Time{}
-		known.heard = true
 	}
 	n.pump(now)
 }
@@ -58,15 +51,13 @@
 	r.free = max(r.free-1, 0)
 }
 
-// roomBack notes how a hand-off ended: an answer, or a caller who gave up, gives
-// its slot back; a refusal means that the peer is full until it says otherwise.
+// roomBack notes how a hand-off ended: an answer, or a caller who gave
+// up, gives its slot back, a
+// refusal means that the peer is full until it says otherwise.
 func (n *Node) roomBack(now time.Time, peer string, service settingsID, ev Finished) {
 	r := n.roomOf(peer, service)
 	if ev.Result == Answered || ev.Gone {
 		r.free++
-		if !r.heard && !ev.Gone {
-			r.free = min(r.free+1, mostGuess)
-		}
 		return
 	}
 	r.free = 0
@@ -86,7 +77,7 @@
 	if now.Before(r.until) {
 		return 0
 	}
-	r.free, r.until = nextGuess, time.Time{}
+	r.free, r.until = unheard, time.Time{}
 	return r.free
 }
 
