--- a/internal/demo/inject.go
+++ b/internal/demo/inject.go
@@ -157,7 +157,7 @@
 
 func (r *run) drained(scope target.Scope, accepted time.Time) {
 	u := r.f.journal.Use(scope)
-	d := Drain{Place: scope.Place, Left: u.Now, Late: u.Late, Millis: millis(u.Last.Sub(accepted))}
+	d := Drain{Place: scope.Place, Left: u.Now, Late: u.Late, Millis: millis(max(u.Last.Sub(accepted), 0))}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.drains = append(r.drains, d)
