Get documents from peers at the start, and spread calls to the platform

Cause: each instance read everything from the platform at its start; all registered each half second for 5 s, then read the whole list each 15 to 30 s; after an outage all came back within the same backoff of 10 s; each change woke every watch at once; a roster's change reached the others of its place only when they read it again, up to 30 s later.

Change: an instance knows up to which revision of the platform its documents lack nothing. It tells that with its root and its digests, and whoever has equal documents takes it over. A beginner asks peers first, passes over those that don't know it, and puts nothing in force before it is complete. Only a domain's watchers read everything, after 2 to 4 s without a peer's answer, the others after 10 to 20 s. Registrations keep their interval through outages; the list is read often only while it has something to tell; watches pause after a change; newer rosters come from peers; the roster is read a second before the rights lapse rather than after. An instance closes the metrics it made.

--- a/internal/instance/capacity_test.go
+++ b/internal/instance/capacity_test.go
@@ -199,7 +199,7 @@
 	c.put(path, version, benchSites(0)+"# changed\n")
 	return c.until(func(in *Instance) bool {
 		var got uint64
-		in.docs.Read(func(s *replica.Set) {
+		in.docs.Read(func(s *replica.Set, _ uint64) {
 			doc, _ := s.Get(path)
 			got = doc.Version
 		})
--- a/internal/instance/config.go
+++ b/internal/instance/config.go
@@ -42,12 +42,13 @@
 	Policy     core.Policy
 	Seed       uint64 // of random choices; 0 takes one from the clock
 
-	Store   platform.Store                               // required
-	Dial    targets.Dial                                 // to targets and peers; nil takes the standard dialer
-	Packet  func(address string) (net.PacketConn, error) // opens the peers' UDP socket; nil takes the standard one
-	Checks  *invariant.Counter                           // nil makes one
-	Metrics *metrics.Set                                 // nil counts nothing
-	Log     *log.Logger                                  // nil logs nothing
+	Store   platform.Store                                      // required
+	Dial    targets.Dial                                        // to targets and peers; nil takes the standard dialer
+	Packet  func(address string) (net.PacketConn, error)        // opens the peers' UDP socket; nil takes the standard one
+	Listen  func(network, address string) (net.Listener, error) // opens the TCP sockets; nil takes the standard one
+	Checks  *invariant.Counter                                  // nil makes one
+	Metrics *metrics.Set                                        // nil counts nothing
+	Log     *log.Logger                                         // nil logs nothing
 }
 
 // Defaults fills in what is zero.
@@ -61,6 +62,9 @@
 	if c.Policy == "" {
 		c.Policy = core.PolicyOwner
 	}
+	if c.Listen == nil {
+		c.Listen = net.Listen
+	}
 	if c.Checks == nil {
 		c.Checks = invariant.New(nil)
 	}
--- a/internal/instance/documents.go
+++ b/internal/instance/documents.go
@@ -17,7 +17,7 @@
 	force func(*settings.Snapshot) // puts a snapshot in force; called with mu held, so in order
 	log   *log.Logger
 
-	root atomic.Uint64 // of set; read for each packet, also while documents are read
+	marked atomic.Pointer[mark] // of set; read for each packet, also while documents are read
 
 	mu       sync.Mutex
 	set      *replica.Set
@@ -25,12 +25,21 @@
 	faults   []settings.Fault   // of the newest documents
 }
 
+// mark says how far a copy of the documents has come.
+type mark struct {
+	root     uint64 // hash of all paths and versions held
+	complete uint64 // the platform's revision up to which nothing is missing; 0 until that is known; never goes back
+}
+
 func newDocuments(checks *invariant.Counter, logger *log.Logger, force func(*settings.Snapshot)) *documents {
-	return &documents{force: force, log: logger, set: replica.New(checks)}
+	d := &documents{force: force, log: logger, set: replica.New(checks)}
+	d.marked.Store(&mark{})
+	return d
 }
 
 // Apply takes in documents of any age, and puts what is newer in force. It
-// returns the paths that changed.
+// returns the paths that changed. Before the first Complete nothing comes into
+// force: some of the documents would pass for all.
 func (d *documents) Apply(docs []settings.Document) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -45,11 +54,57 @@
 	if len(newer) == 0 {
 		return nil
 	}
-	d.root.Store(d.set.Root())
+	m := mark{root: d.set.Root(), complete: d.marked.Load().complete}
+	d.marked.Store(&m)
+	if m.complete > 0 {
+		d.advance(newer)
+	}
+	return changed
+}
+
+// advance puts newer documents in force. It needs mu.
+func (d *documents) advance(newer []settings.Document) {
 	d.snapshot, d.faults = settings.Advance(d.snapshot, newer)
 	d.logChange(newer)
 	d.force(d.snapshot)
-	return changed
+}
+
+// Complete notes that the documents held now lack nothing up to a revision of
+// the platform. The first time, they come into force.
+func (d *documents) Complete(revision uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.completed(revision)
+}
+
+// Matched notes the same of documents whose hash is root, if those are held and
+// it can be done at once: packets don't wait while documents are read.
+func (d *documents) Matched(root, revision uint64) {
+	if !d.mu.TryLock() {
+		return // a later packet tells again
+	}
+	defer d.mu.Unlock()
+	if d.set.Root() == root {
+		d.completed(revision)
+	}
+}
+
+// completed needs mu.
+func (d *documents) completed(revision uint64) {
+	m := *d.marked.Load()
+	first := m.complete == 0 && revision > 0
+	m.complete = max(m.complete, revision)
+	d.marked.Store(&m)
+	if first && d.set.Len() > 0 {
+		d.advance(d.set.Documents())
+	}
+}
+
+// Mark is the hash of all paths and versions held, and the platform's revision
+// up to which they lack nothing; 0 if that is not known.
+func (d *documents) Mark() (root, complete uint64) {
+	m := d.marked.Load()
+	return m.root, m.complete
 }
 
 func (d *documents) logChange(docs []settings.Document) {
@@ -79,11 +134,11 @@
 }
 
 // Root is the hash of all paths and versions held.
-func (d *documents) Root() uint64 { return d.root.Load() }
+func (d *documents) Root() uint64 { return d.marked.Load().root }
 
 // Read runs f with the set locked. f must not keep the set.
-func (d *documents) Read(f func(*replica.Set)) {
+func (d *documents) Read(f func(s *replica.Set, complete uint64)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	f(d.set)
+	f(d.set, d.marked.Load().complete)
 }
--- a/internal/instance/gossip.go
+++ b/internal/instance/gossip.go
@@ -80,17 +80,27 @@
 	if !ok || m.Incarnation != p.Incarnation {
 		return
 	}
+	g.heardMark(p, m.Instance)
 	if m.Place == g.in.cfg.Place {
-		g.in.rosterNamed(p.Roster)
-	}
-	if p.Root != g.in.docs.Root() {
-		g.in.differs(m.Instance)
-	}
-	if m.Place == g.in.cfg.Place {
+		g.in.heardRoster(p.Roster, m.Instance)
 		g.heardNear(p, ack)
 	}
 }
 
+// heardMark compares a peer's documents with ours. Equal ones are known here to
+// be complete as far as they are there.
+func (g *gossip) heardMark(p *wire.Packet, from platform.Instance) {
+	root, complete := g.in.docs.Mark()
+	switch {
+	case p.Root == root:
+		if p.Complete > complete {
+			g.in.docs.Matched(root, p.Complete)
+		}
+	case complete > 0 || p.Complete > 0:
+		g.in.differs(from)
+	}
+}
+
 func (g *gossip) heardNear(p *wire.Packet, ack member.Ack) {
 	if p.Kind == wire.Kind_KIND_ACK && p.Promise {
 		g.in.desk.Step(core.PeerAcked{Peer: p.From, Incarnation: p.Incarnation, Sent: ack.Promised, Roster: ack.Roster})
@@ -121,7 +131,7 @@
 // prepare completes a packet with what the node knows now. An ack promises
 // something about the roster, which the node has to allow.
 func (g *gossip) prepare(p, cause *wire.Packet) {
-	p.Root = g.in.docs.Root()
+	p.Root, p.Complete = g.in.docs.Mark()
 	near := g.isNear(p.To)
 	g.in.desk.Read(func(now time.Time, n *core.Node) {
 		p.Roster = n.Roster().Version
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -16,6 +15,7 @@
 	"github.com/firlever/firlever/internal/callers"
 	"github.com/firlever/firlever/internal/core"
 	"github.com/firlever/firlever/internal/dispatch"
+	"github.com/firlever/firlever/internal/metrics"
 	"github.com/firlever/firlever/internal/platform"
 	"github.com/firlever/firlever/internal/targets"
 	"github.com/firlever/firlever/pkg/settings"
@@ -40,13 +40,14 @@
 	server      *callers.Server
 	operators   http.Handler
 	members     *gossip
+	metrics     *metrics.Set // made here, and closed here; nil if cfg has one
 	swaps       chan core.SwapRoster
 	probes      chan core.Probe
 	replaced    chan struct{} // closed when a newer incarnation of this instance runs
 	replaceOnce sync.Once
 	asks        chan core.AskGrant
 	unequal     chan platform.Instance // peers whose documents differ
-	heardRoster atomic.Uint64          // newest version that a peer of the place was heard to have
+	ahead       chan platform.Instance // peers of the place that have a newer roster
 	rpc         *http.Client           // of control calls to peers
 
 	listeners []net.Listener // callers', peers' and operators', in this order
@@ -73,6 +74,7 @@
 		probes:      make(chan core.Probe, queueLength),
 		asks:        make(chan core.AskGrant, queueLength),
 		unequal:     make(chan platform.Instance, 1),
+		ahead:       make(chan platform.Instance, 1),
 		replaced:    make(chan struct{}),
 		rpc:         &http.Client{Transport: &http.Transport{DialContext: cfg.Dial}, Timeout: syncTimeout},
 	}
@@ -89,7 +91,7 @@
 // listen opens the three TCP addresses, and notes the ports that were chosen.
 func (in *Instance) listen() error {
 	for _, address := range []*string{&in.cfg.Callers, &in.cfg.Peers, &in.cfg.Operators} {
-		ln, err := net.Listen("tcp", *address)
+		ln, err := in.cfg.Listen("tcp", *address)
 		if err != nil {
 			in.closeSockets()
 			return &ListenError{Address: *address, Err: err}
@@ -245,6 +247,9 @@
 	}
 	in.loops.Wait()
 	in.client.Close()
+	if in.metrics != nil {
+		in.metrics.Close()
+	}
 	in.rpc.CloseIdleConnections()
 }
 
--- a/internal/instance/list.go
+++ b/internal/instance/list.go
@@ -7,34 +7,44 @@
 	"time"
 
 	"github.com/firlever/firlever/internal/core"
+	"github.com/firlever/firlever/internal/member"
 	"github.com/firlever/firlever/internal/owner"
 )
 
-// How the platform's list of instances is kept and read. All that reads of the
-// list cost grows with the world, so without need they are rare: membership
-// tells of changes sooner than the list does.
+// The longest times between two registrations and between two readings of the
+// platform's list. Half of each is drawn anew each time.
 const (
-	registerEvery = 30 * time.Second // the longest time between two registrations
-	listSlow      = 10 * time.Minute // the longest time between two reads of the list
-	listFormer    = 10 * time.Second // the same while a former member may still hold something
-	listSoon      = time.Second      // the same while others may be missing here
+	registerEvery = 30 * time.Second // through outages too: all come back spread over it
+	firstRegister = 3 * time.Second  // from the start to the first one, with peers to ask
+	listMissing   = time.Second      // while the roster names an instance of which nothing is known
+	listYoung     = 3 * time.Second  // in the first moments
+	listFormer    = 10 * time.Second // while the list may prove an instance dead
+	listWatcher   = 30 * time.Second // by a watcher of the domain
+	listSlow      = 10 * time.Minute // by the others: they hear of each other from peers, and reading costs more in a larger world
 	youngFor      = 5 * time.Second  // after the start: those who start together are not listed yet
+	listTick      = 500 * time.Millisecond
 )
 
-// jittered spreads what many instances do over half of a period.
-func jittered(d time.Duration) time.Duration { return d/2 + rand.N(d/2) }
-
-// register keeps this instance in the platform's list.
+// register keeps this instance in the platform's list. A failed try is not
+// repeated sooner, lest all come at once when an outage ends; only the first
+// registration is, since until then nobody finds this instance in the list.
 func (in *Instance) register(ctx context.Context) {
+	if len(in.cfg.Join) > 0 {
+		sleep(ctx, rand.N(firstRegister))
+	}
 	var b backoff
+	registered := false
 	for ctx.Err() == nil {
-		if err := in.registerOnce(ctx); err != nil {
+		err := in.registerOnce(ctx)
+		if err != nil {
 			in.platformFailed("register", err)
-			b.wait(ctx)
-			continue
 		}
-		b.reset()
-		sleep(ctx, jittered(registerEvery))
+		registered = registered || err == nil
+		wait := jittered(registerEvery)
+		if !registered {
+			wait = b.step()
+		}
+		sleep(ctx, wait)
 	}
 }
 
@@ -44,21 +54,65 @@
 	return in.cfg.Store.Register(ctx, in.self())
 }
 
-// learn follows the platform's list.
+// learn reads the platform's list of instances, often only while it has to
+// tell something that peers don't.
 func (in *Instance) learn(ctx context.Context) {
 	var b backoff
 	young := in.now().Add(youngFor)
+	read := in.now()
+	wait := rand.N(listYoung / 2)
 	for ctx.Err() == nil {
+		sleep(ctx, min(wait, jittered(listTick)))
+		if in.now().Before(read.Add(wait)) {
+			wait = min(wait, in.listWait(young))
+			continue
+		}
+		read = in.now()
 		if err := in.learnOnce(ctx); err != nil {
 			in.platformFailed("instances", err)
-			b.wait(ctx)
+			wait = max(in.listWait(young), b.step())
 			continue
 		}
 		b.reset()
-		in.waitList(ctx, in.now(), young)
+		wait = in.listWait(young)
 	}
 }
 
+// listWait is how long after a reading of the list the next is due.
+func (in *Instance) listWait(young time.Time) time.Duration {
+	missing, former := in.unproved()
+	switch {
+	case missing:
+		return jittered(listMissing)
+	case in.now().Before(young):
+		return jittered(listYoung)
+	case former:
+		return jittered(listFormer)
+	case in.isWatcher():
+		return jittered(listWatcher)
+	}
+	return jittered(listSlow)
+}
+
+// unproved says whether the place's roster names an instance of which nothing
+// is known here, which can't be probed before the platform's list tells its
+// address; and whether it has lines of instances that seem dead.
+func (in *Instance) unproved() (missing, former bool) {
+	known := make(map[string]member.State)
+	for _, m := range in.members.Members() {
+		known[m.ID] = m.State
+	}
+	var roster owner.Roster
+	in.desk.Read(func(_ time.Time, n *core.Node) { roster = n.Roster() })
+	former = len(roster.Former) > 0
+	missing = slices.ContainsFunc(roster.Members, func(m owner.Member) bool {
+		state, ok := known[m.Instance]
+		former = former || ok && state == member.Dead
+		return m.Instance != in.cfg.ID && !ok
+	})
+	return missing, former
+}
+
 func (in *Instance) learnOnce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -71,33 +125,3 @@
 	in.members.Learn(list)
 	return nil
 }
-
-// waitList waits until the list is to be read again, after it was read at last.
-func (in *Instance) waitList(ctx context.Context, last, young time.Time) {
-	slow, former := last.Add(jittered(listSlow)), last.Add(jittered(listFormer))
-	for ctx.Err() == nil {
-		sleep(ctx, jittered(listSoon))
-		var roster owner.Roster
-		in.desk.Read(func(_ time.Time, n *core.Node) { roster = n.Roster() })
-		now := in.now()
-		switch {
-		case now.Before(young), in.missesMember(roster), !now.Before(slow):
-			return
-		case len(roster.Former) > 0 && !now.Before(former):
-			return
-		}
-	}
-}
-
-// missesMember says whether the place's roster names an instance of which
-// nothing is known here: it can't be probed before the platform's list, which
-// lags, tells its address.
-func (in *Instance) missesMember(roster owner.Roster) bool {
-	known := make(map[string]bool)
-	for _, m := range in.members.Members() {
-		known[m.ID] = true
-	}
-	return slices.ContainsFunc(roster.Members, func(m owner.Member) bool {
-		return m.Instance != in.cfg.ID && !known[m.Instance]
-	})
-}
--- a/internal/instance/operators.go
+++ b/internal/instance/operators.go
@@ -42,6 +42,7 @@
 	set := in.cfg.Metrics
 	if set == nil {
 		set = metrics.New()
+		in.metrics = set
 	}
 	s, err := operator.New(operator.Config{
 		Store:     in.cfg.Store,
--- a/internal/instance/roster.go
+++ b/internal/instance/roster.go
@@ -8,20 +8,24 @@
 	"github.com/firlever/firlever/internal/core"
 	"github.com/firlever/firlever/internal/owner"
 	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/internal/wire"
 )
 
-// How often the platform's copy of the roster is read.
+// How often the platform's copy of the roster is read; half of each wait is
+// drawn anew each time.
 const (
-	rosterSoon = 700 * time.Millisecond // while peers' acks do not confirm this instance's rights
-	rosterSlow = 30 * time.Second       // while they do
-	rosterTick = 100 * time.Millisecond
+	rosterSoon   = 900 * time.Millisecond // while peers' acks do not confirm this instance's rights
+	rosterSlow   = 30 * time.Second       // while they do
+	rosterRetry  = 5 * time.Second        // after failures, while they do not
+	confirmAhead = time.Second            // so much before the rights lapse, the platform is asked
+	rosterTick   = 100 * time.Millisecond
 )
 
 // tendRoster reads the place's roster when the rights that it gives need it, and
 // carries out the changes that the node asks for.
 func (in *Instance) tendRoster(ctx context.Context) {
-	var b backoff
-	var read time.Time // when the roster was last read; zero asks for it at once
+	failed := false
+	due := in.now()
 	tick := time.NewTicker(rosterTick)
 	defer tick.Stop()
 	for {
@@ -30,54 +34,92 @@
 			return
 		case d := <-in.swaps:
 			in.swapRoster(ctx, d)
-			read = time.Time{}
+			due = in.now()
+		case p := <-in.ahead:
+			if in.pullRoster(ctx, p) {
+				continue
+			}
+			due = in.now()
 		case <-tick.C:
 		}
-		if in.now().Before(in.rosterDue(read)) {
+		due = earlier(due, in.now().Add(in.rosterWait(failed)))
+		if in.now().Before(due) {
 			continue
 		}
-		if err := in.readRoster(ctx); err != nil {
+		err := in.readRoster(ctx)
+		if failed = err != nil; failed {
 			in.platformFailed("roster", err)
-			b.wait(ctx)
-			continue
 		}
-		b.reset()
-		read = in.now()
+		due = in.now().Add(in.rosterWait(failed))
 	}
 }
 
-// rosterNamed notes the version of the roster that a peer of the place has.
-func (in *Instance) rosterNamed(version uint64) {
-	for {
-		heard := in.heardRoster.Load()
-		if version <= heard || in.heardRoster.CompareAndSwap(heard, version) {
-			return
-		}
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
 	}
+	return b
 }
 
-// rosterNews says whether a peer has a newer roster than this instance. Its
-// acks still confirm this instance's rights, so nothing else would tell in time.
-func (in *Instance) rosterNews() bool {
+// rosterWait is how long after a reading of the roster the next is due. Peers
+// that confirm this instance's rights make the platform's word less urgent.
+func (in *Instance) rosterWait(failed bool) time.Duration {
+	switch {
+	case in.confirmed():
+		return jittered(rosterSlow)
+	case failed:
+		return jittered(rosterRetry)
+	}
+	return jittered(rosterSoon)
+}
+
+// heardRoster notes that a peer of the place has a newer roster.
+func (in *Instance) heardRoster(version uint64, peer platform.Instance) {
 	var held uint64
 	in.desk.Read(func(_ time.Time, n *core.Node) { held = n.Roster().Version })
-	return in.heardRoster.Load() > held
+	if version <= held {
+		return
+	}
+	select {
+	case in.ahead <- peer:
+	default: // one is being asked already
+	}
 }
 
-// rosterDue is when the roster has to be read next.
-func (in *Instance) rosterDue(read time.Time) time.Time {
-	if read.IsZero() {
-		return read
+// pullRoster gets the place's roster from a peer, which costs the platform
+// nothing. It confirms no rights.
+func (in *Instance) pullRoster(ctx context.Context, p platform.Instance) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	path := rosterRoot + in.cfg.Place
+	resp, err := in.peerClient(p.Address).Fetch(ctx, &wire.FetchRequest{Paths: []string{path}})
+	if err != nil || len(resp.Documents) != 1 || resp.Documents[0].Path != path {
+		return false
+	}
+	r, err := owner.Decode(resp.Documents[0].Value, resp.Documents[0].Version)
+	if err != nil {
+		return false
 	}
-	if in.confirmed() && !in.rosterNews() {
-		return read.Add(rosterSlow)
+	in.desk.Step(core.RosterHeard{Roster: r})
+	return true
+}
+
+// ownRoster is the place's roster as a document for peers of the place; nil
+// if it is not known.
+func (in *Instance) ownRoster() *wire.Document {
+	var r owner.Roster
+	in.desk.Read(func(_ time.Time, n *core.Node) { r = n.Roster() })
+	value, err := r.Encode()
+	if err != nil || r.Version == 0 {
+		return nil
 	}
-	return read.Add(rosterSoon)
+	return &wire.Document{Path: rosterRoot + in.cfg.Place, Version: r.Version, Value: value}
 }
 
+// confirmed says whether the rights are confirmed, and will be for a while.
 func (in *Instance) confirmed() bool {
 	var ok bool
-	in.desk.Read(func(now time.Time, n *core.Node) { ok = n.Confirmed(now) })
+	in.desk.Read(func(now time.Time, n *core.Node) { ok = n.Confirmed(now.Add(confirmAhead)) })
 	return ok
 }
 
--- /dev/null
+++ b/internal/instance/start.go
@@ -0,0 +1,105 @@
+package instance
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/firlever/firlever/internal/member"
+)
+
+// How an instance gets all documents at its start.
+const (
+	aloneWait   = time.Second            // the longest that an instance waits for peers if it was given none
+	watcherWait = 4 * time.Second        // the longest that a watcher of the domain waits for a peer's answer
+	othersWait  = 20 * time.Second       // the longest that the others wait
+	askEvery    = 250 * time.Millisecond // the longest between two rounds of questions to peers
+	askPeers    = 3                      // peers asked in one round
+	listTimeout = 15 * time.Second       // of one reading of all documents
+)
+
+// begin gets all documents from peers, or from the platform if no peer has
+// given them by a deadline: an early one for the domain's watchers, a late one
+// for the others. The deadlines differ between instances that start together.
+func (in *Instance) begin(ctx context.Context) {
+	var b backoff
+	start := in.now()
+	watcherDue := start.Add(jittered(in.firstWait()))
+	othersDue := start.Add(jittered(othersWait))
+	for ctx.Err() == nil && !in.complete() {
+		in.ask(ctx)
+		now := in.now()
+		if in.complete() || now.Before(watcherDue) || now.Before(othersDue) && !in.isWatcher() {
+			sleep(ctx, jittered(askEvery))
+			continue
+		}
+		if err := in.readAll(ctx); err != nil {
+			in.platformFailed("list", err)
+			watcherDue = in.now().Add(b.step())
+			othersDue = watcherDue
+		}
+	}
+}
+
+// firstWait is how long it may take at most to hear of peers: before that every
+// instance takes itself for a watcher.
+func (in *Instance) firstWait() time.Duration {
+	if len(in.cfg.Join) == 0 {
+		return aloneWait
+	}
+	return watcherWait
+}
+
+func (in *Instance) complete() bool {
+	_, complete := in.docs.Mark()
+	return complete > 0
+}
+
+// ask asks a few peers in random order for all documents, until one has them.
+func (in *Instance) ask(ctx context.Context) {
+	addresses := in.candidates()
+	for _, a := range addresses[:min(len(addresses), askPeers)] {
+		if in.complete() || ctx.Err() != nil {
+			return
+		}
+		if err := in.pull(ctx, a); err != nil && in.cfg.Log != nil {
+			in.cfg.Log.Debug("peer gave no documents", "address", a, "err", err)
+		}
+	}
+}
+
+// candidates are the addresses of peers that may have the documents, in random
+// order: those given at the start, and those heard of since.
+func (in *Instance) candidates() []string {
+	known := make(map[string]bool)
+	var list []string
+	add := func(address string) {
+		if !known[address] && address != in.cfg.AdvertisePeers {
+			known[address] = true
+			list = append(list, address)
+		}
+	}
+	for _, a := range in.cfg.Join {
+		add(a)
+	}
+	for _, m := range in.members.Members() {
+		if m.State != member.Dead {
+			add(m.Address)
+		}
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list
+}
+
+// readAll reads all documents from the platform.
+func (in *Instance) readAll(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	entries, revision, err := in.cfg.Store.List(ctx, "/")
+	if err != nil {
+		return err
+	}
+	in.takeEntries(entries)
+	in.docs.Complete(max(revision, 1))
+	return nil
+}
--- a/internal/instance/sync.go
+++ b/internal/instance/sync.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -16,11 +17,12 @@
 
 // How documents spread among instances.
 const (
-	syncTimeout = 3 * time.Second
-	pushPeers   = 3         // peers that are told of a new document at once
-	maxPush     = 16 << 10  // bytes of documents that are pushed rather than fetched
-	maxFetch    = 512 << 10 // bytes of documents in one answer
-	maxPaths    = 1024      // paths in one question
+	syncTimeout = 3 * time.Second  // of one call to a peer
+	pullTimeout = 30 * time.Second // of all calls for what a peer has more
+	pushPeers   = 3                // peers that are told of a new document at once
+	maxPush     = 16 << 10         // bytes of documents that are pushed rather than fetched
+	maxFetch    = 512 << 10        // bytes of documents in one answer
+	maxPaths    = 1024             // paths in one question
 )
 
 // differs notes that a peer's documents differ from ours.
@@ -38,33 +40,47 @@
 		case <-ctx.Done():
 			return
 		case p := <-in.unequal:
-			if err := in.pull(ctx, p); err != nil && in.cfg.Log != nil {
+			if err := in.pull(ctx, p.Address); err != nil && in.cfg.Log != nil {
 				in.cfg.Log.Debug("sync failed", "instance", p.ID, "err", err)
 			}
 		}
 	}
 }
 
-// pull fetches from a peer the documents that are newer there. The messages are
-// small when little differs.
-func (in *Instance) pull(ctx context.Context, p platform.Instance) error {
-	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+// pull fetches from the peer at an address the documents that are newer there.
+// The messages are small when little differs. What a peer that has just started
+// holds is passed over as long as this instance's own documents are incomplete.
+func (in *Instance) pull(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	client := in.peerClient(p)
+	client := in.peerClient(address)
 	var buckets replica.Buckets
-	in.docs.Read(func(s *replica.Set) { buckets = s.Buckets() })
+	var complete uint64
+	in.docs.Read(func(s *replica.Set, c uint64) { buckets, complete = s.Buckets(), c })
 	digest, err := client.Digest(ctx, &wire.DigestRequest{Buckets: buckets[:]})
 	if err != nil {
 		return err
 	}
-	missing := in.missing(digest.Versions)
+	if complete == 0 && digest.Complete == 0 {
+		return nil
+	}
+	if err := in.fetch(ctx, client, in.missing(digest.Versions)); err != nil {
+		return err
+	}
+	in.docs.Complete(digest.Complete)
+	return nil
+}
+
+// fetch gets documents by path until all are here. A peer has each path that
+// its digest named, at that version or a newer one.
+func (in *Instance) fetch(ctx context.Context, client wire.Peer, missing []string) error {
 	for len(missing) > 0 {
 		resp, err := client.Fetch(ctx, &wire.FetchRequest{Paths: missing[:min(len(missing), maxPaths)]})
 		if err != nil {
 			return err
 		}
 		if len(resp.Documents) == 0 {
-			return nil
+			return &ShortError{Missing: len(missing)}
 		}
 		in.takeDocuments(fromWire(resp.Documents))
 		missing = missing[min(len(resp.Documents), len(missing)):]
@@ -72,13 +88,20 @@
 	return nil
 }
 
+// ShortError says that a peer did not hand over documents that it had named.
+type ShortError struct{ Missing int }
+
+func (e *ShortError) Error() string {
+	return fmt.Sprintf("instance: a peer kept back %d documents", e.Missing)
+}
+
 func (in *Instance) missing(remote []*wire.Version) []string {
 	versions := make([]replica.Version, 0, len(remote))
 	for _, v := range remote {
 		versions = append(versions, replica.Version{Path: v.Path, Version: v.Version})
 	}
 	var paths []string
-	in.docs.Read(func(s *replica.Set) {
+	in.docs.Read(func(s *replica.Set, _ uint64) {
 		for _, v := range s.Missing(versions) {
 			paths = append(paths, v.Path)
 		}
@@ -88,9 +111,10 @@
 
 // takeDocuments puts documents in force and tells a few peers of what is new.
 func (in *Instance) takeDocuments(docs []settings.Document) {
+	_, complete := in.docs.Mark()
 	changed := in.docs.Apply(docs)
-	if len(changed) == 0 {
-		return
+	if len(changed) == 0 || complete == 0 {
+		return // before this instance is complete, what it learns is news to no one
 	}
 	in.push(changed)
 }
@@ -108,7 +132,7 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), syncTimeout)
 			defer cancel()
-			in.peerClient(m.Instance).Push(ctx, &wire.PushRequest{Documents: docs})
+			in.peerClient(m.Address).Push(ctx, &wire.PushRequest{Documents: docs})
 		}()
 	}
 }
@@ -117,7 +141,7 @@
 func (in *Instance) named(paths []string, most int) []*wire.Document {
 	var docs []*wire.Document
 	size := 0
-	in.docs.Read(func(s *replica.Set) {
+	in.docs.Read(func(s *replica.Set, _ uint64) {
 		for _, path := range paths {
 			doc, ok := s.Get(path)
 			if !ok {
@@ -145,8 +169,8 @@
 	return list
 }
 
-func (in *Instance) peerClient(p platform.Instance) wire.Peer {
-	return wire.NewPeerProtobufClient("http://"+p.Address, in.rpc)
+func (in *Instance) peerClient(address string) wire.Peer {
+	return wire.NewPeerProtobufClient("http://"+address, in.rpc)
 }
 
 // peerHandler serves the peers' address: hand-offs and control.
@@ -166,8 +190,8 @@
 	var remote replica.Buckets
 	copy(remote[:], r.Buckets)
 	resp := &wire.DigestResponse{}
-	s.in.docs.Read(func(set *replica.Set) {
-		resp.Root = set.Root()
+	s.in.docs.Read(func(set *replica.Set, complete uint64) {
+		resp.Root, resp.Complete = set.Root(), complete
 		for _, bucket := range set.Differ(remote) {
 			for _, v := range set.Digest(bucket) {
 				resp.Versions = append(resp.Versions, &wire.Version{Path: v.Path, Version: v.Version})
@@ -177,9 +201,15 @@
 	return resp, nil
 }
 
-// Fetch reads documents by path.
+// Fetch reads documents by path, or the place's roster.
 func (s *peerServer) Fetch(_ context.Context, r *wire.FetchRequest) (*wire.FetchResponse, error) {
-	return &wire.FetchResponse{Documents: s.in.named(r.Paths, maxFetch)}, nil
+	docs := s.in.named(r.Paths, maxFetch)
+	if len(r.Paths) == 1 && r.Paths[0] == rosterRoot+s.in.cfg.Place {
+		if roster := s.in.ownRoster(); roster != nil {
+			docs = append(docs, roster)
+		}
+	}
+	return &wire.FetchResponse{Documents: docs}, nil
 }
 
 // Push takes documents in.
--- a/internal/instance/watch.go
+++ b/internal/instance/watch.go
@@ -14,12 +14,14 @@
 
 // How the platform is called.
 const (
-	watchWait   = 20 * time.Second // of one waiting watch
-	callTimeout = 2 * time.Second  // of any other call
-	backoffLow  = 200 * time.Millisecond
-	backoffHigh = 10 * time.Second
-	watchers    = 2 // instances of a domain that watch the platform; the others ask peers
-	rosterRoot  = "/rosters/"
+	watchWait    = 20 * time.Second // of one waiting watch
+	callTimeout  = 2 * time.Second  // of any other call
+	backoffLow   = 200 * time.Millisecond
+	backoffHigh  = 10 * time.Second
+	watcherCheck = time.Second            // by those that are no watchers
+	watchPause   = 600 * time.Millisecond // after changes, so that a row of them does not cost a call each
+	watchers     = 2                      // instances of a domain that watch the platform; the others ask peers
+	rosterRoot   = "/rosters/"
 )
 
 // backoff spaces tries after failures; each wait is jittered so that instances
@@ -28,9 +30,12 @@
 
 func (b *backoff) reset() { b.next = 0 }
 
-func (b *backoff) wait(ctx context.Context) {
+func (b *backoff) wait(ctx context.Context) { sleep(ctx, b.step()) }
+
+// step is the next wait.
+func (b *backoff) step() time.Duration {
 	b.next = min(max(b.next*2, backoffLow), backoffHigh)
-	sleep(ctx, b.next/2+rand.N(b.next/2))
+	return jittered(b.next)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -42,47 +47,47 @@
 	}
 }
 
-// watch follows the platform's documents: by a waiting watch if this instance
-// is one of its domain's watchers, else it leaves that to them. Each instance
-// reads all documents once at its start.
+// jittered spreads what many instances do over half of a period.
+func jittered(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
+
+// watch gets all documents at the start, and then follows the platform's: by a
+// waiting watch if this instance is one of its domain's watchers, else it
+// leaves that to them.
 func (in *Instance) watch(ctx context.Context) {
+	settled := in.now().Add(jittered(in.firstWait()))
+	in.begin(ctx)
+	sleep(ctx, settled.Sub(in.now()))
 	var b backoff
-	var after uint64
 	for ctx.Err() == nil {
-		if after > 0 && !in.isWatcher() {
-			sleep(ctx, time.Second)
+		if !in.isWatcher() {
+			sleep(ctx, jittered(watcherCheck))
 			continue
 		}
-		next, err := in.watchOnce(ctx, after)
+		changed, err := in.watchOnce(ctx)
 		if err != nil {
 			in.platformFailed("watch", err)
 			b.wait(ctx)
 			continue
 		}
 		b.reset()
-		after = next
+		if changed {
+			sleep(ctx, jittered(watchPause))
+		}
 	}
 }
 
-func (in *Instance) watchOnce(ctx context.Context, after uint64) (uint64, error) {
-	if after == 0 {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		entries, revision, err := in.cfg.Store.List(ctx, "/")
-		if err != nil {
-			return 0, err
-		}
-		in.takeEntries(entries)
-		return max(revision, 1), nil
-	}
+// watchOnce waits for what is newer than the documents held, whoever gave them.
+func (in *Instance) watchOnce(ctx context.Context) (changed bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
 	defer cancel()
+	_, after := in.docs.Mark()
 	entries, next, err := in.cfg.Store.Watch(ctx, "/", after, watchWait)
 	if err != nil {
-		return 0, err
+		return false, err
 	}
 	in.takeEntries(entries)
-	return max(next, 1), nil
+	in.docs.Complete(next)
+	return len(entries) > 0, nil
 }
 
 // takeEntries sorts entries of the platform into documents and rosters.
