Wake an idle node less often

Cause: a node ticked a hundred times a second whether anything waited or not; at rest the waking itself was most of its processor time. Change: twenty ticks a second while nothing waits for time to pass; the step that leaves something waiting says so, and the next tick comes within 10 ms. Weighed and left: a timer for the exact next deadline, which every part of the core would have to tell.

--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -120,6 +120,10 @@
 	return slices.Clone(n.out)
 }
 
+// Waiting says whether something waits for time to pass, so that a tick that
+// comes late would show.
+func (n *Node) Waiting() bool { return n.queue.Len() > 0 || len(n.settlings) > 0 }
+
 // tick does what time alone brings about.
 func (n *Node) tick(now time.Time) {
 	n.expire(now)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -15,6 +15,7 @@
 // safe for concurrent use.
 type Dispatcher struct {
 	now     func() time.Time
+	timed   chan struct{}       // holds a token after a step that leaves something waiting
 	control func(core.Decision) // takes decisions that belong to no request; must not block
 
 	mu      sync.Mutex
@@ -29,6 +30,7 @@
 	return &Dispatcher{
 		now:     now,
 		control: control,
+		timed:   make(chan struct{}, 1),
 		node:    node,
 		waiting: make(map[core.ID]*Mailbox),
 	}
@@ -68,8 +70,19 @@
 	for _, dec := range d.node.Step(d.now(), ev) {
 		d.pass(dec)
 	}
+	if !d.node.Waiting() {
+		return
+	}
+	select {
+	case d.timed <- struct{}{}:
+	default: // it is told already
+	}
 }
 
+// Waiting gives a token after a step that leaves something to wait for time to
+// pass: the next core.Tick is then due soon.
+func (d *Dispatcher) Waiting() <-chan struct{} { return d.timed }
+
 // pass never blocks. A decision for a request that has closed is dropped.
 func (d *Dispatcher) pass(dec core.Decision) {
 	id, ok := core.RequestOf(dec)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -23,8 +23,9 @@
 
 // Timers of an instance.
 const (
-	tickEvery     = 10 * time.Millisecond
-	headerTimeout = 5 * time.Second // for a caller to send a request's headers
+	tickEvery     = 10 * time.Millisecond // while something waits for time to pass
+	tickIdle      = 50 * time.Millisecond // while nothing does
+	headerTimeout = 5 * time.Second       // for a caller to send a request's headers
 	idleTimeout   = 2 * time.Minute
 	maxHeader     = 32 << 10
 	queueLength   = 64 // of decisions that wait to be carried out
@@ -224,20 +225,33 @@
 	in.members.start()
 }
 
-// tick tells the node that time passes.
+// tick tells the node that time passes: often while something waits for it,
+// since each waking costs more than what the node does at it.
 func (in *Instance) tick(ctx context.Context) {
-	t := time.NewTicker(tickEvery)
+	due := time.Now().Add(tickIdle)
+	t := time.NewTimer(tickIdle)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-in.desk.Waiting():
+			due = earlier(due, time.Now().Add(tickEvery))
 		case <-t.C:
+			due = time.Now().Add(tickIdle)
 			in.desk.Step(core.Tick{})
 		}
+		t.Reset(time.Until(due))
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // Kill ends the instance as a crash would: connections break, nobody is told.
 func (in *Instance) Kill() {
 	in.cancel()
