Measure look-ups over HTTP, decisions' lines, rosters and keys

Cause: docs/CAPACITY.md needs their slopes. Change: benchmarks named BenchmarkCapacity in callers and owner; that of the keys' records gets the name; the probed service's limit fits its slots, as the document was refused and nothing probed.

--- a/internal/instance/capacity_test.go
+++ b/internal/instance/capacity_test.go
@@ -304,7 +304,7 @@
 		b.Run(fmt.Sprint(targets), func(b *testing.B) {
 			for range b.N {
 				c := newCrowd(b, 0)
-				body := "class: interactive\ntimeout: 2s\nshift: 10\nplaces:\n  p000:\n    limit: 1000\n    targets:\n"
+				body := fmt.Sprintf("class: interactive\ntimeout: 2s\nshift: 10\nplaces:\n  p000:\n    limit: %d\n    targets:\n", 4*targets)
 				for i := range targets {
 					body += fmt.Sprintf("      - {name: t%d, address: %q, slots: 4, connections: 100}\n", i, c.target(i))
 				}
--- a/internal/once/book_test.go
+++ b/internal/once/book_test.go
@@ -163,8 +163,8 @@
 	}
 }
 
-// BenchmarkRecord prints the memory of a record whose answer is dropped.
-func BenchmarkRecord(b *testing.B) {
+// BenchmarkCapacityRecord prints the memory of a record whose answer is dropped.
+func BenchmarkCapacityRecord(b *testing.B) {
 	for _, records := range []int{1_000, 5_000, 20_000, 60_000} {
 		b.Run(strconv.Itoa(records), func(b *testing.B) {
 			for b.Loop() {
--- a/internal/once/record.go
+++ b/internal/once/record.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	recordSize    = 320 // bytes counted for a record, its map entry and its heap entry; see BenchmarkRecord
+	recordSize    = 320 // bytes counted for a record, its map entry and its heap entry; see BenchmarkCapacityRecord
 	maxRequest    = 64  // bytes kept of a request id
 	notInHeap     = -1
 	maxDispatches = 1 // dispatches allowed without a proof between them
--- /dev/null
+++ b/internal/owner/capacity_test.go
@@ -0,0 +1,71 @@
+package owner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+// capacityBook owns its part of so many targets in a place of so many instances.
+func capacityBook(b *testing.B, targets, instances int) (*Book, Roster) {
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	book, err := New(Config{Self: "entry-000", Incarnation: 1, Place: "here"})
+	if err != nil {
+		b.Fatal(err)
+	}
+	var specs []Spec
+	for i := range targets {
+		key := TargetKey{Service: settings.ServiceID{Team: "shop", Name: "orders"}, Name: fmt.Sprintf("t%03d", i)}
+		specs = append(specs, Spec{Key: key, Address: "10.0.0.1:1", Allowance: 10, Quota: 10, Timeout: time.Second})
+	}
+	r := Roster{}
+	for i := range instances {
+		if r, err = r.Join(fmt.Sprintf("entry-%03d", i), 1); err != nil {
+			b.Fatal(err)
+		}
+	}
+	book.SetSpecs(now, specs)
+	book.SetRoster(now, r)
+	return book, r
+}
+
+func benchRoster(b *testing.B, targets, instances int) {
+	book, r := capacityBook(b, targets, instances)
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	for b.Loop() {
+		r.Version++
+		book.SetRoster(now, r)
+	}
+}
+
+// BenchmarkCapacityRosterTargets is a new roster, by the place's targets.
+func BenchmarkCapacityRosterTargets(b *testing.B) {
+	for _, n := range []int{12, 120, 1200} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) { benchRoster(b, n, 9) })
+	}
+}
+
+// BenchmarkCapacityRosterInstances is a new roster, by the place's instances.
+func BenchmarkCapacityRosterInstances(b *testing.B) {
+	for _, n := range []int{3, 9, 27} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) { benchRoster(b, 120, n) })
+	}
+}
+
+// BenchmarkCapacityRosterSize is the length of a roster's document.
+func BenchmarkCapacityRosterSize(b *testing.B) {
+	for _, n := range []int{3, 9, 27} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			_, r := capacityBook(b, 1, n)
+			for range b.N {
+				value, err := r.Encode()
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(len(value)), "bytes")
+			}
+		})
+	}
+}
