--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -245,13 +245,6 @@
 	}
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // Kill ends the instance as a crash would: connections break, nobody is told.
 func (in *Instance) Kill() {
 	in.cancel()
