Pace bulk work that leaves a place

Cause: a place's link was in the settings and enforced nowhere.

Besides, three tests that could not fail now can: an attempt whose body was read is not repeated, an idempotent request's target is cancelled at once, and a caller who reads nothing holds no slot.

--- a/internal/callers/body.go
+++ b/internal/callers/body.go
@@ -41,12 +41,15 @@
 type part struct {
 	body  *body
 	start *bytes.Reader
+	pace  func(n int) error // waits until n more bytes may go out
 
 	mu      sync.Mutex
 	stopped bool // guarded by mu
 }
 
-func (b *body) part() *part { return &part{body: b, start: bytes.NewReader(b.start)} }
+func (b *body) part(pace func(n int) error) *part {
+	return &part{body: b, start: bytes.NewReader(b.start), pace: pace}
+}
 
 // StoppedError ends the body of an attempt that is over.
 type StoppedError struct{}
@@ -55,6 +58,14 @@
 
 // Read gives the start, then what the caller still sends.
 func (p *part) Read(dst []byte) (int, error) {
+	n, err := p.read(dst)
+	if perr := p.pace(n); perr != nil {
+		return 0, perr
+	}
+	return n, err
+}
+
+func (p *part) read(dst []byte) (int, error) {
 	if n, err := p.start.Read(dst); err == nil {
 		return n, nil
 	}
--- a/internal/callers/body_test.go
+++ b/internal/callers/body_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -30,6 +31,17 @@
 		b, _ := io.ReadAll(r.Body)
 		io.WriteString(w, itoa(int64(len(b))))
 	}
+	first := true
+	refuses := func(w http.ResponseWriter, r *http.Request) {
+		if !first {
+			reads(w, r)
+			return
+		}
+		first = false
+		io.Copy(io.Discard, r.Body)
+		w.Header().Set(HeaderOutcome, OutcomeNotRun)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
 	dead := "127.0.0.1:1" // refuses connections
 	tests := map[string]struct {
 		addresses []string
@@ -40,6 +52,7 @@
 		"chunked":           {[]string{target(t, reads)}, false, OutcomeAnswered},
 		"early answer":      {[]string{target(t, early)}, false, OutcomeAnswered},
 		"refused, retried":  {[]string{dead, target(t, reads)}, true, OutcomeAnswered},
+		"refused, read":     {[]string{target(t, refuses), target(t, refuses)}, false, OutcomeNotRun + " " + string(core.ReasonTargetError)},
 		"refused by all":    {[]string{dead, dead[:len(dead)-1] + "2"}, true, OutcomeNotRun + " " + string(core.ReasonTargetError)},
 		"refused, no other": {[]string{dead}, false, OutcomeNotRun + " " + string(core.ReasonTargetError)},
 	}
@@ -144,8 +157,13 @@
 			if !tt.cancelled {
 				close(finish)
 			}
-			if got := <-ended; got != tt.cancelled {
-				t.Errorf("got cancelled %v, want %v", got, tt.cancelled)
+			select {
+			case got := <-ended:
+				if got != tt.cancelled {
+					t.Errorf("got cancelled %v, want %v", got, tt.cancelled)
+				}
+			case <-time.After(3 * time.Second): // the deadline is later
+				t.Error("got the target still at work, want its end")
 			}
 			g.idle()
 			if tt.again == "" {
@@ -158,13 +176,33 @@
 	}
 }
 
+// stuckWriter is a caller that reads nothing.
+type stuckWriter struct {
+	*httptest.ResponseRecorder
+	stuck, release chan bool
+}
+
+func (w stuckWriter) Write(b []byte) (int, error) {
+	w.stuck <- true
+	<-w.release
+	return len(b), nil
+}
+
 // TestSlowReaderHoldsNoSlot asks for a short answer and does not read it.
 func TestSlowReaderHoldsNoSlot(t *testing.T) {
 	g := newRig(t, "i1", target(t, func(w http.ResponseWriter, _ *http.Request) {
 		w.Write(make([]byte, maxWhole))
 	}))
-	g.raw("GET /call/shop/orders/ HTTP/1.1\r\nHost: a\r\n\r\n")
+	w := stuckWriter{httptest.NewRecorder(), make(chan bool, 1), make(chan bool)}
+	done := make(chan bool)
+	go func() {
+		g.server.Callers().ServeHTTP(w, httptest.NewRequest("GET", "/call/shop/orders/", nil))
+		close(done)
+	}()
+	<-w.stuck
 	g.idle()
+	close(w.release)
+	<-done
 }
 
 // TestSlowReaderEnds reads nothing of an answer that fits no buffer: the
--- a/internal/callers/exchange.go
+++ b/internal/callers/exchange.go
@@ -63,10 +63,10 @@
 	x.s.note(x.req, d)
 	switch d := d.(type) {
 	case core.Serve:
-		t := try{deadline: d.Deadline, runOn: d.RunOn, home: d.Home}
+		t := try{deadline: d.Deadline, runOn: d.RunOn, home: d.Home, link: d.Link}
 		return x.attempt(t, x.outgoing(t, d.Address, ""), x.fromTarget)
 	case core.Hand:
-		t := try{deadline: d.Deadline, runOn: d.RunOn, home: d.Home, peer: true}
+		t := try{deadline: d.Deadline, runOn: d.RunOn, home: d.Home, peer: true, link: d.Link, upload: d.Upload}
 		out := x.outgoing(t, d.Peer.Address, PrefixHand)
 		setCount(out.Header, HeaderWant, d.Want)
 		return x.attempt(t, out, x.fromOwner(d))
@@ -89,7 +89,10 @@
 	runOn    bool // it goes on when the caller goes away
 	peer     bool // it goes to another instance
 	home     string
+	link     int64 // bytes/s of answers, 0 sets no limit
+	upload   int64 // bytes/s of bodies, 0 sets no limit
 	began    time.Time
+	ctx      context.Context // ends with the attempt
 	part     *part
 }
 
@@ -135,7 +138,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, t.deadline)
 	defer cancel()
-	t.part = x.body.part()
+	t.ctx = ctx
+	t.part = x.body.part(func(n int) error { return x.s.link.wait(ctx, t.upload, n) })
 	defer t.part.stop()
 	if x.body.size != 0 {
 		out.Body = t.part
--- /dev/null
+++ b/internal/callers/link.go
@@ -0,0 +1,53 @@
+package callers
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/firlever/firlever/internal/pace"
+)
+
+// link paces the bulk bytes that leave this instance's place. It is safe for
+// concurrent use.
+type link struct {
+	now func() time.Time
+
+	mu   sync.Mutex
+	pace pace.Link // guarded by mu
+}
+
+// chunk is how many bytes to send at a time at a rate.
+func (l *link) chunk(rate int64) int {
+	if rate == 0 {
+		return chunkSize
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pace.SetRate(l.now(), rate)
+	return l.pace.Chunk(chunkSize)
+}
+
+// wait waits until n bytes may leave. rate is this instance's share in bytes/s;
+// 0 waits for nothing.
+func (l *link) wait(ctx context.Context, rate int64, n int) error {
+	if rate == 0 || n == 0 {
+		return nil
+	}
+	l.mu.Lock()
+	now := l.now()
+	l.pace.SetRate(now, rate)
+	at := l.pace.Take(now, n)
+	l.mu.Unlock()
+	if !at.After(now) {
+		return nil
+	}
+	t := time.NewTimer(at.Sub(now))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/internal/callers/relay.go
+++ b/internal/callers/relay.go
@@ -39,6 +39,9 @@
 	x.checkWhole(resp, len(start))
 	x.finish(t, x.answered(resp, start))
 	x.s.cfg.Metrics.Answered(x.req.Service.String(), x.s.desk.Now().Sub(x.came))
+	if x.s.link.wait(t.ctx, t.link, len(start)) != nil {
+		x.abort()
+	}
 	x.own(OutcomeAnswered, core.Reason(peerReason(t, resp)))
 	x.whole(resp.StatusCode, resp.Header, start)
 	return true
@@ -140,11 +143,11 @@
 func (x *exchange) copy(t try, r io.Reader, flush bool) (int, error) {
 	buf := chunks.Get().(*[chunkSize]byte)
 	defer chunks.Put(buf)
-	total := 0
+	total, size := 0, x.s.link.chunk(t.link)
 	for {
-		n, err := r.Read(buf[:])
+		n, err := r.Read(buf[:size])
 		total += n
-		if werr := x.write(buf[:n], t.runOn, flush); werr != nil {
+		if werr := x.write(t, buf[:n], flush); werr != nil {
 			return total, werr
 		}
 		if err == io.EOF {
@@ -158,11 +161,14 @@
 
 // write gives bytes to the caller. A non-idempotent request goes on without
 // its caller, so that its outcome gets recorded.
-func (x *exchange) write(b []byte, runOn, flush bool) error {
+func (x *exchange) write(t try, b []byte, flush bool) error {
 	if x.gone || len(b) == 0 {
 		return nil
 	}
-	_, err := x.w.Write(b)
+	err := x.s.link.wait(t.ctx, t.link, len(b))
+	if err == nil {
+		_, err = x.w.Write(b)
+	}
 	if err == nil && flush {
 		err = http.NewResponseController(x.w).Flush()
 	}
@@ -170,7 +176,7 @@
 		return nil
 	}
 	x.gone = true
-	if runOn {
+	if t.runOn {
 		return nil
 	}
 	return err
--- a/internal/callers/rig_test.go
+++ b/internal/callers/rig_test.go
@@ -28,7 +28,7 @@
 
 // rig is one instance's shell round a real node, over loopback.
 type rig struct {
-	t       *testing.T
+	t       testing.TB
 	id      string
 	desk    *dispatch.Dispatcher
 	server  *Server
@@ -37,7 +37,12 @@
 }
 
 // newRig starts an instance in place east with the given targets' addresses.
-func newRig(t *testing.T, id string, addresses ...string) *rig {
+func newRig(t testing.TB, id string, addresses ...string) *rig {
+	t.Helper()
+	return startRig(t, id, rigSettings(t, addresses))
+}
+
+func startRig(t testing.TB, id string, s *settings.Snapshot) *rig {
 	t.Helper()
 	checks := invariant.New(func(n invariant.Name, d string) { t.Errorf("invariant %s: %s", n, d) })
 	node, err := core.New(core.Config{
@@ -57,7 +62,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go g.tick(ctx)
 	t.Cleanup(func() { cancel(); g.callers.Close(); g.peers.Close(); client.Close() })
-	g.desk.Step(core.Applied{Snapshot: rigSettings(t, addresses)})
+	g.desk.Step(core.Applied{Snapshot: s})
 	roster, err := owner.Roster{}.Join(id, 1)
 	if err != nil {
 		t.Fatal(err)
@@ -73,7 +78,7 @@
 	}
 }
 
-func rigSettings(t *testing.T, addresses []string) *settings.Snapshot {
+func rigSettings(t testing.TB, addresses []string) *settings.Snapshot {
 	t.Helper()
 	service := "class: interactive\ntimeout: 5s\nshift: 9\nplaces:\n  east:\n"
 	service += fmt.Sprintf("    limit: %d\n    targets:\n", 4*len(addresses))
@@ -92,7 +97,7 @@
 }
 
 // target starts a target and returns its address.
-func target(t *testing.T, h http.HandlerFunc) string {
+func target(t testing.TB, h http.HandlerFunc) string {
 	t.Helper()
 	s := httptest.NewServer(h)
 	t.Cleanup(s.Close)
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -34,11 +34,12 @@
 	cfg    Config
 	desk   *dispatch.Dispatcher
 	client *targets.Client
+	link   *link
 }
 
 // New makes a server.
 func New(cfg Config, desk *dispatch.Dispatcher, client *targets.Client) *Server {
-	return &Server{cfg: cfg, desk: desk, client: client}
+	return &Server{cfg: cfg, desk: desk, client: client, link: &link{now: desk.Now}}
 }
 
 // Callers is the handler of the callers' address.
--- a/internal/core/decision.go
+++ b/internal/core/decision.go
@@ -65,7 +65,8 @@
 	Deadline time.Time
 	Attempt  int
 	Shifted  bool
-	RunOn    bool // the attempt goes on when the caller goes away
+	RunOn    bool  // the attempt goes on when the caller goes away
+	Link     int64 // bytes/s for the answers that leave this place; 0 sets no limit
 	Home     string
 	Reason   Reason
 	Passed   []Passed
@@ -77,7 +78,9 @@
 	Peer     Peer
 	Deadline time.Time
 	Attempt  int
-	RunOn    bool // the attempt goes on when the caller goes away
+	RunOn    bool  // the attempt goes on when the caller goes away
+	Link     int64 // bytes/s for the answers that leave this place; 0 sets no limit
+	Upload   int64 // bytes/s for the bodies that leave this place; 0 sets no limit
 	Home     string
 	Granted  bool // the peer has granted it
 	Want     int  // requests that the peer is asked to grant beyond those it has
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -141,7 +141,8 @@
 	f.attempts++
 	n.decide(Serve{
 		ID: f.id, Target: key, Address: n.address[key], Deadline: f.req.Deadline,
-		Attempt: f.attempts, Shifted: shifted, RunOn: !f.idempotent, Home: f.home, Reason: reason, Passed: f.passed,
+		Attempt: f.attempts, Shifted: shifted, RunOn: !f.idempotent, Link: n.answerLink(f),
+		Home: f.home, Reason: reason, Passed: f.passed,
 	})
 }
 
@@ -201,7 +202,7 @@
 	f.attempts++
 	n.decide(Hand{
 		ID: f.id, Peer: peer, Deadline: f.req.Deadline, Attempt: f.attempts, RunOn: !f.idempotent, Home: f.home,
-		Reason: reason, Granted: granted, Want: want, Passed: f.passed,
+		Link: n.answerLink(f), Upload: n.linkShare(f, peer.Place), Reason: reason, Granted: granted, Want: want, Passed: f.passed,
 	})
 }
 
--- /dev/null
+++ b/internal/pace/link_test.go
@@ -0,0 +1,84 @@
+package pace
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var begin = time.Unix(1_000_000, 0)
+
+func TestTake(t *testing.T) {
+	tests := map[string]struct {
+		rate   int64
+		before []int // bytes taken at begin
+		later  time.Duration
+		want   time.Duration // after begin
+	}{
+		"no limit":       {0, []int{1 << 30}, 0, 0},
+		"free":           {1000, nil, 0, 0},
+		"behind another": {1000, []int{500}, 0, 500 * time.Millisecond},
+		"behind two":     {1000, []int{500, 1000}, 0, 1500 * time.Millisecond},
+		"idle since":     {1000, []int{500}, time.Hour, time.Hour},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var l Link
+			l.SetRate(begin, tt.rate)
+			for _, n := range tt.before {
+				l.Take(begin, n)
+			}
+			if got := l.Take(begin.Add(tt.later), 1).Sub(begin); got != tt.want {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestSetRateKeepsWhatIsOwed(t *testing.T) {
+	tests := map[string]struct {
+		rate int64
+		want time.Duration
+	}{
+		"same":    {1000, time.Second},
+		"faster":  {2000, time.Second / 2},
+		"slower":  {500, 2 * time.Second},
+		"lifted":  {0, 0},
+		"garbage": {-1, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var l Link
+			l.SetRate(begin, 1000)
+			l.Take(begin, 1000)
+			l.SetRate(begin, tt.rate)
+			if got := l.Take(begin, 1).Sub(begin); got != tt.want {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestRateHolds takes at random times: no window gets more than its rate and
+// one chunk, and transfers that take turns get on alike.
+func TestRateHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var l Link
+		rate := rapid.Int64Range(100, 1<<24).Draw(t, "rate")
+		l.SetRate(begin, rate)
+		chunk := l.Chunk(32 << 10)
+		now, first, sent := begin, begin, 0
+		for range rapid.IntRange(1, 100).Draw(t, "chunks") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			at := l.Take(now, chunk)
+			if at.Before(now) {
+				t.Fatalf("got %v, before now", at)
+			}
+			allowed := float64(rate)*at.Sub(first).Seconds() + float64(chunk)
+			if sent += chunk; float64(sent) > allowed+1 {
+				t.Fatalf("got %d bytes by %v, want at most %v", sent, at.Sub(first), allowed)
+			}
+		}
+	})
+}
