Start no work that its caller has given up, and wait less for the dead

Cause 1: the client gives an attempt up halfway to its deadline, while the instance queued it to the whole one; under overload slots went to requests whose callers left at that moment. Change 1: Firlever-Start tells by when an answer has to begin, also on hand-offs; the queue takes the earlier of both. Cause 2: all requests tried an instance that can't be reached again after two seconds, each for a second; most of the refusals 'connect' of a cut place came from that, and a truthful refusal got lost behind it. Before: the new tests fail.

--- a/internal/callers/exchange.go
+++ b/internal/callers/exchange.go
@@ -146,7 +146,10 @@
 	}
 	x.readBy(t.deadline.Add(replyTime))
 	t.began = x.s.desk.Now()
-	setTimeout(out.Header, t.began, t.deadline)
+	setLeft(out.Header, HeaderTimeout, t.began, t.deadline)
+	if !x.req.Start.IsZero() {
+		setLeft(out.Header, HeaderStart, t.began, x.req.Start)
+	}
 	resp, err := x.s.client.Send(ctx, out)
 	if err != nil {
 		x.fail(t, failure(err))
--- a/internal/callers/header.go
+++ b/internal/callers/header.go
@@ -12,6 +12,7 @@
 const (
 	HeaderKey     = "Firlever-Key"     // idempotency key
 	HeaderTimeout = "Firlever-Timeout" // time left for the request, whole milliseconds
+	HeaderStart   = "Firlever-Start"   // time left until its answer must begin, the same; optional
 	HeaderRequest = "Firlever-Request" // request id
 	HeaderOutcome = "Firlever-Outcome" // one of the outcomes below
 	HeaderReason  = "Firlever-Reason"  // a core.Reason
@@ -71,10 +72,10 @@
 	return int(n)
 }
 
-// setTimeout writes the time left until a deadline.
-func setTimeout(h http.Header, now, deadline time.Time) {
+// setLeft writes the time left until a deadline.
+func setLeft(h http.Header, name string, now, deadline time.Time) {
 	left := max(deadline.Sub(now).Milliseconds(), 0)
-	h.Set(HeaderTimeout, strconv.FormatInt(left, 10))
+	h.Set(name, strconv.FormatInt(left, 10))
 }
 
 // retryAfter reads when a refusal says to come back; zero if it does not.
--- a/internal/callers/request.go
+++ b/internal/callers/request.go
@@ -46,13 +46,16 @@
 		req.Name = newName()
 	}
 	var err error
-	req.Deadline, err = deadline(r.Header.Get(HeaderTimeout), now)
+	if req.Deadline, err = deadline(r, HeaderTimeout, now); err != nil {
+		return req, err
+	}
+	req.Start, err = deadline(r, HeaderStart, now)
 	return req, err
 }
 
 // check refuses headers that can be read in more ways than one, or not at all.
 func check(r *http.Request, req core.Request) error {
-	for _, name := range []string{HeaderKey, HeaderRequest, HeaderTimeout} {
+	for _, name := range []string{HeaderKey, HeaderRequest, HeaderTimeout, HeaderStart} {
 		if len(r.Header.Values(name)) > 1 {
 			return &BadRequestError{Fault: name + " is given more than once"}
 		}
@@ -83,14 +86,15 @@
 	return once.NewFingerprint(r.Method, to.service.String()+to.raw+"?"+r.URL.RawQuery, b.start)
 }
 
-// deadline turns the time left into a deadline; the zero time if none was given.
-func deadline(ms string, now time.Time) (time.Time, error) {
+// deadline turns the time left by a header into a deadline; the zero time if none was given.
+func deadline(r *http.Request, name string, now time.Time) (time.Time, error) {
+	ms := r.Header.Get(name)
 	if ms == "" {
 		return time.Time{}, nil
 	}
 	n, err := strconv.ParseInt(ms, 10, 64)
 	if err != nil || n < 0 {
-		return time.Time{}, &BadRequestError{Fault: fmt.Sprintf("%s %q is not whole milliseconds", HeaderTimeout, ms)}
+		return time.Time{}, &BadRequestError{Fault: fmt.Sprintf("%s %q is not whole milliseconds", name, ms)}
 	}
 	left := time.Duration(min(n, maxTimeout.Milliseconds())) * time.Millisecond
 	return now.Add(left), nil
--- a/internal/core/arrival.go
+++ b/internal/core/arrival.go
@@ -137,7 +137,7 @@
 // can't be met there.
 func (n *Node) hold(now time.Time, f *flight) {
 	if n.requeue(now, f) {
-		n.decide(Hold{ID: f.id, Until: f.req.Deadline, Passed: f.passed})
+		n.decide(Hold{ID: f.id, Until: f.wait(), Passed: f.passed})
 	}
 }
 
@@ -148,7 +148,7 @@
 		Service:  f.req.Service,
 		Bulk:     f.service.Bulk(),
 		Way:      queue.Way{Shifted: f.shifted(n.cfg.Place), Bound: f.origin == FromPeer},
-		Deadline: f.req.Deadline,
+		Deadline: f.wait(),
 	})
 	if verdict.Kind != queue.VerdictQueued {
 		f.sooner(verdict.RetryAt)
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -30,7 +30,8 @@
 	Key        string // idempotency key; empty if the caller sent none
 	Print      once.Fingerprint
 	Deadline   time.Time
-	Replayable bool // the body can be sent again; Finished says when that is over
+	Start      time.Time // by when the answer must begin; zero if by Deadline
+	Replayable bool      // the body can be sent again; Finished says when that is over
 }
 
 // Origin says who brought a request.
--- a/internal/core/flight.go
+++ b/internal/core/flight.go
@@ -54,6 +54,15 @@
 // shifted says whether serving f in a place counts against the shift cap.
 func (f *flight) shifted(place string) bool { return f.home != place }
 
+// wait is until when f may wait: the caller gives an attempt up whose answer
+// doesn't begin in time, so starting it later would be work for nothing.
+func (f *flight) wait() time.Time {
+	if f.req.Start.IsZero() || f.req.Start.After(f.req.Deadline) {
+		return f.req.Deadline
+	}
+	return f.req.Start
+}
+
 func (f *flight) hasTried(name string) bool { return slices.Contains(f.tried, name) }
 
 func (f *flight) sooner(at time.Time) {
--- a/internal/core/node_test.go
+++ b/internal/core/node_test.go
@@ -326,3 +326,34 @@
 		t.Errorf("got %q, want %q", got, want)
 	}
 }
+
+// TestWaitEndsAtStart: a caller gives up an attempt whose answer has not begun
+// in time, so it must not be started later.
+func TestWaitEndsAtStart(t *testing.T) {
+	tests := map[string]struct {
+		start time.Duration
+		want  time.Duration
+	}{
+		"no start":           {0, 2 * time.Second},
+		"start":              {time.Second, time.Second},
+		"start past the end": {time.Minute, 2 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			n := testNode(t, nil)
+			n.Step(begin, request(1, "10.1.0.1"))
+			n.Step(begin, request(2, "10.1.0.1"))
+			waiting := request(3, "10.1.0.1")
+			if tt.start > 0 {
+				waiting.Request.Start = begin.Add(tt.start)
+			}
+			n.Step(begin, waiting)
+			if got := word(n.Step(begin.Add(tt.want-1), Tick{})); got == "refuse deadline" {
+				t.Errorf("got a refusal before %s", tt.want)
+			}
+			if got := word(n.Step(begin.Add(tt.want), Tick{})); got != "refuse deadline" {
+				t.Errorf("got %q at %s, want a refusal", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -13,7 +13,7 @@
 // instance's place, then others by how far they are. reason is set when a
 // request comes back from the queue or from an attempt that ran nothing.
 func (n *Node) place(now time.Time, f *flight, reason Reason) {
-	if !now.Before(f.req.Deadline) {
+	if !now.Before(f.wait()) {
 		n.refuse(now, f, ReasonDeadline)
 		return
 	}
--- a/pkg/caller/call.go
+++ b/pkg/caller/call.go
@@ -40,7 +40,7 @@
 			return nil, errors.Annotate(k.notRunBefore(ReasonKey, err), "Client.Do")
 		}
 	}
-	resp, err := k.run(k.addresses(answer))
+	resp, err := k.run(answer)
 	return resp, errors.Annotate(err, "Client.Do")
 }
 
@@ -56,15 +56,16 @@
 	return k.notRun(reason, err)
 }
 
-// addresses returns where to try, in order: a key's home goes first.
-func (k *call) addresses(answer Answer) []string {
+// addresses returns where to try, in order, and how many come before those that
+// failed. A key's home goes first.
+func (k *call) addresses(answer Answer) ([]string, int) {
 	var list []string
 	for _, instance := range answer.Instances {
 		list = append(list, instance.Address)
 	}
-	list = k.client.order(list)
+	list, reached := k.client.order(list)
 	if k.key.Home == "" {
-		return list
+		return list, reached
 	}
 	rest := []string{k.key.Home}
 	for _, address := range list {
@@ -72,15 +73,16 @@
 			rest = append(rest, address)
 		}
 	}
-	return rest
+	return rest, max(reached, 1)
 }
 
 // run makes attempts until one is answered or no other is right.
-func (k *call) run(addresses []string) (*Response, error) {
+func (k *call) run(answer Answer) (*Response, error) {
+	addresses, reached := k.addresses(answer)
 	k.mayRun = k.req.Key.Value != ""
 	attempts := k.client.cfg.Attempts
 	for i := range attempts {
-		if i > 0 && !k.client.budget.take() {
+		if i >= reached && i < len(addresses) && k.told() || i > 0 && !k.client.budget.take() {
 			break
 		}
 		address := addresses[i%len(addresses)]
@@ -96,6 +98,13 @@
 	return nil, k.failure()
 }
 
+// told says whether an instance has refused the request itself. That is a
+// better answer than what an instance that fails would give, after a wait.
+func (k *call) told() bool {
+	var notRun *NotRunError
+	return errors.As(k.last, &notRun) && notRun.Status != 0
+}
+
 // again says whether another attempt is right after one failed.
 func (k *call) again(address string, err error) bool {
 	var notRun *NotRunError
@@ -134,12 +143,13 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
-	req, refused := k.request(ctx, address)
+	start := k.start(more)
+	req, refused := k.request(ctx, address, start)
 	if refused != nil {
 		cancel()
 		return nil, refused
 	}
-	stop := k.limit(cancel, more)
+	stop := limit(cancel, start)
 	resp, err := k.client.transport.RoundTrip(req)
 	if !stop() && err == nil {
 		err = context.Canceled
@@ -152,14 +162,24 @@
 	return k.judge(address, resp, cancel)
 }
 
-// limit ends an attempt at an idempotent request halfway to the deadline while
-// other instances are left, so that one that hangs doesn't take all the time.
-func (k *call) limit(cancel context.CancelFunc, more bool) (stop func() bool) {
+// start is by when the answer of an attempt at an idempotent request has to
+// begin: halfway to the deadline while other instances are left, so that one
+// that hangs doesn't take all the time. It is zero if there is no such limit.
+// The instance is told, so that it doesn't begin what is given up already.
+func (k *call) start(more bool) time.Time {
 	deadline, ok := k.ctx.Deadline()
 	if !ok || !more || !k.idempotent {
+		return time.Time{}
+	}
+	return time.Now().Add(time.Until(deadline) / 2)
+}
+
+// limit ends an attempt at start, unless that is zero or stop comes first.
+func limit(cancel context.CancelFunc, start time.Time) (stop func() bool) {
+	if start.IsZero() {
 		return func() bool { return true }
 	}
-	return time.AfterFunc(time.Until(deadline)/2, cancel).Stop
+	return time.AfterFunc(time.Until(start), cancel).Stop
 }
 
 // broken is the failure of an attempt without an answer. Without a connection
@@ -186,6 +206,7 @@
 	id := resp.Header.Get(headerRequest)
 	reason := resp.Header.Get(headerReason)
 	if id == k.id && Outcome(outcome) == Answered {
+		k.client.worked(address)
 		return k.response(address, resp, cancel), nil
 	}
 	discard(resp.Body)
@@ -196,7 +217,7 @@
 		e.RetryAt = retryAt(resp.Header)
 		e.Status = resp.StatusCode
 		if !e.final() {
-			k.client.avoid(address)
+			k.client.refused(address)
 		}
 		return nil, e
 	case id == k.id && Outcome(outcome) == Unknown:
--- a/pkg/caller/call_test.go
+++ b/pkg/caller/call_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -214,3 +216,44 @@
 		}
 	})
 }
+
+// TestStartIsTold: an instance is told by when the answer has to begin, as long
+// as the attempt would be given up then.
+func TestStartIsTold(t *testing.T) {
+	tests := map[string]struct {
+		req  *Request
+		want []string
+	}{
+		"idempotent": {&Request{}, []string{"500", "250", ""}},
+		"key":        {post(), []string{"", "", ""}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork(t, first, second)
+				var mu sync.Mutex
+				var got []string
+				hang := func(w http.ResponseWriter, r *http.Request) {
+					mu.Lock()
+					got = append(got, r.Header.Get(headerStart))
+					mu.Unlock()
+					if r.Header.Get(headerStart) == "" {
+						cut(w, r)
+					}
+					<-r.Context().Done()
+				}
+				n.servers[first].call, n.servers[second].call = hang, hang
+				c := n.client(t, Config{})
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				_, _ = c.Do(ctx, "t/s", tt.req)
+				synctest.Wait()
+				mu.Lock()
+				defer mu.Unlock()
+				if !slices.Equal(got, tt.want) {
+					t.Errorf("got %q, want %q", got, tt.want)
+				}
+			})
+		})
+	}
+}
--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -21,8 +21,8 @@
 
 	mu       sync.Mutex
 	random   *rand.Rand
-	services map[string]*entry    // by team/service; only services that were asked for
-	avoided  map[string]time.Time // addresses of instances that failed, and until when they're tried last
+	services map[string]*entry // by team/service; only services that were asked for
+	avoided  *avoided
 }
 
 // New returns a client. The error is a *ConfigError that names each fault.
@@ -41,7 +41,7 @@
 		budget:   newBudget(cfg.Burst, cfg.Ratio),
 		random:   rand.New(rand.NewPCG(seed, seed)),
 		services: map[string]*entry{},
-		avoided:  map[string]time.Time{},
+		avoided:  newAvoided(cfg.Avoid, cfg.Connect),
 	}
 	c.transport = &http.Transport{
 		DialContext:         c.dial,
@@ -61,37 +61,6 @@
 	return c.cfg.Dial(ctx, network, address)
 }
 
-// avoid makes an instance the last to be tried for a while.
-func (c *Client) avoid(address string) {
-	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for other, until := range c.avoided {
-		if !now.Before(until) {
-			delete(c.avoided, other)
-		}
-	}
-	c.avoided[address] = now.Add(c.cfg.Avoid)
-}
-
-// order returns the addresses, each once, those to avoid last.
-func (c *Client) order(addresses []string) []string {
-	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var first, last []string
-	for _, address := range addresses {
-		switch {
-		case slices.Contains(first, address), slices.Contains(last, address):
-		case now.Before(c.avoided[address]):
-			last = append(last, address)
-		default:
-			first = append(first, address)
-		}
-	}
-	return append(first, last...)
-}
-
 // jitter returns d times a factor drawn from low to high.
 func (c *Client) jitter(d time.Duration, low, high float64) time.Duration {
 	return time.Duration(float64(d) * (low + (high-low)*c.random.Float64()))
--- a/pkg/caller/config.go
+++ b/pkg/caller/config.go
@@ -13,10 +13,10 @@
 // stands for its default.
 type Config struct {
 	Entries  []string      // addresses of instances to begin with, IP:port; at least one
-	Connect  time.Duration // longest wait for a connection; 1s
+	Connect  time.Duration // longest wait for a connection; 500ms
 	Ask      time.Duration // longest wait for one instance's answer to a look-up; 1s
 	Pause    time.Duration // about how long to leave look-ups of a service alone after one failed; 500ms
-	Avoid    time.Duration // how long an instance that failed is tried last; 2s
+	Avoid    time.Duration // how long an instance that failed once is tried last; each failure in a row doubles it; 2s
 	Attempts int           // most instances tried for one request; 3
 	Keys     int           // idempotency keys asked for with a look-up; 16
 	Burst    int           // retries that may be made at once; 10
@@ -30,7 +30,7 @@
 
 // Defaults returns cfg with its zero fields set.
 func (cfg Config) Defaults() Config {
-	cfg.Connect = or(cfg.Connect, time.Second)
+	cfg.Connect = or(cfg.Connect, 500*time.Millisecond)
 	cfg.Ask = or(cfg.Ask, time.Second)
 	cfg.Pause = or(cfg.Pause, 500*time.Millisecond)
 	cfg.Avoid = or(cfg.Avoid, 2*time.Second)
--- a/pkg/caller/lookup.go
+++ b/pkg/caller/lookup.go
@@ -140,10 +140,12 @@
 func (c *Client) refresh(service string, e *entry, f *flight, addresses []string, keys int) {
 	failure := &LookupError{Service: service}
 	defer close(f.done)
-	for _, address := range c.order(addresses) {
+	order, _ := c.order(addresses)
+	for _, address := range order {
 		asked := time.Now()
 		wire, life, err := c.ask(service, address, keys)
 		if err == nil {
+			c.worked(address)
 			c.keep(service, e, f, wire, asked, life, address)
 			return
 		}
--- a/pkg/caller/request.go
+++ b/pkg/caller/request.go
@@ -16,6 +16,7 @@
 const (
 	headerKey     = "Firlever-Key"
 	headerTimeout = "Firlever-Timeout" // milliseconds
+	headerStart   = "Firlever-Start"   // milliseconds
 	headerRequest = "Firlever-Request"
 	headerOutcome = "Firlever-Outcome"
 	headerReason  = "Firlever-Reason"
@@ -97,8 +98,9 @@
 	return u
 }
 
-// request makes the HTTP request of one attempt.
-func (k *call) request(ctx context.Context, address string) (*http.Request, *NotRunError) {
+// request makes the HTTP request of one attempt, whose answer has to begin by
+// start unless that is zero.
+func (k *call) request(ctx context.Context, address string, start time.Time) (*http.Request, *NotRunError) {
 	u := k.target(address)
 	if u == nil {
 		return nil, k.notRun(ReasonRequest, &PathError{Path: k.req.Path})
@@ -122,6 +124,9 @@
 		}
 		req.Header.Set(headerTimeout, strconv.FormatInt(left, 10))
 	}
+	if !start.IsZero() {
+		req.Header.Set(headerStart, strconv.FormatInt(max(time.Until(start).Milliseconds(), 0), 10))
+	}
 	return req, k.setBody(req)
 }
 
