Let a peer's request wait only as long as its refusal is heard

Cause: a request that a peer had handed off or forwarded waited in the queue up to its deadline. Its refusal came back after the sender's deadline, so the caller was told "unknown" of a request that had not run, and its key was lost. Change: such a request waits until 100 ms before its deadline, or for three quarters of its time if that is longer; two hops back fit in. Excluded: a target that is still at work when the time runs out.

--- a/internal/core/arrival.go
+++ b/internal/core/arrival.go
@@ -27,6 +27,7 @@
 	if limit := now.Add(service.Timeout()); f.req.Deadline.IsZero() || f.req.Deadline.After(limit) {
 		f.req.Deadline = limit
 	}
+	f.until = f.waitUntil(now)
 	n.service(now, f.req.Service).budget.Request(now)
 	if !f.idempotent && f.origin != FromPeer && !n.claim(now, f) {
 		return
@@ -133,11 +134,24 @@
 	}
 }
 
+// returnTime is kept back of a peer's request for its refusal to get back in
+// time. One that comes late is no proof any more that nothing ran.
+const returnTime = 100 * time.Millisecond
+
+// waitUntil is how long f may wait in the queue.
+func (f *flight) waitUntil(now time.Time) time.Time {
+	if f.origin == FromCaller {
+		return f.wait()
+	}
+	left := f.wait().Sub(now)
+	return f.wait().Add(-min(returnTime, left/4))
+}
+
 // hold puts a request in the queue, or refuses it at once when its deadline
 // can't be met there.
 func (n *Node) hold(now time.Time, f *flight) {
 	if n.requeue(now, f) {
-		n.decide(Hold{ID: f.id, Until: f.wait(), Passed: f.passed})
+		n.decide(Hold{ID: f.id, Until: f.until, Passed: f.passed})
 	}
 }
 
@@ -148,7 +162,7 @@
 		Service:  f.req.Service,
 		Bulk:     f.service.Bulk(),
 		Way:      queue.Way{Shifted: f.shifted(n.cfg.Place), Bound: f.origin == FromPeer},
-		Deadline: f.wait(),
+		Deadline: f.until,
 	})
 	if verdict.Kind != queue.VerdictQueued {
 		f.sooner(verdict.RetryAt)
--- a/internal/core/flight.go
+++ b/internal/core/flight.go
@@ -33,6 +33,8 @@
 	key        once.Key // valid if keyed
 	turn       uint32   // attempt of the key's record, valid if keyed
 
+	until time.Time // it waits in the queue no longer; at most the deadline
+
 	stage    stage
 	target   owner.TargetKey // valid in stageTarget
 	peer     string          // valid in stagePeer and stageForward
--- a/internal/core/home_test.go
+++ b/internal/core/home_test.go
@@ -133,3 +133,21 @@
 	}
 	return SwapRoster{}
 }
+
+// TestRefusedInTime: a peer's request stops waiting early enough for the refusal
+// to reach the peer while it still waits for it.
+func TestRefusedInTime(t *testing.T) {
+	for origin, want := range map[Origin]time.Duration{
+		FromCaller: 2 * time.Second, FromPeer: 1900 * time.Millisecond, FromForward: 1900 * time.Millisecond,
+	} {
+		n := testNode(t, nil)
+		for id := range ID(2) {
+			n.Step(begin, request(id+1, "10.1.0.1"))
+		}
+		ev := request(3, "10.1.0.1")
+		ev.Origin = origin
+		if h, ok := n.Step(begin, ev)[0].(Hold); !ok || h.Until.Sub(begin) != want {
+			t.Errorf("origin %d: got %+v, want it held for %v", origin, h, want)
+		}
+	}
+}
