Let the random runs suspect the living and drop them from the list

Cause: the runs could not tell apart several broken rules of the roster, and their caller began afresh while an attempt of its own was on its way.

--- a/internal/core/caller_test.go
+++ b/internal/core/caller_test.go
@@ -201,10 +201,10 @@
 	}
 	w.check.told(a, ans)
 	switch {
-	case k.over || k.answered || w.now > load:
-		return
 	case ans.kind == core.Answered:
-		k.answered, k.over = true, true
+		k.answered = true
+		return
+	case k.over || k.answered || w.now > load:
 		return
 	case ans.kind == core.Failed && a.key == k.key:
 		k.doubtful = true
@@ -225,7 +225,7 @@
 	}
 	w.after(wait, func() {
 		switch {
-		case k.answered:
+		case k.answered || k.over:
 		case k.key != "" && !k.doubtful && k.asked == k.told && w.chance(0.4):
 			k.start()
 		default:
--- a/internal/core/checker_test.go
+++ b/internal/core/checker_test.go
@@ -104,6 +104,9 @@
 	if ans.kind != core.NotRun {
 		return
 	}
+	if x.asker != nil && x.asker.over && x.left >= 200*time.Millisecond && c.w.now > quiet+recovery {
+		c.failf("%s refuses %s (%s) too late to be heard", x.p, x.req.Name, ans.reason)
+	}
 	if x.ran {
 		c.failf("%s says that %s has not run (%s), but it has", x.p, x.req.Name, ans.reason)
 	}
@@ -219,18 +222,19 @@
 	}
 }
 
-// answeredAgain checks that calls are answered after the faults.
+// answeredAgain checks that calls are answered after the faults. One with a key
+// whose work has begun, and whose answer its target lost, stays unknown in truth.
 func (c *checker) answeredAgain() {
 	asked, answered := 0, 0
 	for _, k := range c.w.calls {
 		if k.begun > quiet+recovery && k.begun < load-time.Second {
 			asked++
-			if k.answered {
+			if k.answered || k.all > 0 {
 				answered++
 			}
 		}
 	}
-	if asked > 0 && answered*100 < asked*85 {
+	if asked > 0 && answered*100 < asked*95 {
 		c.failf("only %d of %d calls were answered long after the faults", answered, asked)
 	}
 	c.w.counts["asked late"] += asked
--- a/internal/core/exchange_test.go
+++ b/internal/core/exchange_test.go
@@ -23,8 +23,10 @@
 	req     core.Request
 	call    *call // the truth behind it
 	reply   func(answer)
-	attempt *attempt // under way, or nil
-	gone    bool     // the one who asked waits no more
+	attempt *attempt      // under way, or nil
+	asker   *attempt      // of the peer that sent it; nil for a caller's
+	left    time.Duration // when it came
+	gone    bool          // the one who asked waits no more
 	done    bool
 	word    bool // its key's home has just said that it has not run
 	ran     bool // a target has begun work on an attempt of this exchange
@@ -44,7 +46,7 @@
 func (p *proc) receive(origin core.Origin, req core.Request, c *call, left time.Duration, reply func(answer)) *exchange {
 	p.lastID++
 	req.Deadline = p.local().Add(left)
-	x := &exchange{p: p, id: p.lastID, origin: origin, req: req, call: c, reply: reply}
+	x := &exchange{p: p, id: p.lastID, origin: origin, left: left, req: req, call: c, reply: reply}
 	p.exchanges[x.id] = x
 	p.w.tracef("%s gets %s (origin %d)", p, req.Name, origin)
 	p.step(core.Arrived{ID: x.id, Origin: origin, Request: req})
@@ -121,6 +123,7 @@
 	}
 	q.deliver(func() {
 		a.far = q.receive(origin, req, a.x.call, left, func(ans answer) { a.answered(q, ans) })
+		a.far.asker = a
 	})
 }
 
--- a/internal/core/process_test.go
+++ b/internal/core/process_test.go
@@ -49,6 +49,8 @@
 	heard map[string]*heard
 	peers []core.Peer
 
+	suspects map[string]time.Duration // peers that it wrongly takes for dead, and until when
+
 	rosterDue time.Time
 	asking    bool
 
@@ -69,6 +71,7 @@
 func newProc(w *world, name string) *proc {
 	p := &proc{
 		w: w, name: name, place: w.home[name], incarnation: 1, rate: 1,
+		suspects: make(map[string]time.Duration),
 		versions: make(map[string]uint64), heard: make(map[string]*heard),
 		exchanges: make(map[core.ID]*exchange), started: w.now, touched: w.now,
 		admitted: make(map[string]map[int64]int),
@@ -97,7 +100,7 @@
 	place := p.w.places[p.place]
 	cfg := core.Config{
 		Instance: p.name, Incarnation: p.incarnation, Place: place, Domain: place, Region: region(p.place),
-		Term: term, Skew: skew, Lag: lag, Cache: lookupLife, Grace: 2 * time.Second,
+		Term: term, Skew: skew, Lag: lag, ListProves: p.w.proves, Cache: lookupLife, Grace: 2 * time.Second,
 		Rand: rand.New(rand.NewPCG(p.w.rng.Uint64(), 1)), Checks: checks,
 	}
 	cfg.Secret[0], cfg.Seed[0] = byte(p.w.rng.Uint32()), byte(p.w.rng.Uint32())
@@ -235,7 +238,7 @@
 	var peers []core.Peer
 	for _, name := range p.w.names {
 		h := p.heard[name]
-		if h == nil || p.local().Sub(h.at) > deadAfter {
+		if h == nil || p.local().Sub(h.at) > deadAfter || p.w.now < p.suspects[name] {
 			continue
 		}
 		place := p.w.home[name]
--- a/internal/core/random_test.go
+++ b/internal/core/random_test.go
@@ -12,17 +12,20 @@
 // Environment of the random runs.
 const (
 	envSoak = "FIRLEVER_SOAK" // how long TestSoakCore goes on, or how many seeds it takes
-	envSeed = "FIRLEVER_SEED" // the one seed to replay, with its events
+	envSeed = "FIRLEVER_SEED" // the one seed to replay, with its events; with envSoak the first seed
 )
 
 // shortRuns is how many seeds the ordinary test takes.
 const shortRuns = 4
 
+// firstSoak is the first seed of a soak.
+const firstSoak = 1000
+
 // replay runs one seed and returns the first violation.
 func replay(t *testing.T, seed uint64) string {
 	t.Helper()
 	w := newWorld(seed)
-	w.tracing = os.Getenv(envSeed) != ""
+	w.tracing = os.Getenv(envSeed) != "" && os.Getenv(envSoak) == ""
 	fault := w.run()
 	if w.tracing {
 		t.Log(strings.Join(w.trace, "\n"))
@@ -41,12 +44,8 @@
 
 // TestRandomRuns runs seeded worlds with every fault, and checks the truth.
 func TestRandomRuns(t *testing.T) {
-	if s := os.Getenv(envSeed); s != "" {
-		seed, err := strconv.ParseUint(s, 10, 64)
-		if err != nil {
-			t.Fatal(err)
-		}
-		replay(t, seed)
+	if os.Getenv(envSeed) != "" {
+		replay(t, seedOf(t, 0))
 		return
 	}
 	for seed := range uint64(shortRuns) {
@@ -57,6 +56,20 @@
 	}
 }
 
+// seedOf reads a seed from the environment.
+func seedOf(t *testing.T, otherwise uint64) uint64 {
+	t.Helper()
+	s := os.Getenv(envSeed)
+	if s == "" {
+		return otherwise
+	}
+	seed, err := strconv.ParseUint(s, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return seed
+}
+
 // TestSoakCore takes seeds one after another for as long as the environment says.
 func TestSoakCore(t *testing.T) {
 	s := os.Getenv(envSoak)
@@ -69,10 +82,11 @@
 		t.Fatalf("%s is %q, want a duration or a number of seeds", envSoak, s)
 	}
 	end := time.Now().Add(limit)
+	first := seedOf(t, firstSoak)
 	var failed []uint64
 	n := 0
 	for ; (err == nil && n < most) || (err != nil && time.Now().Before(end)); n++ {
-		seed := uint64(1000 + n)
+		seed := first + uint64(n)
 		t.Logf("seed %d", seed)
 		if replay(t, seed) != "" {
 			failed = append(failed, seed)
--- a/internal/core/store_test.go
+++ b/internal/core/store_test.go
@@ -100,7 +100,7 @@
 
 func (s *store) register(name string, incarnation uint64) {
 	l := s.listed[name]
-	if l == nil || s.w.now > l.last+goneLag {
+	if l == nil || (s.w.now > l.last+goneLag && !s.w.proves) {
 		l = &listing{}
 		s.listed[name] = l
 	}
@@ -115,7 +115,10 @@
 	var list []platform.Instance
 	for _, name := range s.w.names {
 		l := s.listed[name]
-		if l == nil || s.w.home[name] != place || s.w.now > l.last+goneLag {
+		if l == nil || s.w.home[name] != place {
+			continue
+		}
+		if s.w.now > l.last+goneLag && (!s.w.proves || s.w.live[name] == nil) {
 			continue
 		}
 		shown := uint64(0)
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -81,6 +81,7 @@
 	calls   []*call
 	check   *checker
 
+	proves  bool // the list names a process until it has ended, also one that is cut off
 	aligned bool // clocks agree with true time
 	jumps   bool // clocks jump, which the bounds on time exclude
 	trace   []string
@@ -99,6 +100,7 @@
 		links:   links{cut: make(map[[2]int]int), apart: make(map[[2]string]int)},
 	}
 	w.aligned = w.chance(0.35)
+	w.proves = w.chance(0.4)
 	w.jumps = !w.aligned && w.chance(0.15)
 	w.check = newChecker(w)
 	w.store = newStore(w)
