Tell a caller whose short answer found no room on the link

Cause: a paced short answer that could not leave before its deadline broke the connection, though nothing of it had been written yet.

Change: the caller gets the typed answer unknown, reason deadline.

--- a/internal/callers/link_test.go
+++ b/internal/callers/link_test.go
@@ -105,22 +105,26 @@
 	return startRig(tb, "i1", s)
 }
 
-// get downloads as an instance of another place does, and returns how many
-// bytes came.
+// get downloads, and returns how many bytes came.
 func (g *rig) get(ctx context.Context, bytes int) (int64, error) {
-	r, err := http.NewRequestWithContext(ctx, "GET", fmt.Sprintf("%s/hand/shop/maps/%d", g.peers.URL, bytes), nil)
+	resp, err := g.download(ctx, bytes)
 	if err != nil {
 		return 0, err
 	}
+	defer resp.Body.Close()
+	return io.Copy(io.Discard, resp.Body)
+}
+
+// download asks as an instance of another place does.
+func (g *rig) download(ctx context.Context, bytes int) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(ctx, "GET", fmt.Sprintf("%s/hand/shop/maps/%d", g.peers.URL, bytes), nil)
+	if err != nil {
+		return nil, err
+	}
 	r.Header.Set(HeaderFrom, "i9")
 	r.Header.Set(HeaderHome, "east")
 	r.Header.Set(HeaderTimeout, "1000")
-	resp, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return 0, err
-	}
-	defer resp.Body.Close()
-	return io.Copy(io.Discard, resp.Body)
+	return http.DefaultClient.Do(r)
 }
 
 // TestBulkAnswersArePaced downloads over a link that is too slow for the
@@ -137,6 +141,24 @@
 	}
 }
 
+// TestShortAnswerBehindFullLink can't be passed on before its deadline: its
+// caller is told so.
+func TestShortAnswerBehindFullLink(t *testing.T) {
+	g := bulkRig(t, 1<<10)
+	if n, err := g.get(t.Context(), maxWhole); err != nil || n != maxWhole {
+		t.Fatalf("got %d bytes, %v, want the first at once", n, err)
+	}
+	resp, err := g.download(t.Context(), 9)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if got, want := outcome(resp), OutcomeUnknown+" "+string(core.ReasonDeadline); got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	g.idle()
+}
+
 // BenchmarkDownload streams answers of several sizes.
 func BenchmarkDownload(b *testing.B) {
 	for _, mb := range []int{1, 16, 64} {
--- a/internal/callers/relay.go
+++ b/internal/callers/relay.go
@@ -40,7 +40,8 @@
 	x.finish(t, x.answered(resp, start))
 	x.s.cfg.Metrics.Answered(x.req.Service.String(), x.s.desk.Now().Sub(x.came))
 	if x.s.link.wait(t.ctx, t.link, len(start)) != nil {
-		x.abort()
+		x.refuse(core.Refuse{ID: x.id, Unknown: true, Reason: core.ReasonDeadline})
+		return true
 	}
 	x.own(OutcomeAnswered, core.Reason(peerReason(t, resp)))
 	x.whole(resp.StatusCode, resp.Header, start)
