Stop as soon as no caller can have a look-up left

Cause: a planned stop went on for a fixed 6 s for callers' cached look-ups, whether any of them named it or not.

Change: an instance keeps until when each answer of a look-up that sends callers to another may be kept. Its acks tell that to a leaving instance, once it names that one no longer; changes are handed on before a packet is answered, so that the first ack tells already. The planned stop pings all members that it holds, and ends when all have told and the last look-up has run out, its own and its keys' included.

--- a/cmd/firlever/serve.go
+++ b/cmd/firlever/serve.go
@@ -61,7 +61,7 @@
 	f.StringVar(&cfg.Source, "source", "", "IP that connections to targets and other instances come from")
 	f.StringSliceVar(&cfg.Join, "join", nil, "peers' addresses of instances to begin with")
 	f.StringVar(&cfg.Bootstrap, "bootstrap", "", "hex SHA-256 of a token that opens everything until the system team has one")
-	f.DurationVar(&cfg.Linger, "linger", 6*time.Second, "how long a planned stop goes on serving cached look-ups")
+	f.DurationVar(&cfg.Linger, "linger", 6*time.Second, "longest that a planned stop goes on serving cached look-ups")
 	f.BoolVar(&cfg.ListProves, "list-proves", false, "the platform's list names an instance until its process has ended for certain")
 	f.StringVar(&flags.platform, "platform", "", "address of the platform's key-value service, IP:port")
 	f.StringVar(&flags.policy, "policy", string(core.PolicyOwner), "how targets are chosen; others than owner are for measurements")
--- a/internal/core/lookup.go
+++ b/internal/core/lookup.go
@@ -47,9 +47,29 @@
 	for range min(keys, maxKeys) {
 		l.Keys = append(l.Keys, n.once.Issue(now, until).String())
 	}
+	n.note(l)
 	return l, nil
 }
 
+// note keeps until when callers may keep an answer that sends them to an
+// instance, by its name or by a key.
+func (n *Node) note(l Lookup) {
+	for _, p := range l.Instances {
+		n.named[p.ID] = l.Until
+	}
+	if len(l.Keys) > 0 {
+		n.named[n.cfg.Instance] = l.Until
+	}
+}
+
+// Named is until when callers may keep a look-up of this instance that sends
+// them to another, or to itself. The answer holds for good once the other is
+// known here to leave, which ok tells.
+func (n *Node) Named(id string) (until time.Time, ok bool) {
+	p, known := n.peer(id)
+	return n.named[id], known && p.Leaving || id == n.cfg.Instance && n.stopping
+}
+
 // instancesFor orders instances by how near their place is to the caller's home.
 // Within a place a random one comes first, so that callers spread.
 func (n *Node) instancesFor(id settings.ServiceID, service *settings.CompiledService, home string) []Peer {
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -26,6 +26,7 @@
 	peers peerList
 	rooms map[string]desk // what each peer of peers last said of its room
 	seen  map[string]sighting
+	named map[string]time.Time // until when callers may keep a look-up that names an instance
 
 	grants   *grant.Book          // what peers were granted
 	purse    *grant.Purse         // what peers have granted
@@ -63,6 +64,7 @@
 		cfg:      cfg,
 		rooms:    make(map[string]desk),
 		seen:     make(map[string]sighting),
+		named:    make(map[string]time.Time),
 		purse:    grant.NewPurse(),
 		hungers:  make(map[appetite]*hunger),
 		flights:  make(map[ID]*flight),
--- a/internal/core/roster.go
+++ b/internal/core/roster.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -220,6 +221,10 @@
 			delete(n.rooms, id)
 		}
 	}
+	maps.DeleteFunc(n.named, func(id string, _ time.Time) bool {
+		_, ok := live[id]
+		return !ok && id != n.cfg.Instance
+	})
 	n.peers = newPeerList(ev.Peers)
 	n.pump(now)
 }
--- a/internal/instance/config.go
+++ b/internal/instance/config.go
@@ -38,7 +38,7 @@
 	Bootstrap string // hex SHA-256 of a token that opens everything until the system team has one
 
 	ListProves bool          // the platform's list names an instance until its process has ended for certain
-	Linger     time.Duration // how long a planned stop goes on serving cached look-ups
+	Linger     time.Duration // the longest that a planned stop goes on serving cached look-ups
 	Policy     core.Policy
 	Seed       uint64 // of random choices; 0 takes one from the clock
 
--- a/internal/instance/gossip.go
+++ b/internal/instance/gossip.go
@@ -27,8 +27,9 @@
 	told toldRooms // used by the goroutine of tellRooms alone
 
 	mu     sync.Mutex
-	near   map[string]bool // instances of this place; guarded by mu
-	roster uint64          // version that the list was told of; guarded by mu
+	near   map[string]bool      // instances of this place; guarded by mu
+	named  map[string]time.Time // while leaving: until when callers keep look-ups of each peer that name this instance; guarded by mu
+	roster uint64               // version that the list was told of; guarded by mu
 }
 
 func newGossip(in *Instance) (*gossip, error) {
@@ -44,7 +45,7 @@
 	if err != nil {
 		return nil, &ListenError{Address: in.cfg.Peers, Err: err}
 	}
-	g := &gossip{in: in, near: make(map[string]bool)}
+	g := &gossip{in: in, near: make(map[string]bool), named: make(map[string]time.Time)}
 	g.udp = peer.NewUDP(conn, list, peer.Hooks{
 		Heard: g.heard, Rooms: g.rooms, Prepare: g.prepare, Changed: g.changed,
 	})
@@ -68,7 +69,7 @@
 }
 
 // heard passes on what a packet tells beyond membership.
-func (g *gossip) heard(_ time.Time, p *wire.Packet) {
+func (g *gossip) heard(now time.Time, p *wire.Packet) {
 	var m member.Member
 	var ack member.Ack
 	var ok bool
@@ -81,6 +82,7 @@
 		return
 	}
 	g.heardMark(p, m.Instance)
+	g.heardNamed(now, p)
 	if m.Place == g.in.cfg.Place {
 		g.in.heardRoster(p.Roster, m.Instance)
 		g.heardNear(p, ack)
@@ -141,9 +143,50 @@
 		if near {
 			peer.SetRelease(p, n.Release())
 		}
+		if cause != nil && cause.Leaving && p.Kind == wire.Kind_KIND_ACK {
+			p.Named = named(now, n, cause.From)
+		}
 	})
 }
 
+// named is what an ack tells a leaving instance of look-ups that name it.
+func named(now time.Time, n *core.Node, id string) uint32 {
+	until, ok := n.Named(id)
+	if !ok {
+		return 0
+	}
+	return uint32(max(until.Sub(now), 0)/time.Millisecond) + 2 // rounded up, and one more
+}
+
+// heardNamed keeps what a peer tells this leaving instance of its look-ups.
+func (g *gossip) heardNamed(now time.Time, p *wire.Packet) {
+	if p.Named == 0 || p.Kind != wire.Kind_KIND_ACK || p.Target != "" {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.named[p.From] = now.Add(time.Duration(p.Named) * time.Millisecond)
+}
+
+// lastNamed is until when callers may keep a look-up of a peer that names this
+// leaving instance; false if a living peer has not told yet.
+func (g *gossip) lastNamed() (time.Time, bool) {
+	var last time.Time
+	members := g.Members()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range members {
+		until, ok := g.named[m.ID]
+		if !ok && (m.State == member.Alive || m.State == member.Suspect) {
+			return time.Time{}, false
+		}
+		if until.After(last) {
+			last = until
+		}
+	}
+	return last, true
+}
+
 // changed tells the node who is there.
 func (g *gossip) changed(changes []member.Change) {
 	for _, c := range changes {
--- a/internal/instance/recovery_test.go
+++ b/internal/instance/recovery_test.go
@@ -460,6 +460,50 @@
 	})
 }
 
+// TestStopLingers stops an instance after a look-up was given out or not.
+func TestStopLingers(t *testing.T) {
+	tests := map[string]struct {
+		ask   int           // seat that is asked for a look-up, -1 for none
+		stale time.Duration // between the look-up and the stop
+		least time.Duration
+		most  time.Duration
+	}{
+		"nobody asked":       {-1, 0, 0, time.Second},
+		"asked itself":       {0, time.Second, 4 * time.Second, 5 * time.Second},
+		"asked a peer":       {1, time.Second, 4 * time.Second, 5 * time.Second},
+		"asked a far peer":   {3, time.Second, 4 * time.Second, 5 * time.Second},
+		"asked long ago":     {1, 10 * time.Second, 0, time.Second},
+		"asked, and cut off": {1, -1, 6 * time.Second, 7 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, 2, 1, 3, func(w *world) {
+				w.up()
+				s := w.seats[0]
+				for range 50 {
+					if tt.ask >= 0 {
+						w.running[w.seats[tt.ask].id].desk.Lookup(settings.ServiceID{Team: "shop", Name: "orders"}, netip.MustParseAddr("10.0.0.1"), 1)
+					}
+				}
+				if tt.stale < 0 {
+					w.net.setCut(func(from, to string) bool { return (from == s.ip) != (to == s.ip) })
+				}
+				time.Sleep(max(tt.stale, 0))
+				began := time.Now()
+				if err := w.running[s.id].Stop(context.Background()); err != nil {
+					t.Error(err)
+				}
+				delete(w.running, s.id)
+				took := time.Since(began)
+				t.Logf("stopped after %s", took)
+				if took < tt.least || took > tt.most {
+					t.Errorf("got %s, want %s to %s", took, tt.least, tt.most)
+				}
+			})
+		})
+	}
+}
+
 // named says whether a look-up at any instance may name the seat's.
 func (w *world) named(s seat) bool {
 	for _, in := range w.running {
--- a/internal/instance/stop.go
+++ b/internal/instance/stop.go
@@ -18,9 +18,7 @@
 func (in *Instance) Stop(ctx context.Context) error {
 	in.members.leave()
 	in.desk.Step(core.Stopping{})
-	linger, cancel := context.WithTimeout(ctx, in.cfg.Linger)
-	<-linger.Done()
-	cancel()
+	in.linger(ctx)
 	open := in.waitIdle(ctx)
 	in.cfg.Checks.Check(invariant.GracefulStop, open == 0, func() string {
 		return in.cfg.ID + " stopped with requests in flight"
@@ -32,6 +30,22 @@
 	return nil
 }
 
+// linger goes on serving until no caller can have a look-up left that sends it
+// here, or for the longest time if a peer does not tell what it has given out.
+func (in *Instance) linger(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, in.cfg.Linger)
+	defer cancel()
+	for ctx.Err() == nil {
+		sleep(ctx, stopTick)
+		until, known := in.members.lastNamed()
+		var own time.Time
+		in.desk.Read(func(_ time.Time, n *core.Node) { own, _ = n.Named(in.cfg.ID) })
+		if now := in.now(); known && !now.Before(until) && !now.Before(own) {
+			return
+		}
+	}
+}
+
 // waitIdle waits until no request is left inside. It returns how many were
 // left when ctx ended.
 func (in *Instance) waitIdle(ctx context.Context) int {
--- a/internal/member/learn.go
+++ b/internal/member/learn.go
@@ -49,8 +49,8 @@
 	}
 }
 
-// Leave announces this instance's planned stop to its place and to some of the
-// rest; it goes on answering pings until it stops.
+// Leave announces this instance's planned stop to all members that are held, as
+// far as so many pings may be in flight; it goes on answering pings until it stops.
 func (l *List) Leave(now time.Time) []Send {
 	sends := l.observe(now)
 	if l.self.in.Leaving {
@@ -58,10 +58,9 @@
 	}
 	l.self.in.Leaving = true
 	l.pass(l.self, false)
-	for _, m := range l.placePeers() {
+	members := append(l.living(), l.livingFar()...)
+	for _, m := range members[:min(len(members), maxProbes/2)] {
 		sends = append(sends, l.probe(now, m))
 	}
-	l.domainDue, l.remoteDue = now, now
-	sends = append(sends, l.pingDomain(now)...)
-	return append(sends, l.pingRemote(now)...)
+	return sends
 }
--- a/internal/peer/udp.go
+++ b/internal/peer/udp.go
@@ -107,11 +107,11 @@
 	sends := f(time.Now(), u.list)
 	u.changes = append(u.changes, u.list.Changes()...)
 	u.mu.Unlock()
+	u.hand() // first: an ack tells that what it answers is known
 	for _, s := range sends {
 		u.prepare(s.Packet, cause)
 		u.send(s)
 	}
-	u.hand()
 	select {
 	case u.wake <- struct{}{}:
 	default:
