Work docs/CAPACITY.md out from measured slopes

Change: internal/capacity parses what the benchmarks print, fits lines, and renders the page's tables; make capacity runs them, records the runs in docs/capacity.json and fills the page. Breaking it on purpose: a changed figure in the page fails TestPage. Conclusion: make capacity itself was not run from end to end; its commands were, one by one.

--- a/Makefile
+++ b/Makefile
@@ -28,9 +28,15 @@
 soak:
 	FIRLEVER_SOAK=$(SOAKTIME) go test -count=1 -timeout 0 -run '^TestSoak' ./...
 
-# Runs the benchmarks that docs/CAPACITY.md works its figures out from.
+# Runs the benchmarks of docs/CAPACITY.md, records them and writes its tables again.
+# Short ones are timed; those of whole fleets and worlds run once each.
+capacity: BENCH = go test -run '^$$' -count 3
+capacity: TIMED = Tick|Step|Core|Block|Roster|HTTP|Handler|Note|Record|Advance|Build|Lookup|Update|MemberTick|Receive
 capacity:
-	go test -run '^$$' -bench '^BenchmarkCapacity' -benchmem ./...
+	( $(BENCH) -cpu 2 -benchtime 50ms -bench '^BenchmarkCapacity($(TIMED))' ./internal/... ./pkg/... && \
+	$(BENCH) -cpu 2 -benchtime 1x -bench '^BenchmarkCapacity(Domain|World|Held)' ./internal/member && \
+	$(BENCH) -cpu 4 -benchtime 1x -bench '^BenchmarkCapacity' ./internal/instance ) | \
+	go run ./internal/capacity/report -write docs/capacity.json -page docs/CAPACITY.md
 
 # Writes the generated code again; it is committed, so that a build needs no generator.
 generate:
--- /dev/null
+++ b/internal/capacity/measure.go
@@ -0,0 +1,147 @@
+// Package capacity works docs/CAPACITY.md out from slopes that the
+// repository's benchmarks measured. It does no input or output.
+package capacity
+
+import (
+	"bufio"
+	"io"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/juju/errors"
+)
+
+// Measure is one figure of one benchmark, at three sizes or more.
+type Measure struct {
+	Name   string  `json:"name"` // of the benchmark, without BenchmarkCapacity
+	Unit   string  `json:"unit"`
+	Points []Point `json:"points"` // by size, ascending
+}
+
+// Point is what a benchmark gave at one size.
+type Point struct {
+	Size float64   `json:"size"`
+	Runs []float64 `json:"runs"` // in the order in which they were made; never empty
+}
+
+// Median is the middle run, the lower of the two middle ones.
+func (p Point) Median() float64 {
+	runs := slices.Sorted(slices.Values(p.Runs))
+	return runs[(len(runs)-1)/2]
+}
+
+// Line is a cost that grows with a size.
+type Line struct {
+	Fixed float64
+	Slope float64 // for each unit of the size
+}
+
+// At is the cost at a size; never below zero.
+func (l Line) At(size float64) float64 { return max(l.Fixed+l.Slope*size, 0) }
+
+// Fit is the line of least squares through the medians.
+func (m Measure) Fit() Line { return m.fit(Point.Median) }
+
+// Slopes are the lowest and the highest slope of a single run.
+func (m Measure) Slopes() (low, high float64) {
+	runs := len(m.Points[0].Runs)
+	for _, p := range m.Points {
+		runs = min(runs, len(p.Runs))
+	}
+	for i := range runs {
+		slope := m.fit(func(p Point) float64 { return p.Runs[i] }).Slope
+		if i == 0 {
+			low, high = slope, slope
+		}
+		low, high = min(low, slope), max(high, slope)
+	}
+	return low, high
+}
+
+func (m Measure) fit(of func(Point) float64) Line {
+	var n, x, y, xx, xy float64
+	for _, p := range m.Points {
+		v := of(p)
+		n++
+		x += p.Size
+		y += v
+		xx += p.Size * p.Size
+		xy += p.Size * v
+	}
+	slope := (n*xy - x*y) / (n*xx - x*x)
+	return Line{Fixed: (y - slope*x) / n, Slope: slope}
+}
+
+// line is a line that go test prints for a benchmark.
+var line = regexp.MustCompile(`^BenchmarkCapacity(\w+)/(\d+)-\d+\s+\d+\s+(.+)$`)
+
+// Parse reads what go test printed. Benchmarks whose cases are no sizes, and
+// those with fewer than three, are left out.
+func Parse(r io.Reader) ([]Measure, error) {
+	found := make(map[[2]string]*Measure)
+	in := bufio.NewScanner(r)
+	for in.Scan() {
+		parts := line.FindStringSubmatch(in.Text())
+		if parts == nil {
+			continue
+		}
+		size, err := strconv.ParseFloat(parts[2], 64)
+		if err != nil {
+			return nil, errors.Annotate(err, "Parse")
+		}
+		fields := strings.Fields(parts[3])
+		for i := 0; i+1 < len(fields); i += 2 {
+			v, err := strconv.ParseFloat(fields[i], 64)
+			if err != nil {
+				return nil, errors.Annotate(err, "Parse")
+			}
+			add(found, parts[1], fields[i+1], size, v)
+		}
+	}
+	if err := in.Err(); err != nil {
+		return nil, errors.Annotate(err, "Parse")
+	}
+	return sorted(found), nil
+}
+
+func add(found map[[2]string]*Measure, name, unit string, size, v float64) {
+	key := [2]string{name, unit}
+	if found[key] == nil {
+		found[key] = &Measure{Name: name, Unit: unit}
+	}
+	m := found[key]
+	for i := range m.Points {
+		if m.Points[i].Size == size {
+			m.Points[i].Runs = append(m.Points[i].Runs, v)
+			return
+		}
+	}
+	m.Points = append(m.Points, Point{Size: size, Runs: []float64{v}})
+}
+
+func sorted(found map[[2]string]*Measure) []Measure {
+	var all []Measure
+	for _, m := range found {
+		if len(m.Points) < 3 {
+			continue
+		}
+		slices.SortFunc(m.Points, func(a, b Point) int { return compare(a.Size, b.Size) })
+		all = append(all, *m)
+	}
+	slices.SortFunc(all, func(a, b Measure) int {
+		return strings.Compare(a.Name+" "+a.Unit, b.Name+" "+b.Unit)
+	})
+	return all
+}
+
+func compare(a, b float64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/capacity/report/main.go
@@ -0,0 +1,67 @@
+// Command report reads what the benchmarks printed from its standard input and
+// prints the tables of docs/CAPACITY.md. With -write it records the
+// measurements, and with -page puts the tables into the page.
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/juju/errors"
+
+	"github.com/firlever/firlever/internal/capacity"
+)
+
+func main() {
+	record := flag.String("write", "", "file to record the measurements in")
+	page := flag.String("page", "", "page to put the tables into")
+	flag.Parse()
+	if err := run(*record, *page); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(record, page string) error {
+	measures, err := capacity.Parse(os.Stdin)
+	if err != nil {
+		return errors.Annotate(err, "run")
+	}
+	fmt.Println(capacity.Slopes(measures))
+	rows, err := capacity.Rows(measures, capacity.Target())
+	if err != nil {
+		return errors.Annotate(err, "run")
+	}
+	fmt.Println(capacity.Figures(rows))
+	if record != "" {
+		if err := write(record, measures); err != nil {
+			return err
+		}
+	}
+	if page == "" {
+		return nil
+	}
+	return fill(page, measures)
+}
+
+func write(file string, measures []capacity.Measure) error {
+	b, err := json.MarshalIndent(measures, "", " ")
+	if err != nil {
+		return errors.Annotate(err, "write")
+	}
+	return errors.Annotate(os.WriteFile(file, append(b, '\n'), 0o644), "write")
+}
+
+func fill(file string, measures []capacity.Measure) error {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Annotate(err, "fill")
+	}
+	text, err := capacity.Fill(string(b), measures)
+	if err != nil {
+		return errors.Annotate(err, "fill")
+	}
+	return errors.Annotate(os.WriteFile(file, []byte(text), 0o644), "fill")
+}
--- a/internal/instance/capacity_test.go
+++ b/internal/instance/capacity_test.go
@@ -256,6 +256,7 @@
 				c.tr.lossy.Store(true)
 				b.ReportMetric(c.spread(2).Seconds(), "lossy-s")
 				c.stop()
+				b.ReportMetric(0, "ns/op")
 			}
 		})
 	}
@@ -273,6 +274,7 @@
 				time.Sleep(benchWarm)
 				c.steady()
 				c.stop()
+				b.ReportMetric(0, "ns/op")
 			}
 		})
 	}
@@ -292,6 +294,7 @@
 				b.ReportMetric(w-writes, "writes")
 				b.ReportMetric(r-reads, "reads")
 				c.stop()
+				b.ReportMetric(0, "ns/op")
 			}
 		})
 	}
@@ -314,6 +317,7 @@
 				time.Sleep(benchWarm)
 				c.steady()
 				c.stop()
+				b.ReportMetric(0, "ns/op")
 			}
 		})
 	}
--- a/internal/member/capacity_test.go
+++ b/internal/member/capacity_test.go
@@ -13,6 +13,7 @@
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			for range b.N {
 				b.ReportMetric(measure(b, n, 9, 11), "B/s")
+				b.ReportMetric(0, "ns/op")
 			}
 		})
 	}
@@ -21,10 +22,11 @@
 // BenchmarkCapacityWorld does the same by the size of the world; a failure
 // domain has 99 of it.
 func BenchmarkCapacityWorld(b *testing.B) {
-	for _, n := range []int{99, 300, 600} {
+	for _, n := range []int{99, 300, 600, 2000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			for range b.N {
 				b.ReportMetric(measure(b, n, 9, 11), "B/s")
+				b.ReportMetric(0, "ns/op")
 			}
 		})
 	}
@@ -36,6 +38,7 @@
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			for range b.N {
 				b.ReportMetric(float64(len(listOf(b, n).Members())), "members")
+				b.ReportMetric(0, "ns/op")
 			}
 		})
 	}
--- a/internal/once/book_test.go
+++ b/internal/once/book_test.go
@@ -169,6 +169,7 @@
 		b.Run(strconv.Itoa(records), func(b *testing.B) {
 			for b.Loop() {
 				b.ReportMetric(recordBytes(b, records), "B/record")
+				b.ReportMetric(0, "ns/op")
 			}
 		})
 	}
--- a/internal/owner/capacity_test.go
+++ b/internal/owner/capacity_test.go
@@ -65,6 +65,7 @@
 					b.Fatal(err)
 				}
 				b.ReportMetric(float64(len(value)), "bytes")
+				b.ReportMetric(0, "ns/op")
 			}
 		})
 	}
