--- a/internal/capacity/report/main.go
+++ b/internal/capacity/report/main.go
@@ -1,6 +1,7 @@
 // Command report reads what the benchmarks printed from its standard input and
 // prints the tables of docs/CAPACITY.md. With -write it records the
-// measurements, and with -page puts the tables into the page.
+// measurements, and with -page puts the tables into the page. With -from it
+// reads such a record instead, after a change of the arithmetic alone.
 package main
 
 import (
@@ -17,15 +18,16 @@
 func main() {
 	record := flag.String("write", "", "file to record the measurements in")
 	page := flag.String("page", "", "page to put the tables into")
+	from := flag.String("from", "", "record to read instead of the standard input")
 	flag.Parse()
-	if err := run(*record, *page); err != nil {
+	if err := run(*from, *record, *page); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
-func run(record, page string) error {
-	measures, err := capacity.Parse(os.Stdin)
+func run(from, record, page string) error {
+	measures, err := read(from)
 	if err != nil {
 		return errors.Annotate(err, "run")
 	}
@@ -46,6 +48,18 @@
 	return fill(page, measures)
 }
 
+func read(from string) ([]capacity.Measure, error) {
+	if from == "" {
+		return capacity.Parse(os.Stdin)
+	}
+	b, err := os.ReadFile(from)
+	if err != nil {
+		return nil, errors.Annotate(err, "read")
+	}
+	var measures []capacity.Measure
+	return measures, errors.Annotate(json.Unmarshal(b, &measures), "read")
+}
+
 func write(file string, measures []capacity.Measure) error {
 	b, err := json.MarshalIndent(measures, "", " ")
 	if err != nil {
--- a/internal/capacity/row.go
+++ b/internal/capacity/row.go
@@ -146,7 +146,7 @@
 
 func steadyReads(s Size) float64 {
 	waiting := watchers * s.Domains
-	return s.Instances/rosterEvery + s.Instances/listEvery + waiting/listWatcher + waiting/watchEvery + waiting*s.changes()
+	return s.Instances/rosterEvery + s.Instances/listEvery + s.Domains/listDomain + waiting/watchEvery + waiting*s.changes()
 }
 
 func platform(b *book, s Size) []Row {
@@ -174,7 +174,7 @@
 	return []Row{
 		{"node", "control bytes: membership, rooms at rest, configuration, list", sent + configBytes(s) + list, "B/s", budgetBytes, "World, Rooms, Domain"},
 		{"node", "the same with probes", sent + configBytes(s) + list + probes, "B/s", budgetBytes, "and Probe"},
-		{"node", "more at 42 nodes, the watchers, for the list", s.Instances * listLine / listWatcher, "B/s", budgetBytes, ""},
+		{"node", "more at 21 nodes, one watcher of each domain, for the list", s.Instances * listLine / listDomain, "B/s", budgetBytes, ""},
 		{"node", "of a core, measured in a fleet of 99", b.at("Fleet", "cpu-us/s", 99) / 1e4, "%", 100 * budgetCore, "Fleet"},
 		{"node", "of a core, process of its own, 13 targets", b.at("Probe", "cpu-us/s", s.owned()) / 1e4, "%", 100 * budgetCore, "Probe"},
 		{"node", "memory of blocks that lives", blocks / 1e6, "MB", budgetMemory / 1e6, "BlockMemory, Build"},
--- a/internal/capacity/size.go
+++ b/internal/capacity/size.go
@@ -50,8 +50,8 @@
 // Periods of internal/instance, as their means over the jitter, in seconds.
 const (
 	registerEvery = 22.5
-	listEvery     = 450.0
-	listWatcher   = 22.5 // by a watcher
+	listEvery     = 2700.0
+	listDomain    = 450.0 // by one watcher of a domain
 	rosterEvery   = 22.5
 	watchEvery    = 20.0
 	watchers      = 2    // of a failure domain
--- a/internal/instance/sync.go
+++ b/internal/instance/sync.go
@@ -229,11 +229,16 @@
 
 // isWatcher says whether this instance watches the platform for its domain.
 func (in *Instance) isWatcher() bool {
+	return replica.Watchers(in.ofDomain(), in.cfg.ID, watchers)
+}
+
+// ofDomain names the other live instances of the domain.
+func (in *Instance) ofDomain() []string {
 	var ids []string
 	for _, m := range in.members.Members() {
 		if m.Domain == in.cfg.Domain && m.State.String() == "alive" {
 			ids = append(ids, m.ID)
 		}
 	}
-	return replica.Watchers(ids, in.cfg.ID, watchers)
+	return ids
 }
