Let a beginner learn from a peer whom that knows

Change: whoever is asked for documents at a start is asked for the instances it knows too. The first registration waits half a second at most.

--- a/internal/instance/list.go
+++ b/internal/instance/list.go
@@ -10,8 +10,8 @@
 
 // Times of registrations.
 const (
-	registerEvery = 30 * time.Second // the longest between two, through outages too: all come back spread over it
-	firstRegister = 3 * time.Second  // from the start to the first one, with peers to ask
+	registerEvery = 30 * time.Second       // the longest between two, through outages too: all come back spread over it
+	firstRegister = 500 * time.Millisecond // from the start to the first one, with peers to ask
 )
 
 // register keeps this instance in the platform's list. A failed try is not
--- a/internal/instance/start.go
+++ b/internal/instance/start.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/firlever/firlever/internal/member"
+	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/internal/wire"
 )
 
 // How an instance gets all documents at its start.
@@ -62,12 +64,48 @@
 		if in.complete() || ctx.Err() != nil {
 			return
 		}
-		if err := in.pull(ctx, a); err != nil && in.cfg.Log != nil {
+		err := in.pull(ctx, a)
+		if err == nil {
+			err = in.meet(ctx, a)
+		}
+		if err != nil && in.cfg.Log != nil {
 			in.cfg.Log.Debug("peer gave no documents", "address", a, "err", err)
 		}
 	}
 }
 
+// meet learns of the instances that a peer knows. The platform's list lags, and
+// chance pings between places take their time.
+func (in *Instance) meet(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	resp, err := in.peerClient(address).Status(ctx, &wire.StatusRequest{})
+	if err != nil {
+		return err
+	}
+	list := make([]platform.Instance, 0, len(resp.Members))
+	for _, m := range resp.Members {
+		list = append(list, platform.Instance{
+			ID: m.Id, Incarnation: m.Incarnation, Address: m.Address, Callers: m.Callers, Operators: m.Operators,
+			Place: m.Place, Domain: m.Domain, Region: m.Region, Leaving: m.Leaving,
+		})
+	}
+	in.members.Learn(list)
+	return nil
+}
+
+// acquaintances are this instance and those that it knows to live.
+func (in *Instance) acquaintances() []*wire.News {
+	var news []*wire.News
+	for _, p := range in.fleet(context.Background()) {
+		news = append(news, &wire.News{
+			Id: p.ID, Incarnation: p.Incarnation, Address: p.Address, Callers: p.Callers, Operators: p.Operators,
+			Place: p.Place, Domain: p.Domain, Region: p.Region, Leaving: p.Leaving,
+		})
+	}
+	return news
+}
+
 // candidates are the addresses of peers that may have the documents, in random
 // order: those given at the start, and those heard of since.
 func (in *Instance) candidates() []string {
--- a/internal/instance/sync.go
+++ b/internal/instance/sync.go
@@ -220,7 +220,7 @@
 
 // Status tells what is in force here.
 func (s *peerServer) Status(_ context.Context, _ *wire.StatusRequest) (*wire.StatusResponse, error) {
-	resp := &wire.StatusResponse{Id: s.in.cfg.ID, Incarnation: s.in.incarnation, Root: s.in.docs.Root()}
+	resp := &wire.StatusResponse{Id: s.in.cfg.ID, Incarnation: s.in.incarnation, Root: s.in.docs.Root(), Members: s.in.acquaintances()}
 	for _, d := range s.in.docs.Documents() {
 		resp.Versions = append(resp.Versions, &wire.Version{Path: d.Path, Version: d.Version})
 	}
