Tell a beginner of its own place, and ask all seeds

Cause: TestPlaceCutOff. b-1 owned all targets of place b, b-2 none, and callers who chose b-2 got nothing for 3 s after place a was cut off. The status of each instance, asked at the cut, shows why: b-1 and b-2 did not know each other. b-2 had asked one seed, a-1, which held b-1, but told a peer beyond its domain of its own place only; its first answer could get lost, the next seed was due after 10 s, and b-1 came into the platform's list only up to 3 s after its start. So b-2 had no peer to hand to ("full"), tried the cut place without a grant, and held or refused the rest.

Change: a beginner asks its seeds four times a Probe until it knows a peer of its place or has asked each twice. A seed beyond the domain tells it of the members that it holds of the beginner's place; on later introductions half of the time. The first peer of the place is pinged at once, so that both know.

A request that is handed without a grant to a place just cut off still waits there until its deadline.

--- /dev/null
+++ b/internal/member/begin_test.go
@@ -0,0 +1,68 @@
+package member
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/firlever/firlever/internal/platform"
+)
+
+// TestPlaceFindsItself: two instances of a place that begin with others' help
+// know each other soon, so that a cut of all else a moment later keeps neither
+// from the other.
+func TestPlaceFindsItself(t *testing.T) {
+	first, second := instance(2, 2, 1), instance(3, 2, 1)
+	seeds := []string{address(0), address(1), address(2)}
+	tests := map[string]struct {
+		seeds []string // of the second; the first has instance 0
+		knows int      // instances of the other place that know the first
+		lost  int      // packets to the second before any arrives
+		most  time.Duration
+	}{
+		"told by another place":    {seeds: seeds[:1], knows: 1, most: 50 * time.Millisecond},
+		"the first answer is lost": {seeds: seeds[:1], knows: 1, lost: 1, most: 300 * time.Millisecond},
+		"the third seed knows":     {seeds: seeds, most: 550 * time.Millisecond},
+	}
+	for name, tt := range tests {
+		for seed := range uint64(6) {
+			t.Run(fmt.Sprint(name, " ", seed), func(t *testing.T) {
+				w := newNetwork(t)
+				w.start(2, 2, 1)
+				w.lists[address(0)].rng = rand.New(rand.NewPCG(seed, 1))
+				beginPlace(t, w, first, second, tt.seeds, tt.knows, tt.lost)
+				w.run(tt.most)
+				for _, in := range []int{2, 3} {
+					if got := w.lists[address(in)].Alive(first.Place); len(got) != 1 {
+						t.Errorf("got %d others of its place at instance %d after %s, want 1", len(got), in, tt.most)
+					}
+				}
+			})
+		}
+	}
+}
+
+// beginPlace starts the two, and cuts the first off all but the second.
+func beginPlace(t *testing.T, w *network, first, second platform.Instance, seeds []string, knows, lost int) {
+	beyond := func(from, to string) bool {
+		return from == first.Address && to != second.Address || to == first.Address && from != second.Address
+	}
+	if knows == 0 {
+		w.cut = beyond
+	}
+	w.add(first, address(0))
+	w.run(time.Second)
+	if got := w.lists[address(0)].places[first.Place]; got != knows {
+		t.Fatalf("got %d instances of the place held beyond it, want %d", got, knows)
+	}
+	w.cut = func(from, to string) bool {
+		if to == second.Address && lost > 0 {
+			lost--
+			return true
+		}
+		return beyond(from, to)
+	}
+	w.add(second, seeds...)
+	w.tickAt(second.Address, w.now)
+}
--- a/internal/member/packet.go
+++ b/internal/member/packet.go
@@ -85,8 +85,9 @@
 	p.News = append(p.News, l.self.news(true))
 }
 
-// ack answers a ping. It tells a peer that introduced itself of one member, and
-// a peer that knows fewer of the domain of as many as fit.
+// ack answers a ping. It tells a peer that introduced itself of one member, a
+// peer that knows fewer of the domain of as many as fit, and one from beyond it
+// that has only begun of its own place.
 func (l *List) ack(now time.Time, m *member, ping *wire.Packet) *wire.Packet {
 	p := l.packet(m, wire.Kind_KIND_ACK, ping.GetSequence())
 	if l.members[m.in.ID] == m && l.near(m) && l.rosterNames[m.in.ID] {
@@ -101,6 +102,9 @@
 	if fewer && l.isLocal(m) {
 		l.tell(p, l.living(), true)
 	} else if introduced(ping) {
+		if ping.GetTo() == "" && !l.isLocal(m) {
+			l.tell(p, l.homeOf(m), true)
+		}
 		l.tell(p, l.known(m), false)
 	}
 	return p
@@ -127,11 +131,11 @@
 }
 
 // known picks the members that a peer may be told of: of the domain, or half
-// of the time those beyond it. A peer beyond it is told of the own place only.
+// of the time those beyond it. A peer beyond it is told of this instance's place
+// only, or half of the time of its own.
 func (l *List) known(to *member) []*member {
-	far := l.isLocal(to) && l.rng.IntN(2) == 0
-	if far {
-		if found := l.livingFar(); len(found) > 0 {
+	if l.rng.IntN(2) == 0 {
+		if found := l.beyond(to); len(found) > 0 {
 			return found
 		}
 	}
@@ -139,3 +143,23 @@
 		return m != to && m.state == wire.State_STATE_ALIVE && (l.isLocal(to) || l.near(m))
 	})
 }
+
+func (l *List) beyond(to *member) []*member {
+	if l.isLocal(to) {
+		return l.livingFar()
+	}
+	return l.homeOf(to)
+}
+
+// homeOf returns the members that are held of the own place of a peer beyond the
+// domain, or else of its domain. It may know none of them yet, and they not it.
+func (l *List) homeOf(to *member) []*member {
+	domain := where(l.all, func(m *member) bool {
+		return m.in.Domain == to.in.Domain && m.in.ID != to.in.ID && m.state == wire.State_STATE_ALIVE
+	})
+	place := where(domain, func(m *member) bool { return m.in.Place == to.in.Place })
+	if len(place) > 0 {
+		return place
+	}
+	return domain
+}
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -11,6 +11,12 @@
 // seedEvery is how many Probes pass between pings to seeds once a member is alive.
 const seedEvery = 10
 
+// How seeds are asked at the beginning.
+const (
+	beginShare  = 4 // pings in one Probe
+	beginRounds = 2 // pings to each seed
+)
+
 // maxProbes bounds the pings in flight.
 const maxProbes = 256
 
@@ -39,6 +45,9 @@
 	sooner(l.placeDue)
 	sooner(l.domainDue)
 	sooner(l.remoteDue)
+	if l.begins() {
+		sooner(l.seedDue)
+	}
 	for _, p := range l.probes {
 		if p.asked < 0 {
 			sooner(p.askBy)
@@ -180,10 +189,15 @@
 
 // pingSeed asks the addresses to begin with: often while nobody else is alive.
 func (l *List) pingSeed(now time.Time) []Send {
-	if len(l.cfg.Seeds) == 0 || !l.due(now, &l.seedDue, 1) {
+	begins := l.begins()
+	share := 1
+	if begins {
+		share = beginShare
+	}
+	if len(l.cfg.Seeds) == 0 || !l.due(now, &l.seedDue, share) {
 		return nil
 	}
-	if len(l.living()) > 0 || len(l.livingFar()) > 0 {
+	if !begins && len(l.living())+len(l.livingFar()) > 0 {
 		l.seedDue = now.Add(seedEvery * l.cfg.Probe)
 	}
 	to := l.cfg.Seeds[l.seedAt%len(l.cfg.Seeds)]
@@ -195,6 +209,13 @@
 	return []Send{{To: to, Packet: l.ping(now, nil, p.sequence)}}
 }
 
+// begins says whether this instance still looks for the others of its place.
+// Until it knows them it can take no work off them, and they none off it; one
+// seed may know none of them, and one packet may get lost.
+func (l *List) begins() bool {
+	return l.place == 0 && l.seedAt < beginRounds*len(l.cfg.Seeds)
+}
+
 func (l *List) probe(now time.Time, m *member) Send {
 	p := l.begin(now, m)
 	return Send{To: m.in.Address, Packet: l.ping(now, m, p.sequence)}
--- a/internal/member/state.go
+++ b/internal/member/state.go
@@ -21,6 +21,7 @@
 	if l.isLocal(m) {
 		l.local = insert(l.local, m)
 		l.place += l.countNear(m)
+		l.greet(now, m)
 		l.news.add(in.ID, true)
 	} else {
 		l.places[in.Place]++
@@ -32,6 +33,14 @@
 	return m
 }
 
+// greet has the first peer of the place pinged at once: until it knows this
+// instance, neither can take work off the other.
+func (l *List) greet(now time.Time, m *member) {
+	if l.near(m) && l.place == 1 && now.Before(l.placeDue) {
+		l.placeDue = now
+	}
+}
+
 // room tells if one more member can be held; it forgets a dead one for it.
 func (l *List) room(now time.Time, in platform.Instance) bool {
 	local := in.Domain == l.self.in.Domain
