Compare up to 1.2 of the capacity by default

Cause: at twice the capacity a demo holds some 9,000 requests, each with four sockets or more in the one process; accept ran out of open files, and requests hung for half of their time.

--- a/cmd/firlever/compare.go
+++ b/cmd/firlever/compare.go
@@ -18,10 +18,11 @@
 table: the figures of firlever's own policy beside those of plain baselines.
 
 Over is the most requests in flight beyond the limit of any place or service
-there. Only ratios within one table mean something: machines differ.`
+there. Only ratios within one table mean something: machines differ. Much over 1.2 the
+one process runs out of open files before the deployment is at its end.`
 
 const compareExample = `  firlever compare
-  firlever compare --settings examples/tidewright --rates 0.5,0.8,2 --for 8s
+  firlever compare --settings examples/tidewright --rates 0.5,0.8,1.2 --for 8s
   firlever compare --policies owner --faults drain,kill --rates 0.5`
 
 // compareFlags is what compare is told.
@@ -47,7 +48,7 @@
 	flags := cmd.Flags()
 	flags.StringVar(&f.settings, "settings", "examples/moreton-bay", "directory of the operators' documents")
 	flags.StringSliceVar(&f.policies, "policies", []string{"owner", "two", "random"}, "policies to run")
-	flags.Float64SliceVar(&f.rates, "rates", []float64{0.5, 0.8, 0.95, 2}, "loads, as shares of the sites' capacity")
+	flags.Float64SliceVar(&f.rates, "rates", []float64{0.5, 0.8, 0.95, 1.2}, "loads, as shares of the sites' capacity")
 	flags.StringVar(&f.faults, "faults", "none", "faults of each run, as of the demo")
 	flags.DurationVar(&f.length, "for", 8*time.Second, "how long callers send requests in each run")
 	flags.Uint64Var(&f.seed, "seed", 1, "seed of arrivals, service times and faults")
