Name demand, holdings and rooms as the field does

Cause: purse, hunger, appetite, wish and desk were words of our own, and settingsID hid a type under a second name. Change: grant.Holdings and grant.Demand, core's demand and destination, rooms, the dispatcher; settings.ServiceID by its own name. No behaviour changes; the tests are the same but for the names.

--- a/internal/callers/answer_test.go
+++ b/internal/callers/answer_test.go
@@ -137,7 +137,7 @@
 				io.WriteString(w, tt.body)
 			}))
 			other := newRig(t, "i2", "127.0.0.1:1")
-			other.desk.Step(core.PeersChanged{Peers: []core.Peer{{
+			other.dispatcher.Step(core.PeersChanged{Peers: []core.Peer{{
 				ID: "i1", Incarnation: 1, Address: home.peers.Listener.Addr().String(), Place: "east",
 			}}})
 			key := home.key()
--- a/internal/callers/capacity_test.go
+++ b/internal/callers/capacity_test.go
@@ -35,14 +35,14 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	desk := dispatch.New(node, time.Now, func(core.Decision) {})
-	desk.Step(core.Applied{Snapshot: s})
+	dispatcher := dispatch.New(node, time.Now, func(core.Decision) {})
+	dispatcher.Step(core.Applied{Snapshot: s})
 	var list []core.Peer
 	for i := range peers {
 		list = append(list, core.Peer{ID: fmt.Sprintf("p%03d", i), Incarnation: 1, Place: "here", Callers: "127.0.0.1:2"})
 	}
-	desk.Step(core.PeersChanged{Peers: list})
-	return New(Config{Instance: "i", Callers: "127.0.0.1:1"}, desk, targets.New(nil))
+	dispatcher.Step(core.PeersChanged{Peers: list})
+	return New(Config{Instance: "i", Callers: "127.0.0.1:1"}, dispatcher, targets.New(nil))
 }
 
 // BenchmarkCapacityHTTPLookup is one look-up over a kept loopback connection, the
--- a/internal/callers/exchange.go
+++ b/internal/callers/exchange.go
@@ -53,7 +53,7 @@
 			}
 		case <-done:
 			done = nil
-			x.s.desk.Step(core.Cancelled{ID: x.id})
+			x.s.dispatcher.Step(core.Cancelled{ID: x.id})
 		}
 	}
 }
@@ -145,7 +145,7 @@
 		out.Body = t.part
 	}
 	x.readBy(t.deadline.Add(replyTime))
-	t.began = x.s.desk.Now()
+	t.began = x.s.dispatcher.Now()
 	setLeft(out.Header, HeaderTimeout, t.began, t.deadline)
 	if !x.req.Start.IsZero() {
 		setLeft(out.Header, HeaderStart, t.began, x.req.Start)
@@ -181,8 +181,8 @@
 // finish tells the node how the attempt ended.
 func (x *exchange) finish(t try, ev core.Finished) {
 	ev.ID = x.id
-	ev.Took = x.s.desk.Now().Sub(t.began)
-	x.s.desk.Step(ev)
+	ev.Took = x.s.dispatcher.Now().Sub(t.began)
+	x.s.dispatcher.Step(ev)
 }
 
 // fromTarget takes in a target's answer. Of its headers with our names only
@@ -190,7 +190,7 @@
 func (x *exchange) fromTarget(t try, resp *http.Response) bool {
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderOutcome) == OutcomeNotRun {
 		x.fail(t, core.Finished{
-			Result: core.NotRun, Proof: once.ProofRefusal, Retry: retryAfter(resp.Header, x.s.desk.Now()),
+			Result: core.NotRun, Proof: once.ProofRefusal, Retry: retryAfter(resp.Header, x.s.dispatcher.Now()),
 		})
 		return false
 	}
@@ -203,7 +203,7 @@
 	return func(t try, resp *http.Response) bool {
 		ev := heard(resp.Header, t.began, d.Peer)
 		ev.ID, ev.Service, ev.Home = x.id, x.req.Service, d.Home
-		x.s.desk.Step(ev)
+		x.s.dispatcher.Step(ev)
 		return x.fromPeer(t, resp)
 	}
 }
@@ -213,7 +213,7 @@
 	ev := core.Finished{
 		Result: core.Failed,
 		Reason: core.Reason(resp.Header.Get(HeaderReason)),
-		Retry:  retryAfter(resp.Header, x.s.desk.Now()),
+		Retry:  retryAfter(resp.Header, x.s.dispatcher.Now()),
 	}
 	switch resp.Header.Get(HeaderOutcome) {
 	case OutcomeAnswered:
--- a/internal/callers/grant.go
+++ b/internal/callers/grant.go
@@ -55,8 +55,8 @@
 		s.badRequest(w, http.StatusBadRequest, err)
 		return
 	}
-	setOffer(w.Header(), s.desk.Now(), s.desk.Offer(askOf(r.Header, id)))
-	s.writeBy(w, s.desk.Now().Add(replyTime))
+	setOffer(w.Header(), s.dispatcher.Now(), s.dispatcher.Offer(askOf(r.Header, id)))
+	s.writeBy(w, s.dispatcher.Now().Add(replyTime))
 	w.WriteHeader(http.StatusNoContent)
 }
 
@@ -65,7 +65,7 @@
 func (s *Server) AskGrant(ctx context.Context, d core.AskGrant) {
 	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
-	began := s.desk.Now()
+	began := s.dispatcher.Now()
 	resp, err := s.client.Send(ctx, s.grantRequest(d))
 	s.noteAsk(d, err)
 	if err != nil {
@@ -74,7 +74,7 @@
 	resp.Body.Close()
 	ev := heard(resp.Header, began, d.Peer)
 	ev.Service, ev.Home = d.Service, d.Home
-	s.desk.Step(ev)
+	s.dispatcher.Step(ev)
 }
 
 func (s *Server) grantRequest(d core.AskGrant) *http.Request {
--- a/internal/callers/grant_test.go
+++ b/internal/callers/grant_test.go
@@ -23,11 +23,11 @@
 
 // side is one instance's servers, without membership.
 type side struct {
-	desk   *dispatch.Dispatcher
-	server *Server
-	peers  *httptest.Server
-	asks   chan core.AskGrant
-	bytes  atomic.Int64 // read and written on its connections to others
+	dispatcher *dispatch.Dispatcher
+	server     *Server
+	peers      *httptest.Server
+	asks       chan core.AskGrant
+	bytes      atomic.Int64 // read and written on its connections to others
 }
 
 // newSide makes an instance of a place whose service has targets at address.
@@ -39,14 +39,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.desk = dispatch.New(n, func() time.Time { return clock }, func(d core.Decision) {
+	s.dispatcher = dispatch.New(n, func() time.Time { return clock }, func(d core.Decision) {
 		if a, ok := d.(core.AskGrant); ok {
 			s.asks <- a
 		}
 	})
 	client := targets.New(s.dial)
 	t.Cleanup(client.Close)
-	s.server = New(Config{Instance: place}, s.desk, client)
+	s.server = New(Config{Instance: place}, s.dispatcher, client)
 	r := chi.NewRouter()
 	s.server.Peers(r)
 	s.peers = httptest.NewServer(r)
@@ -62,10 +62,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.desk.Step(core.Applied{Snapshot: snapshot})
+	s.dispatcher.Step(core.Applied{Snapshot: snapshot})
 	var roster owner.Roster
 	roster, _ = roster.Join(place, 1)
-	s.desk.Step(core.RosterRead{Roster: roster, Sent: clock})
+	s.dispatcher.Step(core.RosterRead{Roster: roster, Sent: clock})
 	return s
 }
 
@@ -93,7 +93,7 @@
 
 func (s *side) meet(other *side, place string) core.Peer {
 	p := core.Peer{ID: place, Incarnation: 1, Place: place, Domain: place, Region: place, Address: other.peers.Listener.Addr().String()}
-	s.desk.Step(core.PeersChanged{Peers: []core.Peer{p}})
+	s.dispatcher.Step(core.PeersChanged{Peers: []core.Peer{p}})
 	return p
 }
 
@@ -131,7 +131,7 @@
 	}
 
 	open := func() (n int) {
-		west.desk.Read(func(now time.Time, node *core.Node) { n = node.Granted(now, orders) })
+		west.dispatcher.Read(func(now time.Time, node *core.Node) { n = node.Granted(now, orders) })
 		return n
 	}
 	if got := open(); got != 1 {
--- a/internal/callers/refuse.go
+++ b/internal/callers/refuse.go
@@ -22,7 +22,7 @@
 	if d.Unknown {
 		outcome = OutcomeUnknown
 	}
-	now := x.s.desk.Now()
+	now := x.s.dispatcher.Now()
 	x.own(outcome, d.Reason)
 	setRetry(x.w.Header(), now, d.RetryAt)
 	body := refusal{Outcome: outcome, Reason: string(d.Reason), Request: x.req.Name}
@@ -65,7 +65,7 @@
 
 // writeJSON writes a short answer of ours.
 func (s *Server) writeJSON(w http.ResponseWriter, status int, v any) {
-	s.writeBy(w, s.desk.Now().Add(replyTime))
+	s.writeBy(w, s.dispatcher.Now().Add(replyTime))
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	json.NewEncoder(w).Encode(v)
--- a/internal/callers/relay.go
+++ b/internal/callers/relay.go
@@ -38,7 +38,7 @@
 	}
 	x.checkWhole(resp, len(start))
 	x.finish(t, x.answered(resp, start))
-	x.s.cfg.Metrics.Answered(x.req.Service.String(), x.s.desk.Now().Sub(x.came))
+	x.s.cfg.Metrics.Answered(x.req.Service.String(), x.s.dispatcher.Now().Sub(x.came))
 	if x.s.link.wait(t.ctx, t.link, len(start)) != nil {
 		x.refuse(core.Refuse{ID: x.id, Unknown: true, Reason: core.ReasonDeadline})
 		return true
@@ -97,7 +97,7 @@
 		h.Set(HeaderReason, string(reason))
 	}
 	if x.req.From != "" {
-		setOffer(h, x.s.desk.Now(), x.s.desk.Offer(x.ask))
+		setOffer(h, x.s.dispatcher.Now(), x.s.dispatcher.Offer(x.ask))
 	}
 }
 
@@ -111,7 +111,7 @@
 	case status == http.StatusNoContent:
 		h.Del("Content-Length")
 	}
-	x.writeBy(x.s.desk.Now().Add(replyTime))
+	x.writeBy(x.s.dispatcher.Now().Add(replyTime))
 	x.w.WriteHeader(status)
 	if len(body) > 0 {
 		x.w.Write(body)
@@ -135,7 +135,7 @@
 	if x.gone {
 		x.abort()
 	}
-	x.s.cfg.Metrics.Answered(x.req.Service.String(), x.s.desk.Now().Sub(x.came))
+	x.s.cfg.Metrics.Answered(x.req.Service.String(), x.s.dispatcher.Now().Sub(x.came))
 	return true
 }
 
--- a/internal/callers/rig_test.go
+++ b/internal/callers/rig_test.go
@@ -28,12 +28,12 @@
 
 // rig is one instance's shell round a real node, over loopback.
 type rig struct {
-	t       testing.TB
-	id      string
-	desk    *dispatch.Dispatcher
-	server  *Server
-	callers *httptest.Server
-	peers   *httptest.Server
+	t          testing.TB
+	id         string
+	dispatcher *dispatch.Dispatcher
+	server     *Server
+	callers    *httptest.Server
+	peers      *httptest.Server
 }
 
 // newRig starts an instance in place east with the given targets' addresses.
@@ -66,21 +66,21 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := &rig{t: t, id: id, desk: dispatch.New(node, time.Now, func(core.Decision) {})}
-	g.server = New(Config{Instance: id, Checks: checks}, g.desk, targets.New(nil))
-	g.desk.Step(core.Applied{Snapshot: s})
+	g := &rig{t: t, id: id, dispatcher: dispatch.New(node, time.Now, func(core.Decision) {})}
+	g.server = New(Config{Instance: id, Checks: checks}, g.dispatcher, targets.New(nil))
+	g.dispatcher.Step(core.Applied{Snapshot: s})
 	roster, err := owner.Roster{}.Join(id, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	g.desk.Step(core.RosterRead{Roster: roster, Sent: time.Now()})
+	g.dispatcher.Step(core.RosterRead{Roster: roster, Sent: time.Now()})
 	return g
 }
 
 // tick lets time pass for the node.
 func (g *rig) tick(ctx context.Context) {
 	for t := time.NewTicker(5 * time.Millisecond); ctx.Err() == nil; <-t.C {
-		g.desk.Step(core.Tick{})
+		g.dispatcher.Step(core.Tick{})
 	}
 }
 
@@ -193,8 +193,8 @@
 	g.t.Helper()
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		var st core.Status
-		g.desk.Step(core.Tick{})
-		g.desk.Read(func(now time.Time, n *core.Node) { st = n.Status(now) })
+		g.dispatcher.Step(core.Tick{})
+		g.dispatcher.Read(func(now time.Time, n *core.Node) { st = n.Status(now) })
 		if ok(st) {
 			return st
 		}
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -31,15 +31,15 @@
 
 // Server serves callers and peers. It is safe for concurrent use.
 type Server struct {
-	cfg    Config
-	desk   *dispatch.Dispatcher
-	client *targets.Client
-	link   *link
+	cfg        Config
+	dispatcher *dispatch.Dispatcher
+	client     *targets.Client
+	link       *link
 }
 
 // New makes a server.
-func New(cfg Config, desk *dispatch.Dispatcher, client *targets.Client) *Server {
-	return &Server{cfg: cfg, desk: desk, client: client, link: &link{now: desk.Now}}
+func New(cfg Config, dispatcher *dispatch.Dispatcher, client *targets.Client) *Server {
+	return &Server{cfg: cfg, dispatcher: dispatcher, client: client, link: &link{now: dispatcher.Now}}
 }
 
 // Callers is the handler of the callers' address.
@@ -84,7 +84,7 @@
 
 // take reads a request, its body up to maxReplay.
 func (s *Server) take(w http.ResponseWriter, r *http.Request, prefix string) (*exchange, error) {
-	x := &exchange{s: s, w: w, r: r, came: s.desk.Now()}
+	x := &exchange{s: s, w: w, r: r, came: s.dispatcher.Now()}
 	c := http.NewResponseController(w)
 	if r.ContentLength != 0 {
 		c.SetReadDeadline(x.came.Add(bodyTime))
@@ -110,10 +110,10 @@
 }
 
 func (s *Server) serve(x *exchange, origin core.Origin) {
-	id, box := s.desk.Open()
-	defer s.desk.Close(id)
+	id, box := s.dispatcher.Open()
+	defer s.dispatcher.Close(id)
 	x.id = id
-	s.desk.Step(core.Arrived{ID: id, Origin: origin, Request: x.req})
+	s.dispatcher.Step(core.Arrived{ID: id, Origin: origin, Request: x.req})
 	x.run(box)
 }
 
@@ -143,7 +143,7 @@
 		s.badRequest(w, http.StatusBadRequest, &BadRequestError{Fault: "keys is not a count"})
 		return
 	}
-	l, err := s.desk.Lookup(id, remote(r.RemoteAddr), keys)
+	l, err := s.dispatcher.Lookup(id, remote(r.RemoteAddr), keys)
 	if err != nil {
 		s.noLookup(w, err)
 		return
@@ -157,7 +157,7 @@
 	for _, p := range l.Instances {
 		a.Instances = append(a.Instances, lookupInstance{ID: p.ID, Address: s.callersAddress(p), Place: p.Place})
 	}
-	seconds := int64(l.Until.Sub(s.desk.Now()) / time.Second)
+	seconds := int64(l.Until.Sub(s.dispatcher.Now()) / time.Second)
 	// An answer is for one caller: it depends on the address, and keys are used once.
 	w.Header().Set("Cache-Control", "private, max-age="+itoa(seconds))
 	s.writeJSON(w, http.StatusOK, a)
--- a/internal/core/baseline.go
+++ b/internal/core/baseline.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/firlever/firlever/internal/owner"
+	"github.com/firlever/firlever/pkg/settings"
 )
 
 // The baselines are plain ways of choosing a target, kept to measure against.
@@ -74,7 +75,7 @@
 }
 
 // reserved is how many free slots are kept for granted requests: none but in a baseline.
-func (n *Node) reserved(now time.Time, id settingsID, covered bool) int {
+func (n *Node) reserved(now time.Time, id settings.ServiceID, covered bool) int {
 	if n.cfg.sending != sendHard || covered {
 		return 0
 	}
--- a/internal/core/hunger.go
+++ b/internal/core/demand.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/firlever/firlever/internal/grant"
+	"github.com/firlever/firlever/pkg/settings"
 )
 
 // Bounds of what a sender does without a grant.
@@ -22,17 +23,17 @@
 	maxMissed     = 16                     // requests taken from the queue in vain before it is left alone
 )
 
-// appetite names what hunger is for.
-type appetite struct {
+// destination names what demand is for.
+type destination struct {
 	place string
 	use   grant.Use
 }
 
-// hunger is what this instance would like to hand off to another place.
-type hunger struct {
-	wishes grant.Hunger
+// demand is what this instance would like to hand off to another place.
+type demand struct {
+	recent grant.Demand
 	trying int       // hand-offs under way without a grant
-	denied bool      // the latest request that wished to go there found no grant
+	denied bool      // the latest request that could go there found no grant
 	askAt  time.Time // the place isn't asked before
 }
 
@@ -41,13 +42,13 @@
 	return grant.Use{Service: f.req.Service, Shifted: f.shifted(place)}
 }
 
-func (n *Node) hungerOf(a appetite) *hunger {
-	h, ok := n.hungers[a]
+func (n *Node) demandOf(a destination) *demand {
+	d, ok := n.demands[a]
 	if !ok {
-		h = &hunger{}
-		n.hungers[a] = h
+		d = &demand{}
+		n.demands[a] = d
 	}
-	return h
+	return d
 }
 
 // chooseAway finds a peer of another place that has granted something, or one to
@@ -61,27 +62,27 @@
 	if n.cfg.sending.ungranted() {
 		return n.chooseUngranted(now, f, place, peers)
 	}
-	a := appetite{place: place, use: useAt(f, place)}
-	h := n.hungerOf(a)
-	f.wish(now, place, h)
+	a := destination{place: place, use: useAt(f, place)}
+	d := n.demandOf(a)
+	f.countDemand(now, place, d)
 	f.away = a
 	if p, ok := n.granter(now, peers, a.use); ok {
-		h.denied = false
+		d.denied = false
 		return p, ReasonGrant
 	}
-	if p, ok := n.explore(now, peers, a, h); ok {
+	if p, ok := n.explore(now, peers, a, d); ok {
 		return p, ReasonUngranted
 	}
-	h.denied, f.awaits = true, true
-	n.askFor(now, a, h)
+	d.denied, f.awaits = true, true
+	n.askFor(now, a, d)
 	return Peer{}, ReasonNoGrant
 }
 
-// wish counts f among those that would like to go to a place, once.
-func (f *flight) wish(now time.Time, place string, h *hunger) {
-	if !slices.Contains(f.wished, place) {
-		f.wished = append(f.wished, place)
-		h.wishes.Wish(now)
+// countDemand counts f among those that would like to go to a place, once.
+func (f *flight) countDemand(now time.Time, place string, d *demand) {
+	if !slices.Contains(f.counted, place) {
+		f.counted = append(f.counted, place)
+		d.recent.Add(now)
 	}
 }
 
@@ -101,7 +102,7 @@
 	var best Peer
 	most := 0
 	for _, p := range peers {
-		if held := n.purse.Held(now, p.ID, use); held > most {
+		if held := n.holdings.Held(now, p.ID, use); held > most {
 			best, most = p, held
 		}
 	}
@@ -109,8 +110,8 @@
 }
 
 // explore picks a peer to try without a grant: any that has not just refused.
-func (n *Node) explore(now time.Time, peers []Peer, a appetite, h *hunger) (Peer, bool) {
-	if h.trying >= mostTrying(a.use) {
+func (n *Node) explore(now time.Time, peers []Peer, a destination, d *demand) (Peer, bool) {
+	if d.trying >= mostTrying(a.use) {
 		return Peer{}, false
 	}
 	open := n.open(now, peers, a.use)
@@ -142,46 +143,46 @@
 // departed notes that f goes to a peer of another place, and returns how many
 // grants to ask for with it.
 func (n *Node) departed(now time.Time, f *flight, peer Peer) int {
-	h := n.hungerOf(f.away)
-	f.trying = n.purse.Take(now, peer.ID, f.away.use, 1) == 0
+	d := n.demandOf(f.away)
+	f.trying = n.holdings.Take(now, peer.ID, f.away.use, 1) == 0
 	if f.trying {
-		h.trying++
+		d.trying++
 	}
-	return min(n.lack(now, f.away, h), maxWant)
+	return min(n.lack(now, f.away, d), maxWant)
 }
 
 // returned notes how a hand-off to another place ended. A peer that refuses, or
 // fails, has its grants forgotten: they are not worth a second round trip.
 func (n *Node) returned(now time.Time, f *flight, ev Finished) {
 	if f.trying {
-		n.hungerOf(f.away).trying--
+		n.demandOf(f.away).trying--
 		f.trying = false
 	}
 	if ev.Result == Answered || ev.Gone {
 		return
 	}
-	n.purse.Take(now, f.peer, f.away.use, n.purse.Held(now, f.peer, f.away.use))
+	n.holdings.Take(now, f.peer, f.away.use, n.holdings.Held(now, f.peer, f.away.use))
 	if ev.Reason == ReasonNoTargets {
 		n.roomOf(f.peer, f.req.Service).until = now.Add(noTargets)
 	}
 }
 
 // lack is how many more grants of a place this instance could use.
-func (n *Node) lack(now time.Time, a appetite, h *hunger) int {
-	want := max(h.wishes.Want(now), n.queue.Waiting(a.use.Service))
+func (n *Node) lack(now time.Time, a destination, d *demand) int {
+	want := max(d.recent.Want(now), n.queue.Waiting(a.use.Service))
 	for _, p := range n.takers(a.place) {
-		want -= n.purse.Held(now, p.ID, a.use)
+		want -= n.holdings.Held(now, p.ID, a.use)
 	}
 	return max(want, 0)
 }
 
 // askFor asks two owners of a place directly, if that isn't too soon again.
-func (n *Node) askFor(now time.Time, a appetite, h *hunger) {
-	want := n.lack(now, a, h)
-	if want == 0 || now.Before(h.askAt) {
+func (n *Node) askFor(now time.Time, a destination, d *demand) {
+	want := n.lack(now, a, d)
+	if want == 0 || now.Before(d.askAt) {
 		return
 	}
-	h.askAt = now.Add(askAgain)
+	d.askAt = now.Add(askAgain)
 	peers := n.open(now, n.takers(a.place), a.use)
 	n.cfg.Rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	peers = peers[:min(len(peers), maxAsked)]
@@ -205,7 +206,7 @@
 }
 
 // askGrant names the callers' home only as far as it makes a difference.
-func (n *Node) askGrant(a appetite, p Peer, want, release int) AskGrant {
+func (n *Node) askGrant(a destination, p Peer, want, release int) AskGrant {
 	home := a.place
 	if a.use.Shifted {
 		home = n.cfg.Place
@@ -223,8 +224,8 @@
 		n.freeHeard(ev)
 		return
 	}
-	a := appetite{place: peer.Place, use: grant.Use{Service: ev.Service, Shifted: ev.Home != peer.Place}}
-	n.purse.Heard(ev.Peer, a.use, ev.Grant, ev.Until)
+	a := destination{place: peer.Place, use: grant.Use{Service: ev.Service, Shifted: ev.Home != peer.Place}}
+	n.holdings.Heard(ev.Peer, a.use, ev.Grant, ev.Until)
 	if ev.ID == 0 && ev.Grant == 0 {
 		n.roomOf(ev.Peer, ev.Service).until = now.Add(askRefuse + time.Duration(n.cfg.Rand.Int64N(int64(askRefuse))))
 	}
@@ -242,24 +243,24 @@
 
 // tendGrants asks for the requests that wait, and gives back what has no use.
 func (n *Node) tendGrants(now time.Time) {
-	for _, a := range sortedAppetites(n.hungers) {
-		h := n.hungers[a]
+	for _, a := range sortedDestinations(n.demands) {
+		d := n.demands[a]
 		waiting := n.queue.Waiting(a.use.Service)
-		if waiting > 0 && h.denied {
-			n.askFor(now, a, h)
+		if waiting > 0 && d.denied {
+			n.askFor(now, a, d)
 		}
-		if waiting == 0 && h.trying == 0 && h.wishes.Want(now) == 0 {
+		if waiting == 0 && d.trying == 0 && d.recent.Want(now) == 0 {
 			n.releaseAll(now, a)
-			delete(n.hungers, a)
+			delete(n.demands, a)
 		}
 	}
 }
 
-func (n *Node) releaseAll(now time.Time, a appetite) {
+func (n *Node) releaseAll(now time.Time, a destination) {
 	for _, p := range n.takers(a.place) {
-		held := n.purse.Held(now, p.ID, a.use)
+		held := n.holdings.Held(now, p.ID, a.use)
 		if held > 0 && n.mayAsk(now) {
-			n.purse.Take(now, p.ID, a.use, held)
+			n.holdings.Take(now, p.ID, a.use, held)
 			n.decide(n.askGrant(a, p, 0, held))
 		}
 	}
@@ -267,11 +268,11 @@
 
 // couldLeave says whether a waiting request of a service might be handed to
 // another place now.
-func (n *Node) couldLeave(now time.Time, id settingsID) bool {
+func (n *Node) couldLeave(now time.Time, id settings.ServiceID) bool {
 	if n.soonHere(now, id) {
 		return false
 	}
-	for a, h := range n.hungers {
+	for a, d := range n.demands {
 		if a.use.Service != id || n.snapshot.PlaceDrained(id, a.place) {
 			continue
 		}
@@ -279,19 +280,19 @@
 		if _, ok := n.granter(now, peers, a.use); ok {
 			return true
 		}
-		if h.trying < mostTrying(a.use) && len(n.open(now, peers, a.use)) > 0 {
+		if d.trying < mostTrying(a.use) && len(n.open(now, peers, a.use)) > 0 {
 			return true
 		}
 	}
 	return false
 }
 
-func sortedAppetites(m map[appetite]*hunger) []appetite {
-	list := make([]appetite, 0, len(m))
+func sortedDestinations(m map[destination]*demand) []destination {
+	list := make([]destination, 0, len(m))
 	for a := range m {
 		list = append(list, a)
 	}
-	slices.SortFunc(list, func(x, y appetite) int {
+	slices.SortFunc(list, func(x, y destination) int {
 		if c := strings.Compare(x.place, y.place); c != 0 {
 			return c
 		}
--- a/internal/core/flight.go
+++ b/internal/core/flight.go
@@ -41,16 +41,16 @@
 	exposed  bool            // an attempt may have run: "not run" would no longer be true
 	unowned  bool            // sent by a baseline policy: holds no slot
 	attempts int
-	away     appetite  // what the latest hand-off to another place uses
-	trying   bool      // handed off without a grant, and counted
-	awaits   bool      // a grant may come for it
-	covered  bool      // the peer that handed it off held a grant
-	heard    bool      // the peer of this place that it went to has told its free slots
-	wished   []string  // other places that have counted it as wishing to go there
-	tried    []string  // targets and instances that have refused it; never tried again
-	passed   []Passed  // ways weighed and not taken in the latest try
-	held     Reason    // why it was last held back
-	retryAt  time.Time // soonest time at which a refusing peer would take it
+	away     destination // what the latest hand-off to another place uses
+	trying   bool        // handed off without a grant, and counted
+	awaits   bool        // a grant may come for it
+	covered  bool        // the peer that handed it off held a grant
+	heard    bool        // the peer of this place that it went to has told its free slots
+	counted  []string    // other places that have counted it as one that could go there
+	tried    []string    // targets and instances that have refused it; never tried again
+	passed   []Passed    // ways weighed and not taken in the latest try
+	held     Reason      // why it was last held back
+	retryAt  time.Time   // soonest time at which a refusing peer would take it
 }
 
 // shifted says whether serving f in a place counts against the shift cap.
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -24,14 +24,14 @@
 	blocks   *block.Table
 
 	peers peerList
-	rooms map[string]desk // what each peer of peers last said of its room
+	rooms map[string]rooms // what each peer of peers last said of its room
 	seen  map[string]sighting
 	named map[string]time.Time // until when callers may keep a look-up that names an instance
 
-	grants   *grant.Book          // what peers were granted
-	purse    *grant.Purse         // what peers have granted
-	hungers  map[appetite]*hunger // what other places are wished for
-	askPaced time.Time            // what was asked so far would be through at an even pace
+	grants   *grant.Book             // what peers were granted
+	holdings *grant.Holdings         // what peers have granted
+	demands  map[destination]*demand // what could go to other places
+	askPaced time.Time               // what was asked so far would be through at an even pace
 
 	book   *owner.Book
 	roster rosterState
@@ -62,11 +62,11 @@
 	}
 	n := &Node{
 		cfg:      cfg,
-		rooms:    make(map[string]desk),
+		rooms:    make(map[string]rooms),
 		seen:     make(map[string]sighting),
 		named:    make(map[string]time.Time),
-		purse:    grant.NewPurse(),
-		hungers:  make(map[appetite]*hunger),
+		holdings: grant.NewHoldings(),
+		demands:  make(map[destination]*demand),
 		flights:  make(map[ID]*flight),
 		services: make(map[settings.ServiceID]*service),
 		address:  make(map[owner.TargetKey]string),
--- a/internal/core/outcome.go
+++ b/internal/core/outcome.go
@@ -87,7 +87,7 @@
 	if f.away.place != "" {
 		n.returned(now, f, ev)
 	}
-	f.away, f.heard = appetite{}, false
+	f.away, f.heard = destination{}, false
 }
 
 // freeSlot gives the attempt's slot back, at once if the target is done with it.
--- a/internal/core/room.go
+++ b/internal/core/room.go
@@ -6,10 +6,8 @@
 	"github.com/firlever/firlever/pkg/settings"
 )
 
-type settingsID = settings.ServiceID
-
-// desk is what one peer last said of its room, less what was sent to it since.
-type desk map[settingsID]*room
+// rooms is what one peer last said of its room, less what was sent to it since.
+type rooms map[settings.ServiceID]*room
 
 // room is a peer's free capacity for one service as far as it is known here.
 // It may be wrong: the peer's own count decides.
@@ -21,10 +19,10 @@
 // unheard is the room that a peer is taken to have before it has said anything.
 const unheard = 2
 
-func (n *Node) roomOf(peer string, service settingsID) *room {
+func (n *Node) roomOf(peer string, service settings.ServiceID) *room {
 	d, ok := n.rooms[peer]
 	if !ok {
-		d = make(desk)
+		d = make(rooms)
 		n.rooms[peer] = d
 	}
 	r, ok := d[service]
@@ -46,7 +44,7 @@
 }
 
 // roomTaken notes that a request was sent to the peer.
-func (n *Node) roomTaken(peer string, service settingsID) {
+func (n *Node) roomTaken(peer string, service settings.ServiceID) {
 	r := n.roomOf(peer, service)
 	r.free = max(r.free-1, 0)
 }
@@ -54,7 +52,7 @@
 // roomBack notes how a hand-off ended: an answer, or a caller who gave
 // up, gives its slot back, a
 // refusal means that the peer is full until it says otherwise.
-func (n *Node) roomBack(now time.Time, peer string, service settingsID, ev Finished) {
+func (n *Node) roomBack(now time.Time, peer string, service settings.ServiceID, ev Finished) {
 	r := n.roomOf(peer, service)
 	if ev.Result == Answered || ev.Gone {
 		r.free++
@@ -69,7 +67,7 @@
 
 // roomAt is the room of a peer now. A peer that asked to be left alone has
 // none; after that it is tried again with a little.
-func (n *Node) roomAt(now time.Time, peer string, service settingsID) int {
+func (n *Node) roomAt(now time.Time, peer string, service settings.ServiceID) int {
 	r := n.roomOf(peer, service)
 	if r.until.IsZero() {
 		return r.free
@@ -101,7 +99,7 @@
 }
 
 // roomNear says whether a peer of this place has room for the service.
-func (n *Node) roomNear(now time.Time, service settingsID) bool {
+func (n *Node) roomNear(now time.Time, service settings.ServiceID) bool {
 	for _, p := range n.peers.local[n.cfg.Place] {
 		if !p.Leaving && n.roomAt(now, p.ID, service) > 0 {
 			return true
--- a/internal/core/roster.go
+++ b/internal/core/roster.go
@@ -213,7 +213,7 @@
 	}
 	for _, p := range n.peers.all {
 		if live[p.ID] != p.Incarnation {
-			n.purse.Forget(p.ID)
+			n.holdings.Forget(p.ID)
 		}
 	}
 	for id := range n.rooms {
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -7,6 +7,7 @@
 	"github.com/firlever/firlever/internal/invariant"
 	"github.com/firlever/firlever/internal/owner"
 	"github.com/firlever/firlever/internal/queue"
+	"github.com/firlever/firlever/pkg/settings"
 )
 
 // place decides where a request goes. The home place comes first, then this
@@ -55,7 +56,7 @@
 }
 
 // soonHere says that a slot of this instance is expected soon.
-func (n *Node) soonHere(now time.Time, id settingsID) bool {
+func (n *Node) soonHere(now time.Time, id settings.ServiceID) bool {
 	if n.snapshot.PlaceDrained(id, n.cfg.Place) || n.ownSlots(now, id) == 0 {
 		return false
 	}
@@ -192,7 +193,7 @@
 	}
 	want, granted := 0, false
 	if peer.Place == n.cfg.Place || n.cfg.sending.ungranted() {
-		f.away = appetite{}
+		f.away = destination{}
 		n.roomTaken(peer.ID, f.req.Service)
 	} else {
 		want = n.departed(now, f, peer)
@@ -253,7 +254,7 @@
 func (n *Node) pump(now time.Time) {
 	missed := 0
 	for range n.queue.Len() {
-		item, ok := n.queue.Pop(now, func(service settingsID, way queue.Way) bool {
+		item, ok := n.queue.Pop(now, func(service settings.ServiceID, way queue.Way) bool {
 			return n.canServe(now, service, way)
 		})
 		if !ok {
@@ -272,11 +273,11 @@
 }
 
 // canServe says whether a waiting request of a service could go somewhere now.
-func (n *Node) canServe(now time.Time, service settingsID, way queue.Way) bool {
+func (n *Node) canServe(now time.Time, service settings.ServiceID, way queue.Way) bool {
 	return n.canServeOwn(now, service, way) || !way.Bound && (n.roomNear(now, service) || n.couldLeave(now, service))
 }
 
-func (n *Node) canServeOwn(now time.Time, service settingsID, way queue.Way) bool {
+func (n *Node) canServeOwn(now time.Time, service settings.ServiceID, way queue.Way) bool {
 	if reserved := n.reserved(now, service, false); reserved > 0 && n.book.FreeService(now, service) <= reserved {
 		return false
 	}
--- a/internal/grant/book.go
+++ b/internal/grant/book.go
@@ -69,18 +69,18 @@
 
 // line is what one sender has been granted and wants of one use.
 type line struct {
-	key    lineKey
-	place  string
-	grants promises
-	want   int       // beyond grants; counts until hungry
-	hungry time.Time // when want no longer counts
-	last   time.Time // when it was last granted something
+	key       lineKey
+	place     string
+	grants    promises
+	want      int       // beyond grants; counts until wantUntil
+	wantUntil time.Time // when want no longer counts
+	last      time.Time // when it was last granted something
 }
 
 // claim is how much of the owner's room the line would use.
 func (l *line) claim(now time.Time) int {
 	n := l.grants.sum()
-	if now.Before(l.hungry) {
+	if now.Before(l.wantUntil) {
 		n += l.want
 	}
 	return n
@@ -103,7 +103,7 @@
 func (b *Book) Grant(now time.Time, a Ask, r Room) int {
 	b.Sweep(now)
 	l := b.line(a)
-	l.want, l.hungry = min(max(a.Want, 0), b.cfg.Most), now.Add(b.cfg.Hungry)
+	l.want, l.wantUntil = min(max(a.Want, 0), b.cfg.Most), now.Add(b.cfg.Remember)
 	free := min(r.Slots-b.held[a.Use.Service], r.Spare-b.total)
 	if a.Use.Shifted {
 		free = min(free, r.Shifted-b.heldShifted(a.Use.Service))
@@ -165,7 +165,7 @@
 		if lost := l.grants.drop(now); lost > 0 {
 			b.hold(key.use.Service, -lost)
 		}
-		if len(l.grants) == 0 && !now.Before(l.hungry) {
+		if len(l.grants) == 0 && !now.Before(l.wantUntil) {
 			delete(b.lines, key)
 		}
 	}
--- a/internal/grant/book_test.go
+++ b/internal/grant/book_test.go
@@ -69,7 +69,7 @@
 		"instances of a place share": {room(9), []ask{
 			{"a1", "a", orders, 9, 1, 1}, {"a2", "a", orders, 9, 5, 9}, {"a1", "a", orders, 9, 3, 9},
 		}},
-		"hungry services share": {room(9), []ask{
+		"in demand services share": {room(9), []ask{
 			{"a1", "a", images, 9, 1, 1}, {"a1", "a", orders, 9, 5, 9}, {"a1", "a", images, 9, 3, 9},
 		}},
 		"services of a team share": {room(8), []ask{{"a1", "a", orders, 4, 4, 0}, {"a1", "a", images, 9, 4, 0}}},
@@ -121,7 +121,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			b, p := newBook(t), NewPurse()
+			b, p := newBook(t), NewHoldings()
 			clock := func(d time.Duration) time.Time { return start.Add(time.Duration(float64(d) * tt.rate)) }
 			n := b.Grant(start.Add(tt.there), Ask{Peer: "a1", Place: "a", Use: orders, Want: 3}, room(9))
 			p.Heard("g", orders, n, clock(0).Add(b.Life()))
@@ -139,7 +139,7 @@
 }
 
 func TestLateGrantIsNotTaken(t *testing.T) {
-	p := NewPurse()
+	p := NewHoldings()
 	p.Heard("g", orders, 3, start)
 	if got := p.Take(start, "g", orders, 1); got != 0 {
 		t.Errorf("got %d taken, want 0 from a grant that had run out", got)
--- a/internal/grant/config.go
+++ b/internal/grant/config.go
@@ -9,11 +9,11 @@
 
 // Config sets up a Book.
 type Config struct {
-	Life   time.Duration      // a grant may be used for so long
-	Skew   float64            // bound on how far two clocks' rates differ, as a share
-	Hungry time.Duration      // how long a sender counts as hungry after it asked
-	Most   int                // requests granted by one answer
-	Checks *invariant.Counter // may be nil
+	Life     time.Duration      // a grant may be used for so long
+	Skew     float64            // bound on how far two clocks' rates differ, as a share
+	Remember time.Duration      // how long a want counts after it was asked for
+	Most     int                // requests granted by one answer
+	Checks   *invariant.Counter // may be nil
 }
 
 // Defaults fills in what is zero.
@@ -21,8 +21,8 @@
 	if c.Life == 0 {
 		c.Life = 500 * time.Millisecond
 	}
-	if c.Hungry == 0 {
-		c.Hungry = 100 * time.Millisecond
+	if c.Remember == 0 {
+		c.Remember = 100 * time.Millisecond
 	}
 	if c.Most == 0 {
 		c.Most = 64
@@ -43,8 +43,8 @@
 	if c.Skew < 0 || c.Skew >= 1 {
 		faults = append(faults, "skew is not in [0, 1)")
 	}
-	if c.Hungry <= 0 {
-		faults = append(faults, "hungry is not positive")
+	if c.Remember <= 0 {
+		faults = append(faults, "remember is not positive")
 	}
 	if c.Most < 1 {
 		faults = append(faults, "most is below 1")
--- a/internal/grant/purse.go
+++ b/internal/grant/holdings.go
@@ -2,18 +2,18 @@
 
 import "time"
 
-// Purse is the sender's side: what peers have granted to it.
-type Purse struct {
+// Holdings is the sender's side: what peers have granted to it.
+type Holdings struct {
 	held map[string]map[Use]*promises // by peer
 }
 
-// NewPurse makes an empty purse.
-func NewPurse() *Purse { return &Purse{held: make(map[string]map[Use]*promises)} }
+// NewHoldings makes an empty holdings.
+func NewHoldings() *Holdings { return &Holdings{held: make(map[string]map[Use]*promises)} }
 
 // Heard takes in a grant. until must be counted by the sender's clock from
 // before it sent what earned the grant, so that it ends here before it ends at
 // the granter.
-func (p *Purse) Heard(peer string, use Use, n int, until time.Time) {
+func (p *Holdings) Heard(peer string, use Use, n int, until time.Time) {
 	if n <= 0 {
 		return
 	}
@@ -29,7 +29,7 @@
 }
 
 // Held returns how many requests a peer may be sent now.
-func (p *Purse) Held(now time.Time, peer string, use Use) int {
+func (p *Holdings) Held(now time.Time, peer string, use Use) int {
 	g := p.held[peer][use]
 	if g == nil {
 		return 0
@@ -39,7 +39,7 @@
 }
 
 // Take uses up to n requests of a peer's grants, and returns how many there were.
-func (p *Purse) Take(now time.Time, peer string, use Use, n int) int {
+func (p *Holdings) Take(now time.Time, peer string, use Use, n int) int {
 	g := p.held[peer][use]
 	if g == nil {
 		return 0
@@ -49,4 +49,4 @@
 }
 
 // Forget drops the grants of a peer that has gone or is another incarnation.
-func (p *Purse) Forget(peer string) { delete(p.held, peer) }
+func (p *Holdings) Forget(peer string) { delete(p.held, peer) }
--- a/internal/instance/capacity_test.go
+++ b/internal/instance/capacity_test.go
@@ -175,7 +175,7 @@
 			return false
 		}
 		var ok bool
-		in.desk.Read(func(now time.Time, n *core.Node) {
+		in.dispatcher.Read(func(now time.Time, n *core.Node) {
 			r := n.Roster()
 			ok = n.Confirmed(now) && len(r.Members) == c.ofPlace(in.cfg.Place) && len(r.Former) == 0
 		})
--- a/internal/instance/gossip.go
+++ b/internal/instance/gossip.go
@@ -105,13 +105,13 @@
 
 func (g *gossip) heardNear(p *wire.Packet, ack member.Ack) {
 	if p.Kind == wire.Kind_KIND_ACK && p.Promise {
-		g.in.desk.Step(core.PeerAcked{Peer: p.From, Incarnation: p.Incarnation, Sent: ack.Promised, Roster: ack.Roster})
+		g.in.dispatcher.Step(core.PeerAcked{Peer: p.From, Incarnation: p.Incarnation, Sent: ack.Promised, Roster: ack.Roster})
 	}
 	if p.Release == 0 {
 		return
 	}
 	if r, err := peer.ReleaseOf(p); err == nil {
-		g.in.desk.Step(core.Released{Release: r})
+		g.in.dispatcher.Step(core.Released{Release: r})
 	}
 }
 
@@ -121,7 +121,7 @@
 	if !g.isNear(p.From) {
 		return
 	}
-	g.in.desk.Step(core.RoomHeard{Peer: p.From, Rooms: peer.RoomsOf(p)})
+	g.in.dispatcher.Step(core.RoomHeard{Peer: p.From, Rooms: peer.RoomsOf(p)})
 }
 
 func (g *gossip) isNear(id string) bool {
@@ -135,7 +135,7 @@
 func (g *gossip) prepare(p, cause *wire.Packet) {
 	p.Root, p.Complete = g.in.docs.Mark()
 	near := g.isNear(p.To)
-	g.in.desk.Read(func(now time.Time, n *core.Node) {
+	g.in.dispatcher.Read(func(now time.Time, n *core.Node) {
 		p.Roster = n.Roster().Version
 		if p.Promise {
 			p.Promise = cause != nil && n.MayAck(now, cause.From, cause.Incarnation, cause.Roster)
@@ -204,7 +204,7 @@
 	g.mu.Lock()
 	g.near = near
 	g.mu.Unlock()
-	g.in.desk.Step(core.PeersChanged{Peers: peersOf(members)})
+	g.in.dispatcher.Step(core.PeersChanged{Peers: peersOf(members)})
 }
 
 // tellRooms sends this instance's room to the peers of its place, and keeps
@@ -225,7 +225,7 @@
 func (g *gossip) tellRoom() {
 	var rooms []core.Room
 	var roster owner.Roster
-	g.in.desk.Read(func(now time.Time, n *core.Node) { rooms, roster = n.Rooms(now), n.Roster() })
+	g.in.dispatcher.Read(func(now time.Time, n *core.Node) { rooms, roster = n.Rooms(now), n.Roster() })
 	g.setRoster(roster)
 	var near []member.Member
 	g.udp.Do(func(_ time.Time, l *member.List) []member.Send {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -35,7 +35,7 @@
 type Instance struct {
 	cfg         Config
 	incarnation uint64
-	desk        *dispatch.Dispatcher
+	dispatcher  *dispatch.Dispatcher
 	docs        *documents
 	client      *targets.Client
 	server      *callers.Server
@@ -134,12 +134,12 @@
 	if err != nil {
 		return err
 	}
-	in.desk = dispatch.New(node, time.Now, in.control)
+	in.dispatcher = dispatch.New(node, time.Now, in.control)
 	in.docs = newDocuments(in.cfg.Checks, in.cfg.Log, in.force)
 	in.server = callers.New(callers.Config{
 		Instance: in.cfg.ID, Callers: in.cfg.AdvertiseCallers, Checks: in.cfg.Checks, Log: in.cfg.Log,
 		Metrics: in.cfg.Metrics,
-	}, in.desk, in.client)
+	}, in.dispatcher, in.client)
 	if in.members, err = newGossip(in); err != nil {
 		return err
 	}
@@ -178,9 +178,9 @@
 	}
 }
 
-func (in *Instance) force(s *settings.Snapshot) { in.desk.Step(core.Applied{Snapshot: s}) }
+func (in *Instance) force(s *settings.Snapshot) { in.dispatcher.Step(core.Applied{Snapshot: s}) }
 
-func (in *Instance) now() time.Time { return in.desk.Now() }
+func (in *Instance) now() time.Time { return in.dispatcher.Now() }
 
 // self is this instance's line in lists of instances.
 func (in *Instance) self() platform.Instance {
@@ -235,11 +235,11 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-in.desk.Waiting():
+		case <-in.dispatcher.Waiting():
 			due = earlier(due, time.Now().Add(tickEvery))
 		case <-t.C:
 			due = time.Now().Add(tickIdle)
-			in.desk.Step(core.Tick{})
+			in.dispatcher.Step(core.Tick{})
 		}
 		t.Reset(time.Until(due))
 	}
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -226,7 +226,7 @@
 				t.Fatalf("got %d members in the roster of %s, want %d", members, in.cfg.ID, len(f.list))
 			}
 			time.Sleep(20 * time.Millisecond)
-			in.desk.Read(func(_ time.Time, n *core.Node) { members = len(n.Roster().Members) })
+			in.dispatcher.Read(func(_ time.Time, n *core.Node) { members = len(n.Roster().Members) })
 		}
 	}
 }
--- a/internal/instance/learn.go
+++ b/internal/instance/learn.go
@@ -123,7 +123,7 @@
 // before the list tells their addresses, and those that seem dead.
 func (in *Instance) rosterDoubts(known map[string]member.State) []doubt {
 	var roster owner.Roster
-	in.desk.Read(func(_ time.Time, n *core.Node) { roster = n.Roster() })
+	in.dispatcher.Read(func(_ time.Time, n *core.Node) { roster = n.Roster() })
 	var list []doubt
 	for _, f := range roster.Former {
 		list = append(list, in.former(f.Instance))
--- a/internal/instance/list.go
+++ b/internal/instance/list.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		return err
 	}
-	in.desk.Step(core.Listed{Instances: list, Sent: sent})
+	in.dispatcher.Step(core.Listed{Instances: list, Sent: sent})
 	in.members.Learn(list)
 	return nil
 }
--- a/internal/instance/probe.go
+++ b/internal/instance/probe.go
@@ -42,7 +42,7 @@
 		case <-ctx.Done():
 			return
 		case p := <-in.probes:
-			in.desk.Step(in.probeOnce(ctx, p))
+			in.dispatcher.Step(in.probeOnce(ctx, p))
 		}
 	}
 }
--- a/internal/instance/recovery_test.go
+++ b/internal/instance/recovery_test.go
@@ -200,7 +200,7 @@
 	sum := 0
 	for _, s := range seats {
 		if in := w.running[s.id]; in != nil {
-			in.desk.Read(func(now time.Time, n *core.Node) {
+			in.dispatcher.Read(func(now time.Time, n *core.Node) {
 				for _, t := range n.Status(now).Targets {
 					sum += t.Usable
 				}
@@ -482,7 +482,7 @@
 				s := w.seats[0]
 				for range 50 {
 					if tt.ask >= 0 {
-						w.running[w.seats[tt.ask].id].desk.Lookup(settings.ServiceID{Team: "shop", Name: "orders"}, netip.MustParseAddr("10.0.0.1"), 1)
+						w.running[w.seats[tt.ask].id].dispatcher.Lookup(settings.ServiceID{Team: "shop", Name: "orders"}, netip.MustParseAddr("10.0.0.1"), 1)
 					}
 				}
 				if tt.stale < 0 {
@@ -507,7 +507,7 @@
 // named says whether a look-up at any instance may name the seat's.
 func (w *world) named(s seat) bool {
 	for _, in := range w.running {
-		l, err := in.desk.Lookup(settings.ServiceID{Team: "shop", Name: "orders"}, netip.Addr{}, 0)
+		l, err := in.dispatcher.Lookup(settings.ServiceID{Team: "shop", Name: "orders"}, netip.Addr{}, 0)
 		if err != nil {
 			w.t.Fatal(err)
 		}
@@ -521,6 +521,6 @@
 }
 
 func (in *Instance) roster() (r owner.Roster) {
-	in.desk.Read(func(_ time.Time, n *core.Node) { r = n.Roster() })
+	in.dispatcher.Read(func(_ time.Time, n *core.Node) { r = n.Roster() })
 	return r
 }
--- a/internal/instance/roster.go
+++ b/internal/instance/roster.go
@@ -69,7 +69,7 @@
 // heardRoster notes that a peer of the place has a newer roster.
 func (in *Instance) heardRoster(version uint64, peer platform.Instance) {
 	var held uint64
-	in.desk.Read(func(_ time.Time, n *core.Node) { held = n.Roster().Version })
+	in.dispatcher.Read(func(_ time.Time, n *core.Node) { held = n.Roster().Version })
 	if version <= held {
 		return
 	}
@@ -93,7 +93,7 @@
 	if err != nil {
 		return false
 	}
-	in.desk.Step(core.RosterHeard{Roster: r})
+	in.dispatcher.Step(core.RosterHeard{Roster: r})
 	return true
 }
 
@@ -101,7 +101,7 @@
 // if it is not known.
 func (in *Instance) ownRoster() *wire.Document {
 	var r owner.Roster
-	in.desk.Read(func(_ time.Time, n *core.Node) { r = n.Roster() })
+	in.dispatcher.Read(func(_ time.Time, n *core.Node) { r = n.Roster() })
 	value, err := r.Encode()
 	if err != nil || r.Version == 0 {
 		return nil
@@ -112,7 +112,7 @@
 // confirmed says whether the rights are confirmed, and will be for a while.
 func (in *Instance) confirmed() bool {
 	var ok bool
-	in.desk.Read(func(now time.Time, n *core.Node) { ok = n.Confirmed(now.Add(confirmAhead)) })
+	in.dispatcher.Read(func(now time.Time, n *core.Node) { ok = n.Confirmed(now.Add(confirmAhead)) })
 	return ok
 }
 
@@ -123,7 +123,7 @@
 	e, err := in.cfg.Store.Get(ctx, rosterRoot+in.cfg.Place)
 	var missing *platform.NotFoundError
 	if errors.As(err, &missing) {
-		in.desk.Step(core.RosterRead{Sent: sent})
+		in.dispatcher.Step(core.RosterRead{Sent: sent})
 		return nil
 	}
 	if err != nil {
@@ -133,7 +133,7 @@
 	if err != nil {
 		return err
 	}
-	in.desk.Step(core.RosterRead{Roster: r, Sent: sent})
+	in.dispatcher.Step(core.RosterRead{Roster: r, Sent: sent})
 	return nil
 }
 
@@ -153,5 +153,5 @@
 	if err == nil || errors.As(err, &uncertain) || d.Removed == "" {
 		return
 	}
-	in.desk.Step(core.SwapFailed{Removed: d.Removed})
+	in.dispatcher.Step(core.SwapFailed{Removed: d.Removed})
 }
--- a/internal/instance/status.go
+++ b/internal/instance/status.go
@@ -35,6 +35,6 @@
 // Status is what the node tells of itself now.
 func (in *Instance) Status() core.Status {
 	var st core.Status
-	in.desk.Read(func(now time.Time, n *core.Node) { st = n.Status(now) })
+	in.dispatcher.Read(func(now time.Time, n *core.Node) { st = n.Status(now) })
 	return st
 }
--- a/internal/instance/stop.go
+++ b/internal/instance/stop.go
@@ -17,7 +17,7 @@
 // cut, and Stop returns a *CutError.
 func (in *Instance) Stop(ctx context.Context) error {
 	in.members.leave()
-	in.desk.Step(core.Stopping{})
+	in.dispatcher.Step(core.Stopping{})
 	in.linger(ctx)
 	open := in.waitIdle(ctx)
 	in.cfg.Checks.Check(invariant.GracefulStop, open == 0, func() string {
@@ -39,7 +39,7 @@
 		sleep(ctx, stopTick)
 		until, known := in.members.lastNamed()
 		var own time.Time
-		in.desk.Read(func(_ time.Time, n *core.Node) { own, _ = n.Named(in.cfg.ID) })
+		in.dispatcher.Read(func(_ time.Time, n *core.Node) { own, _ = n.Named(in.cfg.ID) })
 		if now := in.now(); known && !now.Before(until) && !now.Before(own) {
 			return
 		}
@@ -68,7 +68,7 @@
 func (in *Instance) open() (int, bool) {
 	var open int
 	var idle bool
-	in.desk.Read(func(_ time.Time, n *core.Node) { open, idle = n.Open(), n.Idle() })
+	in.dispatcher.Read(func(_ time.Time, n *core.Node) { open, idle = n.Open(), n.Idle() })
 	return open, idle
 }
 
--- a/internal/instance/watch.go
+++ b/internal/instance/watch.go
@@ -112,7 +112,7 @@
 		return
 	}
 	if r, err := owner.Decode(e.Value, e.Version); err == nil {
-		in.desk.Step(core.RosterHeard{Roster: r})
+		in.dispatcher.Step(core.RosterHeard{Roster: r})
 	}
 }
 
