--- a/internal/capacity/size.go
+++ b/internal/capacity/size.go
@@ -49,7 +49,7 @@
 
 // Periods of internal/instance, as their means over the jitter, in seconds.
 const (
-	registerEvery = 22.5
+	registerEvery = 26.5
 	listEvery     = 2700.0
 	listDomain    = 450.0 // by one watcher of a domain
 	rosterEvery   = 22.5
--- a/internal/instance/gossip.go
+++ b/internal/instance/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -280,6 +281,16 @@
 	return members
 }
 
+// answered says whether another instance knows this one: it acked a ping.
+func (g *gossip) answered() bool {
+	answered := false
+	g.udp.Do(func(_ time.Time, l *member.List) []member.Send {
+		answered = slices.ContainsFunc(l.Members(), func(m member.Member) bool { return !l.Acked(m.ID).Sent.IsZero() })
+		return nil
+	})
+	return answered
+}
+
 // leave tells the others of a planned stop.
 func (g *gossip) leave() {
 	g.udp.Do(func(now time.Time, l *member.List) []member.Send { return l.Leave(now) })
--- a/internal/instance/list.go
+++ b/internal/instance/list.go
@@ -8,19 +8,20 @@
 	"github.com/firlever/firlever/internal/core"
 )
 
-// Times of registrations.
+// Times of registrations. A line of the list stays for half a minute, so the
+// waits are long and differ little; what spreads instances is the first of them.
 const (
-	registerEvery = 30 * time.Second       // the longest between two, through outages too: all come back spread over it
-	firstRegister = 500 * time.Millisecond // from the start to the first one, with peers to ask
+	registerEvery  = 29 * time.Second       // the longest between two, through outages too: all come back as they were spread
+	registerSpread = 5 * time.Second        // the share of it that is drawn anew each time
+	firstRegister  = 500 * time.Millisecond // from the start to the first one, with peers to ask
+	firstKnown     = 10 * time.Second       // the same if a peer has answered; sooner than others read the list for an unknown place
 )
 
 // register keeps this instance in the platform's list. A failed try is not
 // repeated sooner, lest all come at once when an outage ends; only the first
 // registration is, since until then nobody finds this instance in the list.
 func (in *Instance) register(ctx context.Context) {
-	if len(in.cfg.Join) > 0 {
-		sleep(ctx, rand.N(firstRegister))
-	}
+	in.awaitRegister(ctx)
 	var b backoff
 	registered := false
 	for ctx.Err() == nil {
@@ -28,15 +29,32 @@
 		if err != nil {
 			in.platformFailed("register", err)
 		}
-		registered = registered || err == nil
-		wait := jittered(registerEvery)
-		if !registered {
+		wait := registerEvery - rand.N(registerSpread)
+		switch {
+		case !registered && err != nil:
 			wait = b.step()
+		case !registered:
+			wait = rand.N(registerEvery) // those that started together part here
 		}
+		registered = registered || err == nil
 		sleep(ctx, wait)
 	}
 }
 
+// awaitRegister puts the first registration off: a little to hear of peers, and
+// then, if one has answered, longer: many may start together. A list that
+// proves ends must not lack who holds targets.
+func (in *Instance) awaitRegister(ctx context.Context) {
+	if len(in.cfg.Join) == 0 {
+		return
+	}
+	wait := rand.N(firstRegister)
+	sleep(ctx, wait)
+	if !in.cfg.ListProves && in.members.answered() {
+		sleep(ctx, rand.N(firstKnown)-wait)
+	}
+}
+
 func (in *Instance) registerOnce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/instance/list_test.go
+++ b/internal/instance/list_test.go
@@ -82,3 +82,33 @@
 		})
 	}
 }
+
+// TestRegistrations counts the first registrations of a domain that returns,
+// and those at rest; a line stays in the list for half a minute.
+func TestRegistrations(t *testing.T) {
+	inWorld(t, 2, 1, 9, func(w *world) {
+		w.up()
+		w.kill(w.domain(0))
+		time.Sleep(time.Minute)
+		w.taken(w.all())
+		w.start(w.domain(0))
+		took := w.within(time.Minute, "targets", w.whole(w.domain(0)))
+		calls := w.taken(w.domain(0))
+		w.report("return of a domain", w.domain(0), took, calls)
+		if got, most := calls["register"], len(w.domain(0))/2; got > most {
+			t.Errorf("got %d registrations in %s, want at most %d", got, took, most)
+		}
+		time.Sleep(time.Minute)
+		w.taken(w.all())
+		const rest = 2 * time.Minute
+		for range rest / time.Second {
+			time.Sleep(time.Second)
+			if list, err := w.kv.Instances(t.Context()); err != nil || len(list) != len(w.all()) {
+				t.Fatalf("got %d in the list, %v, want all %d", len(list), err, len(w.all()))
+			}
+		}
+		calls = w.taken(w.all())
+		w.report("at rest", w.all(), rest, calls)
+		w.atMost(map[string]int{"register": calls["register"]}, map[string]float64{"register": float64(len(w.all())) * (rest.Seconds()/24 + 1)})
+	})
+}
--- a/internal/instance/roster.go
+++ b/internal/instance/roster.go
@@ -20,11 +20,15 @@
 	rosterRetry  = 5 * time.Second        // after failures, while they do not
 	confirmAhead = time.Second            // so much before the rights lapse, the platform is asked
 	rosterTick   = 100 * time.Millisecond
+	rosterFirst  = 2 * time.Second // from the start to the first reading, with peers to ask: those that start together would write over each other
 )
 
 // tendRoster reads the place's roster when the rights that it gives need it, and
 // carries out the changes that the node asks for.
 func (in *Instance) tendRoster(ctx context.Context) {
+	if len(in.cfg.Join) > 0 {
+		sleep(ctx, rand.N(rosterFirst))
+	}
 	var read time.Time // when the roster was last read; zero asks for it at once
 	failed, share := false, 1.0
 	tick := time.NewTicker(rosterTick)
