Bound a dial, and read a path with parameters as unclean

Cause 1: a request handed to a place that was just cut off waited for the connection until its deadline. Change 1: half a second, then it goes elsewhere, as nothing was sent. Cause 2: /a/..;/unlock passed for idempotent, while some servers read it as /unlock. Change 2: a semicolon makes a path unclean, so not idempotent.

--- a/internal/targets/client.go
+++ b/internal/targets/client.go
@@ -17,16 +17,25 @@
 const (
 	idleTimeout   = 90 * time.Second
 	idlePerTarget = 64
-	dialTimeout   = 3 * time.Second
+	dialTimeout   = 500 * time.Millisecond // an attempt that can't connect goes elsewhere within its deadline
 	maxHeader     = 64 << 10
 )
 
 // Dial opens a connection; net.Dialer.DialContext by default.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
+// bounded ends a dial after dialTimeout. Nothing has been sent then.
+func bounded(dial Dial) Dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		return dial(ctx, network, address)
+	}
+}
+
 // DialFrom gives a dialer whose connections come from one IP of this machine.
 func DialFrom(ip string) Dial {
-	d := &net.Dialer{Timeout: dialTimeout, LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}
+	d := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}
 	return d.DialContext
 }
 
@@ -38,10 +47,10 @@
 // New makes a client that opens connections with dial; nil takes the standard dialer.
 func New(dial Dial) *Client {
 	if dial == nil {
-		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+		dial = (&net.Dialer{}).DialContext
 	}
 	return &Client{transport: &http.Transport{
-		DialContext:            noting(dial),
+		DialContext:            noting(bounded(dial)),
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    idlePerTarget,
 		IdleConnTimeout:        idleTimeout,
--- a/internal/targets/client_test.go
+++ b/internal/targets/client_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 )
 
 // closing is a target that answers the first request of each connection and
@@ -154,3 +156,26 @@
 		t.Error("got a write after the proof, want none")
 	}
 }
+
+// TestDialIsBounded: an address that does not answer costs a part of the
+// request's time, and is proof that nothing was sent.
+func TestDialIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(func(ctx context.Context, _, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+		defer c.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		began := time.Now()
+		_, err := c.Send(ctx, newRequest(t, http.MethodGet, "192.0.2.1:1", ""))
+		var notSent *NotSentError
+		if !errors.As(err, &notSent) {
+			t.Errorf("got %v, want proof that nothing was sent", err)
+		}
+		if got := time.Since(began); got != dialTimeout {
+			t.Errorf("got %s until the end, want %s", got, dialTimeout)
+		}
+	})
+}
--- a/pkg/settings/service.go
+++ b/pkg/settings/service.go
@@ -77,9 +77,10 @@
 	return rest == "" || rest[0] == '/' || r.Prefix == "" || strings.HasSuffix(r.Prefix, "/")
 }
 
-// clean says whether p can be read in one way only.
+// clean says whether p can be read in one way only. Some servers take what
+// follows a semicolon for parameters, and so read /a/..;/b as /b.
 func clean(p string) bool {
-	if !strings.HasPrefix(p, "/") || strings.ContainsAny(p, "%\\") {
+	if !strings.HasPrefix(p, "/") || strings.ContainsAny(p, "%\\;") {
 		return false
 	}
 	return p == "/" || path.Clean(p) == strings.TrimSuffix(p, "/")
--- a/pkg/settings/snapshot_test.go
+++ b/pkg/settings/snapshot_test.go
@@ -84,6 +84,7 @@
 		"get of unlock":           {"GET", "/unlock/7", false},
 		"longer word of unlock":   {"GET", "/unlocks", false},
 		"dots":                    {"GET", "/a/../unlock", false},
+		"dots with parameters":    {"GET", "/a/..;/unlock", false},
 		"empty part":              {"GET", "//unlock", false},
 		"escape":                  {"GET", "/%75nlock", false},
 		"method in small letters": {"get", "/x", false},
