--- a/internal/once/book.go
+++ b/internal/once/book.go
@@ -1,11 +1,11 @@
 package once
 
 import (
-	"container/heap"
 	"fmt"
 	"strings"
 	"time"
 
+	"github.com/firlever/firlever/internal/deadline"
 	"github.com/firlever/firlever/internal/invariant"
 )
 
@@ -15,10 +15,10 @@
 	issuer  *Issuer
 	checks  *invariant.Counter
 	records map[[numberSize]byte]*record
-	expiry  deadlines // records to be dropped; one that is under way past its deadline is not in it
-	latest  time.Time // never goes back, so that a clock set back can't revive a key whose record is gone
-	bytes   int       // of records and answers; never over cfg.Bytes
-	running int       // records without an outcome
+	expiry  deadline.Heap[*record] // records to be dropped; one that is under way past its deadline is not in it
+	latest  time.Time              // never goes back, so that a clock set back can't revive a key whose record is gone
+	bytes   int                    // of records and answers; never over cfg.Bytes
+	running int                    // records without an outcome
 	closed  bool
 	counts  [verdictKinds]uint64
 }
@@ -102,7 +102,7 @@
 	r := &record{number: key.number, fingerprint: fp, until: key.Until()}
 	b.records[key.number] = r
 	b.bytes += recordSize
-	heap.Push(&b.expiry, r)
+	b.expiry.Push(r)
 	return b.start(r, request)
 }
 
@@ -203,8 +203,8 @@
 	b.bytes += outcome.size()
 	b.running--
 	r.outcome = outcome
-	if r.place == notInHeap {
-		heap.Push(&b.expiry, r)
+	if r.place == deadline.Absent {
+		b.expiry.Push(r)
 	}
 }
 
--- a/internal/once/sweep.go
+++ b/internal/once/sweep.go
@@ -1,9 +1,6 @@
 package once
 
-import (
-	"container/heap"
-	"time"
-)
+import "time"
 
 // Stats tells how full a book is and what it has decided.
 type Stats struct {
@@ -35,24 +32,22 @@
 func (b *Book) Sweep(now time.Time) int {
 	now = b.clock(now)
 	n := 0
-	for len(b.expiry) > 0 && !now.Before(b.expiry[0].until) {
-		r := heap.Pop(&b.expiry).(*record)
+	for {
+		r, due := b.expiry.Due(now)
+		if !due {
+			return n
+		}
+		b.expiry.Pop()
 		if r.running() {
 			continue // Finish puts it back
 		}
 		b.drop(r)
 		n++
 	}
-	return n
 }
 
 // Next returns when Sweep next has something to do; zero if never.
-func (b *Book) Next() time.Time {
-	if len(b.expiry) == 0 {
-		return time.Time{}
-	}
-	return b.expiry[0].until
-}
+func (b *Book) Next() time.Time { return b.expiry.Next() }
 
 func (b *Book) drop(r *record) {
 	b.bytes -= recordSize + r.outcome.size()
--- a/internal/queue/item.go
+++ b/internal/queue/item.go
@@ -93,30 +93,8 @@
 	e.prev, e.next = nil, nil
 }
 
-// lastStarts is a heap of entries, the earliest last start first.
-type lastStarts []*entry
+// Deadline is for deadline.Heap.
+func (e *entry) Deadline() time.Time { return e.last }
 
-func (d lastStarts) Len() int           { return len(d) }
-func (d lastStarts) Less(i, j int) bool { return d[i].last.Before(d[j].last) }
-
-func (d lastStarts) Swap(i, j int) {
-	d[i], d[j] = d[j], d[i]
-	d[i].place = i
-	d[j].place = j
-}
-
-// Push is for container/heap.
-func (d *lastStarts) Push(x any) {
-	e := x.(*entry)
-	e.place = len(*d)
-	*d = append(*d, e)
-}
-
-// Pop is for container/heap.
-func (d *lastStarts) Pop() any {
-	last := len(*d) - 1
-	e := (*d)[last]
-	(*d)[last] = nil
-	*d = (*d)[:last]
-	return e
-}
+// Place is for deadline.Heap.
+func (e *entry) Place() *int { return &e.place }
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -1,10 +1,10 @@
 package queue
 
 import (
-	"container/heap"
 	"slices"
 	"time"
 
+	"github.com/firlever/firlever/internal/deadline"
 	"github.com/firlever/firlever/pkg/settings"
 )
 
@@ -18,10 +18,10 @@
 	entries     map[uint64]*entry // all that wait, by ID
 	interactive *class
 	bulk        *class
-	starts      lastStarts // of all that wait
-	expired     []*entry   // taken out, to be told by the next Expire
-	skipped     int        // interactive pops since the last bulk one, while bulk waited
-	seq         uint64     // grows with each Push
+	starts      deadline.Heap[*entry] // of all that wait
+	expired     []*entry              // taken out, to be told by the next Expire
+	skipped     int                   // interactive pops since the last bulk one, while bulk waited
+	seq         uint64                // grows with each Push
 }
 
 // New makes an empty queue. cfg must be valid.
@@ -123,7 +123,7 @@
 	e := &entry{item: it, seq: q.seq, last: last}
 	q.entries[it.ID] = e
 	q.room.add(it.Service.Team)
-	heap.Push(&q.starts, e)
+	q.starts.Push(e)
 	q.class(it).add(e)
 }
 
@@ -158,7 +158,7 @@
 // forget takes out of the indexes an entry that has left its class.
 func (q *Queue) forget(now time.Time, e *entry) {
 	delete(q.entries, e.item.ID)
-	heap.Remove(&q.starts, e.place)
+	q.starts.Remove(e)
 	service := e.item.Service
 	q.room.remove(service.Team)
 	q.station(now, service).waiting(now, q.ahead(service, true))
@@ -166,8 +166,11 @@
 
 // expire takes out all items past their last start.
 func (q *Queue) expire(now time.Time) {
-	for len(q.starts) > 0 && !now.Before(q.starts[0].last) {
-		e := q.starts[0]
+	for {
+		e, due := q.starts.Due(now)
+		if !due {
+			return
+		}
 		q.class(e.item).remove(e)
 		q.forget(now, e)
 		q.expired = append(q.expired, e)
@@ -207,14 +210,10 @@
 
 // Next returns when Expire next has something to return; zero if never.
 func (q *Queue) Next() time.Time {
-	switch {
-	case len(q.expired) > 0:
+	if len(q.expired) > 0 {
 		return q.expired[0].last
-	case len(q.starts) > 0:
-		return q.starts[0].last
-	default:
-		return time.Time{}
 	}
+	return q.starts.Next()
 }
 
 // Len returns how many items wait.
