Tell a caller to ask elsewhere before the first settings

Cause: an instance without a configuration answered look-ups with 'no such service', which ends a caller's search. Change: 503, no-settings.

--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -174,8 +174,12 @@
 func (s *Server) noLookup(w http.ResponseWriter, err error) {
 	reason, status := core.ReasonNoService, http.StatusNotFound
 	var stopping *core.StoppingError
-	if errors.As(err, &stopping) {
+	var blank *core.NoSettingsError
+	switch {
+	case errors.As(err, &stopping):
 		reason, status = core.ReasonStopping, http.StatusServiceUnavailable
+	case errors.As(err, &blank):
+		reason, status = core.ReasonNoSettings, http.StatusServiceUnavailable
 	}
 	s.refuseEarly(w, status, reason, err)
 }
--- a/internal/core/lookup.go
+++ b/internal/core/lookup.go
@@ -20,6 +20,12 @@
 
 func (e *NoServiceError) Error() string { return "core: no service " + e.Service.String() }
 
+// NoSettingsError says that this instance has no configuration yet, and others
+// are to be asked.
+type NoSettingsError struct{ Instance string }
+
+func (e *NoSettingsError) Error() string { return "core: " + e.Instance + " has no configuration yet" }
+
 // StoppingError says that this instance is in a planned stop and others are to
 // be asked: what it answered would outlive it.
 type StoppingError struct{ Instance string }
@@ -28,10 +34,11 @@
 
 // Lookup tells a caller which instances to ask for a service, and gives keys
 // for non-idempotent requests. It returns a *NoServiceError for an unknown service,
-// and a *StoppingError in a planned stop while others serve.
+// a *NoSettingsError before the first configuration, and a *StoppingError in a
+// planned stop while others serve.
 func (n *Node) Lookup(now time.Time, id settings.ServiceID, caller netip.Addr, keys int) (Lookup, error) {
 	if n.snapshot == nil {
-		return Lookup{}, &NoServiceError{Service: id}
+		return Lookup{}, &NoSettingsError{Instance: n.cfg.Instance}
 	}
 	service, ok := n.snapshot.Service(id)
 	if !ok {
--- a/internal/core/lookup_test.go
+++ b/internal/core/lookup_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"errors"
 	"net/netip"
 	"testing"
 
@@ -41,3 +42,22 @@
 		})
 	}
 }
+
+// TestLookupBeforeSettings: "no such service" would be final for a caller, who
+// has to ask another instance instead.
+func TestLookupBeforeSettings(t *testing.T) {
+	orders := settings.ServiceID{Team: "shop", Name: "orders"}
+	n, err := New(Config{Instance: "i1", Incarnation: 1, Place: "east", Domain: "east", Region: "coast"}, begin)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var blank *NoSettingsError
+	if _, err := n.Lookup(begin, orders, netip.Addr{}, 0); !errors.As(err, &blank) {
+		t.Errorf("got %v, want that there are no settings yet", err)
+	}
+	n.Step(begin, Applied{Snapshot: testSnapshot(t, "")})
+	var unknown *NoServiceError
+	if _, err := n.Lookup(begin, settings.ServiceID{Team: "shop", Name: "none"}, netip.Addr{}, 0); !errors.As(err, &unknown) {
+		t.Errorf("got %v, want that there is no such service", err)
+	}
+}
