Refuse large headers with a typed answer

Cause: headers over 32 KB got the library's plain 431, which does not say that the request has not run. Change: up to 256 KB are read, and more than 32 KB refused as not run; only beyond that the library's answer is left. Before: no outcome in the new tests' answers. After: not-run, bad-request.

--- a/internal/callers/request.go
+++ b/internal/callers/request.go
@@ -17,6 +17,7 @@
 const (
 	maxReplay  = 64 << 10         // a longer body is streamed and can't be sent again
 	maxKey     = 512              // bytes of an idempotency key
+	maxHeader  = 32 << 10         // bytes of the first line and the headers
 	maxName    = 128              // bytes of a request id
 	maxTimeout = 10 * time.Minute // a longer timeout is cut to this
 	bodyTime   = 10 * time.Second // for the first maxReplay bytes of a body
@@ -53,6 +54,17 @@
 	return req, err
 }
 
+// headerSize is the size of a request's first line and headers, in bytes.
+func headerSize(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v)
+		}
+	}
+	return n
+}
+
 // check refuses headers that can be read in more ways than one, or not at all.
 func check(r *http.Request, req core.Request) error {
 	for _, name := range []string{HeaderKey, HeaderRequest, HeaderTimeout, HeaderStart} {
--- a/internal/callers/request_test.go
+++ b/internal/callers/request_test.go
@@ -162,6 +162,8 @@
 		"odd name":        {"GET /call/shop/orders/ HTTP/1.1\r\nFirlever-Request: a\tb\r\n", 400, core.ReasonBadRequest},
 		"name not ASCII":  {"GET /call/shop/orders/ HTTP/1.1\r\nFirlever-Request: \xff\r\n", 400, core.ReasonBadRequest},
 		"trace":           {"TRACE /call/shop/orders/ HTTP/1.1\r\n", 400, core.ReasonBadRequest},
+		"large headers":   {"GET /call/shop/orders/ HTTP/1.1\r\n" + strings.Repeat("X-A: "+long+"\r\n", 60), 431, core.ReasonBadRequest},
+		"large path":      {"GET /call/shop/orders/" + strings.Repeat(long, 60) + " HTTP/1.1\r\n", 431, core.ReasonBadRequest},
 		"odd path":        {"GET /call/shop/orders//a|b%2Fc HTTP/1.1\r\n", 400, core.ReasonBadRequest},
 	}
 	for name, tt := range tests {
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -66,6 +66,10 @@
 // handler serves requests that come in by one way.
 func (s *Server) handler(prefix string, origin core.Origin) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		if headerSize(r) > maxHeader {
+			s.badRequest(w, http.StatusRequestHeaderFieldsTooLarge, &BadRequestError{Fault: "headers are too large"})
+			return
+		}
 		x, err := s.take(w, r, prefix)
 		if err != nil {
 			s.badRequest(w, http.StatusBadRequest, err)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -27,8 +27,8 @@
 	tickIdle      = 50 * time.Millisecond // while nothing does
 	headerTimeout = 5 * time.Second       // for a caller to send a request's headers
 	idleTimeout   = 2 * time.Minute
-	maxHeader     = 32 << 10
-	queueLength   = 64 // of decisions that wait to be carried out
+	maxHeader     = 256 << 10 // read at most; much less is taken, with a typed refusal above
+	queueLength   = 64        // of decisions that wait to be carried out
 )
 
 // Instance is one running entry instance.
