Bound the headers of look-ups and grants too

Change: all paths of callers and peers are bounded, and the operators' server keeps its 32 KB. Before: TestBadInput fails. After: it passes.

--- a/internal/callers/request_test.go
+++ b/internal/callers/request_test.go
@@ -164,6 +164,7 @@
 		"trace":           {"TRACE /call/shop/orders/ HTTP/1.1\r\n", 400, core.ReasonBadRequest},
 		"large headers":   {"GET /call/shop/orders/ HTTP/1.1\r\n" + strings.Repeat("X-A: "+long+"\r\n", 60), 431, core.ReasonBadRequest},
 		"large path":      {"GET /call/shop/orders/" + strings.Repeat(long, 60) + " HTTP/1.1\r\n", 431, core.ReasonBadRequest},
+		"large look-up":   {"GET /lookup/shop/orders?a=" + strings.Repeat(long, 60) + " HTTP/1.1\r\n", 431, core.ReasonBadRequest},
 		"odd path":        {"GET /call/shop/orders//a|b%2Fc HTTP/1.1\r\n", 400, core.ReasonBadRequest},
 	}
 	for name, tt := range tests {
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -47,29 +47,36 @@
 	r := chi.NewRouter()
 	r.NotFound(s.noPath)
 	r.MethodNotAllowed(s.noPath)
-	r.Get(PrefixLookup+"{team}/{service}", s.lookup)
-	r.HandleFunc(PrefixCall+"*", s.handler(PrefixCall, core.FromCaller))
+	r.Get(PrefixLookup+"{team}/{service}", s.bounded(s.lookup))
+	r.HandleFunc(PrefixCall+"*", s.bounded(s.handler(PrefixCall, core.FromCaller)))
 	return r
 }
 
 // Peers adds the hand-off paths to the handler of the peers' address.
 func (s *Server) Peers(r chi.Router) {
-	r.HandleFunc(PrefixHand+"*", s.handler(PrefixHand, core.FromPeer))
-	r.HandleFunc(PrefixForward+"*", s.handler(PrefixForward, core.FromForward))
-	r.Post(PrefixGrant+"{team}/{service}", s.grant)
+	r.HandleFunc(PrefixHand+"*", s.bounded(s.handler(PrefixHand, core.FromPeer)))
+	r.HandleFunc(PrefixForward+"*", s.bounded(s.handler(PrefixForward, core.FromForward)))
+	r.Post(PrefixGrant+"{team}/{service}", s.bounded(s.grant))
 }
 
 func (s *Server) noPath(w http.ResponseWriter, _ *http.Request) {
 	s.badRequest(w, http.StatusNotFound, &BadRequestError{Fault: "nothing is served under this path and method"})
 }
 
-// handler serves requests that come in by one way.
-func (s *Server) handler(prefix string, origin core.Origin) http.HandlerFunc {
+// bounded refuses requests with large headers, and says that they have not run.
+func (s *Server) bounded(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if headerSize(r) > maxHeader {
 			s.badRequest(w, http.StatusRequestHeaderFieldsTooLarge, &BadRequestError{Fault: "headers are too large"})
 			return
 		}
+		next(w, r)
+	}
+}
+
+// handler serves requests that come in by one way.
+func (s *Server) handler(prefix string, origin core.Origin) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
 		x, err := s.take(w, r, prefix)
 		if err != nil {
 			s.badRequest(w, http.StatusBadRequest, err)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -27,7 +27,8 @@
 	tickIdle      = 50 * time.Millisecond // while nothing does
 	headerTimeout = 5 * time.Second       // for a caller to send a request's headers
 	idleTimeout   = 2 * time.Minute
-	maxHeader     = 256 << 10 // read at most; much less is taken, with a typed refusal above
+	readHeader    = 256 << 10 // from callers and peers; over 32 KB gets a typed refusal
+	maxHeader     = 32 << 10  // from operators
 	queueLength   = 64        // of decisions that wait to be carried out
 )
 
@@ -211,10 +212,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	in.cancel = cancel
 	handlers := []http.Handler{in.server.Callers(), in.peerHandler(), in.operators}
+	heads := []int{readHeader, readHeader, maxHeader}
 	for i, ln := range in.listeners {
 		srv := &http.Server{
 			Handler: handlers[i], ReadHeaderTimeout: headerTimeout,
-			IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+			IdleTimeout: idleTimeout, MaxHeaderBytes: heads[i],
 		}
 		in.servers = append(in.servers, srv)
 		go srv.Serve(ln)
