--- a/internal/core/decision.go
+++ b/internal/core/decision.go
@@ -47,7 +47,6 @@
 	ReasonBadRequest  Reason = "bad-request"     // the request can't be understood
 	ReasonRepeat      Reason = "repeat"          // the recorded answer of the key's first request
 	ReasonNotKept     Reason = "answer-not-kept" // the key's request was answered, but the answer was too large to keep
-	ReasonBody        Reason = "body-not-replay" // the body can't be sent again
 	ReasonNoEnd       Reason = "answer-no-end"   // the end of the target's answer can't be told from a cut
 )
 
