--- /dev/null
+++ b/cmd/firlever/edge.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/firlever/firlever/internal/edge"
+	"github.com/firlever/firlever/internal/logs"
+	"github.com/firlever/firlever/internal/metrics"
+	"github.com/firlever/firlever/platform"
+)
+
+const edgeHelp = `Run an instance on the users' platform: it answers look-ups and carries requests
+from callers to targets.
+
+The platform's settings file says where the instance is, where it listens and
+which store to use; --settings names it. Targets, the configuration and the
+other instances are found in the store. An instance keeps nothing on disk.
+
+On SIGTERM it leaves the look-ups, finishes what is in flight and ends. On SIGHUP
+it reads the settings file again.`
+
+const edgeExample = `  firlever edge --settings /etc/firlever/boot.yaml`
+
+type edgeFlags struct {
+	settings string
+	level    string
+	metrics  string
+}
+
+func newEdgeCommand() *cobra.Command {
+	var cfg edge.Config
+	var flags edgeFlags
+	cmd := &cobra.Command{
+		Use:     "edge",
+		Short:   "Run an instance on the users' platform",
+		Long:    edgeHelp,
+		Example: edgeExample,
+		Args:    exactly(0),
+		RunE:    func(cmd *cobra.Command, _ []string) error { return runEdge(cmd, cfg, flags) },
+	}
+	f := cmd.Flags()
+	f.StringVar(&flags.settings, "settings", "", "settings file of the platform")
+	f.StringVar(&flags.level, "log", "info", "least level that is logged: debug, info, warn, error")
+	f.StringVar(&flags.metrics, "metrics", "", "address of the metrics, IP:port; none if left out")
+	f.IntVar(&cfg.LogRate, "log-rate", edge.DefaultLogRate, "lines/s about requests that went well")
+	f.DurationVar(&cfg.TTL, "ttl", edge.DefaultTTL, "how long callers keep the answer to a look-up")
+	f.Float64Var(&cfg.ByteCost, "byte-cost", 0, "nanoseconds of latency that a byte between failure domains is worth; 0 takes the default")
+	return cmd
+}
+
+func runEdge(cmd *cobra.Command, cfg edge.Config, flags edgeFlags) error {
+	settings, err := platform.ReadSettings(flags.settings)
+	if err != nil {
+		return &usageError{Command: cmd.CommandPath(), Reason: err.Error()}
+	}
+	lines := logs.NewWriter(cmd.OutOrStdout())
+	defer func() { lines.Close(time.Now().Add(time.Second)) }()
+	logger, err := logs.New(lines, flags.level)
+	if err != nil {
+		return &usageError{Command: cmd.CommandPath(), Reason: err.Error()}
+	}
+	cfg.Settings = settings
+	cfg.Log = logger
+	cfg.Metrics = metrics.New()
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	n, err := edge.New(cfg)
+	if err != nil {
+		return &usageError{Command: cmd.CommandPath(), Reason: err.Error()}
+	}
+	if err := n.Start(); err != nil {
+		return err
+	}
+	if flags.metrics != "" {
+		if err := n.ServeMetrics(flags.metrics); err != nil {
+			return err
+		}
+	}
+	logger.Info("started", "instance", settings.Instance, "domain", settings.Domain, "region", settings.Region,
+		"callers", settings.Callers, "store", settings.Store, "first", settings.FirstStart)
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			break
+		}
+		n.Reload(flags.settings)
+	}
+	n.Stop()
+	return nil
+}
--- a/cmd/firlever/root.go
+++ b/cmd/firlever/root.go
@@ -42,6 +42,7 @@
 	root.CompletionOptions.HiddenDefaultCmd = true
 	root.AddCommand(
 		newConfigCommand(),
+		newEdgeCommand(),
 		newDemoCommand(),
 		newStatusCommand(),
 		newDrainCommand(),
--- /dev/null
+++ b/internal/edge/apply.go
@@ -0,0 +1,135 @@
+package edge
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/firlever/firlever/internal/mirror"
+	"github.com/firlever/firlever/internal/routes"
+	"github.com/firlever/firlever/internal/steer"
+	"github.com/firlever/firlever/platform"
+)
+
+// Changed takes in changes of the store.
+func (n *Node) Changed(changes []mirror.Change, listed bool) {
+	now := time.Now()
+	instances := false
+	for _, c := range changes {
+		id, isTarget := platform.TargetID(c.Key)
+		domain, isEvacuation := platform.EvacuatedDomain(c.Key)
+		switch {
+		case c.Key == platform.ConfigKey:
+			n.applyConfig(now, c)
+		case isTarget:
+			n.applyTarget(now, id, c)
+		case isEvacuation:
+			n.applyEvacuation(now, domain, c)
+		case strings.HasPrefix(c.Key, instancePrefix):
+			n.applyInstance(c)
+			instances = true
+		}
+	}
+	if instances {
+		n.applyPeers(now)
+	}
+	if listed && !n.listed.Swap(true) {
+		n.cfg.Log.Info("store listed", "keys", len(changes))
+	}
+}
+
+// Lost notes that the store is out of reach; what is known of it is used on.
+func (n *Node) Lost(err error) {
+	n.cfg.Metrics.PlatformFailed("watch")
+	n.cfg.Log.Warn("store lost", "err", err)
+}
+
+// Found notes that the store is back.
+func (n *Node) Found() { n.cfg.Log.Info("store regained") }
+
+// applyConfig puts a configuration in force, if it is newer than the last.
+func (n *Node) applyConfig(now time.Time, c mirror.Change) {
+	if c.Removed {
+		n.cfg.Log.Warn("configuration removed; the last one stays in force")
+		return
+	}
+	cfg, err := platform.DecodeConfig(c.Value)
+	if err != nil {
+		n.cfg.Log.Error("configuration unreadable; the last one stays in force", "revision", c.Changed, "err", err)
+		return
+	}
+	if old := n.table.Load(); old != nil && cfg.Version < old.Config().Version {
+		n.cfg.Log.Warn("configuration older than the one in force", "version", cfg.Version, "in-force", old.Config().Version)
+		return
+	}
+	n.mu.Lock()
+	n.fleet.Limit(now, cfg.Services)
+	n.mu.Unlock()
+	n.table.Store(routes.NewTable(cfg))
+	n.cfg.Log.Info("configuration in force", "version", cfg.Version, "revision", c.Changed,
+		"routes", len(cfg.Routes), "services", len(cfg.Services))
+}
+
+func (n *Node) applyTarget(now time.Time, id string, c mirror.Change) {
+	if c.Removed {
+		n.mu.Lock()
+		n.fleet.Remove(id)
+		n.mu.Unlock()
+		n.pool.Forget(id)
+		n.cfg.Log.Info("target gone", "target", id, "revision", c.Changed)
+		return
+	}
+	r, err := platform.DecodeRegistration(c.Item)
+	if err != nil {
+		n.cfg.Log.Error("registration unreadable", "key", c.Key, "err", err)
+		return
+	}
+	t := steer.Target{
+		ID: r.ID, Service: r.Service, Address: r.Address, Domain: r.Domain, Slots: r.Slots, Leaving: r.Leaving,
+	}
+	if r.WarmIn > 0 {
+		t.WarmAt = now.Add(r.WarmIn)
+	}
+	n.mu.Lock()
+	n.fleet.Put(now, t)
+	n.mu.Unlock()
+	n.cfg.Log.Info("target", "target", id, "service", r.Service, "domain", r.Domain, "address", r.Address,
+		"leaving", r.Leaving, "warm-in", r.WarmIn, "slots", r.Slots, "revision", c.Changed)
+}
+
+func (n *Node) applyEvacuation(now time.Time, domain string, c mirror.Change) {
+	if c.Removed {
+		delete(n.evacuated, domain)
+	} else {
+		n.evacuated[domain] = true
+	}
+	domains := slices.Sorted(maps.Keys(n.evacuated))
+	n.mu.Lock()
+	n.fleet.Evacuate(now, domains)
+	n.mu.Unlock()
+	n.cfg.Log.Info("evacuation", "domain", domain, "over", c.Removed, "revision", c.Changed)
+}
+
+func (n *Node) applyInstance(c mirror.Change) {
+	name := strings.TrimPrefix(c.Key, instancePrefix)
+	if c.Removed {
+		n.instances.remove(name)
+		n.cfg.Log.Info("instance gone", "name", name, "revision", c.Changed)
+		return
+	}
+	r, err := decodeRecord(c.Value)
+	if err != nil {
+		n.cfg.Log.Error("instance record unreadable", "key", c.Key, "err", err)
+		return
+	}
+	n.instances.put(name, r)
+	n.cfg.Log.Info("instance", "name", name, "domain", r.Domain, "leaving", r.Leaving, "revision", c.Changed)
+}
+
+func (n *Node) applyPeers(now time.Time) {
+	names := append(n.instances.names(), n.cfg.Settings.Instance)
+	n.mu.Lock()
+	n.fleet.Peers(now, names)
+	n.mu.Unlock()
+}
--- /dev/null
+++ b/internal/edge/forward.go
@@ -0,0 +1,240 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/firlever/firlever/internal/http1"
+	"github.com/firlever/firlever/internal/routes"
+	"github.com/firlever/firlever/internal/steer"
+	"github.com/firlever/firlever/platform"
+)
+
+// defaultDeadline is for requests that say neither how long they wait nor have a
+// route that does: the longest that a caller of today waits.
+const defaultDeadline = 10 * time.Second
+
+// passage is a request on its way.
+type passage struct {
+	*attempts
+
+	in       *http1.Request
+	info     platform.Request
+	route    *routes.Entry
+	service  string
+	version  uint64    // of the configuration that it is handled by
+	deadline time.Time // an answer is given by then
+	choice   steer.Choice
+	ending   steer.Ending // of the last attempt
+	cause    error        // of the last attempt's failure
+}
+
+// handle answers a request.
+func (n *Node) handle(ctx context.Context, r *http1.Request) *http1.Response {
+	info := platform.ReadRequest(r.Header)
+	table := n.table.Load()
+	if table == nil {
+		return n.refuse(r, info, http.StatusServiceUnavailable, "no-config", againUnready)
+	}
+	route := table.Match(r.Host, r.Path)
+	if route == nil {
+		return n.refuse(r, info, http.StatusNotFound, "no-route", 0)
+	}
+	p := &passage{
+		attempts: &attempts{repeatable: route.Kind.Repeatable(), most: route.Attempts},
+		in:       r, info: info, route: route, service: route.Service(),
+		version: table.Config().Version, deadline: deadlineOf(r.At, route, info),
+	}
+	resp := n.pass(ctx, p)
+	n.finished(p, resp)
+	return resp
+}
+
+// againUnready is how soon an instance that has just started is worth asking
+// again: it lists the store in a few calls.
+const againUnready = 300 * time.Millisecond
+
+// deadlineOf is when the answer is due: by the caller's own deadline or by the
+// route's timeout, whichever comes first.
+func deadlineOf(at time.Time, route *routes.Entry, info platform.Request) time.Time {
+	wait := defaultDeadline
+	if info.Left > 0 {
+		wait = info.Left
+	}
+	if route.Timeout > 0 {
+		wait = min(wait, route.Timeout)
+	}
+	return at.Add(wait)
+}
+
+// pass sends a request to one target after another, as far as that is allowed.
+func (n *Node) pass(ctx context.Context, p *passage) *http1.Response {
+	for ctx.Err() == nil && time.Now().Before(p.deadline) && p.again() {
+		choice := n.pick(p)
+		p.choice = choice
+		if choice.Reason != "" {
+			break
+		}
+		v := n.attempt(ctx, p, choice)
+		if v.final {
+			return v.answer
+		}
+	}
+	return n.giveUp(p)
+}
+
+// giveUp makes the final answer of a request that no target answered with success.
+func (n *Node) giveUp(p *passage) *http1.Response {
+	if p.last != nil {
+		return p.last
+	}
+	status := p.status(time.Now(), p.deadline)
+	resp := ownAnswer(p.info, status)
+	if status == http.StatusServiceUnavailable {
+		platform.RetryAfter(resp.Header, max(p.choice.Again, againSoonest))
+	}
+	return resp
+}
+
+// againSoonest is the least time that a refused caller is told to wait.
+const againSoonest = 50 * time.Millisecond
+
+func (n *Node) pick(p *passage) steer.Choice {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	q := steer.Query{
+		Service: p.service, Spread: p.info.ID, Regions: p.route.Regions,
+		Objective: p.route.Objective, Deadline: p.deadline, Size: n.sizes[p.route.Name],
+		Retry: p.arrived > 0, Tried: p.tried,
+	}
+	if p.route.Affinity {
+		q.Object = p.info.Object
+	}
+	return n.fleet.Pick(time.Now(), q)
+}
+
+// attempt sends the request to the chosen target and takes in what comes of it.
+func (n *Node) attempt(ctx context.Context, p *passage, choice steer.Choice) verdict {
+	start := time.Now()
+	target := choice.Target
+	resp, err := n.exchange(ctx, p, target)
+	v := judge(ctx, resp, err)
+	p.ending, p.cause = v.ending, err
+	p.note(target.ID, v)
+	n.settle(p, target, resp, v, start)
+	if !v.final {
+		n.logAttempt(p, target, v, err, time.Since(start))
+	}
+	return v
+}
+
+func (n *Node) exchange(ctx context.Context, p *passage, target steer.Target) (*http1.Response, error) {
+	if !p.repeatable {
+		// Work that can't be repeated goes on when its caller has left.
+		ctx = context.WithoutCancel(ctx)
+	}
+	header := p.in.Header.Clone()
+	platform.AddressTo(header, target.ID, time.Until(p.deadline))
+	id := p.info.ID
+	return n.pool.Do(ctx, &http1.Exchange{
+		Request: p.in, Header: header, Target: target.ID, Address: target.Address,
+		Once: !p.repeatable, Until: p.deadline,
+		Mine: func(status int, h http.Header) bool { return platform.ReadAnswer(status, h).For(id) },
+		Keep: func(resp *http1.Response) bool { return resp.Status != http.StatusMisdirectedRequest },
+	})
+}
+
+// judge says what an attempt's answer or error means.
+func judge(ctx context.Context, resp *http1.Response, err error) verdict {
+	var unsent *http1.NotSentError
+	switch {
+	case errors.As(err, &unsent) && ctx.Err() != nil:
+		return verdict{ending: steer.Left}
+	case errors.As(err, &unsent):
+		return verdict{ending: steer.Failed}
+	case err != nil && ctx.Err() != nil:
+		return verdict{ending: steer.Left, sent: true}
+	case isTimeout(err):
+		return verdict{ending: steer.Late, sent: true}
+	case err != nil:
+		return verdict{ending: steer.Failed, sent: true}
+	}
+	a := platform.ReadAnswer(resp.Status, resp.Header)
+	switch {
+	case resp.Status == http.StatusMisdirectedRequest:
+		return verdict{ending: steer.Replaced, sent: true, notRun: true}
+	case a.NotRun:
+		return verdict{ending: steer.Shed, sent: true, notRun: true}
+	case resp.Status >= http.StatusInternalServerError:
+		return verdict{ending: steer.Failed, sent: true, answer: resp}
+	case resp.Status < http.StatusMultipleChoices && !a.Signed:
+		return verdict{ending: steer.Failed, sent: true}
+	}
+	return verdict{ending: steer.Answered, sent: true, answer: resp, final: true}
+}
+
+func isTimeout(err error) bool {
+	var e interface{ Timeout() bool }
+	return errors.As(err, &e) && e.Timeout()
+}
+
+// settle tells the fleet what came of an attempt.
+func (n *Node) settle(p *passage, target steer.Target, resp *http1.Response, v verdict, start time.Time) {
+	now := time.Now()
+	o := steer.Outcome{Ending: v.ending, Took: now.Sub(start)}
+	if resp != nil {
+		a := platform.ReadAnswer(resp.Status, resp.Header)
+		o.WarmIn = a.WarmIn
+		if a.Loaded {
+			o.Load = &steer.Load{Running: a.Load.Running, Waiting: a.Load.Waiting}
+		}
+	}
+	n.mu.Lock()
+	ejected := n.fleet.Done(now, target.ID, o)
+	if v.final {
+		n.noteSize(p.route.Name, resp)
+	}
+	n.mu.Unlock()
+	if ejected {
+		n.cfg.Log.Warn("target ejected", "target", target.ID, "service", p.service, "domain", target.Domain, "ending", v.ending)
+	}
+	if v.ending == steer.Replaced {
+		n.pool.Forget(target.ID)
+	}
+}
+
+// sizeWeight is the weight of one answer in the mean size of a route's answers.
+const sizeWeight = 0.05
+
+// noteSize keeps the mean size of a route's answers. n.mu is held.
+func (n *Node) noteSize(route string, resp *http1.Response) {
+	size := float64(len(resp.Body))
+	if resp.Rest != nil {
+		size = max(size, float64(resp.Length))
+	}
+	old, ok := n.sizes[route]
+	if !ok {
+		n.sizes[route] = size
+		return
+	}
+	n.sizes[route] = old + sizeWeight*(size-old)
+}
+
+// ownAnswer makes an answer of our own.
+func ownAnswer(info platform.Request, status int) *http1.Response {
+	resp := &http1.Response{Status: status, Header: make(http.Header)}
+	platform.Echo(resp.Header, info.ID)
+	return resp
+}
+
+// refuse answers a request that no target is chosen for.
+func (n *Node) refuse(r *http1.Request, info platform.Request, status int, reason string, again time.Duration) *http1.Response {
+	resp := ownAnswer(info, status)
+	if again > 0 {
+		platform.RetryAfter(resp.Header, again)
+	}
+	n.logRefusal(r, info, status, reason)
+	return resp
+}
--- /dev/null
+++ b/internal/edge/log.go
@@ -0,0 +1,88 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/firlever/firlever/internal/http1"
+	"github.com/firlever/firlever/internal/metrics"
+	"github.com/firlever/firlever/internal/steer"
+	"github.com/firlever/firlever/platform"
+)
+
+// finished logs and counts the final answer to a request. All failures are
+// logged up to a bound; successes are sampled.
+func (n *Node) finished(p *passage, resp *http1.Response) {
+	now := time.Now()
+	took := now.Sub(p.in.At)
+	good := resp.Status < 300
+	if good {
+		n.cfg.Metrics.Answered(p.service, took)
+	}
+	n.cfg.Metrics.Decided(metrics.Decision{Kind: statusKind(resp.Status), Service: p.service, Reason: reasonOf(p)})
+	limiter := n.failures
+	if good {
+		limiter = n.successes
+	}
+	suppressed, ok := limiter.Allow(now)
+	if !ok {
+		return
+	}
+	line := []any{
+		"id", p.info.ID, "route", p.route.Name, "service", p.service, "config", p.version,
+		"status", resp.Status, "took", took, "left", p.deadline.Sub(now), "attempts", p.arrived,
+		"target", p.choice.Target.ID, "wait", p.choice.Wait, "cost", p.choice.Cost, "home", p.choice.Home,
+		"cold", p.choice.Cold, "ending", p.ending, "reason", p.choice.Reason, "conn", p.in.Conn,
+	}
+	if suppressed > 0 {
+		line = append(line, "suppressed", suppressed)
+	}
+	if good {
+		n.cfg.Log.Info("request", line...)
+		return
+	}
+	n.cfg.Log.Warn("request", append(line, "again", p.choice.Again, "err", p.cause)...)
+}
+
+// reasonOf names what decided about a request, for metrics.
+func reasonOf(p *passage) string {
+	if p.choice.Reason != "" {
+		return string(p.choice.Reason)
+	}
+	return p.ending.String()
+}
+
+// statusKind names a class of answers, for metrics.
+func statusKind(status int) string {
+	switch {
+	case status < 300:
+		return "success"
+	case status == 503:
+		return "refused"
+	case status < 500:
+		return "client-error"
+	default:
+		return "failed"
+	}
+}
+
+// logAttempt logs an attempt that did not answer the request.
+func (n *Node) logAttempt(p *passage, target steer.Target, v verdict, err error, took time.Duration) {
+	suppressed, ok := n.failures.Allow(time.Now())
+	if !ok {
+		return
+	}
+	n.cfg.Log.Warn("attempt", "id", p.info.ID, "route", p.route.Name, "target", target.ID, "address", target.Address,
+		"domain", target.Domain, "ending", v.ending, "sent", v.sent, "unrun", v.notRun, "again", p.again(),
+		"took", took, "suppressed", suppressed, "err", err)
+}
+
+// logRefusal logs a request that was refused before a service was chosen.
+func (n *Node) logRefusal(r *http1.Request, info platform.Request, status int, reason string) {
+	n.cfg.Metrics.Decided(metrics.Decision{Kind: statusKind(status), Reason: reason})
+	suppressed, ok := n.failures.Allow(time.Now())
+	if !ok {
+		return
+	}
+	n.cfg.Log.Warn("request", "id", info.ID, "host", r.Host, "path", r.Path, "status", status, "reason", reason,
+		"suppressed", suppressed)
+}
--- /dev/null
+++ b/internal/edge/lookup.go
@@ -0,0 +1,43 @@
+package edge
+
+import (
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/firlever/firlever/internal/metrics"
+	"github.com/firlever/firlever/platform"
+)
+
+// lookups serves callers that ask where to connect.
+func (n *Node) lookups() http.Handler {
+	r := chi.NewRouter()
+	r.Get(platform.LookupPath, n.lookup)
+	return r
+}
+
+// lookup names the instances near a caller.
+func (n *Node) lookup(w http.ResponseWriter, r *http.Request) {
+	q := platform.ReadLookup(r.URL.Query())
+	addresses := n.instances.near(q.Region, q.Domain)
+	if len(addresses) == 0 {
+		n.cfg.Metrics.Decided(metrics.Decision{Kind: "look-up", Reason: "no-instance"})
+		http.Error(w, "no instance is known yet", http.StatusServiceUnavailable)
+		return
+	}
+	n.cfg.Metrics.Decided(metrics.Decision{Kind: "look-up", Reason: "answered"})
+	if err := platform.WriteLookup(w, addresses, n.cfg.TTL); err != nil {
+		n.cfg.Log.Debug("look-up not answered", "err", err)
+	}
+}
+
+// readiness serves the platform's own check.
+func (n *Node) readiness() http.Handler {
+	r := chi.NewRouter()
+	r.Get(platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !n.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return r
+}
--- /dev/null
+++ b/internal/edge/node.go
@@ -0,0 +1,141 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/firlever/firlever/internal/http1"
+	"github.com/firlever/firlever/internal/logs"
+	"github.com/firlever/firlever/internal/mirror"
+	"github.com/firlever/firlever/internal/routes"
+	"github.com/firlever/firlever/internal/steer"
+	"github.com/firlever/firlever/platform"
+)
+
+// failureLines bounds the lines a second about failed requests and attempts: a
+// node of today sees about 70 requests a second, and each of them may fail.
+const failureLines = 200
+
+// Node is an instance.
+type Node struct {
+	cfg       Config
+	store     *platform.Store
+	mirror    *mirror.Mirror
+	registrar *registrar
+	pool      *http1.Pool
+	server    *http1.Server
+	web       []*http.Server // look-ups, readiness and metrics
+	callers   net.Listener
+
+	instances instances
+	evacuated map[string]bool // used by the mirror's goroutine alone
+	table     atomic.Pointer[routes.Table]
+	listed    atomic.Bool // the store was read once
+	stopping  atomic.Bool
+	successes *logs.Limiter
+	failures  *logs.Limiter
+
+	mu    sync.Mutex
+	fleet *steer.Fleet       // guarded by mu
+	sizes map[string]float64 // mean bytes of an answer by route; guarded by mu
+
+	cancel context.CancelFunc
+	work   sync.WaitGroup // the mirror and the registrar
+}
+
+// New makes a node. Start starts it.
+func New(cfg Config) (*Node, error) {
+	cfg.Defaults()
+	s := &cfg.Settings
+	fleet, err := steer.New(steer.Config{
+		Instance: s.Instance, Domain: s.Domain, Regions: s.Regions,
+		RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack,
+		ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack, ByteCost: cfg.ByteCost,
+	})
+	if err != nil {
+		return nil, errors.Annotate(err, "edge.New")
+	}
+	n := &Node{
+		cfg: cfg, store: platform.NewStore(s.Store), pool: http1.NewPool(s.IP), fleet: fleet,
+		evacuated: make(map[string]bool), sizes: make(map[string]float64),
+		successes: logs.NewLimiter(cfg.LogRate), failures: logs.NewLimiter(failureLines),
+	}
+	n.mirror = mirror.New(n.store, n)
+	n.registrar = &registrar{node: n}
+	n.server = http1.NewServer(n.handle, n.limits, n.unreadable)
+	return n, nil
+}
+
+// Start listens and begins to serve.
+func (n *Node) Start() error {
+	s := &n.cfg.Settings
+	ln, err := net.Listen("tcp", s.Callers)
+	if err != nil {
+		return errors.Annotate(err, "callers")
+	}
+	n.callers = ln
+	go n.server.Serve(ln)
+	for address, handler := range map[string]http.Handler{s.Lookups: n.lookups(), s.Ready: n.readiness()} {
+		if err := n.serveWeb(address, handler); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	n.work.Go(func() { n.mirror.Run(ctx) })
+	n.work.Go(func() { n.registrar.run(ctx) })
+	return nil
+}
+
+// ServeMetrics serves the metrics at an address, IP:port.
+func (n *Node) ServeMetrics(address string) error {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", n.cfg.Metrics.Handler())
+	return n.serveWeb(address, mux)
+}
+
+func (n *Node) serveWeb(address string, handler http.Handler) error {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Annotate(err, "listen")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
+	n.web = append(n.web, server)
+	go server.Serve(ln)
+	return nil
+}
+
+// Limits of the connections for look-ups, readiness and metrics.
+const (
+	headerTime = 5 * time.Second
+	idleTime   = 30 * time.Second
+)
+
+// Ready says whether this instance can serve: it knows the configuration and the
+// targets, and does not stop.
+func (n *Node) Ready() bool {
+	return n.listed.Load() && n.table.Load() != nil && !n.stopping.Load()
+}
+
+// limits are the bounds on requests by the configuration in force.
+func (n *Node) limits() http1.Limits {
+	var l routes.Limits
+	if table := n.table.Load(); table != nil {
+		l = table.Config().Limits
+	}
+	l.Defaults()
+	return http1.Limits{
+		HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout,
+	}
+}
+
+// unreadable answers a request that can't be read.
+func (n *Node) unreadable(status int) *http1.Response {
+	return n.refuse(&http1.Request{}, platform.Request{}, status, "unreadable", 0)
+}
--- /dev/null
+++ b/internal/edge/register.go
@@ -0,0 +1,105 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/firlever/firlever/platform"
+)
+
+// registrar keeps this instance's record in the store while it runs.
+type registrar struct {
+	node  *Node
+	lease platform.LeaseID // 0: none
+	lost  bool             // the last call failed
+}
+
+// run registers and renews until ctx ends.
+func (r *registrar) run(ctx context.Context) {
+	ticker := time.NewTicker(renewEvery)
+	defer ticker.Stop()
+	for {
+		r.outcome(r.step(ctx))
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// step renews the lease, or takes one and writes the record under it.
+func (r *registrar) step(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	if r.lease != 0 {
+		err := r.node.store.Keep(ctx, r.lease)
+		var missing *platform.MissingError
+		if !errors.As(err, &missing) {
+			return err
+		}
+		r.node.cfg.Log.Warn("lease ended", "lease", r.lease)
+		r.lease = 0
+	}
+	lease, err := r.node.store.Grant(ctx, max(leaseTime, r.node.cfg.Settings.Bounds.LeaseMin))
+	if err != nil {
+		return err
+	}
+	if err := r.write(ctx, lease, r.node.stopping.Load()); err != nil {
+		return err
+	}
+	r.lease = lease
+	return nil
+}
+
+func (r *registrar) write(ctx context.Context, lease platform.LeaseID, leaving bool) error {
+	s := &r.node.cfg.Settings
+	value, err := json.Marshal(record{Callers: s.Callers, Domain: s.Domain, Region: s.Region, Leaving: leaving})
+	if err != nil {
+		return err
+	}
+	_, err = r.node.store.Do(ctx, platform.Txn{
+		Put: []platform.Write{{Key: instancePrefix + s.Instance, Value: value, Lease: lease}},
+	})
+	return err
+}
+
+// outcome notes whether the store is in reach. When it is back, a watch that
+// waits on a connection of before begins anew.
+func (r *registrar) outcome(err error) {
+	switch {
+	case err != nil:
+		r.node.cfg.Metrics.PlatformFailed("lease")
+		if !r.lost {
+			r.node.cfg.Log.Warn("lease not renewed", "err", err)
+		}
+		r.lost = true
+	case r.lost:
+		r.lost = false
+		r.node.cfg.Log.Info("lease renewed again")
+		r.node.mirror.Kick()
+	}
+}
+
+// leave writes that this instance takes no new callers.
+func (r *registrar) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if err := r.write(ctx, r.lease, true); err != nil {
+		r.node.cfg.Log.Warn("leaving not written", "err", err)
+	}
+}
+
+// end gives the lease up; the record goes with it.
+func (r *registrar) end(ctx context.Context) {
+	if r.lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, stopMargin)
+	defer cancel()
+	if err := r.node.store.End(ctx, r.lease); err != nil {
+		r.node.cfg.Log.Warn("lease not ended", "err", err)
+	}
+}
--- /dev/null
+++ b/internal/http1/exchange.go
@@ -0,0 +1,201 @@
+package http1
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// maxWhole is how much of an answer is read before any of it is passed on. An
+	// answer that breaks off before can be replaced by another target's.
+	maxWhole = 1 << 20
+	// writeAtOnce is how much is written before the answer is read; more is written
+	// beside, as a target may answer before it has read a long body.
+	writeAtOnce = 4 << 10
+	maxStray    = 4 // answers to other requests that are skipped on one connection
+)
+
+// Exchange is one attempt at a target.
+type Exchange struct {
+	Request *Request
+	Header  http.Header // of the attempt
+	Target  string      // ID, by which connections are kept
+	Address string
+	Once    bool                                 // the request must not run twice
+	Mine    func(status int, h http.Header) bool // whether an answer belongs to this request
+	Keep    func(resp *Response) bool            // whether the connection is kept after an answer
+	Until   time.Time                            // when the attempt is given up
+}
+
+// NotSentError says that nothing of a request was sent: it can't have run.
+type NotSentError struct{ Err error }
+
+func (e *NotSentError) Error() string { return "http1: not sent: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error { return e.Err }
+
+// LostError says that a request was sent, in part at least, and no whole answer
+// came: it may have run.
+type LostError struct {
+	Err    error
+	Reused bool // the connection had been kept
+}
+
+func (e *LostError) Error() string { return "http1: no whole answer: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *LostError) Unwrap() error { return e.Err }
+
+// StrayError says that answers to other requests came instead of the expected one.
+type StrayError struct{ Count int }
+
+func (e *StrayError) Error() string {
+	return fmt.Sprintf("%d answers to other requests", e.Count)
+}
+
+// Do makes the attempt. It returns *NotSentError or *LostError, and a whole
+// answer or one whose Rest must be closed. It gives up when ctx ends.
+func (p *Pool) Do(ctx context.Context, e *Exchange) (*Response, error) {
+	ctx, cancel := context.WithDeadline(ctx, e.Until)
+	defer cancel()
+	c, err := p.get(ctx, e.Target, e.Address, e.Once)
+	if err != nil {
+		return nil, &NotSentError{Err: err}
+	}
+	c.conn.SetDeadline(e.Until)
+	stop := context.AfterFunc(ctx, func() { c.conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	sent := c.send(e)
+	a, err := c.receive(e)
+	if err != nil {
+		c.conn.Close()
+		return nil, &LostError{Err: err, Reused: c.used}
+	}
+	if a.response.Rest != nil {
+		a.response.Rest = &restReader{Reader: a.response.Rest, conn: c}
+		return a.response, nil
+	}
+	p.settle(c, sent, a, e)
+	return a.response, nil
+}
+
+// send writes the request. A long one is written beside; the channel then gives
+// its end.
+func (c *poolConn) send(e *Exchange) <-chan error {
+	b := bytes.NewBuffer(make([]byte, 0, 512+len(e.Request.Body)))
+	appendRequest(b, e.Request, e.Header)
+	done := make(chan error, 1)
+	if b.Len() <= writeAtOnce {
+		_, err := c.conn.Write(b.Bytes())
+		done <- err
+		return done
+	}
+	go func() {
+		_, err := c.conn.Write(b.Bytes())
+		done <- err
+	}()
+	return done
+}
+
+// settle keeps the connection, or closes it if anything about it is doubtful.
+func (p *Pool) settle(c *poolConn, sent <-chan error, a answer, e *Exchange) {
+	whole := false
+	select {
+	case err := <-sent:
+		whole = err == nil
+	default: // answered before all was sent
+	}
+	if !whole || !a.keep || c.read.Buffered() > 0 || !e.Keep(a.response) {
+		c.conn.Close()
+		return
+	}
+	c.used = true
+	c.conn.SetDeadline(time.Time{})
+	p.put(c, a.idle)
+}
+
+// idleTimeout is how long the target keeps an idle connection; 0 if it doesn't say.
+func idleTimeout(h http.Header) time.Duration {
+	for field := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if n, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
+			return time.Duration(n) * time.Second
+		}
+	}
+	return 0
+}
+
+// answer is what was read for a request.
+type answer struct {
+	response *Response
+	keep     bool          // nothing but the answer was read, and the target keeps the connection
+	idle     time.Duration // how long the target keeps it idle; 0 if it didn't say
+}
+
+// receive reads the answer to the request, past answers to others.
+func (c *poolConn) receive(e *Exchange) (answer, error) {
+	asked := &http.Request{Method: e.Request.Method}
+	for stray := 0; stray <= maxStray; stray++ {
+		in, err := readFinal(c, asked)
+		if err != nil {
+			return answer{}, err
+		}
+		if !e.Mine(in.StatusCode, in.Header) {
+			if _, err := io.Copy(io.Discard, in.Body); err != nil {
+				return answer{}, err
+			}
+			continue
+		}
+		a := answer{keep: stray == 0 && !in.Close, idle: idleTimeout(in.Header)}
+		a.response, err = readWhole(in)
+		return a, err
+	}
+	return answer{}, &StrayError{Count: maxStray + 1}
+}
+
+// readFinal reads the head of an answer, past interim ones.
+func readFinal(c *poolConn, asked *http.Request) (*http.Response, error) {
+	for {
+		in, err := http.ReadResponse(c.read, asked)
+		if err != nil {
+			return nil, err
+		}
+		if in.StatusCode >= http.StatusOK {
+			return in, nil
+		}
+	}
+}
+
+// readWhole reads the body of an answer, or the beginning of a long one.
+func readWhole(in *http.Response) (*Response, error) {
+	size := max(0, min(in.ContentLength, maxWhole))
+	body := bytes.NewBuffer(make([]byte, 0, size+bytes.MinRead))
+	n, err := io.Copy(body, io.LimitReader(in.Body, maxWhole))
+	if err != nil {
+		return nil, err
+	}
+	resp := &Response{Status: in.StatusCode, Header: in.Header, Body: body.Bytes()}
+	if n == maxWhole && n != in.ContentLength {
+		resp.Rest, resp.Length = in.Body, in.ContentLength
+	}
+	strip(resp.Header)
+	return resp, nil
+}
+
+// restReader reads the rest of an answer and closes its connection at the end.
+type restReader struct {
+	io.Reader
+	conn *poolConn
+}
+
+// Close ends the exchange.
+func (r *restReader) Close() error {
+	return r.conn.conn.Close()
+}
--- /dev/null
+++ b/internal/http1/pool.go
@@ -0,0 +1,162 @@
+package http1
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection: several round trips between
+	// regions, and less than the second after which a lost packet is sent again,
+	// so that another target is tried instead.
+	dialTimeout = 500 * time.Millisecond
+	// idleDefault is how long a connection is kept whose target doesn't say.
+	idleDefault = 4 * time.Second
+	// idleShare is the part of what a target says that is used, as the target may
+	// close just when a request is on its way. A non-idempotent request, which
+	// can't be repeated then, uses half of that.
+	idleShare  = 0.8
+	sweepEvery = time.Second
+)
+
+// Pool keeps connections to targets. It is safe for concurrent use.
+type Pool struct {
+	dialer net.Dialer
+	stop   chan struct{}
+
+	mu     sync.Mutex
+	idle   map[string][]*poolConn // by target; the last used is last; guarded by mu
+	closed bool                   // guarded by mu
+}
+
+// NewPool makes a pool whose connections come from ip; "" lets the system choose.
+func NewPool(ip string) *Pool {
+	p := &Pool{idle: make(map[string][]*poolConn), stop: make(chan struct{})}
+	if ip != "" {
+		p.dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(ip)}
+	}
+	go p.sweep()
+	return p
+}
+
+// Close drops the connections that are not in use.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return
+	}
+	p.closed = true
+	close(p.stop)
+	for _, list := range p.idle {
+		closeAll(list)
+	}
+	p.idle = nil
+}
+
+// Forget drops the connections to a target that is gone.
+func (p *Pool) Forget(target string) {
+	p.mu.Lock()
+	list := p.idle[target]
+	delete(p.idle, target)
+	p.mu.Unlock()
+	closeAll(list)
+}
+
+// get returns a kept connection to a target, or opens one. once says that the
+// request can't be repeated: it gets no connection that may be closing.
+func (p *Pool) get(ctx context.Context, target, address string, once bool) (*poolConn, error) {
+	for {
+		c := p.kept(target, once)
+		if c == nil {
+			break
+		}
+		if c.sound() {
+			return c, nil
+		}
+		c.conn.Close()
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return newPoolConn(conn, target), nil
+}
+
+// kept takes the connection that was used last, if one is fresh enough.
+func (p *Pool) kept(target string, once bool) *poolConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[target]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	now := time.Now()
+	if !now.Before(c.until) || once && !now.Before(c.onceUntil) {
+		return nil
+	}
+	p.idle[target] = list[:len(list)-1]
+	return c
+}
+
+// put keeps a connection for further requests.
+func (p *Pool) put(c *poolConn, keep time.Duration) {
+	if keep <= 0 {
+		keep = idleDefault
+	}
+	keep = time.Duration(idleShare * float64(keep))
+	now := time.Now()
+	c.until, c.onceUntil = now.Add(keep), now.Add(keep/2)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		c.conn.Close()
+		return
+	}
+	p.idle[c.target] = append(p.idle[c.target], c)
+}
+
+// sweep closes connections that were idle for too long.
+func (p *Pool) sweep() {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-p.stop:
+			return
+		case now := <-ticker.C:
+			closeAll(p.expired(now))
+		}
+	}
+}
+
+func (p *Pool) expired(now time.Time) []*poolConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var old []*poolConn
+	for target, list := range p.idle {
+		keep := slices.IndexFunc(list, func(c *poolConn) bool { return now.Before(c.until) })
+		if keep < 0 {
+			keep = len(list)
+		}
+		old = append(old, list[:keep]...)
+		if keep == len(list) {
+			delete(p.idle, target)
+		} else {
+			p.idle[target] = slices.Clone(list[keep:])
+		}
+	}
+	return old
+}
+
+func closeAll(list []*poolConn) {
+	for _, c := range list {
+		c.conn.Close()
+	}
+}
--- /dev/null
+++ b/internal/http1/server.go
@@ -0,0 +1,113 @@
+package http1
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration // from the first byte of a request to the end of its header
+	IdleTimeout   time.Duration // of a connection without requests
+}
+
+// Handler answers requests. ctx ends when the caller has left. It is called in a
+// goroutine for each request.
+type Handler func(ctx context.Context, r *Request) *Response
+
+// maxPipelined is how many requests of one connection are worked on at once. A
+// caller that sends more is not read until one is answered.
+const maxPipelined = 64
+
+// Server takes connections of callers.
+type Server struct {
+	handler Handler
+	limits  func() Limits
+	refuse  func(status int) *Response // makes an answer to a request that can't be read
+
+	next     atomic.Uint64 // number of the last connection
+	draining atomic.Bool   // each connection ends with its next answer
+
+	mu    sync.Mutex
+	conns map[*serverConn]struct{} // guarded by mu
+	done  sync.WaitGroup           // open connections
+}
+
+// NewServer makes a server. limits is asked for each request; refuse makes the
+// answers to requests that can't be read.
+func NewServer(handler Handler, limits func() Limits, refuse func(status int) *Response) *Server {
+	return &Server{handler: handler, limits: limits, refuse: refuse, conns: make(map[*serverConn]struct{})}
+}
+
+// Serve takes connections until the listener is closed.
+func (s *Server) Serve(ln net.Listener) error {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			if e, ok := err.(net.Error); ok && e.Timeout() {
+				continue
+			}
+			return err
+		}
+		s.start(c)
+	}
+}
+
+func (s *Server) start(c net.Conn) {
+	sc := newServerConn(s, c, s.next.Add(1))
+	s.mu.Lock()
+	s.conns[sc] = struct{}{}
+	s.mu.Unlock()
+	s.done.Add(1)
+	go func() {
+		defer s.done.Done()
+		sc.run()
+		s.mu.Lock()
+		delete(s.conns, sc)
+		s.mu.Unlock()
+	}()
+}
+
+// Drain lets each connection end with its next answer.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// CloseIdle closes the connections on which no request waits for its answer. It
+// goes with Drain.
+func (s *Server) CloseIdle() {
+	for _, c := range s.open() {
+		c.closeIdle()
+	}
+}
+
+// Wait waits until all connections have ended, or ctx has.
+func (s *Server) Wait(ctx context.Context) error {
+	ended := make(chan struct{})
+	go func() {
+		s.done.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Open returns how many connections are open.
+func (s *Server) Open() int { return len(s.open()) }
+
+func (s *Server) open() []*serverConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]*serverConn, 0, len(s.conns))
+	for c := range s.conns {
+		list = append(list, c)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/http1/serverconn.go
@@ -0,0 +1,329 @@
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+)
+
+const (
+	readBuffer = 4 << 10 // of a caller's connection; a request without a body mostly fits
+	// lingerTime is how long a closing connection is read on, so that the last
+	// answer isn't lost by a reset. A caller reads it within a round trip.
+	lingerTime = 500 * time.Millisecond
+	// writeTimeout bounds the writing of one answer to a caller that doesn't read.
+	writeTimeout = 20 * time.Second
+	headerSlack  = 4 << 10 // what the parser may read beyond a header's end
+)
+
+// serverConn is one connection of a caller. One goroutine reads requests; each
+// request has its own, which writes the answer when those before it are written.
+type serverConn struct {
+	server *Server
+	conn   net.Conn
+	id     uint64
+	limit  *limitedConn
+	read   *bufio.Reader
+	slots  chan struct{} // one for each request that is worked on
+	ctx    context.Context
+	cancel context.CancelFunc
+	work   sync.WaitGroup // requests that are worked on
+
+	mu      sync.Mutex
+	pending int  // requests that were read and not answered; guarded by mu
+	closing bool // no more requests are taken; guarded by mu
+}
+
+func newServerConn(s *Server, c net.Conn, id uint64) *serverConn {
+	ctx, cancel := context.WithCancel(context.Background())
+	limit := &limitedConn{conn: c, left: maxUnlimited}
+	return &serverConn{
+		server: s, conn: c, id: id, limit: limit, read: bufio.NewReaderSize(limit, readBuffer),
+		slots: make(chan struct{}, maxPipelined), ctx: ctx, cancel: cancel,
+	}
+}
+
+// incoming is what was read of a connection: a request, the status of the refusal
+// of one that can't be read, or the connection's end.
+type incoming struct {
+	request *Request
+	status  int  // of the refusal; 0 if there is none
+	last    bool // nothing is read after it
+	ended   bool // neither a request nor a refusal
+}
+
+// run reads requests until the connection ends.
+func (c *serverConn) run() {
+	defer c.conn.Close()
+	defer c.cancel()
+	previous := make(chan struct{})
+	close(previous)
+	for {
+		in := c.next()
+		if in.ended || !c.begin(in.last) {
+			break
+		}
+		mine := make(chan struct{})
+		c.work.Add(1)
+		c.slots <- struct{}{}
+		go c.answer(in, previous, mine)
+		previous = mine
+		if in.last {
+			break
+		}
+	}
+	c.watch()
+	c.work.Wait()
+}
+
+// begin counts a request that was read, unless the connection is closing.
+func (c *serverConn) begin(last bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return false
+	}
+	c.pending++
+	if last {
+		c.closing = true
+		c.conn.SetReadDeadline(time.Time{})
+	}
+	return true
+}
+
+// watch waits for the caller to leave or for the last answer to be read. A caller
+// that leaves with answers due ends the work on them.
+func (c *serverConn) watch() {
+	if c.isClosing() {
+		io.Copy(io.Discard, c.conn)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending > 0 {
+		c.cancel()
+	}
+}
+
+func (c *serverConn) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
+}
+
+// next reads one request.
+func (c *serverConn) next() incoming {
+	limits := c.server.limits()
+	c.setIdle(limits)
+	if _, err := c.read.Peek(1); err != nil {
+		return incoming{ended: true}
+	}
+	c.limit.left = int64(limits.HeaderBytes + headerSlack)
+	c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	r, err := http.ReadRequest(c.read)
+	if err != nil {
+		return c.unreadable(err)
+	}
+	c.limit.left = maxUnlimited
+	if r.ContentLength > limits.BodyBytes {
+		return refused(http.StatusRequestEntityTooLarge)
+	}
+	if r.Header.Get("Expect") != "" {
+		c.goOn()
+	}
+	c.conn.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
+	body, err := io.ReadAll(io.LimitReader(r.Body, limits.BodyBytes+1))
+	if err != nil {
+		return c.unreadable(err)
+	}
+	if int64(len(body)) > limits.BodyBytes {
+		return refused(http.StatusRequestEntityTooLarge)
+	}
+	return incoming{request: c.request(r, body), last: r.Close}
+}
+
+func refused(status int) incoming { return incoming{status: status, last: true} }
+
+// unreadable says what becomes of a request that could not be read whole.
+func (c *serverConn) unreadable(err error) incoming {
+	var network net.Error
+	switch {
+	case c.limit.left <= 0:
+		return refused(http.StatusRequestHeaderFieldsTooLarge)
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return incoming{ended: true}
+	case !errors.As(err, &network):
+		return refused(http.StatusBadRequest)
+	case network.Timeout():
+		return refused(http.StatusRequestTimeout)
+	}
+	return incoming{ended: true}
+}
+
+// goOn tells a caller that waits for it to send its body, if no answer is due.
+func (c *serverConn) goOn() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending == 0 {
+		io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n")
+	}
+}
+
+func (c *serverConn) request(in *http.Request, body []byte) *Request {
+	path := in.URL.Path
+	if u, err := url.ParseRequestURI(in.RequestURI); err == nil {
+		path = u.Path
+	}
+	r := &Request{
+		Method: in.Method, URI: in.RequestURI, Path: path, Host: in.Host,
+		Header: in.Header, Body: body, At: time.Now(), Conn: c.id,
+	}
+	strip(r.Header)
+	return r
+}
+
+// answer works on one request and writes its answer after those before it.
+func (c *serverConn) answer(in incoming, previous, mine chan struct{}) {
+	defer c.work.Done()
+	defer close(mine)
+	defer func() { <-c.slots }()
+	resp := c.respond(in)
+	<-previous
+	if resp.Rest != nil {
+		defer resp.Rest.Close()
+	}
+	closing := c.finish()
+	head := in.request != nil && in.request.Method == http.MethodHead
+	if err := c.write(resp, head, closing); err != nil {
+		c.cancel()
+		c.conn.Close()
+		return
+	}
+	c.answered(closing)
+}
+
+func (c *serverConn) respond(in incoming) *Response {
+	if in.request == nil {
+		return c.server.refuse(in.status)
+	}
+	return c.server.handler(c.ctx, in.request)
+}
+
+// finish decides whether the connection ends with the answer that comes next.
+func (c *serverConn) finish() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	last := c.pending == 1
+	if last && c.server.draining.Load() {
+		c.closing = true
+	}
+	return last && c.closing
+}
+
+// answered counts an answer that was written.
+func (c *serverConn) answered(closing bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pending--
+	switch {
+	case closing:
+		if t, ok := c.conn.(*net.TCPConn); ok {
+			t.CloseWrite()
+		}
+		c.conn.SetReadDeadline(time.Now().Add(lingerTime))
+	case c.pending == 0:
+		c.conn.SetReadDeadline(time.Now().Add(c.server.limits().IdleTimeout))
+	}
+}
+
+// setIdle sets when a connection on which nothing is due ends.
+func (c *serverConn) setIdle(limits Limits) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.closing:
+		c.conn.SetReadDeadline(time.Now())
+	case c.pending == 0:
+		c.conn.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
+	default:
+		c.conn.SetReadDeadline(time.Time{})
+	}
+}
+
+// closeIdle ends the connection if no answer is due.
+func (c *serverConn) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending == 0 && !c.closing {
+		c.closing = true
+		c.conn.SetReadDeadline(time.Now())
+	}
+}
+
+func (c *serverConn) write(resp *Response, head, closing bool) error {
+	length := int64(len(resp.Body))
+	if resp.Rest != nil {
+		length = resp.Length
+	}
+	b := bytes.NewBuffer(make([]byte, 0, 512+len(resp.Body)))
+	appendStatus(b, resp, length, closing)
+	c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if head || !bodyAllowed(resp.Status) {
+		_, err := c.conn.Write(b.Bytes())
+		return err
+	}
+	if resp.Rest == nil {
+		b.Write(resp.Body)
+		_, err := c.conn.Write(b.Bytes())
+		return err
+	}
+	return c.stream(b, resp, length)
+}
+
+// stream writes an answer whose body is still being read. One that breaks off
+// breaks the connection too, so that it can't look complete.
+func (c *serverConn) stream(b *bytes.Buffer, resp *Response, length int64) error {
+	if _, err := c.conn.Write(b.Bytes()); err != nil {
+		return err
+	}
+	body := io.MultiReader(bytes.NewReader(resp.Body), resp.Rest)
+	if length >= 0 {
+		n, err := io.Copy(c.conn, body)
+		if err == nil && n != length {
+			err = io.ErrUnexpectedEOF
+		}
+		return err
+	}
+	w := newChunkWriter(c.conn)
+	if _, err := io.Copy(w, body); err != nil {
+		return err
+	}
+	return w.Close()
+}
+
+// maxUnlimited lets a limitedConn read on as good as for ever.
+const maxUnlimited = 1 << 62
+
+// limitedConn bounds how much is read; used to bound a header.
+type limitedConn struct {
+	conn net.Conn
+	left int64
+}
+
+func (l *limitedConn) Read(b []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, io.ErrShortBuffer
+	}
+	if int64(len(b)) > l.left {
+		b = b[:l.left]
+	}
+	n, err := l.conn.Read(b)
+	l.left -= int64(n)
+	return n, err
+}
--- /dev/null
+++ b/internal/mirror/copy.go
@@ -0,0 +1,114 @@
+// Package mirror keeps a copy of the platform's store: it lists the keys once and
+// then follows their changes, past lost connections and forgotten history.
+package mirror
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/firlever/firlever/platform"
+)
+
+// settle is how long after an outage of the store a key that is missing may come
+// back: the platform says that live entries are back within about two seconds.
+const settle = 2 * time.Second
+
+// Change is one change of the copy.
+type Change struct {
+	platform.Item
+	Removed bool // only Key and Changed are set
+}
+
+// Copy is what is known of the store. It does no input or output and is not safe
+// for concurrent use.
+type Copy struct {
+	revisions map[string]platform.Revision // of the last change of each key that exists
+	missing   map[string]time.Time         // keys that are removed at this time unless they come back
+	settled   time.Time                    // removals before are delayed until then
+}
+
+// NewCopy makes an empty copy.
+func NewCopy() *Copy {
+	return &Copy{revisions: make(map[string]platform.Revision), missing: make(map[string]time.Time)}
+}
+
+// Outage notes that the store is out of reach at now, so that keys which are
+// missing when it is back get time to come back.
+func (c *Copy) Outage(now time.Time) {
+	c.settled = now.Add(settle)
+}
+
+// Apply takes events in and returns the changes that follow from them.
+func (c *Copy) Apply(now time.Time, events []platform.Event) []Change {
+	var changes []Change
+	for _, e := range events {
+		old, known := c.revisions[e.Key]
+		if known && e.Changed <= old {
+			continue
+		}
+		switch {
+		case !e.Removed:
+			changes = append(changes, c.put(e.Item))
+		case known:
+			changes = append(changes, c.remove(now, e.Key, e.Changed)...)
+		}
+	}
+	return changes
+}
+
+// Replace takes in a whole list of what the store holds. Keys that are not in it
+// are gone; items older than what is known are skipped.
+func (c *Copy) Replace(now time.Time, items []platform.Item) []Change {
+	var changes []Change
+	listed := make(map[string]bool, len(items))
+	for _, item := range items {
+		listed[item.Key] = true
+		if old, known := c.revisions[item.Key]; !known || item.Changed > old {
+			changes = append(changes, c.put(item))
+		} else {
+			delete(c.missing, item.Key)
+		}
+	}
+	for _, key := range slices.Sorted(maps.Keys(c.revisions)) {
+		if !listed[key] {
+			changes = append(changes, c.remove(now, key, c.revisions[key])...)
+		}
+	}
+	return changes
+}
+
+// Due returns the removals whose delay is over.
+func (c *Copy) Due(now time.Time) []Change {
+	var changes []Change
+	for _, key := range slices.Sorted(maps.Keys(c.missing)) {
+		if !now.Before(c.missing[key]) {
+			changes = append(changes, c.drop(key, c.revisions[key]))
+		}
+	}
+	return changes
+}
+
+func (c *Copy) put(item platform.Item) Change {
+	c.revisions[item.Key] = item.Changed
+	delete(c.missing, item.Key)
+	return Change{Item: item}
+}
+
+// remove drops a key, or notes when it will be dropped if the store was out of
+// reach a moment ago.
+func (c *Copy) remove(now time.Time, key string, changed platform.Revision) []Change {
+	if !now.Before(c.settled) {
+		return []Change{c.drop(key, changed)}
+	}
+	if _, ok := c.missing[key]; !ok {
+		c.missing[key] = c.settled
+	}
+	return nil
+}
+
+func (c *Copy) drop(key string, changed platform.Revision) Change {
+	delete(c.revisions, key)
+	delete(c.missing, key)
+	return Change{Item: platform.Item{Key: key, Changed: changed}, Removed: true}
+}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -63,7 +63,7 @@
 	}
 	b.filled = b.filled.Add(passed)
 	passed = min(passed, time.Duration(b.cfg.Burst)*time.Second)
-	b.add(int(passed.Milliseconds()) * b.cfg.Minimum) // a thousandth each ms for each retry a second
+	b.add(int(passed.Milliseconds()) * max(0, b.cfg.Minimum)) // a thousandth each ms for each retry a second
 }
 
 func (b *Budget) add(n int) {
--- a/internal/retry/config.go
+++ b/internal/retry/config.go
@@ -15,10 +15,13 @@
 	DefaultSamples  = 100
 )
 
+// NoMinimum as Minimum allows no retries but those that requests pay for.
+const NoMinimum = -1
+
 // Config sets up a Budget and a Policy.
 type Config struct {
 	Share    int  // retries allowed for a thousand requests
-	Minimum  int  // retries allowed each second besides; a quiet service still retries
+	Minimum  int  // retries allowed each second besides, so that a quiet service still retries; NoMinimum for none
 	Burst    int  // the most retries that can be saved up
 	Attempts int  // the most attempts for one request, the first among them
 	Hedge    bool // allows hedged requests
@@ -50,8 +53,8 @@
 	if c.Share < 0 || c.Share > perRequest {
 		faults = append(faults, "share is not within 0 and 1000")
 	}
-	if c.Minimum < 0 {
-		faults = append(faults, "minimum is negative")
+	if c.Minimum < NoMinimum {
+		faults = append(faults, "minimum is below -1")
 	}
 	if c.Burst < 1 {
 		faults = append(faults, "burst is below 1")
--- /dev/null
+++ b/internal/steer/config.go
@@ -0,0 +1,102 @@
+// Package steer decides which target gets a request, or that it is refused and
+// when the caller should come back. It knows the targets, what this instance has
+// sent to each, and what each said of its load.
+//
+// Any instance sends to any target. An object has one home among a service's
+// targets by rendezvous hashing, the same at every instance, so that targets
+// stay warm for their objects; see docs/design/programs.md.
+//
+// The package does no input or output and is not safe for concurrent use.
+package steer
+
+import (
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Config sets up a Fleet.
+type Config struct {
+	Instance string            // this instance's name
+	Domain   string            // its failure domain
+	Regions  map[string]string // region of each failure domain
+
+	RetryRatio float64 // additional attempts for each request, over all instances
+	RetrySlack int     // additional attempts in a window besides, over all instances
+	ColdFactor float64 // times its rate that a cold target may get in one second, from all instances
+	ColdSlack  float64 // requests in one second besides
+
+	ByteCost float64 // nanoseconds of latency that one byte between failure domains is worth
+}
+
+// Defaults of Config.
+const (
+	// defaultByteCost: 5 ms for 1 KB. An answer of 90 KB then stays in its failure
+	// domain unless that costs 450 ms, and one of 400 bytes goes anywhere.
+	defaultByteCost = 5000.0
+)
+
+// ConfigError lists all faults of a Config.
+type ConfigError struct{ Faults []string }
+
+// Error lists the faults.
+func (e *ConfigError) Error() string { return "steer: " + strings.Join(e.Faults, "; ") }
+
+// Defaults fills what is not set.
+func (c *Config) Defaults() {
+	if c.ByteCost == 0 {
+		c.ByteCost = defaultByteCost
+	}
+}
+
+// Validate returns a *ConfigError that names every fault.
+func (c *Config) Validate() error {
+	var faults []string
+	if c.Instance == "" {
+		faults = append(faults, "instance is missing")
+	}
+	if c.Regions[c.Domain] == "" {
+		faults = append(faults, "the region of failure domain "+c.Domain+" is missing")
+	}
+	if c.RetryRatio < 0 || c.RetryRatio > 1 {
+		faults = append(faults, "retry ratio is not within 0 and 1")
+	}
+	if min(c.ColdFactor, c.ColdSlack, c.ByteCost, float64(c.RetrySlack)) < 0 {
+		faults = append(faults, "a limit is negative")
+	}
+	if faults == nil {
+		return nil
+	}
+	return errors.Trace(&ConfigError{Faults: faults})
+}
+
+// Times and weights of the decisions.
+const (
+	// loadLife is how long a target's own report of its load counts. Between two
+	// answers of a target an instance waits about 0.4 s at 23 requests a second
+	// and 9 instances.
+	loadLife = time.Second
+	// shedLife is how long a target that refused for want of room counts as full.
+	shedLife = 200 * time.Millisecond
+	// shareOfBound is the part of a bound over all instances that is divided; the
+	// rest is for instances that don't yet know of each other.
+	shareOfBound = 0.8
+	// coldWindow is the window of the bound of cold targets.
+	coldWindow = time.Second
+	// domainHome and regionHome are what an object's home in the own failure
+	// domain or region costs over its home among all targets: its answers warm
+	// fewer requests. They keep answers of up to about 3 KB at the one home.
+	domainHome = 15 * time.Millisecond
+	regionHome = 10 * time.Millisecond
+	// missShare is the part of a service's latency that a target costs which is no
+	// home of the object and has to do the work cold.
+	missShare = 1.5
+	// slowFactor: a target counts as slow by what exceeds this multiple of the
+	// service's latency; the work of one request varies by less.
+	slowFactor = 2.0
+	// slowLife halves what is held against a target that isn't measured any more.
+	slowLife = 3 * time.Second
+	// smoothing is the weight of a new sample in a mean: about the last ten count.
+	smoothing = 0.1
+)
--- /dev/null
+++ b/internal/steer/fleet.go
@@ -0,0 +1,159 @@
+package steer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+
+	"github.com/firlever/firlever/internal/retry"
+	"github.com/firlever/firlever/internal/routes"
+)
+
+// Fleet holds the targets of all services and decides who gets a request.
+type Fleet struct {
+	cfg       Config
+	region    string // of this instance
+	targets   map[string]*target
+	services  map[string]*service
+	evacuated map[string]bool // by failure domain
+	peers     []string        // all instances that run, this one among them; sorted
+}
+
+// service is what is known of a service as a whole.
+type service struct {
+	limits  routes.Service
+	targets []*target     // sorted by ID
+	mean    time.Duration // smoothed time of one request's work at any target; 0 before the first
+	budget  *retry.Budget // additional attempts of this instance
+}
+
+// New makes an empty fleet. It returns a *ConfigError.
+func New(cfg Config) (*Fleet, error) {
+	cfg.Defaults()
+	if err := cfg.Validate(); err != nil {
+		return nil, errors.Annotate(err, "steer.New")
+	}
+	return &Fleet{
+		cfg:       cfg,
+		region:    cfg.Regions[cfg.Domain],
+		targets:   make(map[string]*target),
+		services:  make(map[string]*service),
+		evacuated: make(map[string]bool),
+	}, nil
+}
+
+// Put adds a target, or changes what is known of one by its ID.
+func (f *Fleet) Put(now time.Time, t Target) {
+	if old, ok := f.targets[t.ID]; ok && old.Service == t.Service {
+		old.Target = t
+		return
+	}
+	f.Remove(t.ID)
+	n := newTarget(t, f.cfg.Regions[t.Domain])
+	f.targets[t.ID] = n
+	s := f.service(now, t.Service)
+	i, _ := slices.BinarySearchFunc(s.targets, t.ID, byID)
+	s.targets = slices.Insert(s.targets, i, n)
+}
+
+// Remove forgets a target that is gone.
+func (f *Fleet) Remove(id string) {
+	t, ok := f.targets[id]
+	if !ok {
+		return
+	}
+	delete(f.targets, id)
+	s := f.services[t.Service]
+	if i, found := slices.BinarySearchFunc(s.targets, id, byID); found {
+		s.targets = slices.Delete(s.targets, i, i+1)
+	}
+}
+
+// Limit sets what the configuration says of the services.
+func (f *Fleet) Limit(now time.Time, services map[string]routes.Service) {
+	for name, limits := range services {
+		f.service(now, name).limits = limits
+	}
+}
+
+// Evacuate takes the failure domains whose targets get nothing. Targets of one
+// that is taken back may have gone cold unseen: they count as cold for a while.
+func (f *Fleet) Evacuate(now time.Time, domains []string) {
+	next := make(map[string]bool, len(domains))
+	for _, d := range domains {
+		next[d] = true
+	}
+	for _, t := range f.targets {
+		if f.evacuated[t.Domain] && !next[t.Domain] {
+			t.WarmAt = later(t.WarmAt, now.Add(f.services[t.Service].limits.Warmup))
+		}
+	}
+	f.evacuated = next
+}
+
+// Evacuated says whether targets of a failure domain get nothing.
+func (f *Fleet) Evacuated(domain string) bool { return f.evacuated[domain] }
+
+// Peers takes the names of all instances that run. Bounds that all of them have
+// to keep together are divided among them.
+func (f *Fleet) Peers(now time.Time, names []string) {
+	names = slices.Compact(slices.Sorted(slices.Values(names)))
+	if slices.Equal(names, f.peers) {
+		return
+	}
+	f.peers = names
+	for _, s := range f.services {
+		s.budget = f.newBudget(now)
+	}
+}
+
+// Targets returns how many targets a service has, and how many of them may get
+// requests now.
+func (f *Fleet) Targets(now time.Time, name string) (all, usable int) {
+	s, ok := f.services[name]
+	if !ok {
+		return 0, 0
+	}
+	for _, t := range s.targets {
+		if f.open(t) && !t.ejected(now) {
+			usable++
+		}
+	}
+	return len(s.targets), usable
+}
+
+// service returns a service, made when it is first heard of.
+func (f *Fleet) service(now time.Time, name string) *service {
+	s, ok := f.services[name]
+	if !ok {
+		s = &service{limits: routes.Service{Name: name}, budget: f.newBudget(now)}
+		f.services[name] = s
+	}
+	return s
+}
+
+// open says whether a target may get requests at all.
+func (f *Fleet) open(t *target) bool { return !t.Leaving && !f.evacuated[t.Domain] }
+
+func byID(t *target, id string) int { return cmp.Compare(t.ID, id) }
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// hash spreads a key over 64 bits.
+func hash(key string) uint64 { return xxhash.Sum64String(key) }
+
+// mix is the rendezvous weight of a key at a target or instance, by their hashes.
+func mix(a, b uint64) uint64 {
+	x := a ^ (b * 0x9e3779b97f4a7c15) // odd multiplier of the golden ratio; the rest is the finalizer of splitmix64
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
--- /dev/null
+++ b/internal/steer/outcome.go
@@ -0,0 +1,72 @@
+package steer
+
+import "time"
+
+// Ending is how an attempt at a target ended.
+type Ending int
+
+// The endings.
+const (
+	Answered Ending = iota // a whole answer
+	Failed                 // an error of the target, a broken answer, or no connection
+	Shed                   // the target refused it unrun for want of room
+	Replaced               // the address belongs to another target now
+	Late                   // no answer before the time was over
+	Left                   // the caller left; says nothing of the target
+)
+
+// String names the ending in log lines.
+func (e Ending) String() string {
+	return [...]string{"answered", "failed", "shed", "replaced", "late", "left"}[e]
+}
+
+// Outcome is what came of an attempt.
+type Outcome struct {
+	Ending Ending
+	Took   time.Duration // from sending to the end of the answer
+	Load   *Load         // what the target said of itself; nil if nothing
+	WarmIn time.Duration // how long it stays cold; 0 if it didn't say
+}
+
+// Done gives back the place that Pick took, and takes in what came of it. It
+// reports whether the target is ejected for it.
+func (f *Fleet) Done(now time.Time, id string, o Outcome) bool {
+	t, ok := f.targets[id]
+	if !ok {
+		return false
+	}
+	t.inFlight = max(0, t.inFlight-1)
+	if o.WarmIn > 0 {
+		t.WarmAt = later(t.WarmAt, now.Add(o.WarmIn))
+	}
+	if o.Load != nil {
+		t.report(now, *o.Load)
+	}
+	switch o.Ending {
+	case Answered:
+		t.succeeded()
+		f.measure(now, t, o.Took)
+	case Shed:
+		t.full(now)
+	case Replaced:
+		f.Remove(id)
+	case Late:
+		f.measure(now, t, o.Took)
+		return t.failed(now)
+	case Failed:
+		return t.failed(now)
+	case Left:
+	}
+	return false
+}
+
+// measure takes in the time that one request's work took: what the target had to
+// do at once besides shares the time.
+func (f *Fleet) measure(now time.Time, t *target, took time.Duration) {
+	if n := t.occupied(now) + 1; n > t.Slots {
+		took = took * time.Duration(t.Slots) / time.Duration(n)
+	}
+	t.sample(now, took)
+	s := f.services[t.Service]
+	s.mean = smooth(s.mean, took)
+}
--- /dev/null
+++ b/internal/steer/pick.go
@@ -0,0 +1,211 @@
+package steer
+
+import (
+	"slices"
+	"time"
+)
+
+// Query asks for a target.
+type Query struct {
+	Service   string
+	Object    string        // the object that the request is about; "" if none
+	Spread    string        // chooses among equals if there is no Object; the request's ID
+	Regions   []string      // where the target may be; empty: everywhere
+	Objective time.Duration // latency within which an answer is worth most
+	Deadline  time.Time     // an answer is of no use later
+	Size      float64       // bytes of the answer, as far as is known
+	Retry     bool          // the request was sent to another target before
+	Tried     []string      // IDs of the targets that it was sent to
+}
+
+// Reason says why a request is refused.
+type Reason string
+
+// The reasons.
+const (
+	NoTarget Reason = "no-target" // the service has none that may get requests
+	NoRoom   Reason = "no-room"   // every target would answer too late
+	NoBudget Reason = "no-budget" // the retry budget is used up
+	Cold     Reason = "cold"      // the targets with room are cold and have had their share
+)
+
+// Choice is the target that gets the request, or why there is none.
+type Choice struct {
+	Target Target        // ID is empty if the request is refused
+	Wait   time.Duration // expected until it gets a slot
+	Cost   time.Duration // by which the target was chosen
+	Home   bool          // the object's home among all targets
+	Cold   bool          // the target was cold
+	Reason Reason        // set if the request is refused
+	Again  time.Duration // when it is worth coming back; set if the request is refused
+}
+
+// Times that refused callers are told to come back after.
+const (
+	againSoonest = 50 * time.Millisecond // a slot is free again by then at most targets
+	againCold    = 300 * time.Millisecond
+	againNone    = time.Second // until a target has registered
+)
+
+// guessedLatency is the share of the objective that one request's work is taken to
+// need before any was measured.
+const guessedLatency = 0.5
+
+// Pick chooses a target and takes a place at it; Done gives it back.
+func (f *Fleet) Pick(now time.Time, q Query) Choice {
+	s, ok := f.services[q.Service]
+	if !ok {
+		return Choice{Reason: NoTarget, Again: againNone}
+	}
+	if !q.Retry {
+		s.budget.Request(now)
+	} else if !s.budget.Left(now) {
+		return Choice{Reason: NoBudget, Again: againCold}
+	}
+	c := f.best(now, s, q)
+	if c.Target.ID == "" {
+		return c
+	}
+	if q.Retry {
+		s.budget.Spend(now)
+	}
+	f.take(now, f.targets[c.Target.ID])
+	return c
+}
+
+func (f *Fleet) take(now time.Time, t *target) {
+	t.inFlight++
+	if t.cold(now) {
+		t.sent = append(t.sent, now)
+	}
+}
+
+// candidate is a target that may get the request, with its place in the order of
+// the object's hash among all candidates, those of the region and of the domain.
+type candidate struct {
+	*target
+	weight uint64
+	global int
+	region int
+	domain int
+}
+
+// best returns the cheapest target that can answer in time.
+func (f *Fleet) best(now time.Time, s *service, q Query) Choice {
+	list := f.candidates(now, s, q)
+	if len(list) == 0 {
+		return Choice{Reason: NoTarget, Again: againNone}
+	}
+	mean := s.latency(q.Objective)
+	most := max(q.Objective-mean, q.Objective/4)
+	refused := Choice{Reason: NoRoom, Again: againNone}
+	var found Choice
+	for _, c := range list {
+		wait := c.wait(now, mean)
+		if wait > most || !q.Deadline.After(now.Add(wait)) {
+			refused.Again = min(refused.Again, max(againSoonest, wait-most))
+			continue
+		}
+		if !f.coldRoom(now, c.target) {
+			refused.Reason, refused.Again = Cold, min(refused.Again, againCold)
+			continue
+		}
+		cost := wait + f.penalty(c, q, mean) + c.slowness(now, mean)
+		if c.cold(now) {
+			cost += mean
+		}
+		if found.Target.ID == "" || cost < found.Cost {
+			found = Choice{Target: c.Target, Wait: wait, Cost: cost, Home: c.global == 0, Cold: c.cold(now)}
+		}
+	}
+	if found.Target.ID == "" {
+		return refused
+	}
+	return found
+}
+
+// latency is the time of one request's work, measured or guessed.
+func (s *service) latency(objective time.Duration) time.Duration {
+	if s.mean > 0 {
+		return s.mean
+	}
+	return time.Duration(guessedLatency * float64(objective))
+}
+
+// candidates lists the targets that may get the request in the order of its hash.
+func (f *Fleet) candidates(now time.Time, s *service, q Query) []candidate {
+	key := q.Object
+	if key == "" {
+		key = q.Spread
+	}
+	sum := hash(key)
+	list := make([]candidate, 0, len(s.targets))
+	out := 0
+	for _, t := range s.targets {
+		if !f.open(t) || slices.Contains(q.Tried, t.ID) || !allowed(q.Regions, t.region) {
+			continue
+		}
+		if t.ejected(now) {
+			out++
+		}
+		list = append(list, candidate{target: t, weight: mix(t.seed, sum)})
+	}
+	// Where more are ejected than work, the fault is hardly the targets' own.
+	if out > 0 && out*ejectHalf <= len(list) {
+		list = slices.DeleteFunc(list, func(c candidate) bool { return c.ejected(now) })
+	}
+	slices.SortFunc(list, func(a, b candidate) int {
+		if a.weight > b.weight {
+			return -1
+		}
+		return 1
+	})
+	f.place(list)
+	return list
+}
+
+// place numbers the candidates among all, within the region and the domain.
+func (f *Fleet) place(list []candidate) {
+	region, domain := 0, 0
+	for i := range list {
+		c := &list[i]
+		c.global, c.region, c.domain = i, region, domain
+		if c.target.region == f.region {
+			region++
+		}
+		if c.Domain == f.cfg.Domain {
+			domain++
+		}
+	}
+}
+
+// penalty is what a target costs by where it is and by not being the object's home.
+func (f *Fleet) penalty(c candidate, q Query, mean time.Duration) time.Duration {
+	cost := time.Duration(0)
+	if c.Domain != f.cfg.Domain {
+		cost += time.Duration(f.cfg.ByteCost * q.Size)
+	}
+	if q.Object == "" {
+		return cost
+	}
+	miss := float64(mean) * missShare
+	lost := missed(miss, c.global)
+	if c.target.region == f.region {
+		lost = min(lost, regionHome+missed(miss, c.region))
+	}
+	if c.Domain == f.cfg.Domain {
+		lost = min(lost, domainHome+missed(miss, c.domain))
+	}
+	return cost + lost
+}
+
+// missed is the expected loss at the target in a place of the order: nothing at
+// the home, half of it at the second, as that gets what the home has no room for.
+func missed(miss float64, place int) time.Duration {
+	return time.Duration(miss * (1 - 1/float64(uint64(1)<<min(place, 10))))
+}
+
+// allowed says whether a region is among those of a route; none means all.
+func allowed(regions []string, region string) bool {
+	return len(regions) == 0 || slices.Contains(regions, region)
+}
--- /dev/null
+++ b/internal/steer/target.go
@@ -0,0 +1,118 @@
+package steer
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Target is a target as it registered itself.
+type Target struct {
+	ID      string // one run of a target
+	Service string
+	Address string
+	Domain  string
+	Slots   int
+	Leaving bool
+	WarmAt  time.Time // it is cold before
+}
+
+// Load is what a target says that it has to do, from all instances.
+type Load struct {
+	Running int
+	Waiting int
+}
+
+// target is a Target with what this instance knows of it.
+type target struct {
+	Target
+
+	seed     uint64
+	region   string
+	inFlight int // requests of this instance; never below 0
+
+	others      int       // requests of other instances by the last report
+	othersUntil time.Time // the report counts until then
+
+	mean     time.Duration // smoothed time of one request's work
+	measured time.Time     // when mean had its last sample
+
+	failures     float64 // smoothed share of failures, 0 to 1
+	inRow        int     // failures since the last success
+	ejections    int     // in a row, without a success
+	ejectedUntil time.Time
+
+	sent []time.Time // when requests went to it while cold; within coldWindow
+}
+
+func newTarget(t Target, region string) *target {
+	return &target{Target: t, seed: xxhash.Sum64String(t.ID), region: region}
+}
+
+// occupied is how many requests the target has to do, as far as is known.
+func (t *target) occupied(now time.Time) int {
+	if now.Before(t.othersUntil) {
+		return t.inFlight + t.others
+	}
+	return t.inFlight
+}
+
+// wait is how long a request waits for a slot if one takes mean.
+func (t *target) wait(now time.Time, mean time.Duration) time.Duration {
+	ahead := t.occupied(now) + 1 - t.Slots
+	if ahead <= 0 {
+		return 0
+	}
+	return mean * time.Duration(ahead) / time.Duration(t.Slots)
+}
+
+// report takes in what the target says of its load.
+func (t *target) report(now time.Time, l Load) {
+	t.others = max(0, l.Running+l.Waiting-t.inFlight)
+	t.othersUntil = now.Add(loadLife)
+}
+
+// full notes that the target has no room at all.
+func (t *target) full(now time.Time) {
+	t.others = max(t.others, 2*t.Slots)
+	t.othersUntil = now.Add(shedLife)
+}
+
+// sample takes in how long one request's work took.
+func (t *target) sample(now time.Time, took time.Duration) {
+	t.mean = smooth(t.mean, took)
+	t.measured = now
+}
+
+// slowness is by how much the target is slower than others of its service. It
+// fades while nothing is measured, so that the target is tried again.
+func (t *target) slowness(now time.Time, mean time.Duration) time.Duration {
+	over := float64(t.mean) - slowFactor*float64(mean)
+	if over <= 0 {
+		return 0
+	}
+	age := now.Sub(t.measured)
+	return time.Duration(over * math.Exp2(-float64(age)/float64(slowLife)))
+}
+
+func (t *target) cold(now time.Time) bool { return now.Before(t.WarmAt) }
+
+// recent is how many requests went to the cold target within coldWindow.
+func (t *target) recent(now time.Time) int {
+	begin := now.Add(-coldWindow)
+	n := 0
+	for n < len(t.sent) && !t.sent[n].After(begin) {
+		n++
+	}
+	t.sent = t.sent[n:]
+	return len(t.sent)
+}
+
+// smooth moves a mean towards a sample; the first sample is the mean.
+func smooth(mean, sample time.Duration) time.Duration {
+	if mean == 0 {
+		return sample
+	}
+	return mean + time.Duration(smoothing*float64(sample-mean))
+}
