Keep objects at three homes, and find changes that a watch misses

Change: an object goes to its three first targets; others get it only while most of their slots are free. Large answers have homes in each failure domain and region. A report of load counts less and less for 5 s. The store is asked for its revision each second; what the watch has not delivered by then is listed.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -20,6 +20,11 @@
 	// retryFirst and retryMost bound the pause after a call that failed.
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 500 * time.Millisecond
+	// checkEvery is how often the store is asked for its revision, as a watch may
+	// wait on and miss changes: a bound of 2 s on changes leaves this, a list, and
+	// checkGrace, in which the watch may still deliver them.
+	checkEvery = time.Second
+	checkGrace = 200 * time.Millisecond
 	// settleCheck is how often delayed removals are looked at.
 	settleCheck = 200 * time.Millisecond
 )
@@ -40,12 +45,13 @@
 	sink  Sink
 	copy  *Copy
 
-	since  platform.Revision // the copy holds the changes up to here
 	listed bool
 	lost   bool
 
-	mu   sync.Mutex
-	kick context.CancelFunc // ends the watch that waits; guarded by mu
+	mu     sync.Mutex
+	since  platform.Revision  // the copy holds the changes up to here; guarded by mu
+	kick   context.CancelFunc // ends the watch that waits; guarded by mu
+	missed bool               // the watch has missed changes; guarded by mu
 }
 
 // New makes a mirror of a store.
@@ -64,6 +70,9 @@
 
 // Run follows the store until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
+	var checks sync.WaitGroup
+	checks.Go(func() { m.check(ctx) })
+	defer checks.Wait()
 	pause := retryFirst
 	for ctx.Err() == nil {
 		err := m.step(ctx)
@@ -82,7 +91,7 @@
 
 // step lists the store if that is due, or watches it once.
 func (m *Mirror) step(ctx context.Context) error {
-	if !m.listed {
+	if !m.listed || m.takeMissed() {
 		return m.outcome(m.list(ctx))
 	}
 	err := m.watch(ctx)
@@ -135,7 +144,7 @@
 		}
 		after = page.Items[len(page.Items)-1].Key
 	}
-	m.since = max(m.since, since)
+	m.advance(since)
 	m.listed = true
 	m.sink.Changed(m.copy.Replace(time.Now(), items), true)
 	return nil
@@ -154,8 +163,9 @@
 	defer cancel()
 	m.mu.Lock()
 	m.kick = cancel
+	from := m.since
 	m.mu.Unlock()
-	events, since, err := m.store.Watch(inner, "", m.since, wait)
+	events, since, err := m.store.Watch(inner, "", from, wait)
 	if errors.Is(inner.Err(), context.Canceled) && ctx.Err() == nil {
 		return errKicked
 	}
@@ -163,7 +173,7 @@
 		m.flush()
 		return err
 	}
-	m.since = since
+	m.advance(since)
 	changes := m.copy.Apply(time.Now(), events)
 	changes = append(changes, m.copy.Due(time.Now())...)
 	if len(changes) > 0 {
@@ -172,6 +182,55 @@
 	return nil
 }
 
+// check asks for the store's revision now and then. Changes that the watch has not
+// delivered though it had the time are read by a list.
+func (m *Mirror) check(ctx context.Context) {
+	for ctx.Err() == nil {
+		m.sleep(ctx, checkEvery)
+		inner, cancel := context.WithTimeout(ctx, answerTime)
+		revision, err := m.store.Revision(inner)
+		cancel()
+		if err != nil || !m.behind(revision) {
+			continue // the watch and the lease tell that the store is out of reach
+		}
+		m.sleep(ctx, checkGrace)
+		if m.behind(revision) {
+			m.miss()
+		}
+	}
+}
+
+// behind says whether the copy lacks changes up to a revision.
+func (m *Mirror) behind(revision platform.Revision) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.since > 0 && m.since < revision
+}
+
+// miss ends the watch that waits, for a list instead.
+func (m *Mirror) miss() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.missed = true
+	if m.kick != nil {
+		m.kick()
+	}
+}
+
+func (m *Mirror) takeMissed() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	missed := m.missed
+	m.missed = false
+	return missed
+}
+
+func (m *Mirror) advance(since platform.Revision) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.since = max(m.since, since)
+}
+
 // flush removes what is due while the store is out of reach: nothing, as each
 // failure delays it, but for keys that were missing before.
 func (m *Mirror) flush() {
--- a/internal/steer/config.go
+++ b/internal/steer/config.go
@@ -73,10 +73,10 @@
 
 // Times and weights of the decisions.
 const (
-	// loadLife is how long a target's own report of its load counts. Between two
-	// answers of a target an instance waits about 0.4 s at 23 requests a second
-	// and 9 instances.
-	loadLife = time.Second
+	// loadLife is how long a target's own report of its load counts, less and less.
+	// An instance waits about 0.5 s between two answers of a busy target; a report
+	// that is forgotten sooner makes full targets look empty.
+	loadLife = 5 * time.Second
 	// shedLife is how long a target that refused for want of room counts as full.
 	shedLife = 200 * time.Millisecond
 	// shareOfBound is the part of a bound over all instances that is divided; the
@@ -92,6 +92,11 @@
 	// missShare is the part of a service's latency that a target costs which is no
 	// home of the object and has to do the work cold.
 	missShare = 1.5
+	// homes is how many targets keep an object warm: its home, and those that get
+	// what the home has no room for. Others do its work cold, which takes three
+	// times as long, so they get it only while most of their slots are free.
+	homes     = 3
+	freeShare = 0.5
 	// slowFactor: a target counts as slow by what exceeds this multiple of the
 	// service's latency; the work of one request varies by less.
 	slowFactor = 2.0
--- a/internal/steer/pick.go
+++ b/internal/steer/pick.go
@@ -90,6 +90,21 @@
 	domain int
 }
 
+// carry is what it costs to carry the answer between failure domains.
+func (f *Fleet) carry(q Query) time.Duration { return time.Duration(f.cfg.ByteCost * q.Size) }
+
+// near says whether the object has homes in each failure domain and region too, as
+// its answers are too large to be carried from one home.
+func (f *Fleet) near(q Query) bool { return f.carry(q) > domainHome }
+
+// home says whether the target is one of those that keep the object warm.
+func (f *Fleet) home(c candidate, q Query) bool {
+	if c.global < homes {
+		return true
+	}
+	return f.near(q) && (c.target.region == f.region && c.region < homes || c.Domain == f.cfg.Domain && c.domain < homes)
+}
+
 // best returns the cheapest target that can answer in time.
 func (f *Fleet) best(now time.Time, s *service, q Query) Choice {
 	list := f.candidates(now, s, q)
@@ -102,8 +117,12 @@
 	var found Choice
 	for _, c := range list {
 		wait := c.wait(now, mean)
-		if wait > most || !q.Deadline.After(now.Add(wait)) {
-			refused.Again = min(refused.Again, max(againSoonest, wait-most))
+		if wait > most || !q.Deadline.After(now.Add(wait)) || now.Before(c.shedUntil) {
+			refused.Again = min(refused.Again, max(againSoonest, mean/2, wait-most))
+			continue
+		}
+		if q.Object != "" && !f.home(c, q) && !c.idle(now) {
+			refused.Again = min(refused.Again, max(againSoonest, mean/2))
 			continue
 		}
 		if !f.coldRoom(now, c.target) {
@@ -183,18 +202,20 @@
 func (f *Fleet) penalty(c candidate, q Query, mean time.Duration) time.Duration {
 	cost := time.Duration(0)
 	if c.Domain != f.cfg.Domain {
-		cost += time.Duration(f.cfg.ByteCost * q.Size)
+		cost += f.carry(q)
 	}
 	if q.Object == "" {
 		return cost
 	}
 	miss := float64(mean) * missShare
 	lost := missed(miss, c.global)
-	if c.target.region == f.region {
-		lost = min(lost, regionHome+missed(miss, c.region))
-	}
-	if c.Domain == f.cfg.Domain {
-		lost = min(lost, domainHome+missed(miss, c.domain))
+	if f.near(q) {
+		if c.target.region == f.region {
+			lost = min(lost, regionHome+missed(miss, c.region))
+		}
+		if c.Domain == f.cfg.Domain {
+			lost = min(lost, domainHome+missed(miss, c.domain))
+		}
 	}
 	return cost + lost
 }
--- a/internal/steer/target.go
+++ b/internal/steer/target.go
@@ -33,7 +33,8 @@
 	inFlight int // requests of this instance; never below 0
 
 	others      int       // requests of other instances by the last report
-	othersUntil time.Time // the report counts until then
+	othersUntil time.Time // the report counts until then, less and less
+	shedUntil   time.Time // it counts as full until then
 
 	mean     time.Duration // smoothed time of one request's work
 	measured time.Time     // when mean had its last sample
@@ -52,10 +53,17 @@
 
 // occupied is how many requests the target has to do, as far as is known.
 func (t *target) occupied(now time.Time) int {
-	if now.Before(t.othersUntil) {
-		return t.inFlight + t.others
+	left := t.othersUntil.Sub(now)
+	if left <= 0 {
+		return t.inFlight
 	}
-	return t.inFlight
+	share := min(1, float64(left)/float64(loadLife))
+	return t.inFlight + int(math.Ceil(share*float64(t.others)))
+}
+
+// idle says whether most of the target's slots are free.
+func (t *target) idle(now time.Time) bool {
+	return float64(t.occupied(now)) < freeShare*float64(t.Slots)
 }
 
 // wait is how long a request waits for a slot if one takes mean.
@@ -76,7 +84,8 @@
 // full notes that the target has no room at all.
 func (t *target) full(now time.Time) {
 	t.others = max(t.others, 2*t.Slots)
-	t.othersUntil = now.Add(shedLife)
+	t.othersUntil = now.Add(loadLife)
+	t.shedUntil = now.Add(shedLife)
 }
 
 // sample takes in how long one request's work took.
