--- /dev/null
+++ b/internal/emulator/store/write.go
@@ -0,0 +1,152 @@
+package store
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+)
+
+type txnBody struct {
+	Expected []struct {
+		Key      string `json:"key"`
+		Revision uint64 `json:"revision"`
+	} `json:"expected_revision"`
+	Writes []struct {
+		Key   string `json:"key"`
+		Value []byte `json:"value"`
+		Lease uint64 `json:"lease"`
+	} `json:"writes"`
+	Remove []string `json:"remove"`
+}
+
+// txn does all of a transaction or nothing.
+func (s *Store) txn(w http.ResponseWriter, r *http.Request) {
+	var body txnBody
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	items := []item{}
+	conflict := false
+	for _, e := range body.Expected {
+		it := s.items[e.Key]
+		it.Key = e.Key
+		items = append(items, it)
+		conflict = conflict || it.Revision != e.Revision
+	}
+	if conflict {
+		reply(w, http.StatusPreconditionFailed, map[string][]item{"items": items})
+		return
+	}
+	for _, put := range body.Writes {
+		if _, ok := s.leases[put.Lease]; put.Lease != 0 && !ok {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+	}
+	for _, put := range body.Writes {
+		s.put(put.Key, put.Value, put.Lease)
+	}
+	for _, key := range body.Remove {
+		s.remove(key)
+	}
+	reply(w, http.StatusOK, map[string]uint64{"revision": s.revision})
+}
+
+func (s *Store) grant(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		TTL string `json:"ttl_time"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	ttl, err := time.ParseDuration(body.TTL)
+	if err != nil || ttl <= 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.leases[s.revision] = lease{ttl: ttl, end: time.Now().Add(ttl)}
+	reply(w, http.StatusOK, map[string]any{"lease": s.revision, "ttl_time": body.TTL})
+}
+
+func (s *Store) keep(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := leaseID(r)
+	l, ok := s.leases[id]
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	l.end = time.Now().Add(l.ttl)
+	s.leases[id] = l
+	reply(w, http.StatusOK, map[string]string{"ttl_time": l.ttl.String()})
+}
+
+func (s *Store) end(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := leaseID(r)
+	if _, ok := s.leases[id]; !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	s.lapse(id)
+	reply(w, http.StatusOK, struct{}{})
+}
+
+func leaseID(r *http.Request) uint64 {
+	id, err := strconv.ParseUint(chi.URLParam(r, "id"), 10, 64)
+	if err != nil {
+		return 0 // no lease has this number
+	}
+	return id
+}
+
+// lapse ends a lease; its keys go with it. s.mu is held.
+func (s *Store) lapse(id uint64) {
+	delete(s.leases, id)
+	for key, it := range s.items {
+		if it.Lease == id {
+			s.remove(key)
+		}
+	}
+}
+
+// Revoke ends all leases at once.
+func (s *Store) Revoke() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.leases {
+		s.lapse(id)
+	}
+}
+
+// expire ends leases that were not renewed.
+func (s *Store) expire() {
+	ticker := time.NewTicker(leaseTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.stop:
+			return
+		case now := <-ticker.C:
+			s.mu.Lock()
+			for id, l := range s.leases {
+				if now.After(l.end) {
+					s.lapse(id)
+				}
+			}
+			s.mu.Unlock()
+		}
+	}
+}
