Carry answers of a few KB to the one home of their object

Change: a byte between failure domains counts as 1 us of latency instead of 5; only answers above 15 KB have homes near by.

--- a/internal/steer/config.go
+++ b/internal/steer/config.go
@@ -32,9 +32,9 @@
 
 // Defaults of Config.
 const (
-	// defaultByteCost: 5 ms for 1 KB. An answer of 90 KB then stays in its failure
-	// domain unless that costs 450 ms, and one of 400 bytes goes anywhere.
-	defaultByteCost = 5000.0
+	// defaultByteCost: 1 ms for 1 KB. An answer of 90 KB then stays in its failure
+	// domain unless that costs 90 ms, and one of 5 KB goes anywhere.
+	defaultByteCost = 1000.0
 )
 
 // ConfigError lists all faults of a Config.
@@ -86,7 +86,7 @@
 	coldWindow = time.Second
 	// domainHome and regionHome are what an object's home in the own failure
 	// domain or region costs over its home among all targets: its answers warm
-	// fewer requests. They keep answers of up to about 3 KB at the one home.
+	// fewer requests. They keep answers of up to about 15 KB at the one home.
 	domainHome = 15 * time.Millisecond
 	regionHome = 10 * time.Millisecond
 	// missShare is the part of a service's latency that a target costs which is no
