Test choices of targets and connections; answer slow headers with 408

Cause: a header that came too slowly got 400, as the parser hides the end of the time behind an error of its own (TestServerAnswers, slow header, failed). Change: what was due decides. Tables and property tests of steer (one home, spill, cold and retry bounds summed over instances, ejection floor) and of both sides of http1 (pipelines, leaving callers, drains, strays, cuts), a fuzz target.

--- /dev/null
+++ b/internal/http1/pool_test.go
@@ -0,0 +1,259 @@
+package http1
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// script is a target that answers each request on a connection with the next text;
+// "close" ends the connection, "reset" resets it, and "wait" gives no answer.
+func script(t *testing.T, texts ...string) (address string, conns <-chan int) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	opened := make(chan int, 100)
+	next := make(chan string, len(texts))
+	for _, text := range texts {
+		next <- text
+	}
+	go func() {
+		for n := 1; ; n++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			opened <- n
+			go play(c, next)
+		}
+	}()
+	return ln.Addr().String(), opened
+}
+
+func play(c net.Conn, next <-chan string) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		in, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, in.Body)
+		switch text := <-next; text {
+		case "close":
+			return
+		case "reset":
+			c.(*net.TCPConn).SetLinger(0)
+			return
+		case "wait":
+			r.Peek(1)
+			return
+		default:
+			io.WriteString(c, strings.ReplaceAll(text, "\n", "\r\n"))
+			if strings.Contains(text, "Connection: close") {
+				return
+			}
+		}
+	}
+}
+
+func exchange(address string) *Exchange {
+	return &Exchange{
+		Request: &Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{}}, Header: http.Header{"Id": {"mine"}},
+		Target: "t", Address: address, Until: time.Now().Add(5 * time.Second),
+		Mine: func(_ int, h http.Header) bool { return h.Get("Id") == "mine" },
+		Keep: func(*Response) bool { return true },
+	}
+}
+
+const (
+	good  = "HTTP/1.1 200 OK\nId: mine\nContent-Length: 2\n\nok"
+	stray = "HTTP/1.1 200 OK\nId: other\nContent-Length: 3\n\nbad"
+)
+
+func TestExchange(t *testing.T) {
+	tests := map[string]struct {
+		answers []string
+		want    string // body; "" for a lost exchange
+		conns   int    // opened for two exchanges, the second with a good answer
+	}{
+		"kept":             {[]string{good, good}, "ok", 1},
+		"closed":           {[]string{"HTTP/1.1 200 OK\nId: mine\nContent-Length: 2\nConnection: close\n\nok", good}, "ok", 2},
+		"ends with itself": {[]string{"HTTP/1.1 200 OK\nId: mine\nConnection: close\n\nok", good}, "ok", 2},
+		"chunks":           {[]string{"HTTP/1.1 200 OK\nId: mine\nTransfer-Encoding: chunked\n\n2\nok\n0\n\n", good}, "ok", 1},
+		"interim":          {[]string{"HTTP/1.1 103 Early\n\n" + good, good}, "ok", 1},
+		"late before it":   {[]string{stray + good, good}, "ok", 2},
+		"extra after it":   {[]string{good + stray, good}, "ok", 2},
+		"cut short":        {[]string{"HTTP/1.1 200 OK\nId: mine\nContent-Length: 20\nConnection: close\n\nok", good}, "", 2},
+		"cut chunk":        {[]string{"HTTP/1.1 200 OK\nId: mine\nTransfer-Encoding: chunked\nConnection: close\n\n5\nok", good}, "", 2},
+		"not HTTP":         {[]string{"hello there\n\n", good}, "", 2},
+		"only strays":      {[]string{strings.Repeat(stray, maxStray+1), good}, "", 2},
+		"no answer":        {[]string{"close", good}, "", 2},
+		"reset":            {[]string{"reset", good}, "", 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			address, conns := script(t, tt.answers...)
+			p := NewPool("")
+			defer p.Close()
+			resp, err := p.Do(context.Background(), exchange(address))
+			var lost *LostError
+			switch {
+			case tt.want == "" && !errors.As(err, &lost):
+				t.Errorf("got %v, want a *LostError", err)
+			case tt.want != "" && err != nil:
+				t.Errorf("got %v", err)
+			case tt.want != "" && string(resp.Body) != tt.want:
+				t.Errorf("got %q, want %q", resp.Body, tt.want)
+			}
+			time.Sleep(10 * time.Millisecond) // bytes that come late are there by now
+			if _, err := p.Do(context.Background(), exchange(address)); err != nil {
+				t.Errorf("second: got %v", err)
+			}
+			if got := len(conns); got != tt.conns {
+				t.Errorf("got %d connections, want %d", got, tt.conns)
+			}
+		})
+	}
+}
+
+// Only what proves that nothing was sent may be repeated.
+func TestNotSent(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := ln.Addr().String()
+	ln.Close()
+	p := NewPool("")
+	defer p.Close()
+	_, err = p.Do(context.Background(), exchange(address))
+	var unsent *NotSentError
+	if !errors.As(err, &unsent) {
+		t.Errorf("got %v, want a *NotSentError", err)
+	}
+}
+
+func TestGivesUp(t *testing.T) {
+	tests := map[string]func(e *Exchange) context.Context{
+		"deadline": func(e *Exchange) context.Context {
+			e.Until = time.Now().Add(50 * time.Millisecond)
+			return context.Background()
+		},
+		"caller left": func(*Exchange) context.Context {
+			ctx, cancel := context.WithCancel(context.Background())
+			time.AfterFunc(50*time.Millisecond, cancel)
+			return ctx
+		},
+	}
+	for name, prepare := range tests {
+		t.Run(name, func(t *testing.T) {
+			address, _ := script(t, "wait")
+			p := NewPool("")
+			defer p.Close()
+			e := exchange(address)
+			begin := time.Now()
+			_, err := p.Do(prepare(e), e)
+			var lost *LostError
+			if !errors.As(err, &lost) {
+				t.Errorf("got %v, want a *LostError", err)
+			}
+			if took := time.Since(begin); took > 2*time.Second {
+				t.Errorf("got an end after %s", took)
+			}
+		})
+	}
+}
+
+// A target that answers before a long body is in gets all of the body and no
+// further request on the connection.
+func TestEarlyAnswer(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	read := make(chan int64, 2)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			io.WriteString(c, strings.ReplaceAll(good, "\n", "\r\n"))
+			n, _ := io.Copy(io.Discard, c)
+			read <- n
+		}
+	}()
+	p := NewPool("")
+	defer p.Close()
+	e := exchange(ln.Addr().String())
+	e.Request.Method, e.Request.Body = "POST", make([]byte, 32<<20)
+	if _, err := p.Do(context.Background(), e); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-read; got > 33<<20 {
+		t.Errorf("got %d bytes on the connection, more than the request", got)
+	}
+}
+
+// Connections that may be closing are not used for what can't be repeated.
+func TestOnceUsesFreshConnections(t *testing.T) {
+	address, conns := script(t, good, good, good)
+	p := NewPool("")
+	defer p.Close()
+	if _, err := p.Do(context.Background(), exchange(address)); err != nil {
+		t.Fatal(err)
+	}
+	p.mu.Lock()
+	p.idle["t"][0].onceUntil = time.Now()
+	p.mu.Unlock()
+	e := exchange(address)
+	e.Once = true
+	if _, err := p.Do(context.Background(), e); err != nil {
+		t.Fatal(err)
+	}
+	if got := len(conns); got != 2 {
+		t.Errorf("got %d connections, want 2", got)
+	}
+}
+
+func TestKeepAliveTimeout(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"timeout=10": 10 * time.Second, "max=5, Timeout=3": 3 * time.Second, "": 0, "timeout=x": 0,
+	} {
+		if got := idleTimeout(http.Header{"Keep-Alive": {text}}); got != want {
+			t.Errorf("%q: got %s, want %s", text, got, want)
+		}
+	}
+}
+
+// A long answer is passed on while it is read.
+func TestLongAnswer(t *testing.T) {
+	size := maxWhole + 1000
+	address, _ := script(t, fmt.Sprintf("HTTP/1.1 200 OK\nId: mine\nContent-Length: %d\n\n%s", size, strings.Repeat("x", size)))
+	p := NewPool("")
+	defer p.Close()
+	resp, err := p.Do(context.Background(), exchange(address))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.Rest == nil || resp.Length != int64(size) {
+		t.Fatalf("got a rest: %t, length %d, want a rest of %d", resp.Rest != nil, resp.Length, size)
+	}
+	n, err := io.Copy(io.Discard, resp.Rest)
+	resp.Rest.Close()
+	if err != nil || int(n)+len(resp.Body) != size {
+		t.Errorf("got %d and %d bytes, %v, want %d", len(resp.Body), n, err, size)
+	}
+}
--- /dev/null
+++ b/internal/http1/server_test.go
@@ -0,0 +1,246 @@
+package http1
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+var testLimits = Limits{
+	HeaderBytes: 8 << 10, BodyBytes: 1 << 10, HeaderTimeout: 200 * time.Millisecond, IdleTimeout: 300 * time.Millisecond,
+}
+
+// serve starts a server and returns a function that connects to it.
+func serve(t *testing.T, handler Handler) (*Server, func() net.Conn) {
+	t.Helper()
+	refuse := func(status int) *Response { return &Response{Status: status, Header: http.Header{}} }
+	s := NewServer(handler, func() Limits { return testLimits }, refuse)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve(ln)
+	t.Cleanup(func() { ln.Close() })
+	return s, func() net.Conn {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(time.Now().Add(10 * time.Second))
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+}
+
+func echo(_ context.Context, r *Request) *Response {
+	return &Response{Status: 200, Header: http.Header{"X": {"y"}}, Body: []byte(r.Method + " " + r.URI + " " + string(r.Body))}
+}
+
+// answers reads n answers, with their bodies.
+func answers(t *testing.T, c net.Conn, n int) []string {
+	t.Helper()
+	r := bufio.NewReader(c)
+	var list []string
+	for range n {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatalf("after %q: %v", list, err)
+		}
+		b, err := io.ReadAll(resp.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		list = append(list, fmt.Sprintf("%d %s", resp.StatusCode, b))
+	}
+	return list
+}
+
+func TestServerAnswers(t *testing.T) {
+	tests := map[string]struct {
+		send string
+		want []string // the answers, after which the connection ends if closed
+		ends bool
+	}{
+		"length":   {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nxyz", []string{"200 POST /a xyz"}, false},
+		"chunks":   {"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nxyz\r\n0\r\n\r\n", []string{"200 POST /a xyz"}, false},
+		"raw path": {"GET /a%2Fb?c=d%20e HTTP/1.1\r\nHost: h\r\n\r\n", []string{"200 GET /a%2Fb?c=d%20e "}, false},
+		"pipelined": {
+			"GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\nGET /3 HTTP/1.1\r\nHost: h\r\n\r\n",
+			[]string{"200 GET /1 ", "200 GET /2 ", "200 GET /3 "},
+			false,
+		},
+		"close": {
+			"GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n",
+			[]string{"200 GET /1 "},
+			true,
+		},
+		"HTTP/1.0":     {"GET /1 HTTP/1.0\r\nHost: h\r\n\r\n", []string{"200 GET /1 "}, true},
+		"not HTTP":     {"hello\r\n\r\n", []string{"400 "}, true},
+		"bad length":   {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nxyz", []string{"400 "}, true},
+		"long header":  {"GET / HTTP/1.1\r\nHost: h\r\nA: " + strings.Repeat("x", 20<<10) + "\r\n\r\n", []string{"431 "}, true},
+		"long body":    {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4096\r\n\r\n", []string{"413 "}, true},
+		"slow header":  {"GET / HTTP/1.1\r\nHo", []string{"408 "}, true},
+		"idle":         {"", nil, true},
+		"after a good": {"GET /1 HTTP/1.1\r\nHost: h\r\n\r\nhello\r\n\r\n", []string{"200 GET /1 ", "400 "}, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, dial := serve(t, echo)
+			c := dial()
+			io.WriteString(c, tt.send)
+			got := answers(t, c, len(tt.want))
+			if fmt.Sprint(got) != fmt.Sprint(tt.want) {
+				t.Errorf("got %q, want %q", got, tt.want)
+			}
+			if tt.ends {
+				if n, err := c.Read(make([]byte, 1)); n != 0 || err == nil {
+					t.Errorf("got %d bytes, %v, want the end", n, err)
+				}
+			}
+		})
+	}
+}
+
+// Later requests of a connection are worked on while the first waits, and their
+// answers come after its own.
+func TestServerReadsOn(t *testing.T) {
+	release := make(chan struct{})
+	worked := make(chan string, 3)
+	_, dial := serve(t, func(_ context.Context, r *Request) *Response {
+		worked <- r.URI
+		if r.URI == "/1" {
+			<-release
+		}
+		return echo(nil, r)
+	})
+	c := dial()
+	for i := 1; i <= 3; i++ {
+		fmt.Fprintf(c, "GET /%d HTTP/1.1\r\nHost: h\r\n\r\n", i)
+	}
+	for range 3 {
+		<-worked
+	}
+	close(release)
+	got := answers(t, c, 3)
+	want := []string{"200 GET /1 ", "200 GET /2 ", "200 GET /3 "}
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+// The work on a request ends when its caller leaves, also behind one that asked
+// for the connection's end.
+func TestCallerLeaves(t *testing.T) {
+	tests := map[string]string{
+		"kept connection": "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+		"last request":    "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+	}
+	for name, send := range tests {
+		t.Run(name, func(t *testing.T) {
+			begun, left := make(chan struct{}), make(chan struct{})
+			_, dial := serve(t, func(ctx context.Context, r *Request) *Response {
+				close(begun)
+				<-ctx.Done()
+				close(left)
+				return echo(ctx, r)
+			})
+			c := dial()
+			io.WriteString(c, send)
+			<-begun
+			c.Close()
+			select {
+			case <-left:
+			case <-time.After(5 * time.Second):
+				t.Error("the work goes on after its caller has left")
+			}
+		})
+	}
+}
+
+// A draining server answers what it has read, says that it closes, and ends.
+func TestDrain(t *testing.T) {
+	release, begun := make(chan struct{}), make(chan struct{}, 1)
+	s, dial := serve(t, func(ctx context.Context, r *Request) *Response {
+		begun <- struct{}{}
+		<-release
+		return echo(ctx, r)
+	})
+	idle, busy := dial(), dial()
+	io.WriteString(busy, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-begun
+	s.Drain()
+	s.CloseIdle()
+	close(release)
+	resp, err := http.ReadResponse(bufio.NewReader(busy), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !resp.Close || resp.StatusCode != 200 {
+		t.Errorf("got status %d, close %t, want 200 and the end", resp.StatusCode, resp.Close)
+	}
+	resp.Body.Close()
+	busy.Close()
+	if n, err := idle.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+		t.Errorf("got %d bytes, %v on an idle connection, want its end", n, err)
+	}
+	idle.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if err := s.Wait(ctx); err != nil {
+		t.Errorf("got %v, want all connections ended", err)
+	}
+}
+
+// An answer whose rest breaks off does not look complete.
+func TestBrokenRest(t *testing.T) {
+	for name, length := range map[string]int64{"length": 100, "no length": -1} {
+		t.Run(name, func(t *testing.T) {
+			_, dial := serve(t, func(context.Context, *Request) *Response {
+				rest := io.NopCloser(io.MultiReader(strings.NewReader("rest"), &failing{}))
+				return &Response{Status: 200, Header: http.Header{}, Body: []byte("begin"), Rest: rest, Length: length}
+			})
+			c := dial()
+			io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if b, err := io.ReadAll(resp.Body); err == nil {
+				t.Errorf("got %q as a whole body", b)
+			}
+		})
+	}
+}
+
+type failing struct{}
+
+func (*failing) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+func FuzzServer(f *testing.F) {
+	f.Add("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	f.Add("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n")
+	f.Fuzz(func(t *testing.T, send string) {
+		var seen []string
+		refuse := func(status int) *Response { return &Response{Status: status, Header: http.Header{}} }
+		s := NewServer(func(_ context.Context, r *Request) *Response {
+			seen = append(seen, r.URI)
+			if strings.ContainsAny(r.URI, " \r\n") || strings.ContainsAny(r.Host, "\r\n") {
+				t.Errorf("got request %q of host %q", r.URI, r.Host)
+			}
+			return &Response{Status: 204, Header: http.Header{}}
+		}, func() Limits { return testLimits }, refuse)
+		near, far := net.Pipe()
+		go io.Copy(io.Discard, far)
+		go func() {
+			io.WriteString(far, send)
+			far.Close()
+		}()
+		newServerConn(s, near, 1).run()
+	})
+}
--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -125,10 +125,11 @@
 		return incoming{ended: true}
 	}
 	c.limit.left = int64(limits.HeaderBytes + headerSlack)
-	c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	due := time.Now().Add(limits.HeaderTimeout)
+	c.conn.SetReadDeadline(due)
 	r, err := http.ReadRequest(c.read)
 	if err != nil {
-		return c.unreadable(err)
+		return c.unreadable(err, due)
 	}
 	c.limit.left = maxUnlimited
 	if r.ContentLength > limits.BodyBytes {
@@ -137,10 +138,11 @@
 	if r.Header.Get("Expect") != "" {
 		c.goOn()
 	}
-	c.conn.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
+	due = time.Now().Add(limits.IdleTimeout)
+	c.conn.SetReadDeadline(due)
 	body, err := io.ReadAll(io.LimitReader(r.Body, limits.BodyBytes+1))
 	if err != nil {
-		return c.unreadable(err)
+		return c.unreadable(err, due)
 	}
 	if int64(len(body)) > limits.BodyBytes {
 		return refused(http.StatusRequestEntityTooLarge)
@@ -150,20 +152,19 @@
 
 func refused(status int) incoming { return incoming{status: status, last: true} }
 
-// unreadable says what becomes of a request that could not be read whole.
-func (c *serverConn) unreadable(err error) incoming {
+// unreadable says what becomes of a request that could not be read whole until it
+// was due. The parser hides the end of the time behind errors of its own.
+func (c *serverConn) unreadable(err error, due time.Time) incoming {
 	var network net.Error
 	switch {
 	case c.limit.left <= 0:
 		return refused(http.StatusRequestHeaderFieldsTooLarge)
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
-		return incoming{ended: true}
-	case !errors.As(err, &network):
-		return refused(http.StatusBadRequest)
-	case network.Timeout():
+	case !time.Now().Before(due):
 		return refused(http.StatusRequestTimeout)
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &network):
+		return incoming{ended: true}
 	}
-	return incoming{ended: true}
+	return refused(http.StatusBadRequest)
 }
 
 // goOn tells a caller that waits for it to send its body, if no answer is due.
--- /dev/null
+++ b/internal/steer/fleet_test.go
@@ -0,0 +1,398 @@
+package steer
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/firlever/firlever/internal/routes"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+var regions = map[string]string{"n1": "north", "n2": "north", "s1": "south", "s2": "south"}
+
+func config(instance, domain string) Config {
+	return Config{
+		Instance: instance, Domain: domain, Regions: regions,
+		RetryRatio: 0.2, RetrySlack: 60, ColdFactor: 1.5, ColdSlack: 5,
+	}
+}
+
+// newFleet makes a fleet with n targets of service s, spread over the domains.
+func newFleet(t *testing.T, n, slots int) *Fleet {
+	t.Helper()
+	f, err := New(config("a", "n1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Limit(start, map[string]routes.Service{"s": {Name: "s", Warmup: 3 * time.Second, ColdRate: 14}})
+	f.Peers(start, []string{"a", "b"})
+	domains := []string{"n1", "n2", "s1", "s2"}
+	for i := range n {
+		f.Put(start, Target{ID: fmt.Sprintf("t%02d", i), Service: "s", Domain: domains[i%4], Slots: slots})
+	}
+	return f
+}
+
+func query(object string) Query {
+	return Query{Service: "s", Object: object, Spread: object, Objective: 400 * time.Millisecond, Deadline: start.Add(time.Minute)}
+}
+
+func TestConfigFaults(t *testing.T) {
+	tests := map[string]func(*Config){
+		"no instance":     func(c *Config) { c.Instance = "" },
+		"unknown domain":  func(c *Config) { c.Domain = "x" },
+		"ratio above one": func(c *Config) { c.RetryRatio = 1.5 },
+		"negative slack":  func(c *Config) { c.ColdSlack = -1 },
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			cfg := config("a", "n1")
+			change(&cfg)
+			_, err := New(cfg)
+			var got *ConfigError
+			if !errors.As(err, &got) {
+				t.Errorf("got %v, want a *ConfigError", err)
+			}
+		})
+	}
+}
+
+// An object has the same home at every instance, and keeps it when another target
+// comes or goes.
+func TestOneHome(t *testing.T) {
+	homes := map[string]string{}
+	a, b := newFleet(t, 16, 8), newFleet(t, 16, 8)
+	b.cfg.Domain, b.region = "s2", "south"
+	moved := 0
+	for i := range 200 {
+		object := fmt.Sprint(i)
+		got, other := a.best(start, a.services["s"], query(object)), b.best(start, b.services["s"], query(object))
+		if got.Target.ID != other.Target.ID || !got.Home {
+			t.Fatalf("object %s: got %q and %q", object, got.Target.ID, other.Target.ID)
+		}
+		homes[object] = got.Target.ID
+	}
+	a.Remove("t03")
+	for object, home := range homes {
+		got := a.best(start, a.services["s"], query(object)).Target.ID
+		if home != "t03" && got != home {
+			t.Errorf("object %s moved from %s to %s", object, home, got)
+		}
+		if got != home {
+			moved++
+		}
+	}
+	if moved == 0 || moved > 40 {
+		t.Errorf("got %d of 200 objects moved, want about 12", moved)
+	}
+}
+
+// What an object's homes have no room for is refused, with a time to come back,
+// unless others are mostly idle: work that is done cold takes the slots of three.
+func TestSpill(t *testing.T) {
+	f := newFleet(t, 16, 4)
+	used := map[string]int{}
+	refused := 0
+	for range 200 {
+		c := f.Pick(start, query("hot"))
+		if c.Reason != "" {
+			refused++
+			if c.Again < againSoonest {
+				t.Fatalf("got %s until to come back", c.Again)
+			}
+			continue
+		}
+		used[c.Target.ID]++
+	}
+	full := 0
+	for id, n := range used {
+		if n > 2 {
+			full++
+		}
+		if n > 3*4 {
+			t.Errorf("got %d requests at %s with 4 slots", n, id)
+		}
+	}
+	if full != homes {
+		t.Errorf("got %d targets used in full, want %d", full, homes)
+	}
+	if refused == 0 {
+		t.Error("got no refusal")
+	}
+}
+
+// Large answers stay in the failure domain while it has room.
+func TestLargeAnswersStay(t *testing.T) {
+	f := newFleet(t, 16, 4)
+	for i := range 50 {
+		q := query(fmt.Sprint(i))
+		q.Size = 90e3
+		c := f.best(start, f.services["s"], q)
+		if c.Target.Domain != "n1" {
+			t.Errorf("object %d: got domain %s, want n1", i, c.Target.Domain)
+		}
+	}
+}
+
+func TestWhoGetsNothing(t *testing.T) {
+	tests := map[string]struct {
+		prepare func(f *Fleet)
+		query   func(q *Query)
+		want    func(c Choice) bool
+	}{
+		"leaving": {
+			prepare: func(f *Fleet) { f.Put(start, Target{ID: "t00", Service: "s", Domain: "n1", Slots: 4, Leaving: true}) },
+			want:    func(c Choice) bool { return c.Target.ID != "t00" },
+		},
+		"evacuated": {
+			prepare: func(f *Fleet) { f.Evacuate(start, []string{"n1", "n2"}) },
+			want:    func(c Choice) bool { return regions[c.Target.Domain] == "south" },
+		},
+		"outside the route's regions": {
+			query: func(q *Query) { q.Regions = []string{"south"} },
+			want:  func(c Choice) bool { return regions[c.Target.Domain] == "south" },
+		},
+		"tried before": {
+			query: func(q *Query) { q.Tried = []string{"t00", "t01", "t02"} },
+			want:  func(c Choice) bool { return c.Target.ID == "t03" },
+		},
+		"no target in the regions": {
+			query: func(q *Query) { q.Regions = []string{"east"} },
+			want:  func(c Choice) bool { return c.Reason == NoTarget },
+		},
+		"no time": {
+			query: func(q *Query) { q.Deadline = start },
+			want:  func(c Choice) bool { return c.Reason == NoRoom },
+		},
+		"ejected": {
+			prepare: func(f *Fleet) {
+				for range ejectInRow {
+					f.Done(start, "t00", Outcome{Ending: Failed})
+				}
+			},
+			want: func(c Choice) bool { return c.Target.ID != "t00" },
+		},
+		"full by its own word": {
+			prepare: func(f *Fleet) { f.Done(start, "t00", Outcome{Ending: Shed}) },
+			want:    func(c Choice) bool { return c.Target.ID != "t00" },
+		},
+		"another incarnation at the address": {
+			prepare: func(f *Fleet) { f.Done(start, "t00", Outcome{Ending: Replaced}) },
+			want:    func(c Choice) bool { return c.Target.ID != "t00" },
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 4, 4)
+			if tt.prepare != nil {
+				tt.prepare(f)
+			}
+			for i := range 40 {
+				q := query(fmt.Sprint(i))
+				if tt.query != nil {
+					tt.query(&q)
+				}
+				if c := f.best(start, f.services["s"], q); !tt.want(c) {
+					t.Errorf("object %d: got %+v", i, c)
+				}
+			}
+		})
+	}
+}
+
+// Where most targets fail, none is kept out.
+func TestEjectionFloor(t *testing.T) {
+	f := newFleet(t, 4, 4)
+	for _, id := range []string{"t00", "t01", "t02"} {
+		for range ejectInRow {
+			f.Done(start, id, Outcome{Ending: Failed})
+		}
+	}
+	got := map[string]bool{}
+	for i := range 40 {
+		got[f.best(start, f.services["s"], query(fmt.Sprint(i))).Target.ID] = true
+	}
+	if len(got) != 4 {
+		t.Errorf("got %d targets used, want all 4", len(got))
+	}
+	if all, usable := f.Targets(start, "s"); all != 4 || usable != 1 {
+		t.Errorf("got %d of %d usable, want 1 of 4", usable, all)
+	}
+}
+
+// A slow target loses its objects to their second homes, and gets them back some
+// time after it was last measured.
+func TestSlowTarget(t *testing.T) {
+	f := newFleet(t, 4, 4)
+	for id := range f.targets {
+		f.Done(start, id, Outcome{Ending: Answered, Took: 100 * time.Millisecond})
+	}
+	home := f.best(start, f.services["s"], query("x")).Target.ID
+	for range 10 {
+		f.Done(start, home, Outcome{Ending: Late, Took: 2 * time.Second})
+		f.targets[home].ejectedUntil = time.Time{}
+		f.services["s"].mean = 100 * time.Millisecond
+	}
+	if got := f.best(start, f.services["s"], query("x")).Target.ID; got == home {
+		t.Errorf("got the slow home %s", got)
+	}
+	q := query("x")
+	if got := f.best(start.Add(30*time.Second), f.services["s"], q).Target.ID; got != home {
+		t.Errorf("got %s after 30 s, want the home %s", got, home)
+	}
+}
+
+// The report of a target counts less and less, and not at all in the end.
+func TestReportFades(t *testing.T) {
+	f := newFleet(t, 1, 4)
+	f.Done(start, "t00", Outcome{Ending: Answered, Took: time.Second, Load: &Load{Running: 4, Waiting: 6}})
+	tests := map[string]struct {
+		after time.Duration
+		want  int
+	}{
+		"at once":       {0, 10},
+		"half its life": {loadLife / 2, 5},
+		"at its end":    {loadLife, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := f.targets["t00"].occupied(start.Add(tt.after)); got != tt.want {
+				t.Errorf("got %d, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+// Targets of a domain that is taken back may have gone cold unseen.
+func TestTakenBackIsCold(t *testing.T) {
+	f := newFleet(t, 4, 4)
+	f.Evacuate(start, []string{"n1"})
+	f.Evacuate(start.Add(time.Second), nil)
+	if !f.targets["t00"].cold(start.Add(2 * time.Second)) {
+		t.Error("got a warm target right after an evacuation")
+	}
+	if f.targets["t01"].cold(start.Add(2 * time.Second)) {
+		t.Error("got a cold target in a domain that was not evacuated")
+	}
+}
+
+// Whatever instances there are, and whatever part of them a few do not yet know
+// of, a cold target's bound holds over all of them in any window.
+func TestColdBound(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range 50 {
+		n := 1 + rng.IntN(100)
+		rate := 1 + 20*rng.Float64()
+		bound := int(rate*1.5 + 5)
+		names := make([]string, n)
+		for i := range names {
+			names[i] = fmt.Sprintf("i%d", i)
+		}
+		sum := 0
+		for _, name := range names {
+			f, err := New(config(name, "n1"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			f.Limit(start, map[string]routes.Service{"s": {Name: "s", ColdRate: rate}})
+			f.Peers(start, names)
+			f.Put(start, Target{ID: "t", Service: "s", Domain: "s1", Slots: 100, WarmAt: start.Add(time.Minute)})
+			for i := range 100 {
+				if f.Pick(start.Add(time.Duration(i)*time.Millisecond), query("x")).Reason == "" {
+					sum++
+				}
+			}
+		}
+		if sum > bound {
+			t.Errorf("%d instances, %.1f a second: got %d requests, want %d at most", n, rate, sum, bound)
+		}
+		if sum == 0 {
+			t.Errorf("%d instances, %.1f a second: got no request", n, rate)
+		}
+	}
+}
+
+// An instance that does not know the others yet sends nothing to a cold target.
+func TestColdBeforePeers(t *testing.T) {
+	f, err := New(config("a", "n1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Limit(start, map[string]routes.Service{"s": {Name: "s", ColdRate: 14}})
+	f.Put(start, Target{ID: "t", Service: "s", Domain: "n1", Slots: 9, WarmAt: start.Add(time.Second)})
+	if got := f.Pick(start, query("x")); got.Reason != Cold || got.Again <= 0 {
+		t.Errorf("got %+v, want a refusal for a cold target", got)
+	}
+	if got := f.Pick(start.Add(time.Second), query("x")); got.Reason != "" {
+		t.Errorf("got %+v from a warm target", got)
+	}
+}
+
+// Additional attempts of all instances together keep the bound of the service.
+func TestRetryBound(t *testing.T) {
+	rng := rand.New(rand.NewPCG(2, 2))
+	for range 20 {
+		n, requests := 1+rng.IntN(40), rng.IntN(300)
+		names := make([]string, n)
+		for i := range names {
+			names[i] = fmt.Sprintf("i%d", i)
+		}
+		retries := 0
+		for _, name := range names {
+			f, err := New(config(name, "n1"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			f.Peers(start, names)
+			f.Put(start, Target{ID: "t", Service: "s", Domain: "s1", Slots: 10000})
+			for range requests {
+				f.Pick(start, query("x"))
+				for range 3 {
+					q := query("x")
+					q.Retry = true
+					if f.Pick(start, q).Reason == "" {
+						retries++
+					}
+				}
+			}
+		}
+		if bound := int(0.2*float64(n*requests)) + 60; retries > bound {
+			t.Errorf("%d instances, %d requests each: got %d retries, want %d at most", n, requests, retries, bound)
+		}
+	}
+}
+
+// No run of outcomes in any order breaks the counts.
+func TestCountsStaySound(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 3))
+	f := newFleet(t, 8, 3)
+	now := start
+	var open []string
+	for range 20000 {
+		now = now.Add(time.Duration(rng.IntN(20)) * time.Millisecond)
+		if len(open) > 0 && rng.IntN(2) == 0 {
+			i := rng.IntN(len(open))
+			f.Done(now, open[i], Outcome{Ending: Ending(rng.IntN(6)), Took: time.Duration(rng.IntN(1000)) * time.Millisecond})
+			open = append(open[:i], open[i+1:]...)
+		} else {
+			q := query(fmt.Sprint(rng.IntN(50)))
+			q.Deadline = now.Add(time.Second)
+			if c := f.Pick(now, q); c.Reason == "" {
+				open = append(open, c.Target.ID)
+			}
+		}
+		if rng.IntN(50) == 0 {
+			id := fmt.Sprintf("t%02d", rng.IntN(8))
+			f.Put(now, Target{ID: id, Service: "s", Domain: "n1", Slots: 3, Leaving: rng.IntN(4) == 0})
+		}
+		for id, target := range f.targets {
+			if target.inFlight < 0 || target.failures < 0 || target.failures > 1 {
+				t.Fatalf("target %s: got %d in flight, %f failures", id, target.inFlight, target.failures)
+			}
+		}
+	}
+}
