Test an instance against stand-ins; write that it leaves from one goroutine

Cause: TestStop found a race: a stopping instance read the lease that the registrar's goroutine was writing, and could write its record under none. Change: the registrar writes it itself when told, and the lease is ended after its goroutine. Tests of outcomes (each behaviour of a target, runs counted), following the store, look-ups, stop, before the configuration, lost leases; of the mirror with a deaf watch, forgotten history and outages. A delayed removal keeps its own revision (TestOutage failed).

--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -28,7 +28,7 @@
 		return
 	}
 	line := []any{
-		"id", p.info.ID, "route", p.route.Name, "service", p.service, "config", p.version,
+		"id", p.info.ID, "object", p.info.Object, "route", p.route.Name, "service", p.service, "config", p.version,
 		"status", resp.Status, "took", took, "left", p.deadline.Sub(now), "attempts", p.arrived,
 		"target", p.choice.Target.ID, "wait", p.choice.Wait, "cost", p.choice.Cost, "home", p.choice.Home,
 		"cold", p.choice.Cold, "ending", p.ending, "reason", p.choice.Reason, "conn", p.in.Conn,
@@ -71,7 +71,7 @@
 	if !ok {
 		return
 	}
-	n.cfg.Log.Warn("attempt", "id", p.info.ID, "route", p.route.Name, "target", target.ID, "address", target.Address,
+	n.cfg.Log.Warn("attempt", "id", p.info.ID, "object", p.info.Object, "route", p.route.Name, "target", target.ID, "address", target.Address,
 		"domain", target.Domain, "ending", v.ending, "sent", v.sent, "unrun", v.notRun, "again", p.again(),
 		"took", took, "suppressed", suppressed, "err", err)
 }
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -67,7 +67,7 @@
 		successes: logs.NewLimiter(cfg.LogRate), failures: logs.NewLimiter(failureLines),
 	}
 	n.mirror = mirror.New(n.store, n)
-	n.registrar = &registrar{node: n}
+	n.registrar = newRegistrar(n)
 	n.server = http1.NewServer(n.handle, n.limits, n.unreadable)
 	return n, nil
 }
--- /dev/null
+++ b/internal/edge/node_test.go
@@ -0,0 +1,274 @@
+package edge
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// What a target does decides what the caller gets, and how often the request runs.
+// Two targets behave alike, so that a second attempt would be seen.
+func TestOutcomes(t *testing.T) {
+	tests := map[string]struct {
+		behaviour string
+		path      string
+		status    int
+		most      int // runs over all targets
+		again     bool
+	}{
+		"good":                        {"good", "/do/x", 200, 1, false},
+		"shed, not idempotent":        {"shed", "/do/x", 503, 0, true},
+		"shed, idempotent":            {"shed", "/get/x", 503, 0, true},
+		"replaced":                    {"replaced", "/do/x", 503, 0, true},
+		"error, not idempotent":       {"error", "/do/x", 500, 1, false},
+		"error, idempotent":           {"error", "/get/x", 500, 2, false},
+		"reset, not idempotent":       {"reset", "/do/x", 502, 1, false},
+		"reset, idempotent":           {"reset", "/get/x", 502, 2, false},
+		"cut, not idempotent":         {"cut", "/do/x", 502, 1, false},
+		"cut, idempotent":             {"cut", "/get/x", 502, 2, false},
+		"unsigned, not idempotent":    {"unsigned", "/do/x", 502, 1, false},
+		"another's, not idempotent":   {"another's", "/do/x", 504, 1, false},
+		"no answer, not idempotent":   {"hang", "/do/x", 504, 1, false},
+		"no answer, idempotent":       {"hang", "/get/x", 504, 1, false},
+		"no route":                    {"good", "/none/x", 404, 0, false},
+		"prefix without its slash":    {"good", "/do", 404, 0, false},
+		"path that has to stay as is": {"good", "/do/a%2Fb//c?d=%20", 200, 1, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t)
+			r.configure(1, "s")
+			a, b := r.target(tt.behaviour), r.target(tt.behaviour)
+			r.register("a", a.address, "n1", "ready")
+			r.register("b", b.address, "s1", "ready")
+			r.start()
+			got := r.send("POST", tt.path)
+			if got.status != tt.status || got.closed {
+				t.Errorf("got %+v, want status %d", got, tt.status)
+			}
+			if runs := a.runs() + b.runs(); runs > tt.most || tt.status == 200 && runs != 1 {
+				t.Errorf("got %d runs, want %d at most", runs, tt.most)
+			}
+			if (got.again != "") != tt.again {
+				t.Errorf("got Retry-After %q, want one: %t", got.again, tt.again)
+			}
+			if got.took > 800*time.Millisecond {
+				t.Errorf("got an answer after %s, want it by the route's timeout", got.took)
+			}
+			for _, seen := range append(a.got, b.got...) {
+				id := seen[len(seen)-1:]
+				if want := fmt.Sprintf("POST %s hi %s", tt.path, id); seen != want {
+					t.Errorf("got %q at a target, want %q", seen, want)
+				}
+			}
+		})
+	}
+}
+
+// An idempotent request is answered by the second target when the first fails.
+func TestSecondTarget(t *testing.T) {
+	for _, behaviour := range []string{"shed", "replaced", "error", "reset", "cut", "unsigned"} {
+		t.Run(behaviour, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t)
+			r.configure(1, "s")
+			// One of each kind: whichever is asked first, one success is certain.
+			a := r.target(behaviour)
+			r.register("a", a.address, "n1", "ready")
+			r.register("b", r.target("good").address, "s1", "ready")
+			r.start()
+			r.knows(2)
+			if got := r.send("GET", "/get/x"); got.status != 200 || got.body != "ok" {
+				t.Errorf("got %+v, want ok", got)
+			}
+		})
+	}
+}
+
+func TestDeadTarget(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, "s")
+	for i := range 3 {
+		r.register(fmt.Sprintf("dead%d", i), free(t), "n1", "ready")
+	}
+	r.register("b", r.target("good").address, "s1", "ready")
+	r.start()
+	r.knows(4)
+	if got := r.send("POST", "/do/x"); got.status != 200 {
+		t.Errorf("got %+v, want 200: nothing was sent to the dead ones", got)
+	}
+}
+
+// The target stops working when the caller has left, unless the work can't be
+// repeated.
+func TestCallerLeaves(t *testing.T) {
+	for path, stops := range map[string]bool{"/get/x": true, "/do/x": false} {
+		t.Run(path, func(t *testing.T) {
+			r := newRig(t)
+			r.configure(1, "s")
+			target := r.target("hang")
+			r.register("a", target.address, "n1", "ready")
+			r.start()
+			r.knows(1)
+			c, err := net.Dial("tcp", r.node.cfg.Settings.Callers)
+			if err != nil {
+				t.Fatal(err)
+			}
+			fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nRequest-Id: q1\r\nContent-Length: 0\r\n\r\n", path)
+			r.within("the target works", func() bool { return target.runs() == 1 })
+			begin := time.Now()
+			c.Close()
+			<-target.left
+			if took := time.Since(begin); stops != (took < 150*time.Millisecond) {
+				t.Errorf("got the end of the work after %s, want it at once: %t", took, stops)
+			}
+		})
+	}
+}
+
+func TestFollowsTheStore(t *testing.T) {
+	r := newRig(t)
+	r.configure(3, "s")
+	r.start()
+	r.register("a", r.target("good").address, "n1", "ready")
+	r.knows(1)
+	r.register("a", "127.0.0.1:1", "n1", "draining")
+	r.knows(0)
+	r.register("b", r.target("good").address, "s1", "ready")
+	r.knows(1)
+	r.store.Put("op/evacuate/s1", []byte("{}"))
+	r.knows(0)
+	r.store.Remove("op/evacuate/s1")
+	r.knows(1)
+	r.store.Remove("servers/b")
+	r.knows(0)
+	if got := r.send("GET", "/get/x"); got.status != 503 || got.again == "" {
+		t.Errorf("got %+v without a target, want 503 and when to come back", got)
+	}
+	r.configure(2, "old")
+	r.store.Put("op/config", []byte("{"))
+	r.configure(5, "new")
+	r.within("version 5 is in force", func() bool { return r.node.table.Load().Config().Version == 5 })
+}
+
+// A configuration of an older version is never taken.
+func TestVersionsDoNotGoBack(t *testing.T) {
+	r := newRig(t)
+	r.configure(5, "s")
+	r.start()
+	r.configure(4, "old")
+	r.register("a", r.target("good").address, "n1", "ready")
+	r.knows(1) // what was written before is known too
+	if got := r.node.table.Load().Config().Version; got != 5 {
+		t.Errorf("got version %d in force, want 5", got)
+	}
+}
+
+func TestLookup(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, "s")
+	r.store.Put(instancePrefix+"e2", []byte(`{"callers":"10.0.0.2:1","domain":"n2","region":"north"}`))
+	r.store.Put(instancePrefix+"e3", []byte(`{"callers":"10.0.0.3:1","domain":"s1","region":"south"}`))
+	r.store.Put(instancePrefix+"e4", []byte(`{"callers":"10.0.0.4:1","domain":"s1","region":"south","leaving":true}`))
+	r.start()
+	r.within("the node is registered", func() bool { return r.store.Get(instancePrefix+"e1") != nil })
+	own := r.node.cfg.Settings.Callers
+	tests := map[string]struct {
+		region, domain string
+		want           []string
+	}{
+		"own domain":        {"north", "n2", []string{"10.0.0.2:1"}},
+		"none in domain":    {"north", "n9", []string{"10.0.0.2:1", own}},
+		"leaves out leaver": {"south", "s1", []string{"10.0.0.3:1"}},
+		"none in region":    {"east", "e1", []string{"10.0.0.2:1", "10.0.0.3:1", own}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r.within(fmt.Sprint(tt.want), func() bool {
+				return fmt.Sprint(lookup(t, r, tt.region, tt.domain)) == fmt.Sprint(tt.want)
+			})
+		})
+	}
+}
+
+func lookup(t *testing.T, r *rig, region, domain string) []string {
+	t.Helper()
+	resp, err := http.Get(fmt.Sprintf("http://%s/resolve?name=h&region=%s&zone=%s", r.node.cfg.Settings.Lookups, region, domain))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var answer struct {
+		Addresses []string `json:"addresses"`
+		TTL       string   `json:"ttl"`
+	}
+	b, _ := io.ReadAll(resp.Body)
+	if err := json.Unmarshal(b, &answer); err != nil {
+		t.Fatalf("%s: %v", b, err)
+	}
+	if answer.TTL != "50ms" {
+		t.Errorf("got ttl %q, want 50ms", answer.TTL)
+	}
+	return answer.Addresses
+}
+
+// A planned stop answers what is in flight, and is seen in the store at once.
+func TestStop(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, "s")
+	target := r.target("hang", "good")
+	r.register("a", target.address, "n1", "ready")
+	r.start()
+	r.knows(1)
+	replies := make(chan reply)
+	go func() { replies <- r.send("GET", "/get/x") }()
+	r.within("the target works", func() bool { return target.runs() == 1 })
+	stopped := make(chan struct{})
+	go func() {
+		r.node.Stop()
+		close(stopped)
+	}()
+	r.within("it is not ready", func() bool { return !r.node.Ready() })
+	r.within("the store says so", func() bool {
+		rec, err := decodeRecord(r.store.Get(instancePrefix + "e1"))
+		return err == nil && rec.Leaving
+	})
+	if got := r.send("GET", "/get/x"); got.status != 200 {
+		t.Errorf("got %+v right after the signal, want 200", got)
+	}
+	if got := <-replies; got.status != 504 || got.closed {
+		t.Errorf("got %+v in flight, want an answer", got)
+	}
+	<-stopped
+	if got := r.store.Get(instancePrefix + "e1"); got != nil {
+		t.Errorf("got record %s after the stop", got)
+	}
+}
+
+// Without a configuration requests are refused for a while, not for good, and the
+// instance is not ready.
+func TestBeforeConfiguration(t *testing.T) {
+	r := newRig(t)
+	r.launch()
+	got := r.send("GET", "/get/x")
+	if got.status != 503 || got.again == "" || r.node.Ready() {
+		t.Errorf("got %+v, ready %t, want 503 and not ready", got, r.node.Ready())
+	}
+	r.configure(1, "s")
+	r.within("the node is ready", r.node.Ready)
+}
+
+// The lease and with it the record come back when the store has dropped them.
+func TestRegistersAgain(t *testing.T) {
+	r := newRig(t)
+	r.launch()
+	registered := func() bool { return r.store.Get(instancePrefix+"e1") != nil }
+	r.within("the node is registered", registered)
+	r.store.Revoke()
+	r.within("the node is registered again", registered)
+}
--- a/internal/edge/register.go
+++ b/internal/edge/register.go
@@ -9,11 +9,17 @@
 	"github.com/firlever/firlever/platform"
 )
 
-// registrar keeps this instance's record in the store while it runs.
+// registrar keeps this instance's record in the store while it runs. Its state is
+// used by the goroutine of run alone, and by end after that.
 type registrar struct {
-	node  *Node
-	lease platform.LeaseID // 0: none
-	lost  bool             // the last call failed
+	node    *Node
+	leaving chan struct{}    // tells run to write that this instance leaves
+	lease   platform.LeaseID // 0: none
+	lost    bool             // the last call failed
+}
+
+func newRegistrar(n *Node) *registrar {
+	return &registrar{node: n, leaving: make(chan struct{}, 1)}
 }
 
 // run registers and renews until ctx ends.
@@ -25,6 +31,8 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-r.leaving:
+			r.leave(ctx)
 		case <-ticker.C:
 		}
 	}
@@ -83,8 +91,12 @@
 	}
 }
 
-// leave writes that this instance takes no new callers.
+// leave writes that this instance takes no new callers. Without a lease, the next
+// step writes it.
 func (r *registrar) leave(ctx context.Context) {
+	if r.lease == 0 {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	if err := r.write(ctx, r.lease, true); err != nil {
--- /dev/null
+++ b/internal/edge/rig_test.go
@@ -0,0 +1,239 @@
+package edge
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/firlever/firlever/internal/emulator/store"
+	"github.com/firlever/firlever/platform"
+)
+
+// rig is a node with a stand-in store and scripted targets.
+type rig struct {
+	t     *testing.T
+	store *store.Store
+	node  *Node
+	url   string // of the store, without the scheme
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	fake := store.New()
+	server := httptest.NewServer(fake)
+	r := &rig{t: t, store: fake, url: strings.TrimPrefix(server.URL, "http://")}
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+		fake.Close()
+	})
+	return r
+}
+
+// start starts the node and waits until it is ready.
+func (r *rig) start() {
+	r.t.Helper()
+	r.launch()
+	r.within("the node is ready", r.node.Ready)
+}
+
+// launch starts the node.
+func (r *rig) launch() {
+	r.t.Helper()
+	n, err := New(Config{
+		Log: log.New(io.Discard),
+		TTL: 50 * time.Millisecond,
+		Settings: platform.Settings{
+			Instance: "e1", Domain: "n1", Region: "north", Regions: map[string]string{"n1": "north", "s1": "south"},
+			Callers: free(r.t), Ready: free(r.t), Lookups: free(r.t), Store: r.url,
+			Bounds: platform.Bounds{
+				Grace: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 60, ColdFactor: 1.5, ColdSlack: 5,
+				LookupTTL: 5 * time.Second,
+			},
+		},
+	})
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	if err := n.Start(); err != nil {
+		r.t.Fatal(err)
+	}
+	r.node = n
+	r.t.Cleanup(func() {
+		if !n.stopping.Load() {
+			n.Stop()
+		}
+	})
+}
+
+func free(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// bound is the shortest time until a change has to be in force.
+const bound = 2 * time.Second
+
+func (r *rig) within(what string, ok func() bool) {
+	r.t.Helper()
+	for end := time.Now().Add(bound); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	r.t.Fatalf("not within %s: %s", bound, what)
+}
+
+// configure writes a configuration with routes /get/ and /do/ of service s, whose
+// requests time out after 300 ms.
+func (r *rig) configure(version int, service string) {
+	const route = `{"resource_kind":"routes","metadata":{"name":"%s"},"spec":{"host":"h","prefix":"/%s/","route_type":"%s","timeout":"300ms","target_latency":"100ms","max_attempts":2,"service":"%s","session_affinity":true}}`
+	r.store.Put(platform.ConfigKey, fmt.Appendf(nil, `{"version":%d,"resources":[%s,%s]}`, version,
+		fmt.Sprintf(route, "get", "get", "idempotent", service), fmt.Sprintf(route, "do", "do", "non_idempotent", service)))
+}
+
+// register writes a target of service s.
+func (r *rig) register(id, address, domain, state string) {
+	r.store.Put(platform.TargetPrefix+id, fmt.Appendf(nil,
+		`{"address":%q,"info":{"service":"s","zone":%q,"capacity":4},"status":{"state":%q,"warmup_left":"0ms"}}`, address, domain, state))
+}
+
+// knows waits until the node knows so many usable targets.
+func (r *rig) knows(usable int) {
+	r.t.Helper()
+	r.within(fmt.Sprintf("%d usable targets", usable), func() bool {
+		r.node.mu.Lock()
+		defer r.node.mu.Unlock()
+		_, n := r.node.fleet.Targets(time.Now(), "s")
+		return n == usable
+	})
+}
+
+// reply is an answer as a caller sees it.
+type reply struct {
+	status int
+	body   string
+	again  string
+	closed bool // no whole answer came
+	took   time.Duration
+}
+
+// send sends a request and reads its answer.
+func (r *rig) send(method, path string) reply {
+	r.t.Helper()
+	c, err := net.Dial("tcp", r.node.cfg.Settings.Callers)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer c.Close()
+	begin := time.Now()
+	c.SetDeadline(begin.Add(5 * time.Second))
+	fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: h\r\nRequest-Id: q1\r\nDeadline-Ms: 2000\r\nCookie: Affinity-Key=7\r\nContent-Length: 2\r\n\r\nhi", method, path)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return reply{closed: true, took: time.Since(begin)}
+	}
+	b, err := io.ReadAll(resp.Body)
+	return reply{
+		status: resp.StatusCode, body: string(b), again: resp.Header.Get("Retry-After"), closed: err != nil, took: time.Since(begin),
+	}
+}
+
+// target is a scripted target: each request gets the next behaviour, the last one
+// again and again.
+type target struct {
+	address string
+
+	mu   sync.Mutex
+	ran  int           // requests that it began to work on; guarded by mu
+	got  []string      // "METHOD URI body target" of each request; guarded by mu
+	left chan struct{} // gets a value when a caller leaves during "hang"
+}
+
+func (r *rig) target(behaviours ...string) *target {
+	r.t.Helper()
+	t := &target{left: make(chan struct{}, 10)}
+	next := make(chan string, len(behaviours))
+	last := behaviours[len(behaviours)-1]
+	for _, b := range behaviours {
+		next <- b
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		b := last
+		select {
+		case b = <-next:
+		default:
+		}
+		t.answer(w, q, b)
+	}))
+	r.t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	t.address = server.Listener.Addr().String()
+	return t
+}
+
+func (t *target) answer(w http.ResponseWriter, q *http.Request, behaviour string) {
+	body, _ := io.ReadAll(q.Body)
+	refuses := behaviour == "shed" || behaviour == "replaced"
+	t.mu.Lock()
+	if !refuses {
+		t.ran++
+	}
+	t.got = append(t.got, fmt.Sprintf("%s %s %s %s", q.Method, q.RequestURI, body, q.Header.Get("Target-Instance")))
+	t.mu.Unlock()
+	h := w.Header()
+	h.Set("Request-Id", q.Header.Get("Request-Id"))
+	switch behaviour {
+	case "shed":
+		h.Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case "replaced":
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	case "error":
+		h.Set("Response-Signature", "sig")
+		w.WriteHeader(http.StatusInternalServerError)
+	case "unsigned":
+		io.WriteString(w, "bad")
+	case "another's":
+		h.Set("Request-Id", "q0")
+		h.Set("Response-Signature", "sig")
+		io.WriteString(w, "bad")
+	case "reset":
+		c, _, _ := w.(http.Hijacker).Hijack()
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	case "cut":
+		c, _, _ := w.(http.Hijacker).Hijack()
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nResponse-Signature: sig\r\nContent-Length: 10\r\n\r\nbad")
+		c.Close()
+	case "hang":
+		<-q.Context().Done()
+		t.left <- struct{}{}
+	default:
+		h.Set("Response-Signature", "sig")
+		h.Set("Server-Load", "1,0,4")
+		io.WriteString(w, "ok")
+	}
+}
+
+func (t *target) runs() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ran
+}
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -15,15 +15,16 @@
 	n.cfg.Log.Info("stopping", "deadline", deadline, "connections", n.server.Open())
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	go n.registrar.leave(ctx)
+	n.registrar.leaving <- struct{}{}
 	wait(ctx, begin.Add(leaveTime))
 	n.server.Drain()
 	wait(ctx, begin.Add(leaveTime+keptLonger*n.cfg.TTL))
 	n.callers.Close()
 	n.server.CloseIdle()
 	err := n.server.Wait(ctx)
-	n.registrar.end(context.Background())
 	n.cancel()
+	n.work.Wait()
+	n.registrar.end(context.Background())
 	for _, server := range n.web {
 		server.Close()
 	}
--- a/internal/mirror/copy.go
+++ b/internal/mirror/copy.go
@@ -101,6 +101,7 @@
 	if !now.Before(c.settled) {
 		return []Change{c.drop(key, changed)}
 	}
+	c.revisions[key] = changed
 	if _, ok := c.missing[key]; !ok {
 		c.missing[key] = c.settled
 	}
--- /dev/null
+++ b/internal/mirror/copy_test.go
@@ -0,0 +1,107 @@
+package mirror
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/firlever/firlever/platform"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func put(key string, revision platform.Revision) platform.Event {
+	return platform.Event{Item: platform.Item{Key: key, Changed: revision}}
+}
+
+func removed(key string, revision platform.Revision) platform.Event {
+	e := put(key, revision)
+	e.Removed = true
+	return e
+}
+
+func show(changes []Change) string {
+	text := ""
+	for _, c := range changes {
+		sign := "+"
+		if c.Removed {
+			sign = "-"
+		}
+		text += fmt.Sprintf("%s%s@%d ", sign, c.Key, c.Changed)
+	}
+	return text
+}
+
+func TestApply(t *testing.T) {
+	tests := map[string]struct {
+		events []platform.Event
+		want   string
+	}{
+		"new and changed":      {[]platform.Event{put("a", 1), put("a", 2)}, "+a@1 +a@2 "},
+		"older than known":     {[]platform.Event{put("a", 2), put("a", 1)}, "+a@2 "},
+		"twice":                {[]platform.Event{put("a", 1), put("a", 1)}, "+a@1 "},
+		"removed":              {[]platform.Event{put("a", 1), removed("a", 2)}, "+a@1 -a@2 "},
+		"removed, not known":   {[]platform.Event{removed("a", 2)}, ""},
+		"removed before known": {[]platform.Event{put("a", 3), removed("a", 2)}, "+a@3 "},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := show(NewCopy().Apply(start, tt.events)); got != tt.want {
+				t.Errorf("got %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestReplace(t *testing.T) {
+	c := NewCopy()
+	c.Apply(start, []platform.Event{put("a", 1), put("b", 2), put("c", 5)})
+	items := []platform.Item{{Key: "a", Changed: 3}, {Key: "c", Changed: 4}, {Key: "d", Changed: 4}}
+	want := "+a@3 +d@4 -b@2 "
+	if got := show(c.Replace(start, items)); got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+// Keys that are missing when the store is back get time to come back.
+func TestOutage(t *testing.T) {
+	tests := map[string]struct {
+		back bool   // a is written again a second after the outage
+		want string // changes until long after it
+	}{
+		"comes back": {true, "+a@9 "},
+		"is gone":    {false, "-a@8 "},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := NewCopy()
+			c.Apply(start, []platform.Event{put("a", 1)})
+			c.Outage(start)
+			got := c.Apply(start.Add(time.Second), []platform.Event{removed("a", 8)})
+			if tt.back {
+				got = append(got, c.Apply(start.Add(time.Second), []platform.Event{put("a", 9)})...)
+			}
+			got = append(got, c.Due(start.Add(settle-time.Millisecond))...)
+			if !tt.back && len(got) != 0 {
+				t.Errorf("got %q before the time is over", show(got))
+			}
+			got = append(got, c.Due(start.Add(settle))...)
+			if show(got) != tt.want {
+				t.Errorf("got %q, want %q", show(got), tt.want)
+			}
+		})
+	}
+}
+
+// A list that lacks a key after an outage counts like its removal.
+func TestOutageList(t *testing.T) {
+	c := NewCopy()
+	c.Apply(start, []platform.Event{put("a", 1), put("b", 2)})
+	c.Outage(start)
+	if got := show(c.Replace(start, []platform.Item{{Key: "b", Changed: 2}})); got != "" {
+		t.Errorf("got %q at once", got)
+	}
+	if got, want := show(c.Due(start.Add(settle))), "-a@1 "; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
--- /dev/null
+++ b/internal/mirror/mirror_test.go
@@ -0,0 +1,134 @@
+package mirror
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/firlever/firlever/internal/emulator/store"
+	"github.com/firlever/firlever/platform"
+)
+
+// sink keeps what the mirror finds.
+type sink struct {
+	mu    sync.Mutex
+	keys  map[string]string // guarded by mu
+	lost  int               // guarded by mu
+	found int               // guarded by mu
+}
+
+func (s *sink) Changed(changes []Change, _ bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range changes {
+		if c.Removed {
+			delete(s.keys, c.Key)
+			continue
+		}
+		s.keys[c.Key] = string(c.Value)
+	}
+}
+
+func (s *sink) Lost(error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost++
+}
+
+func (s *sink) Found() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.found++
+}
+
+func (s *sink) get(key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.keys[key]
+}
+
+func run(t *testing.T) (*store.Store, *sink) {
+	t.Helper()
+	fake := store.New()
+	server := httptest.NewServer(fake)
+	out := &sink{keys: make(map[string]string)}
+	m := New(platform.NewStore(strings.TrimPrefix(server.URL, "http://")), out)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		m.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		server.CloseClientConnections()
+		server.Close()
+		fake.Close()
+	})
+	return fake, out
+}
+
+// within fails the test unless ok holds within a time.
+func within(t *testing.T, limit time.Duration, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Errorf("not within %s: %s", limit, what)
+}
+
+// bound is the shortest time until a change has to be in force.
+const bound = 2 * time.Second
+
+func TestFollows(t *testing.T) {
+	fake, out := run(t)
+	fake.Put("a", []byte("1"))
+	within(t, bound, "a is 1", func() bool { return out.get("a") == "1" })
+	fake.Put("a", []byte("2"))
+	within(t, bound, "a is 2", func() bool { return out.get("a") == "2" })
+	fake.Remove("a")
+	within(t, bound, "a is gone", func() bool { return out.get("a") == "" })
+}
+
+// Changes that a watch does not deliver are found in time.
+func TestDeafWatch(t *testing.T) {
+	fake, out := run(t)
+	fake.Put("a", []byte("1"))
+	within(t, bound, "a is 1", func() bool { return out.get("a") == "1" })
+	fake.SetFaults(store.Faults{Deaf: true})
+	fake.Put("a", []byte("2"))
+	within(t, bound, "a is 2 though the watch hears nothing", func() bool { return out.get("a") == "2" })
+}
+
+func TestForgottenHistory(t *testing.T) {
+	fake, out := run(t)
+	fake.Put("a", []byte("1"))
+	within(t, bound, "a is 1", func() bool { return out.get("a") == "1" })
+	fake.SetFaults(store.Faults{Deaf: true})
+	fake.Put("a", []byte("2"))
+	fake.Forget()
+	within(t, bound, "a is 2 by a list", func() bool { return out.get("a") == "2" })
+}
+
+func TestOutageOfTheStore(t *testing.T) {
+	tests := map[string]store.Faults{"refuses": {Refuse: true}, "silent": {Silent: true}}
+	for name, faults := range tests {
+		t.Run(name, func(t *testing.T) {
+			fake, out := run(t)
+			fake.Put("a", []byte("1"))
+			within(t, bound, "a is 1", func() bool { return out.get("a") == "1" })
+			fake.SetFaults(faults)
+			fake.Put("b", []byte("1")) // wakes the watch
+			time.Sleep(50 * time.Millisecond)
+			fake.SetFaults(store.Faults{})
+			fake.Put("a", []byte("2"))
+			within(t, 2*bound, "a is 2", func() bool { return out.get("a") == "2" })
+		})
+	}
+}
