Follow the store through one instance a region

Change: the first instance of a region by name follows the store and passes the changes on; the others follow it. Its answer says how old its knowledge is. One that is silent for 1.2 s, that does not follow the store itself, or whose knowledge is older than 1.3 s is left alone for 5 s, and the store is asked. Nothing is elected; two that follow each other both find out. Tests: changes come within 2 s with the relay gone, deaf, without history, or in a circle.

--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -13,7 +13,7 @@
 )
 
 // Changed takes in changes of the store.
-func (n *Node) Changed(changes []mirror.Change, listed bool) {
+func (n *Node) Changed(changes []mirror.Change) {
 	now := time.Now()
 	instances := false
 	for _, c := range changes {
@@ -34,9 +34,18 @@
 	if instances {
 		n.applyPeers(now)
 	}
-	if listed && !n.listed.Swap(true) {
-		n.cfg.Log.Info("store listed", "keys", len(changes))
-	}
+}
+
+// Listed notes that the whole store has been read.
+func (n *Node) Listed() {
+	n.listed.Store(true)
+	n.cfg.Log.Info("store listed")
+}
+
+// Alone notes that the relay of the region is not followed for a while.
+func (n *Node) Alone(err error) {
+	n.cfg.Metrics.PlatformFailed("relay")
+	n.cfg.Log.Warn("relay lost", "err", err)
 }
 
 // Lost notes that the store is out of reach; what is known of it is used on.
--- a/internal/edge/instances.go
+++ b/internal/edge/instances.go
@@ -15,6 +15,7 @@
 // record is what an instance writes of itself into the store.
 type record struct {
 	Callers string `json:"callers"` // address for requests, IP:port
+	Peers   string `json:"peers"`   // address for other instances, IP:port
 	Domain  string `json:"domain"`
 	Region  string `json:"region"`
 	Leaving bool   `json:"leaving"` // it stops, and takes no new callers
@@ -56,6 +57,21 @@
 	return names
 }
 
+// relay returns the peers' address of the instance that follows the store for its
+// region: the first by name of those that don't leave. It is empty if that is self.
+func (i *instances) relay(region, self string) string {
+	i.mu.RLock()
+	defer i.mu.RUnlock()
+	first := self
+	address := ""
+	for name, r := range i.records {
+		if r.Region == region && !r.Leaving && r.Peers != "" && name < first {
+			first, address = name, r.Peers
+		}
+	}
+	return address
+}
+
 // near returns the addresses for callers of a failure domain: those of its own
 // instances, or of its region's if it has none, or all. Instances that leave are
 // named by none.
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -4,10 +4,12 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/go-chi/chi/v5"
 	"github.com/juju/errors"
 
 	"github.com/firlever/firlever/internal/http1"
@@ -32,6 +34,7 @@
 	server    *http1.Server
 	web       []*http.Server // look-ups, readiness and metrics
 	callers   net.Listener
+	peers     string // address for other instances, IP:port
 
 	instances instances
 	evacuated map[string]bool // used by the mirror's goroutine alone
@@ -66,7 +69,8 @@
 		evacuated: make(map[string]bool), sizes: make(map[string]float64),
 		successes: logs.NewLimiter(cfg.LogRate), failures: logs.NewLimiter(failureLines),
 	}
-	n.mirror = mirror.New(n.store, n)
+	n.peers = peersAddress(s)
+	n.mirror = mirror.New(n.store, n, n.relay)
 	n.registrar = newRegistrar(n)
 	n.server = http1.NewServer(n.handle, n.limits, n.unreadable)
 	return n, nil
@@ -81,7 +85,9 @@
 	}
 	n.callers = ln
 	go n.server.Serve(ln)
-	for address, handler := range map[string]http.Handler{s.Lookups: n.lookups(), s.Ready: n.readiness()} {
+	for address, handler := range map[string]http.Handler{
+		s.Lookups: n.lookups(), s.Ready: n.readiness(), n.peers: n.forPeers(),
+	} {
 		if err := n.serveWeb(address, handler); err != nil {
 			return err
 		}
@@ -93,6 +99,27 @@
 	return nil
 }
 
+// peersAddress is where other instances reach this one: at the address that the
+// platform gives for that, or else at the first of the ports that are ours.
+func peersAddress(s *platform.Settings) string {
+	if s.Peers != "" {
+		return s.Peers
+	}
+	return net.JoinHostPort(s.IP, strconv.Itoa(s.Ports.First))
+}
+
+// relay is the peer to follow instead of the store.
+func (n *Node) relay() string {
+	return n.instances.relay(n.cfg.Settings.Region, n.cfg.Settings.Instance)
+}
+
+// forPeers serves other instances.
+func (n *Node) forPeers() http.Handler {
+	r := chi.NewRouter()
+	r.Handle(mirror.RelayPath, n.mirror)
+	return r
+}
+
 // ServeMetrics serves the metrics at an address, IP:port.
 func (n *Node) ServeMetrics(address string) error {
 	mux := http.NewServeMux()
--- a/internal/edge/register.go
+++ b/internal/edge/register.go
@@ -64,7 +64,9 @@
 
 func (r *registrar) write(ctx context.Context, lease platform.LeaseID, leaving bool) error {
 	s := &r.node.cfg.Settings
-	value, err := json.Marshal(record{Callers: s.Callers, Domain: s.Domain, Region: s.Region, Leaving: leaving})
+	value, err := json.Marshal(record{
+		Callers: s.Callers, Peers: r.node.peers, Domain: s.Domain, Region: s.Region, Leaving: leaving,
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/edge/rig_test.go
+++ b/internal/edge/rig_test.go
@@ -54,7 +54,7 @@
 		TTL: 50 * time.Millisecond,
 		Settings: platform.Settings{
 			Instance: "e1", Domain: "n1", Region: "north", Regions: map[string]string{"n1": "north", "s1": "south"},
-			Callers: free(r.t), Ready: free(r.t), Lookups: free(r.t), Store: r.url,
+			Callers: free(r.t), Ready: free(r.t), Lookups: free(r.t), Peers: free(r.t), Store: r.url,
 			Bounds: platform.Bounds{
 				Grace: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 60, ColdFactor: 1.5, ColdSlack: 5,
 				LookupTTL: 5 * time.Second,
--- a/internal/mirror/copy.go
+++ b/internal/mirror/copy.go
@@ -57,25 +57,23 @@
 	return changes
 }
 
-// Replace takes in a whole list of what the store holds. Keys that are not in it
-// are gone; items older than what is known are skipped.
-func (c *Copy) Replace(now time.Time, items []platform.Item) []Change {
-	var changes []Change
+// Difference returns the events that lead from the copy to a whole list of what
+// the store held at a revision. Items older than what is known are skipped.
+func (c *Copy) Difference(items []platform.Item, at platform.Revision) []platform.Event {
+	var events []platform.Event
 	listed := make(map[string]bool, len(items))
 	for _, item := range items {
 		listed[item.Key] = true
 		if old, known := c.revisions[item.Key]; !known || item.Changed > old {
-			changes = append(changes, c.put(item))
-		} else {
-			delete(c.missing, item.Key)
+			events = append(events, platform.Event{Item: item})
 		}
 	}
 	for _, key := range slices.Sorted(maps.Keys(c.revisions)) {
-		if !listed[key] {
-			changes = append(changes, c.remove(now, key, c.revisions[key])...)
+		if !listed[key] && c.revisions[key] < at {
+			events = append(events, platform.Event{Item: platform.Item{Key: key, Changed: at}, Removed: true})
 		}
 	}
-	return changes
+	return events
 }
 
 // Due returns the removals whose delay is over.
--- a/internal/mirror/copy_test.go
+++ b/internal/mirror/copy_test.go
@@ -53,12 +53,12 @@
 	}
 }
 
-func TestReplace(t *testing.T) {
+func TestDifference(t *testing.T) {
 	c := NewCopy()
-	c.Apply(start, []platform.Event{put("a", 1), put("b", 2), put("c", 5)})
+	c.Apply(start, []platform.Event{put("a", 1), put("b", 2), put("c", 5), put("e", 9)})
 	items := []platform.Item{{Key: "a", Changed: 3}, {Key: "c", Changed: 4}, {Key: "d", Changed: 4}}
-	want := "+a@3 +d@4 -b@2 "
-	if got := show(c.Replace(start, items)); got != want {
+	want := "+a@3 +d@4 -b@6 " // e was written after the list
+	if got := show(c.Apply(start, c.Difference(items, 6))); got != want {
 		t.Errorf("got %q, want %q", got, want)
 	}
 }
@@ -98,10 +98,10 @@
 	c := NewCopy()
 	c.Apply(start, []platform.Event{put("a", 1), put("b", 2)})
 	c.Outage(start)
-	if got := show(c.Replace(start, []platform.Item{{Key: "b", Changed: 2}})); got != "" {
+	if got := show(c.Apply(start, c.Difference([]platform.Item{{Key: "b", Changed: 2}}, 3))); got != "" {
 		t.Errorf("got %q at once", got)
 	}
-	if got, want := show(c.Due(start.Add(settle))), "-a@1 "; got != want {
+	if got, want := show(c.Due(start.Add(settle))), "-a@3 "; got != want {
 		t.Errorf("got %q, want %q", got, want)
 	}
 }
--- /dev/null
+++ b/internal/mirror/history.go
@@ -0,0 +1,103 @@
+package mirror
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/firlever/firlever/platform"
+)
+
+// historyLen is how many changes are kept for peers: several times what a list of
+// today's store holds, so that a peer that was paused for seconds still finds them.
+const historyLen = 2000
+
+// history holds the last changes for the peers that follow this mirror. It is safe
+// for concurrent use.
+type history struct {
+	mu        sync.Mutex
+	events    []platform.Event  // by revision; at most historyLen; guarded by mu
+	floor     platform.Revision // changes up to here are not kept; guarded by mu
+	revision  platform.Revision // all changes up to here are known; guarded by mu
+	confirmed time.Time         // when the store last said that there are no others; guarded by mu
+	direct    bool              // the store itself is followed, not a peer; guarded by mu
+	grown     chan struct{}     // closed when events come, or when direct ends; guarded by mu
+}
+
+func newHistory() *history { return &history{grown: make(chan struct{})} }
+
+// add appends changes that lead up to a revision.
+func (h *history) add(events []platform.Event, revision platform.Revision) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.revision == 0 {
+		h.floor = revision // what was there before is for a list
+	} else {
+		h.events = append(h.events, events...)
+	}
+	if over := len(h.events) - historyLen; over > 0 {
+		h.floor = h.events[over-1].Changed
+		h.events = slices.Clone(h.events[over:])
+	}
+	h.revision = max(h.revision, revision)
+	if len(events) > 0 {
+		h.wake()
+	}
+}
+
+// confirm notes that at a time the store had no changes beyond those that are
+// known, and whether the store itself or a peer said so.
+func (h *history) confirm(at time.Time, direct bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if at.After(h.confirmed) {
+		h.confirmed = at
+	}
+	h.direct = direct
+}
+
+// at is the revision up to which all changes are known.
+func (h *history) at() platform.Revision {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.revision
+}
+
+// lose notes that the store can't be followed any more; waiting peers are told.
+func (h *history) lose() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.direct = false
+	h.wake()
+}
+
+// wake lets waiting peers look again. h.mu is held.
+func (h *history) wake() {
+	close(h.grown)
+	h.grown = make(chan struct{})
+}
+
+// excerpt is what a peer gets to know.
+type excerpt struct {
+	events   []platform.Event
+	revision platform.Revision // what the events lead up to
+	age      time.Duration     // since the store confirmed it
+	known    bool              // the events since the asked revision are all kept
+	direct   bool              // the store itself is followed
+	grown    <-chan struct{}   // closed when there is more
+}
+
+func (h *history) since(now time.Time, revision platform.Revision) excerpt {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	e := excerpt{
+		revision: h.revision, age: now.Sub(h.confirmed), known: revision >= h.floor && h.revision > 0,
+		direct: h.direct, grown: h.grown,
+	}
+	for _, event := range h.events {
+		if event.Changed > revision {
+			e.events = append(e.events, event)
+		}
+	}
+	return e
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"sync"
 	"time"
 
@@ -31,32 +32,44 @@
 
 // Sink takes what the mirror finds. Its methods are called by one goroutine.
 type Sink interface {
-	// Changed takes changes of the copy; listed says that the whole store has
-	// been read at least once.
-	Changed(changes []Change, listed bool)
+	// Changed takes changes of the copy.
+	Changed(changes []Change)
+	// Listed tells that the whole store has been read for the first time.
+	Listed()
 	// Lost and Found tell that the store is out of reach, and that it is back.
 	Lost(err error)
 	Found()
+	// Alone tells that the relay is given up for a while.
+	Alone(err error)
 }
 
-// Mirror follows the store.
+// Mirror follows the store, or an instance that does. It is an http.Handler for
+// the peers that follow it.
 type Mirror struct {
-	store *platform.Store
-	sink  Sink
-	copy  *Copy
+	store   *platform.Store
+	sink    Sink
+	relay   func() string // address of the peer to follow; "" for the store
+	peers   *http.Client  // calls relays
+	copy    *Copy
+	history *history
 
 	listed bool
 	lost   bool
+	alone  time.Time // no relay is asked before
 
-	mu     sync.Mutex
-	since  platform.Revision  // the copy holds the changes up to here; guarded by mu
-	kick   context.CancelFunc // ends the watch that waits; guarded by mu
-	missed bool               // the watch has missed changes; guarded by mu
+	mu        sync.Mutex
+	kick      context.CancelFunc // ends the watch that waits; guarded by mu
+	missed    bool               // the watch has missed changes; guarded by mu
+	following bool               // a relay is followed; guarded by mu
 }
 
-// New makes a mirror of a store.
-func New(store *platform.Store, sink Sink) *Mirror {
-	return &Mirror{store: store, sink: sink, copy: NewCopy()}
+// New makes a mirror of a store. relay names the peer to follow instead, if there
+// is one; it must be safe for concurrent use.
+func New(store *platform.Store, sink Sink, relay func() string) *Mirror {
+	return &Mirror{
+		store: store, sink: sink, relay: relay, copy: NewCopy(), history: newHistory(),
+		peers: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+	}
 }
 
 // Kick ends a waiting watch, which then begins anew: its connection may be dead.
@@ -75,20 +88,49 @@
 	defer checks.Wait()
 	pause := retryFirst
 	for ctx.Err() == nil {
+		if m.followed(ctx) {
+			continue
+		}
 		err := m.step(ctx)
 		if err == nil {
 			pause = retryFirst
-			m.sleep(ctx, gather)
+			sleep(ctx, gather)
 			continue
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		m.sleep(ctx, pause)
+		sleep(ctx, pause)
 		pause = min(2*pause, retryMost)
 	}
 }
 
+// followed waits once for changes from a relay. It says whether there was one that
+// knows the store.
+func (m *Mirror) followed(ctx context.Context) bool {
+	address := m.relay()
+	if address == "" || !m.listed || time.Now().Before(m.alone) {
+		m.setFollowing(false)
+		return false
+	}
+	events, revision, confirmed, err := m.follow(ctx, address, m.history.at())
+	if err != nil {
+		m.setFollowing(false)
+		if ctx.Err() == nil {
+			m.alone = time.Now().Add(relayPause)
+			m.sink.Alone(err)
+		}
+		return false
+	}
+	if m.lost {
+		m.found()
+	}
+	m.setFollowing(true)
+	m.take(events, revision)
+	m.history.confirm(confirmed, false)
+	return true
+}
+
 // step lists the store if that is due, or watches it once.
 func (m *Mirror) step(ctx context.Context) error {
 	if !m.listed || m.takeMissed() {
@@ -102,18 +144,17 @@
 	return m.outcome(err)
 }
 
-// outcome tells the sink whether the store is in reach.
+// outcome tells the sink and the peers whether the store is in reach.
 func (m *Mirror) outcome(err error) error {
 	switch {
 	case err == nil:
 		if m.lost {
-			m.lost = false
-			m.copy.Outage(time.Now())
-			m.sink.Found()
+			m.found()
 		}
 	case errors.Is(err, errKicked):
 		return nil
 	default:
+		m.history.lose()
 		m.copy.Outage(time.Now())
 		if !m.lost {
 			m.lost = true
@@ -123,6 +164,12 @@
 	return err
 }
 
+func (m *Mirror) found() {
+	m.lost = false
+	m.copy.Outage(time.Now())
+	m.sink.Found()
+}
+
 // list reads the whole store. Pages are no snapshot: the changes since the first
 // are watched for.
 func (m *Mirror) list(ctx context.Context) error {
@@ -130,6 +177,7 @@
 	defer cancel()
 	var items []platform.Item
 	var since platform.Revision
+	begin := time.Now()
 	for after := ""; ; {
 		page, err := m.store.Range(ctx, "", after, false)
 		if err != nil {
@@ -144,9 +192,13 @@
 		}
 		after = page.Items[len(page.Items)-1].Key
 	}
-	m.advance(since)
+	first := !m.listed
 	m.listed = true
-	m.sink.Changed(m.copy.Replace(time.Now(), items), true)
+	m.take(m.copy.Difference(items, since), since)
+	m.history.confirm(begin, true)
+	if first {
+		m.sink.Listed()
+	}
 	return nil
 }
 
@@ -163,83 +215,30 @@
 	defer cancel()
 	m.mu.Lock()
 	m.kick = cancel
-	from := m.since
 	m.mu.Unlock()
-	events, since, err := m.store.Watch(inner, "", from, wait)
+	events, since, err := m.store.Watch(inner, "", m.history.at(), wait)
 	if errors.Is(inner.Err(), context.Canceled) && ctx.Err() == nil {
 		return errKicked
 	}
 	if err != nil {
-		m.flush()
+		m.take(nil, 0) // removals may be due
 		return err
 	}
-	m.advance(since)
-	changes := m.copy.Apply(time.Now(), events)
-	changes = append(changes, m.copy.Due(time.Now())...)
-	if len(changes) > 0 {
-		m.sink.Changed(changes, true)
-	}
+	m.take(events, since)
 	return nil
 }
 
-// check asks for the store's revision now and then. Changes that the watch has not
-// delivered though it had the time are read by a list.
-func (m *Mirror) check(ctx context.Context) {
-	for ctx.Err() == nil {
-		m.sleep(ctx, checkEvery)
-		inner, cancel := context.WithTimeout(ctx, answerTime)
-		revision, err := m.store.Revision(inner)
-		cancel()
-		if err != nil || !m.behind(revision) {
-			continue // the watch and the lease tell that the store is out of reach
-		}
-		m.sleep(ctx, checkGrace)
-		if m.behind(revision) {
-			m.miss()
-		}
-	}
-}
-
-// behind says whether the copy lacks changes up to a revision.
-func (m *Mirror) behind(revision platform.Revision) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.since > 0 && m.since < revision
-}
-
-// miss ends the watch that waits, for a list instead.
-func (m *Mirror) miss() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.missed = true
-	if m.kick != nil {
-		m.kick()
-	}
-}
-
-func (m *Mirror) takeMissed() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	missed := m.missed
-	m.missed = false
-	return missed
-}
-
-func (m *Mirror) advance(since platform.Revision) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.since = max(m.since, since)
-}
-
-// flush removes what is due while the store is out of reach: nothing, as each
-// failure delays it, but for keys that were missing before.
-func (m *Mirror) flush() {
-	if due := m.copy.Due(time.Now()); len(due) > 0 {
-		m.sink.Changed(due, true)
+// take takes in events that lead up to a revision.
+func (m *Mirror) take(events []platform.Event, revision platform.Revision) {
+	m.history.add(events, revision)
+	now := time.Now()
+	changes := append(m.copy.Apply(now, events), m.copy.Due(now)...)
+	if len(changes) > 0 {
+		m.sink.Changed(changes)
 	}
 }
 
-func (m *Mirror) sleep(ctx context.Context, d time.Duration) {
+func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(d):
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -18,9 +19,10 @@
 	keys  map[string]string // guarded by mu
 	lost  int               // guarded by mu
 	found int               // guarded by mu
+	alone int               // guarded by mu
 }
 
-func (s *sink) Changed(changes []Change, _ bool) {
+func (s *sink) Changed(changes []Change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range changes {
@@ -38,6 +40,14 @@
 	s.lost++
 }
 
+func (s *sink) Listed() {}
+
+func (s *sink) Alone(error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.alone++
+}
+
 func (s *sink) Found() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -50,12 +60,23 @@
 	return s.keys[key]
 }
 
-func run(t *testing.T) (*store.Store, *sink) {
+func newStore(t *testing.T) (*store.Store, string) {
 	t.Helper()
 	fake := store.New()
 	server := httptest.NewServer(fake)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+		fake.Close()
+	})
+	return fake, strings.TrimPrefix(server.URL, "http://")
+}
+
+// startMirror runs a mirror of the store at an address until the test ends.
+func startMirror(t *testing.T, address string, relay func() string) (*Mirror, *sink) {
+	t.Helper()
 	out := &sink{keys: make(map[string]string)}
-	m := New(platform.NewStore(strings.TrimPrefix(server.URL, "http://")), out)
+	m := New(platform.NewStore(address), out, relay)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -65,10 +86,14 @@
 	t.Cleanup(func() {
 		cancel()
 		<-done
-		server.CloseClientConnections()
-		server.Close()
-		fake.Close()
 	})
+	return m, out
+}
+
+func run(t *testing.T) (*store.Store, *sink) {
+	t.Helper()
+	fake, address := newStore(t)
+	_, out := startMirror(t, address, func() string { return "" })
 	return fake, out
 }
 
@@ -132,3 +157,88 @@
 		})
 	}
 }
+
+// relays runs a mirror that follows the store, and one that follows the first. cut
+// ends the first one's service for peers.
+func relays(t *testing.T) (fake *store.Store, first, second *sink, cut func()) {
+	t.Helper()
+	fake, address := newStore(t)
+	fake.Put("a", []byte("1"))
+	m, first := startMirror(t, address, func() string { return "" })
+	server := httptest.NewServer(m)
+	cut = func() {
+		server.CloseClientConnections()
+		server.Close()
+	}
+	t.Cleanup(cut)
+	relay := strings.TrimPrefix(server.URL, "http://")
+	_, second = startMirror(t, address, func() string { return relay })
+	within(t, bound, "both know a", func() bool { return first.get("a") == "1" && second.get("a") == "1" })
+	return fake, first, second, cut
+}
+
+// Who follows a relay learns of changes in time and does not ask the store.
+func TestRelay(t *testing.T) {
+	fake, _, second, _ := relays(t)
+	time.Sleep(2 * gather) // the second has gone over to the relay
+	calls := fake.Calls("/kv-range")
+	watches := fake.Calls("/kv-watch")
+	for i := range 5 {
+		value := fmt.Sprint(i)
+		fake.Put("a", []byte(value))
+		within(t, bound, "a is "+value, func() bool { return second.get("a") == value })
+	}
+	fake.Remove("a")
+	within(t, bound, "a is gone", func() bool { return second.get("a") == "" })
+	// The first alone: a watch for each change, and a check a second.
+	if got := fake.Calls("/kv-watch") - watches; got > 8 {
+		t.Errorf("got %d watches for 6 changes", got)
+	}
+	if got := fake.Calls("/kv-range") - calls; got > 5 {
+		t.Errorf("got %d reads", got)
+	}
+}
+
+// Whatever happens to the relay, changes come in time.
+func TestRelayFails(t *testing.T) {
+	tests := map[string]func(fake *store.Store, cut func()){
+		"gone":            func(_ *store.Store, cut func()) { cut() },
+		"deaf":            func(fake *store.Store, _ func()) { fake.SetFaults(store.Faults{Deaf: true}) },
+		"forgets history": func(fake *store.Store, _ func()) { fake.Forget() },
+	}
+	for name, fail := range tests {
+		t.Run(name, func(t *testing.T) {
+			fake, _, second, cut := relays(t)
+			time.Sleep(2 * gather)
+			fail(fake, cut)
+			fake.Put("a", []byte("2"))
+			within(t, bound, "a is 2", func() bool { return second.get("a") == "2" })
+		})
+	}
+}
+
+// Two that take each other for the relay both find out and ask the store.
+func TestRelaysInACircle(t *testing.T) {
+	fake, address := newStore(t)
+	fake.Put("a", []byte("1"))
+	var servers [2]*httptest.Server
+	var outs [2]*sink
+	for i := range servers {
+		servers[i] = httptest.NewUnstartedServer(nil)
+		t.Cleanup(servers[i].Close)
+	}
+	for i := range servers {
+		other := servers[1-i].Listener.Addr().String()
+		var m *Mirror
+		m, outs[i] = startMirror(t, address, func() string { return other })
+		servers[i].Config.Handler = m
+	}
+	for i := range servers {
+		servers[i].Start()
+	}
+	time.Sleep(3 * gather)
+	fake.Put("a", []byte("2"))
+	for i, out := range outs {
+		within(t, bound, fmt.Sprintf("a is 2 at %d", i), func() bool { return out.get("a") == "2" })
+	}
+}
