Say in the logs what a decision rested on, and serve metrics

Cause: a line named the choice but not the age of what it rested on; no metrics were served. Tests listen at ports that the system chooses: free ports that were looked for first collided once in parallel tests (address already in use, TestOutcomes).

--- a/cmd/firlever/edge.go
+++ b/cmd/firlever/edge.go
@@ -29,7 +29,7 @@
 type edgeFlags struct {
 	settings string
 	level    string
-	metrics  string
+	metrics  int
 }
 
 func newEdgeCommand() *cobra.Command {
@@ -46,7 +46,7 @@
 	f := cmd.Flags()
 	f.StringVar(&flags.settings, "settings", "", "settings file of the platform")
 	f.StringVar(&flags.level, "log", "info", "least level that is logged: debug, info, warn, error")
-	f.StringVar(&flags.metrics, "metrics", "", "address of the metrics, IP:port; none if left out")
+	f.IntVar(&flags.metrics, "metrics", 0, "port of the metrics; 0 serves none")
 	f.IntVar(&cfg.LogRate, "log-rate", edge.DefaultLogRate, "lines/s about requests that went well")
 	f.DurationVar(&cfg.TTL, "ttl", edge.DefaultTTL, "how long callers keep the answer to a look-up")
 	f.Float64Var(&cfg.ByteCost, "byte-cost", 0, "nanoseconds of latency that a byte between failure domains is worth; 0 takes the default")
@@ -77,13 +77,13 @@
 	if err := n.Start(); err != nil {
 		return err
 	}
-	if flags.metrics != "" {
+	if flags.metrics != 0 {
 		if err := n.ServeMetrics(flags.metrics); err != nil {
 			return err
 		}
 	}
 	logger.Info("started", "instance", settings.Instance, "domain", settings.Domain, "region", settings.Region,
-		"callers", settings.Callers, "store", settings.Store, "first", settings.FirstStart)
+		"callers", settings.Callers, "peers", n.Peers(), "store", settings.Store, "first", settings.FirstStart)
 	for s := range signals {
 		if s != syscall.SIGHUP {
 			break
--- /dev/null
+++ b/internal/edge/gauges.go
@@ -0,0 +1,47 @@
+package edge
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/firlever/firlever/internal/metrics"
+)
+
+// gaugeEvery is how often the gauges are set: as often as the library reports them.
+const gaugeEvery = 5 * time.Second
+
+// gauge keeps the gauges up to date until ctx ends.
+func (n *Node) gauge(ctx context.Context) {
+	ticker := time.NewTicker(gaugeEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			n.cfg.Metrics.ShowEdge(n.state(now))
+		}
+	}
+}
+
+// state is what the gauges show.
+func (n *Node) state(now time.Time) metrics.Edge {
+	e := metrics.Edge{
+		Ready: n.Ready(), Connections: n.server.Open(), Instances: len(n.instances.names()),
+		Revision: uint64(n.mirror.Revision()), StoreAge: n.mirror.Age(now),
+	}
+	table := n.table.Load()
+	if table == nil {
+		return e
+	}
+	e.Version = table.Config().Version
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(table.Config().Services)) {
+		all, usable := n.fleet.Targets(now, name)
+		e.Services = append(e.Services, metrics.EdgeService{Name: name, Targets: all, Usable: usable})
+	}
+	return e
+}
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -18,7 +18,7 @@
 	if good {
 		n.cfg.Metrics.Answered(p.service, took)
 	}
-	n.cfg.Metrics.Decided(metrics.Decision{Kind: statusKind(resp.Status), Service: p.service, Reason: reasonOf(p)})
+	n.cfg.Metrics.Decided(metrics.Decision{Kind: statusKind(resp.Status), Service: p.service, Reason: p.outcome()})
 	limiter := n.failures
 	if good {
 		limiter = n.successes
@@ -31,7 +31,8 @@
 		"id", p.info.ID, "object", p.info.Object, "route", p.route.Name, "service", p.service, "config", p.version,
 		"status", resp.Status, "took", took, "left", p.deadline.Sub(now), "attempts", p.arrived,
 		"target", p.choice.Target.ID, "wait", p.choice.Wait, "cost", p.choice.Cost, "home", p.choice.Home,
-		"cold", p.choice.Cold, "ending", p.ending, "reason", p.choice.Reason, "conn", p.in.Conn,
+		"cold", p.choice.Cold, "busy", p.choice.Busy, "load-age", p.choice.Age, "store-age", n.mirror.Age(now),
+		"ending", p.outcome(), "conn", p.in.Conn,
 	}
 	if suppressed > 0 {
 		line = append(line, "suppressed", suppressed)
@@ -43,10 +44,14 @@
 	n.cfg.Log.Warn("request", append(line, "again", p.choice.Again, "err", p.cause)...)
 }
 
-// reasonOf names what decided about a request, for metrics.
-func reasonOf(p *passage) string {
-	if p.choice.Reason != "" {
+// outcome names what decided about a request: why no target was chosen, or how the
+// last attempt ended.
+func (p *passage) outcome() string {
+	switch {
+	case p.choice.Reason != "":
 		return string(p.choice.Reason)
+	case p.arrived+p.unsent == 0:
+		return "out-of-time"
 	}
 	return p.ending.String()
 }
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -76,7 +76,8 @@
 	return n, nil
 }
 
-// Start listens and begins to serve.
+// Start listens and begins to serve. Ports that the settings leave open are
+// chosen, and then known.
 func (n *Node) Start() error {
 	s := &n.cfg.Settings
 	ln, err := net.Listen("tcp", s.Callers)
@@ -84,9 +85,10 @@
 		return errors.Annotate(err, "callers")
 	}
 	n.callers = ln
+	s.Callers = ln.Addr().String()
 	go n.server.Serve(ln)
-	for address, handler := range map[string]http.Handler{
-		s.Lookups: n.lookups(), s.Ready: n.readiness(), n.peers: n.forPeers(),
+	for address, handler := range map[*string]http.Handler{
+		&s.Lookups: n.lookups(), &s.Ready: n.readiness(), &n.peers: n.forPeers(),
 	} {
 		if err := n.serveWeb(address, handler); err != nil {
 			return err
@@ -96,6 +98,7 @@
 	n.cancel = cancel
 	n.work.Go(func() { n.mirror.Run(ctx) })
 	n.work.Go(func() { n.registrar.run(ctx) })
+	n.work.Go(func() { n.gauge(ctx) })
 	return nil
 }
 
@@ -113,6 +116,20 @@
 	return n.instances.relay(n.cfg.Settings.Region, n.cfg.Settings.Instance)
 }
 
+// MetricsPath is where the metrics are, in the Prometheus text format.
+const MetricsPath = "/metrics"
+
+// ServeMetrics serves the metrics at a port of the instance's own address.
+func (n *Node) ServeMetrics(port int) error {
+	mux := http.NewServeMux()
+	mux.Handle(MetricsPath, n.cfg.Metrics.Handler())
+	address := net.JoinHostPort(n.cfg.Settings.IP, strconv.Itoa(port))
+	return n.serveWeb(&address, mux)
+}
+
+// Peers returns the address for other instances, IP:port.
+func (n *Node) Peers() string { return n.peers }
+
 // forPeers serves other instances.
 func (n *Node) forPeers() http.Handler {
 	r := chi.NewRouter()
@@ -120,18 +137,13 @@
 	return r
 }
 
-// ServeMetrics serves the metrics at an address, IP:port.
-func (n *Node) ServeMetrics(address string) error {
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", n.cfg.Metrics.Handler())
-	return n.serveWeb(address, mux)
-}
-
-func (n *Node) serveWeb(address string, handler http.Handler) error {
-	ln, err := net.Listen("tcp", address)
+// serveWeb serves at an address, in which it fills in the port that was chosen.
+func (n *Node) serveWeb(address *string, handler http.Handler) error {
+	ln, err := net.Listen("tcp", *address)
 	if err != nil {
 		return errors.Annotate(err, "listen")
 	}
+	*address = ln.Addr().String()
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
 	n.web = append(n.web, server)
 	go server.Serve(ln)
--- a/internal/edge/node_test.go
+++ b/internal/edge/node_test.go
@@ -94,7 +94,7 @@
 	r := newRig(t)
 	r.configure(1, "s")
 	for i := range 3 {
-		r.register(fmt.Sprintf("dead%d", i), free(t), "n1", "ready")
+		r.register(fmt.Sprintf("dead%d", i), nowhere, "n1", "ready")
 	}
 	r.register("b", r.target("good").address, "s1", "ready")
 	r.start()
@@ -137,7 +137,7 @@
 	r.start()
 	r.register("a", r.target("good").address, "n1", "ready")
 	r.knows(1)
-	r.register("a", "127.0.0.1:1", "n1", "draining")
+	r.register("a", nowhere, "n1", "draining")
 	r.knows(0)
 	r.register("b", r.target("good").address, "s1", "ready")
 	r.knows(1)
--- a/internal/edge/rig_test.go
+++ b/internal/edge/rig_test.go
@@ -54,7 +54,7 @@
 		TTL: 50 * time.Millisecond,
 		Settings: platform.Settings{
 			Instance: "e1", Domain: "n1", Region: "north", Regions: map[string]string{"n1": "north", "s1": "south"},
-			Callers: free(r.t), Ready: free(r.t), Lookups: free(r.t), Peers: free(r.t), Store: r.url,
+			Callers: anyPort, Ready: anyPort, Lookups: anyPort, Peers: anyPort, Store: r.url,
 			Bounds: platform.Bounds{
 				Grace: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 60, ColdFactor: 1.5, ColdSlack: 5,
 				LookupTTL: 5 * time.Second,
@@ -75,15 +75,10 @@
 	})
 }
 
-func free(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	return ln.Addr().String()
-}
+const (
+	anyPort = "127.0.0.1:0"
+	nowhere = "127.0.0.1:1" // where nothing listens
+)
 
 // bound is the shortest time until a change has to be in force.
 const bound = 2 * time.Second
--- a/internal/mirror/check.go
+++ b/internal/mirror/check.go
@@ -72,3 +72,9 @@
 	defer m.mu.Unlock()
 	return m.following
 }
+
+// Age is how long ago the store confirmed what is known of it.
+func (m *Mirror) Age(now time.Time) time.Duration { return m.history.age(now) }
+
+// Revision is the store's revision up to which all changes are known.
+func (m *Mirror) Revision() platform.Revision { return m.history.at() }
--- a/internal/mirror/history.go
+++ b/internal/mirror/history.go
@@ -63,6 +63,13 @@
 	return h.revision
 }
 
+// age is how long ago the store confirmed what is known.
+func (h *history) age(now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return now.Sub(h.confirmed)
+}
+
 // lose notes that the store can't be followed any more; waiting peers are told.
 func (h *history) lose() {
 	h.mu.Lock()
--- a/internal/steer/pick.go
+++ b/internal/steer/pick.go
@@ -36,6 +36,8 @@
 	Cost   time.Duration // by which the target was chosen
 	Home   bool          // the object's home among all targets
 	Cold   bool          // the target was cold
+	Busy   int           // requests that the target had to do, as far as was known
+	Age    time.Duration // since the target last told its load; -1 if it never did
 	Reason Reason        // set if the request is refused
 	Again  time.Duration // when it is worth coming back; set if the request is refused
 }
@@ -134,7 +136,10 @@
 			cost += mean
 		}
 		if found.Target.ID == "" || cost < found.Cost {
-			found = Choice{Target: c.Target, Wait: wait, Cost: cost, Home: c.global == 0, Cold: c.cold(now)}
+			found = Choice{
+				Target: c.Target, Wait: wait, Cost: cost, Home: c.global == 0, Cold: c.cold(now),
+				Busy: c.occupied(now), Age: c.loadAge(now),
+			}
 		}
 	}
 	if found.Target.ID == "" {
--- a/internal/steer/target.go
+++ b/internal/steer/target.go
@@ -34,6 +34,7 @@
 
 	others      int       // requests of other instances by the last report
 	othersUntil time.Time // the report counts until then, less and less
+	reported    time.Time // when the report came; zero before the first
 	shedUntil   time.Time // it counts as full until then
 
 	mean     time.Duration // smoothed time of one request's work
@@ -79,6 +80,15 @@
 func (t *target) report(now time.Time, l Load) {
 	t.others = max(0, l.Running+l.Waiting-t.inFlight)
 	t.othersUntil = now.Add(loadLife)
+	t.reported = now
+}
+
+// loadAge is how old the target's last report is; -1 before the first.
+func (t *target) loadAge(now time.Time) time.Duration {
+	if t.reported.IsZero() {
+		return -1
+	}
+	return now.Sub(t.reported)
 }
 
 // full notes that the target has no room at all.
