--- a/cmd/firlever/root.go
+++ b/cmd/firlever/root.go
@@ -43,6 +43,7 @@
 	root.AddCommand(
 		newConfigCommand(),
 		newEdgeCommand(),
+		newExplainCommand(),
 		newDemoCommand(),
 		newStatusCommand(),
 		newDrainCommand(),
--- /dev/null
+++ b/internal/explain/story.go
@@ -0,0 +1,139 @@
+// Package explain finds the story of one request in the log lines of several
+// instances: its own lines, and what the instances that handled it came to believe
+// of its targets, its configuration and the store around that time.
+package explain
+
+import (
+	"bufio"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-logfmt/logfmt"
+)
+
+const (
+	// around is how long before and after a request's lines beliefs belong to its
+	// story: targets eject for up to 8 s, and clocks of instances differ a little.
+	around = 10 * time.Second
+	// maxLine bounds a line that is read, in bytes.
+	maxLine = 1 << 20
+)
+
+// Line is one log line.
+type Line struct {
+	Time   time.Time
+	Source string // of the file that it stands in
+	Text   string // as it was logged
+	fields map[string]string
+}
+
+// Field returns a field of the line, or "".
+func (l Line) Field(name string) string { return l.fields[name] }
+
+// Read reads the log lines of one source. What stands before a line's time, as
+// collectors put it there, is skipped; lines without a time are too.
+func Read(r io.Reader, source string) ([]Line, error) {
+	var lines []Line
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		if l, ok := parse(scanner.Text(), source); ok {
+			lines = append(lines, l)
+		}
+	}
+	return lines, scanner.Err()
+}
+
+func parse(text, source string) (Line, bool) {
+	at := strings.Index(text, "time=")
+	if at < 0 {
+		return Line{}, false
+	}
+	if before := strings.Fields(text[:at]); len(before) > 0 {
+		source = before[len(before)-1]
+	}
+	l := Line{Source: source, Text: text[at:], fields: make(map[string]string)}
+	d := logfmt.NewDecoder(strings.NewReader(l.Text))
+	for d.ScanRecord() {
+		for d.ScanKeyval() {
+			l.fields[string(d.Key())] = string(d.Value())
+		}
+	}
+	t, err := time.Parse(time.RFC3339Nano, l.fields["time"])
+	l.Time = t
+	return l, err == nil && d.Err() == nil
+}
+
+// beliefs are the messages about what an instance believes or depends on, whatever
+// the request.
+var beliefs = map[string]bool{
+	"started": true, "stopping": true, "stopped": true, "store listed": true, "store lost": true, "store regained": true,
+	"relay lost": true, "lease not renewed": true, "lease renewed again": true, "lease ended": true,
+	"configuration in force": true, "evacuation": true, "settings reloaded": true, "log lines dropped": true,
+}
+
+// Story returns the lines that explain a request, in the order of time.
+func Story(lines []Line, id string) []Line {
+	sources, targets := make(map[string]bool), make(map[string]bool)
+	var first, last time.Time
+	for _, l := range lines {
+		if l.Field("id") != id {
+			continue
+		}
+		sources[l.Source] = true
+		targets[l.Field("target")] = true
+		if first.IsZero() || l.Time.Before(first) {
+			first = l.Time
+		}
+		if l.Time.After(last) {
+			last = l.Time
+		}
+	}
+	delete(targets, "")
+	if first.IsZero() {
+		return nil
+	}
+	var story []Line
+	for _, l := range lines {
+		near := !l.Time.Before(first.Add(-around)) && !l.Time.After(last.Add(around))
+		about := beliefs[l.Field("msg")] || l.Field("id") == "" && targets[l.Field("target")]
+		if l.Field("id") == id || near && sources[l.Source] && about {
+			story = append(story, l)
+		}
+	}
+	slices.SortStableFunc(story, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	return story
+}
+
+// Failures counts the failed requests of the lines by how they ended, and gives the
+// ID of one of each.
+func Failures(lines []Line) []Failure {
+	byEnding := make(map[string]*Failure)
+	for _, l := range lines {
+		if l.Field("msg") != "request" || l.Field("level") != "warn" {
+			continue
+		}
+		key := l.Field("status") + " " + l.Field("ending") + l.Field("reason")
+		f, ok := byEnding[key]
+		if !ok {
+			f = &Failure{Ending: key, ID: l.Field("id")}
+			byEnding[key] = f
+		}
+		f.Count++
+	}
+	var list []Failure
+	for _, key := range slices.Sorted(maps.Keys(byEnding)) {
+		list = append(list, *byEnding[key])
+	}
+	return list
+}
+
+// Failure is one way in which requests failed.
+type Failure struct {
+	Ending string // status, and what decided about it
+	ID     string // of the first such request
+	Count  int
+}
--- /dev/null
+++ b/internal/explain/story_test.go
@@ -0,0 +1,78 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+)
+
+const logs = `time=2026-01-01T00:00:00Z level=info msg=started instance=a
+time=2026-01-01T00:00:01Z level=info msg=target target=t1 leaving=false
+time=2026-01-01T00:00:20Z level=info msg="configuration in force" version=3
+time=2026-01-01T00:00:21.5Z level=warn msg=request id=q1 status=504 ending=late target=t1
+time=2026-01-01T00:00:21Z level=warn msg=attempt id=q1 ending=failed target=t2
+time=2026-01-01T00:00:21Z level=info msg=request id=q2 status=200 ending=answered target=t1
+time=2026-01-01T00:00:22Z level=warn msg="target ejected" target=t1
+time=2026-01-01T00:00:22Z level=warn msg="target ejected" target=t3
+time=2026-01-01T00:00:23Z level=warn msg="store lost" err="x=y"
+no log line
+time=never msg=x
+time=2026-01-01T00:01:00Z level=info msg="store regained"
+`
+
+func read(t *testing.T, text, source string) []Line {
+	t.Helper()
+	lines, err := Read(strings.NewReader(text), source)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return lines
+}
+
+func TestStory(t *testing.T) {
+	lines := append(read(t, logs, "a"), read(t, strings.ReplaceAll(logs, "q1", "q9"), "b")...)
+	want := []string{"configuration in force", "attempt", "request", "target ejected", "store lost"}
+	story := Story(lines, "q1")
+	var got []string
+	for _, l := range story {
+		got = append(got, l.Field("msg"))
+		if l.Source != "a" {
+			t.Errorf("got a line of %s, which did not handle the request", l.Source)
+		}
+	}
+	if strings.Join(got, ",") != strings.Join(want, ",") {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	if got := Story(lines, "none"); got != nil {
+		t.Errorf("got %d lines for an unknown request", len(got))
+	}
+}
+
+func TestSourceBeforeTheLine(t *testing.T) {
+	lines := read(t, "  0.5 edge-1 time=2026-01-01T00:00:00Z level=info msg=started\n", "file")
+	if len(lines) != 1 || lines[0].Source != "edge-1" {
+		t.Errorf("got %+v, want one line of edge-1", lines)
+	}
+}
+
+func TestFailures(t *testing.T) {
+	got := Failures(append(read(t, logs, "a"), read(t, logs, "b")...))
+	want := Failure{Ending: "504 late", ID: "q1", Count: 2}
+	if len(got) != 1 || got[0] != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(logs)
+	f.Fuzz(func(t *testing.T, text string) {
+		lines, err := Read(strings.NewReader(text), "f")
+		if err != nil {
+			return
+		}
+		for _, l := range lines {
+			if id := l.Field("id"); id != "" && len(Story(lines, id)) == 0 {
+				t.Errorf("got no story of %q", id)
+			}
+		}
+	})
+}
