Ask peers what the store holds while it is out of reach

Change: while the store is out of reach, an instance follows any peer that reaches it, also for the first list; the settings name peers to begin with. A relay gives all that it knows to one that has missed too much. The check each second tells when the store is back; the lease no longer does. TestThroughAPeer shows both, before: an instance learned nothing.

--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -42,6 +42,11 @@
 	n.cfg.Log.Info("store listed")
 }
 
+// Through notes that a peer is followed while the store is out of reach.
+func (n *Node) Through(address string) {
+	n.cfg.Log.Info("store followed through a peer", "peer", address)
+}
+
 // Alone notes that the relay of the region is not followed for a while.
 func (n *Node) Alone(err error) {
 	n.cfg.Metrics.PlatformFailed("relay")
--- a/internal/edge/instances.go
+++ b/internal/edge/instances.go
@@ -72,6 +72,26 @@
 	return address
 }
 
+// others returns the peers' addresses of all instances but self, those of a region
+// first.
+func (i *instances) others(region, self string) []string {
+	i.mu.RLock()
+	defer i.mu.RUnlock()
+	var near, far []string
+	for name, r := range i.records {
+		switch {
+		case name == self || r.Peers == "":
+		case r.Region == region:
+			near = append(near, r.Peers)
+		default:
+			far = append(far, r.Peers)
+		}
+	}
+	slices.Sort(near)
+	slices.Sort(far)
+	return append(near, far...)
+}
+
 // near returns the addresses for callers of a failure domain: those of its own
 // instances, or of its region's if it has none, or all. Instances that leave are
 // named by none.
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -70,7 +71,7 @@
 		successes: logs.NewLimiter(cfg.LogRate), failures: logs.NewLimiter(failureLines),
 	}
 	n.peers = peersAddress(s)
-	n.mirror = mirror.New(n.store, n, n.relay)
+	n.mirror = mirror.New(n.store, n, mirror.Peers{Relay: n.relay, Others: n.others})
 	n.registrar = newRegistrar(n)
 	n.server = http1.NewServer(n.handle, n.limits, n.unreadable)
 	return n, nil
@@ -116,6 +117,19 @@
 	return n.instances.relay(n.cfg.Settings.Region, n.cfg.Settings.Instance)
 }
 
+// others are the peers to ask while the store is out of reach: those of the region
+// first, and the instances that the settings name when none is known yet.
+func (n *Node) others() []string {
+	s := &n.cfg.Settings
+	list := n.instances.others(s.Region, s.Instance)
+	for _, seed := range s.Seeds {
+		if seed != n.peers && !slices.Contains(list, seed) {
+			list = append(list, seed)
+		}
+	}
+	return list
+}
+
 // MetricsPath is where the metrics are, in the Prometheus text format.
 const MetricsPath = "/metrics"
 
--- a/internal/edge/register.go
+++ b/internal/edge/register.go
@@ -76,8 +76,7 @@
 	return err
 }
 
-// outcome notes whether the store is in reach. When it is back, a watch that
-// waits on a connection of before begins anew.
+// outcome notes whether the lease could be renewed.
 func (r *registrar) outcome(err error) {
 	switch {
 	case err != nil:
@@ -89,7 +88,6 @@
 	case r.lost:
 		r.lost = false
 		r.node.cfg.Log.Info("lease renewed again")
-		r.node.mirror.Kick()
 	}
 }
 
--- a/internal/mirror/check.go
+++ b/internal/mirror/check.go
@@ -8,33 +8,40 @@
 )
 
 // check asks the store for its revision now and then. Changes that the watch has
-// not delivered though it had the time are read by a list.
+// not delivered though it had the time are read by a list. When the store answers
+// again after it did not, a waiting watch begins anew on another connection.
 func (m *Mirror) check(ctx context.Context) {
+	failed := false
 	for ctx.Err() == nil {
 		sleep(ctx, checkEvery)
-		if m.isFollowing() {
+		if m.isFollowing() && !m.isLost() {
 			continue // the relay checks
 		}
-		m.checkOnce(ctx)
+		err := m.checkOnce(ctx)
+		if err == nil && (failed || m.isLost()) {
+			m.reach()
+		}
+		failed = err != nil
 	}
 }
 
-func (m *Mirror) checkOnce(ctx context.Context) {
+func (m *Mirror) checkOnce(ctx context.Context) error {
 	begin := time.Now()
 	inner, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
 	revision, err := m.store.Revision(inner)
 	if err != nil {
-		return // the watch and the lease tell that the store is out of reach
+		return err
 	}
 	if m.behind(revision) {
 		sleep(ctx, checkGrace)
 	}
 	if m.behind(revision) {
 		m.miss()
-		return
+		return nil
 	}
-	m.history.confirm(begin, true)
+	m.history.confirm(begin, !m.isLost())
+	return nil
 }
 
 // behind says whether the copy lacks changes up to a revision.
@@ -48,11 +55,54 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.missed = true
+	m.endWatch()
+}
+
+// reach notes that the store answers.
+func (m *Mirror) reach() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reached = m.lost
+	m.endWatch()
+}
+
+// endWatch ends the watch that waits. m.mu is held.
+func (m *Mirror) endWatch() {
 	if m.kick != nil {
 		m.kick()
 	}
 }
 
+// setLost sets whether the store is out of reach, and returns what was set before.
+func (m *Mirror) setLost(lost bool) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := m.lost
+	m.lost = lost
+	m.reached = false
+	return before
+}
+
+func (m *Mirror) isLost() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lost
+}
+
+func (m *Mirror) isReached() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reached
+}
+
+func (m *Mirror) takeReached() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	reached := m.reached
+	m.reached = false
+	return reached
+}
+
 func (m *Mirror) takeMissed() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/mirror/copy.go
+++ b/internal/mirror/copy.go
@@ -23,14 +23,14 @@
 // Copy is what is known of the store. It does no input or output and is not safe
 // for concurrent use.
 type Copy struct {
-	revisions map[string]platform.Revision // of the last change of each key that exists
-	missing   map[string]time.Time         // keys that are removed at this time unless they come back
-	settled   time.Time                    // removals before are delayed until then
+	items   map[string]platform.Item // by key; Changed is that of a delayed removal, if there is one
+	missing map[string]time.Time     // keys that are removed at this time unless they come back
+	settled time.Time                // removals before are delayed until then
 }
 
 // NewCopy makes an empty copy.
 func NewCopy() *Copy {
-	return &Copy{revisions: make(map[string]platform.Revision), missing: make(map[string]time.Time)}
+	return &Copy{items: make(map[string]platform.Item), missing: make(map[string]time.Time)}
 }
 
 // Outage notes that the store is out of reach at now, so that keys which are
@@ -43,8 +43,8 @@
 func (c *Copy) Apply(now time.Time, events []platform.Event) []Change {
 	var changes []Change
 	for _, e := range events {
-		old, known := c.revisions[e.Key]
-		if known && e.Changed <= old {
+		old, known := c.items[e.Key]
+		if known && e.Changed <= old.Changed {
 			continue
 		}
 		switch {
@@ -64,31 +64,40 @@
 	listed := make(map[string]bool, len(items))
 	for _, item := range items {
 		listed[item.Key] = true
-		if old, known := c.revisions[item.Key]; !known || item.Changed > old {
+		if old, known := c.items[item.Key]; !known || item.Changed > old.Changed {
 			events = append(events, platform.Event{Item: item})
 		}
 	}
-	for _, key := range slices.Sorted(maps.Keys(c.revisions)) {
-		if !listed[key] && c.revisions[key] < at {
+	for _, key := range slices.Sorted(maps.Keys(c.items)) {
+		if !listed[key] && c.items[key].Changed < at {
 			events = append(events, platform.Event{Item: platform.Item{Key: key, Changed: at}, Removed: true})
 		}
 	}
 	return events
 }
 
+// Items returns all items, by key.
+func (c *Copy) Items() []platform.Item {
+	items := make([]platform.Item, 0, len(c.items))
+	for _, key := range slices.Sorted(maps.Keys(c.items)) {
+		items = append(items, c.items[key])
+	}
+	return items
+}
+
 // Due returns the removals whose delay is over.
 func (c *Copy) Due(now time.Time) []Change {
 	var changes []Change
 	for _, key := range slices.Sorted(maps.Keys(c.missing)) {
 		if !now.Before(c.missing[key]) {
-			changes = append(changes, c.drop(key, c.revisions[key]))
+			changes = append(changes, c.drop(key, c.items[key].Changed))
 		}
 	}
 	return changes
 }
 
 func (c *Copy) put(item platform.Item) Change {
-	c.revisions[item.Key] = item.Changed
+	c.items[item.Key] = item
 	delete(c.missing, item.Key)
 	return Change{Item: item}
 }
@@ -99,7 +108,9 @@
 	if !now.Before(c.settled) {
 		return []Change{c.drop(key, changed)}
 	}
-	c.revisions[key] = changed
+	item := c.items[key]
+	item.Changed = changed
+	c.items[key] = item
 	if _, ok := c.missing[key]; !ok {
 		c.missing[key] = c.settled
 	}
@@ -107,7 +118,7 @@
 }
 
 func (c *Copy) drop(key string, changed platform.Revision) Change {
-	delete(c.revisions, key)
+	delete(c.items, key)
 	delete(c.missing, key)
 	return Change{Item: platform.Item{Key: key, Changed: changed}, Removed: true}
 }
--- a/internal/mirror/history.go
+++ b/internal/mirror/history.go
@@ -17,6 +17,7 @@
 type history struct {
 	mu        sync.Mutex
 	events    []platform.Event  // by revision; at most historyLen; guarded by mu
+	items     []platform.Item   // all that is known; guarded by mu
 	floor     platform.Revision // changes up to here are not kept; guarded by mu
 	revision  platform.Revision // all changes up to here are known; guarded by mu
 	confirmed time.Time         // when the store last said that there are no others; guarded by mu
@@ -26,10 +27,11 @@
 
 func newHistory() *history { return &history{grown: make(chan struct{})} }
 
-// add appends changes that lead up to a revision.
-func (h *history) add(events []platform.Event, revision platform.Revision) {
+// add appends changes that lead up to a revision. items are all that is known then.
+func (h *history) add(events []platform.Event, items []platform.Item, revision platform.Revision) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.items = items
 	if h.revision == 0 {
 		h.floor = revision // what was there before is for a list
 	} else {
@@ -87,6 +89,7 @@
 // excerpt is what a peer gets to know.
 type excerpt struct {
 	events   []platform.Event
+	items    []platform.Item   // all that is known
 	revision platform.Revision // what the events lead up to
 	age      time.Duration     // since the store confirmed it
 	known    bool              // the events since the asked revision are all kept
@@ -99,7 +102,7 @@
 	defer h.mu.Unlock()
 	e := excerpt{
 		revision: h.revision, age: now.Sub(h.confirmed), known: revision >= h.floor && h.revision > 0,
-		direct: h.direct, grown: h.grown,
+		direct: h.direct, grown: h.grown, items: h.items,
 	}
 	for _, event := range h.events {
 		if event.Changed > revision {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -26,7 +26,8 @@
 	// checkGrace, in which the watch may still deliver them.
 	checkEvery = time.Second
 	checkGrace = 200 * time.Millisecond
-	// settleCheck is how often delayed removals are looked at.
+	// settleCheck is how often delayed removals are looked at, and how long the
+	// first watch after an outage waits, to show soon that the store is back.
 	settleCheck = 200 * time.Millisecond
 )
 
@@ -39,45 +40,50 @@
 	// Lost and Found tell that the store is out of reach, and that it is back.
 	Lost(err error)
 	Found()
+	// Through tells that a peer is followed while the store is out of reach.
+	Through(address string)
 	// Alone tells that the relay is given up for a while.
 	Alone(err error)
 }
 
+// Peers tells which instances can be followed. Its functions must be safe for
+// concurrent use.
+type Peers struct {
+	// Relay is the address of the peer to follow instead of the store; "" if this
+	// instance follows it itself.
+	Relay func() string
+	// Others are the addresses to ask when the store is out of reach.
+	Others func() []string
+}
+
 // Mirror follows the store, or an instance that does. It is an http.Handler for
 // the peers that follow it.
 type Mirror struct {
 	store   *platform.Store
 	sink    Sink
-	relay   func() string // address of the peer to follow; "" for the store
-	peers   *http.Client  // calls relays
+	peers   Peers
+	client  *http.Client // calls peers
 	copy    *Copy
 	history *history
 
 	listed bool
-	lost   bool
 	alone  time.Time // no relay is asked before
+	via    string    // the peer that is followed while the store is out of reach
+	asked  int       // peers that were asked for that
 
 	mu        sync.Mutex
 	kick      context.CancelFunc // ends the watch that waits; guarded by mu
 	missed    bool               // the watch has missed changes; guarded by mu
-	following bool               // a relay is followed; guarded by mu
+	following bool               // a peer is followed; guarded by mu
+	lost      bool               // the store is out of reach; guarded by mu
+	reached   bool               // the store has answered a check since it was lost; guarded by mu
 }
 
-// New makes a mirror of a store. relay names the peer to follow instead, if there
-// is one; it must be safe for concurrent use.
-func New(store *platform.Store, sink Sink, relay func() string) *Mirror {
+// New makes a mirror of a store.
+func New(store *platform.Store, sink Sink, peers Peers) *Mirror {
 	return &Mirror{
-		store: store, sink: sink, relay: relay, copy: NewCopy(), history: newHistory(),
-		peers: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
-	}
-}
-
-// Kick ends a waiting watch, which then begins anew: its connection may be dead.
-func (m *Mirror) Kick() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.kick != nil {
-		m.kick()
+		store: store, sink: sink, peers: peers, copy: NewCopy(), history: newHistory(),
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
 	}
 }
 
@@ -89,48 +95,85 @@
 	pause := retryFirst
 	for ctx.Err() == nil {
 		if m.followed(ctx) {
-			continue
-		}
-		err := m.step(ctx)
-		if err == nil {
 			pause = retryFirst
-			sleep(ctx, gather)
 			continue
 		}
-		if ctx.Err() != nil {
-			return
+		if !m.isLost() || m.takeReached() {
+			err := m.step(ctx)
+			if err == nil {
+				pause = retryFirst
+				sleep(ctx, gather)
+				continue
+			}
 		}
 		sleep(ctx, pause)
 		pause = min(2*pause, retryMost)
 	}
 }
 
-// followed waits once for changes from a relay. It says whether there was one that
-// knows the store.
+// followed waits once for changes from a peer, if one is to be followed. It says
+// whether that knows the store.
 func (m *Mirror) followed(ctx context.Context) bool {
-	address := m.relay()
-	if address == "" || !m.listed || time.Now().Before(m.alone) {
+	address := m.leader()
+	if address == "" {
 		m.setFollowing(false)
 		return false
 	}
-	events, revision, confirmed, err := m.follow(ctx, address, m.history.at())
+	n, err := m.follow(ctx, address, m.history.at())
 	if err != nil {
 		m.setFollowing(false)
-		if ctx.Err() == nil {
+		m.via = ""
+		if ctx.Err() == nil && !m.isLost() {
 			m.alone = time.Now().Add(relayPause)
 			m.sink.Alone(err)
 		}
 		return false
 	}
-	if m.lost {
-		m.found()
+	if m.isLost() && m.via != address {
+		m.sink.Through(address)
 	}
+	m.via = address
 	m.setFollowing(true)
-	m.take(events, revision)
-	m.history.confirm(confirmed, false)
+	if n.whole {
+		n.events = m.copy.Difference(n.items(), n.revision)
+	}
+	m.take(n.events, n.revision)
+	m.history.confirm(n.confirmed, false)
+	m.begun()
 	return true
 }
 
+// leader is the peer to follow now; "" if there is none. While the store is out of
+// reach, one peer after the other is tried.
+func (m *Mirror) leader() string {
+	if m.isReached() {
+		return ""
+	}
+	if !m.isLost() {
+		if !m.listed || time.Now().Before(m.alone) {
+			return ""
+		}
+		return m.peers.Relay()
+	}
+	if m.via != "" {
+		return m.via
+	}
+	others := m.peers.Others()
+	if len(others) == 0 {
+		return ""
+	}
+	m.asked++
+	return others[m.asked%len(others)]
+}
+
+// begun notes that the whole store is known.
+func (m *Mirror) begun() {
+	if !m.listed {
+		m.listed = true
+		m.sink.Listed()
+	}
+}
+
 // step lists the store if that is due, or watches it once.
 func (m *Mirror) step(ctx context.Context) error {
 	if !m.listed || m.takeMissed() {
@@ -148,24 +191,25 @@
 func (m *Mirror) outcome(err error) error {
 	switch {
 	case err == nil:
-		if m.lost {
-			m.found()
-		}
+		m.found()
 	case errors.Is(err, errKicked):
 		return nil
 	default:
 		m.history.lose()
 		m.copy.Outage(time.Now())
-		if !m.lost {
-			m.lost = true
+		if !m.setLost(true) {
 			m.sink.Lost(err)
 		}
 	}
 	return err
 }
 
+// found notes that the store is back, if it was lost.
 func (m *Mirror) found() {
-	m.lost = false
+	if !m.setLost(false) {
+		return
+	}
+	m.via = ""
 	m.copy.Outage(time.Now())
 	m.sink.Found()
 }
@@ -173,13 +217,11 @@
 // list reads the whole store. Pages are no snapshot: the changes since the first
 // are watched for.
 func (m *Mirror) list(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, 2*answerTime)
-	defer cancel()
 	var items []platform.Item
 	var since platform.Revision
 	begin := time.Now()
 	for after := ""; ; {
-		page, err := m.store.Range(ctx, "", after, false)
+		page, err := m.page(ctx, after)
 		if err != nil {
 			return err
 		}
@@ -192,23 +234,26 @@
 		}
 		after = page.Items[len(page.Items)-1].Key
 	}
-	first := !m.listed
-	m.listed = true
 	m.take(m.copy.Difference(items, since), since)
 	m.history.confirm(begin, true)
-	if first {
-		m.sink.Listed()
-	}
+	m.begun()
 	return nil
 }
 
-// errKicked says that a watch was ended by Kick.
+func (m *Mirror) page(ctx context.Context, after string) (platform.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
+	return m.store.Range(ctx, "", after, false)
+}
+
+// errKicked says that a watch was ended as its connection may be dead, or as it has
+// missed changes.
 var errKicked = errors.New("mirror: watch ended to begin anew")
 
 // watch waits for changes once.
 func (m *Mirror) watch(ctx context.Context) error {
 	wait := watchWait
-	if len(m.copy.missing) > 0 {
+	if len(m.copy.missing) > 0 || m.isLost() {
 		wait = settleCheck
 	}
 	inner, cancel := context.WithTimeout(ctx, wait+answerTime)
@@ -230,9 +275,9 @@
 
 // take takes in events that lead up to a revision.
 func (m *Mirror) take(events []platform.Event, revision platform.Revision) {
-	m.history.add(events, revision)
 	now := time.Now()
 	changes := append(m.copy.Apply(now, events), m.copy.Due(now)...)
+	m.history.add(events, m.copy.Items(), revision)
 	if len(changes) > 0 {
 		m.sink.Changed(changes)
 	}
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -42,6 +44,8 @@
 
 func (s *sink) Listed() {}
 
+func (s *sink) Through(string) {}
+
 func (s *sink) Alone(error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -73,10 +77,10 @@
 }
 
 // startMirror runs a mirror of the store at an address until the test ends.
-func startMirror(t *testing.T, address string, relay func() string) (*Mirror, *sink) {
+func startMirror(t *testing.T, address string, peers Peers) (*Mirror, *sink) {
 	t.Helper()
 	out := &sink{keys: make(map[string]string)}
-	m := New(platform.NewStore(address), out, relay)
+	m := New(platform.NewStore(address), out, peers)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -90,10 +94,18 @@
 	return m, out
 }
 
+// nobody are no peers to follow.
+var nobody = Peers{Relay: func() string { return "" }, Others: func() []string { return nil }}
+
+// after are peers of whom one is the relay.
+func after(relay string) Peers {
+	return Peers{Relay: func() string { return relay }, Others: func() []string { return []string{relay} }}
+}
+
 func run(t *testing.T) (*store.Store, *sink) {
 	t.Helper()
 	fake, address := newStore(t)
-	_, out := startMirror(t, address, func() string { return "" })
+	_, out := startMirror(t, address, nobody)
 	return fake, out
 }
 
@@ -164,7 +176,7 @@
 	t.Helper()
 	fake, address := newStore(t)
 	fake.Put("a", []byte("1"))
-	m, first := startMirror(t, address, func() string { return "" })
+	m, first := startMirror(t, address, nobody)
 	server := httptest.NewServer(m)
 	cut = func() {
 		server.CloseClientConnections()
@@ -172,7 +184,7 @@
 	}
 	t.Cleanup(cut)
 	relay := strings.TrimPrefix(server.URL, "http://")
-	_, second = startMirror(t, address, func() string { return relay })
+	_, second = startMirror(t, address, after(relay))
 	within(t, bound, "both know a", func() bool { return first.get("a") == "1" && second.get("a") == "1" })
 	return fake, first, second, cut
 }
@@ -230,7 +242,7 @@
 	for i := range servers {
 		other := servers[1-i].Listener.Addr().String()
 		var m *Mirror
-		m, outs[i] = startMirror(t, address, func() string { return other })
+		m, outs[i] = startMirror(t, address, after(other))
 		servers[i].Config.Handler = m
 	}
 	for i := range servers {
@@ -242,3 +254,61 @@
 		within(t, bound, fmt.Sprintf("a is 2 at %d", i), func() bool { return out.get("a") == "2" })
 	}
 }
+
+// gate is a store that turns one instance away while it is closed.
+type gate struct {
+	store  *store.Store
+	silent bool // it gives no answer, instead of a refusal
+	open   atomic.Bool
+}
+
+func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case g.open.Load():
+		g.store.ServeHTTP(w, r)
+	case g.silent:
+		<-r.Context().Done()
+	default:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// An instance that the store turns away learns from a peer all that there is, and
+// goes on when the store takes it again.
+func TestThroughAPeer(t *testing.T) {
+	for name, silent := range map[string]bool{"refuses": false, "silent": true} {
+		t.Run(name, func(t *testing.T) {
+			fake, address := newStore(t)
+			for i := range 60 {
+				fake.Put(fmt.Sprintf("a%02d", i), []byte("1"))
+			}
+			m, first := startMirror(t, address, nobody)
+			within(t, bound, "the first knows all", func() bool { return first.get("a59") == "1" })
+			closed := &gate{store: fake, silent: silent}
+			relay, front := listen(t, m), listen(t, closed)
+			_, second := startMirror(t, front, Peers{Relay: nobody.Relay, Others: after(relay).Others})
+			within(t, 2*bound, "the second knows all", func() bool { return second.get("a00") == "1" && second.get("a59") == "1" })
+			fake.Put("a00", []byte("2"))
+			within(t, bound, "the second knows a change", func() bool { return second.get("a00") == "2" })
+			closed.open.Store(true)
+			within(t, 2*bound, "the second is back at the store", func() bool {
+				second.mu.Lock()
+				defer second.mu.Unlock()
+				return second.found == 1
+			})
+			fake.Put("a00", []byte("3"))
+			within(t, bound, "the second knows another", func() bool { return second.get("a00") == "3" })
+		})
+	}
+}
+
+// listen serves until the test ends, and returns the address.
+func listen(t *testing.T, handler http.Handler) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return strings.TrimPrefix(server.URL, "http://")
+}
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -39,6 +39,7 @@
 
 // relayed is an answer of a relay.
 type relayed struct {
+	Whole    bool           `json:"whole"` // the events are all that is known, not what has changed
 	Events   []relayedEvent `json:"events"`
 	Revision uint64         `json:"revision"`
 	Age      int64          `json:"age"` // of the knowledge, in milliseconds
@@ -53,8 +54,8 @@
 }
 
 // ServeHTTP answers a peer: with the changes since a revision as soon as there are
-// any, or with none after relayWait. 410 says that not all of them are kept, 503
-// that this instance does not follow the store itself.
+// any, or with none after relayWait. If not all of them are kept, the answer is all
+// that is known. 503 says that this instance does not follow the store itself.
 func (m *Mirror) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	since, err := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
 	if err != nil {
@@ -62,19 +63,18 @@
 		return
 	}
 	e := m.await(r.Context(), platform.Revision(since))
-	switch {
-	case !e.direct || e.age > relayAge:
+	if !e.direct || e.age > relayAge {
 		http.Error(w, "the store is not followed", http.StatusServiceUnavailable)
 		return
-	case !e.known:
-		http.Error(w, "the changes are not kept", http.StatusGone)
-		return
 	}
-	answer := relayed{Revision: uint64(e.revision), Age: e.age.Milliseconds(), Events: []relayedEvent{}}
+	answer := relayed{Revision: uint64(e.revision), Age: e.age.Milliseconds(), Whole: !e.known, Events: []relayedEvent{}}
+	if !e.known {
+		for _, item := range e.items {
+			answer.add(platform.Event{Item: item})
+		}
+	}
 	for _, event := range e.events {
-		answer.Events = append(answer.Events, relayedEvent{
-			Key: event.Key, Value: event.Value, Changed: uint64(event.Changed), Created: uint64(event.Created), Removed: event.Removed,
-		})
+		answer.add(event)
 	}
 	w.Header().Set("Content-Type", "application/json")
 	json.NewEncoder(w).Encode(answer) // a peer that has left notices by itself
@@ -100,6 +100,12 @@
 	}
 }
 
+func (a *relayed) add(e platform.Event) {
+	a.Events = append(a.Events, relayedEvent{
+		Key: e.Key, Value: e.Value, Changed: uint64(e.Changed), Created: uint64(e.Created), Removed: e.Removed,
+	})
+}
+
 // RelayError says that a relay can't be followed.
 type RelayError struct {
 	Address string
@@ -114,39 +120,59 @@
 // Unwrap returns the cause.
 func (e *RelayError) Unwrap() error { return e.Err }
 
-// follow waits once for changes from a relay. It returns them with the revision
-// that they lead up to and when the store confirmed that.
-func (m *Mirror) follow(ctx context.Context, address string, since platform.Revision) ([]platform.Event, platform.Revision, time.Time, error) {
+// news is what a relay said.
+type news struct {
+	events    []platform.Event
+	whole     bool // the events are all that there is
+	revision  platform.Revision
+	confirmed time.Time // when the store said so
+}
+
+// follow waits once for changes from a relay.
+func (m *Mirror) follow(ctx context.Context, address string, since platform.Revision) (news, error) {
 	ctx, cancel := context.WithTimeout(ctx, relayTime)
 	defer cancel()
 	begin := time.Now()
 	query := url.Values{"since": {strconv.FormatUint(uint64(since), 10)}}
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+RelayPath+"?"+query.Encode(), nil)
 	if err != nil {
-		return nil, 0, time.Time{}, errors.Trace(&RelayError{Address: address, Err: err})
+		return news{}, errors.Trace(&RelayError{Address: address, Err: err})
 	}
-	resp, err := m.peers.Do(r)
+	resp, err := m.client.Do(r)
 	if err != nil {
-		return nil, 0, time.Time{}, errors.Trace(&RelayError{Address: address, Err: err})
+		return news{}, errors.Trace(&RelayError{Address: address, Err: err})
 	}
 	defer resp.Body.Close()
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxRelayed))
 	if err != nil || resp.StatusCode != http.StatusOK {
-		return nil, 0, time.Time{}, errors.Trace(&RelayError{Address: address, Status: resp.StatusCode, Err: err})
+		return news{}, errors.Trace(&RelayError{Address: address, Status: resp.StatusCode, Err: err})
 	}
 	var answer relayed
 	if err := json.Unmarshal(b, &answer); err != nil {
-		return nil, 0, time.Time{}, errors.Trace(&RelayError{Address: address, Status: resp.StatusCode, Err: err})
+		return news{}, errors.Trace(&RelayError{Address: address, Status: resp.StatusCode, Err: err})
 	}
-	// The answer was made after begin at the earliest, so the age counts from there.
-	return answer.changes(), platform.Revision(answer.Revision), begin.Add(-time.Duration(answer.Age) * time.Millisecond), nil
+	return answer.news(begin), nil
 }
 
-func (a relayed) changes() []platform.Event {
-	events := make([]platform.Event, 0, len(a.Events))
+// news decodes an answer to a call that began at a time. It was made later, so
+// that the age counts from there.
+func (a relayed) news(begin time.Time) news {
+	n := news{
+		whole: a.Whole, revision: platform.Revision(a.Revision),
+		confirmed: begin.Add(-time.Duration(a.Age) * time.Millisecond),
+	}
 	for _, e := range a.Events {
 		item := platform.Item{Key: e.Key, Value: e.Value, Changed: platform.Revision(e.Changed), Created: platform.Revision(e.Created)}
-		events = append(events, platform.Event{Item: item, Removed: e.Removed})
+		n.events = append(n.events, platform.Event{Item: item, Removed: e.Removed})
+	}
+	return n
+}
+
+// items are the items of whole news.
+func (n news) items() []platform.Item {
+	items := make([]platform.Item, 0, len(n.events))
+	for _, e := range n.events {
+		items = append(items, e.Item)
 	}
-	return events
+	return items
 }
