--- a/internal/steer/config.go
+++ b/internal/steer/config.go
@@ -34,7 +34,7 @@
 const (
 	// defaultByteCost: 1 ms for 1 KB. An answer of 90 KB then stays in its failure
 	// domain unless that costs 90 ms, and one of 5 KB goes anywhere.
-	defaultByteCost = 1000.0
+	defaultByteCost = 3000.0
 )
 
 // ConfigError lists all faults of a Config.
@@ -87,8 +87,8 @@
 	// domainHome and regionHome are what an object's home in the own failure
 	// domain or region costs over its home among all targets: its answers warm
 	// fewer requests. They keep answers of up to about 15 KB at the one home.
-	domainHome = 15 * time.Millisecond
-	regionHome = 10 * time.Millisecond
+	domainHome = 45 * time.Millisecond
+	regionHome = 30 * time.Millisecond
 	// missShare is the part of a service's latency that a target costs which is no
 	// home of the object and has to do the work cold.
 	missShare = 1.5
