--- a/cmd/firlever/edge.go
+++ b/cmd/firlever/edge.go
@@ -84,6 +84,7 @@
 	}
 	logger.Info("started", "instance", settings.Instance, "domain", settings.Domain, "region", settings.Region,
 		"callers", settings.Callers, "peers", n.Peers(), "store", settings.Store, "first", settings.FirstStart)
+	go n.Watch(cmd.Context(), flags.settings)
 	for s := range signals {
 		if s != syscall.SIGHUP {
 			break
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -38,9 +38,6 @@
 	if c.TTL == 0 {
 		c.TTL = DefaultTTL
 	}
-	if most := c.Settings.Bounds.LookupTTL; most > 0 {
-		c.TTL = min(c.TTL, most)
-	}
 }
 
 // Times of an instance's life.
--- a/internal/edge/lookup.go
+++ b/internal/edge/lookup.go
@@ -26,7 +26,7 @@
 		return
 	}
 	n.cfg.Metrics.Decided(metrics.Decision{Kind: "look-up", Reason: "answered"})
-	if err := platform.WriteLookup(w, addresses, n.cfg.TTL); err != nil {
+	if err := platform.WriteLookup(w, addresses, n.ttl()); err != nil {
 		n.cfg.Log.Debug("look-up not answered", "err", err)
 	}
 }
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -40,6 +40,7 @@
 	instances instances
 	evacuated map[string]bool // used by the mirror's goroutine alone
 	table     atomic.Pointer[routes.Table]
+	bounds    atomic.Pointer[platform.Bounds]
 	listed    atomic.Bool // the store was read once
 	stopping  atomic.Bool
 	successes *logs.Limiter
@@ -59,8 +60,7 @@
 	s := &cfg.Settings
 	fleet, err := steer.New(steer.Config{
 		Instance: s.Instance, Domain: s.Domain, Regions: s.Regions,
-		RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack,
-		ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack, ByteCost: cfg.ByteCost,
+		Bounds: steerBounds(s.Bounds), ByteCost: cfg.ByteCost,
 	})
 	if err != nil {
 		return nil, errors.Annotate(err, "edge.New")
@@ -70,6 +70,7 @@
 		evacuated: make(map[string]bool), sizes: make(map[string]float64),
 		successes: logs.NewLimiter(cfg.LogRate), failures: logs.NewLimiter(failureLines),
 	}
+	n.bounds.Store(&s.Bounds)
 	n.peers = peersAddress(s)
 	n.mirror = mirror.New(n.store, n, mirror.Peers{Relay: n.relay, Others: n.others})
 	n.registrar = newRegistrar(n)
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -1,14 +1,88 @@
 package edge
 
-import "github.com/firlever/firlever/platform"
+import (
+	"context"
+	"os"
+	"reflect"
+	"time"
 
-// Reload reads the settings file again. What an instance is and where it listens
-// does not change while it runs; the bounds that are read at each use are taken.
+	"github.com/firlever/firlever/internal/steer"
+	"github.com/firlever/firlever/platform"
+)
+
+// Reload reads the settings file again and takes the bounds from it. Who an
+// instance is and where it listens does not change while it runs. A file that
+// can't be read changes nothing.
 func (n *Node) Reload(path string) {
 	s, err := platform.ReadSettings(path)
 	if err != nil {
 		n.cfg.Log.Error("settings not reloaded; the old ones stay in force", "err", err)
 		return
 	}
-	n.cfg.Log.Info("settings reloaded", "instance", s.Instance, "store", s.Store)
+	if s.Instance != n.cfg.Settings.Instance || s.Store != n.cfg.Settings.Store {
+		n.cfg.Log.Warn("settings change what needs a restart", "instance", s.Instance, "store", s.Store)
+	}
+	if err := n.adopt(s.Bounds); err != nil {
+		n.cfg.Log.Error("bounds not taken; the old ones stay in force", "err", err)
+		return
+	}
+	n.cfg.Log.Info("settings reloaded", "grace", s.Bounds.Grace, "ttl", n.ttl(), "retry-slack", s.Bounds.RetrySlack)
+}
+
+// adopt puts bounds in force.
+func (n *Node) adopt(b platform.Bounds) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if err := n.fleet.Bound(time.Now(), steerBounds(b)); err != nil {
+		return err
+	}
+	n.bounds.Store(&b)
+	return nil
+}
+
+func steerBounds(b platform.Bounds) steer.Bounds {
+	return steer.Bounds{
+		RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack, ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack,
+	}
+}
+
+// ttl is how long callers may keep a look-up's answer.
+func (n *Node) ttl() time.Duration {
+	if most := n.bounds.Load().LookupTTL; most > 0 {
+		return min(n.cfg.TTL, most)
+	}
+	return n.cfg.TTL
+}
+
+// Watch reloads the settings file when it has changed without a signal, until ctx
+// ends.
+func (n *Node) Watch(ctx context.Context, path string) {
+	last := fileState(path)
+	ticker := time.NewTicker(reloadEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if now := fileState(path); now != nil && !reflect.DeepEqual(now, last) {
+			last = now
+			n.Reload(path)
+		}
+	}
+}
+
+// state tells two versions of a file apart.
+type state struct {
+	size    int64
+	changed time.Time
+}
+
+func fileState(path string) *state {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil // a file that is being replaced is looked at again
+	}
+	return &state{size: info.Size(), changed: info.ModTime()}
 }
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -10,7 +10,7 @@
 // before the platform would kill the process.
 func (n *Node) Stop() {
 	begin := time.Now()
-	deadline := begin.Add(n.cfg.Settings.Bounds.Grace - stopMargin)
+	deadline := begin.Add(n.bounds.Load().Grace - stopMargin)
 	n.stopping.Store(true)
 	n.cfg.Log.Info("stopping", "deadline", deadline, "connections", n.server.Open())
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
@@ -18,7 +18,7 @@
 	n.registrar.leaving <- struct{}{}
 	wait(ctx, begin.Add(leaveTime))
 	n.server.Drain()
-	wait(ctx, begin.Add(leaveTime+keptLonger*n.cfg.TTL))
+	wait(ctx, begin.Add(leaveTime+keptLonger*n.ttl()))
 	n.callers.Close()
 	n.server.CloseIdle()
 	err := n.server.Wait(ctx)
--- a/internal/steer/config.go
+++ b/internal/steer/config.go
@@ -22,14 +22,19 @@
 	Domain   string            // its failure domain
 	Regions  map[string]string // region of each failure domain
 
-	RetryRatio float64 // additional attempts for each request, over all instances
-	RetrySlack int     // additional attempts in a window besides, over all instances
-	ColdFactor float64 // times its rate that a cold target may get in one second, from all instances
-	ColdSlack  float64 // requests in one second besides
+	Bounds
 
 	ByteCost float64 // nanoseconds of latency that one byte between failure domains is worth
 }
 
+// Bounds hold over all instances together.
+type Bounds struct {
+	RetryRatio float64 // additional attempts for each request
+	RetrySlack int     // additional attempts in a window besides
+	ColdFactor float64 // times its rate that a cold target may get in one second
+	ColdSlack  float64 // requests in one second besides
+}
+
 // Defaults of Config.
 const (
 	// defaultByteCost: 1 ms for 1 KB. An answer of 90 KB then stays in its failure
@@ -59,11 +64,9 @@
 	if c.Regions[c.Domain] == "" {
 		faults = append(faults, "the region of failure domain "+c.Domain+" is missing")
 	}
-	if c.RetryRatio < 0 || c.RetryRatio > 1 {
-		faults = append(faults, "retry ratio is not within 0 and 1")
-	}
-	if min(c.ColdFactor, c.ColdSlack, c.ByteCost, float64(c.RetrySlack)) < 0 {
-		faults = append(faults, "a limit is negative")
+	faults = append(faults, c.Bounds.faults()...)
+	if c.ByteCost < 0 {
+		faults = append(faults, "byte cost is negative")
 	}
 	if faults == nil {
 		return nil
@@ -71,6 +74,17 @@
 	return errors.Trace(&ConfigError{Faults: faults})
 }
 
+func (b Bounds) faults() []string {
+	var faults []string
+	if b.RetryRatio < 0 || b.RetryRatio > 1 {
+		faults = append(faults, "retry ratio is not within 0 and 1")
+	}
+	if min(b.ColdFactor, b.ColdSlack, float64(b.RetrySlack)) < 0 {
+		faults = append(faults, "a bound is negative")
+	}
+	return faults
+}
+
 // Times and weights of the decisions.
 const (
 	// loadLife is how long a target's own report of its load counts, less and less.
--- a/internal/steer/fleet.go
+++ b/internal/steer/fleet.go
@@ -105,6 +105,23 @@
 		return
 	}
 	f.peers = names
+	f.divide(now)
+}
+
+// Bound takes new bounds. It returns a *ConfigError, and then changes nothing.
+func (f *Fleet) Bound(now time.Time, b Bounds) error {
+	if faults := b.faults(); faults != nil {
+		return errors.Trace(&ConfigError{Faults: faults})
+	}
+	if b != f.cfg.Bounds {
+		f.cfg.Bounds = b
+		f.divide(now)
+	}
+	return nil
+}
+
+// divide makes this instance's parts of the services' retry budgets anew.
+func (f *Fleet) divide(now time.Time) {
 	for _, s := range f.services {
 		s.budget = f.newBudget(now)
 	}
--- a/internal/steer/fleet_test.go
+++ b/internal/steer/fleet_test.go
@@ -17,7 +17,7 @@
 func config(instance, domain string) Config {
 	return Config{
 		Instance: instance, Domain: domain, Regions: regions,
-		RetryRatio: 0.2, RetrySlack: 60, ColdFactor: 1.5, ColdSlack: 5,
+		Bounds: Bounds{RetryRatio: 0.2, RetrySlack: 60, ColdFactor: 1.5, ColdSlack: 5},
 	}
 }
 
