--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -41,7 +41,7 @@
 		n.cfg.Log.Info("request", line...)
 		return
 	}
-	n.cfg.Log.Warn("request", append(line, "again", p.choice.Again, "err", p.cause)...)
+	n.cfg.Log.Warn("request", append(line, "first", p.choice.First, "again", p.choice.Again, "err", p.cause)...)
 }
 
 // outcome names what decided about a request: why no target was chosen, or how the
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -81,9 +81,10 @@
 }
 
 // await waits for changes, for the end of this instance's following, or for the
-// end of the time.
+// end of the time, which is over when the knowledge gets too old: the peer then asks
+// the store at once.
 func (m *Mirror) await(ctx context.Context, since platform.Revision) excerpt {
-	over := time.NewTimer(relayWait)
+	over := time.NewTimer(min(relayWait, relayAge-m.history.age(time.Now())))
 	defer over.Stop()
 	for {
 		e := m.history.since(time.Now(), since)
--- a/internal/operator/config.go
+++ b/internal/operator/config.go
@@ -1,6 +1,6 @@
 // Package operator serves operators: their settings, the state of instances,
 // health, readiness and metrics. It speaks HTTP on the operators' address; see
-// docs/operations.md. Client is the other side.
+// docs/OPERATIONS.md. Client is the other side.
 package operator
 
 import (
--- a/internal/steer/fleet_test.go
+++ b/internal/steer/fleet_test.go
@@ -101,6 +101,9 @@
 		c := f.Pick(start, query("hot"))
 		if c.Reason != "" {
 			refused++
+			if c.First == "" || c.Busy == 0 {
+				t.Fatalf("got %+v, want what it rests on", c)
+			}
 			if c.Again < againSoonest {
 				t.Fatalf("got %s until to come back", c.Again)
 			}
--- a/internal/steer/pick.go
+++ b/internal/steer/pick.go
@@ -40,6 +40,7 @@
 	Age    time.Duration // since the target last told its load; -1 if it never did
 	Reason Reason        // set if the request is refused
 	Again  time.Duration // when it is worth coming back; set if the request is refused
+	First  string        // ID of the target that would have got it first; set if the request is refused
 }
 
 // Times that refused callers are told to come back after.
@@ -115,7 +116,10 @@
 	}
 	mean := s.latency(q.Objective)
 	most := q.Objective
-	refused := Choice{Reason: NoRoom, Again: againNone}
+	first := list[0]
+	refused := Choice{
+		Reason: NoRoom, Again: againNone, First: first.ID, Wait: first.wait(now, mean), Busy: first.occupied(now), Age: first.loadAge(now),
+	}
 	var found Choice
 	for _, c := range list {
 		wait := c.wait(now, mean)
