Check the store at once when a relay is given up

Ending a peer's wait when the relay's knowledge is 1.3 s old made it give the relay up just before its list came, and then wait a second for a check of its own: a change was known after 2.5 s. Change: whoever gives up a relay checks at once, and knowledge may be 1.4 s old.

--- a/internal/mirror/check.go
+++ b/internal/mirror/check.go
@@ -13,7 +13,12 @@
 func (m *Mirror) check(ctx context.Context) {
 	failed := false
 	for ctx.Err() == nil {
-		sleep(ctx, checkEvery)
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.soon:
+		case <-time.After(checkEvery):
+		}
 		if m.isFollowing() && !m.isLost() {
 			continue // the relay checks
 		}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -62,7 +62,8 @@
 	store   *platform.Store
 	sink    Sink
 	peers   Peers
-	client  *http.Client // calls peers
+	client  *http.Client  // calls peers
+	soon    chan struct{} // asks for a check at once
 	copy    *Copy
 	history *history
 
@@ -83,7 +84,7 @@
 func New(store *platform.Store, sink Sink, peers Peers) *Mirror {
 	return &Mirror{
 		store: store, sink: sink, peers: peers, copy: NewCopy(), history: newHistory(),
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		soon: make(chan struct{}, 1), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
 	}
 }
 
@@ -125,6 +126,7 @@
 		m.via = ""
 		if ctx.Err() == nil && !m.isLost() {
 			m.alone = time.Now().Add(relayPause)
+			m.checkSoon()
 			m.sink.Alone(err)
 		}
 		return false
@@ -143,6 +145,14 @@
 	return true
 }
 
+// checkSoon asks for a check of the store at once.
+func (m *Mirror) checkSoon() {
+	select {
+	case m.soon <- struct{}{}:
+	default:
+	}
+}
+
 // leader is the peer to follow now; "" if there is none. While the store is out of
 // reach, one peer after the other is tried.
 func (m *Mirror) leader() string {
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -28,8 +28,10 @@
 	// between regions. A dead relay is given up by then, which leaves half a second
 	// of a bound of 2 s to ask the store.
 	relayTime = 1200 * time.Millisecond
-	// relayAge is how old a relay's knowledge may be: it asks the store each second.
-	relayAge = checkEvery + checkGrace + 100*time.Millisecond
+	// relayAge is how old a relay's knowledge may be: it asks the store each second,
+	// and lists it if its watch has missed something. Whoever gives up an older one
+	// checks at once, so that changes are known within 1.7 s.
+	relayAge = checkEvery + checkGrace + 200*time.Millisecond
 	// relayPause is how long a relay is left alone that failed.
 	relayPause = 5 * time.Second
 	// maxRelayed bounds an answer of a relay, in bytes: the whole history of today's
