Rank a few targets instead of sorting all; index addresses for look-ups

Cause: what a choice costs grew with the sorting of all targets of the service, a look-up's with all instances: at 2,000 instances each would go over 2,000 records. Change: the four first targets are kept among all, in the region and in the domain; all are looked at only when none of these has room. Addresses by domain and region are made when a record changes; of more than 64, each answer has some others.

--- a/internal/edge/instances.go
+++ b/internal/edge/instances.go
@@ -1,7 +1,10 @@
 package edge
 
 import (
+	"cmp"
 	"encoding/json"
+	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 
@@ -30,6 +33,12 @@
 type instances struct {
 	mu      sync.RWMutex
 	records map[string]record // by instance; guarded by mu
+
+	// Addresses for callers of the instances that don't leave, sorted; made anew
+	// when a record changes, as look-ups are a hundred times as many. Guarded by mu.
+	byDomain map[string][]string
+	byRegion map[string][]string
+	all      []string
 }
 
 func (i *instances) put(name string, r record) {
@@ -39,22 +48,34 @@
 		i.records = make(map[string]record)
 	}
 	i.records[name] = r
+	i.index()
 }
 
 func (i *instances) remove(name string) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	delete(i.records, name)
+	i.index()
+}
+
+// index makes the lists of addresses anew. i.mu is held.
+func (i *instances) index() {
+	i.byDomain, i.byRegion, i.all = make(map[string][]string), make(map[string][]string), nil
+	records := slices.SortedFunc(maps.Values(i.records), func(a, b record) int { return cmp.Compare(a.Callers, b.Callers) })
+	for _, r := range records {
+		if r.Leaving {
+			continue
+		}
+		i.byDomain[r.Domain] = append(i.byDomain[r.Domain], r.Callers)
+		i.byRegion[r.Region] = append(i.byRegion[r.Region], r.Callers)
+		i.all = append(i.all, r.Callers)
+	}
 }
 
 func (i *instances) names() []string {
 	i.mu.RLock()
 	defer i.mu.RUnlock()
-	names := make([]string, 0, len(i.records))
-	for name := range i.records {
-		names = append(names, name)
-	}
-	return names
+	return slices.Collect(maps.Keys(i.records))
 }
 
 // relay returns the peers' address of the instance that follows the store for its
@@ -92,31 +113,27 @@
 	return append(near, far...)
 }
 
-// near returns the addresses for callers of a failure domain: those of its own
-// instances, or of its region's if it has none, or all. Instances that leave are
-// named by none.
-func (i *instances) near(region, domain string) []string {
+// near returns addresses for callers of a failure domain, most at the most: those of
+// its own instances, or of its region's if it has none, or all. Of more than that,
+// each answer has some others, so that callers spread over all of them. Instances
+// that leave are named by none.
+func (i *instances) near(region, domain string, most int) []string {
 	i.mu.RLock()
 	defer i.mu.RUnlock()
-	for _, fits := range []func(record) bool{
-		func(r record) bool { return r.Domain == domain },
-		func(r record) bool { return r.Region == region },
-		func(record) bool { return true },
-	} {
-		if list := i.where(fits); len(list) > 0 {
-			return list
-		}
+	list := i.byDomain[domain]
+	if len(list) == 0 {
+		list = i.byRegion[region]
 	}
-	return nil
-}
-
-func (i *instances) where(fits func(record) bool) []string {
-	var list []string
-	for _, r := range i.records {
-		if !r.Leaving && fits(r) {
-			list = append(list, r.Callers)
-		}
+	if len(list) == 0 {
+		list = i.all
+	}
+	if len(list) <= most {
+		return list
+	}
+	begin := rand.IntN(len(list))
+	some := make([]string, 0, most)
+	for n := range most {
+		some = append(some, list[(begin+n)%len(list)])
 	}
-	slices.Sort(list)
-	return list
+	return some
 }
--- /dev/null
+++ b/internal/edge/instances_test.go
@@ -0,0 +1,70 @@
+package edge
+
+import (
+	"fmt"
+	"testing"
+)
+
+// fleet is so many instances, spread over 10 regions of 2 domains each.
+func fleet(n int) *instances {
+	var i instances
+	for k := range n {
+		i.put(fmt.Sprintf("i%04d", k), record{
+			Callers: fmt.Sprintf("10.0.%d.%d:1", k/250, k%250), Peers: fmt.Sprintf("10.0.%d.%d:2", k/250, k%250),
+			Domain: fmt.Sprintf("d%d", k%20), Region: fmt.Sprintf("r%d", k%10),
+		})
+	}
+	return &i
+}
+
+// Of many instances, each answer names as many as callers take, and all of them are
+// named by some answer.
+func TestNearOfMany(t *testing.T) {
+	i := fleet(400)
+	seen := map[string]bool{}
+	for range 200 {
+		list := i.near("r1", "d1", 5)
+		if len(list) != 5 {
+			t.Fatalf("got %d addresses, want 5", len(list))
+		}
+		for _, address := range list {
+			seen[address] = true
+		}
+	}
+	if len(seen) != 20 {
+		t.Errorf("got %d of 20 instances named", len(seen))
+	}
+}
+
+// One instance of a region is the relay of all others, and the next one after it.
+func TestRelayOfRegion(t *testing.T) {
+	i := fleet(100)
+	if got, want := i.relay("r1", "i0011"), "10.0.0.1:2"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	if got := i.relay("r1", "i0001"); got != "" {
+		t.Errorf("got %q for the relay itself, want none", got)
+	}
+	leaving := i.records["i0001"]
+	leaving.Leaving = true
+	i.put("i0001", leaving)
+	if got := i.relay("r1", "i0011"); got != "" {
+		t.Errorf("got %q after the first has left, want none: the second is the relay", got)
+	}
+	i.remove("i0011")
+	if got, want := i.relay("r1", "i0031"), "10.0.0.21:2"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+// What a look-up costs does not grow with the instances.
+func BenchmarkCapacityNear(b *testing.B) {
+	for _, n := range []int{10, 100, 2000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			i := fleet(n)
+			for b.Loop() {
+				i.near("r1", "d1", 64)
+			}
+		})
+	}
+}
--- a/internal/edge/lookup.go
+++ b/internal/edge/lookup.go
@@ -19,7 +19,7 @@
 // lookup names the instances near a caller.
 func (n *Node) lookup(w http.ResponseWriter, r *http.Request) {
 	q := platform.ReadLookup(r.URL.Query())
-	addresses := n.instances.near(q.Region, q.Domain)
+	addresses := n.instances.near(q.Region, q.Domain, platform.MaxAddresses)
 	if len(addresses) == 0 {
 		n.cfg.Metrics.Decided(metrics.Decision{Kind: "look-up", Reason: "no-instance"})
 		http.Error(w, "no instance is known yet", http.StatusServiceUnavailable)
--- a/internal/steer/fleet_test.go
+++ b/internal/steer/fleet_test.go
@@ -128,6 +128,25 @@
 	}
 }
 
+// Requests about no object spread over all targets.
+func TestSpread(t *testing.T) {
+	f := newFleet(t, 16, 4)
+	used := map[string]int{}
+	for i := range 320 {
+		q := query("")
+		q.Spread = fmt.Sprint(i)
+		used[f.best(start, f.services["s"], q).Target.ID]++
+	}
+	if len(used) != 16 {
+		t.Errorf("got %d of 16 targets used", len(used))
+	}
+	for id, n := range used {
+		if n > 60 {
+			t.Errorf("got %d of 320 requests at %s", n, id)
+		}
+	}
+}
+
 // Large answers stay in the failure domain while it has room.
 func TestLargeAnswersStay(t *testing.T) {
 	f := newFleet(t, 16, 4)
--- /dev/null
+++ b/internal/steer/order.go
@@ -0,0 +1,140 @@
+package steer
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// ranked is how many targets are ranked for an object among all, in its region
+	// and in its domain: its homes, and some more for when they are tried or cold.
+	ranked = 4
+	// lowest is the place of a target that is not ranked.
+	lowest = 10
+)
+
+// candidate is a target that may get the request, with its place in the order of
+// the object's hash among all candidates, those of the region and of the domain.
+type candidate struct {
+	*target
+	weight uint64
+	global int
+	region int
+	domain int
+}
+
+// top holds the candidates of the greatest weights, the greatest first.
+type top struct {
+	list [ranked]candidate
+	n    int // of list that is used
+}
+
+func (t *top) insert(c candidate) {
+	if t.n == ranked && c.weight <= t.list[ranked-1].weight {
+		return
+	}
+	i := min(t.n, ranked-1)
+	for ; i > 0 && t.list[i-1].weight < c.weight; i-- {
+		t.list[i] = t.list[i-1]
+	}
+	t.list[i] = c
+	t.n = min(t.n+1, ranked)
+}
+
+// order is how the targets of a service rank for an object.
+type order struct {
+	size    int  // candidates
+	ejected bool // ejected ones are among the candidates, as too many are ejected
+	global  top
+	region  top
+	domain  top
+}
+
+// order ranks the targets that may get the request, in time that grows with their
+// number.
+func (f *Fleet) order(now time.Time, s *service, q Query) *order {
+	o := &order{}
+	out := 0
+	for _, t := range s.targets {
+		if f.may(t, q) {
+			o.size++
+			if t.ejected(now) {
+				out++
+			}
+		}
+	}
+	// Where more are ejected than work, the fault is hardly the targets' own.
+	o.ejected = out*ejectHalf > o.size
+	if !o.ejected {
+		o.size -= out
+	}
+	sum := hash(q.key())
+	for _, t := range s.targets {
+		if !f.candidate(now, t, q, o) {
+			continue
+		}
+		c := candidate{target: t, weight: mix(t.seed, sum), global: lowest, region: lowest, domain: lowest}
+		o.global.insert(c)
+		if t.region == f.region {
+			o.region.insert(c)
+		}
+		if t.Domain == f.cfg.Domain {
+			o.domain.insert(c)
+		}
+	}
+	return o
+}
+
+// may says whether a target may get the request, were it sound.
+func (f *Fleet) may(t *target, q Query) bool {
+	return f.open(t) && allowed(q.Regions, t.region) && !slices.Contains(q.Tried, t.ID)
+}
+
+func (f *Fleet) candidate(now time.Time, t *target, q Query, o *order) bool {
+	return f.may(t, q) && (o.ejected || !t.ejected(now))
+}
+
+// key is what the targets are ranked by.
+func (q *Query) key() string {
+	if q.Object != "" {
+		return q.Object
+	}
+	return q.Spread
+}
+
+// short lists the ranked candidates, the first of all first.
+func (o *order) short() []candidate {
+	list := make([]candidate, 0, 3*ranked)
+	find := func(c candidate) *candidate {
+		for i := range list {
+			if list[i].target == c.target {
+				return &list[i]
+			}
+		}
+		list = append(list, c)
+		return &list[len(list)-1]
+	}
+	for i, c := range o.global.list[:o.global.n] {
+		find(c).global = i
+	}
+	for i, c := range o.region.list[:o.region.n] {
+		find(c).region = i
+	}
+	for i, c := range o.domain.list[:o.domain.n] {
+		find(c).domain = i
+	}
+	return list
+}
+
+// unranked lists all candidates without their places. It begins at another one for
+// each key, so that the cheapest of equals is not always the same.
+func (f *Fleet) unranked(now time.Time, s *service, q Query, o *order) []candidate {
+	list := make([]candidate, 0, o.size)
+	for _, t := range s.targets {
+		if f.candidate(now, t, q, o) {
+			list = append(list, candidate{target: t, global: lowest, region: lowest, domain: lowest})
+		}
+	}
+	begin := hash(q.key()) % uint64(len(list))
+	return append(list[begin:], list[:begin]...)
+}
--- a/internal/steer/pick.go
+++ b/internal/steer/pick.go
@@ -83,48 +83,35 @@
 	}
 }
 
-// candidate is a target that may get the request, with its place in the order of
-// the object's hash among all candidates, those of the region and of the domain.
-type candidate struct {
-	*target
-	weight uint64
-	global int
-	region int
-	domain int
-}
-
-// carry is what it costs to carry the answer between failure domains.
-func (f *Fleet) carry(q Query) time.Duration { return time.Duration(f.cfg.ByteCost * q.Size) }
-
-// near says whether the object has homes in each failure domain and region too, as
-// its answers are too large to be carried from one home.
-func (f *Fleet) near(q Query) bool { return f.carry(q) > domainHome }
-
-// home says whether the target is one of those that keep the object warm.
-func (f *Fleet) home(c candidate, q Query) bool {
-	if c.global < homes {
-		return true
-	}
-	return f.near(q) && (c.target.region == f.region && c.region < homes || c.Domain == f.cfg.Domain && c.domain < homes)
-}
-
-// best returns the cheapest target that can answer in time.
+// best returns the cheapest target that can answer in time: first among those that
+// rank high for the object, then among all.
 func (f *Fleet) best(now time.Time, s *service, q Query) Choice {
-	list := f.candidates(now, s, q)
-	if len(list) == 0 {
+	o := f.order(now, s, q)
+	if o.size == 0 {
 		return Choice{Reason: NoTarget, Again: againNone}
 	}
 	mean := s.latency(q.Objective)
-	most := q.Objective
+	found, refused := f.cheapest(now, o.short(), q, mean)
+	if found.Target.ID == "" || q.Object == "" {
+		found, _ = f.cheapest(now, f.unranked(now, s, q, o), q, mean)
+	}
+	if found.Target.ID == "" {
+		return refused
+	}
+	return found
+}
+
+// cheapest returns the cheapest of some targets that can answer in time, and the
+// refusal if there is none.
+func (f *Fleet) cheapest(now time.Time, list []candidate, q Query, mean time.Duration) (found, refused Choice) {
 	first := list[0]
-	refused := Choice{
+	refused = Choice{
 		Reason: NoRoom, Again: againNone, First: first.ID, Wait: first.wait(now, mean), Busy: first.occupied(now), Age: first.loadAge(now),
 	}
-	var found Choice
 	for _, c := range list {
 		wait := c.wait(now, mean)
-		if wait > most || !q.Deadline.After(now.Add(wait)) || now.Before(c.shedUntil) {
-			refused.Again = min(refused.Again, max(againSoonest, mean/2, wait-most))
+		if wait > q.Objective || !q.Deadline.After(now.Add(wait)) || now.Before(c.shedUntil) {
+			refused.Again = min(refused.Again, max(againSoonest, mean/2, wait-q.Objective))
 			continue
 		}
 		if q.Object != "" && !f.home(c, q) && !c.idle(now) {
@@ -146,12 +133,24 @@
 			}
 		}
 	}
-	if found.Target.ID == "" {
-		return refused
+	return found, refused
+}
+
+// home says whether the target is one of those that keep the object warm.
+func (f *Fleet) home(c candidate, q Query) bool {
+	if c.global < homes {
+		return true
 	}
-	return found
+	return f.near(q) && (c.target.region == f.region && c.region < homes || c.Domain == f.cfg.Domain && c.domain < homes)
 }
 
+// near says whether the object has homes in each failure domain and region too, as
+// its answers are too large to be carried from one home.
+func (f *Fleet) near(q Query) bool { return f.carry(q) > domainHome }
+
+// carry is what it costs to carry the answer between failure domains.
+func (f *Fleet) carry(q Query) time.Duration { return time.Duration(f.cfg.ByteCost * q.Size) }
+
 // latency is the time of one request's work, measured or guessed.
 func (s *service) latency(objective time.Duration) time.Duration {
 	if s.mean > 0 {
@@ -160,53 +159,6 @@
 	return time.Duration(guessedLatency * float64(objective))
 }
 
-// candidates lists the targets that may get the request in the order of its hash.
-func (f *Fleet) candidates(now time.Time, s *service, q Query) []candidate {
-	key := q.Object
-	if key == "" {
-		key = q.Spread
-	}
-	sum := hash(key)
-	list := make([]candidate, 0, len(s.targets))
-	out := 0
-	for _, t := range s.targets {
-		if !f.open(t) || slices.Contains(q.Tried, t.ID) || !allowed(q.Regions, t.region) {
-			continue
-		}
-		if t.ejected(now) {
-			out++
-		}
-		list = append(list, candidate{target: t, weight: mix(t.seed, sum)})
-	}
-	// Where more are ejected than work, the fault is hardly the targets' own.
-	if out > 0 && out*ejectHalf <= len(list) {
-		list = slices.DeleteFunc(list, func(c candidate) bool { return c.ejected(now) })
-	}
-	slices.SortFunc(list, func(a, b candidate) int {
-		if a.weight > b.weight {
-			return -1
-		}
-		return 1
-	})
-	f.place(list)
-	return list
-}
-
-// place numbers the candidates among all, within the region and the domain.
-func (f *Fleet) place(list []candidate) {
-	region, domain := 0, 0
-	for i := range list {
-		c := &list[i]
-		c.global, c.region, c.domain = i, region, domain
-		if c.target.region == f.region {
-			region++
-		}
-		if c.Domain == f.cfg.Domain {
-			domain++
-		}
-	}
-}
-
 // penalty is what a target costs by where it is and by not being the object's home.
 func (f *Fleet) penalty(c candidate, q Query, mean time.Duration) time.Duration {
 	cost := time.Duration(0)
@@ -232,7 +184,7 @@
 // missed is the expected loss at the target in a place of the order: nothing at
 // the home, half of it at the second, as that gets what the home has no room for.
 func missed(miss float64, place int) time.Duration {
-	return time.Duration(miss * (1 - 1/float64(uint64(1)<<min(place, 10))))
+	return time.Duration(miss * (1 - 1/float64(uint64(1)<<min(place, lowest))))
 }
 
 // allowed says whether a region is among those of a route; none means all.
