Name instances to callers by the size of their machines

Callers spread evenly over machines with links of 10 and 200 Mbit/s. A relay that took its changes in by many short watches was taken for stale (503) in the first seconds, and 86 instances asked the store for 5 s. Change: an instance is named to a part of the callers that is proportional to its machine, by a hash of the caller, so that each is told of the same ones each time, two at least. A watch that brings changes confirms what is known.

--- a/internal/edge/instances.go
+++ b/internal/edge/instances.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"encoding/json"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"sync"
 
@@ -22,6 +21,9 @@
 	Domain  string `json:"domain"`
 	Region  string `json:"region"`
 	Leaving bool   `json:"leaving"` // it stops, and takes no new callers
+
+	Cores float64 `json:"cores"` // processor of its machine
+	Link  float64 `json:"link"`  // of its machine, in Mbit/s
 }
 
 func decodeRecord(value []byte) (record, error) {
@@ -34,11 +36,11 @@
 	mu      sync.RWMutex
 	records map[string]record // by instance; guarded by mu
 
-	// Addresses for callers of the instances that don't leave, sorted; made anew
-	// when a record changes, as look-ups are a hundred times as many. Guarded by mu.
-	byDomain map[string][]string
-	byRegion map[string][]string
-	all      []string
+	// The instances that don't leave, sorted by address; made anew when a record
+	// changes, as look-ups are a hundred times as many. Guarded by mu.
+	byDomain map[string][]record
+	byRegion map[string][]record
+	all      []record
 }
 
 func (i *instances) put(name string, r record) {
@@ -60,15 +62,15 @@
 
 // index makes the lists of addresses anew. i.mu is held.
 func (i *instances) index() {
-	i.byDomain, i.byRegion, i.all = make(map[string][]string), make(map[string][]string), nil
+	i.byDomain, i.byRegion, i.all = make(map[string][]record), make(map[string][]record), nil
 	records := slices.SortedFunc(maps.Values(i.records), func(a, b record) int { return cmp.Compare(a.Callers, b.Callers) })
 	for _, r := range records {
 		if r.Leaving {
 			continue
 		}
-		i.byDomain[r.Domain] = append(i.byDomain[r.Domain], r.Callers)
-		i.byRegion[r.Region] = append(i.byRegion[r.Region], r.Callers)
-		i.all = append(i.all, r.Callers)
+		i.byDomain[r.Domain] = append(i.byDomain[r.Domain], r)
+		i.byRegion[r.Region] = append(i.byRegion[r.Region], r)
+		i.all = append(i.all, r)
 	}
 }
 
@@ -113,11 +115,10 @@
 	return append(near, far...)
 }
 
-// near returns addresses for callers of a failure domain, most at the most: those of
-// its own instances, or of its region's if it has none, or all. Of more than that,
-// each answer has some others, so that callers spread over all of them. Instances
-// that leave are named by none.
-func (i *instances) near(region, domain string, most int) []string {
+// near returns addresses for a caller in a failure domain, most at the most: of its
+// own instances, or of its region's if it has none, or of all. Instances that leave
+// are named by none.
+func (i *instances) near(region, domain, caller string, most int) []string {
 	i.mu.RLock()
 	defer i.mu.RUnlock()
 	list := i.byDomain[domain]
@@ -127,13 +128,5 @@
 	if len(list) == 0 {
 		list = i.all
 	}
-	if len(list) <= most {
-		return list
-	}
-	begin := rand.IntN(len(list))
-	some := make([]string, 0, most)
-	for n := range most {
-		some = append(some, list[(begin+n)%len(list)])
-	}
-	return some
+	return share(list, caller, most)
 }
--- a/internal/edge/instances_test.go
+++ b/internal/edge/instances_test.go
@@ -18,12 +18,12 @@
 }
 
 // Of many instances, each answer names as many as callers take, and all of them are
-// named by some answer.
+// named to some caller.
 func TestNearOfMany(t *testing.T) {
 	i := fleet(400)
 	seen := map[string]bool{}
-	for range 200 {
-		list := i.near("r1", "d1", 5)
+	for caller := range 200 {
+		list := i.near("r1", "d1", fmt.Sprint(caller), 5)
 		if len(list) != 5 {
 			t.Fatalf("got %d addresses, want 5", len(list))
 		}
@@ -36,6 +36,38 @@
 	}
 }
 
+// Small machines are named to fewer callers, in proportion, and each caller is told
+// of the same instances each time, two at least.
+func TestShare(t *testing.T) {
+	list := []record{{Callers: "big", Cores: 0.8, Link: 200}}
+	for k := range 10 {
+		list = append(list, record{Callers: fmt.Sprintf("small%d", k), Cores: 0.16, Link: 10})
+	}
+	named := map[string]int{}
+	const callers = 4000
+	for caller := range callers {
+		got := share(list, fmt.Sprint(caller), 64)
+		if len(got) < spare {
+			t.Fatalf("got %q", got)
+		}
+		if again := share(list, fmt.Sprint(caller), 64); fmt.Sprint(got) != fmt.Sprint(again) {
+			t.Fatalf("got %q, then %q", got, again)
+		}
+		for _, address := range got {
+			named[address]++
+		}
+	}
+	if named["big"] != callers {
+		t.Errorf("got the big one named to %d of %d callers", named["big"], callers)
+	}
+	for k := range 10 {
+		// A tenth each of those who need a second, and 1 in 20 of all.
+		if got := named[fmt.Sprintf("small%d", k)]; got < 250 || got > 600 {
+			t.Errorf("got small%d named to %d callers", k, got)
+		}
+	}
+}
+
 // One instance of a region is the relay of all others, and the next one after it.
 func TestRelayOfRegion(t *testing.T) {
 	i := fleet(100)
@@ -63,7 +95,7 @@
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			i := fleet(n)
 			for b.Loop() {
-				i.near("r1", "d1", 64)
+				i.near("r1", "d1", "10.0.0.9", 64)
 			}
 		})
 	}
--- a/internal/edge/lookup.go
+++ b/internal/edge/lookup.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"net"
 	"net/http"
 
 	"github.com/go-chi/chi/v5"
@@ -19,7 +20,7 @@
 // lookup names the instances near a caller.
 func (n *Node) lookup(w http.ResponseWriter, r *http.Request) {
 	q := platform.ReadLookup(r.URL.Query())
-	addresses := n.instances.near(q.Region, q.Domain, platform.MaxAddresses)
+	addresses := n.instances.near(q.Region, q.Domain, host(r.RemoteAddr), platform.MaxAddresses)
 	if len(addresses) == 0 {
 		n.cfg.Metrics.Decided(metrics.Decision{Kind: "look-up", Reason: "no-instance"})
 		http.Error(w, "no instance is known yet", http.StatusServiceUnavailable)
@@ -31,6 +32,15 @@
 	}
 }
 
+// host is an address without its port.
+func host(address string) string {
+	name, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
+	}
+	return name
+}
+
 // readiness serves the platform's own check.
 func (n *Node) readiness() http.Handler {
 	r := chi.NewRouter()
--- a/internal/edge/register.go
+++ b/internal/edge/register.go
@@ -65,7 +65,8 @@
 func (r *registrar) write(ctx context.Context, lease platform.LeaseID, leaving bool) error {
 	s := &r.node.cfg.Settings
 	value, err := json.Marshal(record{
-		Callers: s.Callers, Peers: r.node.peers, Domain: s.Domain, Region: s.Region, Leaving: leaving,
+		Callers: s.Callers, Peers: r.node.peers, Domain: s.Domain, Region: s.Region,
+		Cores: s.Cores, Link: s.LinkMbps, Leaving: leaving,
 	})
 	if err != nil {
 		return err
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -271,6 +271,7 @@
 	m.mu.Lock()
 	m.kick = cancel
 	m.mu.Unlock()
+	begin := time.Now()
 	events, since, err := m.store.Watch(inner, "", m.history.at(), wait)
 	if errors.Is(inner.Err(), context.Canceled) && ctx.Err() == nil {
 		return errKicked
@@ -280,6 +281,9 @@
 		return err
 	}
 	m.take(events, since)
+	if len(events) > 0 {
+		m.history.confirm(begin, true) // an empty answer may come from a deaf watch
+	}
 	return nil
 }
 
