Notice a store that has gone silent within two seconds

Cause: a watch that waits at a store which answers nothing any more was given up after 22 s only; peers were not asked meanwhile (TestGoneSilent failed). Change: a check that fails within 0.9 s ends the watch, and the store counts as lost.

--- a/internal/mirror/check.go
+++ b/internal/mirror/check.go
@@ -9,7 +9,8 @@
 
 // check asks the store for its revision now and then. Changes that the watch has
 // not delivered though it had the time are read by a list. When the store answers
-// again after it did not, a waiting watch begins anew on another connection.
+// again after it did not, a waiting watch begins anew on another connection; when
+// it does not answer, the watch ends too, as it may wait in vain.
 func (m *Mirror) check(ctx context.Context) {
 	failed := false
 	for ctx.Err() == nil {
@@ -23,7 +24,10 @@
 			continue // the relay checks
 		}
 		err := m.checkOnce(ctx)
-		if err == nil && (failed || m.isLost()) {
+		switch {
+		case err != nil:
+			m.fail(err)
+		case failed || m.isLost():
 			m.reach()
 		}
 		failed = err != nil
@@ -32,7 +36,7 @@
 
 func (m *Mirror) checkOnce(ctx context.Context) error {
 	begin := time.Now()
-	inner, cancel := context.WithTimeout(ctx, answerTime)
+	inner, cancel := context.WithTimeout(ctx, checkTime)
 	defer cancel()
 	revision, err := m.store.Revision(inner)
 	if err != nil {
@@ -63,11 +67,29 @@
 	m.endWatch()
 }
 
+// fail ends the watch that waits, as the store does not answer.
+func (m *Mirror) fail(err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.failed = err
+	m.endWatch()
+}
+
+// takeFailed returns why a check failed since the last call, or nil.
+func (m *Mirror) takeFailed() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	err := m.failed
+	m.failed = nil
+	return err
+}
+
 // reach notes that the store answers.
 func (m *Mirror) reach() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.reached = m.lost
+	m.failed = nil
 	m.endWatch()
 }
 
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -26,6 +26,9 @@
 	// checkGrace, in which the watch may still deliver them.
 	checkEvery = time.Second
 	checkGrace = 200 * time.Millisecond
+	// checkTime is how long a check may take: a slow store needs a quarter of a
+	// second, and a silent one is noticed within 2 s.
+	checkTime = 900 * time.Millisecond
 	// settleCheck is how often delayed removals are looked at, and how long the
 	// first watch after an outage waits, to show soon that the store is back.
 	settleCheck = 200 * time.Millisecond
@@ -75,6 +78,7 @@
 	mu        sync.Mutex
 	kick      context.CancelFunc // ends the watch that waits; guarded by mu
 	missed    bool               // the watch has missed changes; guarded by mu
+	failed    error              // of a check, for which the watch was ended; guarded by mu
 	following bool               // a peer is followed; guarded by mu
 	lost      bool               // the store is out of reach; guarded by mu
 	reached   bool               // the store has answered a check since it was lost; guarded by mu
@@ -274,6 +278,9 @@
 	begin := time.Now()
 	events, since, err := m.store.Watch(inner, "", m.history.at(), wait)
 	if errors.Is(inner.Err(), context.Canceled) && ctx.Err() == nil {
+		if failed := m.takeFailed(); failed != nil {
+			return failed
+		}
 		return errKicked
 	}
 	if err != nil {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -302,6 +302,29 @@
 	}
 }
 
+// An instance whose watch waits at a store that has gone silent notices it, and
+// goes on through a peer.
+func TestGoneSilent(t *testing.T) {
+	fake, address := newStore(t)
+	fake.Put("a", []byte("1"))
+	m, _ := startMirror(t, address, nobody)
+	g := &gate{store: fake, silent: true}
+	g.open.Store(true)
+	_, second := startMirror(t, listen(t, g), Peers{Relay: nobody.Relay, Others: after(listen(t, m)).Others})
+	within(t, bound, "the second knows a", func() bool { return second.get("a") == "1" })
+	time.Sleep(2 * gather) // its watch waits
+	g.open.Store(false)
+	// The watch that waits passed the gate before; it hears nothing any more.
+	fake.SetFaults(store.Faults{Deaf: true})
+	within(t, 2*bound, "the loss is noticed", func() bool {
+		second.mu.Lock()
+		defer second.mu.Unlock()
+		return second.lost == 1
+	})
+	fake.Put("a", []byte("2"))
+	within(t, 2*bound, "the second knows the change through its peer", func() bool { return second.get("a") == "2" })
+}
+
 // listen serves until the test ends, and returns the address.
 func listen(t *testing.T, handler http.Handler) string {
 	t.Helper()
