--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -104,8 +104,7 @@
 			continue
 		}
 		if !m.isLost() || m.takeReached() {
-			err := m.step(ctx)
-			if err == nil {
+			if m.step(ctx) == nil {
 				pause = retryFirst
 				sleep(ctx, gather)
 				continue
@@ -190,15 +189,23 @@
 
 // step lists the store if that is due, or watches it once.
 func (m *Mirror) step(ctx context.Context) error {
+	err := m.ask(ctx)
+	if ctx.Err() != nil {
+		return err // the instance stops: nothing is lost
+	}
+	return m.outcome(err)
+}
+
+func (m *Mirror) ask(ctx context.Context) error {
 	if !m.listed || m.takeMissed() {
-		return m.outcome(m.list(ctx))
+		return m.list(ctx)
 	}
 	err := m.watch(ctx)
 	var gone *platform.HistoryError
 	if errors.As(err, &gone) {
-		return m.outcome(m.list(ctx))
+		return m.list(ctx)
 	}
-	return m.outcome(err)
+	return err
 }
 
 // outcome tells the sink and the peers whether the store is in reach.
