One writer of log lines; files by noun

Change: serve and demo use internal/logs, with tests that it never blocks and what it drops is counted. Reading of a connection, following of a relay and the shares' tests have files of their own, letter for letter.

--- a/cmd/firlever/demo.go
+++ b/cmd/firlever/demo.go
@@ -9,6 +9,7 @@
 
 	"github.com/firlever/firlever/internal/core"
 	"github.com/firlever/firlever/internal/demo"
+	"github.com/firlever/firlever/internal/logs"
 )
 
 // demoFlags are the flags of the demo command.
@@ -69,9 +70,9 @@
 		Seed: f.seed, Policy: core.Policy(f.policy), Faults: kinds,
 	}
 	if f.verbose {
-		lines := newLineWriter(os.Stderr)
-		defer lines.Flush()
-		logger, err := newLogger(lines, "info")
+		lines := logs.NewWriter(os.Stderr)
+		defer func() { lines.Close(time.Now().Add(logs.CloseTime)) }()
+		logger, err := logs.New(lines, "info")
 		if err != nil {
 			return err
 		}
--- a/cmd/firlever/edge.go
+++ b/cmd/firlever/edge.go
@@ -59,7 +59,7 @@
 		return &usageError{Command: cmd.CommandPath(), Reason: err.Error()}
 	}
 	lines := logs.NewWriter(cmd.OutOrStdout())
-	defer func() { lines.Close(time.Now().Add(time.Second)) }()
+	defer func() { lines.Close(time.Now().Add(logs.CloseTime)) }()
 	logger, err := logs.New(lines, flags.level)
 	if err != nil {
 		return &usageError{Command: cmd.CommandPath(), Reason: err.Error()}
--- a/cmd/firlever/serve.go
+++ b/cmd/firlever/serve.go
@@ -12,6 +12,7 @@
 	"github.com/firlever/firlever/internal/core"
 	"github.com/firlever/firlever/internal/instance"
 	"github.com/firlever/firlever/internal/invariant"
+	"github.com/firlever/firlever/internal/logs"
 	"github.com/firlever/firlever/internal/metrics"
 	"github.com/firlever/firlever/internal/platform"
 )
@@ -71,9 +72,9 @@
 }
 
 func serve(cmd *cobra.Command, cfg instance.Config, flags serveFlags) error {
-	lines := newLineWriter(cmd.ErrOrStderr())
-	defer lines.Flush()
-	logger, err := newLogger(lines, flags.level)
+	lines := logs.NewWriter(cmd.ErrOrStderr())
+	defer func() { lines.Close(time.Now().Add(logs.CloseTime)) }()
+	logger, err := logs.New(lines, flags.level)
 	if err != nil {
 		return &usageError{Command: cmd.CommandPath(), Reason: err.Error()}
 	}
--- a/internal/logs/writer.go
+++ b/internal/logs/writer.go
@@ -18,6 +18,9 @@
 	maxPending = 512 << 10
 )
 
+// CloseTime is how long a process that ends waits for its last lines to be written.
+const CloseTime = 500 * time.Millisecond
+
 // Writer gathers lines and writes them in the background. A reader that stops
 // reading costs lines, never time. It is safe for concurrent use.
 type Writer struct {
--- /dev/null
+++ b/internal/mirror/relay_test.go
@@ -0,0 +1,179 @@
+package mirror
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/firlever/firlever/internal/emulator/store"
+)
+
+// relays runs a mirror that follows the store, and one that follows the first. cut
+// ends the first one's service for peers.
+func relays(t *testing.T) (fake *store.Store, first, second *sink, cut func()) {
+	t.Helper()
+	fake, address := newStore(t)
+	fake.Put("a", []byte("1"))
+	m, first := startMirror(t, address, nobody)
+	server := httptest.NewServer(m)
+	cut = func() {
+		server.CloseClientConnections()
+		server.Close()
+	}
+	t.Cleanup(cut)
+	relay := strings.TrimPrefix(server.URL, "http://")
+	_, second = startMirror(t, address, after(relay))
+	within(t, bound, "both know a", func() bool { return first.get("a") == "1" && second.get("a") == "1" })
+	return fake, first, second, cut
+}
+
+// Who follows a relay learns of changes in time and does not ask the store.
+func TestRelay(t *testing.T) {
+	fake, _, second, _ := relays(t)
+	time.Sleep(2 * gather) // the second has gone over to the relay
+	calls := fake.Calls("/kv-range")
+	watches := fake.Calls("/kv-watch")
+	for i := range 5 {
+		value := fmt.Sprint(i)
+		fake.Put("a", []byte(value))
+		within(t, bound, "a is "+value, func() bool { return second.get("a") == value })
+	}
+	fake.Remove("a")
+	within(t, bound, "a is gone", func() bool { return second.get("a") == "" })
+	// The first alone: a watch for each change, and a check a second.
+	if got := fake.Calls("/kv-watch") - watches; got > 8 {
+		t.Errorf("got %d watches for 6 changes", got)
+	}
+	if got := fake.Calls("/kv-range") - calls; got > 5 {
+		t.Errorf("got %d reads", got)
+	}
+}
+
+// Whatever happens to the relay, changes come in time.
+func TestRelayFails(t *testing.T) {
+	tests := map[string]func(fake *store.Store, cut func()){
+		"gone":            func(_ *store.Store, cut func()) { cut() },
+		"deaf":            func(fake *store.Store, _ func()) { fake.SetFaults(store.Faults{Deaf: true}) },
+		"forgets history": func(fake *store.Store, _ func()) { fake.Forget() },
+	}
+	for name, fail := range tests {
+		t.Run(name, func(t *testing.T) {
+			fake, _, second, cut := relays(t)
+			time.Sleep(2 * gather)
+			fail(fake, cut)
+			fake.Put("a", []byte("2"))
+			within(t, bound, "a is 2", func() bool { return second.get("a") == "2" })
+		})
+	}
+}
+
+// Two that take each other for the relay both find out and ask the store.
+func TestRelaysInACircle(t *testing.T) {
+	fake, address := newStore(t)
+	fake.Put("a", []byte("1"))
+	var servers [2]*httptest.Server
+	var outs [2]*sink
+	for i := range servers {
+		servers[i] = httptest.NewUnstartedServer(nil)
+		t.Cleanup(servers[i].Close)
+	}
+	for i := range servers {
+		other := servers[1-i].Listener.Addr().String()
+		var m *Mirror
+		m, outs[i] = startMirror(t, address, after(other))
+		servers[i].Config.Handler = m
+	}
+	for i := range servers {
+		servers[i].Start()
+	}
+	time.Sleep(3 * gather)
+	fake.Put("a", []byte("2"))
+	for i, out := range outs {
+		within(t, bound, fmt.Sprintf("a is 2 at %d", i), func() bool { return out.get("a") == "2" })
+	}
+}
+
+// gate is a store that turns one instance away while it is closed.
+type gate struct {
+	store  *store.Store
+	silent bool // it gives no answer, instead of a refusal
+	open   atomic.Bool
+}
+
+func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case g.open.Load():
+		g.store.ServeHTTP(w, r)
+	case g.silent:
+		<-r.Context().Done()
+	default:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// An instance that the store turns away learns from a peer all that there is, and
+// goes on when the store takes it again.
+func TestThroughAPeer(t *testing.T) {
+	for name, silent := range map[string]bool{"refuses": false, "silent": true} {
+		t.Run(name, func(t *testing.T) {
+			fake, address := newStore(t)
+			for i := range 60 {
+				fake.Put(fmt.Sprintf("a%02d", i), []byte("1"))
+			}
+			m, first := startMirror(t, address, nobody)
+			within(t, bound, "the first knows all", func() bool { return first.get("a59") == "1" })
+			closed := &gate{store: fake, silent: silent}
+			relay, front := listen(t, m), listen(t, closed)
+			_, second := startMirror(t, front, Peers{Relay: nobody.Relay, Others: after(relay).Others})
+			within(t, 2*bound, "the second knows all", func() bool { return second.get("a00") == "1" && second.get("a59") == "1" })
+			fake.Put("a00", []byte("2"))
+			within(t, bound, "the second knows a change", func() bool { return second.get("a00") == "2" })
+			closed.open.Store(true)
+			within(t, 2*bound, "the second is back at the store", func() bool {
+				second.mu.Lock()
+				defer second.mu.Unlock()
+				return second.found == 1
+			})
+			fake.Put("a00", []byte("3"))
+			within(t, bound, "the second knows another", func() bool { return second.get("a00") == "3" })
+		})
+	}
+}
+
+// An instance whose watch waits at a store that has gone silent notices it, and
+// goes on through a peer.
+func TestGoneSilent(t *testing.T) {
+	fake, address := newStore(t)
+	fake.Put("a", []byte("1"))
+	m, _ := startMirror(t, address, nobody)
+	g := &gate{store: fake, silent: true}
+	g.open.Store(true)
+	_, second := startMirror(t, listen(t, g), Peers{Relay: nobody.Relay, Others: after(listen(t, m)).Others})
+	within(t, bound, "the second knows a", func() bool { return second.get("a") == "1" })
+	time.Sleep(2 * gather) // its watch waits
+	g.open.Store(false)
+	// The watch that waits passed the gate before; it hears nothing any more.
+	fake.SetFaults(store.Faults{Deaf: true})
+	within(t, 2*bound, "the loss is noticed", func() bool {
+		second.mu.Lock()
+		defer second.mu.Unlock()
+		return second.lost == 1
+	})
+	fake.Put("a", []byte("2"))
+	within(t, 2*bound, "the second knows the change through its peer", func() bool { return second.get("a") == "2" })
+}
+
+// listen serves until the test ends, and returns the address.
+func listen(t *testing.T, handler http.Handler) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return strings.TrimPrefix(server.URL, "http://")
+}
--- /dev/null
+++ b/internal/steer/share_test.go
@@ -0,0 +1,96 @@
+package steer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/firlever/firlever/internal/routes"
+)
+
+// Whatever instances there are, and whatever part of them a few do not yet know
+// of, a cold target's bound holds over all of them in any window.
+func TestColdBound(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range 50 {
+		n := 1 + rng.IntN(100)
+		rate := 1 + 20*rng.Float64()
+		bound := int(rate*1.5 + 5)
+		names := make([]string, n)
+		for i := range names {
+			names[i] = fmt.Sprintf("i%d", i)
+		}
+		sum := 0
+		for _, name := range names {
+			f, err := New(config(name, "n1"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			f.Limit(start, map[string]routes.Service{"s": {Name: "s", ColdRate: rate}})
+			f.Peers(start, names)
+			f.Put(start, Target{ID: "t", Service: "s", Domain: "s1", Slots: 100, WarmAt: start.Add(time.Minute)})
+			for i := range 100 {
+				if f.Pick(start.Add(time.Duration(i)*time.Millisecond), query("x")).Reason == "" {
+					sum++
+				}
+			}
+		}
+		if sum > bound {
+			t.Errorf("%d instances, %.1f a second: got %d requests, want %d at most", n, rate, sum, bound)
+		}
+		if sum == 0 {
+			t.Errorf("%d instances, %.1f a second: got no request", n, rate)
+		}
+	}
+}
+
+// An instance that does not know the others yet sends nothing to a cold target.
+func TestColdBeforePeers(t *testing.T) {
+	f, err := New(config("a", "n1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Limit(start, map[string]routes.Service{"s": {Name: "s", ColdRate: 14}})
+	f.Put(start, Target{ID: "t", Service: "s", Domain: "n1", Slots: 9, WarmAt: start.Add(time.Second)})
+	if got := f.Pick(start, query("x")); got.Reason != Cold || got.Again <= 0 {
+		t.Errorf("got %+v, want a refusal for a cold target", got)
+	}
+	if got := f.Pick(start.Add(time.Second), query("x")); got.Reason != "" {
+		t.Errorf("got %+v from a warm target", got)
+	}
+}
+
+// Additional attempts of all instances together keep the bound of the service.
+func TestRetryBound(t *testing.T) {
+	rng := rand.New(rand.NewPCG(2, 2))
+	for range 20 {
+		n, requests := 1+rng.IntN(40), rng.IntN(300)
+		names := make([]string, n)
+		for i := range names {
+			names[i] = fmt.Sprintf("i%d", i)
+		}
+		retries := 0
+		for _, name := range names {
+			f, err := New(config(name, "n1"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			f.Peers(start, names)
+			f.Put(start, Target{ID: "t", Service: "s", Domain: "s1", Slots: 10000})
+			for range requests {
+				f.Pick(start, query("x"))
+				for range 3 {
+					q := query("x")
+					q.Retry = true
+					if f.Pick(start, q).Reason == "" {
+						retries++
+					}
+				}
+			}
+		}
+		if bound := int(0.2*float64(n*requests)) + 60; retries > bound {
+			t.Errorf("%d instances, %d requests each: got %d retries, want %d at most", n, requests, retries, bound)
+		}
+	}
+}
