Tell callers of two instances; let routes without an objective wait

Cause: (1) three of the six failure domains of each site have one instance; its callers knew no other when it died. (2) Read in review: without an objective a request was refused as soon as a target's slots were taken (TestNoObjective). Change: a domain with one instance has its region's named; an objective of 1 s by default.

--- a/internal/edge/instances.go
+++ b/internal/edge/instances.go
@@ -116,13 +116,13 @@
 }
 
 // near returns addresses for a caller in a failure domain, most at the most: of its
-// own instances, or of its region's if it has none, or of all. Instances that leave
-// are named by none.
+// own instances, or of its region's if it has one only, which may die, or of all.
+// Instances that leave are named by none.
 func (i *instances) near(region, domain, caller string, most int) []string {
 	i.mu.RLock()
 	defer i.mu.RUnlock()
 	list := i.byDomain[domain]
-	if len(list) == 0 {
+	if len(list) < spare {
 		list = i.byRegion[region]
 	}
 	if len(list) == 0 {
--- a/internal/edge/node_test.go
+++ b/internal/edge/node_test.go
@@ -175,6 +175,9 @@
 	r.store.Put(instancePrefix+"e2", []byte(`{"callers":"10.0.0.2:1","domain":"n2","region":"north"}`))
 	r.store.Put(instancePrefix+"e3", []byte(`{"callers":"10.0.0.3:1","domain":"s1","region":"south"}`))
 	r.store.Put(instancePrefix+"e4", []byte(`{"callers":"10.0.0.4:1","domain":"s1","region":"south","leaving":true}`))
+	r.store.Put(instancePrefix+"e5", []byte(`{"callers":"10.0.0.5:1","domain":"w1","region":"west"}`))
+	r.store.Put(instancePrefix+"e6", []byte(`{"callers":"10.0.0.6:1","domain":"w1","region":"west"}`))
+	r.store.Put(instancePrefix+"e7", []byte(`{"callers":"10.0.0.7:1","domain":"w2","region":"west"}`))
 	r.start()
 	r.within("the node is registered", func() bool { return r.store.Get(instancePrefix+"e1") != nil })
 	own := r.node.cfg.Settings.Callers
@@ -182,10 +185,11 @@
 		region, domain string
 		want           []string
 	}{
-		"own domain":        {"north", "n2", []string{"10.0.0.2:1"}},
+		"one in domain":     {"north", "n2", []string{"10.0.0.2:1", own}},
+		"own domain":        {"west", "w1", []string{"10.0.0.5:1", "10.0.0.6:1"}},
 		"none in domain":    {"north", "n9", []string{"10.0.0.2:1", own}},
 		"leaves out leaver": {"south", "s1", []string{"10.0.0.3:1"}},
-		"none in region":    {"east", "e1", []string{"10.0.0.2:1", "10.0.0.3:1", own}},
+		"none in region":    {"east", "e1", []string{"10.0.0.2:1", "10.0.0.3:1", "10.0.0.5:1", "10.0.0.6:1", "10.0.0.7:1", own}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/steer/fleet_test.go
+++ b/internal/steer/fleet_test.go
@@ -128,6 +128,19 @@
 	}
 }
 
+// A route without an objective waits too.
+func TestNoObjective(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	f.Done(start, "t00", Outcome{Ending: Answered, Took: 100 * time.Millisecond})
+	for i := range 2 {
+		q := query("x")
+		q.Objective = 0
+		if c := f.Pick(start, q); c.Reason != "" {
+			t.Errorf("request %d: got %+v, want a place in the queue", i, c)
+		}
+	}
+}
+
 // Requests about no object spread over all targets.
 func TestSpread(t *testing.T) {
 	f := newFleet(t, 16, 4)
--- a/internal/steer/pick.go
+++ b/internal/steer/pick.go
@@ -50,6 +50,9 @@
 	againNone    = time.Second // until a target has registered
 )
 
+// defaultObjective is for routes that have none: what an interactive caller bears.
+const defaultObjective = time.Second
+
 // guessedLatency is the share of the objective that one request's work is taken to
 // need before any was measured.
 const guessedLatency = 0.5
@@ -60,6 +63,9 @@
 	if !ok {
 		return Choice{Reason: NoTarget, Again: againNone}
 	}
+	if q.Objective <= 0 {
+		q.Objective = defaultObjective
+	}
 	if !q.Retry {
 		s.budget.Request(now)
 	} else if !s.budget.Left(now) {
