Notice connections that have gone silent

Cause: a connection whose peer answers nothing, not even a reset, held a request until its deadline: no connection of ours had a TCP user timeout or short probes.

--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -72,10 +74,14 @@
 	c.conn.SetDeadline(e.Until)
 	stop := context.AfterFunc(ctx, func() { c.conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
+	begin := time.Now()
 	sent := c.send(e)
 	a, err := c.receive(e)
 	if err != nil {
 		c.conn.Close()
+		if c.used && silent(ctx, err) {
+			p.doubt(c.target, begin)
+		}
 		return nil, &LostError{Err: err, Reused: c.used}
 	}
 	if a.response.Rest != nil {
@@ -86,6 +92,13 @@
 	return a.response, nil
 }
 
+// silent says whether an exchange failed since the target sent nothing, rather than
+// that the caller left.
+func silent(ctx context.Context, err error) bool {
+	var network net.Error
+	return errors.As(err, &network) && network.Timeout() && !errors.Is(ctx.Err(), context.Canceled)
+}
+
 // send writes the request. A long one is written beside; the channel then gives
 // its end.
 func (c *poolConn) send(e *Exchange) <-chan error {
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/firlever/firlever/internal/tcp"
 )
 
 const (
@@ -24,7 +26,7 @@
 
 // Pool keeps connections to targets. It is safe for concurrent use.
 type Pool struct {
-	dialer net.Dialer
+	dialer *net.Dialer
 	stop   chan struct{}
 
 	mu     sync.Mutex
@@ -34,10 +36,7 @@
 
 // NewPool makes a pool whose connections come from ip; "" lets the system choose.
 func NewPool(ip string) *Pool {
-	p := &Pool{idle: make(map[string][]*poolConn), stop: make(chan struct{})}
-	if ip != "" {
-		p.dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(ip)}
-	}
+	p := &Pool{idle: make(map[string][]*poolConn), stop: make(chan struct{}), dialer: tcp.NewDialer(ip)}
 	go p.sweep()
 	return p
 }
@@ -66,6 +65,26 @@
 	closeAll(list)
 }
 
+// doubt drops the connections to a target that were last answered before a request
+// was sent on another one in vain: what silences one, such as a partition or a lost
+// entry of a firewall, silences those beside it.
+func (p *Pool) doubt(target string, sent time.Time) {
+	p.mu.Lock()
+	var old, sound []*poolConn
+	for _, c := range p.idle[target] {
+		if c.answered.Before(sent) {
+			old = append(old, c)
+		} else {
+			sound = append(sound, c)
+		}
+	}
+	if p.idle != nil {
+		p.idle[target] = sound
+	}
+	p.mu.Unlock()
+	closeAll(old)
+}
+
 // get returns a kept connection to a target, or opens one. once says that the
 // request can't be repeated: it gets no connection that may be closing.
 func (p *Pool) get(ctx context.Context, target, address string, once bool) (*poolConn, error) {
@@ -112,7 +131,7 @@
 	}
 	keep = time.Duration(idleShare * float64(keep))
 	now := time.Now()
-	c.until, c.onceUntil = now.Add(keep), now.Add(keep/2)
+	c.answered, c.until, c.onceUntil = now, now.Add(keep), now.Add(keep/2)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
--- a/internal/http1/pool_test.go
+++ b/internal/http1/pool_test.go
@@ -228,6 +228,65 @@
 	}
 }
 
+// When one kept connection has gone silent, the others to that target are not used
+// either; a caller that leaves says nothing of them.
+func TestSilentConnections(t *testing.T) {
+	tests := map[string]struct {
+		leave bool // the caller leaves, rather than that the time is over
+		conns int  // opened in all
+	}{
+		"silence": {false, 3},
+		"left":    {true, 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			address, conns := script(t, good, good, "wait", good)
+			p := NewPool("")
+			defer p.Close()
+			keepTwo(t, p, address)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			e := exchange(address)
+			if tt.leave {
+				time.AfterFunc(100*time.Millisecond, cancel)
+			} else {
+				e.Until = time.Now().Add(100 * time.Millisecond)
+			}
+			if _, err := p.Do(ctx, e); err == nil {
+				t.Fatal("got an answer from a silent connection")
+			}
+			if _, err := p.Do(context.Background(), exchange(address)); err != nil {
+				t.Fatal(err)
+			}
+			if got := len(conns); got != tt.conns {
+				t.Errorf("got %d connections, want %d", got, tt.conns)
+			}
+		})
+	}
+}
+
+// keepTwo leaves two kept connections to the target of exchange in the pool.
+func keepTwo(t *testing.T, p *Pool, address string) {
+	t.Helper()
+	var list []*poolConn
+	for range 2 {
+		c, err := p.get(context.Background(), exchange(address).Target, address, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		list = append(list, c)
+	}
+	for _, c := range list {
+		e := exchange(address)
+		sent := c.send(e)
+		a, err := c.receive(e)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.settle(c, sent, a, e)
+	}
+}
+
 func TestKeepAliveTimeout(t *testing.T) {
 	for text, want := range map[string]time.Duration{
 		"timeout=10": 10 * time.Second, "max=5, Timeout=3": 3 * time.Second, "": 0, "timeout=x": 0,
--- a/internal/http1/poolconn.go
+++ b/internal/http1/poolconn.go
@@ -15,6 +15,7 @@
 	target    string
 	read      *bufio.Reader
 	used      bool      // a request was answered on it
+	answered  time.Time // when the last one was; zero if none was
 	until     time.Time // it isn't used later
 	onceUntil time.Time // nor later by a non-idempotent request; not after until
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/firlever/firlever/internal/tcp"
 	"github.com/firlever/firlever/platform"
 )
 
@@ -88,7 +89,7 @@
 func New(store *platform.Store, sink Sink, peers Peers) *Mirror {
 	return &Mirror{
 		store: store, sink: sink, peers: peers, copy: NewCopy(), history: newHistory(),
-		soon: make(chan struct{}, 1), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		soon: make(chan struct{}, 1), client: &http.Client{Transport: &http.Transport{DialContext: tcp.NewDialer("").DialContext, MaxIdleConnsPerHost: 1}},
 	}
 }
 
