Ask a second target beside a slow one

Cause: an idempotent request whose target gave no answer waited for that one until its own deadline, and then failed: at targets that hang or are mute (grown deployments), and where a partition or a lost answer leaves the caller waiting. Change: when 4 times the service's usual latency, and the objective, have passed, a second target gets the request too, within the route's attempts and the retry budget. The first answer counts; the other attempt ends and counts as late, so that a target that hangs is ejected sooner.

--- a/internal/edge/attempts.go
+++ b/internal/edge/attempts.go
@@ -15,6 +15,7 @@
 	repeatable bool
 	most       int             // targets that it may be sent to; 1 at least
 	tried      []string        // IDs of targets that are out for this request
+	running    int             // attempts that have not ended
 	arrived    int             // attempts that reached a target, at most most
 	mayHaveRun bool            // some attempt may have run
 	unsent     int             // attempts that could not be sent
@@ -34,9 +35,15 @@
 	final  bool            // the answer is a success
 }
 
-// note takes in an attempt at a target.
-func (a *attempts) note(target string, v verdict) {
+// begin notes that an attempt at a target begins.
+func (a *attempts) begin(target string) {
 	a.tried = append(a.tried, target)
+	a.running++
+}
+
+// note takes in what came of an attempt.
+func (a *attempts) note(v verdict) {
+	a.running--
 	if !v.sent {
 		a.unsent++
 		return
@@ -53,7 +60,7 @@
 	if a.mayHaveRun && !a.repeatable {
 		return false
 	}
-	return a.arrived < max(1, a.most) && a.unsent < maxUnsent
+	return a.arrived+a.running < max(1, a.most) && a.unsent < maxUnsent
 }
 
 // status is the status of our own answer when the request is given up. 503 says
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -69,45 +69,13 @@
 	return at.Add(wait)
 }
 
-// pass sends a request to one target after another, as far as that is allowed.
-func (n *Node) pass(ctx context.Context, p *passage) *http1.Response {
-	for ctx.Err() == nil && time.Now().Before(p.deadline) && p.again() {
-		choice := n.pick(p)
-		p.choice = choice
-		if choice.Reason != "" {
-			break
-		}
-		v := n.attempt(ctx, p, choice)
-		if v.final {
-			return v.answer
-		}
-	}
-	return n.giveUp(p)
-}
-
-// giveUp makes the final answer of a request that no target answered with success.
-func (n *Node) giveUp(p *passage) *http1.Response {
-	if p.last != nil {
-		return p.last
-	}
-	status := p.status(time.Now(), p.deadline)
-	resp := ownAnswer(p.info, status)
-	if status == http.StatusServiceUnavailable {
-		platform.RetryAfter(resp.Header, max(p.choice.Again, againSoonest))
-	}
-	return resp
-}
-
-// againSoonest is the least time that a refused caller is told to wait.
-const againSoonest = 50 * time.Millisecond
-
 func (n *Node) pick(p *passage) steer.Choice {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	q := steer.Query{
 		Service: p.service, Spread: p.info.ID, Regions: p.route.Regions,
 		Objective: p.route.Objective, Deadline: p.deadline, Size: n.sizes[p.route.Name],
-		Retry: p.arrived > 0, Tried: p.tried,
+		Retry: p.arrived+p.running > 0, Tried: p.tried,
 	}
 	if p.route.Affinity {
 		q.Object = p.info.Object
@@ -115,21 +83,6 @@
 	return n.fleet.Pick(time.Now(), q)
 }
 
-// attempt sends the request to the chosen target and takes in what comes of it.
-func (n *Node) attempt(ctx context.Context, p *passage, choice steer.Choice) verdict {
-	start := time.Now()
-	target := choice.Target
-	resp, err := n.exchange(ctx, p, target)
-	v := judge(ctx, resp, err)
-	p.ending, p.cause = v.ending, err
-	p.note(target.ID, v)
-	n.settle(p, target, resp, v, start)
-	if !v.final {
-		n.logAttempt(p, target, v, err, time.Since(start))
-	}
-	return v
-}
-
 func (n *Node) exchange(ctx context.Context, p *passage, target steer.Target) (*http1.Response, error) {
 	if !p.repeatable {
 		// Work that can't be repeated goes on when its caller has left.
@@ -181,11 +134,12 @@
 }
 
 // settle tells the fleet what came of an attempt.
-func (n *Node) settle(p *passage, target steer.Target, resp *http1.Response, v verdict, start time.Time) {
+func (n *Node) settle(p *passage, r result, v verdict) {
 	now := time.Now()
-	o := steer.Outcome{Ending: v.ending, Took: now.Sub(start)}
-	if resp != nil {
-		a := platform.ReadAnswer(resp.Status, resp.Header)
+	target := r.choice.Target
+	o := steer.Outcome{Ending: v.ending, Took: now.Sub(r.begun)}
+	if r.resp != nil {
+		a := platform.ReadAnswer(r.resp.Status, r.resp.Header)
 		o.WarmIn = a.WarmIn
 		if a.Loaded {
 			o.Load = &steer.Load{Running: a.Load.Running, Waiting: a.Load.Waiting}
@@ -194,7 +148,7 @@
 	n.mu.Lock()
 	ejected := n.fleet.Done(now, target.ID, o)
 	if v.final {
-		n.noteSize(p.route.Name, resp)
+		n.noteSize(p.route.Name, r.resp)
 	}
 	n.mu.Unlock()
 	if ejected {
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -5,7 +5,6 @@
 
 	"github.com/firlever/firlever/internal/http1"
 	"github.com/firlever/firlever/internal/metrics"
-	"github.com/firlever/firlever/internal/steer"
 	"github.com/firlever/firlever/platform"
 )
 
@@ -71,14 +70,15 @@
 }
 
 // logAttempt logs an attempt that did not answer the request.
-func (n *Node) logAttempt(p *passage, target steer.Target, v verdict, err error, took time.Duration) {
+func (n *Node) logAttempt(p *passage, r result, v verdict) {
+	target := r.choice.Target
 	suppressed, ok := n.failures.Allow(time.Now())
 	if !ok {
 		return
 	}
 	n.cfg.Log.Warn("attempt", "id", p.info.ID, "object", p.info.Object, "route", p.route.Name, "target", target.ID, "address", target.Address,
 		"domain", target.Domain, "ending", v.ending, "sent", v.sent, "unrun", v.notRun, "again", p.again(),
-		"took", took, "suppressed", suppressed, "err", err)
+		"took", time.Since(r.begun), "suppressed", suppressed, "err", r.err)
 }
 
 // logRefusal logs a request that was refused before a service was chosen.
--- /dev/null
+++ b/internal/edge/pass.go
@@ -0,0 +1,116 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/firlever/firlever/internal/http1"
+	"github.com/firlever/firlever/internal/steer"
+	"github.com/firlever/firlever/platform"
+)
+
+// pass sends a request to one target after another, as far as that is allowed.
+func (n *Node) pass(ctx context.Context, p *passage) *http1.Response {
+	for ctx.Err() == nil && time.Now().Before(p.deadline) && p.again() {
+		p.choice = n.pick(p)
+		if p.choice.Reason != "" {
+			break
+		}
+		if v := n.round(ctx, p); v.final {
+			return v.answer
+		}
+	}
+	return n.giveUp(p)
+}
+
+// giveUp makes the final answer of a request that no target answered with success.
+func (n *Node) giveUp(p *passage) *http1.Response {
+	if p.last != nil {
+		return p.last
+	}
+	status := p.status(time.Now(), p.deadline)
+	resp := ownAnswer(p.info, status)
+	if status == http.StatusServiceUnavailable {
+		platform.RetryAfter(resp.Header, max(p.choice.Again, againSoonest))
+	}
+	return resp
+}
+
+// againSoonest is the least time that a refused caller is told to wait.
+const againSoonest = 50 * time.Millisecond
+
+// result is how an attempt at a target ended.
+type result struct {
+	choice steer.Choice
+	begun  time.Time
+	resp   *http1.Response
+	err    error
+}
+
+// round sends the request to the chosen target. If that takes so long that hardly
+// an answer will come, another target gets it too, if it may run more than once:
+// the first answer counts, and the other attempt ends.
+func (n *Node) round(ctx context.Context, p *passage) verdict {
+	p.begin(p.choice.Target.ID)
+	if !p.repeatable || !p.again() {
+		return n.take(ctx, p, n.run(ctx, p, p.choice))
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan result, mostAtOnce)
+	start := func(c steer.Choice) { go func() { results <- n.run(ctx, p, c) }() }
+	start(p.choice)
+	slow := time.NewTimer(time.Until(p.choice.SlowAt))
+	defer slow.Stop()
+	var v verdict
+	for p.running > 0 && !v.final {
+		select {
+		case r := <-results:
+			v = n.take(ctx, p, r)
+		case <-slow.C:
+			if c := n.pick(p); p.again() && c.Reason == "" {
+				p.begin(c.Target.ID)
+				start(c)
+			}
+		}
+	}
+	if p.running > 0 {
+		go n.overtaken(p, results)
+	}
+	return v
+}
+
+// mostAtOnce is how many targets work on a request at once.
+const mostAtOnce = 2
+
+// run makes an attempt at a target.
+func (n *Node) run(ctx context.Context, p *passage, c steer.Choice) result {
+	begun := time.Now()
+	resp, err := n.exchange(ctx, p, c.Target)
+	return result{choice: c, begun: begun, resp: resp, err: err}
+}
+
+// take takes in what came of an attempt.
+func (n *Node) take(ctx context.Context, p *passage, r result) verdict {
+	v := judge(ctx, r.resp, r.err)
+	p.choice, p.ending, p.cause = r.choice, v.ending, r.err
+	p.note(v)
+	n.settle(p, r, v)
+	if !v.final {
+		n.logAttempt(p, r, v)
+	}
+	return v
+}
+
+// overtaken takes in an attempt that was ended as another target answered first: it
+// was late.
+func (n *Node) overtaken(p *passage, results <-chan result) {
+	r := <-results
+	if r.resp != nil && r.resp.Rest != nil {
+		r.resp.Rest.Close()
+	}
+	v := verdict{ending: steer.Late, sent: true}
+	n.settle(p, r, v)
+	n.logAttempt(p, r, v)
+}
--- a/internal/steer/config.go
+++ b/internal/steer/config.go
@@ -127,6 +127,10 @@
 	// slowFactor: a target counts as slow by what exceeds this multiple of the
 	// service's latency; the work of one request varies by less.
 	slowFactor = 2.0
+	// hedgeFactor times a service's latency passes before a request goes to a second
+	// target beside the first. Work that a target does cold takes up to three times as
+	// long, so that a cold one is not doubled.
+	hedgeFactor = 4
 	// slowLife halves what is held against a target that isn't measured any more.
 	slowLife = 3 * time.Second
 	// smoothing is the weight of a new sample in a mean: about the last ten count.
--- a/internal/steer/pick.go
+++ b/internal/steer/pick.go
@@ -38,6 +38,7 @@
 	Cold   bool          // the target was cold
 	Busy   int           // requests that the target had to do, as far as was known
 	Age    time.Duration // since the target last told its load; -1 if it never did
+	SlowAt time.Time     // without an answer by then, there hardly will be one; another target may be tried beside
 	Reason Reason        // set if the request is refused
 	Again  time.Duration // when it is worth coming back; set if the request is refused
 	First  string        // ID of the target that would have got it first; set if the request is refused
@@ -79,6 +80,7 @@
 		s.budget.Spend(now)
 	}
 	f.take(now, f.targets[c.Target.ID])
+	c.SlowAt = now.Add(c.Wait + max(q.Objective, hedgeFactor*s.latency(q.Objective)))
 	return c
 }
 
