--- a/cmd/firlever/main_test.go
+++ b/cmd/firlever/main_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -13,14 +12,14 @@
 	"strings"
 	"sync"
 	"testing"
-	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/spf13/cobra"
 
-	"github.com/firlever/firlever/internal/emulator/kv"
+	"github.com/firlever/firlever/internal/docstore"
+	"github.com/firlever/firlever/internal/emulator/inproc"
+	"github.com/firlever/firlever/internal/emulator/store"
 	"github.com/firlever/firlever/internal/operator"
-	"github.com/firlever/firlever/internal/platform"
 	"github.com/firlever/firlever/pkg/settings"
 )
 
@@ -55,13 +54,12 @@
 
 // testInstance serves operators over the stand-in of the platform, and sets the
 // variables that lead the program there.
-func testInstance(t *testing.T) *kv.Local {
+func testInstance(t *testing.T) *inproc.Store {
 	t.Helper()
-	service, err := kv.New(kv.Defaults(), rand.New(rand.NewPCG(1, 1)))
+	local, err := inproc.New(store.Defaults())
 	if err != nil {
 		t.Fatal(err)
 	}
-	store := kv.NewLocal(service, time.Now)
 	var mu sync.Mutex
 	snapshot, _ := settings.CompileLenient(nil)
 	var docs []settings.Document
@@ -77,7 +75,7 @@
 		return s
 	}
 	server, err := operator.New(operator.Config{
-		Store:     store,
+		Store:     local,
 		Snapshot:  func() *settings.Snapshot { mu.Lock(); defer mu.Unlock(); return snapshot },
 		Documents: func() []settings.Document { mu.Lock(); defer mu.Unlock(); return docs },
 		Apply: func(more []settings.Document) {
@@ -101,7 +99,7 @@
 	t.Cleanup(web.Close)
 	t.Setenv("FIRLEVER_ADDRESS", web.Listener.Addr().String())
 	t.Setenv("FIRLEVER_TOKEN", "first")
-	return store
+	return local
 }
 
 func file(t *testing.T, body string) string {
@@ -252,7 +250,7 @@
 		"forbidden":   {problem(operator.CodeForbidden), 2},
 		"faults":      {problem(operator.CodeFaults), 2},
 		"unavailable": {fmt.Errorf("x: %w", problem(operator.CodeUnavailable)), 5},
-		"platform":    {&platform.UnavailableError{}, 1},
+		"platform":    {&docstore.UnavailableError{}, 1},
 		"unknown":     {&unknownError{}, 4},
 	}
 	for name, tt := range tests {
--- a/cmd/firlever/send.go
+++ b/cmd/firlever/send.go
@@ -5,8 +5,8 @@
 	"crypto/rand"
 	"errors"
 
+	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/internal/operator"
-	"github.com/firlever/firlever/internal/platform"
 	"github.com/firlever/firlever/pkg/settings"
 )
 
@@ -18,11 +18,11 @@
 	if !proved(err) {
 		change, err = client.Put(ctx, doc, write, false)
 		if !provedAgain(err) {
-			change = operator.Change{Path: doc.Path, Write: write, Outcome: platform.Unknown.String(), Reason: err.Error()}
+			change = operator.Change{Path: doc.Path, Write: write, Outcome: docstore.Unknown.String(), Reason: err.Error()}
 			err = nil
 		}
 	}
-	if err == nil && change.Outcome == platform.Unknown.String() {
+	if err == nil && change.Outcome == docstore.Unknown.String() {
 		err = &unknownError{Change: change}
 	}
 	return change, err
@@ -42,5 +42,5 @@
 // nothing about the first.
 func provedAgain(err error) bool {
 	var problem *operator.Problem
-	return err == nil || errors.As(err, &problem) && problem.Outcome == platform.Refused.String()
+	return err == nil || errors.As(err, &problem) && problem.Outcome == docstore.Refused.String()
 }
--- a/cmd/firlever/serve.go
+++ b/cmd/firlever/serve.go
@@ -10,11 +10,12 @@
 	"github.com/spf13/cobra"
 
 	"github.com/firlever/firlever/internal/core"
+	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/internal/instance"
 	"github.com/firlever/firlever/internal/invariant"
 	"github.com/firlever/firlever/internal/logs"
 	"github.com/firlever/firlever/internal/metrics"
-	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/platform"
 )
 
 const serveHelp = `Run an entry instance: it answers look-ups, steers requests to targets, and
@@ -85,7 +86,7 @@
 	})
 	cfg.Policy = core.Policy(flags.policy)
 	if flags.platform != "" {
-		cfg.Store = platform.NewClient(flags.platform)
+		cfg.Store = docstore.NewClient(platform.NewStore(flags.platform))
 	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -5,9 +5,9 @@
 	"net/netip"
 	"time"
 
+	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/internal/once"
 	"github.com/firlever/firlever/internal/owner"
-	"github.com/firlever/firlever/internal/platform"
 	"github.com/firlever/firlever/pkg/settings"
 )
 
@@ -146,7 +146,7 @@
 // Listed brings the platform's lagging list of instances. Sent is when the call
 // went out.
 type Listed struct {
-	Instances []platform.Instance
+	Instances []docstore.Instance
 	Sent      time.Time
 }
 
--- a/internal/core/store_test.go
+++ b/internal/core/store_test.go
@@ -6,8 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/internal/owner"
-	"github.com/firlever/firlever/internal/platform"
 	"github.com/firlever/firlever/pkg/settings"
 )
 
@@ -111,8 +111,8 @@
 }
 
 // list is what the list shows now, of one place.
-func (s *store) list(place int) []platform.Instance {
-	var list []platform.Instance
+func (s *store) list(place int) []docstore.Instance {
+	var list []docstore.Instance
 	for _, name := range s.w.names {
 		l := s.listed[name]
 		if l == nil || s.w.home[name] != place {
@@ -128,7 +128,7 @@
 			}
 		}
 		if shown > 0 {
-			list = append(list, platform.Instance{ID: name, Incarnation: shown})
+			list = append(list, docstore.Instance{ID: name, Incarnation: shown})
 		}
 	}
 	return list
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -3,18 +3,18 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"time"
 
 	"github.com/juju/errors"
 
+	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/internal/emulator/clock"
-	"github.com/firlever/firlever/internal/emulator/kv"
+	"github.com/firlever/firlever/internal/emulator/inproc"
 	"github.com/firlever/firlever/internal/emulator/link"
+	"github.com/firlever/firlever/internal/emulator/store"
 	"github.com/firlever/firlever/internal/emulator/target"
 	"github.com/firlever/firlever/internal/invariant"
-	"github.com/firlever/firlever/internal/platform"
 	"github.com/firlever/firlever/pkg/settings"
 )
 
@@ -40,8 +40,7 @@
 	journal   *target.Journal
 	apart     *target.Journal // of the targets that are called directly
 
-	kv      *kv.Local
-	store   platform.Store // the operators' own way to the platform
+	store   *inproc.Store // the operators' own way to the platform, which answers the instances too
 	proxies map[string]*link.Proxy
 	targets []*target.Target
 	direct  map[string]string // address of the target to call directly, by place
@@ -90,13 +89,14 @@
 // startPlatform serves the platform over TCP, with one proxy for each place so
 // that calls take the links.
 func (f *fleet) startPlatform() error {
-	service, err := kv.New(kv.Defaults(), rand.New(rand.NewPCG(f.cfg.Seed, 0)))
+	cfg := store.Defaults()
+	cfg.Seed = f.cfg.Seed
+	local, err := inproc.New(cfg)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	f.kv = kv.NewLocal(service, time.Now)
-	f.store = f.kv
-	server := kv.NewServer(f.kv)
+	f.store = local
+	server := local.Server()
 	ln, err := net.Listen("tcp", loopback)
 	if err != nil {
 		return errors.Trace(err)
@@ -119,7 +119,7 @@
 func (f *fleet) seedDocuments() error {
 	for _, doc := range f.docs {
 		write := fmt.Sprintf("seed-%d", len(doc.Path))
-		if _, err := platform.PutDocument(context.Background(), f.store, doc.Path, 0, doc.Body, write); err != nil {
+		if _, err := docstore.PutDocument(context.Background(), f.store, doc.Path, 0, doc.Body, write); err != nil {
 			return errors.Annotate(err, "fleet.seedDocuments")
 		}
 	}
--- a/internal/demo/inject.go
+++ b/internal/demo/inject.go
@@ -8,11 +8,11 @@
 
 	"github.com/goccy/go-yaml"
 
-	"github.com/firlever/firlever/internal/emulator/kv"
+	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/internal/emulator/link"
+	"github.com/firlever/firlever/internal/emulator/store"
 	"github.com/firlever/firlever/internal/emulator/target"
 	"github.com/firlever/firlever/internal/invariant"
-	"github.com/firlever/firlever/internal/platform"
 	"github.com/firlever/firlever/pkg/settings"
 )
 
@@ -77,7 +77,7 @@
 		r.until(ctx, fault.Back)
 		r.f.links.Isolate(fault.On, link.Fault{})
 	case FaultPlatform:
-		r.f.kv.SetFaults(kv.Faults{Outage: r.start.Add(fault.Back)})
+		r.f.store.SetFaults(store.Faults{Refuse: true, Until: r.start.Add(fault.Back)})
 	}
 	return nil
 }
@@ -122,10 +122,10 @@
 	if err != nil {
 		return err
 	}
-	var result platform.PutResult
+	var result docstore.PutResult
 	err = r.insist(ctx, fault.Back, func() error {
 		var err error
-		result, err = platform.PutDocument(ctx, r.f.store, path, 0, body, "demo-drain")
+		result, err = docstore.PutDocument(ctx, r.f.store, path, 0, body, "demo-drain")
 		return err
 	})
 	if err != nil {
@@ -138,7 +138,7 @@
 	r.f.journal.Return(scope)
 	r.drained(scope, accepted)
 	return r.insist(ctx, r.f.cfg.For+stopWait, func() error {
-		_, err := platform.DeleteDocument(ctx, r.f.store, path, result.Version, "demo-undrain")
+		_, err := docstore.DeleteDocument(ctx, r.f.store, path, result.Version, "demo-undrain")
 		return err
 	})
 }
@@ -192,7 +192,7 @@
 		}
 		body := fmt.Appendf(nil, "blocks:\n  - {prefix: 192.0.2.%d/32, place: %s}\n", n, r.f.snapshot.Places()[0])
 		c := Change{Path: path}
-		result, err := platform.PutDocument(ctx, r.f.store, path, version, body, fmt.Sprintf("demo-change-%d", n))
+		result, err := docstore.PutDocument(ctx, r.f.store, path, version, body, fmt.Sprintf("demo-change-%d", n))
 		if err != nil {
 			c.Note = err.Error()
 		} else {
--- a/internal/demo/process.go
+++ b/internal/demo/process.go
@@ -7,9 +7,10 @@
 
 	"github.com/juju/errors"
 
+	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/internal/emulator/link"
 	"github.com/firlever/firlever/internal/instance"
-	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/platform"
 )
 
 // process is one running instance with all its connections, so that it can die
@@ -17,7 +18,7 @@
 type process struct {
 	seat
 	in     *instance.Instance
-	client *platform.Client
+	client *docstore.Client
 	conns  *connections
 }
 
@@ -117,7 +118,7 @@
 
 func (f *fleet) newProcess(s seat) (*process, error) {
 	at := link.At(s.place)
-	p := &process{seat: s, client: platform.NewClient(f.proxies[s.place].Addr())}
+	p := &process{seat: s, client: docstore.NewClient(platform.NewStore(f.proxies[s.place].Addr()))}
 	p.conns = &connections{dial: f.links.Dialer(at, f.directory.locate), open: make(map[*connection]struct{})}
 	place, _ := f.snapshot.Place(s.place)
 	cfg := instance.Config{
--- /dev/null
+++ b/internal/docstore/client.go
@@ -0,0 +1,313 @@
+package docstore
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/firlever/firlever/platform"
+)
+
+// Keys of the platform's store.
+const (
+	entryPrefix    = "firlever/documents" // a path follows
+	instancePrefix = "firlever/members/"  // an instance's ID follows
+)
+
+// listTime is how long an instance stays in the list without a renewal. Instances
+// renew each 29 s at the latest, so that one lost renewal takes it out for a while.
+const listTime = 31 * time.Second
+
+// Client is a Store over the platform's metadata store. An entry is one key, whose
+// value says its version; a deleted one keeps its key and version. The list of
+// instances is kept by leases. It is safe for concurrent use.
+type Client struct {
+	store *platform.Store
+
+	mu    sync.Mutex
+	lines map[string]line // of the list that are renewed here, by ID; guarded by mu
+}
+
+// line is a line of the list as it was written under its lease.
+type line struct {
+	in    Instance
+	lease platform.LeaseID
+}
+
+var _ Store = (*Client)(nil)
+
+// NewClient makes a client of a store.
+func NewClient(store *platform.Store) *Client {
+	return &Client{store: store, lines: make(map[string]line)}
+}
+
+// Close drops the kept connections to the platform.
+func (c *Client) Close() { c.store.Close() }
+
+// Get reads one path.
+func (c *Client) Get(ctx context.Context, path string) (Entry, error) {
+	e, _, err := c.read(ctx, "Get", path)
+	if err == nil && (e.Version == 0 || e.Deleted) {
+		err = &NotFoundError{Path: path}
+	}
+	if err != nil {
+		return Entry{}, err
+	}
+	return e, nil
+}
+
+// read reads an entry, deleted or not, and the revision that a write has to expect.
+// One that was never written has version 0.
+func (c *Client) read(ctx context.Context, call, path string) (Entry, platform.Revision, error) {
+	if err := CheckPath(call, path); err != nil {
+		return Entry{}, 0, err
+	}
+	item, err := c.store.Get(ctx, entryPrefix+path)
+	var missing *platform.MissingError
+	if errors.As(err, &missing) {
+		return Entry{Path: path}, 0, nil
+	}
+	if err != nil {
+		return Entry{}, 0, unread(call, err)
+	}
+	e, err := decodeEntry(item)
+	return e, item.Changed, err
+}
+
+// List reads every entry under a prefix, and the revision that the first page is
+// true at; what came since is for a watch.
+func (c *Client) List(ctx context.Context, prefix string) ([]Entry, uint64, error) {
+	all, revision, err := c.list(ctx, "List", prefix)
+	if err != nil {
+		return nil, 0, err
+	}
+	var entries []Entry
+	for _, e := range all {
+		if !e.Deleted {
+			entries = append(entries, e)
+		}
+	}
+	return entries, revision, nil
+}
+
+// list reads every entry under a prefix, deleted ones too.
+func (c *Client) list(ctx context.Context, call, prefix string) ([]Entry, uint64, error) {
+	items, revision, err := c.items(ctx, entryPrefix+prefix, false)
+	if err != nil {
+		return nil, 0, unread(call, err)
+	}
+	entries := make([]Entry, 0, len(items))
+	for _, item := range items {
+		e, err := decodeEntry(item)
+		if err != nil {
+			return nil, 0, err
+		}
+		entries = append(entries, e)
+	}
+	return entries, revision, nil
+}
+
+// items reads all pages of a range.
+func (c *Client) items(ctx context.Context, prefix string, stale bool) ([]platform.Item, uint64, error) {
+	var items []platform.Item
+	var revision uint64
+	for after := ""; ; {
+		page, err := c.store.Range(ctx, prefix, after, stale)
+		if err != nil {
+			return nil, 0, err
+		}
+		if after == "" {
+			revision = uint64(page.AsOf)
+		}
+		items = append(items, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			return items, revision, nil
+		}
+		after = page.Items[len(page.Items)-1].Key
+	}
+}
+
+// Swap writes value if the path still has the given version. A value over
+// MaxValue is refused before it is sent.
+func (c *Client) Swap(ctx context.Context, path string, version uint64, value []byte) (Entry, error) {
+	if err := CheckValue(path, value); err != nil {
+		return Entry{}, err
+	}
+	return c.write(ctx, "Swap", Entry{Path: path, Version: version + 1, Value: value})
+}
+
+// Delete removes a path if it still has the given version.
+func (c *Client) Delete(ctx context.Context, path string, version uint64) (Entry, error) {
+	if _, err := c.Get(ctx, path); err != nil {
+		return Entry{}, err
+	}
+	return c.write(ctx, "Delete", Entry{Path: path, Version: version + 1, Deleted: true})
+}
+
+// write writes an entry over the version before its own. The version is read first,
+// and the write then expects that nothing has changed since.
+func (c *Client) write(ctx context.Context, call string, e Entry) (Entry, error) {
+	now, changed, err := c.read(ctx, call, e.Path)
+	if err != nil {
+		return Entry{}, err
+	}
+	want := e.Version - 1
+	if now.Version != want {
+		return Entry{}, &ConflictError{Path: e.Path, Want: want, Now: now}
+	}
+	key := entryPrefix + e.Path
+	revision, err := c.store.Do(ctx, platform.Txn{
+		If:  []platform.Condition{{Key: key, Changed: changed}},
+		Put: []platform.Write{{Key: key, Value: encodeEntry(e)}},
+	})
+	if err != nil {
+		return Entry{}, unwritten(call, e.Path, want, err)
+	}
+	e.Revision = uint64(revision)
+	return e, nil
+}
+
+// Watch waits for entries under prefix past a revision. If the store has forgotten
+// the changes since, all entries that are newer are read instead.
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Entry, uint64, error) {
+	events, revision, err := c.store.Watch(ctx, entryPrefix+prefix, platform.Revision(after), min(wait, platform.MaxWait))
+	var gone *platform.HistoryError
+	if errors.As(err, &gone) {
+		return c.newer(ctx, prefix, after)
+	}
+	if err != nil {
+		return nil, after, unread("Watch", err)
+	}
+	last := make(map[string]platform.Revision, len(events)) // of each key in the answer
+	for _, event := range events {
+		last[event.Key] = event.Changed
+	}
+	var entries []Entry
+	for _, event := range events {
+		if event.Removed || event.Changed != last[event.Key] {
+			continue // an entry is never removed, and is given as it is now
+		}
+		e, err := decodeEntry(event.Item)
+		if err != nil {
+			return nil, after, err
+		}
+		entries = append(entries, e)
+	}
+	return entries, uint64(revision), nil
+}
+
+// newer reads the entries that were written past a revision.
+func (c *Client) newer(ctx context.Context, prefix string, after uint64) ([]Entry, uint64, error) {
+	all, revision, err := c.list(ctx, "Watch", prefix)
+	if err != nil {
+		return nil, after, err
+	}
+	var entries []Entry
+	for _, e := range all {
+		if e.Revision > after {
+			entries = append(entries, e)
+		}
+	}
+	return entries, max(after, revision), nil
+}
+
+// Register puts this instance in the list, or renews its line.
+func (c *Client) Register(ctx context.Context, in Instance) error {
+	if err := CheckPath("Register", "/"+in.ID); err != nil || in.ID == "" {
+		return &InvalidError{Call: "Register", Reason: "ID missing or too long"}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if old, ok := c.lines[in.ID]; ok && old.in == in {
+		err := c.store.Keep(ctx, old.lease)
+		var ended *platform.MissingError
+		if !errors.As(err, &ended) {
+			return failed("Register", in.ID, err)
+		}
+	}
+	lease, err := c.store.Grant(ctx, listTime)
+	if err != nil {
+		return failed("Register", in.ID, err)
+	}
+	value, err := encode("Register", in)
+	if err != nil {
+		return err
+	}
+	put := platform.Write{Key: instancePrefix + in.ID, Value: value, Lease: lease}
+	if _, err := c.store.Do(ctx, platform.Txn{Put: []platform.Write{put}}); err != nil {
+		return failed("Register", in.ID, err)
+	}
+	c.lines[in.ID] = line{in: in, lease: lease}
+	return nil
+}
+
+// Instances reads the list of instances. It may be seconds old.
+func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
+	items, _, err := c.items(ctx, instancePrefix, true)
+	if err != nil {
+		return nil, unread("Instances", err)
+	}
+	list := make([]Instance, 0, len(items))
+	for _, item := range items {
+		var in Instance
+		if err := json.Unmarshal(item.Value, &in); err != nil {
+			return nil, &FormatError{Path: item.Key, Reason: err.Error()}
+		}
+		list = append(list, in)
+	}
+	return list, nil
+}
+
+// unread types the failure of a call that changes nothing.
+func unread(call string, err error) error {
+	var refused *platform.NotDoneError
+	if errors.As(err, &refused) {
+		return refusal(call, refused)
+	}
+	return &UnavailableError{Call: call, Err: err}
+}
+
+// failed types the failure of a call that may have changed something; nil stays nil.
+func failed(call, path string, err error) error {
+	var lost *platform.UncertainError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &lost) && lost.Sent:
+		return &UncertainError{Path: path, Err: err}
+	}
+	return unread(call, err)
+}
+
+// unwritten types the failure of a write that expected a version.
+func unwritten(call, path string, want uint64, err error) error {
+	var conflict *platform.ConflictError
+	if !errors.As(err, &conflict) {
+		return failed(call, path, err)
+	}
+	for _, item := range conflict.Items {
+		now, err := decodeEntry(item)
+		if err == nil && now.Path == path {
+			return &ConflictError{Path: path, Want: want, Now: now}
+		}
+	}
+	return &UncertainError{Path: path, Err: err}
+}
+
+// refusal types a call that was not done.
+func refusal(call string, e *platform.NotDoneError) error {
+	switch e.Status {
+	case http.StatusTooManyRequests:
+		return &BusyError{Call: call}
+	case http.StatusServiceUnavailable:
+		return &UnavailableError{Call: call, Err: e}
+	}
+	return &InvalidError{Call: call, Reason: e.Error()}
+}
+
+// pathOf is the path of an entry's key.
+func pathOf(key string) string { return strings.TrimPrefix(key, entryPrefix) }
--- /dev/null
+++ b/internal/docstore/client_test.go
@@ -0,0 +1,380 @@
+package docstore_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/firlever/firlever/internal/docstore"
+	"github.com/firlever/firlever/internal/emulator/inproc"
+	"github.com/firlever/firlever/internal/emulator/store"
+	"github.com/firlever/firlever/platform"
+)
+
+func newLocal(t testing.TB) *inproc.Store {
+	t.Helper()
+	s, err := inproc.New(store.Defaults())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+// serve returns a client over HTTP of the same entries as the store's own.
+func serve(t *testing.T) (*inproc.Store, *docstore.Client) {
+	t.Helper()
+	local := newLocal(t)
+	server := httptest.NewServer(local.Server().Handler)
+	client := docstore.NewClient(platform.NewStore(strings.TrimPrefix(server.URL, "http://")))
+	t.Cleanup(func() {
+		client.Close()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return local, client
+}
+
+// TestClientIsLikeLocal makes the same calls of a store over HTTP and of one in
+// process, and wants the same answers and errors.
+func TestClientIsLikeLocal(t *testing.T) {
+	ctx := t.Context()
+	type answer struct {
+		v   any
+		err error
+	}
+	pair := func(v any, err error) answer { return answer{v, err} }
+	tests := map[string]func(s docstore.Store) answer{
+		"get":           func(s docstore.Store) answer { return pair(s.Get(ctx, "/a")) },
+		"get missing":   func(s docstore.Store) answer { return pair(s.Get(ctx, "/none")) },
+		"get bad path":  func(s docstore.Store) answer { return pair(s.Get(ctx, "none")) },
+		"get long path": func(s docstore.Store) answer { return pair(s.Get(ctx, "/"+strings.Repeat("a", docstore.MaxPath))) },
+		"swap":          func(s docstore.Store) answer { return pair(s.Swap(ctx, "/a", 1, []byte("new"))) },
+		"swap loses":    func(s docstore.Store) answer { return pair(s.Swap(ctx, "/a", 0, nil)) },
+		"swap largest":  func(s docstore.Store) answer { return pair(s.Swap(ctx, "/b", 0, make([]byte, docstore.MaxValue))) },
+		"swap too much": func(s docstore.Store) answer { return pair(s.Swap(ctx, "/b", 0, make([]byte, docstore.MaxValue+1))) },
+		"delete":        func(s docstore.Store) answer { return pair(s.Delete(ctx, "/a", 1)) },
+		"delete loses":  func(s docstore.Store) answer { return pair(s.Delete(ctx, "/a", 9)) },
+		"delete none":   func(s docstore.Store) answer { return pair(s.Delete(ctx, "/none", 0)) },
+		"list": func(s docstore.Store) answer {
+			e, n, err := s.List(ctx, "/")
+			return answer{[]any{e, n}, err}
+		},
+		"watch": func(s docstore.Store) answer {
+			e, n, err := s.Watch(ctx, "/", 0, time.Second)
+			return answer{[]any{e, n}, err}
+		},
+		"register nothing": func(s docstore.Store) answer { return answer{nil, s.Register(ctx, docstore.Instance{})} },
+		"instances":        func(s docstore.Store) answer { return pair(s.Instances(ctx)) },
+	}
+	for name, call := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, client := serve(t)
+			var answers []answer
+			for _, s := range []docstore.Store{newLocal(t), client} {
+				_, _ = s.Swap(ctx, "/a", 0, []byte("old"))
+				_ = s.Register(ctx, docstore.Instance{ID: "x", Place: "p", Leaving: true})
+				answers = append(answers, call(s))
+			}
+			if got, want := answers[1], answers[0]; !reflect.DeepEqual(got, want) {
+				t.Errorf("got %+v, want %+v", got, want)
+			}
+		})
+	}
+}
+
+func TestVersionsNeverGoBack(t *testing.T) {
+	tests := map[string]struct {
+		version uint64
+		delete  bool
+		want    uint64 // version after; 0 for a conflict
+	}{
+		"expected version":   {version: 3, want: 4},
+		"older version":      {version: 2},
+		"create over it":     {version: 0},
+		"newer version":      {version: 4},
+		"delete":             {version: 3, delete: true, want: 4},
+		"delete older":       {version: 2, delete: true},
+		"create after write": {version: 0, delete: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, ctx := newLocal(t), t.Context()
+			for v := range uint64(3) {
+				if _, err := s.Swap(ctx, "/a", v, []byte{byte(v)}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			write := func() (docstore.Entry, error) { return s.Swap(ctx, "/a", tt.version, []byte("new")) }
+			if tt.delete {
+				write = func() (docstore.Entry, error) { return s.Delete(ctx, "/a", tt.version) }
+			}
+			e, err := write()
+			var conflict *docstore.ConflictError
+			if got, want := errors.As(err, &conflict), tt.want == 0; got != want {
+				t.Fatalf("got conflict %v, %v, want %v", got, err, want)
+			}
+			if e.Version != tt.want || e.Deleted != (tt.delete && tt.want > 0) {
+				t.Errorf("got %+v, want version %d", e, tt.want)
+			}
+			if conflict != nil && conflict.Now.Version != 3 {
+				t.Errorf("got a conflict with %d, want 3", conflict.Now.Version)
+			}
+		})
+	}
+}
+
+func TestDeletedPathKeepsItsVersion(t *testing.T) {
+	s, ctx := newLocal(t), t.Context()
+	_, _ = s.Swap(ctx, "/a", 0, []byte("x"))
+	_, _ = s.Delete(ctx, "/a", 1)
+	if _, err := s.Swap(ctx, "/a", 0, nil); err == nil {
+		t.Error("a deleted path was created anew at version 1")
+	}
+	if e, err := s.Swap(ctx, "/a", 2, nil); err != nil || e.Version != 3 {
+		t.Errorf("got %+v %v, want version 3", e, err)
+	}
+}
+
+// A watch gives each path once and as it is now, deleted ones too, also when the
+// store has forgotten the changes.
+func TestWatch(t *testing.T) {
+	for name, forget := range map[string]bool{"history": false, "history gone": true} {
+		t.Run(name, func(t *testing.T) {
+			stand := store.New()
+			defer stand.Close()
+			s, ctx := docstore.NewClient(platform.NewStoreOver("stand-in", stand)), t.Context()
+			first, _ := s.Swap(ctx, "/t/busy", 0, nil)
+			_, _ = s.Swap(ctx, "/t/a", 0, nil)
+			_, _ = s.Swap(ctx, "/other", 0, nil)
+			_, _ = s.Delete(ctx, "/t/busy", 1)
+			last, _ := s.Swap(ctx, "/t/a", 1, []byte("new"))
+			if forget {
+				stand.Forget()
+			}
+			got, next, err := s.Watch(ctx, "/t/", first.Revision, time.Minute)
+			if err != nil || next != last.Revision {
+				t.Fatalf("got revision %d, %v, want %d", next, err, last.Revision)
+			}
+			seen := make(map[string]docstore.Entry)
+			for _, e := range got {
+				seen[e.Path] = e
+			}
+			if len(got) != 2 || !seen["/t/busy"].Deleted || seen["/t/a"].Version != 2 || string(seen["/t/a"].Value) != "new" {
+				t.Errorf("got %+v, want the deletion, and /t/a at 2", got)
+			}
+		})
+	}
+}
+
+func TestFaults(t *testing.T) {
+	second := func(f store.Faults) store.Faults {
+		f.Until = time.Now().Add(time.Second)
+		return f
+	}
+	tests := map[string]struct {
+		faults    store.Faults // Until is set to a second on
+		after     time.Duration
+		uncertain bool // the write's answer never came
+		down      bool // nothing was written
+		landed    bool
+	}{
+		"none":             {landed: true},
+		"outage":           {faults: store.Faults{Refuse: true}, down: true},
+		"outage over":      {faults: store.Faults{Refuse: true}, after: time.Second, landed: true},
+		"silent outage":    {faults: store.Faults{Silent: true}, down: true},
+		"slow":             {faults: store.Faults{Delay: time.Second / 8}, landed: true},
+		"lost":             {faults: store.Faults{LoseNext: 1}, uncertain: true, landed: true},
+		"lost by chance":   {faults: store.Faults{LoseShare: 1}, uncertain: true, landed: true},
+		"late by chance":   {faults: store.Faults{LateShare: 1, Delay: time.Second / 16}, uncertain: true, landed: true},
+		"slower than that": {faults: store.Faults{Delay: time.Second}, down: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newLocal(t)
+				l.SetFaults(second(tt.faults))
+				time.Sleep(tt.after)
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second/2)
+				defer cancel()
+				_, err := l.Swap(ctx, "/a", 0, nil)
+				var lost *docstore.UncertainError
+				var down *docstore.UnavailableError
+				if errors.As(err, &lost) != tt.uncertain || errors.As(err, &down) != tt.down {
+					t.Errorf("got %v, want uncertain %v, down %v", err, tt.uncertain, tt.down)
+				}
+				l.SetFaults(store.Faults{})
+				if _, err := l.Get(t.Context(), "/a"); (err == nil) != tt.landed {
+					t.Errorf("got %v, want landed %v", err, tt.landed)
+				}
+			})
+		})
+	}
+}
+
+// The list shows who registers, some time later, and drops who does not any more.
+func TestInstances(t *testing.T) {
+	lag := store.Defaults().Lag
+	tests := map[string]struct {
+		at   time.Duration // after the first registration; renewed at 20 s, changed at 40 s
+		want []uint64      // incarnations
+	}{
+		"not yet shown":     {lag - 1, nil},
+		"shown":             {lag, []uint64{1}},
+		"renewed":           {35 * time.Second, []uint64{1}},
+		"change not shown":  {40*time.Second + lag - 1, []uint64{1}},
+		"change shown":      {40*time.Second + lag, []uint64{2}},
+		"gone, still shown": {71*time.Second + lag - 1, []uint64{2}},
+		"gone":              {71*time.Second + lag, nil},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, ctx := newLocal(t), t.Context()
+				for at, incarnation := range []uint64{1, 1, 2} {
+					at := time.Duration(at) * 20 * time.Second
+					time.AfterFunc(at, func() { s.Register(ctx, docstore.Instance{ID: "a", Incarnation: incarnation}) })
+				}
+				time.Sleep(tt.at)
+				synctest.Wait()
+				list, err := s.Instances(ctx)
+				var got []uint64
+				for _, in := range list {
+					got = append(got, in.Incarnation)
+				}
+				if err != nil || !reflect.DeepEqual(got, tt.want) {
+					t.Errorf("got %v, %v, want %v", got, err, tt.want)
+				}
+				time.Sleep(2 * time.Minute) // for the rest of what was to come
+			})
+		})
+	}
+}
+
+func TestClientLostAnswers(t *testing.T) {
+	reply := func(status int, body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(status)
+			_, _ = w.Write([]byte(body))
+		}
+	}
+	cut := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	tests := map[string]struct {
+		handler   http.HandlerFunc // of writes; nil: nothing listens
+		uncertain bool
+	}{
+		"connection refused":   {nil, false},
+		"outage":               {reply(503, ``), false},
+		"busy":                 {reply(429, ``), false},
+		"conflict, unreadable": {reply(412, `{"items":`), true},
+		"conflict, other key":  {reply(412, `{"items":[{"key":"x","revision":3}]}`), true},
+		"garbled answer":       {reply(200, `{"revision":`), true},
+		"cut":                  {cut, true},
+		"cut body": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			_, _ = w.Write([]byte(`{"revision":1}`))
+		}, true},
+		"no answer in time": {func(_ http.ResponseWriter, r *http.Request) {
+			io.Copy(io.Discard, r.Body) // the end of the connection is noticed only then
+			<-r.Context().Done()
+		}, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.Method == http.MethodGet { // the version is read first
+					reply(404, `{}`)(w, r)
+					return
+				}
+				tt.handler(w, r)
+			}))
+			defer server.Close()
+			if tt.handler == nil {
+				server.Close()
+			}
+			client := docstore.NewClient(platform.NewStore(server.Listener.Addr().String()))
+			defer client.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second/4)
+			defer cancel()
+			var lost *docstore.UncertainError
+			if _, err := client.Swap(ctx, "/a", 0, nil); err == nil || errors.As(err, &lost) != tt.uncertain {
+				t.Errorf("got %v, want uncertain %v", err, tt.uncertain)
+			}
+		})
+	}
+}
+
+// Reads are never uncertain.
+func TestReadFails(t *testing.T) {
+	for _, status := range []int{200, 429, 500, 503} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
+			defer server.Close()
+			client := docstore.NewClient(platform.NewStore(server.Listener.Addr().String()))
+			defer client.Close()
+			var lost *docstore.UncertainError
+			if _, err := client.Get(t.Context(), "/a"); err == nil || errors.As(err, &lost) {
+				t.Errorf("got %v from a read, want a certain error", err)
+			}
+			if _, err := client.Instances(t.Context()); err == nil || errors.As(err, &lost) {
+				t.Errorf("got %v from the list, want a certain error", err)
+			}
+		})
+	}
+}
+
+func TestSwapRace(t *testing.T) {
+	const writers, rounds = 8, 10
+	_, client := serve(t)
+	var won atomic.Uint64
+	var group sync.WaitGroup
+	for range writers {
+		group.Go(func() {
+			for range rounds {
+				e, _ := client.Get(t.Context(), "/a")
+				_, err := client.Swap(t.Context(), "/a", e.Version, nil)
+				var conflict *docstore.ConflictError
+				if err == nil {
+					won.Add(1)
+				} else if !errors.As(err, &conflict) {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	group.Wait()
+	if e, err := client.Get(t.Context(), "/a"); err != nil || e.Version != won.Load() {
+		t.Errorf("got version %d %v, want %d, one a win", e.Version, err, won.Load())
+	}
+}
+
+func FuzzEntry(f *testing.F) {
+	f.Add([]byte("{\"version\":3}\nvalue"), uint64(7))
+	f.Add([]byte("{\"version\":3,\"deleted\":true}\n"), uint64(7))
+	f.Add([]byte("{"), uint64(0))
+	f.Fuzz(func(t *testing.T, value []byte, version uint64) {
+		stand := store.New()
+		defer stand.Close()
+		s := docstore.NewClient(platform.NewStoreOver("stand-in", stand))
+		stand.Put("firlever/documents/a", value)
+		e, err := s.Get(t.Context(), "/a")
+		var format *docstore.FormatError
+		var missing *docstore.NotFoundError
+		if err != nil && !errors.As(err, &format) && !errors.As(err, &missing) {
+			t.Errorf("got %T, want a *FormatError or *NotFoundError", err)
+		}
+		if _, err := s.Swap(t.Context(), "/a", version, []byte("x")); err == nil && e.Version != version {
+			t.Errorf("wrote over version %d with %d", e.Version, version)
+		}
+	})
+}
--- /dev/null
+++ b/internal/docstore/entry.go
@@ -0,0 +1,81 @@
+package docstore
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+
+	"github.com/firlever/firlever/platform"
+)
+
+const (
+	// MaxPath is the longest path or ID in bytes: a key of the platform's store has
+	// 200 at most.
+	MaxPath = 200 - len(entryPrefix)
+	// MaxValue is the largest value of an entry in bytes: what the platform takes,
+	// less the line that says the version.
+	MaxValue   = 1<<20 - maxVersion
+	maxVersion = 64 // bytes of the line that says the version
+)
+
+// version is the first line of an entry's value in the platform's store. The value
+// follows the line's end as it is.
+type version struct {
+	Number  uint64 `json:"version"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+func encodeEntry(e Entry) []byte {
+	line, err := json.Marshal(version{Number: e.Version, Deleted: e.Deleted})
+	if err != nil {
+		panic(err) // a number and a bool can always be written
+	}
+	return append(append(line, '\n'), e.Value...)
+}
+
+func decodeEntry(item platform.Item) (Entry, error) {
+	e := Entry{Path: pathOf(item.Key), Revision: uint64(item.Changed)}
+	if item.Changed == 0 {
+		return e, nil // the key doesn't exist
+	}
+	line, value, ok := bytes.Cut(item.Value, []byte("\n"))
+	if !ok || len(line) > maxVersion {
+		return Entry{}, &FormatError{Path: e.Path, Reason: "no version line"}
+	}
+	var v version
+	if err := json.Unmarshal(line, &v); err != nil {
+		return Entry{}, &FormatError{Path: e.Path, Reason: err.Error()}
+	}
+	e.Version, e.Deleted = v.Number, v.Deleted
+	if !v.Deleted {
+		e.Value = value
+	}
+	return e, nil
+}
+
+// CheckPath returns an *InvalidError if the path can't be one of an entry.
+func CheckPath(call, path string) error {
+	switch {
+	case !strings.HasPrefix(path, "/"):
+		return &InvalidError{Call: call, Reason: "path does not start with /"}
+	case len(path) > MaxPath:
+		return &InvalidError{Call: call, Reason: "path too long"}
+	}
+	return nil
+}
+
+// CheckValue returns a *TooLargeError if the value is over MaxValue.
+func CheckValue(path string, value []byte) error {
+	if len(value) > MaxValue {
+		return &TooLargeError{Path: path, Size: len(value)}
+	}
+	return nil
+}
+
+func encode(call string, v any) ([]byte, error) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return nil, &InvalidError{Call: call, Reason: err.Error()}
+	}
+	return b, nil
+}
--- a/internal/platform/envelope.go
+++ b/internal/docstore/envelope.go
@@ -1,4 +1,4 @@
-package platform
+package docstore
 
 import (
 	"bytes"
--- a/internal/platform/errors.go
+++ b/internal/docstore/errors.go
@@ -1,11 +1,11 @@
-package platform
+package docstore
 
 import "fmt"
 
 // NotFoundError says that a path has never been written, or is deleted.
 type NotFoundError struct{ Path string }
 
-func (e *NotFoundError) Error() string { return fmt.Sprintf("platform: %s not found", e.Path) }
+func (e *NotFoundError) Error() string { return fmt.Sprintf("docstore: %s not found", e.Path) }
 
 // ConflictError says that a write lost a race; Now is the entry that won.
 type ConflictError struct {
@@ -15,7 +15,7 @@
 }
 
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("platform: %s is at version %d, not %d", e.Path, e.Now.Version, e.Want)
+	return fmt.Sprintf("docstore: %s is at version %d, not %d", e.Path, e.Now.Version, e.Want)
 }
 
 // UncertainError says that a write's answer was lost: it may have landed.
@@ -25,22 +25,12 @@
 }
 
 func (e *UncertainError) Error() string {
-	return fmt.Sprintf("platform: write to %s may have landed: %v", e.Path, e.Err)
+	return fmt.Sprintf("docstore: write to %s may have landed: %v", e.Path, e.Err)
 }
 
 // Unwrap returns the failure that hid the answer.
 func (e *UncertainError) Unwrap() error { return e.Err }
 
-// HeldError says that another holder has the lease.
-type HeldError struct {
-	Path   string
-	Holder string
-}
-
-func (e *HeldError) Error() string {
-	return fmt.Sprintf("platform: lease %s is held by %s", e.Path, e.Holder)
-}
-
 // UnavailableError says that a read got no answer; nothing was changed.
 type UnavailableError struct {
 	Call string
@@ -48,7 +38,7 @@
 }
 
 func (e *UnavailableError) Error() string {
-	return fmt.Sprintf("platform: %s unavailable: %v", e.Call, e.Err)
+	return fmt.Sprintf("docstore: %s unavailable: %v", e.Call, e.Err)
 }
 
 // Unwrap returns the cause.
@@ -57,7 +47,7 @@
 // BusyError says that the platform refused the call over its rate; nothing was done.
 type BusyError struct{ Call string }
 
-func (e *BusyError) Error() string { return fmt.Sprintf("platform: %s refused over its rate", e.Call) }
+func (e *BusyError) Error() string { return fmt.Sprintf("docstore: %s refused over its rate", e.Call) }
 
 // TooLargeError says that a value is over MaxValue.
 type TooLargeError struct {
@@ -66,7 +56,7 @@
 }
 
 func (e *TooLargeError) Error() string {
-	return fmt.Sprintf("platform: value of %s is %d bytes, at most %d", e.Path, e.Size, MaxValue)
+	return fmt.Sprintf("docstore: value of %s is %d bytes, at most %d", e.Path, e.Size, MaxValue)
 }
 
 // InvalidError says that a call can't be made as asked; nothing was done.
@@ -76,17 +66,7 @@
 }
 
 func (e *InvalidError) Error() string {
-	return fmt.Sprintf("platform: invalid %s: %s", e.Call, e.Reason)
-}
-
-// AnswerError says that an answer does not follow the protocol of docs/platform.md.
-type AnswerError struct {
-	Status int // HTTP status
-	Reason string
-}
-
-func (e *AnswerError) Error() string {
-	return fmt.Sprintf("platform: answer with status %d: %s", e.Status, e.Reason)
+	return fmt.Sprintf("docstore: invalid %s: %s", e.Call, e.Reason)
 }
 
 // FormatError says that an entry's value is no document of ours.
@@ -96,5 +76,5 @@
 }
 
 func (e *FormatError) Error() string {
-	return fmt.Sprintf("platform: %s holds no document: %s", e.Path, e.Reason)
+	return fmt.Sprintf("docstore: %s holds no document: %s", e.Path, e.Reason)
 }
--- a/internal/platform/store.go
+++ b/internal/docstore/store.go
@@ -1,6 +1,7 @@
-// Package platform speaks to the platform's key-value service: the one place
-// where anything that must last or be agreed is kept.
-package platform
+// Package docstore keeps what must last or be agreed in the platform's metadata
+// store: the operators' documents and rosters, as entries whose versions never go
+// back, and the list of instances.
+package docstore
 
 import (
 	"context"
@@ -16,17 +17,6 @@
 	Deleted  bool   `json:"deleted,omitempty"` // a deleted path keeps its version, so that versions never go back
 }
 
-// MaxValue is the largest value that the platform takes, in bytes.
-const MaxValue = 1 << 20
-
-// Lease is a key that the platform drops by itself at a deadline.
-type Lease struct {
-	Path   string
-	Holder string
-	Epoch  uint64    // grows each time the lease changes hands; fences an old holder
-	Until  time.Time // by the holder's own clock, counted from before the call was sent
-}
-
 // Instance is one line of the platform's list of instances. The list lags.
 type Instance struct {
 	ID          string `json:"id"`
@@ -54,10 +44,6 @@
 	Swap(ctx context.Context, path string, version uint64, value []byte) (Entry, error)
 	// Delete removes a path if it still has the given version.
 	Delete(ctx context.Context, path string, version uint64) (Entry, error)
-	// Acquire takes or renews a lease for ttl. A lease held by another gives *HeldError.
-	Acquire(ctx context.Context, path, holder string, ttl time.Duration) (Lease, error)
-	// Release gives a lease up.
-	Release(ctx context.Context, lease Lease) error
 	// Watch waits for entries under prefix past the revision, and returns them
 	// with the revision to watch from next. It returns none when wait is over.
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Entry, uint64, error)
--- /dev/null
+++ b/internal/emulator/inproc/inproc.go
@@ -0,0 +1,42 @@
+// Package inproc keeps firlever's own documents on the stand-in of the platform's
+// store, in the same process and without sockets, for tests and trials.
+package inproc
+
+import (
+	"net/http"
+
+	"github.com/firlever/firlever/internal/docstore"
+	"github.com/firlever/firlever/internal/emulator/store"
+	"github.com/firlever/firlever/platform"
+)
+
+// Store is the documents' client and the stand-in behind it.
+type Store struct {
+	*docstore.Client
+
+	stand *store.Store
+}
+
+// New makes an empty store. It returns a *store.ConfigError.
+func New(cfg store.Config) (*Store, error) {
+	stand, err := store.NewStore(cfg)
+	if err != nil {
+		return nil, err
+	}
+	return &Store{Client: docstore.NewClient(platform.NewStoreOver("stand-in", stand)), stand: stand}, nil
+}
+
+// SetFaults replaces the faults of the stand-in, also for calls that wait.
+func (s *Store) SetFaults(f store.Faults) { s.stand.SetFaults(f) }
+
+// Calls returns how often a path of the platform's store was called.
+func (s *Store) Calls(path string) int { return s.stand.Calls(path) }
+
+// Server makes a server of the platform's protocol over the same entries.
+func (s *Store) Server() *http.Server { return s.stand.Server() }
+
+// Close ends the stand-in.
+func (s *Store) Close() {
+	s.Client.Close()
+	s.stand.Close()
+}
--- a/internal/emulator/store/write.go
+++ b/internal/emulator/store/write.go
@@ -74,7 +74,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	s.leases[s.revision] = lease{ttl: ttl, end: time.Now().Add(ttl)}
+	id := s.revision
+	s.leases[id] = &lease{ttl: ttl, timer: time.AfterFunc(ttl, func() { s.lapsed(id) })}
 	reply(w, http.StatusOK, map[string]any{"lease": s.revision, "ttl_time": body.TTL})
 }
 
@@ -87,8 +88,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	l.end = time.Now().Add(l.ttl)
-	s.leases[id] = l
+	l.timer.Reset(l.ttl)
 	reply(w, http.StatusOK, map[string]string{"ttl_time": l.ttl.String()})
 }
 
@@ -112,8 +112,17 @@
 	return id
 }
 
+// lease is one that has not ended.
+type lease struct {
+	ttl   time.Duration
+	timer *time.Timer // ends it
+}
+
 // lapse ends a lease; its keys go with it. s.mu is held.
 func (s *Store) lapse(id uint64) {
+	if l, ok := s.leases[id]; ok {
+		l.timer.Stop()
+	}
 	delete(s.leases, id)
 	for key, it := range s.items {
 		if it.Lease == id {
@@ -122,6 +131,13 @@
 	}
 }
 
+// lapsed ends a lease whose time is over.
+func (s *Store) lapsed(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lapse(id)
+}
+
 // Revoke ends all leases at once.
 func (s *Store) Revoke() {
 	s.mu.Lock()
@@ -130,23 +146,3 @@
 		s.lapse(id)
 	}
 }
-
-// expire ends leases that were not renewed.
-func (s *Store) expire() {
-	ticker := time.NewTicker(leaseTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-s.stop:
-			return
-		case now := <-ticker.C:
-			s.mu.Lock()
-			for id, l := range s.leases {
-				if now.After(l.end) {
-					s.lapse(id)
-				}
-			}
-			s.mu.Unlock()
-		}
-	}
-}
--- a/internal/instance/capacity_test.go
+++ b/internal/instance/capacity_test.go
@@ -11,10 +11,11 @@
 	"time"
 
 	"github.com/firlever/firlever/internal/core"
-	"github.com/firlever/firlever/internal/emulator/kv"
+	"github.com/firlever/firlever/internal/docstore"
+	"github.com/firlever/firlever/internal/emulator/inproc"
+	"github.com/firlever/firlever/internal/emulator/store"
 	"github.com/firlever/firlever/internal/emulator/target"
 	"github.com/firlever/firlever/internal/invariant"
-	"github.com/firlever/firlever/internal/platform"
 	"github.com/firlever/firlever/internal/replica"
 )
 
@@ -68,17 +69,17 @@
 // crowd is many instances in one process, without targets.
 type crowd struct {
 	b     *testing.B
-	store *kv.Local
+	store *inproc.Store
 	tr    *traffic
 	list  []*Instance
 }
 
 func newCrowd(b *testing.B, services int) *crowd {
-	service, err := kv.New(kv.Defaults(), mathrand.New(mathrand.NewPCG(1, 1)))
+	local, err := inproc.New(store.Defaults())
 	if err != nil {
 		b.Fatal(err)
 	}
-	c := &crowd{b: b, store: kv.NewLocal(service, time.Now), tr: &traffic{}}
+	c := &crowd{b: b, store: local, tr: &traffic{}}
 	c.put("/blocks/all", 0, "blocks:\n  - {prefix: 127.0.0.0/8, place: p000}\n")
 	for i := range 12 {
 		c.put("/places/"+benchPlaceName(i), 0, fmt.Sprintf("region: r\ndomain: d%d\nlimit: 4000\n", i%benchDomains))
@@ -102,7 +103,7 @@
 func benchPlaceName(i int) string { return fmt.Sprintf("p%03d", i) }
 
 func (c *crowd) put(path string, version uint64, body string) {
-	if _, err := platform.PutDocument(context.Background(), c.store, path, version, []byte(body), "bench"); err != nil {
+	if _, err := docstore.PutDocument(context.Background(), c.store, path, version, []byte(body), "bench"); err != nil {
 		c.b.Fatal(err)
 	}
 }
@@ -208,13 +209,8 @@
 }
 
 func (c *crowd) calls() (writes, reads float64) {
-	for _, n := range c.store.Counts() {
-		if n.Call <= kv.Register {
-			writes += float64(n.Calls)
-		} else {
-			reads += float64(n.Calls)
-		}
-	}
+	writes = float64(c.store.Calls("/kv-txn") + c.store.Calls("/kv-lease"))
+	reads = float64(c.store.Calls("/kv-key") + c.store.Calls("/kv-range") + c.store.Calls("/kv-watch"))
 	return writes, reads
 }
 
--- a/internal/instance/config.go
+++ b/internal/instance/config.go
@@ -11,9 +11,9 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/firlever/firlever/internal/core"
+	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/internal/invariant"
 	"github.com/firlever/firlever/internal/metrics"
-	"github.com/firlever/firlever/internal/platform"
 	"github.com/firlever/firlever/internal/targets"
 	"github.com/firlever/firlever/pkg/settings"
 )
@@ -42,7 +42,7 @@
 	Policy     core.Policy
 	Seed       uint64 // of random choices; 0 takes one from the clock
 
-	Store   platform.Store                                      // required
+	Store   docstore.Store                                      // required
 	Dial    targets.Dial                                        // to targets and peers; nil takes the standard dialer
 	Packet  func(address string) (net.PacketConn, error)        // opens the peers' UDP socket; nil takes the standard one
 	Listen  func(network, address string) (net.Listener, error) // opens the TCP sockets; nil takes the standard one
--- a/internal/instance/gossip.go
+++ b/internal/instance/gossip.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"github.com/firlever/firlever/internal/core"
+	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/internal/member"
 	"github.com/firlever/firlever/internal/owner"
 	"github.com/firlever/firlever/internal/peer"
-	"github.com/firlever/firlever/internal/platform"
 	"github.com/firlever/firlever/internal/wire"
 )
 
@@ -92,7 +92,7 @@
 
 // heardMark compares a peer's documents with ours. Equal ones are known here to
 // be complete as far as they are there.
-func (g *gossip) heardMark(p *wire.Packet, from platform.Instance) {
+func (g *gossip) heardMark(p *wire.Packet, from docstore.Instance) {
 	root, complete := g.in.docs.Mark()
 	switch {
 	case p.Root == root:
@@ -264,7 +264,7 @@
 }
 
 // Learn takes in the platform's list of instances.
-func (g *gossip) Learn(list []platform.Instance) {
+func (g *gossip) Learn(list []docstore.Instance) {
 	g.udp.Do(func(now time.Time, l *member.List) []member.Send {
 		l.Learn(now, list)
 		return nil
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -15,8 +15,8 @@
 	"github.com/firlever/firlever/internal/callers"
 	"github.com/firlever/firlever/internal/core"
 	"github.com/firlever/firlever/internal/dispatch"
+	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/internal/metrics"
-	"github.com/firlever/firlever/internal/platform"
 	"github.com/firlever/firlever/internal/targets"
 	"github.com/firlever/firlever/pkg/settings"
 )
@@ -48,8 +48,8 @@
 	replaced    chan struct{} // closed when a newer incarnation of this instance runs
 	replaceOnce sync.Once
 	asks        chan core.AskGrant
-	unequal     chan platform.Instance // peers whose documents differ
-	ahead       chan platform.Instance // peers of the place that have a newer roster
+	unequal     chan docstore.Instance // peers whose documents differ
+	ahead       chan docstore.Instance // peers of the place that have a newer roster
 	rpc         *http.Client           // of control calls to peers
 
 	listeners []net.Listener // callers', peers' and operators', in this order
@@ -75,8 +75,8 @@
 		swaps:       make(chan core.SwapRoster, 1),
 		probes:      make(chan core.Probe, queueLength),
 		asks:        make(chan core.AskGrant, queueLength),
-		unequal:     make(chan platform.Instance, 1),
-		ahead:       make(chan platform.Instance, 1),
+		unequal:     make(chan docstore.Instance, 1),
+		ahead:       make(chan docstore.Instance, 1),
 		replaced:    make(chan struct{}),
 		rpc:         &http.Client{Transport: &http.Transport{DialContext: cfg.Dial}, Timeout: syncTimeout},
 	}
@@ -184,8 +184,8 @@
 func (in *Instance) now() time.Time { return in.dispatcher.Now() }
 
 // self is this instance's line in lists of instances.
-func (in *Instance) self() platform.Instance {
-	return platform.Instance{
+func (in *Instance) self() docstore.Instance {
+	return docstore.Instance{
 		ID: in.cfg.ID, Incarnation: in.incarnation,
 		Address: in.cfg.AdvertisePeers, Callers: in.cfg.AdvertiseCallers, Operators: in.cfg.Operators,
 		Place: in.cfg.Place, Domain: in.cfg.Domain, Region: in.cfg.Region,
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -11,13 +11,12 @@
 	"time"
 
 	"github.com/firlever/firlever/internal/core"
-	"github.com/firlever/firlever/internal/emulator/kv"
+	"github.com/firlever/firlever/internal/docstore"
+	"github.com/firlever/firlever/internal/emulator/inproc"
+	"github.com/firlever/firlever/internal/emulator/store"
 	"github.com/firlever/firlever/internal/emulator/target"
 	"github.com/firlever/firlever/internal/invariant"
-	"github.com/firlever/firlever/internal/platform"
 	"github.com/firlever/firlever/pkg/caller"
-
-	mathrand "math/rand/v2"
 )
 
 const patience = 20 * time.Second // the longest that a test waits for what has to come
@@ -25,7 +24,7 @@
 // fleet is a platform, one place's target and instances, all over loopback.
 type fleet struct {
 	t       *testing.T
-	store   platform.Store
+	store   docstore.Store
 	journal *target.Journal
 	checks  *invariant.Counter
 	list    []*Instance
@@ -34,11 +33,11 @@
 func newFleet(t *testing.T, n int) *fleet {
 	t.Helper()
 	checks := invariant.New(func(name invariant.Name, detail string) { t.Errorf("invariant %s: %s", name, detail) })
-	service, err := kv.New(kv.Defaults(), mathrand.New(mathrand.NewPCG(1, 1)))
+	local, err := inproc.New(store.Defaults())
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &fleet{t: t, store: kv.NewLocal(service, time.Now), checks: checks}
+	f := &fleet{t: t, store: local, checks: checks}
 	f.journal = target.NewJournal(checks, time.Now())
 	f.configure(f.target("one"))
 	for i := range n {
@@ -72,7 +71,7 @@
 
 func (f *fleet) put(path, body string) {
 	f.t.Helper()
-	if _, err := platform.PutDocument(context.Background(), f.store, path, 0, []byte(body), "setup"); err != nil {
+	if _, err := docstore.PutDocument(context.Background(), f.store, path, 0, []byte(body), "setup"); err != nil {
 		f.t.Fatal(err)
 	}
 }
--- a/internal/instance/network_test.go
+++ b/internal/instance/network_test.go
@@ -10,7 +10,7 @@
 	"syscall"
 	"time"
 
-	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/internal/docstore"
 )
 
 // network carries packets and connections in memory, so that whole instances
@@ -174,7 +174,7 @@
 
 // door is one instance's way to the platform. It can be shut, and counts calls.
 type door struct {
-	platform.Store
+	docstore.Store
 	mu    sync.Mutex
 	shut  bool
 	calls map[string]int
@@ -185,7 +185,7 @@
 	defer d.mu.Unlock()
 	d.calls[call]++
 	if d.shut {
-		return &platform.UnavailableError{Call: call, Err: syscall.ECONNREFUSED}
+		return &docstore.UnavailableError{Call: call, Err: syscall.ECONNREFUSED}
 	}
 	return nil
 }
@@ -205,42 +205,42 @@
 	return calls
 }
 
-func (d *door) Get(ctx context.Context, path string) (platform.Entry, error) {
+func (d *door) Get(ctx context.Context, path string) (docstore.Entry, error) {
 	if err := d.pass("get"); err != nil {
-		return platform.Entry{}, err
+		return docstore.Entry{}, err
 	}
 	return d.Store.Get(ctx, path)
 }
 
-func (d *door) List(ctx context.Context, prefix string) ([]platform.Entry, uint64, error) {
+func (d *door) List(ctx context.Context, prefix string) ([]docstore.Entry, uint64, error) {
 	if err := d.pass("list"); err != nil {
 		return nil, 0, err
 	}
 	return d.Store.List(ctx, prefix)
 }
 
-func (d *door) Swap(ctx context.Context, path string, version uint64, value []byte) (platform.Entry, error) {
+func (d *door) Swap(ctx context.Context, path string, version uint64, value []byte) (docstore.Entry, error) {
 	if err := d.pass("swap"); err != nil {
-		return platform.Entry{}, err
+		return docstore.Entry{}, err
 	}
 	return d.Store.Swap(ctx, path, version, value)
 }
 
-func (d *door) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Entry, uint64, error) {
+func (d *door) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]docstore.Entry, uint64, error) {
 	if err := d.pass("watch"); err != nil {
 		return nil, 0, err
 	}
 	return d.Store.Watch(ctx, prefix, after, wait)
 }
 
-func (d *door) Register(ctx context.Context, in platform.Instance) error {
+func (d *door) Register(ctx context.Context, in docstore.Instance) error {
 	if err := d.pass("register"); err != nil {
 		return err
 	}
 	return d.Store.Register(ctx, in)
 }
 
-func (d *door) Instances(ctx context.Context) ([]platform.Instance, error) {
+func (d *door) Instances(ctx context.Context) ([]docstore.Instance, error) {
 	if err := d.pass("instances"); err != nil {
 		return nil, err
 	}
--- a/internal/instance/operators.go
+++ b/internal/instance/operators.go
@@ -11,10 +11,10 @@
 	"github.com/juju/errors"
 
 	"github.com/firlever/firlever/internal/core"
+	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/internal/member"
 	"github.com/firlever/firlever/internal/metrics"
 	"github.com/firlever/firlever/internal/operator"
-	"github.com/firlever/firlever/internal/platform"
 	"github.com/firlever/firlever/pkg/settings"
 )
 
@@ -89,8 +89,8 @@
 }
 
 // fleet lists the instances that this one knows, itself included.
-func (in *Instance) fleet(context.Context) []platform.Instance {
-	list := []platform.Instance{in.self()}
+func (in *Instance) fleet(context.Context) []docstore.Instance {
+	list := []docstore.Instance{in.self()}
 	for _, m := range in.members.Members() {
 		if m.State != member.Dead {
 			list = append(list, m.Instance)
--- a/internal/instance/recovery_test.go
+++ b/internal/instance/recovery_test.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"github.com/firlever/firlever/internal/core"
-	"github.com/firlever/firlever/internal/emulator/kv"
+	"github.com/firlever/firlever/internal/docstore"
+	"github.com/firlever/firlever/internal/emulator/store"
 	"github.com/firlever/firlever/internal/owner"
-	"github.com/firlever/firlever/internal/platform"
 	"github.com/firlever/firlever/pkg/settings"
 )
 
@@ -53,7 +53,7 @@
 	inWorld(t, 2, 1, 3, func(w *world) {
 		w.up()
 		w.kill(w.domain(0))
-		w.kv.SetFaults(kv.Faults{Outage: time.Now().Add(time.Hour)})
+		w.kv.SetFaults(store.Faults{Refuse: true, Until: time.Now().Add(time.Hour)})
 		w.start(w.domain(0))
 		t.Logf("documents after %s", w.within(5*time.Second, "documents", w.ready(w.domain(0))))
 	})
@@ -63,7 +63,7 @@
 // that have just started must not take each other for complete.
 func TestStartAmongBeginners(t *testing.T) {
 	inWorld(t, 1, 1, 3, func(w *world) {
-		w.kv.SetFaults(kv.Faults{Outage: time.Now().Add(time.Minute)})
+		w.kv.SetFaults(store.Faults{Refuse: true, Until: time.Now().Add(time.Minute)})
 		w.start(w.all())
 		one := w.running[w.seats[0].id]
 		one.takeDocuments([]settings.Document{{Path: "/places/d0-p0", Version: 1, Body: []byte("region: r0\ndomain: d0\nlimit: 60\n")}})
@@ -85,7 +85,7 @@
 		const steady = 2 * time.Minute
 		time.Sleep(steady)
 		w.checkRate("steady state", w.all(), steady, w.taken(w.all()))
-		w.kv.SetFaults(kv.Faults{Outage: time.Now().Add(time.Minute)})
+		w.kv.SetFaults(store.Faults{Refuse: true, Until: time.Now().Add(time.Minute)})
 		time.Sleep(time.Minute)
 		w.checkRate("in an outage", w.all(), time.Minute, w.taken(w.all()))
 		if got, want := w.usable(w.all()), w.limit(w.all()); got != want {
@@ -173,7 +173,7 @@
 		if len(drains) != 1 || drains[0].Left != 0 || drains[0].Instance != s.id {
 			t.Errorf("got drains %+v, want nothing left at %s", drains, s.id)
 		}
-		if _, err := platform.DeleteDocument(context.Background(), w.kv, "/drains/x", 1, "undo"); err != nil {
+		if _, err := docstore.DeleteDocument(context.Background(), w.kv, "/drains/x", 1, "undo"); err != nil {
 			t.Fatal(err)
 		}
 		t.Logf("back after %s", w.within(10*time.Second, "targets back", func() bool {
--- a/internal/instance/roster.go
+++ b/internal/instance/roster.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/firlever/firlever/internal/core"
+	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/internal/owner"
-	"github.com/firlever/firlever/internal/platform"
 	"github.com/firlever/firlever/internal/wire"
 )
 
@@ -71,7 +71,7 @@
 }
 
 // heardRoster notes that a peer of the place has a newer roster.
-func (in *Instance) heardRoster(version uint64, peer platform.Instance) {
+func (in *Instance) heardRoster(version uint64, peer docstore.Instance) {
 	var held uint64
 	in.dispatcher.Read(func(_ time.Time, n *core.Node) { held = n.Roster().Version })
 	if version <= held {
@@ -85,7 +85,7 @@
 
 // pullRoster gets the place's roster from a peer, which costs the platform
 // nothing. It confirms no rights.
-func (in *Instance) pullRoster(ctx context.Context, p platform.Instance) bool {
+func (in *Instance) pullRoster(ctx context.Context, p docstore.Instance) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	path := rosterRoot + in.cfg.Place
@@ -125,7 +125,7 @@
 	defer cancel()
 	sent := in.now()
 	e, err := in.cfg.Store.Get(ctx, rosterRoot+in.cfg.Place)
-	var missing *platform.NotFoundError
+	var missing *docstore.NotFoundError
 	if errors.As(err, &missing) {
 		in.dispatcher.Step(core.RosterRead{Sent: sent})
 		return nil
@@ -153,7 +153,7 @@
 	defer cancel()
 	_, err = in.cfg.Store.Swap(ctx, rosterRoot+in.cfg.Place, d.Next.Version-1, value)
 	in.logSwap(d, err)
-	var uncertain *platform.UncertainError
+	var uncertain *docstore.UncertainError
 	if err == nil || errors.As(err, &uncertain) || d.Removed == "" {
 		return
 	}
--- a/internal/instance/start.go
+++ b/internal/instance/start.go
@@ -5,8 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/internal/member"
-	"github.com/firlever/firlever/internal/platform"
 	"github.com/firlever/firlever/internal/wire"
 )
 
@@ -83,9 +83,9 @@
 	if err != nil {
 		return err
 	}
-	list := make([]platform.Instance, 0, len(resp.Members))
+	list := make([]docstore.Instance, 0, len(resp.Members))
 	for _, m := range resp.Members {
-		list = append(list, platform.Instance{
+		list = append(list, docstore.Instance{
 			ID: m.Id, Incarnation: m.Incarnation, Address: m.Address, Callers: m.Callers, Operators: m.Operators,
 			Place: m.Place, Domain: m.Domain, Region: m.Region, Leaving: m.Leaving,
 		})
--- a/internal/instance/sync.go
+++ b/internal/instance/sync.go
@@ -9,7 +9,7 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/internal/replica"
 	"github.com/firlever/firlever/internal/wire"
 	"github.com/firlever/firlever/pkg/settings"
@@ -26,7 +26,7 @@
 )
 
 // differs notes that a peer's documents differ from ours.
-func (in *Instance) differs(peer platform.Instance) {
+func (in *Instance) differs(peer docstore.Instance) {
 	select {
 	case in.unequal <- peer:
 	default: // one is being asked already; a later packet tells again
--- a/internal/instance/watch.go
+++ b/internal/instance/watch.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/firlever/firlever/internal/core"
+	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/internal/owner"
-	"github.com/firlever/firlever/internal/platform"
 	"github.com/firlever/firlever/pkg/settings"
 )
 
@@ -91,14 +91,14 @@
 }
 
 // takeEntries sorts entries of the platform into documents and rosters.
-func (in *Instance) takeEntries(entries []platform.Entry) {
+func (in *Instance) takeEntries(entries []docstore.Entry) {
 	var docs []settings.Document
 	for _, e := range entries {
 		if strings.HasPrefix(e.Path, rosterRoot) {
 			in.takeRoster(e)
 			continue
 		}
-		if doc, err := platform.DecodeDocument(e); err == nil {
+		if doc, err := docstore.DecodeDocument(e); err == nil {
 			docs = append(docs, doc)
 		}
 	}
@@ -107,7 +107,7 @@
 
 // takeRoster takes in this place's roster from a watch. A watch may be late, so
 // it confirms nothing.
-func (in *Instance) takeRoster(e platform.Entry) {
+func (in *Instance) takeRoster(e docstore.Entry) {
 	if e.Path != rosterRoot+in.cfg.Place {
 		return
 	}
--- a/internal/instance/world_test.go
+++ b/internal/instance/world_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"maps"
-	mathrand "math/rand/v2"
 	"runtime"
 	"slices"
 	"testing"
@@ -12,10 +11,11 @@
 	"time"
 
 	"github.com/firlever/firlever/internal/core"
-	"github.com/firlever/firlever/internal/emulator/kv"
+	"github.com/firlever/firlever/internal/docstore"
+	"github.com/firlever/firlever/internal/emulator/inproc"
+	"github.com/firlever/firlever/internal/emulator/store"
 	"github.com/firlever/firlever/internal/invariant"
 	"github.com/firlever/firlever/internal/owner"
-	"github.com/firlever/firlever/internal/platform"
 	"github.com/firlever/firlever/pkg/settings"
 )
 
@@ -24,11 +24,12 @@
 type world struct {
 	t       *testing.T
 	net     *network
-	kv      *kv.Local
+	kv      *inproc.Store
 	checks  *invariant.Counter
 	seats   []seat
 	running map[string]*Instance
 	doors   map[string]*door
+	checked [2]int // writes and reads of the platform's store at the last check
 	seed    uint64
 }
 
@@ -61,12 +62,12 @@
 func newWorld(t *testing.T, domains, places, instances int) *world {
 	t.Helper()
 	checks := invariant.New(func(name invariant.Name, detail string) { t.Errorf("invariant %s: %s", name, detail) })
-	service, err := kv.New(kv.Defaults(), mathrand.New(mathrand.NewPCG(1, 1)))
+	local, err := inproc.New(store.Defaults())
 	if err != nil {
 		t.Fatal(err)
 	}
 	w := &world{
-		t: t, net: newNetwork(), kv: kv.NewLocal(service, time.Now), checks: checks,
+		t: t, net: newNetwork(), kv: local, checks: checks,
 		running: make(map[string]*Instance), doors: make(map[string]*door),
 	}
 	body := "class: interactive\ntimeout: " + worldTimeout.String() + "\nshift: 10\nplaces:\n"
@@ -109,7 +110,7 @@
 func (w *world) put(path string, version uint64, body string) {
 	w.t.Helper()
 	w.seed++
-	if _, err := platform.PutDocument(context.Background(), w.kv, path, version, []byte(body), fmt.Sprintf("w%d", w.seed)); err != nil {
+	if _, err := docstore.PutDocument(context.Background(), w.kv, path, version, []byte(body), fmt.Sprintf("w%d", w.seed)); err != nil {
 		w.t.Fatal(err)
 	}
 }
@@ -238,6 +239,7 @@
 	w.within(time.Minute, "targets", w.whole(w.all()))
 	time.Sleep(20 * time.Second)
 	w.taken(w.all())
+	w.checked[0], w.checked[1] = w.storeCalls()
 }
 
 // taken sums the calls of the seats since the last time.
@@ -260,18 +262,28 @@
 	w.t.Log(line)
 }
 
-// checkRate wants the calls, made by every instance of a fleet of 2,000, to take
-// no more than a third of the platform's rates.
+// storeCalls counts what the platform's store was asked so far: all reads, and the
+// calls that write. The renewal of a lease is neither.
+func (w *world) storeCalls() (writes, reads int) {
+	writes = w.kv.Calls("/kv-txn") + w.kv.Calls("/kv-lease")
+	reads = w.kv.Calls("/kv-key") + w.kv.Calls("/kv-range") + w.kv.Calls("/kv-watch")
+	return writes, reads
+}
+
+// checkRate wants the calls since the last check, made by every instance of a fleet
+// of 2,000, to take no more than a third of the platform's rates. calls are those of
+// the instances over the same time.
 func (w *world) checkRate(what string, seats []seat, over time.Duration, calls map[string]int) {
 	w.t.Helper()
 	w.report(what, seats, over, calls)
 	const fleet, margin = 2000, 3
-	writes := calls["swap"] + calls["register"]
-	reads := calls["get"] + calls["list"] + calls["watch"] + calls["instances"]
+	writes, reads := w.storeCalls()
+	since := w.checked
+	w.checked = [2]int{writes, reads}
 	for name, c := range map[string]struct {
 		calls int
 		most  float64
-	}{"writes": {writes, kv.Defaults().Writes}, "reads": {reads, kv.Defaults().Reads}} {
+	}{"writes": {writes - since[0], store.Defaults().Writes}, "reads": {reads - since[1], store.Defaults().Reads}} {
 		got := float64(c.calls) / float64(len(seats)) / over.Seconds() * fleet
 		w.t.Logf("%s: %.0f/s by %d instances", name, got, fleet)
 		if got > c.most/margin {
--- a/internal/member/begin_test.go
+++ b/internal/member/begin_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/internal/docstore"
 )
 
 // TestPlaceFindsItself: two instances of a place that begin with others' help
@@ -44,7 +44,7 @@
 }
 
 // beginPlace starts the two, and cuts the first off all but the second.
-func beginPlace(t *testing.T, w *network, first, second platform.Instance, seeds []string, knows, lost int) {
+func beginPlace(t *testing.T, w *network, first, second docstore.Instance, seeds []string, knows, lost int) {
 	beyond := func(from, to string) bool {
 		return from == first.Address && to != second.Address || to == first.Address && from != second.Address
 	}
--- a/internal/member/config.go
+++ b/internal/member/config.go
@@ -12,12 +12,12 @@
 	"strings"
 	"time"
 
-	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/internal/docstore"
 )
 
 // Config is fixed for the life of a List.
 type Config struct {
-	Self  platform.Instance
+	Self  docstore.Instance
 	Seeds []string // addresses to begin with, IP:port
 
 	Probe    time.Duration // each place peer is pinged once in this time
@@ -112,7 +112,7 @@
 // maxName bounds each string that a packet may make us keep, in bytes.
 const maxName = 64
 
-func validInstance(in platform.Instance) bool {
+func validInstance(in docstore.Instance) bool {
 	for _, s := range []string{in.ID, in.Address, in.Place, in.Domain} {
 		if s == "" || len(s) > maxName {
 			return false
--- a/internal/member/learn.go
+++ b/internal/member/learn.go
@@ -4,14 +4,14 @@
 	"slices"
 	"time"
 
-	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/internal/wire"
 )
 
 // Learn takes the platform's list in. It lags, so it only adds members and
 // newer incarnations, and lets go of the dead that it no longer names; it never
 // makes a member dead.
-func (l *List) Learn(now time.Time, list []platform.Instance) {
+func (l *List) Learn(now time.Time, list []docstore.Instance) {
 	named := make(map[string]bool, len(list))
 	for _, in := range list {
 		named[in.ID] = true
@@ -34,7 +34,7 @@
 	}
 }
 
-func (l *List) learn(now time.Time, in platform.Instance) {
+func (l *List) learn(now time.Time, in docstore.Instance) {
 	held := &member{in: in}
 	if in.ID == l.self.in.ID {
 		if in.Incarnation > l.self.in.Incarnation {
--- a/internal/member/list_test.go
+++ b/internal/member/list_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/internal/wire"
 )
 
@@ -268,7 +268,7 @@
 	w.run(3 * time.Second)
 	l := w.lists[address(0)]
 	gone := instance(2, 3, 1)
-	l.Learn(w.now, []platform.Instance{instance(0, 3, 1), instance(1, 3, 1)})
+	l.Learn(w.now, []docstore.Instance{instance(0, 3, 1), instance(1, 3, 1)})
 	w.run(20 * time.Second)
 	if m, _ := l.Get(gone.ID); m.State != Alive {
 		t.Errorf("got %s for one that the list lost, want alive", m.State)
@@ -298,7 +298,7 @@
 	in := instance(1, 3, 1)
 	old := in
 	old.Incarnation--
-	for _, list := range [][]platform.Instance{{in}, {old}} {
+	for _, list := range [][]docstore.Instance{{in}, {old}} {
 		l.Learn(start, list)
 	}
 	m := member{in: old}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/internal/wire"
 )
 
@@ -25,7 +25,7 @@
 
 // Member is a copy of what is held of one member.
 type Member struct {
-	platform.Instance
+	docstore.Instance
 	State State
 	Since time.Time // when the state was entered, by the own clock
 }
@@ -75,7 +75,7 @@
 
 // member is what is held of one member.
 type member struct {
-	in         platform.Instance // Incarnation never goes down while the member is held
+	in         docstore.Instance // Incarnation never goes down while the member is held
 	refutation uint64            // never goes down within an incarnation
 	state      wire.State
 	since      time.Time
@@ -115,8 +115,8 @@
 	return n
 }
 
-func instanceOf(n *wire.News) platform.Instance {
-	return platform.Instance{
+func instanceOf(n *wire.News) docstore.Instance {
+	return docstore.Instance{
 		ID: n.GetId(), Incarnation: n.GetIncarnation(), Leaving: n.GetLeaving(),
 		Address: n.GetAddress(), Callers: n.GetCallers(), Operators: n.GetOperators(),
 		Place: n.GetPlace(), Domain: n.GetDomain(), Region: n.GetRegion(),
--- a/internal/member/network_test.go
+++ b/internal/member/network_test.go
@@ -9,7 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/internal/wire"
 )
 
@@ -68,9 +68,9 @@
 }
 
 // instance is the i'th of a world with so many per place and places per domain.
-func instance(i, perPlace, placesPerDomain int) platform.Instance {
+func instance(i, perPlace, placesPerDomain int) docstore.Instance {
 	place := i / perPlace
-	return platform.Instance{
+	return docstore.Instance{
 		ID: fmt.Sprintf("entry-%04d", i), Incarnation: uint64(start.UnixNano()),
 		Address: address(i), Callers: fmt.Sprintf("10.0.%d.%d:8080", i/250, i%250+1), Operators: fmt.Sprintf("10.0.%d.%d:8081", i/250, i%250+1),
 		Place: fmt.Sprintf("place-%03d", place), Domain: fmt.Sprintf("domain-%02d", place/placesPerDomain), Region: "region-1",
@@ -79,15 +79,15 @@
 
 func address(i int) string { return fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250+1) }
 
-func world(n, perPlace, placesPerDomain int) []platform.Instance {
-	var all []platform.Instance
+func world(n, perPlace, placesPerDomain int) []docstore.Instance {
+	var all []docstore.Instance
 	for i := range n {
 		all = append(all, instance(i, perPlace, placesPerDomain))
 	}
 	return all
 }
 
-func (w *network) add(in platform.Instance, seeds ...string) *List {
+func (w *network) add(in docstore.Instance, seeds ...string) *List {
 	w.t.Helper()
 	l, err := New(Config{Self: in, Seeds: seeds, Seed: uint64(len(w.order))}, w.now)
 	if err != nil {
--- a/internal/member/state.go
+++ b/internal/member/state.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/internal/wire"
 )
 
@@ -42,7 +42,7 @@
 }
 
 // room tells if one more member can be held; it forgets a dead one for it.
-func (l *List) room(now time.Time, in platform.Instance) bool {
+func (l *List) room(now time.Time, in docstore.Instance) bool {
 	local := in.Domain == l.self.in.Domain
 	full := len(l.local) >= l.cfg.MaxDomain
 	if !local {
--- a/internal/operator/client_test.go
+++ b/internal/operator/client_test.go
@@ -14,8 +14,9 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/firlever/firlever/internal/emulator/kv"
-	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/internal/docstore"
+	"github.com/firlever/firlever/internal/emulator/inproc"
+	"github.com/firlever/firlever/internal/emulator/store"
 	"github.com/firlever/firlever/pkg/settings"
 )
 
@@ -68,18 +69,18 @@
 }
 
 func TestLostAnswers(t *testing.T) {
-	outage := func() kv.Faults { return kv.Faults{Outage: time.Now().Add(time.Hour)} }
+	outage := func() store.Faults { return store.Faults{Refuse: true, Until: time.Now().Add(time.Hour)} }
 	tests := map[string]struct {
-		faults  func() kv.Faults
+		faults  func() store.Faults
 		write   string // named by the operator
 		first   bool
 		want    string // outcome
 		version uint64
 		code    Code
 	}{
-		"lost once":              {func() kv.Faults { return kv.Faults{LoseNext: 1} }, "w", true, "accepted", 2, ""},
-		"lost each time":         {func() kv.Faults { return kv.Faults{LoseShare: 1} }, "w", true, "accepted", 2, ""},
-		"slow":                   {func() kv.Faults { return kv.Faults{Slow: time.Now().Add(time.Hour), Delay: time.Minute} }, "w", true, "refused", 0, CodeUnavailable},
+		"lost once":              {func() store.Faults { return store.Faults{LoseNext: 1} }, "w", true, "accepted", 2, ""},
+		"lost each time":         {func() store.Faults { return store.Faults{LoseShare: 1} }, "w", true, "accepted", 2, ""},
+		"slow":                   {func() store.Faults { return store.Faults{Delay: time.Minute} }, "w", true, "refused", 0, CodeUnavailable},
 		"outage":                 {outage, "w", true, "refused", 0, CodeUnavailable},
 		"outage, not named":      {outage, "", false, "refused", 0, CodeUnavailable},
 		"outage, maybe a repeat": {outage, "w", false, "unknown", 0, ""},
@@ -134,7 +135,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				b := filled(t)
-				store := &flaky{Local: b.store, lose: tt.lose}
+				store := &flaky{Store: b.store, lose: tt.lose}
 				b.server.cfg.Store = store
 				put := func() Change {
 					w := b.ask("PUT", "/v1/documents"+servicePath, "payments-write", serviceBody, "If-Match", `"1"`, HeaderWrite, "w")
@@ -146,7 +147,7 @@
 				store.up = true
 				if tt.other {
 					e, _ := b.store.Get(t.Context(), servicePath)
-					_, _ = platform.PutDocument(t.Context(), b.store, servicePath, e.Version, []byte(serviceBody), "other")
+					_, _ = docstore.PutDocument(t.Context(), b.store, servicePath, e.Version, []byte(serviceBody), "other")
 				}
 				w := b.ask("GET", "/v1/writes/w?version=1&path="+servicePath, "payments-read", "")
 				if got := outcome(t, w); got.Outcome != tt.want {
@@ -172,30 +173,30 @@
 // flaky is a platform that gives no answer at all until it is up: the first
 // writes land, as many as lose says.
 type flaky struct {
-	*kv.Local
+	*inproc.Store
 	lose int
 	up   bool
 }
 
-func (f *flaky) Get(ctx context.Context, path string) (platform.Entry, error) {
+func (f *flaky) Get(ctx context.Context, path string) (docstore.Entry, error) {
 	if !f.up && f.lose == 0 {
-		return platform.Entry{}, &platform.UnavailableError{Call: "Get", Err: context.DeadlineExceeded}
+		return docstore.Entry{}, &docstore.UnavailableError{Call: "Get", Err: context.DeadlineExceeded}
 	}
-	return f.Local.Get(ctx, path)
+	return f.Store.Get(ctx, path)
 }
 
-func (f *flaky) Swap(ctx context.Context, path string, version uint64, value []byte) (platform.Entry, error) {
+func (f *flaky) Swap(ctx context.Context, path string, version uint64, value []byte) (docstore.Entry, error) {
 	if f.up {
-		return f.Local.Swap(ctx, path, version, value)
+		return f.Store.Swap(ctx, path, version, value)
 	}
 	if f.lose > 0 {
 		f.lose--
-		_, _ = f.Local.Swap(ctx, path, version, value)
+		_, _ = f.Store.Swap(ctx, path, version, value)
 	}
-	return platform.Entry{}, &lostUntilUp
+	return docstore.Entry{}, &lostUntilUp
 }
 
-var lostUntilUp = platform.UncertainError{Path: servicePath, Err: net.ErrClosed}
+var lostUntilUp = docstore.UncertainError{Path: servicePath, Err: net.ErrClosed}
 
 func TestFaultsListed(t *testing.T) {
 	b := filled(t)
@@ -272,8 +273,8 @@
 	defer server.Close()
 	dead := httptest.NewServer(b.server)
 	dead.Close()
-	gather := Gather(func(context.Context) []platform.Instance {
-		return []platform.Instance{
+	gather := Gather(func(context.Context) []docstore.Instance {
+		return []docstore.Instance{
 			{ID: "b", Operators: dead.Listener.Addr().String()},
 			{ID: "a", Operators: server.Listener.Addr().String()},
 		}
--- a/internal/operator/config.go
+++ b/internal/operator/config.go
@@ -12,13 +12,13 @@
 
 	"github.com/charmbracelet/log"
 
-	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/pkg/settings"
 )
 
 // Config is what a Server needs. Bootstrap may be empty; all else is needed.
 type Config struct {
-	Store    platform.Store
+	Store    docstore.Store
 	Snapshot func() *settings.Snapshot // in force; never nil
 	// Documents are all documents in force here, deleted ones too.
 	Documents func() []settings.Document
--- a/internal/operator/documents.go
+++ b/internal/operator/documents.go
@@ -6,7 +6,7 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/pkg/settings"
 )
 
@@ -58,7 +58,7 @@
 	if err != nil {
 		return settings.Document{}, err
 	}
-	return platform.DecodeDocument(entry)
+	return docstore.DecodeDocument(entry)
 }
 
 func (s *Server) inForce(path string) (settings.Document, error) {
@@ -67,7 +67,7 @@
 			return doc, nil
 		}
 	}
-	return settings.Document{}, &platform.NotFoundError{Path: path}
+	return settings.Document{}, &docstore.NotFoundError{Path: path}
 }
 
 // listDocuments lists what the token may read.
@@ -105,7 +105,7 @@
 	entries, _, err := s.cfg.Store.List(r.Context(), prefix)
 	var docs []settings.Document
 	for _, e := range entries {
-		if doc, bad := platform.DecodeDocument(e); bad == nil {
+		if doc, bad := docstore.DecodeDocument(e); bad == nil {
 			docs = append(docs, doc)
 		}
 	}
--- a/internal/operator/gather.go
+++ b/internal/operator/gather.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/internal/docstore"
 )
 
 const (
@@ -18,10 +18,10 @@
 // Gather makes the Fleet function of a Config: it asks each instance of list on
 // its operators' address, with the token of the operator who asks, so that each
 // decides by itself what it shows. The reports come sorted by instance.
-func Gather(list func(ctx context.Context) []platform.Instance) func(ctx context.Context) []Report {
+func Gather(list func(ctx context.Context) []docstore.Instance) func(ctx context.Context) []Report {
 	return func(ctx context.Context) []Report {
 		instances := slices.Clone(list(ctx))
-		slices.SortFunc(instances, func(a, b platform.Instance) int { return strings.Compare(a.ID, b.ID) })
+		slices.SortFunc(instances, func(a, b docstore.Instance) int { return strings.Compare(a.ID, b.ID) })
 		reports := make([]Report, len(instances))
 		slots := make(chan struct{}, gatherAtOnce)
 		var group sync.WaitGroup
@@ -37,7 +37,7 @@
 	}
 }
 
-func ask(ctx context.Context, in platform.Instance) Report {
+func ask(ctx context.Context, in docstore.Instance) Report {
 	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
 	defer cancel()
 	client := NewClient(in.Operators, bearerFrom(ctx))
--- a/internal/operator/problem.go
+++ b/internal/operator/problem.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"strings"
 
-	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/pkg/settings"
 )
 
@@ -89,12 +89,12 @@
 	var (
 		problem  *Problem
 		faults   *settings.FaultsError
-		conflict *platform.ConflictError
-		missing  *platform.NotFoundError
-		large    *platform.TooLargeError
-		format   *platform.FormatError
-		busy     *platform.BusyError
-		down     *platform.UnavailableError
+		conflict *docstore.ConflictError
+		missing  *docstore.NotFoundError
+		large    *docstore.TooLargeError
+		format   *docstore.FormatError
+		busy     *docstore.BusyError
+		down     *docstore.UnavailableError
 		role     *settings.RoleError
 	)
 	code := CodeInternal
@@ -129,9 +129,9 @@
 	return list
 }
 
-func conflictProblem(err *platform.ConflictError) *Problem {
+func conflictProblem(err *docstore.ConflictError) *Problem {
 	p := &Problem{Code: CodeConflict, Reason: err.Error(), Path: err.Path, Version: err.Now.Version}
-	doc, bad := platform.DecodeDocument(err.Now)
+	doc, bad := docstore.DecodeDocument(err.Now)
 	if bad != nil {
 		p.Reason += "; " + bad.Error()
 		return p
--- a/internal/operator/request.go
+++ b/internal/operator/request.go
@@ -10,7 +10,7 @@
 	"strconv"
 	"strings"
 
-	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/pkg/settings"
 )
 
@@ -66,7 +66,7 @@
 	if prefix == "" {
 		prefix = "/"
 	}
-	if err := platform.CheckPath("List", prefix); err != nil {
+	if err := docstore.CheckPath("List", prefix); err != nil {
 		return "", invalid("prefix: %v", err)
 	}
 	return prefix, nil
@@ -101,7 +101,7 @@
 
 // parseWrite checks a write's name. The platform's rules for it apply.
 func parseWrite(write string) error {
-	if _, err := platform.EncodeDocument(settings.Document{}, []string{write}); err != nil {
+	if _, err := docstore.EncodeDocument(settings.Document{}, []string{write}); err != nil {
 		return invalid("a write is named by at most 64 letters, digits, - and _")
 	}
 	return nil
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -4,18 +4,17 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
-	"time"
 
 	"github.com/charmbracelet/log"
 
-	"github.com/firlever/firlever/internal/emulator/kv"
-	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/internal/docstore"
+	"github.com/firlever/firlever/internal/emulator/inproc"
+	"github.com/firlever/firlever/internal/emulator/store"
 	"github.com/firlever/firlever/pkg/settings"
 )
 
@@ -43,7 +42,7 @@
 
 // bench is a server over the stand-in of the platform.
 type bench struct {
-	store    *kv.Local
+	store    *inproc.Store
 	server   *Server
 	log      strings.Builder
 	mu       sync.Mutex
@@ -54,13 +53,11 @@
 
 func newBench(t *testing.T) *bench {
 	t.Helper()
-	cfg := kv.Defaults()
-	cfg.ShowLag = 0
-	service, err := kv.New(cfg, rand.New(rand.NewPCG(1, 2)))
+	local, err := inproc.New(store.Defaults())
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := &bench{store: kv.NewLocal(service, time.Now), docs: make(map[string]settings.Document)}
+	b := &bench{store: local, docs: make(map[string]settings.Document)}
 	b.apply(nil)
 	b.server, err = New(Config{
 		Store: b.store, Snapshot: b.inForce, Documents: b.documents, Apply: b.apply,
@@ -86,7 +83,7 @@
 
 func (b *bench) put(t *testing.T, path, body string) {
 	t.Helper()
-	result, err := platform.PutDocument(t.Context(), b.store, path, 0, []byte(body), "setup")
+	result, err := docstore.PutDocument(t.Context(), b.store, path, 0, []byte(body), "setup")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -251,7 +248,7 @@
 
 func TestHealth(t *testing.T) {
 	b := newBench(t)
-	b.ready = &platform.UnavailableError{Call: "List", Err: io.EOF}
+	b.ready = &docstore.UnavailableError{Call: "List", Err: io.EOF}
 	if w := b.ask("GET", "/health", "", ""); w.Code != http.StatusOK {
 		t.Errorf("got status %d, want 200", w.Code)
 	}
@@ -276,7 +273,7 @@
 // TestNoChangeBeforeAllSettings: what is not whole can't be checked against.
 func TestNoChangeBeforeAllSettings(t *testing.T) {
 	b := newBench(t)
-	b.ready = &platform.UnavailableError{Call: "List", Err: io.EOF}
+	b.ready = &docstore.UnavailableError{Call: "List", Err: io.EOF}
 	w := b.ask("PUT", "/v1/documents/places/hob-a", "first", "region: r\ndomain: d\nlimit: 1\n", "If-Match", `"0"`)
 	if w.Code != http.StatusServiceUnavailable || !strings.Contains(w.Body.String(), "refused") {
 		t.Errorf("got status %d %s, want 503 and refused", w.Code, w.Body)
--- a/internal/operator/writes.go
+++ b/internal/operator/writes.go
@@ -7,7 +7,7 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"github.com/firlever/firlever/internal/platform"
+	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/pkg/settings"
 )
 
@@ -48,20 +48,20 @@
 }
 
 // change makes a change and puts it in force here.
-func (s *Server) change(ctx context.Context, c change) (platform.PutResult, error) {
+func (s *Server) change(ctx context.Context, c change) (docstore.PutResult, error) {
 	result, err := s.attempt(ctx, c)
-	if result.Outcome == platform.Unknown {
+	if result.Outcome == docstore.Unknown {
 		// Answers to writes are lost; those to reads may not be.
 		result, err = s.resolve(ctx, c)
 	}
-	if c.repeat && result.Outcome == platform.Refused {
+	if c.repeat && result.Outcome == docstore.Refused {
 		// This try was refused; the earlier one may have landed.
 		var reason error
-		if result, reason = s.resolve(ctx, c); result.Outcome != platform.Unknown {
+		if result, reason = s.resolve(ctx, c); result.Outcome != docstore.Unknown {
 			err = reason
 		}
 	}
-	if result.Outcome == platform.Accepted {
+	if result.Outcome == docstore.Accepted {
 		doc := c.document()
 		doc.Version = result.Version
 		s.cfg.Apply([]settings.Document{doc})
@@ -71,31 +71,31 @@
 
 // attempt checks a change against the settings in force here, and writes it.
 // Before all settings have arrived there is nothing to check it against.
-func (s *Server) attempt(ctx context.Context, c change) (platform.PutResult, error) {
+func (s *Server) attempt(ctx context.Context, c change) (docstore.PutResult, error) {
 	if err := s.cfg.Complete(); err != nil {
-		return platform.PutResult{Outcome: platform.Refused}, &Problem{Code: CodeUnavailable, Reason: err.Error()}
+		return docstore.PutResult{Outcome: docstore.Refused}, &Problem{Code: CodeUnavailable, Reason: err.Error()}
 	}
 	if err := s.cfg.Snapshot().Check(c.document()); err != nil {
-		return platform.PutResult{Outcome: platform.Refused}, err
+		return docstore.PutResult{Outcome: docstore.Refused}, err
 	}
 	if c.deleted {
-		return platform.DeleteDocument(ctx, s.cfg.Store, c.path.String(), c.version, c.write)
+		return docstore.DeleteDocument(ctx, s.cfg.Store, c.path.String(), c.version, c.write)
 	}
-	return platform.PutDocument(ctx, s.cfg.Store, c.path.String(), c.version, c.body, c.write)
+	return docstore.PutDocument(ctx, s.cfg.Store, c.path.String(), c.version, c.body, c.write)
 }
 
-func (s *Server) resolve(ctx context.Context, c change) (platform.PutResult, error) {
-	return platform.ResolveWrite(ctx, s.cfg.Store, c.path.String(), c.version, c.write)
+func (s *Server) resolve(ctx context.Context, c change) (docstore.PutResult, error) {
+	return docstore.ResolveWrite(ctx, s.cfg.Store, c.path.String(), c.version, c.write)
 }
 
-func answerChange(w http.ResponseWriter, c change, result platform.PutResult, err error) error {
+func answerChange(w http.ResponseWriter, c change, result docstore.PutResult, err error) error {
 	answer := Change{Path: c.path.String(), Write: c.write, Outcome: result.Outcome.String(), Version: result.Version}
 	switch result.Outcome {
-	case platform.Accepted:
+	case docstore.Accepted:
 		w.Header().Set("ETag", FormatVersion(result.Version))
 		sendJSON(w, http.StatusOK, answer)
 		return nil
-	case platform.Refused:
+	case docstore.Refused:
 		p := *newProblem(err)
 		p.Outcome, p.Write, p.Path = answer.Outcome, c.write, answer.Path
 		return &p
@@ -131,7 +131,7 @@
 	return answerChange(w, c, result, err)
 }
 
-func (s *Server) logChange(a access, c change, result platform.PutResult, err error) {
+func (s *Server) logChange(a access, c change, result docstore.PutResult, err error) {
 	fields := []any{
 		"who", a.name, "path", c.path.String(), "deleted", c.deleted,
 		"read", c.version, "version", result.Version, "write", c.write, "outcome", result.Outcome.String(),
--- a/internal/peer/udp_test.go
+++ b/internal/peer/udp_test.go
@@ -11,8 +11,8 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/internal/member"
-	"github.com/firlever/firlever/internal/platform"
 	"github.com/firlever/firlever/internal/wire"
 )
 
@@ -67,7 +67,7 @@
 func newList(t *testing.T, id, addr string, seeds ...string) *member.List {
 	t.Helper()
 	l, err := member.New(member.Config{
-		Self:  platform.Instance{ID: id, Incarnation: 1, Address: addr, Place: "bne-north", Domain: "bne"},
+		Self:  docstore.Instance{ID: id, Incarnation: 1, Address: addr, Place: "bne-north", Domain: "bne"},
 		Seeds: seeds,
 	}, time.Now())
 	if err != nil {
--- a/internal/procs/documents_test.go
+++ b/internal/procs/documents_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"github.com/firlever/firlever/internal/emulator/kv"
 	"github.com/firlever/firlever/internal/emulator/link"
+	"github.com/firlever/firlever/internal/emulator/store"
 )
 
 // TestChangeInForce: a changed document is in force in every instance in time,
@@ -22,7 +22,7 @@
 		var slowest time.Duration
 		for i := range 4 {
 			if i%2 == 1 {
-				f.store.SetFaults(kv.Faults{LoseNext: 1})
+				f.store.SetFaults(store.Faults{LoseNext: 1})
 			}
 			began := time.Now()
 			version = f.put(all[i], blocksPath, version, blocks(i+1))
--- a/internal/procs/fleet_test.go
+++ b/internal/procs/fleet_test.go
@@ -14,11 +14,12 @@
 	"testing"
 	"time"
 
-	"github.com/firlever/firlever/internal/emulator/kv"
+	"github.com/firlever/firlever/internal/docstore"
+	"github.com/firlever/firlever/internal/emulator/inproc"
 	"github.com/firlever/firlever/internal/emulator/link"
+	"github.com/firlever/firlever/internal/emulator/store"
 	"github.com/firlever/firlever/internal/emulator/target"
 	"github.com/firlever/firlever/internal/operator"
-	"github.com/firlever/firlever/internal/platform"
 	"github.com/firlever/firlever/pkg/settings"
 )
 
@@ -71,7 +72,7 @@
 	opts    options
 	number  int // of this fleet; its addresses follow from it
 	links   *link.Links
-	store   *kv.Local
+	store   *inproc.Store
 	kvAddr  string
 	journal *target.Journal
 	targets map[string][]*target.Target // by place
@@ -115,13 +116,13 @@
 }
 
 func (f *fleet) startPlatform() {
-	core, err := kv.New(kv.Defaults(), rand.New(rand.NewPCG(1, 1)))
+	local, err := inproc.New(store.Defaults())
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	f.store = kv.NewLocal(core, time.Now)
+	f.store = local
 	ln := f.listen()
-	server := kv.NewServer(f.store)
+	server := local.Server()
 	go server.Serve(ln)
 	f.t.Cleanup(func() { server.Close() })
 	f.kvAddr = ln.Addr().String()
@@ -202,7 +203,7 @@
 // write creates a document in the platform itself.
 func (f *fleet) write(path, body string) {
 	f.t.Helper()
-	if _, err := platform.PutDocument(context.Background(), f.store, path, 0, []byte(body), "setup"); err != nil {
+	if _, err := docstore.PutDocument(context.Background(), f.store, path, 0, []byte(body), "setup"); err != nil {
 		f.t.Fatal(err)
 	}
 }
@@ -334,7 +335,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	doc, err := platform.DecodeDocument(e)
+	doc, err := docstore.DecodeDocument(e)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/procs/outage_test.go
+++ b/internal/procs/outage_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"github.com/firlever/firlever/internal/emulator/kv"
 	"github.com/firlever/firlever/internal/emulator/link"
+	"github.com/firlever/firlever/internal/emulator/store"
 	"github.com/firlever/firlever/internal/emulator/target"
 )
 
@@ -60,7 +60,7 @@
 // is in force, and an instance that starts meanwhile gets its documents from peers.
 func TestPlatformGone(t *testing.T) {
 	scenario(t, options{places: []place{{"a", 2, 6}, {"b", 1, 2}}}, func(f *fleet) {
-		f.store.SetFaults(kv.Faults{LoseNext: 1})
+		f.store.SetFaults(store.Faults{LoseNext: 1})
 		version := f.put(f.in("a")[0], blocksPath, 0, blocks(1)) // its answer is lost on the way to the instance
 		for i, id := range ids(f.nodes) {
 			f.links.SetBoth(id, platformP, link.Fault{Cut: i%2 == 0, Refuse: i%2 == 1})
