Know a relay by the age of what it knows

A relay that the store turned away told its followers at once, and each of 30 went to the store by itself for 5 s, at up to 7 calls a second; the relay had found a peer 0.1 s later. An instance that starts listed all targets, 11 calls, though its relay knew them. Answers to peers were made and carried anew for each, in plain JSON. Change: an instance may be followed as long as what it knows is at most 1.4 s old, whoever told it; a circle is noticed by the same. One that is too old is left alone for 1 s, one that is silent for 5 s as before. Who starts reads who the instances are and learns the rest from its relay, if that knows it. Answers are made once, and compressed from 1.4 KB on. TestRelayOfARelay, TestBegin and TestAnswers failed before.

--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -53,6 +53,9 @@
 	n.cfg.Log.Warn("relay lost", "err", err)
 }
 
+// Unsaid notes that a peer got no answer.
+func (n *Node) Unsaid(err error) { n.cfg.Log.Error("changes not passed on", "err", err) }
+
 // Lost notes that the store is out of reach; what is known of it is used on.
 func (n *Node) Lost(err error) {
 	n.cfg.Metrics.PlatformFailed("watch")
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -72,7 +72,7 @@
 	}
 	n.bounds.Store(&s.Bounds)
 	n.peers = peersAddress(s)
-	n.mirror = mirror.New(n.store, n, mirror.Peers{Relay: n.relay, Others: n.others})
+	n.mirror = mirror.New(n.store, n, mirror.Peers{Relay: n.relay, Others: n.others, Prefix: instancePrefix})
 	n.registrar = newRegistrar(n)
 	n.server = http1.NewServer(n.handle, n.limits, n.unreadable)
 	return n, nil
--- /dev/null
+++ b/internal/mirror/answer.go
@@ -0,0 +1,105 @@
+package mirror
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync"
+
+	"github.com/juju/errors"
+
+	"github.com/firlever/firlever/platform"
+)
+
+// packFrom is the size of an answer from which it is compressed, in bytes: about a
+// packet. The registrations of 500 targets shrink to a tenth.
+const packFrom = 1400
+
+// answers keeps the last answers to peers as they are sent: most peers wait for the
+// same changes, and all that start at once ask for all that is known. It is safe for
+// concurrent use.
+type answers struct {
+	mu      sync.Mutex
+	changes answer // guarded by mu
+	whole   answer // guarded by mu
+}
+
+// answer is an encoded answer.
+type answer struct {
+	since    platform.Revision // of the changes; 0 for all that is known
+	revision platform.Revision // 0: there is no answer
+	plain    []byte
+	packed   []byte // compressed; nil if that isn't worth it
+}
+
+// encode returns the answer to a peer that knows all changes up to a revision.
+func (a *answers) encode(since platform.Revision, e excerpt) (answer, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	kept := &a.changes
+	if !e.known {
+		kept, since = &a.whole, 0
+	}
+	if kept.revision == e.revision && kept.since == since {
+		return *kept, nil
+	}
+	made, err := newAnswer(since, e)
+	if err == nil {
+		*kept = made
+	}
+	return made, err
+}
+
+func newAnswer(since platform.Revision, e excerpt) (answer, error) {
+	body := relayed{Revision: uint64(e.revision), Whole: !e.known, Events: []relayedEvent{}}
+	events := e.events
+	if !e.known {
+		events = nil
+		for _, item := range e.items {
+			events = append(events, platform.Event{Item: item})
+		}
+	}
+	for _, event := range events {
+		body.Events = append(body.Events, relayedEvent{
+			Key: event.Key, Value: event.Value, Changed: uint64(event.Changed), Created: uint64(event.Created), Removed: event.Removed,
+		})
+	}
+	plain, err := json.Marshal(body)
+	if err != nil {
+		return answer{}, errors.Trace(err)
+	}
+	a := answer{since: since, revision: e.revision, plain: plain}
+	if len(plain) < packFrom {
+		return a, nil
+	}
+	a.packed, err = pack(plain)
+	return a, err
+}
+
+func pack(plain []byte) ([]byte, error) {
+	var b bytes.Buffer
+	z, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if _, err := z.Write(plain); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if err := z.Close(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return b.Bytes(), nil
+}
+
+// write sends the answer, compressed if the peer takes that.
+func (a *answer) write(w http.ResponseWriter, r *http.Request) {
+	body := a.plain
+	w.Header().Set("Content-Type", "application/json")
+	if a.packed != nil && strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		w.Header().Set("Content-Encoding", "gzip")
+		body = a.packed
+	}
+	w.Write(body) // a peer that has left notices by itself
+}
--- /dev/null
+++ b/internal/mirror/begin_test.go
@@ -0,0 +1,125 @@
+package mirror
+
+import (
+	"compress/gzip"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/firlever/firlever/platform"
+)
+
+// An instance that starts learns all from its relay, and lists the store itself if
+// the relay knows nothing yet or gives no answer.
+func TestBegin(t *testing.T) {
+	tests := map[string]struct {
+		relay string // what is wrong with it
+		lists bool
+	}{
+		"relay":         {"", false},
+		"relay starts":  {"unready", true},
+		"relay is gone": {"gone", true},
+		"relay is mute": {"mute", true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			fake, address := newStore(t)
+			for i := range 160 {
+				fake.Put(fmt.Sprintf("a%03d", i), []byte("1"))
+			}
+			m, first := startMirror(t, address, nobody)
+			within(t, bound, "the first knows all", func() bool { return first.get("a159") == "1" && m.Age(time.Now()) < time.Second })
+			relay := listen(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				switch tt.relay {
+				case "unready":
+					w.WriteHeader(http.StatusServiceUnavailable)
+				case "mute":
+					<-r.Context().Done()
+				default:
+					m.ServeHTTP(w, r)
+				}
+			}))
+			if tt.relay == "gone" {
+				relay = "127.0.0.1:1"
+			}
+			calls := fake.Calls("/kv-range")
+			peers := after(relay)
+			peers.Prefix = "a000"
+			_, second := startMirror(t, address, peers)
+			within(t, bound, "the second knows all", func() bool { return second.get("a159") == "1" })
+			// A list has four pages. The first checks the store once a second.
+			if got := fake.Calls("/kv-range") - calls; (got >= 4) != tt.lists {
+				t.Errorf("got %d reads, want a list: %t", got, tt.lists)
+			}
+			fake.Put("a000", []byte("2"))
+			within(t, bound, "the second knows a change", func() bool { return second.get("a000") == "2" })
+		})
+	}
+}
+
+// An answer is made once for all peers that know the same, and compressed for those
+// that take that.
+func TestAnswers(t *testing.T) {
+	var a answers
+	e := excerpt{revision: 9}
+	for i := range 100 {
+		e.items = append(e.items, platform.Item{Key: fmt.Sprintf("key%d", i), Value: []byte("value"), Changed: platform.Revision(i)})
+	}
+	first, err := a.encode(3, e)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, _ := a.encode(4, e)
+	if &first.plain[0] != &second.plain[0] {
+		t.Error("got all that is known made twice")
+	}
+	newer := e
+	newer.revision = 10
+	if third, _ := a.encode(3, newer); &third.plain[0] == &first.plain[0] {
+		t.Error("got an old answer for a newer revision")
+	}
+	for encoding, packed := range map[string]bool{"gzip, br": true, "": false} {
+		w, r := httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil)
+		r.Header.Set("Accept-Encoding", encoding)
+		first.write(w, r)
+		var got relayed
+		body := json.NewDecoder(w.Body)
+		if packed {
+			z, err := gzip.NewReader(w.Body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			body = json.NewDecoder(z)
+		}
+		if err := body.Decode(&got); err != nil || len(got.Events) != 100 || got.Revision != 9 {
+			t.Errorf("%q: got %d events at %d, %v, want 100 at 9", encoding, len(got.Events), got.Revision, err)
+		}
+	}
+	if few, _ := a.encode(8, excerpt{revision: 9, known: true}); few.packed != nil {
+		t.Error("got a short answer compressed")
+	}
+}
+
+// A peer may follow one that follows the store: what counts is the age of what it
+// knows.
+func TestRelayOfARelay(t *testing.T) {
+	fake, address := newStore(t)
+	fake.Put("a", []byte("1"))
+	m, _ := startMirror(t, address, nobody)
+	middle, _ := startMirror(t, address, after(listen(t, m)))
+	_, last := startMirror(t, address, after(listen(t, middle)))
+	within(t, bound, "the last knows a", func() bool { return last.get("a") == "1" })
+	time.Sleep(2 * gather) // all have gone over to their relays
+	watches := fake.Calls("/kv-watch")
+	for i := range 3 {
+		value := fmt.Sprint(i)
+		fake.Put("a", []byte(value))
+		within(t, bound, "a is "+value, func() bool { return last.get("a") == value })
+	}
+	if got := fake.Calls("/kv-watch") - watches; got > 4 {
+		t.Errorf("got %d watches for 3 changes, want those of the first alone", got)
+	}
+}
--- a/internal/mirror/check.go
+++ b/internal/mirror/check.go
@@ -49,7 +49,7 @@
 		m.miss()
 		return nil
 	}
-	m.history.confirm(begin, !m.isLost())
+	m.history.confirm(begin)
 	return nil
 }
 
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -23,17 +23,34 @@
 		m.setFollowing(false)
 		return false
 	}
-	n, err := m.follow(ctx, address, m.history.at())
-	if err != nil {
+	if err := m.learn(ctx, address); err != nil {
 		m.setFollowing(false)
 		m.via = ""
 		if ctx.Err() == nil && !m.isLost() {
-			m.alone = time.Now().Add(relayPause)
+			m.alone = time.Now().Add(pauseAfter(err))
 			m.checkSoon()
 			m.sink.Alone(err)
 		}
 		return false
 	}
+	return true
+}
+
+// pauseAfter is how long a relay is left alone after a failure.
+func pauseAfter(err error) time.Duration {
+	var failed *RelayError
+	if errors.As(err, &failed) && failed.Status == http.StatusServiceUnavailable {
+		return staleSoon
+	}
+	return relayPause
+}
+
+// learn waits once for changes from a peer.
+func (m *Mirror) learn(ctx context.Context, address string) error {
+	n, err := m.follow(ctx, address, m.history.at())
+	if err != nil {
+		return err
+	}
 	if m.isLost() && m.via != address {
 		m.sink.Through(address)
 	}
@@ -43,9 +60,31 @@
 		n.events = m.copy.Difference(n.items(), n.revision)
 	}
 	m.take(n.events, n.revision)
-	m.history.confirm(n.confirmed, false)
+	m.history.confirm(n.confirmed)
 	m.begun()
-	return true
+	return nil
+}
+
+// begin learns all from the relay of the region, if there is one that knows it: a
+// list of 500 targets takes 11 calls to the store, the names of 91 instances 2. Who
+// is the relay, or finds none ready, lists the store at once.
+func (m *Mirror) begin(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, beginTime)
+	defer cancel()
+	items, _, err := m.read(ctx, m.peers.Prefix)
+	if err != nil {
+		return // the store is not in reach; that is noticed by the list
+	}
+	events := make([]platform.Event, 0, len(items))
+	for _, item := range items {
+		events = append(events, platform.Event{Item: item})
+	}
+	if changes := m.copy.Apply(time.Now(), events); len(changes) > 0 {
+		m.sink.Changed(changes)
+	}
+	if address := m.peers.Relay(); address != "" {
+		m.learn(ctx, address) // if it doesn't know, the store is listed
+	}
 }
 
 // checkSoon asks for a check of the store at once.
@@ -124,16 +163,17 @@
 	if err := json.Unmarshal(b, &answer); err != nil {
 		return news{}, errors.Trace(&RelayError{Address: address, Status: resp.StatusCode, Err: err})
 	}
-	return answer.news(begin), nil
+	age, err := strconv.ParseInt(resp.Header.Get(headerAge), 10, 64)
+	if err != nil {
+		return news{}, errors.Trace(&RelayError{Address: address, Status: resp.StatusCode, Err: err})
+	}
+	return answer.news(begin.Add(-time.Duration(age) * time.Millisecond)), nil
 }
 
-// news decodes an answer to a call that began at a time. It was made later, so
-// that the age counts from there.
-func (a relayed) news(begin time.Time) news {
-	n := news{
-		whole: a.Whole, revision: platform.Revision(a.Revision),
-		confirmed: begin.Add(-time.Duration(a.Age) * time.Millisecond),
-	}
+// news decodes an answer whose knowledge was confirmed at a time: its age counts
+// from when the call began, as the answer was made later.
+func (a relayed) news(confirmed time.Time) news {
+	n := news{whole: a.Whole, revision: platform.Revision(a.Revision), confirmed: confirmed}
 	for _, e := range a.Events {
 		item := platform.Item{Key: e.Key, Value: e.Value, Changed: platform.Revision(e.Changed), Created: platform.Revision(e.Created)}
 		n.events = append(n.events, platform.Event{Item: item, Removed: e.Removed})
--- a/internal/mirror/history.go
+++ b/internal/mirror/history.go
@@ -21,8 +21,7 @@
 	floor     platform.Revision // changes up to here are not kept; guarded by mu
 	revision  platform.Revision // all changes up to here are known; guarded by mu
 	confirmed time.Time         // when the store last said that there are no others; guarded by mu
-	direct    bool              // the store itself is followed, not a peer; guarded by mu
-	grown     chan struct{}     // closed when events come, or when direct ends; guarded by mu
+	grown     chan struct{}     // closed when events come; guarded by mu
 }
 
 func newHistory() *history { return &history{grown: make(chan struct{})} }
@@ -48,14 +47,13 @@
 }
 
 // confirm notes that at a time the store had no changes beyond those that are
-// known, and whether the store itself or a peer said so.
-func (h *history) confirm(at time.Time, direct bool) {
+// known.
+func (h *history) confirm(at time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if at.After(h.confirmed) {
 		h.confirmed = at
 	}
-	h.direct = direct
 }
 
 // at is the revision up to which all changes are known.
@@ -72,14 +70,6 @@
 	return now.Sub(h.confirmed)
 }
 
-// lose notes that the store can't be followed any more; waiting peers are told.
-func (h *history) lose() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.direct = false
-	h.wake()
-}
-
 // wake lets waiting peers look again. h.mu is held.
 func (h *history) wake() {
 	close(h.grown)
@@ -93,7 +83,6 @@
 	revision platform.Revision // what the events lead up to
 	age      time.Duration     // since the store confirmed it
 	known    bool              // the events since the asked revision are all kept
-	direct   bool              // the store itself is followed
 	grown    <-chan struct{}   // closed when there is more
 }
 
@@ -102,7 +91,7 @@
 	defer h.mu.Unlock()
 	e := excerpt{
 		revision: h.revision, age: now.Sub(h.confirmed), known: revision >= h.floor && h.revision > 0,
-		direct: h.direct, grown: h.grown, items: h.items,
+		grown: h.grown, items: h.items,
 	}
 	for _, event := range h.events {
 		if event.Changed > revision {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -30,12 +30,16 @@
 	// checkTime is how long a check may take: a slow store needs a quarter of a
 	// second, and a silent one is noticed within 2 s.
 	checkTime = 900 * time.Millisecond
+	// beginTime is how long an instance that starts asks who its relay is and what
+	// that knows: some round trips between regions. A dead relay gives no answer.
+	beginTime = 400 * time.Millisecond
 	// settleCheck is how often delayed removals are looked at, and how long the
 	// first watch after an outage waits, to show soon that the store is back.
 	settleCheck = 200 * time.Millisecond
 )
 
-// Sink takes what the mirror finds. Its methods are called by one goroutine.
+// Sink takes what the mirror finds. Its methods are called by one goroutine, but for
+// Unsaid.
 type Sink interface {
 	// Changed takes changes of the copy.
 	Changed(changes []Change)
@@ -48,6 +52,9 @@
 	Through(address string)
 	// Alone tells that the relay is given up for a while.
 	Alone(err error)
+	// Unsaid tells that an answer to a peer could not be made. It is called by any
+	// goroutine.
+	Unsaid(err error)
 }
 
 // Peers tells which instances can be followed. Its functions must be safe for
@@ -58,6 +65,8 @@
 	Relay func() string
 	// Others are the addresses to ask when the store is out of reach.
 	Others func() []string
+	// Prefix begins the keys that Relay goes by; they are read first.
+	Prefix string
 }
 
 // Mirror follows the store, or an instance that does. It is an http.Handler for
@@ -70,6 +79,7 @@
 	soon    chan struct{} // asks for a check at once
 	copy    *Copy
 	history *history
+	answers answers
 
 	listed bool
 	alone  time.Time // no relay is asked before
@@ -98,6 +108,7 @@
 	var checks sync.WaitGroup
 	checks.Go(func() { m.check(ctx) })
 	defer checks.Wait()
+	m.begin(ctx)
 	pause := retryFirst
 	for ctx.Err() == nil {
 		if m.followed(ctx) {
@@ -153,7 +164,6 @@
 	case errors.Is(err, errKicked):
 		return nil
 	default:
-		m.history.lose()
 		m.copy.Outage(time.Now())
 		if !m.setLost(true) {
 			m.sink.Lost(err)
@@ -175,33 +185,41 @@
 // list reads the whole store. Pages are no snapshot: the changes since the first
 // are watched for.
 func (m *Mirror) list(ctx context.Context) error {
+	begin := time.Now()
+	items, since, err := m.read(ctx, "")
+	if err != nil {
+		return err
+	}
+	m.take(m.copy.Difference(items, since), since)
+	m.history.confirm(begin)
+	m.begun()
+	return nil
+}
+
+// read reads all pages of the keys under a prefix, and the revision of the first.
+func (m *Mirror) read(ctx context.Context, prefix string) ([]platform.Item, platform.Revision, error) {
 	var items []platform.Item
 	var since platform.Revision
-	begin := time.Now()
 	for after := ""; ; {
-		page, err := m.page(ctx, after)
+		page, err := m.page(ctx, prefix, after)
 		if err != nil {
-			return err
+			return nil, 0, err
 		}
 		if after == "" {
 			since = page.AsOf
 		}
 		items = append(items, page.Items...)
 		if !page.More || len(page.Items) == 0 {
-			break
+			return items, since, nil
 		}
 		after = page.Items[len(page.Items)-1].Key
 	}
-	m.take(m.copy.Difference(items, since), since)
-	m.history.confirm(begin, true)
-	m.begun()
-	return nil
 }
 
-func (m *Mirror) page(ctx context.Context, after string) (platform.Page, error) {
+func (m *Mirror) page(ctx context.Context, prefix, after string) (platform.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
-	return m.store.Range(ctx, "", after, false)
+	return m.store.Range(ctx, prefix, after, false)
 }
 
 // errKicked says that a watch was ended as its connection may be dead, or as it has
@@ -233,7 +251,7 @@
 	}
 	m.take(events, since)
 	if len(events) > 0 {
-		m.history.confirm(begin, true) // an empty answer may come from a deaf watch
+		m.history.confirm(begin) // an empty answer may come from a deaf watch
 	}
 	return nil
 }
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -43,6 +43,8 @@
 
 func (s *sink) Through(string) {}
 
+func (s *sink) Unsaid(error) {}
+
 func (s *sink) Alone(error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
@@ -27,8 +26,13 @@
 	// and lists it if its watch has missed something. Whoever gives up an older one
 	// checks at once, so that changes are known within 1.7 s.
 	relayAge = checkEvery + checkGrace + 200*time.Millisecond
-	// relayPause is how long a relay is left alone that failed.
+	// relayPause is how long a relay is left alone that gave no answer, and staleSoon
+	// one whose knowledge was too old: it mostly finds a peer within a second. An
+	// instance by itself calls the store up to 7 times a second.
 	relayPause = 5 * time.Second
+	staleSoon  = time.Second
+	// headerAge says how old the knowledge of an answer is, in milliseconds.
+	headerAge = "Firlever-Age"
 	// maxRelayed bounds an answer of a relay, in bytes: the whole history of today's
 	// sizes, and some configurations of 1 MB.
 	maxRelayed = 16 << 20
@@ -39,7 +43,6 @@
 	Whole    bool           `json:"whole"` // the events are all that is known, not what has changed
 	Events   []relayedEvent `json:"events"`
 	Revision uint64         `json:"revision"`
-	Age      int64          `json:"age"` // of the knowledge, in milliseconds
 }
 
 type relayedEvent struct {
@@ -52,7 +55,8 @@
 
 // ServeHTTP answers a peer: with the changes since a revision as soon as there are
 // any, or with none after relayWait. If not all of them are kept, the answer is all
-// that is known. 503 says that this instance does not follow the store itself.
+// that is known. 503 says that its knowledge is too old: neither the store nor a peer
+// that knows it is in reach, or instances follow each other in a circle.
 func (m *Mirror) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	since, err := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
 	if err != nil {
@@ -60,32 +64,28 @@
 		return
 	}
 	e := m.await(r.Context(), platform.Revision(since))
-	if !e.direct || e.age > relayAge {
-		http.Error(w, "the store is not followed", http.StatusServiceUnavailable)
+	if e.age > relayAge {
+		http.Error(w, "what is known is too old", http.StatusServiceUnavailable)
 		return
 	}
-	answer := relayed{Revision: uint64(e.revision), Age: e.age.Milliseconds(), Whole: !e.known, Events: []relayedEvent{}}
-	if !e.known {
-		for _, item := range e.items {
-			answer.add(platform.Event{Item: item})
-		}
-	}
-	for _, event := range e.events {
-		answer.add(event)
+	a, err := m.answers.encode(platform.Revision(since), e)
+	if err != nil {
+		m.sink.Unsaid(err)
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
 	}
-	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(answer) // a peer that has left notices by itself
+	w.Header().Set(headerAge, strconv.FormatInt(e.age.Milliseconds(), 10))
+	a.write(w, r)
 }
 
-// await waits for changes, for the end of this instance's following, or for the
-// end of the time, which is over when the knowledge gets too old: the peer then asks
-// the store at once.
+// await waits for changes, or for the end of the time, which is over when the
+// knowledge gets too old: the peer then asks the store at once.
 func (m *Mirror) await(ctx context.Context, since platform.Revision) excerpt {
 	over := time.NewTimer(min(relayWait, relayAge-m.history.age(time.Now())))
 	defer over.Stop()
 	for {
 		e := m.history.since(time.Now(), since)
-		if len(e.events) > 0 || !e.known || !e.direct {
+		if len(e.events) > 0 || !e.known {
 			return e
 		}
 		select {
@@ -98,8 +98,3 @@
 	}
 }
 
-func (a *relayed) add(e platform.Event) {
-	a.Events = append(a.Events, relayedEvent{
-		Key: e.Key, Value: e.Value, Changed: uint64(e.Changed), Created: uint64(e.Created), Removed: e.Removed,
-	})
-}
