--- a/internal/docstore/client.go
+++ b/internal/docstore/client.go
@@ -96,7 +96,7 @@
 
 // list reads every entry under a prefix, deleted ones too.
 func (c *Client) list(ctx context.Context, call, prefix string) ([]Entry, uint64, error) {
-	items, revision, err := c.items(ctx, entryPrefix+prefix, false)
+	items, revision, err := c.store.List(ctx, entryPrefix+prefix, false)
 	if err != nil {
 		return nil, 0, unread(call, err)
 	}
@@ -108,27 +108,7 @@
 		}
 		entries = append(entries, e)
 	}
-	return entries, revision, nil
-}
-
-// items reads all pages of a range.
-func (c *Client) items(ctx context.Context, prefix string, stale bool) ([]platform.Item, uint64, error) {
-	var items []platform.Item
-	var revision uint64
-	for after := ""; ; {
-		page, err := c.store.Range(ctx, prefix, after, stale)
-		if err != nil {
-			return nil, 0, err
-		}
-		if after == "" {
-			revision = uint64(page.AsOf)
-		}
-		items = append(items, page.Items...)
-		if !page.More || len(page.Items) == 0 {
-			return items, revision, nil
-		}
-		after = page.Items[len(page.Items)-1].Key
-	}
+	return entries, uint64(revision), nil
 }
 
 // Swap writes value if the path still has the given version. A value over
@@ -247,7 +227,7 @@
 
 // Instances reads the list of instances. It may be seconds old.
 func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
-	items, _, err := c.items(ctx, instancePrefix, true)
+	items, _, err := c.store.List(ctx, instancePrefix, true)
 	if err != nil {
 		return nil, unread("Instances", err)
 	}
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -71,7 +71,7 @@
 func (m *Mirror) begin(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, beginTime)
 	defer cancel()
-	items, _, err := m.read(ctx, m.peers.Prefix)
+	items, _, err := m.store.List(ctx, m.peers.Prefix, false)
 	if err != nil {
 		return // the store is not in reach; that is noticed by the list
 	}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -186,7 +186,7 @@
 // are watched for.
 func (m *Mirror) list(ctx context.Context) error {
 	begin := time.Now()
-	items, since, err := m.read(ctx, "")
+	items, since, err := m.store.List(ctx, "", false)
 	if err != nil {
 		return err
 	}
@@ -196,32 +196,6 @@
 	return nil
 }
 
-// read reads all pages of the keys under a prefix, and the revision of the first.
-func (m *Mirror) read(ctx context.Context, prefix string) ([]platform.Item, platform.Revision, error) {
-	var items []platform.Item
-	var since platform.Revision
-	for after := ""; ; {
-		page, err := m.page(ctx, prefix, after)
-		if err != nil {
-			return nil, 0, err
-		}
-		if after == "" {
-			since = page.AsOf
-		}
-		items = append(items, page.Items...)
-		if !page.More || len(page.Items) == 0 {
-			return items, since, nil
-		}
-		after = page.Items[len(page.Items)-1].Key
-	}
-}
-
-func (m *Mirror) page(ctx context.Context, prefix, after string) (platform.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, answerTime)
-	defer cancel()
-	return m.store.Range(ctx, prefix, after, false)
-}
-
 // errKicked says that a watch was ended as its connection may be dead, or as it has
 // missed changes.
 var errKicked = errors.New("mirror: watch ended to begin anew")
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -97,4 +97,3 @@
 		}
 	}
 }
-
