--- a/internal/procs/attempt_test.go
+++ b/internal/procs/attempt_test.go
@@ -4,6 +4,8 @@
 
 import (
 	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -36,6 +38,9 @@
 		run(f)
 		f.check()
 		f.close()
+		if t.Failed() || len(f.doubts) > 0 {
+			f.keepLogs()
+		}
 		if len(f.doubts) == 0 || t.Failed() {
 			break
 		}
@@ -70,6 +75,25 @@
 	}
 }
 
+// keepLogs writes what all processes logged into a folder that outlives the test: a
+// failure that shows once can be traced only with them.
+func (f *fleet) keepLogs() {
+	dir, err := os.MkdirTemp("", "firlever-"+f.t.Name()+"-")
+	if err != nil {
+		f.t.Errorf("logs not kept: %v", err)
+		return
+	}
+	for _, n := range f.nodes {
+		for i, p := range n.past {
+			name := filepath.Join(dir, fmt.Sprintf("%s-%d.log", n.id, i))
+			if err := os.WriteFile(name, []byte(p.out.tail(keepLines)), 0o600); err != nil {
+				f.t.Errorf("log not kept: %v", err)
+			}
+		}
+	}
+	f.t.Logf("logs of all processes: %s", dir)
+}
+
 // none doubts a load in which a request got no whole answer.
 func (f *fleet) none(what string, c *tally) {
 	if c.sent == 0 || c.failures() > 0 {
