--- a/cmd/firlever/edge.go
+++ b/cmd/firlever/edge.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -24,12 +26,14 @@
 On SIGTERM it leaves the look-ups, finishes what is in flight and ends. On SIGHUP
 it reads the settings file again.`
 
-const edgeExample = `  firlever edge --settings /etc/firlever/boot.yaml`
+const edgeExample = `  firlever edge --settings /etc/firlever/boot.yaml
+  firlever edge --settings /etc/firlever/boot.yaml --check`
 
 type edgeFlags struct {
 	settings string
 	level    string
 	metrics  int
+	check    bool
 }
 
 func newEdgeCommand() *cobra.Command {
@@ -46,6 +50,7 @@
 	f := cmd.Flags()
 	f.StringVar(&flags.settings, "settings", "", "settings file of the platform")
 	f.StringVar(&flags.level, "log", "info", "least level that is logged: debug, info, warn, error")
+	f.BoolVar(&flags.check, "check", false, "check the settings and end")
 	f.IntVar(&flags.metrics, "metrics", 0, "port of the metrics; 0 serves none")
 	f.IntVar(&cfg.LogRate, "log-rate", edge.DefaultLogRate, "lines/s about requests that went well")
 	f.DurationVar(&cfg.TTL, "ttl", edge.DefaultTTL, "how long callers keep the answer to a look-up")
@@ -53,18 +58,30 @@
 	return cmd
 }
 
+// checkEdge says whether an instance could start with its settings and flags.
+func checkEdge(cmd *cobra.Command, cfg edge.Config) error {
+	if err := cfg.Check(); err != nil {
+		return &usageError{Command: cmd.CommandPath(), Reason: err.Error()}
+	}
+	fmt.Fprintf(cmd.OutOrStdout(), "valid; not used: %s\n", strings.Join(cfg.Settings.Unread, ", "))
+	return nil
+}
+
 func runEdge(cmd *cobra.Command, cfg edge.Config, flags edgeFlags) error {
 	settings, err := platform.ReadSettings(flags.settings)
 	if err != nil {
 		return &usageError{Command: cmd.CommandPath(), Reason: err.Error()}
 	}
+	cfg.Settings = settings
+	if flags.check {
+		return checkEdge(cmd, cfg)
+	}
 	lines := logs.NewWriter(cmd.OutOrStdout())
 	defer func() { lines.Close(time.Now().Add(logs.CloseTime)) }()
 	logger, err := logs.New(lines, flags.level)
 	if err != nil {
 		return &usageError{Command: cmd.CommandPath(), Reason: err.Error()}
 	}
-	cfg.Settings = settings
 	cfg.Log = logger
 	cfg.Metrics = metrics.New()
 	signals := make(chan os.Signal, 4)
@@ -82,6 +99,7 @@
 			return err
 		}
 	}
+	logger.Info("settings read", "path", flags.settings, "unread", settings.Unread)
 	logger.Info("started", "instance", settings.Instance, "domain", settings.Domain, "region", settings.Region,
 		"callers", settings.Callers, "peers", n.Peers(), "store", settings.Store, "first", settings.FirstStart)
 	go n.Watch(cmd.Context(), flags.settings)
--- a/cmd/firlever/main_test.go
+++ b/cmd/firlever/main_test.go
@@ -160,6 +160,18 @@
 	})
 }
 
+// boot is a settings file of the platform.
+const boot = `
+node: a-1
+role: edge
+zone: hob-a
+region: hobart
+zones: {hob-a: hobart}
+listen: {front: "127.0.0.1:1", ready: "127.0.0.1:2", directory: "127.0.0.1:3"}
+bounds: {grace: 6s}
+platform: {address: "127.0.0.1:4"}
+`
+
 func TestOffline(t *testing.T) {
 	t.Setenv("FIRLEVER_ADDRESS", "127.0.0.1:1")
 	steps(t, []step{
@@ -183,6 +195,10 @@
 		{[]string{"load", "payments/x", "--rate", "0"}, 2, "rate"},
 		{[]string{"load", "payments/x", "--entries", "127.0.0.1:1", "--for", "100ms", "--json"}, 0, `"answered":0`},
 		{[]string{"platform", "--writes", "0"}, 2, "writes"},
+		{[]string{"edge", "--settings", file(t, boot), "--check"}, 0, "valid; not used: role"},
+		{[]string{"edge", "--settings", file(t, boot), "--check", "--byte-cost", "-1"}, 2, "byte cost is negative"},
+		{[]string{"edge", "--settings", file(t, "node: a\n"), "--check"}, 2, "region is missing; zone is missing"},
+		{[]string{"edge", "--settings", "none", "--check"}, 2, "no such file"},
 		{[]string{"version"}, 0, "firlever "},
 		{[]string{"--help"}, 0, "Exit codes"},
 	})
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -8,6 +8,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/firlever/firlever/internal/metrics"
+	"github.com/firlever/firlever/internal/steer"
 	"github.com/firlever/firlever/platform"
 )
 
@@ -40,6 +41,23 @@
 	}
 }
 
+// Check returns an error that names every fault of what a Node would be made of.
+func (c *Config) Check() error {
+	c.Defaults()
+	cfg := c.steer()
+	cfg.Defaults()
+	return cfg.Validate()
+}
+
+// steer is the configuration of the choice of targets.
+func (c *Config) steer() steer.Config {
+	s := &c.Settings
+	return steer.Config{
+		Instance: s.Instance, Domain: s.Domain, Regions: s.Regions,
+		Bounds: steerBounds(s.Bounds), ByteCost: c.ByteCost,
+	}
+}
+
 // Times of an instance's life.
 const (
 	// leaseTime is how long an instance counts as alive without a renewal: four
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -58,10 +58,7 @@
 func New(cfg Config) (*Node, error) {
 	cfg.Defaults()
 	s := &cfg.Settings
-	fleet, err := steer.New(steer.Config{
-		Instance: s.Instance, Domain: s.Domain, Regions: s.Regions,
-		Bounds: steerBounds(s.Bounds), ByteCost: cfg.ByteCost,
-	})
+	fleet, err := steer.New(cfg.steer())
 	if err != nil {
 		return nil, errors.Annotate(err, "edge.New")
 	}
