Judge an overtaken attempt by how it ended; tell of a relay that can't be learned from

Cause, read in review: an attempt whose answer came at the same moment as the second target's counted as late; an instance that started said nothing when its relay gave no answer.

--- a/internal/edge/pass.go
+++ b/internal/edge/pass.go
@@ -49,8 +49,8 @@
 }
 
 // round sends the request to the chosen target. If that takes so long that hardly
-// an answer will come, another target gets it too, if it may run more than once:
-// the first answer counts, and the other attempt ends.
+// an answer will come, one more target gets it too, if it may run more than once and
+// has an attempt left: the first answer counts, and the other attempt ends.
 func (n *Node) round(ctx context.Context, p *passage) verdict {
 	p.begin(p.choice.Target.ID)
 	if !p.repeatable || !p.again() {
@@ -69,7 +69,7 @@
 		case r := <-results:
 			v = n.take(ctx, p, r)
 		case <-slow.C:
-			if c := n.pick(p); p.again() && c.Reason == "" {
+			if c := n.pick(p); c.Reason == "" {
 				p.begin(c.Target.ID)
 				start(c)
 			}
@@ -104,13 +104,13 @@
 }
 
 // overtaken takes in an attempt that was ended as another target answered first: it
-// was late.
+// was late, unless it ended by itself at the same moment.
 func (n *Node) overtaken(p *passage, results <-chan result) {
 	r := <-results
 	if r.resp != nil && r.resp.Rest != nil {
 		r.resp.Rest.Close()
 	}
-	v := verdict{ending: steer.Late, sent: true}
+	v := judge(context.Background(), r.resp, r.err)
 	n.settle(p, r, v)
 	n.logAttempt(p, r, v)
 }
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -83,7 +83,9 @@
 		m.sink.Changed(changes)
 	}
 	if address := m.peers.Relay(); address != "" {
-		m.learn(ctx, address) // if it doesn't know, the store is listed
+		if err := m.learn(ctx, address); err != nil {
+			m.sink.Alone(err) // the store is listed
+		}
 	}
 }
 
