--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -53,8 +53,8 @@
 	n.cfg.Log.Warn("relay lost", "err", err)
 }
 
-// Unsaid notes that a peer got no answer.
-func (n *Node) Unsaid(err error) { n.cfg.Log.Error("changes not passed on", "err", err) }
+// AnswerFailed notes that a peer got no answer.
+func (n *Node) AnswerFailed(err error) { n.cfg.Log.Error("changes not passed on", "err", err) }
 
 // Lost notes that the store is out of reach; what is known of it is used on.
 func (n *Node) Lost(err error) {
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -80,7 +80,7 @@
 	if err != nil {
 		c.conn.Close()
 		if c.used && silent(ctx, err) {
-			p.doubt(c.target, begin)
+			p.dropBefore(c.target, begin)
 		}
 		return nil, &LostError{Err: err, Reused: c.used}
 	}
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -65,10 +65,10 @@
 	closeAll(list)
 }
 
-// doubt drops the connections to a target that were last answered before a request
+// dropBefore drops the connections to a target that were last answered before a request
 // was sent on another one in vain: what silences one, such as a partition or a lost
 // entry of a firewall, silences those beside it.
-func (p *Pool) doubt(target string, sent time.Time) {
+func (p *Pool) dropBefore(target string, sent time.Time) {
 	p.mu.Lock()
 	var old, sound []*poolConn
 	for _, c := range p.idle[target] {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -39,7 +39,7 @@
 )
 
 // Sink takes what the mirror finds. Its methods are called by one goroutine, but for
-// Unsaid.
+// AnswerFailed.
 type Sink interface {
 	// Changed takes changes of the copy.
 	Changed(changes []Change)
@@ -52,9 +52,9 @@
 	Through(address string)
 	// Alone tells that the relay is given up for a while.
 	Alone(err error)
-	// Unsaid tells that an answer to a peer could not be made. It is called by any
+	// AnswerFailed tells that an answer to a peer could not be made. It is called by any
 	// goroutine.
-	Unsaid(err error)
+	AnswerFailed(err error)
 }
 
 // Peers tells which instances can be followed. Its functions must be safe for
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -43,7 +43,7 @@
 
 func (s *sink) Through(string) {}
 
-func (s *sink) Unsaid(error) {}
+func (s *sink) AnswerFailed(error) {}
 
 func (s *sink) Alone(error) {
 	s.mu.Lock()
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -70,7 +70,7 @@
 	}
 	a, err := m.answers.encode(platform.Revision(since), e)
 	if err != nil {
-		m.sink.Unsaid(err)
+		m.sink.AnswerFailed(err)
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
--- a/internal/soak/fault_test.go
+++ b/internal/soak/fault_test.go
@@ -38,7 +38,7 @@
 		w.path("edges", t.domain, f, length)
 		return fmt.Sprintf("to targets of %s: %+v", t.domain, f)
 	case 8:
-		f := []store.Faults{{Refuse: true}, {Silent: true}, {Deaf: true}}[w.rng.IntN(3)]
+		f := storeFaults[w.rng.IntN(len(storeFaults))]
 		w.lasting("store", func() { w.store.SetFaults(f); time.Sleep(length); w.store.SetFaults(store.Faults{}) })
 		return fmt.Sprintf("store: %+v", f)
 	case 9:
@@ -64,6 +64,16 @@
 	}
 }
 
+// storeFaults are what goes wrong with the store for a while.
+var storeFaults = []store.Faults{
+	{Refuse: true},
+	{Silent: true},
+	{Deaf: true},
+	{Delay: 300 * time.Millisecond},
+	{LoseShare: 0.5},
+	{LateShare: 0.5, Delay: time.Second},
+}
+
 // lasting runs a fault on something, unless one is on it already.
 func (w *world) lasting(on string, f func()) {
 	w.mu.Lock()
