--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -214,33 +214,6 @@
 	return AskGrant{Peer: p, Service: a.use.Service, Home: home, Want: want, Release: release}
 }
 
-// grantHeard takes in what a peer offered.
-func (n *Node) grantHeard(now time.Time, ev GrantHeard) {
-	peer, ok := n.peer(ev.Peer)
-	if !ok || peer.Incarnation != ev.Incarnation {
-		return
-	}
-	if peer.Place == n.cfg.Place {
-		n.freeHeard(ev)
-		return
-	}
-	a := destination{place: peer.Place, use: grant.Use{Service: ev.Service, Shifted: ev.Home != peer.Place}}
-	n.holdings.Heard(ev.Peer, a.use, ev.Grant, ev.Until)
-	if ev.ID == 0 && ev.Grant == 0 {
-		n.roomOf(ev.Peer, ev.Service).until = now.Add(askRefuse + time.Duration(n.cfg.Rand.Int64N(int64(askRefuse))))
-	}
-	n.pump(now)
-}
-
-// freeHeard takes in the free slots of a peer of this place, after a hand-off.
-func (n *Node) freeHeard(ev GrantHeard) {
-	if f, ok := n.flights[ev.ID]; ok && f.stage == stagePeer {
-		f.heard = true
-		r := n.roomOf(ev.Peer, ev.Service)
-		r.free, r.until = ev.Free, time.Time{}
-	}
-}
-
 // tendGrants asks for the requests that wait, and gives back what has no use.
 func (n *Node) tendGrants(now time.Time) {
 	for _, a := range sortedDestinations(n.demands) {
--- a/internal/core/grant.go
+++ b/internal/core/grant.go
@@ -105,3 +105,30 @@
 func (n *Node) covered(now time.Time, f *flight) bool {
 	return n.grants.Used(now, f.req.From, n.useHere(f.req.Service, f.home))
 }
+
+// grantHeard takes in what a peer offered.
+func (n *Node) grantHeard(now time.Time, ev GrantHeard) {
+	peer, ok := n.peer(ev.Peer)
+	if !ok || peer.Incarnation != ev.Incarnation {
+		return
+	}
+	if peer.Place == n.cfg.Place {
+		n.freeHeard(ev)
+		return
+	}
+	a := destination{place: peer.Place, use: grant.Use{Service: ev.Service, Shifted: ev.Home != peer.Place}}
+	n.holdings.Heard(ev.Peer, a.use, ev.Grant, ev.Until)
+	if ev.ID == 0 && ev.Grant == 0 {
+		n.roomOf(ev.Peer, ev.Service).until = now.Add(askRefuse + time.Duration(n.cfg.Rand.Int64N(int64(askRefuse))))
+	}
+	n.pump(now)
+}
+
+// freeHeard takes in the free slots of a peer of this place, after a hand-off.
+func (n *Node) freeHeard(ev GrantHeard) {
+	if f, ok := n.flights[ev.ID]; ok && f.stage == stagePeer {
+		f.heard = true
+		r := n.roomOf(ev.Peer, ev.Service)
+		r.free, r.until = ev.Free, time.Time{}
+	}
+}
--- a/internal/instance/gossip.go
+++ b/internal/instance/gossip.go
@@ -208,42 +208,6 @@
 	g.in.dispatcher.Step(core.PeersChanged{Peers: peersOf(members)})
 }
 
-// tellRooms sends this instance's room to the peers of its place, and keeps
-// the list's idea of the roster up to date.
-func (g *gossip) tellRooms(ctx context.Context) {
-	t := time.NewTicker(roomEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			g.tellRoom()
-		}
-	}
-}
-
-func (g *gossip) tellRoom() {
-	var rooms []core.Room
-	var roster owner.Roster
-	g.in.dispatcher.Read(func(now time.Time, n *core.Node) { rooms, roster = n.Rooms(now), n.Roster() })
-	g.setRoster(roster)
-	var near []member.Member
-	g.udp.Do(func(_ time.Time, l *member.List) []member.Send {
-		near = l.Alive(g.in.cfg.Place)
-		return nil
-	})
-	picked := g.told.pick(rooms)
-	if len(picked) == 0 {
-		return
-	}
-	p := &wire.Packet{From: g.in.cfg.ID, Incarnation: g.in.incarnation}
-	peer.SetRooms(p, picked)
-	for _, m := range near {
-		g.udp.Send(m.Address, p)
-	}
-}
-
 // setRoster tells the list whom the roster names: acks promise only to those.
 func (g *gossip) setRoster(r owner.Roster) {
 	g.mu.Lock()
--- a/internal/instance/rooms.go
+++ b/internal/instance/rooms.go
@@ -2,9 +2,15 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
+	"time"
 
 	"github.com/firlever/firlever/internal/core"
+	"github.com/firlever/firlever/internal/member"
+	"github.com/firlever/firlever/internal/owner"
+	"github.com/firlever/firlever/internal/peer"
+	"github.com/firlever/firlever/internal/wire"
 	"github.com/firlever/firlever/pkg/settings"
 )
 
@@ -58,3 +64,39 @@
 	}
 	return picked
 }
+
+// tellRooms sends this instance's room to the peers of its place, and keeps
+// the list's idea of the roster up to date.
+func (g *gossip) tellRooms(ctx context.Context) {
+	t := time.NewTicker(roomEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			g.tellRoom()
+		}
+	}
+}
+
+func (g *gossip) tellRoom() {
+	var rooms []core.Room
+	var roster owner.Roster
+	g.in.dispatcher.Read(func(now time.Time, n *core.Node) { rooms, roster = n.Rooms(now), n.Roster() })
+	g.setRoster(roster)
+	var near []member.Member
+	g.udp.Do(func(_ time.Time, l *member.List) []member.Send {
+		near = l.Alive(g.in.cfg.Place)
+		return nil
+	})
+	picked := g.told.pick(rooms)
+	if len(picked) == 0 {
+		return
+	}
+	p := &wire.Packet{From: g.in.cfg.ID, Incarnation: g.in.incarnation}
+	peer.SetRooms(p, picked)
+	for _, m := range near {
+		g.udp.Send(m.Address, p)
+	}
+}
