Take what a peer knows, however old, where nothing is known and the store is away

Change: an instance that has read nothing yet and has lost the store asks a peer for what it knows at any age, serves by that, and goes on looking for newer. What it passes on keeps its age. TestBeginInOutage failed before.

--- a/internal/mirror/begin_test.go
+++ b/internal/mirror/begin_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/firlever/firlever/internal/emulator/store"
 	"github.com/firlever/firlever/platform"
 )
 
@@ -60,6 +61,25 @@
 	}
 }
 
+// An instance that starts while the store is away learns what a peer knew of it,
+// however old that is, and goes on when the store is back.
+func TestBeginInOutage(t *testing.T) {
+	fake, address := newStore(t)
+	fake.Put("a", []byte("1"))
+	m, first := startMirror(t, address, nobody)
+	within(t, bound, "the first knows a", func() bool { return first.get("a") == "1" })
+	fake.SetFaults(store.Faults{Refuse: true})
+	within(t, 2*bound, "what the first knows is old", func() bool { return m.Age(time.Now()) > relayAge })
+	late, second := startMirror(t, address, Peers{Relay: nobody.Relay, Others: after(listen(t, m)).Others})
+	within(t, bound, "the second knows a", func() bool { return second.get("a") == "1" })
+	if age := late.Age(time.Now()); age < relayAge {
+		t.Errorf("got knowledge %s old, want it as old as the first's", age)
+	}
+	fake.SetFaults(store.Faults{})
+	fake.Put("a", []byte("2"))
+	within(t, 2*bound, "the second knows a change", func() bool { return second.get("a") == "2" })
+}
+
 // An answer is made once for all peers that know the same, and compressed for those
 // that take that.
 func TestAnswers(t *testing.T) {
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -47,22 +47,36 @@
 
 // learn waits once for changes from a peer.
 func (m *Mirror) learn(ctx context.Context, address string) error {
-	n, err := m.follow(ctx, address, m.history.at())
+	query := url.Values{"since": {strconv.FormatUint(uint64(m.history.at()), 10)}}
+	takesOld := m.isLost() && !m.listed // an old configuration serves callers, none doesn't
+	if takesOld {
+		query.Set(anyAge, "1")
+	}
+	n, err := m.follow(ctx, address, query)
 	if err != nil {
 		return err
 	}
+	if takesOld && time.Since(n.confirmed) > relayAge {
+		m.adopt(n)
+		return errors.Trace(&RelayError{Address: address, Status: http.StatusServiceUnavailable})
+	}
 	if m.isLost() && m.via != address {
 		m.sink.Through(address)
 	}
 	m.via = address
 	m.setFollowing(true)
+	m.adopt(n)
+	return nil
+}
+
+// adopt takes in what a peer said.
+func (m *Mirror) adopt(n news) {
 	if n.whole {
 		n.events = m.copy.Difference(n.items(), n.revision)
 	}
 	m.take(n.events, n.revision)
 	m.history.confirm(n.confirmed)
 	m.begun()
-	return nil
 }
 
 // begin learns all from the relay of the region, if there is one that knows it: a
@@ -143,11 +157,10 @@
 }
 
 // follow waits once for changes from a relay.
-func (m *Mirror) follow(ctx context.Context, address string, since platform.Revision) (news, error) {
+func (m *Mirror) follow(ctx context.Context, address string, query url.Values) (news, error) {
 	ctx, cancel := context.WithTimeout(ctx, relayTime)
 	defer cancel()
 	begin := time.Now()
-	query := url.Values{"since": {strconv.FormatUint(uint64(since), 10)}}
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+RelayPath+"?"+query.Encode(), nil)
 	if err != nil {
 		return news{}, errors.Trace(&RelayError{Address: address, Err: err})
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -31,6 +31,8 @@
 	// instance by itself calls the store up to 7 times a second.
 	relayPause = 5 * time.Second
 	staleSoon  = time.Second
+	// anyAge is the parameter by which a peer takes knowledge of any age.
+	anyAge = "any"
 	// headerAge says how old the knowledge of an answer is, in milliseconds.
 	headerAge = "Firlever-Age"
 	// maxRelayed bounds an answer of a relay, in bytes: the whole history of today's
@@ -56,15 +58,20 @@
 // ServeHTTP answers a peer: with the changes since a revision as soon as there are
 // any, or with none after relayWait. If not all of them are kept, the answer is all
 // that is known. 503 says that its knowledge is too old: neither the store nor a peer
-// that knows it is in reach, or instances follow each other in a circle.
+// that knows it is in reach, or instances follow each other in a circle. A peer that
+// knows nothing yet asks for it at any age.
 func (m *Mirror) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	since, err := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
 	if err != nil {
 		http.Error(w, "since is no revision", http.StatusBadRequest)
 		return
 	}
-	e := m.await(r.Context(), platform.Revision(since))
-	if e.age > relayAge {
+	e := m.history.since(time.Now(), platform.Revision(since))
+	atAnyAge := r.URL.Query().Get(anyAge) != "" && e.revision > 0
+	if !atAnyAge {
+		e = m.await(r.Context(), platform.Revision(since))
+	}
+	if e.age > relayAge && !atAnyAge {
 		http.Error(w, "what is known is too old", http.StatusServiceUnavailable)
 		return
 	}
