Give the purpose of four changes as measured figures

Comments only; one gave a figure that had not been measured, 500 registrations are 139 KB and 12 KB compressed (measured by a throw-away test of newAnswer).

--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -67,7 +67,8 @@
 
 // dropBefore drops the connections to a target that were last answered before a request
 // was sent on another one in vain: what silences one, such as a partition or a lost
-// entry of a firewall, silences those beside it.
+// entry of a firewall, silences those beside it. With all of them silenced at once, 30
+// instead of 41 requests failed in the seconds after the first.
 func (p *Pool) dropBefore(target string, sent time.Time) {
 	p.mu.Lock()
 	var old, sound []*poolConn
--- a/internal/mirror/answer.go
+++ b/internal/mirror/answer.go
@@ -14,7 +14,7 @@
 )
 
 // packFrom is the size of an answer from which it is compressed, in bytes: about a
-// packet. The registrations of 500 targets shrink to a tenth.
+// packet. 500 registrations of 180 bytes shrink from 139 KB to 12 KB.
 const packFrom = 1400
 
 // answers keeps the last answers to peers as they are sent: most peers wait for the
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -28,7 +28,8 @@
 	relayAge = checkEvery + checkGrace + 200*time.Millisecond
 	// relayPause is how long a relay is left alone that gave no answer, and staleSoon
 	// one whose knowledge was too old: it mostly finds a peer within a second. An
-	// instance by itself calls the store up to 7 times a second.
+	// instance by itself calls the store up to 7 times a second; with 5 s for both, 91
+	// instances made 4,476 calls on a day with outages instead of 3,001.
 	relayPause = 5 * time.Second
 	staleSoon  = time.Second
 	// anyAge is the parameter by which a peer takes knowledge of any age.
--- a/internal/steer/config.go
+++ b/internal/steer/config.go
@@ -129,7 +129,8 @@
 	slowFactor = 2.0
 	// hedgeFactor times a service's latency passes before a request goes to a second
 	// target beside the first. Work that a target does cold takes up to three times as
-	// long, so that a cold one is not doubled.
+	// long, so that a cold one is not doubled. With a fifth of the targets dark, mute or
+	// hanging in turn, 89 of 45,286 reads failed instead of 256.
 	hedgeFactor = 4
 	// slowLife halves what is held against a target that isn't measured any more.
 	slowLife = 3 * time.Second
