Refuse at once what a peer hands to an instance that stops

Change: it refuses with "stopping", so that the peer goes on. Figures: TestPeersRequestMeetsStop failed before ("hold").

--- a/internal/core/node_test.go
+++ b/internal/core/node_test.go
@@ -363,6 +363,18 @@
 	}
 }
 
+// TestPeersRequestMeetsStop has a peer hand a request over to an instance that stops:
+// it will serve none of them, so that to wait there would be in vain.
+func TestPeersRequestMeetsStop(t *testing.T) {
+	n := testNode(t, nil)
+	n.Step(begin, Stopping{})
+	handed := request(1, "10.1.0.1")
+	handed.Origin = FromPeer
+	if got, want := word(n.Step(begin, handed)), "refuse stopping"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
 // TestWaitEndsAtStart: a caller gives up an attempt whose answer has not begun
 // in time, so it must not be started later.
 func TestWaitEndsAtStart(t *testing.T) {
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -22,6 +22,9 @@
 		return
 	}
 	switch {
+	case f.origin == FromPeer && n.stopping:
+		// It is never served here: its own instance has to hear so in time.
+		n.refuse(now, f, ReasonStopping)
 	case f.origin == FromPeer && n.ownSlots(now, f.req.Service) == 0:
 		// Only its own targets may serve it, and none of them is this service's.
 		n.refuse(now, f, ReasonNoTargets)
