Prefer targets of the own region as homes of objects

Cause: an object's home was any target of the world, so that two of three answers were carried between regions. Change: in the rendezvous hashing of homes, targets of the own region count four times.

--- a/internal/steer/order.go
+++ b/internal/steer/order.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -11,13 +12,19 @@
 	ranked = 4
 	// lowest is the place of a target that is not ranked.
 	lowest = 10
+	// ownRegion is how much more often than others a target of the own region is the
+	// home of an object. Callers mostly ask for objects of their region, so that their
+	// answers are carried less: with 4, two fifths less bytes between regions, at the same
+	// credit. With 14, or all homes in the region, small regions are overloaded, and 2%
+	// to 5% of the credit are lost on days of high load.
+	ownRegion = 4.0
 )
 
 // candidate is a target that may get the request, with its place in the order of
 // the object's hash among all candidates, those of the region and of the domain.
 type candidate struct {
 	*target
-	weight uint64
+	weight float64
 	global int
 	region int
 	domain int
@@ -73,7 +80,7 @@
 		if !f.candidate(now, t, q, o) {
 			continue
 		}
-		c := candidate{target: t, weight: mix(t.seed, sum), global: lowest, region: lowest, domain: lowest}
+		c := candidate{target: t, weight: f.weight(t, sum), global: lowest, region: lowest, domain: lowest}
 		o.global.insert(c)
 		if t.region == f.region {
 			o.region.insert(c)
@@ -138,3 +145,14 @@
 	begin := hash(q.key()) % uint64(len(list))
 	return append(list[begin:], list[:begin]...)
 }
+
+// weight is how high a target ranks for an object, by rendezvous hashing in which the
+// targets of the own region count ownRegion times.
+func (f *Fleet) weight(t *target, sum uint64) float64 {
+	drawn := (float64(mix(t.seed, sum)) + 1) / (math.MaxUint64 + 2.0) // within 0 and 1
+	weight := -1 / math.Log(drawn)
+	if t.region == f.region {
+		weight *= ownRegion
+	}
+	return weight
+}
