Let old reports of load fade to the service's usual load

Cause: a target's report faded to nothing within 5 s. One of 71 instances hears of a target each 10 s or so: it took most of them for idle. Change: the mean report of all targets of the service takes the place of an old one. TestReportFades keeps its cases, with that mean at none, and gets three. TestSilentTargetsOfBusyService failed before.

--- a/internal/steer/config.go
+++ b/internal/steer/config.go
@@ -99,9 +99,14 @@
 // Times and weights of the decisions.
 const (
 	// loadLife is how long a target's own report of its load counts, less and less.
-	// An instance waits about 0.5 s between two answers of a busy target; a report
-	// that is forgotten sooner makes full targets look empty.
+	// An instance waits 0.5 s between two answers of a busy target where there are 8
+	// instances, and 10 s where there are 70. With a life of 1 s, the credit of a day of
+	// high load with 70 instances falls by 2%.
 	loadLife = 5 * time.Second
+	// usualWeight is the weight of one report in the usual load of a service's targets.
+	// That stands in for old reports: with targets that have none taken for idle, 2% to
+	// 3% of the credit are lost on days of high load.
+	usualWeight = 0.05
 	// shedLife is how long a target that refused for want of room counts as full.
 	shedLife = 200 * time.Millisecond
 	// shareOfBound is the part of a bound over all instances that is divided; the
--- a/internal/steer/fleet.go
+++ b/internal/steer/fleet.go
@@ -28,6 +28,7 @@
 	targets []*target     // sorted by ID
 	mean    time.Duration // smoothed time of one request's work at any target; 0 before the first
 	budget  *retry.Window // additional attempts of this instance
+	usual   float64       // requests of other instances for each slot of a target, smoothed over reports
 }
 
 // New makes an empty fleet. It returns a *ConfigError.
@@ -52,9 +53,9 @@
 		return
 	}
 	f.Remove(t.ID)
-	n := newTarget(t, f.cfg.Regions[t.Domain])
-	f.targets[t.ID] = n
 	s := f.service(now, t.Service)
+	n := newTarget(t, s, f.cfg.Regions[t.Domain])
+	f.targets[t.ID] = n
 	i, _ := slices.BinarySearchFunc(s.targets, t.ID, byID)
 	s.targets = slices.Insert(s.targets, i, n)
 }
--- a/internal/steer/fleet_test.go
+++ b/internal/steer/fleet_test.go
@@ -281,20 +281,26 @@
 	}
 }
 
-// The report of a target counts less and less, and not at all in the end.
+// The report of a target counts less and less, and not at all in the end; the usual
+// load of the service's targets takes its place.
 func TestReportFades(t *testing.T) {
 	f := newFleet(t, 1, 4)
 	f.Done(start, "t00", Outcome{Ending: Answered, Took: time.Second, Load: &Load{Running: 4, Waiting: 6}})
 	tests := map[string]struct {
+		usual float64 // for each of the 4 slots
 		after time.Duration
 		want  int
 	}{
-		"at once":       {0, 10},
-		"half its life": {loadLife / 2, 5},
-		"at its end":    {loadLife, 0},
+		"at once":                    {0, 0, 10},
+		"half its life":              {0, loadLife / 2, 5},
+		"at its end":                 {0, loadLife, 0},
+		"at once, in a busy service": {0.5, 0, 10},
+		"half its life, in one":      {0.5, loadLife / 2, 6},
+		"at its end, in one":         {0.5, loadLife, 2},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
+			f.services["s"].usual = tt.usual
 			if got := f.targets["t00"].occupied(start.Add(tt.after)); got != tt.want {
 				t.Errorf("got %d, want %d", got, tt.want)
 			}
--- a/internal/steer/load_test.go
+++ b/internal/steer/load_test.go
@@ -38,3 +38,29 @@
 		t.Errorf("got %d of 400 served and %d without a retry, want 220 or more, and some", served, budget)
 	}
 }
+
+// All targets of a service have more to do than they have slots, and this instance hears
+// of each of them only once in a while, as it is one of many. What it has not heard of
+// for long, or never, is not taken for idle.
+func TestSilentTargetsOfBusyService(t *testing.T) {
+	const targets, slots = 16, 4
+	f := newFleet(t, targets, slots)
+	now, unforeseen := start, 0
+	for i := range 400 {
+		now = now.Add(500 * time.Millisecond)
+		q := query(fmt.Sprint(i))
+		q.Deadline = now.Add(time.Minute)
+		c := f.Pick(now, q)
+		if c.Reason == "" {
+			if i > 100 && c.Wait == 0 {
+				unforeseen++
+			}
+			f.Done(now, c.Target.ID, Outcome{
+				Ending: Answered, Took: 100 * time.Millisecond, Load: &Load{Running: slots, Waiting: 3},
+			})
+		}
+	}
+	if unforeseen > 0 {
+		t.Errorf("got %d of 300 requests that were taken to wait for nothing, want none", unforeseen)
+	}
+}
--- a/internal/steer/target.go
+++ b/internal/steer/target.go
@@ -28,6 +28,7 @@
 type target struct {
 	Target
 
+	service  *service
 	seed     uint64
 	region   string
 	inFlight int // requests of this instance; never below 0
@@ -48,18 +49,18 @@
 	sent []time.Time // when requests went to it while cold; within coldWindow
 }
 
-func newTarget(t Target, region string) *target {
-	return &target{Target: t, seed: xxhash.Sum64String(t.ID), region: region}
+func newTarget(t Target, s *service, region string) *target {
+	return &target{Target: t, service: s, seed: xxhash.Sum64String(t.ID), region: region}
 }
 
-// occupied is how many requests the target has to do, as far as is known.
+// occupied is how many requests the target has to do: this instance's own, and those of
+// others by its last report. The older that is, the more the usual load of the service's
+// targets stands in for it.
 func (t *target) occupied(now time.Time) int {
-	left := t.othersUntil.Sub(now)
-	if left <= 0 {
-		return t.inFlight
-	}
-	share := min(1, float64(left)/float64(loadLife))
-	return t.inFlight + int(math.Ceil(share*float64(t.others)))
+	left := float64(t.othersUntil.Sub(now))
+	fresh := min(1, max(0, left/float64(loadLife)))
+	usual := t.service.usual * float64(t.Slots)
+	return t.inFlight + int(math.Round(fresh*float64(t.others)+(1-fresh)*usual))
 }
 
 // idle says whether the target has hardly anything to do.
@@ -79,6 +80,9 @@
 // report takes in what the target says of its load.
 func (t *target) report(now time.Time, l Load) {
 	t.others = max(0, l.Running+l.Waiting-t.inFlight)
+	if t.Slots > 0 {
+		t.service.usual += usualWeight * (float64(t.others)/float64(t.Slots) - t.service.usual)
+	}
 	t.othersUntil = now.Add(loadLife)
 	t.reported = now
 }
