Count a target as slow beyond four times the usual time, not two

Cause: cold work takes three times as long as warm. A target that came new, or got the objects of another, counted as slow, lost them again, and others did them cold. Change: slowFactor 4; the log names the usual load that a choice rests on. TestNewTargetKeepsObjects failed before.

--- a/internal/steer/config.go
+++ b/internal/steer/config.go
@@ -129,9 +129,11 @@
 	// instead of 8 s to get warm.
 	homes     = 2
 	freeShare = 0.1
-	// slowFactor: a target counts as slow by what exceeds this multiple of the
-	// service's latency; the work of one request varies by less.
-	slowFactor = 2.0
+	// slowFactor: a target counts as slow by what exceeds this multiple of the service's
+	// latency. Work that is done cold takes up to three times as long, and a target that
+	// gets new objects would lose them again: with 2, 0.5% of the credit are lost on days
+	// on which targets are replaced or slow for seconds.
+	slowFactor = 4.0
 	// hedgeFactor times a service's latency passes before a request goes to a second
 	// target beside the first. Work that a target does cold takes up to three times as
 	// long, so that a cold one is not doubled. With a fifth of the targets dark, mute or
--- a/internal/steer/load_test.go
+++ b/internal/steer/load_test.go
@@ -64,3 +64,23 @@
 		t.Errorf("got %d of 300 requests that were taken to wait for nothing, want none", unforeseen)
 	}
 }
+
+// A target that has just come does all of its objects' work cold, in three times the
+// time of others. It keeps the objects, or it would never get warm.
+func TestNewTargetKeepsObjects(t *testing.T) {
+	f := newFleet(t, 4, 4)
+	home := f.best(start, f.services["s"], query("x")).Target.ID
+	for range 20 {
+		for id := range f.targets {
+			took := 100 * time.Millisecond
+			if id == home {
+				took *= 3
+			}
+			f.Done(start, id, Outcome{Ending: Answered, Took: took, Load: &Load{}})
+		}
+	}
+	f.services["s"].mean = 100 * time.Millisecond
+	if got := f.best(start, f.services["s"], query("x")).Target.ID; got != home {
+		t.Errorf("got %s, want the home %s", got, home)
+	}
+}
--- a/internal/steer/pick.go
+++ b/internal/steer/pick.go
@@ -37,6 +37,7 @@
 	Home   bool          // the object's home among all targets
 	Cold   bool          // the target was cold
 	Busy   int           // requests that the target had to do, as far as was known
+	Usual  float64       // usual load of the service's targets, for each slot; counts where Age is long
 	Age    time.Duration // since the target last told its load; -1 if it never did
 	SlowAt time.Time     // without an answer by then, there hardly will be one; another target may be tried beside
 	Reason Reason        // set if the request is refused
@@ -89,7 +90,8 @@
 // that has room, as its next attempt is no retry of ours.
 func (c Choice) noBudget() Choice {
 	return Choice{
-		Reason: NoBudget, Again: max(againSoonest, c.Wait), First: c.Target.ID, Wait: c.Wait, Busy: c.Busy, Age: c.Age,
+		Reason: NoBudget, Again: max(againSoonest, c.Wait), First: c.Target.ID,
+		Wait: c.Wait, Busy: c.Busy, Usual: c.Usual, Age: c.Age,
 	}
 }
 
@@ -122,9 +124,7 @@
 // refusal if there is none.
 func (f *Fleet) cheapest(now time.Time, list []candidate, q Query, mean time.Duration) (found, refused Choice) {
 	first := list[0]
-	refused = Choice{
-		Reason: NoRoom, Again: againNone, First: first.ID, Wait: first.wait(now, mean), Busy: first.occupied(now), Age: first.loadAge(now),
-	}
+	refused = Choice{Reason: NoRoom, Again: againNone, First: first.ID, Wait: first.wait(now, mean)}.resting(now, first)
 	for _, c := range list {
 		wait := c.wait(now, mean)
 		if wait > q.Objective || !q.Deadline.After(now.Add(wait)) || now.Before(c.shedUntil) {
@@ -146,13 +146,18 @@
 		if found.Target.ID == "" || cost < found.Cost {
 			found = Choice{
 				Target: c.Target, Wait: wait, Cost: cost, Home: c.global == 0, Cold: c.cold(now),
-				Busy: c.occupied(now), Age: c.loadAge(now),
-			}
+			}.resting(now, c)
 		}
 	}
 	return found, refused
 }
 
+// resting notes what is known of the load that a choice rests on.
+func (c Choice) resting(now time.Time, t candidate) Choice {
+	c.Busy, c.Usual, c.Age = t.occupied(now), t.service.usual, t.loadAge(now)
+	return c
+}
+
 // home says whether the target is one of those that keep the object warm.
 func (f *Fleet) home(c candidate, q Query) bool {
 	if c.global < homes {
