--- /dev/null
+++ b/internal/core/waiting_test.go
@@ -0,0 +1,152 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"github.com/firlever/firlever/pkg/settings"
+)
+
+var (
+	orders = settings.ServiceID{Team: "shop", Name: "orders"}
+	near   = Peer{ID: "i2", Incarnation: 1, Place: "east", Domain: "east", Region: "coast"}
+)
+
+// fullNode is a node whose two slots are taken, beside a peer without room.
+func fullNode(t *testing.T) *Node {
+	t.Helper()
+	n := testNode(t, nil)
+	n.Step(begin, PeersChanged{Peers: []Peer{near}})
+	n.Step(begin, RoomHeard{Peer: "i2", Rooms: []Room{{Service: orders}}})
+	n.Step(begin, request(1, "10.1.0.1"))
+	n.Step(begin, request(2, "10.1.0.1"))
+	return n
+}
+
+// TestWaitingFollowsRoomNear has a request wait for a peer's room: one that a
+// peer handed over must not be handed on.
+func TestWaitingFollowsRoomNear(t *testing.T) {
+	tests := map[string]struct {
+		origin Origin
+		want   string
+	}{
+		"from a caller": {FromCaller, "hand"},
+		"from a peer":   {FromPeer, "nothing"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			n := fullNode(t)
+			waiting := request(3, "10.1.0.1")
+			waiting.Origin = tt.origin
+			if got := word(n.Step(begin, waiting)); got != "hold" {
+				t.Fatalf("got %q, want it to wait", got)
+			}
+			heard := RoomHeard{Peer: "i2", Rooms: []Room{{Service: orders, Free: 1}}}
+			if got := word(n.Step(begin, heard)); got != tt.want {
+				t.Errorf("got %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestOldRoomIsForgotten: what a peer said of its room is void once it has started
+// anew or the roster has changed who owns what. It is tried again then.
+func TestOldRoomIsForgotten(t *testing.T) {
+	again := near
+	again.Incarnation = 2
+	left, err := testRoster(t, "i1", "i2").MarkLeaving("i1", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := map[string]struct {
+		event Event
+		want  string
+	}{
+		"nothing new":     {PeersChanged{Peers: []Peer{near}}, "nothing"},
+		"new incarnation": {PeersChanged{Peers: []Peer{again}}, "hand"},
+		"new roster":      {RosterRead{Roster: left, Sent: begin}, "hand"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			n := fullNode(t)
+			if got := word(n.Step(begin, request(3, "10.1.0.1"))); got != "hold" {
+				t.Fatalf("got %q, want it to wait", got)
+			}
+			if got := word(n.Step(begin, tt.event)); got != tt.want {
+				t.Errorf("got %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestPeersRequestNeedsOwnTarget has a peer hand a request over to an instance
+// that owns none of the service's targets: to wait there would be in vain.
+func TestPeersRequestNeedsOwnTarget(t *testing.T) {
+	n := testNode(t, nil)
+	without, err := testRoster(t, "i1", "i2").Remove("i1", 1, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.Step(begin, RosterRead{Roster: without, Sent: begin})
+	handed := request(1, "10.1.0.1")
+	handed.Origin = FromPeer
+	if got, want := word(n.Step(begin, handed)), "refuse no-targets"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+// TestPeersRequestMeetsStop has a peer hand a request over to an instance that stops:
+// it will serve none of them, so that to wait there would be in vain.
+func TestPeersRequestMeetsStop(t *testing.T) {
+	n := testNode(t, nil)
+	n.Step(begin, Stopping{})
+	handed := request(1, "10.1.0.1")
+	handed.Origin = FromPeer
+	if got, want := word(n.Step(begin, handed)), "refuse stopping"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+// TestWaitEndsAtStart: a caller gives up an attempt whose answer has not begun
+// in time, so it must not be started later.
+func TestWaitEndsAtStart(t *testing.T) {
+	tests := map[string]struct {
+		start time.Duration
+		want  time.Duration
+	}{
+		"no start":           {0, 2 * time.Second},
+		"start":              {time.Second, time.Second},
+		"start past the end": {time.Minute, 2 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			n := testNode(t, nil)
+			n.Step(begin, request(1, "10.1.0.1"))
+			n.Step(begin, request(2, "10.1.0.1"))
+			waiting := request(3, "10.1.0.1")
+			if tt.start > 0 {
+				waiting.Request.Start = begin.Add(tt.start)
+			}
+			n.Step(begin, waiting)
+			if got := word(n.Step(begin.Add(tt.want-1), Tick{})); got == "refuse deadline" {
+				t.Errorf("got a refusal before %s", tt.want)
+			}
+			if got := word(n.Step(begin.Add(tt.want), Tick{})); got != "refuse deadline" {
+				t.Errorf("got %q at %s, want a refusal", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestStrayEnd: the end of an attempt that was never decided changes nothing.
+func TestStrayEnd(t *testing.T) {
+	n := testNode(t, nil)
+	for id := range ID(3) {
+		n.Step(begin, request(id+1, "10.1.0.1"))
+	}
+	n.Step(begin, Finished{ID: 3, Result: Failed, Final: true})
+	n.Step(begin, Finished{ID: 1, Result: Answered})
+	if got := n.Open(); got != 2 {
+		t.Errorf("got %d requests inside, want the two that were not answered", got)
+	}
+}
