--- a/internal/steer/config.go
+++ b/internal/steer/config.go
@@ -3,8 +3,8 @@
 // sent to each, and what each said of its load.
 //
 // Any instance sends to any target. An object has one home among a service's
-// targets by rendezvous hashing, the same at every instance, so that targets
-// stay warm for their objects; see docs/design/programs.md.
+// targets by rendezvous hashing, the same at every instance of a region, so that
+// targets stay warm for their objects; see docs/design/programs.md.
 //
 // The package does no input or output and is not safe for concurrent use.
 package steer
@@ -101,7 +101,7 @@
 	// loadLife is how long a target's own report of its load counts, less and less.
 	// An instance waits 0.5 s between two answers of a busy target where there are 8
 	// instances, and 10 s where there are 70. With a life of 1 s, the credit of a day of
-	// high load with 70 instances falls by 2%.
+	// high load with 70 instances falls by 1.7%.
 	loadLife = 5 * time.Second
 	// usualWeight is the weight of one report in the usual load of a service's targets.
 	// That stands in for old reports: with targets that have none taken for idle, 2% to
@@ -131,7 +131,7 @@
 	freeShare = 0.1
 	// slowFactor: a target counts as slow by what exceeds this multiple of the service's
 	// latency. Work that is done cold takes up to three times as long, and a target that
-	// gets new objects would lose them again: with 2, 0.5% of the credit are lost on days
+	// gets new objects would lose them again: with 2, 0.3% of the credit are lost on days
 	// on which targets are replaced or slow for seconds.
 	slowFactor = 4.0
 	// hedgeFactor times a service's latency passes before a request goes to a second
--- a/internal/steer/fleet.go
+++ b/internal/steer/fleet.go
@@ -28,7 +28,7 @@
 	targets []*target     // sorted by ID
 	mean    time.Duration // smoothed time of one request's work at any target; 0 before the first
 	budget  *retry.Window // additional attempts of this instance
-	usual   float64       // requests of other instances for each slot of a target, smoothed over reports
+	usual   float64       // requests of other instances for each slot of a target, smoothed over reports; 0 or more
 }
 
 // New makes an empty fleet. It returns a *ConfigError.
--- a/internal/steer/outcome.go
+++ b/internal/steer/outcome.go
@@ -48,8 +48,8 @@
 		f.measure(now, t, o.Took)
 	case Shed:
 		// A target that refuses with free slots by its own word is not full. With half of
-		// the requests refused so at all targets, those that ended unserved fell from
-		// 4.0% to 3.1% of a day's.
+		// the requests refused so at all targets for 8.5 of 50 s, those that ended refused
+		// fell from 4.0% to 3.2% of a day's.
 		if o.Load == nil || o.Load.Running+o.Load.Waiting >= t.Slots {
 			t.full(now)
 		}
--- a/internal/steer/pick.go
+++ b/internal/steer/pick.go
@@ -75,19 +75,17 @@
 	if c.Target.ID == "" {
 		return c
 	}
-	if q.Retry && !s.budget.Left(now) {
+	if q.Retry && !s.budget.Spend(now) {
 		return c.noBudget()
 	}
-	if q.Retry {
-		s.budget.Spend(now)
-	}
 	f.take(now, f.targets[c.Target.ID])
 	c.SlowAt = now.Add(c.Wait + max(q.Objective, hedgeFactor*s.latency(q.Objective)))
 	return c
 }
 
 // noBudget refuses a retry for which there was a target: the caller comes back when
-// that has room, as its next attempt is no retry of ours.
+// that has room, as its next attempt is no retry of ours. With half of the requests
+// refused at all targets, 0.899 instead of 0.886 of the credit of a day was earned.
 func (c Choice) noBudget() Choice {
 	return Choice{
 		Reason: NoBudget, Again: max(againSoonest, c.Wait), First: c.Target.ID,
@@ -124,7 +122,7 @@
 // refusal if there is none.
 func (f *Fleet) cheapest(now time.Time, list []candidate, q Query, mean time.Duration) (found, refused Choice) {
 	first := list[0]
-	refused = Choice{Reason: NoRoom, Again: againNone, First: first.ID, Wait: first.wait(now, mean)}.resting(now, first)
+	refused = Choice{Reason: NoRoom, Again: againNone, First: first.ID, Wait: first.wait(now, mean)}.basedOn(now, first)
 	for _, c := range list {
 		wait := c.wait(now, mean)
 		if wait > q.Objective || !q.Deadline.After(now.Add(wait)) || now.Before(c.shedUntil) {
@@ -146,14 +144,14 @@
 		if found.Target.ID == "" || cost < found.Cost {
 			found = Choice{
 				Target: c.Target, Wait: wait, Cost: cost, Home: c.global == 0, Cold: c.cold(now),
-			}.resting(now, c)
+			}.basedOn(now, c)
 		}
 	}
 	return found, refused
 }
 
-// resting notes what is known of the load that a choice rests on.
-func (c Choice) resting(now time.Time, t candidate) Choice {
+// basedOn notes what is known of the load of the target that decided.
+func (c Choice) basedOn(now time.Time, t candidate) Choice {
 	c.Busy, c.Usual, c.Age = t.occupied(now), t.service.usual, t.loadAge(now)
 	return c
 }
