Count instances on whose records went when bounds are divided

Cause: the store may end the leases of instances that serve on (it turned three of ten away). Change: an instance whose record went counts on for 15 s, three lives of a look-up, as long as callers that were told of it ask it. TestColdBoundWithLapsedPeers fails without.

--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -32,7 +32,7 @@
 		}
 	}
 	if instances {
-		n.applyPeers()
+		n.applyPeers(now)
 	}
 }
 
@@ -144,9 +144,9 @@
 	n.cfg.Log.Info("instance", "name", name, "domain", r.Domain, "leaving", r.Leaving, "revision", c.Changed)
 }
 
-func (n *Node) applyPeers() {
+func (n *Node) applyPeers(now time.Time) {
 	names := append(n.instances.names(), n.cfg.Settings.Instance)
 	n.mu.Lock()
-	n.fleet.Peers(names)
+	n.fleet.Peers(now, names)
 	n.mu.Unlock()
 }
--- a/internal/steer/capacity_test.go
+++ b/internal/steer/capacity_test.go
@@ -17,7 +17,7 @@
 				b.Fatal(err)
 			}
 			f.Limit(start, map[string]routes.Service{"s": {Name: "s"}})
-			f.Peers([]string{"a"})
+			f.Peers(start, []string{"a"})
 			domains := []string{"n1", "n2", "s1", "s2"}
 			for i := range n {
 				f.Put(start, Target{ID: fmt.Sprintf("t%04d", i), Service: "s", Domain: domains[i%4], Slots: 8})
--- a/internal/steer/fleet.go
+++ b/internal/steer/fleet.go
@@ -18,8 +18,9 @@
 	region    string // of this instance
 	targets   map[string]*target
 	services  map[string]*service
-	evacuated map[string]bool // by failure domain
-	peers     []string        // all instances that run, this one among them; sorted
+	evacuated map[string]bool      // by failure domain
+	peers     []string             // instances that bounds are divided among, this one among them; sorted
+	lapsed    map[string]time.Time // those of peers whose records are gone: they count until then
 }
 
 // service is what is known of a service as a whole.
@@ -43,6 +44,7 @@
 		targets:   make(map[string]*target),
 		services:  make(map[string]*service),
 		evacuated: make(map[string]bool),
+		lapsed:    make(map[string]time.Time),
 	}, nil
 }
 
@@ -98,19 +100,6 @@
 // Evacuated says whether targets of a failure domain get nothing.
 func (f *Fleet) Evacuated(domain string) bool { return f.evacuated[domain] }
 
-// Peers takes the names of all instances that run. Bounds that all of them have
-// to keep together are divided among them.
-func (f *Fleet) Peers(names []string) {
-	names = slices.Compact(slices.Sorted(slices.Values(names)))
-	if slices.Equal(names, f.peers) {
-		return
-	}
-	f.peers = names
-	for _, s := range f.services {
-		s.budget.SetSlack(f.slack())
-	}
-}
-
 // Bound takes new bounds. It returns a *ConfigError, and then changes nothing.
 func (f *Fleet) Bound(now time.Time, b Bounds) error {
 	b.Defaults()
--- a/internal/steer/fleet_test.go
+++ b/internal/steer/fleet_test.go
@@ -29,7 +29,7 @@
 		t.Fatal(err)
 	}
 	f.Limit(start, map[string]routes.Service{"s": {Name: "s", Warmup: 3 * time.Second, ColdRate: 14}})
-	f.Peers([]string{"a", "b"})
+	f.Peers(start, []string{"a", "b"})
 	domains := []string{"n1", "n2", "s1", "s2"}
 	for i := range n {
 		f.Put(start, Target{ID: fmt.Sprintf("t%02d", i), Service: "s", Domain: domains[i%4], Slots: slots})
--- /dev/null
+++ b/internal/steer/peers_test.go
@@ -0,0 +1,52 @@
+package steer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/firlever/firlever/internal/routes"
+)
+
+// The store ends the leases of 3 of 10 instances, which go on serving and still know of
+// all. A target has just come, cold, and everyone has as many requests for it as it may
+// send: the bound over all of them holds.
+func TestColdBoundWithLapsedPeers(t *testing.T) {
+	const instances, lapsed = 10, 3
+	var names []string
+	for i := range instances {
+		names = append(names, fmt.Sprintf("i%d", i))
+	}
+	cfg := config("", "n1")
+	bound := 2.6*cfg.ColdFactor + cfg.ColdSlack
+	for at, want := range map[time.Duration]bool{0: true, lapsedLife - time.Second: true, lapsedLife: false} {
+		t.Run(at.String(), func(t *testing.T) {
+			now, sent, wider := start.Add(at), 0, false
+			for i, name := range names {
+				cfg.Instance = name
+				f, err := New(cfg)
+				if err != nil {
+					t.Fatal(err)
+				}
+				f.Limit(start, map[string]routes.Service{"s": {Name: "s", ColdRate: 2.6}})
+				f.Peers(start, names)
+				if i >= lapsed {
+					f.Peers(start, names[lapsed:])
+				}
+				f.Put(now, Target{ID: "t", Service: "s", Domain: "n1", Slots: 9, WarmAt: now.Add(3 * time.Second)})
+				q := query("x")
+				q.Deadline = now.Add(time.Minute)
+				for f.Pick(now, q).Reason == "" {
+					sent++
+				}
+				wider = wider || len(f.peers) < instances
+			}
+			if want && float64(sent) > bound {
+				t.Errorf("got %d requests in a second, want %.1f at most", sent, bound)
+			}
+			if wider == want {
+				t.Errorf("got the bound divided among fewer: %t, want %t", wider, !want)
+			}
+		})
+	}
+}
--- a/internal/steer/pick.go
+++ b/internal/steer/pick.go
@@ -65,6 +65,7 @@
 	if !ok {
 		return Choice{Reason: NoTarget, Again: againNone}
 	}
+	f.forget(now)
 	if q.Objective <= 0 {
 		q.Objective = defaultObjective
 	}
--- a/internal/steer/share_test.go
+++ b/internal/steer/share_test.go
@@ -28,7 +28,7 @@
 				t.Fatal(err)
 			}
 			f.Limit(start, map[string]routes.Service{"s": {Name: "s", ColdRate: rate}})
-			f.Peers(names)
+			f.Peers(start, names)
 			f.Put(start, Target{ID: "t", Service: "s", Domain: "s1", Slots: 100, WarmAt: start.Add(time.Minute)})
 			for i := range 100 {
 				if f.Pick(start.Add(time.Duration(i)*time.Millisecond), query("x")).Reason == "" {
@@ -76,7 +76,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			f.Peers(names)
+			f.Peers(start, names)
 			f.Put(start, Target{ID: "t", Service: "s", Domain: "s1", Slots: 10000})
 			for range requests {
 				f.Pick(start, query("x"))
@@ -102,7 +102,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f.Peers([]string{"a", "b", "c"})
+	f.Peers(start, []string{"a", "b", "c"})
 	f.Put(start, Target{ID: "t", Service: "s", Domain: "s1", Slots: 10000})
 	now := start
 	for range 500 {
