--- /dev/null
+++ b/internal/crash/doc.go
@@ -0,0 +1,3 @@
+// Package crash tells which requests end the targets that run them. It does no input or
+// output.
+package crash
--- /dev/null
+++ b/internal/crash/print_test.go
@@ -0,0 +1,45 @@
+package crash
+
+import "testing"
+
+// A request that is sent again has the same print, and one that differs in anything that
+// a target sees has another.
+func TestPrint(t *testing.T) {
+	first := Request{Method: "GET", Host: "h", URI: "/a?b", Caller: "k", Object: "7", Body: []byte("hi")}
+	tests := map[string]struct {
+		change func(*Request)
+		same   bool
+	}{
+		"again":            {func(*Request) {}, true},
+		"another method":   {func(r *Request) { r.Method = "POST" }, false},
+		"another host":     {func(r *Request) { r.Host = "i" }, false},
+		"another path":     {func(r *Request) { r.URI = "/a?c" }, false},
+		"another caller":   {func(r *Request) { r.Caller = "l" }, false},
+		"another object":   {func(r *Request) { r.Object = "8" }, false},
+		"another body":     {func(r *Request) { r.Body = []byte("ho") }, false},
+		"fields run over":  {func(r *Request) { r.Host, r.URI = "h/a", "?b" }, false},
+		"object as a body": {func(r *Request) { r.Object, r.Body = "", []byte("7hi") }, false},
+		"caller in a path": {func(r *Request) { r.URI, r.Caller = "/a?bk", "" }, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := first
+			tt.change(&r)
+			if got := r.Print() == first.Print(); got != tt.same {
+				t.Errorf("got the same print: %t, want %t", got, tt.same)
+			}
+			text, err := r.Print().MarshalText()
+			var read Print
+			if err == nil {
+				err = read.UnmarshalText(text)
+			}
+			if err != nil || read != r.Print() {
+				t.Errorf("got %v, %v from %q, want %v", read, err, text, r.Print())
+			}
+		})
+	}
+	var p Print
+	if err := p.UnmarshalText([]byte("no number")); err == nil {
+		t.Error("got no error for what is no print")
+	}
+}
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/firlever/firlever/internal/crash"
 	"github.com/firlever/firlever/internal/http1"
 	"github.com/firlever/firlever/internal/metrics"
 	"github.com/firlever/firlever/internal/routes"
@@ -25,7 +26,8 @@
 	in       *http1.Request
 	info     platform.Request
 	service  string
-	deadline time.Time // an answer is given by then
+	print    crash.Print // tells the same request from others when it is sent again
+	deadline time.Time   // an answer is given by then
 	choice   steer.Choice
 	ending   steer.Ending // of the last attempt
 	cause    error        // of the last attempt's failure
@@ -47,7 +49,7 @@
 	}
 	p := &passage{
 		attempts:  &attempts{repeatable: a.route.Kind.Repeatable(), most: a.route.Attempts},
-		admission: a, in: r, info: info, service: a.route.Service(), deadline: deadlineOf(r.At, a.route, info),
+		admission: a, in: r, info: info, service: a.route.Service(), print: printOf(r, info), deadline: deadlineOf(r.At, a.route, info),
 	}
 	resp := n.pass(ctx, p)
 	if a.workspace != nil && !p.mayHaveRun {
@@ -57,6 +59,11 @@
 	return resp
 }
 
+// printOf is the fingerprint of a request.
+func printOf(r *http1.Request, info platform.Request) crash.Print {
+	return crash.Request{Method: r.Method, Host: r.Host, URI: r.URI, Caller: info.Key, Object: info.Object, Body: r.Body}.Print()
+}
+
 // deadlineOf is when the answer is due: by the caller's own deadline or by the
 // route's timeout, whichever comes first.
 func deadlineOf(at time.Time, route *routes.Entry, info platform.Request) time.Time {
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -42,7 +42,7 @@
 func (n *Node) fields(now time.Time, p *passage, resp *http1.Response) []any {
 	c := p.choice
 	return []any{
-		"id", p.info.ID, "object", p.info.Object, "route", p.route.Name, "workspace", p.name(), "service", p.service,
+		"id", p.info.ID, "print", p.print, "object", p.info.Object, "route", p.route.Name, "workspace", p.name(), "service", p.service,
 		"config", p.rules.Config().Version,
 		"status", resp.Status, "took", now.Sub(p.in.At), "left", p.deadline.Sub(now), "attempts", p.arrived,
 		"target", c.Target.ID, "domain", c.Target.Domain, "wait", c.Wait, "cost", c.Cost, "home", c.Home, "cold", c.Cold,
@@ -88,7 +88,7 @@
 	if !ok {
 		return
 	}
-	n.cfg.Log.Warn("attempt", "id", p.info.ID, "object", p.info.Object, "route", p.route.Name, "target", target.ID, "address", target.Address,
+	n.cfg.Log.Warn("attempt", "id", p.info.ID, "print", p.print, "object", p.info.Object, "route", p.route.Name, "target", target.ID, "address", target.Address,
 		"domain", target.Domain, "ending", v.ending, "sent", v.sent, "unrun", v.notRun, "again", p.again(),
 		"took", time.Since(r.begun), "suppressed", suppressed, "err", r.err)
 }
