Show a request that ends each target that runs it

What callers see: one request is sent again and again, at any instance; each target that runs it ends and is back after a while. The other requests at that target break with it, and until it is back the others have no room.

The test has stand-ins of targets that end so, three instances, and innocent requests beside it, one of them at every target. That lost answers of living targets are no crashes holds already (TestLostAnswersConvictNobody).

--- /dev/null
+++ b/internal/edge/crash_test.go
@@ -0,0 +1,238 @@
+package edge
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/firlever/firlever/internal/emulator/store"
+)
+
+// mortal is a target that ends when it runs a request for a path with "crash" in it, and is
+// back after a while at its address, under another ID.
+type mortal struct {
+	rig    *rig
+	name   string
+	domain string
+
+	mu     sync.Mutex
+	server *httptest.Server // guarded by mu
+	runs   int              // of the program so far; guarded by mu
+	closed bool             // guarded by mu
+
+	deaths *atomic.Int64 // of all targets
+}
+
+const (
+	workTime   = 30 * time.Millisecond  // of any request
+	crashAfter = 15 * time.Millisecond  // of work on the request that ends the target
+	deadTime   = 150 * time.Millisecond // until the target is back
+)
+
+func (r *rig) mortal(name, domain string, deaths *atomic.Int64) *mortal {
+	r.t.Helper()
+	m := &mortal{rig: r, name: name, domain: domain, deaths: deaths}
+	ln, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	m.begin(ln)
+	r.t.Cleanup(func() {
+		m.mu.Lock()
+		m.closed = true
+		server := m.server
+		m.mu.Unlock()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return m
+}
+
+// begin starts a run of the program and registers it.
+func (m *mortal) begin(ln net.Listener) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		ln.Close()
+		return
+	}
+	m.runs++
+	id := fmt.Sprintf("%s-%d", m.name, m.runs)
+	server := &httptest.Server{Listener: ln}
+	var once sync.Once
+	server.Config = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		io.Copy(io.Discard, q.Body)
+		if q.Header.Get("Target-Instance") != id {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		if strings.Contains(q.RequestURI, "crash") {
+			time.Sleep(crashAfter)
+			once.Do(func() { go m.crash(id, server) })
+			<-q.Context().Done()
+			return
+		}
+		time.Sleep(workTime)
+		h := w.Header()
+		h.Set("Request-Id", q.Header.Get("Request-Id"))
+		h.Set("Response-Signature", "sig")
+		h.Set("Server-Load", "1,0,4")
+		io.WriteString(w, "ok")
+	})}
+	server.Start()
+	m.server = server
+	m.rig.report(id, ln.Addr().String(), m.domain, "ready", 0, 1)
+}
+
+// crash ends the run: nothing of it is there any more, but its entry in the store.
+func (m *mortal) crash(id string, server *httptest.Server) {
+	m.deaths.Add(1)
+	address := server.Listener.Addr().String()
+	server.Listener.Close()
+	server.CloseClientConnections()
+	time.Sleep(deadTime)
+	m.rig.store.Remove("servers/" + id)
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		m.rig.t.Error(err)
+		return
+	}
+	m.begin(ln)
+}
+
+// most is how many targets may end under one request: three show what it does, and three
+// more are on their way until everybody knows.
+const most = 6
+
+// On a recorded day one request ended each target that ran it, after 60 to 120 ms of work.
+// Its caller sent it again and again, with a new ID and to another instance each time. Each
+// instance saw a broken connection now and then ("unexpected EOF"), held it against the
+// target, and sent the request on to the next: 33 of a service's targets ended within 13 s,
+// 20 of them after their return, and of 288 requests a second for the service none was
+// answered in time. The requests that were at those targets are innocent, and one that many
+// callers send is at nearly each target that ends.
+func TestRequestThatEndsTargets(t *testing.T) {
+	for _, method := range []string{"GET", "POST"} {
+		t.Run(method, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t)
+			r.configure(1, "s")
+			path := map[string]string{"GET": "/get/", "POST": "/do/"}[method]
+			var deaths atomic.Int64
+			domains := []string{"n1", "s1"}
+			for k := range 8 {
+				r.mortal(fmt.Sprint("t", k), domains[k%2], &deaths)
+			}
+			r.start()
+			nodes := []*Node{r.node, r.instance("e2", "s1"), r.instance("e3", "n1")}
+			for _, n := range nodes {
+				r.within("all are ready", n.Ready)
+			}
+			stop := make(chan struct{})
+			var innocent sync.WaitGroup
+			for k, n := range nodes {
+				for _, name := range []string{"popular", fmt.Sprint("own", k)} {
+					innocent.Go(func() {
+						for {
+							select {
+							case <-stop:
+								return
+							default:
+								r.sendTo(n, "", "GET", "/get/"+name)
+							}
+						}
+					})
+				}
+			}
+			send := func(n *Node) reply { return r.sendTo(n, "", method, path+"crash") }
+			for k := range 40 {
+				send(nodes[k%len(nodes)])
+				time.Sleep(50 * time.Millisecond)
+			}
+			if got := deaths.Load(); got < 3 || got > most {
+				t.Errorf("got %d targets ended by one request, want 3 to %d", got, most)
+			}
+			close(stop)
+			innocent.Wait()
+
+			known := deaths.Load()
+			check := func(when string, n *Node) {
+				t.Helper()
+				r.within("ready "+when, n.Ready)
+				if got := send(n); got.status != http.StatusServiceUnavailable || got.again == "" {
+					t.Errorf("%s: got %+v for the request, want 503 and when to come back", when, got)
+				}
+				r.within("innocent requests are served "+when, func() bool {
+					return r.sendTo(n, "", "GET", "/get/popular").status == http.StatusOK && r.sendTo(n, "", "GET", "/get/own1").status == http.StatusOK
+				})
+				if got := deaths.Load(); got != known {
+					t.Errorf("%s: got %d more targets ended", when, got-known)
+				}
+			}
+			check("afterwards", nodes[1])
+			check("at an instance that has just started", r.instance("e4", "s1"))
+			for _, n := range nodes {
+				n.Stop()
+			}
+			check("after a restart of the others", r.instance("e1", "n1"))
+		})
+	}
+}
+
+// Instances that the store and other instances can't be reached from learn it by themselves,
+// and tell when they are back.
+func TestRequestThatEndsTargetsInAnOutage(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	r.configure(1, "s")
+	var deaths atomic.Int64
+	for k := range 8 {
+		r.mortal(fmt.Sprint("t", k), "n1", &deaths)
+	}
+	r.start()
+	r.knows(8)
+	r.store.SetFaults(store.Faults{Refuse: true})
+	for range 10 {
+		r.send("GET", "/get/crash")
+		time.Sleep(20 * time.Millisecond)
+	}
+	if got := deaths.Load(); got < 3 || got > most {
+		t.Errorf("got %d targets ended by one request in an outage, want 3 to %d", got, most)
+	}
+	r.store.SetFaults(store.Faults{})
+	known := deaths.Load()
+	r.within("the store is back", func() bool { return r.node.mirror.Age(time.Now()) < 300*time.Millisecond })
+	time.Sleep(1500 * time.Millisecond) // what could not be written is written once a second
+	other := r.instance("e2", "s1")
+	r.within("the other is ready", other.Ready)
+	if got := r.sendTo(other, "", "GET", "/get/crash"); got.status != http.StatusServiceUnavailable || deaths.Load() != known {
+		t.Errorf("got %+v and %d more targets ended after the outage, want 503 and none", got, deaths.Load()-known)
+	}
+}
+
+// Answers that are lost while the target lives are no crashes: the request stays allowed,
+// however often that happens to it.
+func TestLostAnswersConvictNobody(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	r.configure(1, "s")
+	a, b := r.target("reset"), r.target("reset")
+	r.register("a", a.address, "n1", "ready")
+	r.register("b", b.address, "s1", "ready")
+	r.start()
+	r.knows(2)
+	const sends = 12
+	for range sends {
+		r.within("it is tried", func() bool { return r.send("POST", "/do/x").status == http.StatusBadGateway })
+	}
+	if got := a.runs() + b.runs(); got < sends {
+		t.Errorf("got %d runs, want %d at least", got, sends)
+	}
+}
--- a/internal/edge/rig_test.go
+++ b/internal/edge/rig_test.go
@@ -51,11 +51,18 @@
 // launch starts the node.
 func (r *rig) launch() {
 	r.t.Helper()
+	r.node = r.instance("e1", "n1")
+}
+
+// instance starts a further node.
+func (r *rig) instance(name, domain string) *Node {
+	r.t.Helper()
+	regions := map[string]string{"n1": "north", "s1": "south"}
 	n, err := New(Config{
 		Log: log.New(io.Discard),
 		TTL: 50 * time.Millisecond,
 		Settings: platform.Settings{
-			Instance: "e1", Domain: "n1", Region: "north", Regions: map[string]string{"n1": "north", "s1": "south"},
+			Instance: name, Domain: domain, Region: regions[domain], Regions: regions,
 			Callers: anyPort, Ready: anyPort, Lookups: anyPort, Peers: anyPort, Store: r.url,
 			Bounds: platform.Bounds{
 				Grace: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 60, ColdFactor: 1.5, ColdSlack: 5,
@@ -69,12 +76,12 @@
 	if err := n.Start(); err != nil {
 		r.t.Fatal(err)
 	}
-	r.node = n
 	r.t.Cleanup(func() {
 		if !n.stopping.Load() {
 			n.Stop()
 		}
 	})
+	return n
 }
 
 const (
@@ -172,7 +179,13 @@
 // sendAs sends a request with further header lines.
 func (r *rig) sendAs(lines, method, path string) reply {
 	r.t.Helper()
-	c, err := net.Dial("tcp", r.node.cfg.Settings.Callers)
+	return r.sendTo(r.node, lines, method, path)
+}
+
+// sendTo sends a request with further header lines to one of the nodes.
+func (r *rig) sendTo(n *Node, lines, method, path string) reply {
+	r.t.Helper()
+	c, err := net.Dial("tcp", n.cfg.Settings.Callers)
 	if err != nil {
 		r.t.Fatal(err)
 	}
