--- /dev/null
+++ b/internal/boottime/clock_test.go
@@ -0,0 +1,99 @@
+package boottime
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// machine is a kernel whose machine can be suspended.
+type machine struct {
+	offset atomic.Int64
+	fails  atomic.Bool
+}
+
+var errKernel = errors.New("no such clock")
+
+func (m *machine) kernel() (time.Duration, error) {
+	if m.fails.Load() {
+		return 0, errKernel
+	}
+	return time.Duration(m.offset.Load()), nil
+}
+
+func (m *machine) suspend(d time.Duration) { m.offset.Add(int64(d)) }
+
+// What was suspended counts, and nothing else.
+func TestNow(t *testing.T) {
+	tests := map[string]struct {
+		play func(m *machine, c *clock)
+		want time.Duration // beyond the steady clock
+	}{
+		"never suspended": {func(*machine, *clock) {}, 0},
+		"suspended":       {func(m *machine, _ *clock) { m.suspend(3 * time.Second) }, 3 * time.Second},
+		"suspended twice": {func(m *machine, c *clock) {
+			m.suspend(time.Second)
+			time.Sleep(2 * recheck)
+			c.now()
+			m.suspend(time.Second)
+		}, 2 * time.Second},
+		"the kernel's clocks read apart": {func(m *machine, _ *clock) { m.suspend(time.Millisecond) }, 0},
+		"read apart the other way":       {func(m *machine, _ *clock) { m.suspend(-time.Second) }, 0},
+		"the kernel does not tell":       {func(m *machine, _ *clock) { m.suspend(time.Second); m.fails.Store(true) }, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := &machine{}
+				m.offset.Store(int64(time.Hour)) // of suspensions before the process started
+				c := newClock(m.kernel)
+				before, steady := c.now(), time.Now()
+				tt.play(m, c)
+				time.Sleep(2 * recheck)
+				if got := c.now().Sub(before) - time.Since(steady); got != tt.want {
+					t.Errorf("got %s beyond the steady clock, want %s", got, tt.want)
+				}
+			})
+		})
+	}
+}
+
+// Whoever waits hears of a suspension though nobody asks for the time.
+func TestResumed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &machine{}
+		c := newClock(m.kernel)
+		resumed := c.wake()
+		begin := time.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), 10*recheck)
+		defer cancel()
+		go c.watch(ctx)
+		m.suspend(time.Minute)
+		select {
+		case <-resumed:
+		case <-ctx.Done():
+			t.Fatal("got no word of a suspension")
+		}
+		if got := time.Since(begin); got > 2*recheck {
+			t.Errorf("got word of a suspension after %s", got)
+		}
+	})
+}
+
+// The clock of this machine goes, and its times can be handed to the runtime.
+func TestSystem(t *testing.T) {
+	at := Now().Add(20 * time.Millisecond)
+	if got := time.Until(Runtime(at)); got <= 0 || got > 20*time.Millisecond {
+		t.Errorf("got %s by the clock of the runtime, want 20ms at most", got)
+	}
+	Sleep(context.Background(), at)
+	if Until(at) > 0 || Since(at) < 0 {
+		t.Errorf("got awake %s too soon", Until(at))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	Sleep(ctx, Now().Add(time.Hour))
+}
