Measure deadlines and ages by a clock that counts suspensions

What callers saw, or would: after a suspension of their instance's machine the keys of before held on, a request past its time was waited for, a request that may run once went out on a connection that its target had closed meanwhile, and the instance was in no look-up until its next renewal.

Cause: all deadlines were compared by the steady clock of the runtime, which stands still while the machine is suspended; leases of the platform, callers and targets go on.

Change: instances of both kinds take the time from internal/boottime. Runtime timers and connections get the time converted. When a suspension is found, answers that are overdue are given up, the lease is renewed and the store is checked at once; a line and a counter tell of it. The core of 'firlever serve' gets its time from there too, so that tenures, grants and keys lapse as for everybody else.

Weighed: ending the process when it was suspended (loses answers that are ready); telling each part how long it was (as many places, and easy to forget).

Runtime timers that are under way still stand still: an idle caller's connection is kept longer, by what the machine was suspended.

--- a/internal/boottime/clock.go
+++ b/internal/boottime/clock.go
@@ -121,6 +121,10 @@
 // Now returns the time. Its steady reading counts suspensions.
 func Now() time.Time { return system.now() }
 
+// Suspended returns for how long the machine was suspended since the process started, as far
+// as that is known.
+func Suspended() time.Duration { return time.Duration(system.suspended.Load()) }
+
 // Until returns how long it is until t.
 func Until(t time.Time) time.Duration { return t.Sub(Now()) }
 
--- a/internal/callers/exchange.go
+++ b/internal/callers/exchange.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/core"
 	"github.com/firlever/firlever/internal/dispatch"
 	"github.com/firlever/firlever/internal/once"
@@ -143,7 +144,7 @@
 	if t.runOn {
 		ctx = context.WithoutCancel(ctx)
 	}
-	ctx, cancel := context.WithDeadline(ctx, t.deadline)
+	ctx, cancel := context.WithDeadline(ctx, boottime.Runtime(t.deadline))
 	defer cancel()
 	t.ctx = ctx
 	t.part = x.body.part(func(n int) error { return x.s.link.wait(ctx, t.upload, n) })
--- a/internal/callers/refuse.go
+++ b/internal/callers/refuse.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/core"
 )
 
@@ -74,7 +75,7 @@
 // writeBy bounds how long a caller may take over its answer. Whoever writes an
 // answer sets it: a kept connection still has that of the answer before.
 func (s *Server) writeBy(w http.ResponseWriter, at time.Time) {
-	http.NewResponseController(w).SetWriteDeadline(at)
+	http.NewResponseController(w).SetWriteDeadline(boottime.Runtime(at))
 }
 
 func (x *exchange) writeBy(at time.Time) { x.s.writeBy(x.w, at) }
@@ -82,6 +83,6 @@
 // readBy bounds how long a caller may take over a body that is not all here.
 func (x *exchange) readBy(at time.Time) {
 	if x.body.rest != nil {
-		http.NewResponseController(x.w).SetReadDeadline(at)
+		http.NewResponseController(x.w).SetReadDeadline(boottime.Runtime(at))
 	}
 }
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -12,6 +12,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/go-chi/chi/v5"
 
+	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/core"
 	"github.com/firlever/firlever/internal/dispatch"
 	"github.com/firlever/firlever/internal/invariant"
@@ -98,7 +99,7 @@
 	x := &exchange{s: s, w: w, r: r, came: s.dispatcher.Now()}
 	c := http.NewResponseController(w)
 	if r.ContentLength != 0 {
-		c.SetReadDeadline(x.came.Add(bodyTime))
+		c.SetReadDeadline(boottime.Runtime(x.came.Add(bodyTime)))
 		// Otherwise the server reads the rest of the body before any answer
 		// goes out: a refusal would wait for it, and a target miss it.
 		c.EnableFullDuplex()
--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/firlever/firlever/internal/auth"
+	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/http1"
 	"github.com/firlever/firlever/internal/routes"
 	"github.com/firlever/firlever/platform"
@@ -88,7 +89,7 @@
 // longer than the platform lets it trust the keys that it knows.
 func (n *Node) keysLapsed() bool {
 	b := n.bounds.Load()
-	return b.KeysLapse && n.mirror.Age(time.Now()) > b.KeysFor
+	return b.KeysLapse && n.mirror.Age(boottime.Now()) > b.KeysFor
 }
 
 // regions is where the request may be served: as its route and its workspace allow.
--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/metrics"
 	"github.com/firlever/firlever/internal/mirror"
 	"github.com/firlever/firlever/internal/quota"
@@ -16,7 +17,7 @@
 
 // Changed takes in changes of the store.
 func (n *Node) Changed(changes []mirror.Change) {
-	now := time.Now()
+	now := boottime.Now()
 	instances := false
 	var ends []mirror.Change
 	for _, c := range changes {
@@ -46,7 +47,7 @@
 
 // Listed notes that the whole store has been read.
 func (n *Node) Listed() {
-	now := time.Now()
+	now := boottime.Now()
 	n.applyPeers(now)
 	n.quotas.Change(func(l *quota.Ledger) { l.Begin(now, !n.resumed) })
 	n.listed.Store(true)
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/crash"
 	"github.com/firlever/firlever/internal/http1"
 	"github.com/firlever/firlever/internal/metrics"
@@ -95,7 +96,7 @@
 	if p.route.Affinity {
 		q.Object = p.info.Object
 	}
-	c := n.fleet.Pick(time.Now(), q)
+	c := n.fleet.Pick(boottime.Now(), q)
 	n.cfg.Metrics.Decided(metrics.Decision{Kind: "load", Service: p.service, Reason: knowledge(c)})
 	return c
 }
@@ -106,7 +107,7 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	header := p.in.Header.Clone()
-	platform.AddressTo(header, target.ID, time.Until(p.deadline))
+	platform.AddressTo(header, target.ID, boottime.Until(p.deadline))
 	if p.rules.keys.Needed() {
 		platform.SetWorkspace(header, p.name())
 	}
@@ -155,7 +156,7 @@
 
 // settle tells the fleet what came of an attempt.
 func (n *Node) settle(p *passage, r result, v verdict) {
-	now := time.Now()
+	now := boottime.Now()
 	target := r.choice.Target
 	o := steer.Outcome{Ending: v.ending, Took: now.Sub(r.begun)}
 	if r.resp != nil {
--- a/internal/edge/gauges.go
+++ b/internal/edge/gauges.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/metrics"
 )
 
@@ -17,11 +18,15 @@
 	ticker := time.NewTicker(gaugeEvery)
 	defer ticker.Stop()
 	for {
+		resumed := boottime.Resumed()
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
-			n.cfg.Metrics.ShowEdge(n.state(now))
+		case <-ticker.C:
+			n.cfg.Metrics.ShowEdge(n.state(boottime.Now()))
+		case <-resumed:
+			n.cfg.Metrics.Decided(metrics.Decision{Kind: "resumed"})
+			n.cfg.Log.Warn("machine was suspended", "total", boottime.Suspended(), "store-age", n.mirror.Age(boottime.Now()))
 		}
 	}
 }
--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/metrics"
 	"github.com/firlever/firlever/internal/steer"
 )
@@ -11,20 +12,20 @@
 func (n *Node) told(since time.Time) []steer.Report {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.fleet.Reports(time.Now(), since)
+	return n.fleet.Reports(boottime.Now(), since)
 }
 
 // hear takes in what targets have told other instances.
 func (n *Node) hear(reports []steer.Report) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.fleet.Hear(time.Now(), reports)
+	n.fleet.Hear(boottime.Now(), reports)
 }
 
 // loadsFailed notes that reports of load were not passed on.
 func (n *Node) loadsFailed(err error) {
 	n.cfg.Metrics.Decided(metrics.Decision{Kind: "loads", Reason: "failed"})
-	if suppressed, ok := n.failures.Allow(time.Now()); ok {
+	if suppressed, ok := n.failures.Allow(boottime.Now()); ok {
 		n.cfg.Log.Warn("loads not exchanged", "suppressed", suppressed, "err", err)
 	}
 }
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/http1"
 	"github.com/firlever/firlever/internal/metrics"
 	"github.com/firlever/firlever/platform"
@@ -11,7 +12,7 @@
 // finished logs and counts the final answer to a request. All failures are
 // logged up to a bound; successes are sampled.
 func (n *Node) finished(p *passage, resp *http1.Response) {
-	now := time.Now()
+	now := boottime.Now()
 	took := now.Sub(p.in.At)
 	good := resp.Status < 300
 	if good {
@@ -84,24 +85,24 @@
 // logAttempt logs an attempt that did not answer the request.
 func (n *Node) logAttempt(p *passage, r result, v verdict) {
 	target := r.choice.Target
-	suppressed, ok := n.failures.Allow(time.Now())
+	suppressed, ok := n.failures.Allow(boottime.Now())
 	if !ok {
 		return
 	}
 	n.cfg.Log.Warn("attempt", "id", p.info.ID, "print", p.print, "object", p.info.Object, "route", p.route.Name, "target", target.ID, "address", target.Address,
 		"domain", target.Domain, "ending", v.ending, "sent", v.sent, "unrun", v.notRun, "again", p.again(),
-		"took", time.Since(r.begun), "suppressed", suppressed, "err", r.err)
+		"took", boottime.Since(r.begun), "suppressed", suppressed, "err", r.err)
 }
 
 // logRefusal logs a request that was refused before a service was chosen.
 func (n *Node) logRefusal(r *http1.Request, info platform.Request, why *refusal) {
 	n.cfg.Metrics.Decided(metrics.Decision{Kind: statusKind(why.status), Reason: why.reason})
-	suppressed, ok := n.failures.Allow(time.Now())
+	suppressed, ok := n.failures.Allow(boottime.Now())
 	if !ok {
 		return
 	}
 	n.cfg.Log.Warn("request", "id", info.ID, "host", r.Host, "path", r.Path, "status", why.status, "reason", why.reason,
-		"again", why.again, "config", n.version(), "store-age", n.mirror.Age(time.Now()), "suppressed", suppressed)
+		"again", why.again, "config", n.version(), "store-age", n.mirror.Age(boottime.Now()), "suppressed", suppressed)
 }
 
 // version is that of the configuration in force; 0 if none is known.
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -13,6 +13,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/juju/errors"
 
+	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/http1"
 	"github.com/firlever/firlever/internal/loads"
 	"github.com/firlever/firlever/internal/logs"
@@ -110,6 +111,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
+	n.work.Go(func() { boottime.Watch(ctx) })
 	n.work.Go(func() { n.mirror.Run(ctx) })
 	n.work.Go(func() { n.registrar.run(ctx) })
 	n.work.Go(func() { n.loads.Run(ctx) })
--- a/internal/edge/pass.go
+++ b/internal/edge/pass.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/http1"
 	"github.com/firlever/firlever/internal/steer"
 	"github.com/firlever/firlever/platform"
@@ -12,7 +13,7 @@
 
 // pass sends a request to one target after another, as far as that is allowed.
 func (n *Node) pass(ctx context.Context, p *passage) *http1.Response {
-	for ctx.Err() == nil && time.Now().Before(p.deadline) && p.again() {
+	for ctx.Err() == nil && boottime.Now().Before(p.deadline) && p.again() {
 		if p.revoked = !n.judgeAgain(p); p.revoked {
 			break
 		}
@@ -32,7 +33,7 @@
 	if p.last != nil {
 		return p.last
 	}
-	status := p.status(time.Now(), p.deadline)
+	status := p.status(boottime.Now(), p.deadline)
 	if p.revoked && !p.mayHaveRun {
 		status = http.StatusUnauthorized
 	}
@@ -68,7 +69,7 @@
 	results := make(chan result, mostAtOnce)
 	start := func(c steer.Choice) { go func() { results <- n.run(ctx, p, c) }() }
 	start(p.choice)
-	slow := time.NewTimer(time.Until(p.choice.SlowAt))
+	slow := time.NewTimer(boottime.Until(p.choice.SlowAt))
 	defer slow.Stop()
 	var v verdict
 	for p.running > 0 && !v.final {
@@ -96,7 +97,7 @@
 
 // run makes an attempt at a target.
 func (n *Node) run(ctx context.Context, p *passage, c steer.Choice) result {
-	begun := time.Now()
+	begun := boottime.Now()
 	resp, err := n.exchange(ctx, p, c.Target)
 	return result{choice: c, begun: begun, resp: resp, err: err}
 }
@@ -118,7 +119,7 @@
 func (n *Node) learn(p *passage, r result, v verdict) {
 	switch {
 	case v.broken:
-		n.crashes.broke(time.Now(), r.choice.Target, p.print)
+		n.crashes.broke(boottime.Now(), r.choice.Target, p.print)
 	case v.final && v.answer.Rest == nil && v.answer.Status < http.StatusMultipleChoices:
 		n.crashes.answered(p.print)
 	}
--- a/internal/edge/quota.go
+++ b/internal/edge/quota.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
+	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/http1"
 	"github.com/firlever/firlever/internal/metrics"
 	"github.com/firlever/firlever/internal/quota"
@@ -56,7 +56,7 @@
 
 // logOverQuota logs a request that no token was left for.
 func (n *Node) logOverQuota(r *http1.Request, info platform.Request, a admission, d quota.Decision) {
-	now := time.Now()
+	now := boottime.Now()
 	n.cfg.Metrics.Decided(metrics.Decision{Kind: statusKind(http.StatusTooManyRequests), Reason: "over-quota"})
 	suppressed, ok := n.failures.Allow(now)
 	if !ok {
@@ -81,7 +81,7 @@
 // tokensFailed notes that a holder of tokens could not be asked.
 func (n *Node) tokensFailed(err error) {
 	n.cfg.Metrics.Decided(metrics.Decision{Kind: "tokens", Reason: "failed"})
-	if suppressed, ok := n.failures.Allow(time.Now()); ok {
+	if suppressed, ok := n.failures.Allow(boottime.Now()); ok {
 		n.cfg.Log.Warn("tokens not asked for", "suppressed", suppressed, "err", err)
 	}
 }
--- a/internal/edge/register.go
+++ b/internal/edge/register.go
@@ -6,6 +6,7 @@
 	"errors"
 	"time"
 
+	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/metrics"
 	"github.com/firlever/firlever/platform"
 )
@@ -26,7 +27,8 @@
 // run registers and renews until ctx ends.
 func (r *registrar) run(ctx context.Context) {
 	for {
-		begun := time.Now()
+		begun := boottime.Now()
+		resumed := boottime.Resumed() // the lease may have ended when the machine goes on
 		err := r.step(ctx)
 		r.outcome(err)
 		select {
@@ -34,7 +36,8 @@
 			return
 		case <-r.leaving:
 			r.leave(ctx)
-		case <-time.After(time.Until(r.next(begun, err))):
+		case <-resumed:
+		case <-time.After(boottime.Until(r.next(begun, err))):
 		}
 	}
 }
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -6,6 +6,7 @@
 	"reflect"
 	"time"
 
+	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/quota"
 	"github.com/firlever/firlever/internal/steer"
 	"github.com/firlever/firlever/platform"
@@ -34,7 +35,7 @@
 func (n *Node) adopt(b platform.Bounds) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if err := n.fleet.Bound(time.Now(), steerBounds(b)); err != nil {
+	if err := n.fleet.Bound(boottime.Now(), steerBounds(b)); err != nil {
 		return err
 	}
 	var err error
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -3,24 +3,26 @@
 import (
 	"context"
 	"time"
+
+	"github.com/firlever/firlever/internal/boottime"
 )
 
 // Stop stops in plan: it leaves the look-ups, serves on until callers have asked
 // again, then finishes what is in flight. It returns when all is done, or shortly
 // before the platform would kill the process.
 func (n *Node) Stop() {
-	begin := time.Now()
+	begin := boottime.Now()
 	deadline := begin.Add(n.bounds.Load().Grace - stopMargin)
 	taken := begin.Add(keptLonger * n.ttl())
 	n.taken.Store(&taken)
 	n.stopping.Store(true)
 	n.cfg.Log.Info("stopping", "deadline", deadline, "connections", n.server.Open())
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	ctx, cancel := context.WithDeadline(context.Background(), boottime.Runtime(deadline))
 	defer cancel()
 	n.registrar.leaving <- struct{}{}
-	wait(ctx, begin.Add(leaveTime))
+	boottime.Sleep(ctx, begin.Add(leaveTime))
 	n.server.Drain()
-	wait(ctx, taken.Add(leaveTime))
+	boottime.Sleep(ctx, taken.Add(leaveTime))
 	n.callers.Close()
 	n.server.CloseIdle()
 	err := n.server.Wait(ctx)
@@ -31,7 +33,7 @@
 		server.Close()
 	}
 	n.pool.Close()
-	n.cfg.Log.Info("stopped", "took", time.Since(begin), "connections", n.server.Open(), "err", err)
+	n.cfg.Log.Info("stopped", "took", boottime.Since(begin), "connections", n.server.Open(), "err", err)
 }
 
 // tooLate says whether a request has come when a stopping instance takes none any more:
@@ -42,11 +44,3 @@
 	taken := n.taken.Load()
 	return taken != nil && at.After(*taken)
 }
-
-// wait waits until a time, or until ctx ends.
-func wait(ctx context.Context, until time.Time) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(time.Until(until)):
-	}
-}
--- a/internal/edge/teller.go
+++ b/internal/edge/teller.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/metrics"
 	"github.com/firlever/firlever/internal/mirror"
 	"github.com/firlever/firlever/internal/tcp"
@@ -90,7 +91,7 @@
 				t.tellPeers(ctx, batch)
 				pause = renewRetry
 			}
-			wait(ctx, time.Now().Add(pause))
+			boottime.Sleep(ctx, boottime.Now().Add(pause))
 		}
 	}
 }
@@ -106,7 +107,7 @@
 func (t *teller) write(ctx context.Context, batch []platform.Write) error {
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
-	if now := time.Now(); t.lease == 0 || !now.Before(t.leaseUntil) {
+	if now := boottime.Now(); t.lease == 0 || !now.Before(t.leaseUntil) {
 		lease, err := t.node.store.Grant(ctx, evidenceTime)
 		if err != nil {
 			return err
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/firlever/firlever/internal/boottime"
 )
 
 const (
@@ -66,16 +68,18 @@
 // Do makes the attempt. It returns *NotSentError or *LostError, and a whole
 // answer or one whose Rest must be closed. It gives up when ctx ends.
 func (p *Pool) Do(ctx context.Context, e *Exchange) (*Response, error) {
-	ctx, cancel := context.WithDeadline(ctx, e.Until)
+	ctx, cancel := context.WithDeadline(ctx, boottime.Runtime(e.Until))
 	defer cancel()
 	c, err := p.get(ctx, e)
 	if err != nil {
 		return nil, &NotSentError{Err: err}
 	}
-	c.conn.SetDeadline(e.Until)
+	c.conn.SetDeadline(boottime.Runtime(e.Until))
+	p.begin(c, e.Until)
+	defer p.end(c)
 	stop := context.AfterFunc(ctx, func() { c.conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	begin := time.Now()
+	begin := boottime.Now()
 	sent := c.send(e)
 	a, err := c.receive(e)
 	if err != nil {
@@ -83,8 +87,8 @@
 		switch {
 		case c.used && silent(ctx, err):
 			p.dropBefore(c.target, begin)
-		case c.used && ctx.Err() == nil && forgotten(err, time.Since(begin), begin.Sub(c.answered)):
-			p.forgetful.forgot(time.Now(), e.Group, begin.Sub(c.answered))
+		case c.used && ctx.Err() == nil && forgotten(err, boottime.Since(begin), begin.Sub(c.answered)):
+			p.forgetful.forgot(boottime.Now(), e.Group, begin.Sub(c.answered))
 		}
 		return nil, &LostError{Err: err, Reused: c.used}
 	}
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/tcp"
 )
 
@@ -32,13 +33,14 @@
 	forgetful forgetful
 
 	mu     sync.Mutex
-	idle   map[string][]*poolConn // by target; the last used is last; guarded by mu
-	closed bool                   // guarded by mu
+	idle   map[string][]*poolConn  // by target; the last used is last; guarded by mu
+	busy   map[*poolConn]time.Time // connections on which answers are waited for, and until when; guarded by mu
+	closed bool                    // guarded by mu
 }
 
 // NewPool makes a pool whose connections come from ip; "" lets the system choose.
 func NewPool(ip string) *Pool {
-	p := &Pool{idle: make(map[string][]*poolConn), stop: make(chan struct{}), dialer: tcp.NewDialer(ip)}
+	p := &Pool{idle: make(map[string][]*poolConn), busy: make(map[*poolConn]time.Time), stop: make(chan struct{}), dialer: tcp.NewDialer(ip)}
 	go p.sweep()
 	return p
 }
@@ -132,7 +134,7 @@
 		return nil
 	}
 	c := list[len(list)-1]
-	now := time.Now()
+	now := boottime.Now()
 	if !now.Before(c.until) || e.Once && !now.Before(c.onceUntil) {
 		return nil
 	}
@@ -149,7 +151,7 @@
 		keep = idleDefault
 	}
 	keep = time.Duration(idleShare * float64(keep))
-	now := time.Now()
+	now := boottime.Now()
 	c.answered, c.until, c.onceUntil = now, now.Add(keep), now.Add(keep/2)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -160,17 +162,46 @@
 	p.idle[c.target] = append(p.idle[c.target], c)
 }
 
+// begin notes that an answer is waited for until a time.
+func (p *Pool) begin(c *poolConn, until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.busy[c] = until
+}
+
+// end notes that none is waited for any more.
+func (p *Pool) end(c *poolConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.busy, c)
+}
+
+// giveUp ends the waiting for answers that were due while the machine was suspended: the
+// connections' own deadlines stood still.
+func (p *Pool) giveUp(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c, until := range p.busy {
+		if !now.Before(until) {
+			c.conn.SetDeadline(time.Unix(1, 0))
+		}
+	}
+}
+
 // sweep closes connections that were idle for too long.
 func (p *Pool) sweep() {
 	ticker := time.NewTicker(sweepEvery)
 	defer ticker.Stop()
 	for {
+		resumed := boottime.Resumed()
 		select {
 		case <-p.stop:
 			return
-		case now := <-ticker.C:
-			closeAll(p.expired(now))
+		case <-ticker.C:
+		case <-resumed:
+			p.giveUp(boottime.Now())
 		}
+		closeAll(p.expired(boottime.Now()))
 	}
 }
 
--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/firlever/firlever/internal/boottime"
 )
 
 const (
@@ -197,7 +199,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = true
-	c.conn.SetReadDeadline(due)
+	c.conn.SetReadDeadline(boottime.Runtime(due))
 }
 
 func (c *serverConn) write(resp *Response, head, closing bool) error {
--- a/internal/http1/serverread.go
+++ b/internal/http1/serverread.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"net/url"
 	"time"
+
+	"github.com/firlever/firlever/internal/boottime"
 )
 
 // incoming is what was read of a connection: a request, the status of the refusal
@@ -27,7 +29,7 @@
 		return incoming{ended: true}
 	}
 	c.limit.left = int64(limits.HeaderBytes + headerSlack)
-	due := time.Now().Add(limits.HeaderTimeout)
+	due := boottime.Now().Add(limits.HeaderTimeout)
 	c.setReading(due)
 	r, err := http.ReadRequest(c.read)
 	if err != nil {
@@ -46,8 +48,8 @@
 	if expects {
 		c.goOn()
 	}
-	due = time.Now().Add(limits.IdleTimeout)
-	c.conn.SetReadDeadline(due)
+	due = boottime.Now().Add(limits.IdleTimeout)
+	c.conn.SetReadDeadline(boottime.Runtime(due))
 	body, err := io.ReadAll(io.LimitReader(r.Body, limits.BodyBytes+1))
 	if err != nil {
 		return c.unreadable(err, due)
@@ -72,7 +74,7 @@
 	switch {
 	case c.limit.left <= 0:
 		return refused(http.StatusRequestHeaderFieldsTooLarge)
-	case !time.Now().Before(due):
+	case !boottime.Now().Before(due):
 		return refused(http.StatusRequestTimeout)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &network):
 		return incoming{ended: true}
@@ -96,7 +98,7 @@
 	}
 	r := &Request{
 		Method: in.Method, URI: in.RequestURI, Path: path, Host: in.Host,
-		Header: in.Header, Body: body, At: time.Now(), Conn: c.id,
+		Header: in.Header, Body: body, At: boottime.Now(), Conn: c.id,
 	}
 	strip(r.Header)
 	return r
--- a/internal/instance/gossip.go
+++ b/internal/instance/gossip.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/core"
 	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/internal/member"
@@ -34,7 +35,7 @@
 }
 
 func newGossip(in *Instance) (*gossip, error) {
-	list, err := member.New(member.Config{Self: in.self(), Seeds: in.cfg.Join, Seed: in.cfg.Seed}, time.Now())
+	list, err := member.New(member.Config{Self: in.self(), Seeds: in.cfg.Join, Seed: in.cfg.Seed}, boottime.Now())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -12,6 +12,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/callers"
 	"github.com/firlever/firlever/internal/core"
 	"github.com/firlever/firlever/internal/dispatch"
@@ -131,11 +132,11 @@
 	}
 	rand.Read(cfg.Secret[:])
 	rand.Read(cfg.Seed[:])
-	node, err := core.New(cfg, time.Now())
+	node, err := core.New(cfg, boottime.Now())
 	if err != nil {
 		return err
 	}
-	in.dispatcher = dispatch.New(node, time.Now, in.control)
+	in.dispatcher = dispatch.New(node, boottime.Now, in.control)
 	in.docs = newDocuments(in.cfg.Checks, in.cfg.Log, in.force)
 	in.server = callers.New(callers.Config{
 		Instance: in.cfg.ID, Callers: in.cfg.AdvertiseCallers, Checks: in.cfg.Checks, Log: in.cfg.Log,
@@ -230,7 +231,7 @@
 // tick tells the node that time passes: often while something waits for it,
 // since each waking costs more than what the node does at it.
 func (in *Instance) tick(ctx context.Context) {
-	due := time.Now().Add(tickIdle)
+	due := boottime.Now().Add(tickIdle)
 	t := time.NewTimer(tickIdle)
 	defer t.Stop()
 	for {
@@ -238,12 +239,12 @@
 		case <-ctx.Done():
 			return
 		case <-in.dispatcher.Waiting():
-			due = earlier(due, time.Now().Add(tickEvery))
+			due = earlier(due, boottime.Now().Add(tickEvery))
 		case <-t.C:
-			due = time.Now().Add(tickIdle)
+			due = boottime.Now().Add(tickIdle)
 			in.dispatcher.Step(core.Tick{})
 		}
-		t.Reset(time.Until(due))
+		t.Reset(boottime.Until(due))
 	}
 }
 
--- a/internal/loads/exchange.go
+++ b/internal/loads/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
+	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/steer"
 	"github.com/firlever/firlever/internal/tcp"
 )
@@ -76,8 +77,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
-			x.turn(ctx, now)
+		case <-ticker.C:
+			x.turn(ctx, boottime.Now())
 		}
 	}
 }
@@ -128,7 +129,7 @@
 func (x *Exchange) ask(ctx context.Context, address string, m message) (message, error) {
 	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
-	body, err := m.encode(time.Now())
+	body, err := m.encode(boottime.Now())
 	if err != nil {
 		return message{}, errors.Trace(&CollectorError{Address: address, Err: err})
 	}
@@ -145,7 +146,7 @@
 	if err != nil || resp.StatusCode != http.StatusOK {
 		return message{}, errors.Trace(&CollectorError{Address: address, Status: resp.StatusCode, Err: err})
 	}
-	answer, err := decode(time.Now(), b)
+	answer, err := decode(boottime.Now(), b)
 	if err != nil {
 		return message{}, errors.Trace(&CollectorError{Address: address, Status: resp.StatusCode, Err: err})
 	}
@@ -160,7 +161,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	now := time.Now()
+	now := boottime.Now()
 	m, err := decode(now, b)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/internal/mirror/check.go
+++ b/internal/mirror/check.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/platform"
 )
 
@@ -17,21 +18,23 @@
 // 1.4 s for them listed it themselves.
 func (m *Mirror) check(ctx context.Context) {
 	failed := false
-	last := time.Now() // the end of the last check that was answered, or the begin of one that failed
+	last := boottime.Now() // the end of the last check that was answered, or the begin of one that failed
 	for ctx.Err() == nil {
+		resumed := boottime.Resumed() // much may have changed when the machine goes on
 		select {
 		case <-ctx.Done():
 			return
 		case <-m.soon:
-		case <-time.After(time.Until(last.Add(m.checkPause(failed)))):
+		case <-resumed:
+		case <-time.After(boottime.Until(last.Add(m.checkPause(failed)))):
 		}
-		last = time.Now()
+		last = boottime.Now()
 		if m.isFollowing() && !m.isLost() {
 			continue // the relay checks
 		}
 		err := m.checkOnce(ctx)
 		if err == nil {
-			last = time.Now()
+			last = boottime.Now()
 		}
 		switch {
 		case err != nil:
@@ -54,7 +57,7 @@
 }
 
 func (m *Mirror) checkOnce(ctx context.Context) error {
-	begin := time.Now()
+	begin := boottime.Now()
 	inner, cancel := context.WithTimeout(ctx, checkTime)
 	defer cancel()
 	revision, err := m.store.Revision(inner)
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/firlever/firlever/internal/boottime"
 )
 
 // step is what follows on a try to learn from a peer.
@@ -27,7 +29,7 @@
 	if reached && m.relaysFirst(ctx) {
 		return stepPeer
 	}
-	address := m.leader(time.Now(), reached)
+	address := m.leader(boottime.Now(), reached)
 	if address == "" {
 		m.setFollowing(false)
 		return m.alone(reached)
@@ -41,13 +43,13 @@
 	if ctx.Err() != nil {
 		return stepRest
 	}
-	m.avoided[address] = time.Now().Add(pauseAfter(err))
+	m.avoided[address] = boottime.Now().Add(pauseAfter(err))
 	if m.isLost() {
 		m.setFollowing(false)
 		return m.alone(reached)
 	}
 	m.sink.Alone(err)
-	if m.leader(time.Now(), false) != "" {
+	if m.leader(boottime.Now(), false) != "" {
 		return stepPeer // the next relay is asked at once
 	}
 	m.setFollowing(false)
@@ -78,7 +80,7 @@
 func (m *Mirror) relaysFirst(ctx context.Context) bool {
 	relays := m.peers.Relays()
 	if m.patient.IsZero() {
-		m.patient = time.Now()
+		m.patient = boottime.Now()
 		if len(relays) >= Relays {
 			m.patient = m.patient.Add(checkEvery + 2*checkGrace)
 		}
@@ -90,7 +92,7 @@
 			return true
 		}
 	}
-	if time.Now().Before(m.patient) {
+	if boottime.Now().Before(m.patient) {
 		sleep(ctx, ahead)
 		return true
 	}
@@ -162,7 +164,7 @@
 	if err != nil {
 		return err
 	}
-	if query.Has(anyAge) && time.Since(n.confirmed) > relayAge {
+	if query.Has(anyAge) && boottime.Since(n.confirmed) > relayAge {
 		m.adopt(n)
 		return errors.Trace(&RelayError{Address: address, Status: http.StatusServiceUnavailable})
 	}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/tcp"
 	"github.com/firlever/firlever/platform"
 )
@@ -170,7 +171,7 @@
 	if m.isLost() {
 		// What lapsed meanwhile may come back: the first list after an outage of over
 		// settle must not take it away.
-		m.copy.Outage(time.Now())
+		m.copy.Outage(boottime.Now())
 	}
 	if !m.listed || m.takeMissed() {
 		return m.list(ctx)
@@ -191,7 +192,7 @@
 	case errors.Is(err, errKicked):
 		return nil
 	default:
-		m.copy.Outage(time.Now())
+		m.copy.Outage(boottime.Now())
 		if !m.setLost(true) {
 			m.sink.Lost(err)
 		}
@@ -205,14 +206,14 @@
 		return
 	}
 	m.via = ""
-	m.copy.Outage(time.Now())
+	m.copy.Outage(boottime.Now())
 	m.sink.Found()
 }
 
 // list reads the whole store. Pages are no snapshot: the changes since the first
 // are watched for.
 func (m *Mirror) list(ctx context.Context) error {
-	begin := time.Now()
+	begin := boottime.Now()
 	items, since, err := m.store.List(ctx, "", false)
 	if err != nil {
 		return err
@@ -237,7 +238,7 @@
 	m.mu.Lock()
 	m.kick = cancel
 	m.mu.Unlock()
-	begin := time.Now()
+	begin := boottime.Now()
 	events, since, err := m.store.Watch(inner, "", m.history.at(), wait)
 	if errors.Is(inner.Err(), context.Canceled) && ctx.Err() == nil {
 		if failed := m.takeFailed(); failed != nil {
@@ -259,7 +260,7 @@
 // take takes in events that lead up to a revision, which the store confirmed at a time;
 // zero if it did not.
 func (m *Mirror) take(events []platform.Event, revision platform.Revision, confirmed time.Time) {
-	now := time.Now()
+	now := boottime.Now()
 	changes := append(m.copy.Apply(now, events), m.copy.Due(now)...)
 	m.history.add(events, m.copy.Items(), revision, confirmed, m.copy.settled)
 	if len(changes) > 0 {
--- a/internal/mirror/news.go
+++ b/internal/mirror/news.go
@@ -12,6 +12,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/platform"
 )
 
@@ -42,7 +43,7 @@
 func (m *Mirror) call(ctx context.Context, address string, query url.Values, within time.Duration) (news, error) {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
-	begin := time.Now()
+	begin := boottime.Now()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+RelayPath+"?"+query.Encode(), nil)
 	if err != nil {
 		return news{}, errors.Trace(&RelayError{Address: address, Err: err})
@@ -70,7 +71,7 @@
 	}
 	n := answer.news()
 	n.confirmed = begin.Add(-age) // the answer was made later
-	n.settled = time.Now().Add(settling)
+	n.settled = boottime.Now().Add(settling)
 	return n, nil
 }
 
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/platform"
 )
 
@@ -81,7 +82,7 @@
 	if ms, err := strconv.ParseUint(r.URL.Query().Get(maxAge), 10, 16); err == nil {
 		limit = min(limit, time.Duration(ms)*time.Millisecond)
 	}
-	e := m.history.since(time.Now(), platform.Revision(since))
+	e := m.history.since(boottime.Now(), platform.Revision(since))
 	atAnyAge := r.URL.Query().Get(anyAge) != "" && e.revision > 0
 	if !atAnyAge {
 		e = m.await(r.Context(), platform.Revision(since), limit)
@@ -107,19 +108,19 @@
 func (m *Mirror) await(ctx context.Context, since platform.Revision, limit time.Duration) excerpt {
 	wait := relayWait
 	if m.history.at() > 0 {
-		wait = min(wait, limit-m.history.age(time.Now()))
+		wait = min(wait, limit-m.history.age(boottime.Now()))
 	}
 	over := time.NewTimer(wait)
 	defer over.Stop()
 	for {
-		e := m.history.since(time.Now(), since)
+		e := m.history.since(boottime.Now(), since)
 		if e.revision > 0 && (len(e.events) > 0 || !e.known) {
 			return e
 		}
 		select {
 		case <-e.grown:
 		case <-over.C:
-			return m.history.since(time.Now(), since)
+			return m.history.since(boottime.Now(), since)
 		case <-ctx.Done():
 			return e
 		}
--- a/internal/peer/udp.go
+++ b/internal/peer/udp.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/member"
 	"github.com/firlever/firlever/internal/wire"
 )
@@ -104,7 +105,7 @@
 // do is Do for what answers a packet.
 func (u *UDP) do(cause *wire.Packet, f func(now time.Time, l *member.List) []member.Send) {
 	u.mu.Lock()
-	sends := f(time.Now(), u.list)
+	sends := f(boottime.Now(), u.list)
 	u.changes = append(u.changes, u.list.Changes()...)
 	u.mu.Unlock()
 	u.hand() // first: an ack tells that what it answers is known
@@ -161,7 +162,7 @@
 		u.mu.Lock()
 		next := u.list.Next()
 		u.mu.Unlock()
-		timer.Reset(time.Until(next))
+		timer.Reset(boottime.Until(next))
 	}
 }
 
--- a/internal/quota/exchange.go
+++ b/internal/quota/exchange.go
@@ -14,6 +14,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/tcp"
 )
 
@@ -63,13 +64,13 @@
 
 // Return gives back the token of a request that was refused and never ran.
 func (x *Exchange) Return(workspace string) {
-	x.Change(func(l *Ledger) { l.Return(time.Now(), workspace) })
+	x.Change(func(l *Ledger) { l.Return(boottime.Now(), workspace) })
 }
 
 // Take takes a token for a request of a workspace, if need be one of another instance.
 // Requests that wait for the same holders' answers share them.
 func (x *Exchange) Take(ctx context.Context, workspace string) Decision {
-	now := time.Now()
+	now := boottime.Now()
 	x.mu.Lock()
 	d := x.ledger.Take(now, workspace)
 	x.mu.Unlock()
@@ -82,7 +83,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	asked := d
-	d = x.ledger.Retry(time.Now(), workspace)
+	d = x.ledger.Retry(boottime.Now(), workspace)
 	d.Ask, d.Want = asked.Ask, asked.Want
 	return d
 }
@@ -114,17 +115,17 @@
 // caller leaves, as others may wait for it.
 func (x *Exchange) askAll(workspace string, d Decision) {
 	for _, m := range d.Ask {
-		asked := time.Now()
+		asked := boottime.Now()
 		if x.isSilent(asked, m.Address) {
 			continue
 		}
 		a, err := x.ask(m.Address, workspace, d.Want)
 		if err != nil {
-			x.silence(time.Now(), m.Address)
+			x.silence(boottime.Now(), m.Address)
 			x.failed(err)
 			continue
 		}
-		x.Change(func(l *Ledger) { l.Receive(time.Now(), asked, workspace, m, d.Want, a.grant()) })
+		x.Change(func(l *Ledger) { l.Receive(boottime.Now(), asked, workspace, m, d.Want, a.grant()) })
 		if a.Tokens > 0 {
 			return
 		}
@@ -211,7 +212,7 @@
 		return
 	}
 	x.mu.Lock()
-	g := x.ledger.Give(time.Now(), query.Get("workspace"), Want{Tokens: tokens, Rate: rate})
+	g := x.ledger.Give(boottime.Now(), query.Get("workspace"), Want{Tokens: tokens, Rate: rate})
 	x.mu.Unlock()
 	b, err := json.Marshal(answer{Tokens: g.Tokens, Rate: g.Rate, Most: g.Most, Again: g.Again.Milliseconds()})
 	if err != nil {
