Soak with a request that ends targets

Checked: it ends no more targets than each instance needs to learn it by itself, which is what is left when all are cut off from each other, and no other request is held back as such.

--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -23,8 +23,12 @@
 	conn  net.Conn
 	read  *bufio.Reader
 	sent  int
+	crash bool // it sends the request that ends targets, and nothing else
 }
 
+// crashEvery is the pause between two requests that end targets.
+const crashEvery = 100 * time.Millisecond
+
 // patience is how long a caller waits for an answer, as it says in its requests.
 const patience = 2 * time.Second
 
@@ -81,7 +85,7 @@
 func (c *caller) request() {
 	c.sent++
 	id := fmt.Sprintf("%s-%d", c.name, c.sent)
-	method, once := "GET", c.rng.IntN(2) == 0
+	method, once := "GET", c.rng.IntN(2) == 0 && !c.crash
 	if once {
 		method = "POST"
 	}
@@ -89,12 +93,16 @@
 	if once {
 		path = "/do/x"
 	}
-	body := fmt.Sprint("b", c.sent)
+	body, object := fmt.Sprint("b", c.sent), c.rng.IntN(20)
+	if c.crash {
+		path, body, object = crashPath, "", 0
+		time.Sleep(crashEvery)
+	}
 	c.world.journal.sent(id, once)
 	c.conn.SetDeadline(time.Now().Add(patience + time.Second))
 	fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nCookie: Affinity-Key=%d\r\nContent-Length: %d\r\n\r\n%s",
-		method, path, id, patience.Milliseconds(), c.rng.IntN(20), len(body), body)
-	if c.rng.IntN(50) == 0 { // leaves with the answer due
+		method, path, id, patience.Milliseconds(), object, len(body), body)
+	if !c.crash && c.rng.IntN(50) == 0 { // leaves with the answer due
 		c.hangUp()
 		return
 	}
--- a/internal/soak/fault_test.go
+++ b/internal/soak/fault_test.go
@@ -48,11 +48,11 @@
 		w.store.Revoke()
 		return "store revokes leases"
 	case 11:
-		w.lasting(t.id, func() { t.bad.Store(60); time.Sleep(length); t.bad.Store(3) })
-		return "bad answers of " + t.id
+		w.lasting(t.name, func() { t.bad.Store(60); time.Sleep(length); t.bad.Store(3) })
+		return "bad answers of " + t.name
 	case 12:
 		for _, t := range w.targets {
-			w.lasting(t.id, func() { t.bad.Store(60); time.Sleep(length); t.bad.Store(3) })
+			w.lasting(t.name, func() { t.bad.Store(60); time.Sleep(length); t.bad.Store(3) })
 		}
 		return "bad answers of all targets"
 	case 13:
@@ -112,7 +112,7 @@
 	old.register(w.store, "draining", 0)
 	w.work.Go(func() {
 		time.Sleep(leaving)
-		w.store.Remove("servers/" + old.id)
+		w.store.Remove("servers/" + old.id())
 		time.Sleep(leaving)
 		old.close()
 	})
--- a/internal/soak/journal_test.go
+++ b/internal/soak/journal_test.go
@@ -16,6 +16,7 @@
 	good     int             // answers with success; guarded by mu
 	all      int             // requests that were sent; guarded by mu
 	statuses map[int]int     // answers by status, 0 for none; guarded by mu
+	crashes  int             // targets that one request has ended; guarded by mu
 	faults   []string        // broken promises; guarded by mu
 }
 
@@ -42,6 +43,20 @@
 	j.once[id] = once
 }
 
+// crashed notes that a target ends under the request that does that.
+func (j *journal) crashed() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.crashes++
+	if j.crashes == mostCrashes+1 {
+		j.fault("one request has ended more than %d targets", mostCrashes)
+	}
+}
+
+// mostCrashes is how many targets one request may end: cut off from all others, each
+// instance learns it by itself, by its second request of two attempts.
+const mostCrashes = 4 * edges
+
 // ran notes that a target begins to work on a request.
 func (j *journal) ran(id string) {
 	j.mu.Lock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -4,7 +4,10 @@
 
 import (
 	"context"
+	"maps"
 	"os"
+	"regexp"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -90,12 +93,28 @@
 	return true
 }
 
+// held lists the fingerprints of the requests that instances took for such as end targets.
+func (w *world) held() []string {
+	prints := make(map[string]bool)
+	for _, e := range w.edges {
+		for _, m := range heldLine.FindAllStringSubmatch(e.out.String(), -1) {
+			prints[m[1]] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(prints))
+}
+
+var heldLine = regexp.MustCompile(`msg="request ends targets" print=(\S+)`)
+
 // report fails the test for each broken promise, with what happened.
 func (w *world) report(events []string) {
 	j := w.journal
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	w.t.Logf("%d requests, %d with success, by status %v", j.all, j.good, j.statuses)
+	w.t.Logf("%d requests, %d with success, by status %v, %d targets ended by one", j.all, j.good, j.statuses, j.crashes)
+	if held := w.held(); len(held) > 1 {
+		w.t.Errorf("got requests %v held back as ending targets, want one at most", held)
+	}
 	for _, f := range j.faults {
 		w.t.Error(f)
 	}
--- a/internal/soak/target_test.go
+++ b/internal/soak/target_test.go
@@ -18,21 +18,34 @@
 	"github.com/firlever/firlever/platform"
 )
 
-// target is a stand-in behind a proxy. It misbehaves at random.
+// target is a stand-in behind a proxy. It misbehaves at random, and ends when it runs the
+// request for crashPath.
 type target struct {
-	id, domain string
-	journal    *journal
-	server     *httptest.Server
-	proxy      *link.Proxy
-	bad        atomic.Int64 // percent of the requests at which it misbehaves
-	reports    atomic.Int64 // that it has written of itself
-
-	mu  sync.Mutex
-	rng *rand.Rand // guarded by mu
+	name, domain string
+	world        *world
+	journal      *journal
+	server       *httptest.Server
+	bad          atomic.Int64 // percent of the requests at which it misbehaves
+	reports      atomic.Int64 // that it has written of itself
+
+	mu     sync.Mutex
+	rng    *rand.Rand  // guarded by mu
+	proxy  *link.Proxy // guarded by mu
+	runs   int         // of it so far; guarded by mu
+	ending bool        // guarded by mu
+	closed bool        // for good; guarded by mu
 }
 
+const (
+	crashPath = "/get/crash"
+	// crashAfter is how long a target works on the request that ends it, and deadTime how
+	// long it takes to come back.
+	crashAfter = 10 * time.Millisecond
+	deadTime   = 300 * time.Millisecond
+)
+
 func newTarget(w *world, id, domain string, seed uint64) *target {
-	t := &target{id: id, domain: domain, journal: w.journal, rng: rand.New(rand.NewPCG(seed, 1))}
+	t := &target{name: id, domain: domain, world: w, journal: w.journal, rng: rand.New(rand.NewPCG(seed, 1))}
 	t.server = httptest.NewServer(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -42,15 +55,64 @@
 	return t
 }
 
+// id names the run of the target.
+func (t *target) id() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return fmt.Sprintf("%s-%d", t.name, t.runs)
+}
+
+func (t *target) address() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.proxy.Addr()
+}
+
+// crash ends the run of the target: its connections break and nothing listens at its
+// address, until it is back there under another ID.
+func (t *target) crash() {
+	t.mu.Lock()
+	again := t.ending || t.closed
+	t.ending = true
+	t.mu.Unlock()
+	if again {
+		return
+	}
+	t.journal.crashed()
+	id, address := t.id(), t.address()
+	t.proxy.Close()
+	time.Sleep(deadTime)
+	t.world.store.Remove(platform.TargetPrefix + id)
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return // the port was taken meanwhile: it stays away
+	}
+	t.mu.Lock()
+	if t.closed {
+		t.mu.Unlock()
+		ln.Close()
+		return
+	}
+	t.proxy = link.NewProxy(ln, t.world.links, link.At("edges"), link.At(t.domain), t.server.Listener.Addr().String())
+	t.runs++
+	t.ending = false
+	t.mu.Unlock()
+	t.register(t.world.store, "ready", 0)
+}
+
 // register writes the target into the store.
 func (t *target) register(s *store.Store, state string, cold time.Duration) {
-	s.Put(platform.TargetPrefix+t.id, fmt.Appendf(nil,
+	s.Put(platform.TargetPrefix+t.id(), fmt.Appendf(nil,
 		`{"address":%q,"info":{"service":"s","version":"v1","zone":%q,"capacity":8},"status":{"state":%q,"sequence":%d,"warmup_left":"%dms"}}`,
-		t.proxy.Addr(), t.domain, state, t.reports.Add(1), cold.Milliseconds()))
+		t.address(), t.domain, state, t.reports.Add(1), cold.Milliseconds()))
 }
 
 func (t *target) close() {
-	t.proxy.Close()
+	t.mu.Lock()
+	t.closed = true
+	proxy := t.proxy
+	t.mu.Unlock()
+	proxy.Close()
 	t.server.CloseClientConnections()
 	t.server.Close()
 }
@@ -64,8 +126,8 @@
 // ServeHTTP answers a request, or fails in one of the ways that targets have.
 func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
-	if r.Header.Get("Target-Instance") != t.id {
-		w.Header().Set("Instance-Id", t.id)
+	if own := t.id(); r.Header.Get("Target-Instance") != own {
+		w.Header().Set("Instance-Id", own)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -81,6 +143,12 @@
 		return
 	}
 	t.journal.ran(id)
+	if r.URL.Path == crashPath {
+		time.Sleep(crashAfter)
+		go t.crash()
+		<-r.Context().Done()
+		return
+	}
 	time.Sleep(time.Duration(2+t.draw(20)) * time.Millisecond)
 	h := w.Header()
 	h.Set("Request-Id", id)
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -102,6 +102,10 @@
 		c := &caller{world: w, name: fmt.Sprint("c", k), rng: rand.New(rand.NewPCG(seed, uint64(k)))}
 		w.work.Go(func() { c.run(ctx) })
 	}
+	if seed%2 == 1 {
+		c := &caller{world: w, name: "crash", rng: rand.New(rand.NewPCG(seed, callers)), crash: true}
+		w.work.Go(func() { c.run(ctx) })
+	}
 }
 
 // within fails the test unless ok holds within a time.
