--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -74,11 +74,13 @@
 	"relay lost": true, "store followed through a peer": true, "lease not renewed": true, "lease renewed again": true, "lease ended": true,
 	"configuration in force": true, "evacuation": true, "settings reloaded": true, "log lines dropped": true,
 	"loads not exchanged": true, "registration unusable": true, "tokens not asked for": true,
+	"machine was suspended": true,
 }
 
-// Story returns the lines that explain a request, in the order of time.
+// Story returns the lines that explain a request, in the order of time. What became known
+// of its fingerprint belongs to it whenever and wherever that was.
 func Story(lines []Line, id string) []Line {
-	sources, targets := make(map[string]bool), make(map[string]bool)
+	sources, targets, prints := make(map[string]bool), make(map[string]bool), make(map[string]bool)
 	var first, last time.Time
 	for _, l := range lines {
 		if l.Field("id") != id {
@@ -86,6 +88,7 @@
 		}
 		sources[l.Source] = true
 		targets[l.Field("target")] = true
+		prints[l.Field("print")] = true
 		if first.IsZero() || l.Time.Before(first) {
 			first = l.Time
 		}
@@ -94,6 +97,7 @@
 		}
 	}
 	delete(targets, "")
+	delete(prints, "")
 	if first.IsZero() {
 		return nil
 	}
@@ -101,7 +105,7 @@
 	for _, l := range lines {
 		near := !l.Time.Before(first.Add(-around)) && !l.Time.After(last.Add(around))
 		about := beliefs[l.Field("msg")] || l.Field("id") == "" && targets[l.Field("target")]
-		if l.Field("id") == id || near && sources[l.Source] && about {
+		if l.Field("id") == id || near && sources[l.Source] && about || l.about(prints) {
 			story = append(story, l)
 		}
 	}
@@ -109,6 +113,18 @@
 	return story
 }
 
+// about says whether the line tells what became known of one of some fingerprints, and not
+// of another request that has it.
+func (l Line) about(prints map[string]bool) bool {
+	if l.Field("id") != "" {
+		return false
+	}
+	if prints[l.Field("print")] {
+		return true
+	}
+	return slices.ContainsFunc(strings.Fields(strings.Trim(l.Field("prints"), "[]")), func(p string) bool { return prints[p] })
+}
+
 // Failures counts the failed requests of the lines by how they ended, and gives the
 // ID of one of each.
 func Failures(lines []Line) []Failure {
--- a/internal/explain/story_test.go
+++ b/internal/explain/story_test.go
@@ -48,6 +48,26 @@
 	}
 }
 
+// What became known of a request's fingerprint belongs to its story, from all instances and
+// from long before; other requests with it do not.
+func TestStoryOfAPrint(t *testing.T) {
+	const elsewhere = `time=2026-01-01T00:00:00Z level=warn msg="target ended" target=t8 prints="[7a b1]"
+time=2026-01-01T00:00:01Z level=warn msg="target ended" target=t9 prints="[b1 b2]"
+time=2026-01-01T00:00:02Z level=warn msg="request ends targets" print=b1 targets=3
+time=2026-01-01T00:00:02Z level=warn msg="request ends targets" print=7a targets=3
+time=2026-01-01T00:00:02Z level=warn msg=request id=q4 print=7a status=503
+`
+	const here = "time=2026-01-01T00:05:00Z level=warn msg=request id=q3 print=7a status=503 ending=ends-targets\n"
+	var got []string
+	for _, l := range Story(append(read(t, elsewhere, "a"), read(t, here, "b")...), "q3") {
+		got = append(got, l.Field("msg")+" "+l.Field("target"))
+	}
+	want := []string{"target ended t8", "request ends targets ", "request "}
+	if strings.Join(got, ",") != strings.Join(want, ",") {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
 func TestSourceBeforeTheLine(t *testing.T) {
 	lines := read(t, "  0.5 edge-1 time=2026-01-01T00:00:00Z level=info msg=started\n", "file")
 	if len(lines) != 1 || lines[0].Source != "edge-1" {
