Take a refusal after a cut answer for no word on the whole request, in the demo

The demo's callers send an idempotent request again when its answer breaks off. If the next try is refused as not run, that speaks of that try alone; the check of refusals counted both as one and reported not-run-true broken.

--- a/internal/demo/caller.go
+++ b/internal/demo/caller.go
@@ -114,17 +114,22 @@
 		req.SetBytes(make([]byte, r.Body))
 	}
 	var result load.Result
+	cut := false // an answer broke off: the request has run, whatever is said of its next try
 	for range askAgain {
 		resp, err := c.clients[r.Place].Do(ctx, r.Service, req)
 		if err == nil {
 			result = read(r, resp.Status, resp.Body)
 			resp.Body.Close()
 			if result.Reason == reasonCut && r.Idempotent && ctx.Err() == nil {
+				cut = true
 				continue
 			}
 			return result
 		}
 		result = failed(err)
+		if cut && result.Outcome == load.Refused {
+			result.Outcome = load.Unknown
+		}
 		var unknown *caller.UnknownError
 		if !errors.As(err, &unknown) || r.Idempotent || !pause(ctx, unknown.RetryAt) {
 			return result
