Demo with a request that ends targets; show that 'firlever serve' repeats it

The stand-in of a target can end under a request and come back; the demo's fault 'crash' sends it every 50 ms from each place in turn, and the invariant 'contained' counts targets of a place that end more than 1 s after its third. What callers see: hundreds of refusals for want of room while it lasts.

--- a/internal/demo/fault.go
+++ b/internal/demo/fault.go
@@ -18,9 +18,10 @@
 	FaultStop     FaultKind = "stop"     // an instance stops as planned, and starts again
 	FaultCut      FaultKind = "cut"      // a place is cut off from all else
 	FaultPlatform FaultKind = "platform" // the platform has an outage
+	FaultCrash    FaultKind = "crash"    // a request that is sent again and again ends each target that runs it
 )
 
-var allFaults = []FaultKind{FaultKill, FaultDrain, FaultStop, FaultCut, FaultPlatform}
+var allFaults = []FaultKind{FaultKill, FaultDrain, FaultStop, FaultCut, FaultPlatform, FaultCrash}
 
 // ParseFaults reads a list such as "kill,cut", "none" or "all". Another word
 // gives a *ConfigError.
@@ -35,7 +36,7 @@
 	for word := range strings.SplitSeq(s, ",") {
 		k := FaultKind(strings.TrimSpace(word))
 		if !slices.Contains(allFaults, k) {
-			return nil, &ConfigError{Faults: []string{`fault "` + string(k) + `" is none of none, all, kill, drain, stop, cut, platform`}}
+			return nil, &ConfigError{Faults: []string{`fault "` + string(k) + `" is none of none, all, kill, drain, stop, cut, platform, crash`}}
 		}
 		kinds = append(kinds, k)
 	}
@@ -45,7 +46,7 @@
 // Fault is one event of a schedule.
 type Fault struct {
 	Kind FaultKind     `json:"kind"`
-	On   string        `json:"on,omitempty"` // instance or place; empty for the platform
+	On   string        `json:"on,omitempty"` // instance or place; empty for the platform and for a crash
 	At   time.Duration `json:"at"`           // from the first request on
 	Back time.Duration `json:"back"`         // when it is undone, from the first request on
 }
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -42,7 +42,8 @@
 
 	store   *inproc.Store // the operators' own way to the platform, which answers the instances too
 	proxies map[string]*link.Proxy
-	targets []*target.Target
+	started uint64            // targets that were started
+	ends    ends              // of targets under the request that ends them
 	direct  map[string]string // address of the target to call directly, by place
 	roll    *roll
 	details details
--- a/internal/demo/inject.go
+++ b/internal/demo/inject.go
@@ -78,6 +78,8 @@
 		r.f.links.Isolate(fault.On, link.Fault{})
 	case FaultPlatform:
 		r.f.store.SetFaults(store.Faults{Refuse: true, Until: r.start.Add(fault.Back)})
+	case FaultCrash:
+		return r.crash(ctx, fault)
 	}
 	return nil
 }
--- a/internal/demo/target.go
+++ b/internal/demo/target.go
@@ -53,7 +53,7 @@
 		Service: service.ID().String(), Place: place, Name: t.Name,
 		Slots: t.Slots, Connections: t.Connections,
 		ConnectionCost: f.profile.Connection, ProbeCost: f.profile.Probe,
-		Mean: w.Mean, Spread: spreadOfWork, Seed: f.cfg.Seed + uint64(len(f.targets)),
+		Mean: w.Mean, Spread: spreadOfWork, Seed: f.cfg.Seed + f.started,
 		Cold: coldFactor, WarmRequests: coldRequests, WarmFor: coldTime,
 		Pace: w.Pace, Report: target.Report{Lag: reportLag}, Clock: f.clock,
 	}
@@ -82,13 +82,14 @@
 	if err != nil {
 		return "", errors.Annotate(err, "fleet.startTarget")
 	}
-	t, err := target.Start(ln, cfg, j)
-	if err != nil {
+	f.started++
+	m := &mortal{f: f, cfg: cfg, journal: j}
+	if err := m.start(ln); err != nil {
 		ln.Close()
 		return "", errors.Annotate(err, "fleet.startTarget")
 	}
-	f.targets = append(f.targets, t)
-	f.closers = append(f.closers, func() { t.Close() })
-	f.directory.add(t.Addr(), link.At(cfg.Place))
-	return t.Addr(), nil
+	f.closers = append(f.closers, m.close)
+	address := ln.Addr().String()
+	f.directory.add(address, link.At(cfg.Place))
+	return address, nil
 }
--- a/internal/emulator/target/config.go
+++ b/internal/emulator/target/config.go
@@ -32,6 +32,9 @@
 	Size int64 // bytes of an answer that the request gives no size for
 	Pace int64 // bytes/s of one answer's body; 0 sets no limit
 
+	Fatal string // path of the request that ends the target when it runs it; "" for none
+	Ended func() // called when it has ended so; may be nil
+
 	Report Report
 	Clock  *clock.Clock // may be nil
 }
--- a/internal/emulator/target/serve.go
+++ b/internal/emulator/target/serve.go
@@ -96,6 +96,10 @@
 	work := t.work(r)
 	finish := t.start(work)
 	defer finish()
+	if t.cfg.Fatal != "" && r.URL.Path == t.cfg.Fatal {
+		t.die(r)
+		return
+	}
 	if !t.cfg.Clock.SleepUntil(ctx, t.due()) {
 		w.Header().Set(headerOutcome, outcomeUnknown)
 		w.WriteHeader(http.StatusGatewayTimeout)
--- a/internal/emulator/target/target.go
+++ b/internal/emulator/target/target.go
@@ -22,6 +22,7 @@
 	slots   *slots
 	pace    *pace
 	done    chan struct{} // closed when the server has ended
+	fatal   sync.Once     // of what ends it
 
 	mu     sync.Mutex
 	report Report
@@ -102,6 +103,19 @@
 // Cool makes the target as cold as at its start.
 func (t *Target) Cool() { t.pace.restart(time.Now()) }
 
+// die ends the target under a request, and returns when its connection has broken.
+func (t *Target) die(r *http.Request) {
+	t.fatal.Do(func() {
+		go func() {
+			t.Close()
+			if t.cfg.Ended != nil {
+				t.cfg.Ended()
+			}
+		}()
+	})
+	<-r.Context().Done()
+}
+
 // Close ends the target as a crash would: all its connections break.
 func (t *Target) Close() error {
 	err := t.srv.Close()
--- a/internal/invariant/counter.go
+++ b/internal/invariant/counter.go
@@ -18,12 +18,13 @@
 	Leaving       Name = "leaving"        // a leaving target gets no new work
 	GracefulStop  Name = "graceful-stop"  // a planned stop cuts no request
 	ConfigForward Name = "config-forward" // an accepted configuration never reverts
+	Contained     Name = "contained"      // a request that ends the targets that run it is held back
 )
 
-// names lists all invariants, in the order of the brief.
+// names lists all invariants: those of the brief in its order, then others.
 var names = [...]Name{
 	ShiftCap, RegionLimit, WholeAnswer, NotRunTrue,
-	AtMostOnce, Leaving, GracefulStop, ConfigForward,
+	AtMostOnce, Leaving, GracefulStop, ConfigForward, Contained,
 }
 
 // Count is the tally of one invariant.
