Hold a request back that ends targets in 'firlever serve' too

What callers saw: as on the users' platform, one request that is sent again ended targets of each place as long as it came, and others were refused for want of room.

The core judged each attempt by itself, and an end of a target was a failure of that target alone.

Change: the core keeps the same book of ends (internal/crash). A target that breaks an attempt off is looked for by a new connection; if nothing listens, it has ended, and the instance tells the others of its place and two of each other place, which pass it on in theirs. The request is refused as ends-targets where a request is placed, also after it has waited, was handed over or forwarded. Instances that start are told by one of their place. Reports are forgotten after 10 minutes and bounded; an answer takes a request out.

Weighed: documents in the platform (each change of them is the operators', and there is no lease on one); gossip (a packet has no room for it).

Not covered: when all instances of a deployment end at once, what they knew is lost; on the users' platform the store keeps it.

--- /dev/null
+++ b/internal/callers/crash.go
@@ -0,0 +1,105 @@
+package callers
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/firlever/firlever/internal/core"
+	"github.com/firlever/firlever/internal/metrics"
+)
+
+const (
+	// tellTimeout bounds a call that tells a peer of targets that ended.
+	tellTimeout = 500 * time.Millisecond
+	// maxNews bounds what is read of such a call, in bytes: all that an instance keeps.
+	maxNews = 1 << 20
+)
+
+// TellError says that a peer could not be told of targets that ended.
+type TellError struct {
+	Peer   string
+	Status int // of its answer; 0 if there was none
+	Err    error
+}
+
+func (e *TellError) Error() string {
+	return fmt.Sprintf("callers: tell %s: status %d: %v", e.Peer, e.Status, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *TellError) Unwrap() error { return e.Err }
+
+// TellCrashes carries a decision out.
+func (s *Server) TellCrashes(ctx context.Context, d core.TellCrashes) {
+	body, err := json.Marshal(d.News)
+	if err != nil {
+		s.noteTell(d, err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	told := make(chan error, len(d.Peers))
+	for _, p := range d.Peers {
+		go func() { told <- s.tell(ctx, p, body) }()
+	}
+	var failed error
+	for range d.Peers {
+		if err := <-told; err != nil {
+			failed = err
+		}
+	}
+	s.noteTell(d, failed)
+}
+
+// tell tells one peer. It returns a *TellError.
+func (s *Server) tell(ctx context.Context, p core.Peer, body []byte) error {
+	out, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.Address+PathCrashes, bytes.NewReader(body))
+	if err != nil {
+		return &TellError{Peer: p.ID, Err: err}
+	}
+	out.Header["User-Agent"] = nil
+	resp, err := s.client.Send(ctx, out, nil)
+	if err != nil {
+		return &TellError{Peer: p.ID, Err: err}
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusNoContent {
+		return &TellError{Peer: p.ID, Status: resp.StatusCode}
+	}
+	return nil
+}
+
+// noteTell counts what was told and writes its line.
+func (s *Server) noteTell(d core.TellCrashes, err error) {
+	s.cfg.Metrics.Decided(metrics.Decision{Kind: "tell-crashes"})
+	if s.cfg.Log == nil {
+		return
+	}
+	for _, r := range d.News.Reports {
+		s.cfg.Log.Warn("target ended", "target", r.Target, "prints", r.Prints, "peers", len(d.Peers), "err", err)
+	}
+	if len(d.News.Answered) > 0 {
+		s.cfg.Log.Info("request answered", "prints", d.News.Answered, "peers", len(d.Peers), "err", err)
+	}
+}
+
+// crashes takes what a peer tells.
+func (s *Server) crashes(w http.ResponseWriter, r *http.Request) {
+	b, err := io.ReadAll(io.LimitReader(r.Body, maxNews))
+	var news core.CrashNews
+	if err == nil {
+		err = json.Unmarshal(b, &news)
+	}
+	if err != nil {
+		s.badRequest(w, http.StatusBadRequest, err)
+		return
+	}
+	s.dispatcher.Step(core.CrashesHeard{News: news})
+	s.writeBy(w, s.dispatcher.Now().Add(replyTime))
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/internal/callers/exchange.go
+++ b/internal/callers/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -22,6 +23,7 @@
 	PrefixForward = "/forward/"
 	PrefixLookup  = "/lookup/"
 	PrefixGrant   = "/grant/"
+	PathCrashes   = "/crashes" // by peers alone
 )
 
 // endTime is longer than a target may take to end a connection.
@@ -160,7 +162,9 @@
 	}
 	resp, err := x.s.client.Send(ctx, out, t.end())
 	if err != nil {
-		x.fail(t, failure(err))
+		ev := failure(err)
+		ev.Broken = ev.Result == core.Failed && broken(ctx, err)
+		x.fail(t, ev)
 		return false
 	}
 	defer resp.Body.Close()
@@ -178,6 +182,13 @@
 	return core.Finished{Result: core.Failed}
 }
 
+// broken says whether the other end closed a connection, rather than that the time was over
+// or the attempt was given up.
+func broken(ctx context.Context, err error) bool {
+	var network net.Error
+	return ctx.Err() == nil && !(errors.As(err, &network) && network.Timeout())
+}
+
 // fail tells the node of an attempt without an answer, and whose fault it was.
 func (x *exchange) fail(t try, ev core.Finished) {
 	t.part.stop()
--- a/internal/callers/relay.go
+++ b/internal/callers/relay.go
@@ -30,7 +30,7 @@
 	}
 	start, err := readStart(resp)
 	if err != nil {
-		x.fail(t, core.Finished{Result: core.Failed})
+		x.fail(t, core.Finished{Result: core.Failed, Broken: broken(t.ctx, err)})
 		return false
 	}
 	if len(start) > maxWhole {
@@ -127,7 +127,7 @@
 	x.w.WriteHeader(resp.StatusCode)
 	n, err := x.copy(t, io.MultiReader(bytes.NewReader(start), resp.Body), resp.ContentLength < 0)
 	if err != nil {
-		x.fail(t, core.Finished{Result: core.Failed, Final: true, Gone: x.gone})
+		x.fail(t, core.Finished{Result: core.Failed, Final: true, Gone: x.gone, Broken: !x.gone && broken(t.ctx, err)})
 		x.abort()
 	}
 	x.checkWhole(resp, n)
--- a/internal/callers/request.go
+++ b/internal/callers/request.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/firlever/firlever/internal/core"
+	"github.com/firlever/firlever/internal/crash"
 	"github.com/firlever/firlever/internal/once"
 )
 
@@ -98,6 +99,14 @@
 	return once.NewFingerprint(r.Method, to.service.String()+to.raw+"?"+r.URL.RawQuery, b.start)
 }
 
+// sent is the fingerprint by which a request is known when its caller sends it again.
+func sent(r *http.Request, to route, b *body) crash.Print {
+	return crash.Request{
+		Method: r.Method, Host: to.service.String(), URI: to.raw + "?" + r.URL.RawQuery,
+		Caller: r.Header.Get("Authorization"), Object: r.Header.Get("Cookie"), Body: b.start,
+	}.Print()
+}
+
 // deadline turns the time left by a header into a deadline; the zero time if none was given.
 func deadline(r *http.Request, name string, now time.Time) (time.Time, error) {
 	ms := r.Header.Get(name)
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -58,6 +58,7 @@
 	r.HandleFunc(PrefixHand+"*", s.bounded(s.handler(PrefixHand, core.FromPeer)))
 	r.HandleFunc(PrefixForward+"*", s.bounded(s.handler(PrefixForward, core.FromForward)))
 	r.Post(PrefixGrant+"{team}/{service}", s.bounded(s.grant))
+	r.Post(PathCrashes, s.bounded(s.crashes))
 }
 
 func (s *Server) noPath(w http.ResponseWriter, _ *http.Request) {
@@ -118,6 +119,7 @@
 		c.SetReadDeadline(time.Time{})
 	}
 	x.req.Print = fingerprint(r, x.to, x.body)
+	x.req.Sent = sent(r, x.to, x.body)
 	return x, nil
 }
 
--- a/internal/core/apply.go
+++ b/internal/core/apply.go
@@ -243,6 +243,7 @@
 	if !ok || !slices.Contains(s.keys, ev.Target) {
 		return
 	}
+	n.lookedAt(now, ev)
 	if ev.Err {
 		s.health.Observe(now, ev.Target, health.Failed, 0)
 		return
--- a/internal/core/decision.go
+++ b/internal/core/decision.go
@@ -47,6 +47,7 @@
 	ReasonBadRequest  Reason = "bad-request"     // the request can't be understood
 	ReasonRepeat      Reason = "repeat"          // the recorded answer of the key's first request
 	ReasonNotKept     Reason = "answer-not-kept" // the key's request was answered, but the answer was too large to keep
+	ReasonEndsTargets Reason = "ends-targets"    // it has ended the targets that ran it
 	ReasonNoEnd       Reason = "answer-no-end"   // the end of the target's answer can't be told from a cut
 )
 
@@ -141,6 +142,7 @@
 	Target  owner.TargetKey
 	Address string
 	Asked   time.Time // goes back with the answer
+	Look    bool      // by a new connection, as those that were kept may tell of a process that has ended
 }
 
 // Reasons of changes to a roster.
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/firlever/firlever/internal/crash"
 	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/internal/once"
 	"github.com/firlever/firlever/internal/owner"
@@ -29,6 +30,7 @@
 	Name       string // request id as the caller sees it
 	Key        string // idempotency key; empty if the caller sent none
 	Print      once.Fingerprint
+	Sent       crash.Print // the same for a request that is sent again by the same caller
 	Deadline   time.Time
 	Start      time.Time // by when the answer must begin; zero if by Deadline
 	Replayable bool      // the body can be sent again; Finished says when that is over
@@ -77,6 +79,7 @@
 	Final   bool // bytes of the answer have gone to the caller: no other attempt
 	Gone    bool // the caller broke it off, which tells nothing of the target
 	Spent   bool // the body can't be sent again
+	Broken  bool // the target ended the connection before a whole answer, and not the time or the caller
 }
 
 // Ended tells that the connection of an attempt that was broken off has ended at the
@@ -169,6 +172,7 @@
 	Target  owner.TargetKey
 	Asked   time.Time // by the Probe that it answers
 	Err     bool
+	Refused bool // nothing listens at the target's address; only with Err
 	Healthy bool
 	Slots   int
 	Busy    int
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -48,6 +48,7 @@
 	capped    rights                          // what the services' caps were last worked out from
 	started   time.Time
 	settlings []settling // slots of broken attempts, by time
+	endings   endings
 	stopping  bool
 	closeAt   time.Time // when a planned stop begins no keyed request any more
 
@@ -72,6 +73,7 @@
 		address:  make(map[owner.TargetKey]string),
 		probes:   make(map[owner.TargetKey]time.Time),
 		reports:  make(map[owner.TargetKey]int),
+		endings:  newEndings(),
 		started:  now,
 	}
 	if err := n.build(); err != nil {
@@ -116,6 +118,8 @@
 		n.book.Abandon(ev.Removed)
 	case Probed:
 		n.probed(now, ev)
+	case CrashesHeard:
+		n.crashesHeard(now, ev.News)
 	case Stopping:
 		n.stop(now)
 	case Tick:
@@ -135,6 +139,7 @@
 	n.once.Sweep(now)
 	n.closeKeys(now)
 	n.grants.Sweep(now)
+	n.forgetCrashes(now)
 	if n.snapshot != nil {
 		n.recapAll(now)
 		n.probeDue(now)
--- a/internal/core/outcome.go
+++ b/internal/core/outcome.go
@@ -63,11 +63,17 @@
 	case stageTarget:
 		n.freeSlot(now, f, ev)
 		n.observe(now, f, ev)
+		if ev.Broken && !ev.Gone {
+			n.broke(now, f)
+		}
 		f.tried = append(f.tried, f.target.Name)
 	case stagePeer:
 		n.handBack(now, f, ev)
 		f.tried = append(f.tried, f.peer)
 	}
+	if ev.Result == Answered {
+		n.succeeded(f, ev)
+	}
 	f.stage = stageNew
 	f.exposed = f.exposed || ev.Result == Failed
 	f.req.Replayable = f.req.Replayable && !ev.Spent
--- a/internal/core/roster.go
+++ b/internal/core/roster.go
@@ -227,7 +227,9 @@
 		_, ok := live[id]
 		return !ok && id != n.cfg.Instance
 	})
+	before := n.peers
 	n.peers = newPeerList(ev.Peers)
+	n.tellNewcomers(before, n.peers)
 	n.pump(now)
 }
 
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -14,6 +14,9 @@
 // instance's place, then others by how far they are. reason is set when a
 // request comes back from the queue or from an attempt that ran nothing.
 func (n *Node) place(now time.Time, f *flight, reason Reason) {
+	if n.endsTargets(now, f) {
+		return
+	}
 	if !now.Before(f.wait()) {
 		n.refuse(now, f, ReasonDeadline)
 		return
@@ -265,6 +268,9 @@
 		}
 		f := n.flights[ID(item.ID)]
 		f.stage = stageNew
+		if n.endsTargets(now, f) {
+			continue // told while it waited
+		}
 		if !n.tryPlaces(now, f, ReasonQueue) {
 			n.requeue(now, f)
 			missed++
--- a/internal/crash/book.go
+++ b/internal/crash/book.go
@@ -7,6 +7,9 @@
 	"slices"
 )
 
+// MostReports bounds the reports that are kept; the oldest go first.
+const MostReports = 512
+
 const (
 	// shown is how many targets have to end under a request until that shows that it ends
 	// them. The requests that were at the same target by chance are innocent, and hardly
@@ -15,8 +18,7 @@
 	// sure is how many are enough where another request was at all of the same targets, so
 	// that nothing tells the two apart: each further trial ends another target.
 	sure = 5
-	// mostReports, mostPrints, mostAnswered and mostFormer bound what is kept.
-	mostReports  = 512
+	// mostPrints, mostAnswered and mostFormer bound what else is kept.
 	mostPrints   = 64
 	mostAnswered = 512
 	mostFormer   = 512
@@ -48,7 +50,7 @@
 
 // Book holds the reports of all instances. It is not safe for concurrent use.
 type Book struct {
-	reports  map[string]*entry  // by key; mostReports at most
+	reports  map[string]*entry  // by key; MostReports at most
 	answered map[Print]Revision // when a request was answered with success; mostAnswered at most
 	former   []Print            // that ended targets, by reports that are forgotten; the oldest first, mostFormer at most
 	stale    bool               // what follows has to be judged anew
@@ -75,7 +77,7 @@
 		}
 	}
 	b.reports[key] = e
-	if len(b.reports) > mostReports {
+	if len(b.reports) > MostReports {
 		b.Remove(b.oldest())
 	}
 	b.stale = true
--- a/internal/crash/book_test.go
+++ b/internal/crash/book_test.go
@@ -123,13 +123,13 @@
 	for i := range prints {
 		prints[i] = Print(1000 + i)
 	}
-	for r := Revision(10); r < 10+2*mostReports; r++ {
+	for r := Revision(10); r < 10+2*MostReports; r++ {
 		b.Put(fmt.Sprint(r), r, Report{Target: fmt.Sprint("t", r), Prints: prints[:2]})
 		b.Answered(Print(r+5000), r)
 	}
 	b.Put("wide", 5000, Report{Target: "wide", Prints: prints})
-	if got := len(b.reports); got != mostReports {
-		t.Errorf("got %d reports, want %d", got, mostReports)
+	if got := len(b.reports); got != MostReports {
+		t.Errorf("got %d reports, want %d", got, MostReports)
 	}
 	if got := len(b.answered); got != mostAnswered {
 		t.Errorf("got %d answers, want %d", got, mostAnswered)
--- a/internal/instance/grant.go
+++ b/internal/instance/grant.go
@@ -17,6 +17,18 @@
 	g.Wait()
 }
 
+// tellCrashes carries out what the node tells peers of targets that ended.
+func (in *Instance) tellCrashes(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case d := <-in.news:
+			in.server.TellCrashes(ctx, d)
+		}
+	}
+}
+
 func (in *Instance) asker(ctx context.Context) {
 	for {
 		select {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -49,6 +49,7 @@
 	replaced    chan struct{} // closed when a newer incarnation of this instance runs
 	replaceOnce sync.Once
 	asks        chan core.AskGrant
+	news        chan core.TellCrashes
 	unequal     chan docstore.Instance // peers whose documents differ
 	ahead       chan docstore.Instance // peers of the place that have a newer roster
 	rpc         *http.Client           // of control calls to peers
@@ -76,6 +77,7 @@
 		swaps:       make(chan core.SwapRoster, 1),
 		probes:      make(chan core.Probe, queueLength),
 		asks:        make(chan core.AskGrant, queueLength),
+		news:        make(chan core.TellCrashes, queueLength),
 		unequal:     make(chan docstore.Instance, 1),
 		ahead:       make(chan docstore.Instance, 1),
 		replaced:    make(chan struct{}),
@@ -177,9 +179,22 @@
 		case in.asks <- d:
 		default: // the node asks again
 		}
+	case core.TellCrashes:
+		select {
+		case in.news <- d:
+		default:
+			in.logError("peers not told of a target that ended", errQueueFull)
+		}
 	}
 }
 
+// QueueError says that what the node decided waits for too many others.
+type QueueError struct{}
+
+func (*QueueError) Error() string { return "instance: too many decisions wait" }
+
+var errQueueFull = &QueueError{}
+
 func (in *Instance) force(s *settings.Snapshot) { in.dispatcher.Step(core.Applied{Snapshot: s}) }
 
 func (in *Instance) now() time.Time { return in.dispatcher.Now() }
@@ -222,7 +237,7 @@
 		in.servers = append(in.servers, srv)
 		go srv.Serve(ln)
 	}
-	for _, loop := range []func(context.Context){in.tick, in.watch, in.register, in.learn, in.tendRoster, in.probe, in.askGrants, in.sync, in.show} {
+	for _, loop := range []func(context.Context){in.tick, in.watch, in.register, in.learn, in.tendRoster, in.probe, in.askGrants, in.tellCrashes, in.sync, in.show} {
 		in.loops.Go(func() { loop(ctx) })
 	}
 	in.members.start()
--- a/internal/instance/probe.go
+++ b/internal/instance/probe.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/firlever/firlever/internal/core"
@@ -52,6 +54,10 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	got := core.Probed{Target: p.Target, Asked: p.Asked}
+	if p.Look && errors.Is(in.client.Reach(ctx, p.Address), syscall.ECONNREFUSED) {
+		got.Err, got.Refused = true, true
+		return got
+	}
 	health, err := in.get(ctx, p.Address, "/health")
 	if err != nil {
 		got.Err = true
--- a/internal/targets/client.go
+++ b/internal/targets/client.go
@@ -44,6 +44,16 @@
 	transport *http.Transport
 }
 
+// Reach opens a connection to an address and closes it. Its error shows whether anything is
+// there.
+func (c *Client) Reach(ctx context.Context, address string) error {
+	conn, err := c.transport.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
 // New makes a client that opens connections with dial; nil takes the standard dialer.
 func New(dial Dial) *Client {
 	if dial == nil {
