Remember ends of targets when the store's leases end early

What callers would see: after an outage in which the store ends leases, a request that is known to end targets is let through again at every instance.

Cause: the store's removal of a report was taken for its time being over.

Change: each instance keeps what it has heard for its time, whatever becomes of the entry; who wrote it writes it again if it went long before. Requests that were answered since are left out of that, and an answer's lease outlasts all reports from before it: otherwise an instance that starts then took innocent requests, which were at the same targets, for guilty (seen in the test).

TestRequestThatEndsTargets has both: it fails on the code before (4 more targets ended at an instance that has just started).

--- a/internal/core/crash.go
+++ b/internal/core/crash.go
@@ -209,7 +209,13 @@
 	}
 	news := CrashNews{}
 	for _, m := range n.endings.told {
-		news.Reports = append(news.Reports, m.report)
+		// Without the requests that were answered since: the newcomer doesn't know of that.
+		r := CrashReport{Key: m.report.Key, Report: n.endings.book.Report(m.report.Key)}
+		if len(r.Prints) > 0 {
+			news.Reports = append(news.Reports, r)
+		}
+	}
+	if len(news.Reports) > 0 {
+		n.tell(fresh, news)
 	}
-	n.tell(fresh, news)
 }
--- a/internal/core/crash_test.go
+++ b/internal/core/crash_test.go
@@ -175,6 +175,7 @@
 		return Peer{ID: id, Incarnation: incarnation, Place: place, Domain: place, Region: "coast"}
 	}
 	peers := PeersChanged{Peers: []Peer{peer("i2", "east", 1), peer("i3", "east", 1), peer("w1", "west", 1), peer("w2", "west", 1), peer("w3", "west", 1)}}
+	restarted := PeersChanged{Peers: append([]Peer{peer("i2", "east", 2)}, peers.Peers[1:]...)}
 	tests := map[string]struct {
 		play func(t *testing.T, n *Node) []Decision
 		want string
@@ -205,9 +206,13 @@
 		}, "i2 i3 w1 w2 0 ends 1 answered;"},
 		"a newcomer": {func(_ *testing.T, n *Node) []Decision {
 			n.Step(begin, CrashesHeard{News: threeEnds("east")})
-			next := PeersChanged{Peers: append([]Peer{peer("i2", "east", 2)}, peers.Peers[1:]...)}
-			return n.Step(begin, next)
+			return n.Step(begin, restarted)
 		}, "i2 3 ends 0 answered;"},
+		"a newcomer after an answer": {func(_ *testing.T, n *Node) []Decision {
+			n.Step(begin, CrashesHeard{News: threeEnds("east")})
+			n.Step(begin, CrashesHeard{News: CrashNews{Answered: []crash.Print{fatal, harmless}}})
+			return n.Step(begin, restarted)
+		}, "i2 2 ends 0 answered;"},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/crash/book.go
+++ b/internal/crash/book.go
@@ -83,6 +83,16 @@
 	b.stale = true
 }
 
+// Report returns a report, without the requests that were answered since. It has none of
+// them if it is not known.
+func (b *Book) Report(key string) Report {
+	e, ok := b.reports[key]
+	if !ok {
+		return Report{}
+	}
+	return Report{Target: e.target, Prints: slices.Sorted(maps.Keys(e.prints))}
+}
+
 // oldest returns the key of the oldest report.
 func (b *Book) oldest() string {
 	keys := slices.Sorted(maps.Keys(b.reports))
--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -14,16 +14,16 @@
 	"syscall"
 	"time"
 
+	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/crash"
 	"github.com/firlever/firlever/internal/metrics"
 	"github.com/firlever/firlever/internal/mirror"
 	"github.com/firlever/firlever/internal/steer"
-	"github.com/firlever/firlever/platform"
 )
 
 // Keys of the store under which instances tell of targets that ended, and of requests that
 // were answered after they had been at such targets. They outlive who wrote them, and go
-// with the leases of evidenceTime.
+// with their leases.
 const (
 	crashPrefix    = "firlever/crashes/"
 	answeredPrefix = "firlever/answered/"
@@ -59,9 +59,17 @@
 	mu     sync.Mutex
 	book   *crash.Book        // guarded by mu
 	broken map[string]*breach // by ID of the target; guarded by mu
+	kept   map[string]kept    // the reports in book, by key; crash.MostReports at most; guarded by mu
 	number int                // of the last report; guarded by mu
 }
 
+// kept is how long a report is kept, whatever becomes of its entry in the store: that may
+// lapse with its lease while the store is away.
+type kept struct {
+	until time.Time
+	mine  bool // this instance has written it
+}
+
 // breach is the exchanges of a target that broke at the same time.
 type breach struct {
 	target steer.Target
@@ -72,7 +80,7 @@
 }
 
 func newCrashes(n *Node) *crashes {
-	return &crashes{node: n, tell: newTeller(n), book: crash.NewBook(), broken: make(map[string]*breach)}
+	return &crashes{node: n, tell: newTeller(n), book: crash.NewBook(), broken: make(map[string]*breach), kept: make(map[string]kept)}
 }
 
 // under returns how many targets ended under a request that ends targets; 0 if it doesn't.
@@ -160,14 +168,19 @@
 	key := fmt.Sprintf("%s%s/%d-%d", crashPrefix, n.cfg.Settings.Instance, n.started, c.number)
 	n.cfg.Log.Warn("target ended", "target", target.ID, "service", target.Service, "domain", target.Domain, "prints", prints)
 	n.cfg.Metrics.Decided(metrics.Decision{Kind: "target-ended", Service: target.Service})
+	c.keep(key, 0, r, true)
+	c.judged()
+	c.post(key, r)
+}
+
+// post has a report written. c.mu is held.
+func (c *crashes) post(key string, r crash.Report) {
 	value, err := json.Marshal(r)
 	if err != nil {
-		n.cfg.Log.Error("end of a target not told", "target", target.ID, "err", err)
+		c.node.cfg.Log.Error("end of a target not told", "target", r.Target, "err", err)
 		return
 	}
-	c.book.Put(key, 0, r)
-	c.judged()
-	c.tell.post(platform.Write{Key: key, Value: value})
+	c.tell.post(note{key: key, value: value, life: evidenceTime})
 }
 
 // answered notes that a target has answered a request with success: it ends none.
@@ -184,7 +197,7 @@
 	c.book.Answered(p, 0)
 	c.judged()
 	if known >= toldAnswer {
-		c.tell.post(platform.Write{Key: answeredPrefix + p.String(), Value: []byte(c.node.cfg.Settings.Instance)})
+		c.tell.post(note{key: answeredPrefix + p.String(), value: []byte(c.node.cfg.Settings.Instance), life: answerTime})
 	}
 }
 
@@ -233,17 +246,58 @@
 		return nil
 	}
 	if change.Removed {
-		c.book.Remove(change.Key)
+		c.removed(change.Key)
 		return nil
 	}
 	var r crash.Report
 	if err := json.Unmarshal(change.Value, &r); err != nil {
 		return err
 	}
-	c.book.Put(change.Key, crash.Revision(change.Changed), r)
+	c.keep(change.Key, crash.Revision(change.Changed), r, false)
 	return nil
 }
 
+// keep takes a report into the book. c.mu is held.
+func (c *crashes) keep(key string, revision crash.Revision, r crash.Report, mine bool) {
+	c.book.Put(key, revision, r)
+	if _, ok := c.kept[key]; !ok {
+		c.kept[key] = kept{until: boottime.Now().Add(evidenceTime), mine: mine}
+	}
+	if len(c.kept) > crash.MostReports {
+		oldest := slices.MinFunc(slices.Collect(maps.Keys(c.kept)), func(a, b string) int {
+			return c.kept[a].until.Compare(c.kept[b].until)
+		})
+		delete(c.kept, oldest)
+		c.book.Remove(oldest)
+	}
+}
+
+// removed notes that the entry of a report is gone. One of this instance's that has gone long
+// before its time is written again, for those who start later, without the requests that were
+// answered since. c.mu is held.
+func (c *crashes) removed(key string) {
+	k := c.kept[key]
+	if !k.mine || boottime.Until(k.until) < evidenceTime/2 {
+		return
+	}
+	if r := c.book.Report(key); len(r.Prints) > 0 {
+		c.post(key, r)
+	}
+}
+
+// forget forgets what is old.
+func (c *crashes) forget(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for key, k := range c.kept {
+		if !now.Before(k.until) {
+			delete(c.kept, key)
+			c.book.Remove(key)
+		}
+	}
+	c.judged()
+}
+
 // isCrash says whether a key is one of those that crashes takes.
 func isCrash(key string) bool {
 	return strings.HasPrefix(key, crashPrefix) || strings.HasPrefix(key, answeredPrefix)
--- a/internal/edge/crash_test.go
+++ b/internal/edge/crash_test.go
@@ -221,6 +221,9 @@
 				}
 			}
 			check("afterwards", nodes[1])
+			r.store.Revoke() // as an outage of the store may
+			time.Sleep(time.Second)
+			check("after all leases of the store have ended", nodes[0])
 			check("at an instance that has just started", r.instance("e4", "s1"))
 			for _, n := range nodes {
 				n.Stop()
--- a/internal/edge/gauges.go
+++ b/internal/edge/gauges.go
@@ -23,6 +23,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			n.crashes.forget(boottime.Now())
 			n.cfg.Metrics.ShowEdge(n.state(boottime.Now()))
 		case <-resumed:
 			n.cfg.Metrics.Decided(metrics.Decision{Kind: "resumed"})
--- a/internal/edge/teller.go
+++ b/internal/edge/teller.go
@@ -20,9 +20,12 @@
 )
 
 const (
-	// evidenceTime is how long what is told is remembered: the longest lease that the
-	// platform gives.
-	evidenceTime = 10 * time.Minute
+	// answerTime is how long an answer is remembered: the longest lease that the platform
+	// gives. evidenceTime is how long a target's end is: a lease is written under for half
+	// of its time, so that an answer outlasts all ends from before it, which would count
+	// again without it at an instance that starts then.
+	answerTime   = 10 * time.Minute
+	evidenceTime = answerTime / 2
 	// mostOutbox bounds what waits to be written, mostWrites what one call writes. At most
 	// one call is made each writePause, or each renewRetry while they fail.
 	mostOutbox = 256
@@ -48,25 +51,37 @@
 	soon   chan struct{} // tells run that there is something to write
 
 	mu     sync.Mutex
-	outbox []platform.Write // that have to be written yet; the oldest first, mostOutbox at most; guarded by mu
+	outbox []note // that have to be written yet; the oldest first, mostOutbox at most; guarded by mu
 
 	// Used by the goroutine of run alone.
-	lease      platform.LeaseID // under which is written; 0: none
-	leaseUntil time.Time        // nothing is written under it later, so that all lasts long enough
-	told       string           // key of the last that peers were told
+	leases map[time.Duration]lease // by how long they last
+	told   string                  // key of the last that peers were told
+}
+
+// note is what has to be written, and how long it has to last.
+type note struct {
+	key   string
+	value []byte
+	life  time.Duration
+}
+
+// lease is one of the platform's, under which notes are written until a time.
+type lease struct {
+	id    platform.LeaseID
+	until time.Time
 }
 
 func newTeller(n *Node) *teller {
 	transport := &http.Transport{DialContext: tcp.NewDialer("").DialContext, MaxIdleConnsPerHost: 1}
-	return &teller{node: n, soon: make(chan struct{}, 1), client: &http.Client{Transport: transport}}
+	return &teller{node: n, soon: make(chan struct{}, 1), client: &http.Client{Transport: transport}, leases: make(map[time.Duration]lease)}
 }
 
-// post has something written.
-func (t *teller) post(w platform.Write) {
+// post has a note written.
+func (t *teller) post(w note) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.outbox) >= mostOutbox {
-		t.node.cfg.Log.Warn("not told, as too much waits", "key", t.outbox[0].Key)
+		t.node.cfg.Log.Warn("not told, as too much waits", "key", t.outbox[0].key)
 		t.outbox = t.outbox[1:]
 	}
 	t.outbox = append(t.outbox, w)
@@ -97,43 +112,55 @@
 }
 
 // first returns the first of what has to be written.
-func (t *teller) first() []platform.Write {
+func (t *teller) first() []note {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return slices.Clone(t.outbox[:min(len(t.outbox), mostWrites)])
 }
 
 // write writes a batch into the store, and takes it out of the outbox.
-func (t *teller) write(ctx context.Context, batch []platform.Write) error {
+func (t *teller) write(ctx context.Context, batch []note) error {
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
-	if now := boottime.Now(); t.lease == 0 || !now.Before(t.leaseUntil) {
-		lease, err := t.node.store.Grant(ctx, evidenceTime)
+	var txn platform.Txn
+	for _, w := range batch {
+		id, err := t.under(ctx, w.life)
 		if err != nil {
 			return err
 		}
-		t.lease, t.leaseUntil = lease, now.Add(evidenceTime/2)
-	}
-	for i := range batch {
-		batch[i].Lease = t.lease
+		txn.Put = append(txn.Put, platform.Write{Key: w.key, Value: w.value, Lease: id})
 	}
-	_, err := t.node.store.Do(ctx, platform.Txn{Put: batch})
+	_, err := t.node.store.Do(ctx, txn)
 	var missing *platform.MissingError
 	if errors.As(err, &missing) {
-		t.lease = 0
+		clear(t.leases)
 	}
 	if err != nil {
 		return err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	last := batch[len(batch)-1].Key
-	if i := slices.IndexFunc(t.outbox, func(w platform.Write) bool { return w.Key == last }); i >= 0 {
+	last := batch[len(batch)-1].key
+	if i := slices.IndexFunc(t.outbox, func(w note) bool { return w.key == last }); i >= 0 {
 		t.outbox = t.outbox[i+1:]
 	}
 	return nil
 }
 
+// under returns a lease under which a note lasts for half of a time at least.
+func (t *teller) under(ctx context.Context, life time.Duration) (platform.LeaseID, error) {
+	now := boottime.Now()
+	if l := t.leases[life]; now.Before(l.until) {
+		return l.id, nil
+	}
+	id, err := t.node.store.Grant(ctx, life)
+	if err != nil {
+		return 0, err
+	}
+	t.leases[life] = lease{id: id, until: now.Add(life / 2)}
+	return id, nil
+}
+
 // toldWrite is a write as peers are told of it.
 type toldWrite struct {
 	Key   string `json:"key"`
@@ -141,15 +168,15 @@
 }
 
 // tellPeers tells the peers of the region what could not be written, once.
-func (t *teller) tellPeers(ctx context.Context, batch []platform.Write) {
-	last := batch[len(batch)-1].Key
+func (t *teller) tellPeers(ctx context.Context, batch []note) {
+	last := batch[len(batch)-1].key
 	if t.told == last {
 		return
 	}
 	t.told = last
 	list := make([]toldWrite, 0, len(batch))
 	for _, w := range batch {
-		list = append(list, toldWrite{Key: w.Key, Value: w.Value})
+		list = append(list, toldWrite{Key: w.key, Value: w.value})
 	}
 	body, err := json.Marshal(list)
 	if err != nil {
