Soak and demo with suspended machines

A soak can't suspend its machine. The demo's fault 'suspend' does the same to all its instances at once.

--- a/internal/demo/fault.go
+++ b/internal/demo/fault.go
@@ -19,9 +19,10 @@
 	FaultCut      FaultKind = "cut"      // a place is cut off from all else
 	FaultPlatform FaultKind = "platform" // the platform has an outage
 	FaultCrash    FaultKind = "crash"    // a request that is sent again and again ends each target that runs it
+	FaultSuspend  FaultKind = "suspend"  // the clocks of all instances go on as if their machines had been suspended
 )
 
-var allFaults = []FaultKind{FaultKill, FaultDrain, FaultStop, FaultCut, FaultPlatform, FaultCrash}
+var allFaults = []FaultKind{FaultKill, FaultDrain, FaultStop, FaultCut, FaultPlatform, FaultCrash, FaultSuspend}
 
 // ParseFaults reads a list such as "kill,cut", "none" or "all". Another word
 // gives a *ConfigError.
@@ -36,7 +37,7 @@
 	for word := range strings.SplitSeq(s, ",") {
 		k := FaultKind(strings.TrimSpace(word))
 		if !slices.Contains(allFaults, k) {
-			return nil, &ConfigError{Faults: []string{`fault "` + string(k) + `" is none of none, all, kill, drain, stop, cut, platform, crash`}}
+			return nil, &ConfigError{Faults: []string{`fault "` + string(k) + `" is none of none, all, kill, drain, stop, cut, platform, crash, suspend`}}
 		}
 		kinds = append(kinds, k)
 	}
@@ -46,7 +47,7 @@
 // Fault is one event of a schedule.
 type Fault struct {
 	Kind FaultKind     `json:"kind"`
-	On   string        `json:"on,omitempty"` // instance or place; empty for the platform and for a crash
+	On   string        `json:"on,omitempty"` // instance or place; empty for the platform, a crash and a suspension
 	At   time.Duration `json:"at"`           // from the first request on
 	Back time.Duration `json:"back"`         // when it is undone, from the first request on
 }
--- a/internal/demo/inject.go
+++ b/internal/demo/inject.go
@@ -8,6 +8,7 @@
 
 	"github.com/goccy/go-yaml"
 
+	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/internal/emulator/link"
 	"github.com/firlever/firlever/internal/emulator/store"
@@ -18,6 +19,7 @@
 
 // Times of faults.
 const (
+	suspension  = 3 * time.Second        // longer than a tenure lasts without a confirmation
 	leaveWithin = 3 * time.Second        // after which a drained place gets no new work
 	leaveSeen   = 500 * time.Millisecond // for which a drain lasts on at least, to see that
 	stopWait    = 20 * time.Second
@@ -78,6 +80,8 @@
 		r.f.links.Isolate(fault.On, link.Fault{})
 	case FaultPlatform:
 		r.f.store.SetFaults(store.Faults{Refuse: true, Until: r.start.Add(fault.Back)})
+	case FaultSuspend:
+		boottime.Suspend(suspension)
 	case FaultCrash:
 		return r.crash(ctx, fault)
 	}
--- a/internal/soak/fault_test.go
+++ b/internal/soak/fault_test.go
@@ -16,7 +16,7 @@
 	e := w.edges[w.rng.IntN(len(w.edges))]
 	t := w.targets[w.rng.IntN(len(w.targets))]
 	length := time.Duration(100+w.rng.IntN(1200)) * time.Millisecond
-	switch w.rng.IntN(15) {
+	switch w.rng.IntN(17) {
 	case 0:
 		w.lasting(e.name, func() { e.stop(false); time.Sleep(length / 4); e.start() })
 		return "kill " + e.name
@@ -26,6 +26,15 @@
 	case 2:
 		w.lasting(e.name, func() { e.signal(syscall.SIGSTOP); time.Sleep(length); e.signal(syscall.SIGCONT) })
 		return "pause " + e.name
+	case 15, 16:
+		// A suspended machine: the process is stopped, and its steady clock with it.
+		w.lasting(e.name, func() {
+			e.signal(syscall.SIGSTOP)
+			time.Sleep(length)
+			e.signal(syscall.SIGUSR2)
+			e.signal(syscall.SIGCONT)
+		})
+		return "suspend " + e.name
 	case 3:
 		e.signal(syscall.SIGHUP)
 		return "reload " + e.name
--- a/internal/soak/main_test.go
+++ b/internal/soak/main_test.go
@@ -24,7 +24,7 @@
 	}
 	defer os.RemoveAll(dir)
 	binary = filepath.Join(dir, "firlever")
-	build := exec.Command("go", "build", "-o", binary, "github.com/firlever/firlever/cmd/firlever")
+	build := exec.Command("go", "build", "-tags", "soak", "-o", binary, "github.com/firlever/firlever/cmd/firlever")
 	if out, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
 		return 1
