Blame no request for ends of targets that has succeeded lately

What callers would see: many targets end at once, by something else, while one request that many callers send is at several of them; it is held back at all instances for minutes, and can't show any more that it is innocent.

Cause: three ends showed a request guilty, whatever it had done before; only a success after them took it out, which is not to come once it is held back.

--- a/internal/core/crash.go
+++ b/internal/core/crash.go
@@ -25,6 +25,7 @@
 // endings is what the node knows of requests that end targets.
 type endings struct {
 	book     *crash.Book
+	recent   crash.Recent
 	breaches map[owner.TargetKey]*breach
 	told     []remembered // reports of the book, by when they are forgotten
 	number   int          // of this instance's last report
@@ -85,6 +86,9 @@
 
 // broke notes that a target broke an attempt off, and asks whether it is still there.
 func (n *Node) broke(now time.Time, f *flight) {
+	if n.endings.recent.Has(now, f.req.Sent) {
+		return
+	}
 	b := n.endings.breaches[f.target]
 	if b == nil {
 		b = &breach{at: now}
@@ -145,10 +149,14 @@
 }
 
 // succeeded notes that a request was answered: it ends no targets.
-func (n *Node) succeeded(f *flight, ev Finished) {
+func (n *Node) succeeded(now time.Time, f *flight, ev Finished) {
+	if ev.Status >= http.StatusMultipleChoices {
+		return
+	}
 	p := f.req.Sent
+	n.endings.recent.Add(now, p)
 	known := n.endings.book.Counts()[p]
-	if known == 0 || ev.Status >= http.StatusMultipleChoices {
+	if known == 0 {
 		return
 	}
 	n.endings.book.Answered(p, 0)
--- a/internal/core/crash_test.go
+++ b/internal/core/crash_test.go
@@ -100,6 +100,18 @@
 			n.Step(now, Finished{ID: id, Result: Failed})
 			n.Step(now, Probed{Target: testTarget, Asked: now, Err: true, Refused: true})
 		},
+		"it was answered shortly before": func(n *Node, now time.Time, id ID) {
+			n.Step(now, Finished{ID: id, Result: Failed})
+			n.Step(now, Ended{ID: id, Target: testTarget})
+			n.Step(now, Probed{Target: testTarget, Asked: now, Healthy: true, Slots: 2})
+			n.sends(now, 100+id, fatal)
+			n.Step(now, Finished{ID: 100 + id, Result: Answered, Status: 200})
+			n.sends(now, 200+id, fatal)
+			n.Step(now, Finished{ID: 200 + id, Result: Failed, Broken: true})
+			n.Step(now, Ended{ID: 200 + id, Target: testTarget})
+			n.Step(now, Probed{Target: testTarget, Asked: now, Err: true, Refused: true})
+			n.Step(now, Probed{Target: testTarget, Asked: now, Healthy: true, Slots: 2})
+		},
 		"it is answered between": func(n *Node, now time.Time, id ID) {
 			n.Step(now, Finished{ID: id, Result: Failed, Broken: true})
 			n.Step(now, Probed{Target: testTarget, Asked: now, Err: true, Refused: true})
--- a/internal/core/outcome.go
+++ b/internal/core/outcome.go
@@ -72,7 +72,7 @@
 		f.tried = append(f.tried, f.peer)
 	}
 	if ev.Result == Answered {
-		n.succeeded(f, ev)
+		n.succeeded(now, f, ev)
 	}
 	f.stage = stageNew
 	f.exposed = f.exposed || ev.Result == Failed
--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -1,9 +1,7 @@
 package edge
 
 import (
-	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -11,7 +9,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/firlever/firlever/internal/boottime"
@@ -29,17 +26,9 @@
 	answeredPrefix = "firlever/answered/"
 )
 
-const (
-	// gatherBroken is how long the broken exchanges of a target are gathered before it is
-	// looked for: they all break with its process.
-	gatherBroken = 30 * time.Millisecond
-	// keepBroken is how long they are kept to be blamed, if the target is found to have
-	// started anew.
-	keepBroken = 5 * time.Second
-	// toldAnswer is how many targets have to have ended under a request until its answer
-	// is told to others: one end more would come near to holding it back.
-	toldAnswer = 2
-)
+// toldAnswer is how many targets have to have ended under a request until its answer is told
+// to others: one end more would come near to holding it back.
+const toldAnswer = 2
 
 // endsTargets is why a request is refused that ends the targets which run it.
 const endsTargets steer.Reason = "ends-targets"
@@ -53,11 +42,11 @@
 type crashes struct {
 	node   *Node
 	tell   *teller
-	counts atomic.Pointer[map[crash.Print]int] // targets that ended under each request
-	guilty atomic.Pointer[map[crash.Print]int] // those of them that end targets
+	guilty atomic.Pointer[map[crash.Print]int] // requests that end targets, and under how many each did
 
 	mu     sync.Mutex
 	book   *crash.Book        // guarded by mu
+	recent crash.Recent       // guarded by mu
 	broken map[string]*breach // by ID of the target; guarded by mu
 	kept   map[string]kept    // the reports in book, by key; crash.MostReports at most; guarded by mu
 	number int                // of the last report; guarded by mu
@@ -70,93 +59,18 @@
 	mine  bool // this instance has written it
 }
 
-// breach is the exchanges of a target that broke at the same time.
-type breach struct {
-	target steer.Target
-	prints []crash.Print
-	until  time.Time // it is forgotten then
-	alive  bool      // the target was found to live
-	ended  bool      // the target is known to have ended
-}
-
 func newCrashes(n *Node) *crashes {
 	return &crashes{node: n, tell: newTeller(n), book: crash.NewBook(), broken: make(map[string]*breach), kept: make(map[string]kept)}
 }
 
 // under returns how many targets ended under a request that ends targets; 0 if it doesn't.
-func (c *crashes) under(p crash.Print) int { return read(&c.guilty, p) }
-
-func read(of *atomic.Pointer[map[crash.Print]int], p crash.Print) int {
-	if m := of.Load(); m != nil {
-		return (*m)[p]
+func (c *crashes) under(p crash.Print) int {
+	if guilty := c.guilty.Load(); guilty != nil {
+		return (*guilty)[p]
 	}
 	return 0
 }
 
-// broke notes that a target broke an exchange off. Whether the target has ended, or has lost
-// one answer, shows when it is looked for.
-func (c *crashes) broke(now time.Time, target steer.Target, p crash.Print) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	maps.DeleteFunc(c.broken, func(_ string, b *breach) bool { return !now.Before(b.until) })
-	b := c.broken[target.ID]
-	if b == nil || b.alive || !b.target.Started.Equal(target.Started) {
-		b = &breach{target: target, until: now.Add(keepBroken)}
-		c.broken[target.ID] = b
-		go c.look(b)
-	}
-	if b.ended {
-		c.report(target, []crash.Print{p})
-		return
-	}
-	if !slices.Contains(b.prints, p) {
-		b.prints = append(b.prints, p)
-	}
-}
-
-// look looks for a target that broke exchanges off: if nothing listens at its address any
-// more, it has ended.
-func (c *crashes) look(b *breach) {
-	time.Sleep(gatherBroken)
-	err := c.node.pool.Reach(context.Background(), b.target.ID, b.target.Address)
-	found := "unknown"
-	switch {
-	case err == nil:
-		found = "lives"
-	case errors.Is(err, syscall.ECONNREFUSED):
-		found = "ended"
-	}
-	c.node.cfg.Metrics.Decided(metrics.Decision{Kind: "broken-off", Service: b.target.Service, Reason: found})
-	// A planned end is no crash: its requests may be at several targets that leave one after
-	// the other.
-	serving := c.node.serving(b.target)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	b.alive = found == "lives"
-	if found == "ended" && serving {
-		c.ended(b)
-	}
-}
-
-// restarted notes that a target has started anew: if it broke exchanges off just before, it
-// ended under them, and was back before it was looked for.
-func (c *crashes) restarted(now time.Time, target steer.Target) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	b := c.broken[target.ID]
-	if b != nil && now.Before(b.until) && b.target.Started.Before(target.Started) {
-		c.ended(b)
-	}
-}
-
-// ended notes that the target of a breach has ended. c.mu is held.
-func (c *crashes) ended(b *breach) {
-	if !b.ended {
-		b.ended = true
-		c.report(b.target, b.prints)
-	}
-}
-
 // report takes in that a target ended under requests, and has it written. c.mu is held.
 func (c *crashes) report(target steer.Target, prints []crash.Print) {
 	c.number++
@@ -184,12 +98,10 @@
 }
 
 // answered notes that a target has answered a request with success: it ends none.
-func (c *crashes) answered(p crash.Print) {
-	if read(&c.counts, p) == 0 {
-		return
-	}
+func (c *crashes) answered(now time.Time, p crash.Print) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.recent.Add(now, p)
 	known := c.book.Counts()[p]
 	if known == 0 {
 		return
@@ -203,12 +115,11 @@
 
 // judged publishes what follows from the book, and logs what is new. c.mu is held.
 func (c *crashes) judged() {
-	counts, guilty := c.book.Counts(), c.book.Guilty()
+	guilty := c.book.Guilty()
 	var before map[crash.Print]int
 	if old := c.guilty.Load(); old != nil {
 		before = *old
 	}
-	c.counts.Store(&counts)
 	c.guilty.Store(&guilty)
 	for p, targets := range guilty {
 		if _, ok := before[p]; !ok {
@@ -302,11 +213,3 @@
 func isCrash(key string) bool {
 	return strings.HasPrefix(key, crashPrefix) || strings.HasPrefix(key, answeredPrefix)
 }
-
-// serving says whether a target is still known, and is not about to leave.
-func (n *Node) serving(t steer.Target) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	known, ok := n.fleet.Target(t.ID)
-	return ok && !known.Leaving
-}
--- a/internal/edge/crash_test.go
+++ b/internal/edge/crash_test.go
@@ -309,3 +309,46 @@
 		t.Errorf("got %d runs, want %d at least", got, sends)
 	}
 }
+
+// Many targets end at once, by something else, and what many callers send is at several of
+// them. It has succeeded before, and goes on doing so when they are back.
+func TestManyTargetsEndAtOnce(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	r.configure(1, "s")
+	var ends deaths
+	var targets []*mortal
+	for k := range 8 {
+		targets = append(targets, r.mortal(fmt.Sprint("t", k), "n1", &ends, false))
+	}
+	r.start()
+	r.knows(8)
+	r.within("it is served", func() bool { return r.send("GET", "/get/popular").status == http.StatusOK })
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for range 16 {
+		callers.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					r.send("GET", "/get/popular")
+				}
+			}
+		})
+	}
+	time.Sleep(2 * workTime)
+	for _, m := range targets {
+		m.mu.Lock()
+		go m.crash(fmt.Sprintf("%s-%d", m.name, m.runs), m.server)
+		m.mu.Unlock()
+	}
+	time.Sleep(2 * deadTime)
+	close(stop)
+	callers.Wait()
+	r.within("it is served again", func() bool { return r.send("GET", "/get/popular").status == http.StatusOK })
+	if guilty := r.node.crashes.guilty.Load(); guilty != nil && len(*guilty) > 0 {
+		t.Errorf("got %v held back", *guilty)
+	}
+}
--- a/internal/edge/pass.go
+++ b/internal/edge/pass.go
@@ -121,7 +121,7 @@
 	case v.broken:
 		n.crashes.broke(boottime.Now(), r.choice.Target, p.print)
 	case v.final && v.answer.Rest == nil && v.answer.Status < http.StatusMultipleChoices:
-		n.crashes.answered(p.print)
+		n.crashes.answered(boottime.Now(), p.print)
 	}
 }
 
