See targets that end in the middle of a long answer

What callers saw: a request whose target ends while its answer, of over 1 MB, is passed on ended one target after the other, as the attempt had counted as answered by then.

Cause: only attempts without a whole head and beginning were looked at.

--- a/internal/edge/breach.go
+++ b/internal/edge/breach.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"maps"
 	"slices"
 	"syscall"
 	"time"
 
+	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/crash"
 	"github.com/firlever/firlever/internal/metrics"
 	"github.com/firlever/firlever/internal/steer"
@@ -100,6 +102,29 @@
 	}
 }
 
+// longAnswer is the rest of an answer that goes out while it comes in. Its target may end
+// meanwhile.
+type longAnswer struct {
+	io.ReadCloser
+
+	crashes *crashes
+	target  steer.Target
+	print   crash.Print
+}
+
+// Read reads on, and takes in how the answer ends.
+func (a *longAnswer) Read(b []byte) (int, error) {
+	n, err := a.ReadCloser.Read(b)
+	switch {
+	case err == nil || isTimeout(err):
+	case err == io.EOF:
+		a.crashes.answered(boottime.Now(), a.print)
+	default:
+		a.crashes.broke(boottime.Now(), a.target, a.print)
+	}
+	return n, err
+}
+
 // serving says whether a target is still known, and is not about to leave.
 func (n *Node) serving(t steer.Target) bool {
 	n.mu.Lock()
--- a/internal/edge/crash_test.go
+++ b/internal/edge/crash_test.go
@@ -79,6 +79,12 @@
 		}
 		if strings.Contains(q.RequestURI, "crash") {
 			time.Sleep(crashAfter)
+			if strings.Contains(q.RequestURI, "midway") {
+				w.Header().Set("Request-Id", q.Header.Get("Request-Id"))
+				w.Header().Set("Response-Signature", "sig")
+				w.Header().Set("Content-Length", fmt.Sprint(4<<20))
+				w.Write(make([]byte, 2<<20))
+			}
 			once.Do(func() { go m.crash(id, server) })
 			<-q.Context().Done()
 			return
@@ -254,6 +260,26 @@
 	}
 }
 
+// A target may end in the middle of a long answer, which has begun to go out.
+func TestRequestThatEndsTargetsMidway(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	r.configure(1, "s")
+	var ends deaths
+	for k := range 4 {
+		r.mortal(fmt.Sprint("t", k), "n1", &ends, false)
+	}
+	r.start()
+	r.knows(4)
+	for range 20 {
+		r.send("GET", "/get/crash-midway")
+		time.Sleep(100 * time.Millisecond)
+	}
+	if all, late := ends.count(), ends.late(); all < shown || late > 0 {
+		t.Errorf("got %d targets ended by one request, %d of them %s after the third or later, want none so late", all, late, spread)
+	}
+}
+
 // While the store is out of reach, an instance learns it by itself and tells those of its
 // region, and all others when the store is back.
 func TestRequestThatEndsTargetsInAnOutage(t *testing.T) {
--- a/internal/edge/pass.go
+++ b/internal/edge/pass.go
@@ -120,7 +120,9 @@
 	switch {
 	case v.broken:
 		n.crashes.broke(boottime.Now(), r.choice.Target, p.print)
-	case v.final && v.answer.Rest == nil && v.answer.Status < http.StatusMultipleChoices:
+	case v.final && v.answer.Rest != nil:
+		v.answer.Rest = &longAnswer{ReadCloser: v.answer.Rest, crashes: n.crashes, target: r.choice.Target, print: p.print}
+	case v.final && v.answer.Status < http.StatusMultipleChoices:
 		n.crashes.answered(boottime.Now(), p.print)
 	}
 }
