--- a/internal/edge/crash_test.go
+++ b/internal/edge/crash_test.go
@@ -165,7 +165,7 @@
 // Its caller sent it again and again, with a new ID and to another instance each time. Each
 // instance saw a broken connection now and then ("unexpected EOF"), held it against the
 // target, and sent the request on to the next: 33 of a service's targets ended within 13 s,
-// 20 of them after their return, and of 288 requests a second for the service none was
+// some again after their return, and of 288 requests a second for the service none was
 // answered in time. The requests that were at those targets are innocent, and one that many
 // callers send is at nearly each target that ends.
 func TestRequestThatEndsTargets(t *testing.T) {
