One client for calls between instances on the platform

Questions for tokens, reports of load and reports of ends made their calls by three copies of the same code, each with an error type of the same fields.

--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -80,7 +80,8 @@
 }
 
 // pick chooses the target of an attempt: the first one, one more, or one beside another.
-// Here a request that ends targets is held back, whichever way it came.
+// Here a request that ends targets is held back, whichever way it came: each further run
+// would end another target, with all that is at it.
 func (n *Node) pick(p *passage) steer.Choice {
 	if targets := n.crashes.under(p.print); targets > 0 {
 		p.ended = targets
--- a/internal/edge/teller.go
+++ b/internal/edge/teller.go
@@ -1,11 +1,9 @@
 package edge
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -15,7 +13,7 @@
 	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/metrics"
 	"github.com/firlever/firlever/internal/mirror"
-	"github.com/firlever/firlever/internal/tcp"
+	"github.com/firlever/firlever/internal/peerhttp"
 	"github.com/firlever/firlever/platform"
 )
 
@@ -47,7 +45,7 @@
 // It is safe for concurrent use.
 type teller struct {
 	node   *Node
-	client *http.Client
+	client *peerhttp.Client
 	soon   chan struct{} // tells run that there is something to write
 
 	mu     sync.Mutex
@@ -72,8 +70,7 @@
 }
 
 func newTeller(n *Node) *teller {
-	transport := &http.Transport{DialContext: tcp.NewDialer("").DialContext, MaxIdleConnsPerHost: 1}
-	return &teller{node: n, soon: make(chan struct{}, 1), client: &http.Client{Transport: transport}, leases: make(map[time.Duration]lease)}
+	return &teller{node: n, soon: make(chan struct{}, 1), client: peerhttp.New("", 1, maxTold), leases: make(map[time.Duration]lease)}
 }
 
 // post has a note written.
@@ -192,7 +189,7 @@
 		slots <- struct{}{}
 		all.Go(func() {
 			defer func() { <-slots }()
-			if err := t.tellPeer(ctx, address, body); err != nil {
+			if _, err := t.client.Post(ctx, address, crashesPath, nil, body); err != nil {
 				t.node.cfg.Metrics.Decided(metrics.Decision{Kind: "crashes", Reason: "peer-not-told"})
 			}
 		})
@@ -200,32 +197,6 @@
 	all.Wait()
 }
 
-// PeerError says that a peer could not be told.
-type PeerError struct {
-	Address string
-	Status  int // of its answer
-}
-
-func (e *PeerError) Error() string {
-	return fmt.Sprintf("edge: peer %s answers %d", e.Address, e.Status)
-}
-
-func (t *teller) tellPeer(ctx context.Context, address string, body []byte) error {
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+crashesPath, bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	resp, err := t.client.Do(r)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return &PeerError{Address: address, Status: resp.StatusCode}
-	}
-	return nil
-}
-
 // ServeHTTP takes what a peer tells.
 func (c *crashes) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	b, err := io.ReadAll(io.LimitReader(r.Body, maxTold))
--- a/internal/loads/exchange.go
+++ b/internal/loads/exchange.go
@@ -1,9 +1,7 @@
 package loads
 
 import (
-	"bytes"
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -12,8 +10,8 @@
 	"github.com/juju/errors"
 
 	"github.com/firlever/firlever/internal/boottime"
+	"github.com/firlever/firlever/internal/peerhttp"
 	"github.com/firlever/firlever/internal/steer"
-	"github.com/firlever/firlever/internal/tcp"
 )
 
 // Path is where an instance takes what others were told.
@@ -52,7 +50,7 @@
 	name   uint64 // hash of the instance's name
 	run    uint64 // of this process
 	board  *board
-	client *http.Client
+	client *peerhttp.Client
 
 	// Used by the goroutine of Run alone.
 	told    time.Time // what came until then was told
@@ -65,7 +63,7 @@
 func New(peers Peers) *Exchange {
 	return &Exchange{
 		peers: peers, name: xxhash.Sum64String(peers.Name), run: uint64(time.Now().UnixNano()), board: newBoard(),
-		client: &http.Client{Transport: &http.Transport{DialContext: tcp.NewDialer("").DialContext, MaxIdleConnsPerHost: 1}},
+		client: peerhttp.New("", 1, maxMessage),
 	}
 }
 
@@ -110,45 +108,22 @@
 	x.peers.Hear(answer.reports)
 }
 
-// CollectorError says that the instance that collects gave no good answer.
-type CollectorError struct {
-	Address string
-	Status  int // of its answer; 0 if there was none
-	Err     error
-}
-
-func (e *CollectorError) Error() string {
-	return fmt.Sprintf("loads: collector %s: status %d: %v", e.Address, e.Status, e.Err)
-}
-
-// Unwrap returns the cause.
-func (e *CollectorError) Unwrap() error { return e.Err }
-
 // ask sends a message to the collector and reads its answer. It returns a
-// *CollectorError.
+// *peerhttp.Error, or the error of a message that can't be encoded.
 func (x *Exchange) ask(ctx context.Context, address string, m message) (message, error) {
 	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
 	body, err := m.encode(boottime.Now())
 	if err != nil {
-		return message{}, errors.Trace(&CollectorError{Address: address, Err: err})
-	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+Path, bytes.NewReader(body))
-	if err != nil {
-		return message{}, errors.Trace(&CollectorError{Address: address, Err: err})
+		return message{}, errors.Trace(err)
 	}
-	resp, err := x.client.Do(r)
+	b, err := x.client.Post(ctx, address, Path, nil, body)
 	if err != nil {
-		return message{}, errors.Trace(&CollectorError{Address: address, Err: err})
-	}
-	defer resp.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxMessage))
-	if err != nil || resp.StatusCode != http.StatusOK {
-		return message{}, errors.Trace(&CollectorError{Address: address, Status: resp.StatusCode, Err: err})
+		return message{}, err
 	}
 	answer, err := decode(boottime.Now(), b)
 	if err != nil {
-		return message{}, errors.Trace(&CollectorError{Address: address, Status: resp.StatusCode, Err: err})
+		return message{}, errors.Trace(&peerhttp.Error{Address: address, Status: http.StatusOK, Err: err})
 	}
 	return answer, nil
 }
--- a/internal/quota/exchange.go
+++ b/internal/quota/exchange.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
-	"io"
 	"maps"
 	"net/http"
 	"net/url"
@@ -15,7 +13,7 @@
 	"github.com/juju/errors"
 
 	"github.com/firlever/firlever/internal/boottime"
-	"github.com/firlever/firlever/internal/tcp"
+	"github.com/firlever/firlever/internal/peerhttp"
 )
 
 // Path is where an instance gives tokens to others.
@@ -36,7 +34,7 @@
 // Exchange takes tokens for requests, from the ledger or from other instances, and is
 // an http.Handler that gives tokens to others. It is safe for concurrent use.
 type Exchange struct {
-	client *http.Client
+	client *peerhttp.Client
 	failed func(err error) // tells that a holder could not be asked
 
 	mu      sync.Mutex
@@ -48,9 +46,8 @@
 // NewExchange makes an exchange of a ledger, which is the exchange's from then on.
 // Questions come from ip; "" lets the system choose.
 func NewExchange(ledger *Ledger, ip string, failed func(err error)) *Exchange {
-	transport := &http.Transport{DialContext: tcp.NewDialer(ip).DialContext, MaxIdleConnsPerHost: 2}
 	return &Exchange{
-		client: &http.Client{Transport: transport}, failed: failed, ledger: ledger,
+		client: peerhttp.New(ip, 2, maxAnswer), failed: failed, ledger: ledger,
 		flights: make(map[string]chan struct{}), silent: make(map[string]time.Time),
 	}
 }
@@ -162,42 +159,19 @@
 	return a.Tokens >= 0 && a.Tokens <= want.Tokens && a.Rate >= 0 && a.Rate <= want.Rate && a.Most >= 0 && a.Again >= 0
 }
 
-// AskError says that a holder gave no good answer.
-type AskError struct {
-	Address string
-	Status  int // of its answer; 0 if there was none
-	Err     error
-}
-
-func (e *AskError) Error() string {
-	return fmt.Sprintf("quota: holder %s: status %d: %v", e.Address, e.Status, e.Err)
-}
-
-// Unwrap returns the cause.
-func (e *AskError) Unwrap() error { return e.Err }
-
-// ask asks a holder for tokens. It returns an *AskError.
+// ask asks a holder for tokens. It returns a *peerhttp.Error.
 func (x *Exchange) ask(address, workspace string, want Want) (answer, error) {
 	want.Tokens = min(want.Tokens, mostWanted)
 	ctx, cancel := context.WithTimeout(context.Background(), askTime)
 	defer cancel()
 	query := url.Values{"workspace": {workspace}, "tokens": {strconv.Itoa(want.Tokens)}, "rate": {strconv.FormatFloat(want.Rate, 'g', -1, 64)}}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+Path+"?"+query.Encode(), nil)
-	if err != nil {
-		return answer{}, errors.Trace(&AskError{Address: address, Err: err})
-	}
-	resp, err := x.client.Do(r)
+	b, err := x.client.Post(ctx, address, Path, query, nil)
 	if err != nil {
-		return answer{}, errors.Trace(&AskError{Address: address, Err: err})
-	}
-	defer resp.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
-	if err != nil || resp.StatusCode != http.StatusOK {
-		return answer{}, errors.Trace(&AskError{Address: address, Status: resp.StatusCode, Err: err})
+		return answer{}, err
 	}
 	var a answer
 	if err := json.Unmarshal(b, &a); err != nil || !a.fits(want) {
-		return answer{}, errors.Trace(&AskError{Address: address, Status: resp.StatusCode, Err: err})
+		return answer{}, errors.Trace(&peerhttp.Error{Address: address, Status: http.StatusOK, Err: err})
 	}
 	return a, nil
 }
