Judge ends only where a request is at three, and gather what is told of them

Change: the book counts as reports come and go, and explains ends only when some request is at three. Writes are gathered for 250 ms; a lease that has ended is replaced at once.

--- a/internal/core/crash.go
+++ b/internal/core/crash.go
@@ -155,7 +155,7 @@
 	}
 	p := f.req.Sent
 	n.endings.recent.Add(now, p)
-	known := n.endings.book.Counts()[p]
+	known := n.endings.book.Count(p)
 	if known == 0 {
 		return
 	}
--- a/internal/crash/book.go
+++ b/internal/crash/book.go
@@ -53,15 +53,20 @@
 	reports  map[string]*entry  // by key; MostReports at most
 	answered map[Print]Revision // when a request was answered with success; mostAnswered at most
 	former   []Print            // that ended targets, by reports that are forgotten; the oldest first, mostFormer at most
-	stale    bool               // what follows has to be judged anew
-	counts   map[Print]int      // targets that ended under a request
-	guilty   map[Print]int      // those of counts that end targets
 	dropped  []Print            // of guilty, that were in reports forgotten since
+
+	ended  map[string]map[Print]int // by target that ended: in how many reports on it a request is; 1 or more
+	counts map[Print]int            // targets that ended under a request; 1 or more
+	stale  bool                     // guilty has to be worked out anew
+	guilty map[Print]int            // those of counts that end targets
 }
 
 // NewBook makes an empty book.
 func NewBook() *Book {
-	return &Book{reports: make(map[string]*entry), answered: make(map[Print]Revision)}
+	return &Book{
+		reports: make(map[string]*entry), answered: make(map[Print]Revision),
+		ended: make(map[string]map[Print]int), counts: make(map[Print]int),
+	}
 }
 
 // Put takes in a report under its key. One that is known only gets its revision.
@@ -72,17 +77,49 @@
 	}
 	e := &entry{revision: revision, target: r.Target, prints: make(map[Print]bool)}
 	for _, p := range r.Prints[:min(len(r.Prints), mostPrints)] {
-		if b.answered[p] < e.order() {
+		if b.answered[p] < e.order() && !e.prints[p] {
 			e.prints[p] = true
+			b.blame(e.target, p)
 		}
 	}
 	b.reports[key] = e
 	if len(b.reports) > MostReports {
 		b.Remove(b.oldest())
 	}
+}
+
+// blame notes that one more report has a request at a target that ended.
+func (b *Book) blame(target string, p Print) {
+	if b.ended[target] == nil {
+		b.ended[target] = make(map[Print]int)
+	}
+	b.ended[target][p]++
+	if b.ended[target][p] == 1 {
+		b.counts[p]++
+	}
 	b.stale = true
 }
 
+// clear takes a request out of a report.
+func (b *Book) clear(e *entry, p Print) {
+	if !e.prints[p] {
+		return
+	}
+	delete(e.prints, p)
+	b.stale = true
+	there := b.ended[e.target]
+	if there[p]--; there[p] > 0 {
+		return
+	}
+	delete(there, p)
+	if len(there) == 0 {
+		delete(b.ended, e.target)
+	}
+	if b.counts[p]--; b.counts[p] == 0 {
+		delete(b.counts, p)
+	}
+}
+
 // Report returns a report, without the requests that were answered since. It has none of
 // them if it is not known.
 func (b *Book) Report(key string) Report {
@@ -95,8 +132,14 @@
 
 // oldest returns the key of the oldest report.
 func (b *Book) oldest() string {
-	keys := slices.Sorted(maps.Keys(b.reports))
-	return slices.MinFunc(keys, func(x, y string) int { return cmp.Compare(b.reports[x].order(), b.reports[y].order()) })
+	first := ""
+	for key, e := range b.reports {
+		old := b.reports[first]
+		if old == nil || e.order() < old.order() || e.order() == old.order() && key < first {
+			first = key
+		}
+	}
+	return first
 }
 
 // Remove forgets a report. A request that ends targets by what is forgotten needs to end
@@ -107,13 +150,13 @@
 		return
 	}
 	guilty := b.Guilty()
-	for p := range e.prints {
+	for p := range maps.Clone(e.prints) {
 		if guilty[p] > 0 {
 			b.dropped = append(b.dropped, p)
 		}
+		b.clear(e, p)
 	}
 	delete(b.reports, key)
-	b.stale = true
 }
 
 // Answered notes that a target has answered a request with success at a revision, which
@@ -128,13 +171,12 @@
 	}
 	for _, e := range b.reports {
 		if e.order() < at || revision == 0 {
-			delete(e.prints, p)
+			b.clear(e, p)
 		}
 	}
 	isIt := func(f Print) bool { return f == p }
 	b.former = slices.DeleteFunc(b.former, isIt)
 	b.dropped = slices.DeleteFunc(b.dropped, isIt)
-	b.stale = true
 }
 
 // forgetAnswer drops the oldest answer.
@@ -143,12 +185,8 @@
 	delete(b.answered, slices.MinFunc(prints, func(x, y Print) int { return cmp.Compare(b.answered[x], b.answered[y]) }))
 }
 
-// Counts returns how many targets ended under each request that was at one. The map is
-// not changed any more.
-func (b *Book) Counts() map[Print]int {
-	b.judge()
-	return b.counts
-}
+// Count returns how many targets ended under a request.
+func (b *Book) Count(p Print) int { return b.counts[p] }
 
 // Guilty returns the requests that end targets, and under how many each did. The map is not
 // changed any more.
@@ -177,18 +215,15 @@
 // them first, then the same of those that are left, so that who was there by chance counts
 // for nothing.
 func (b *Book) explain() {
-	ended := make(map[string]map[Print]bool) // requests at each target that ended
-	for _, e := range b.reports {
-		if ended[e.target] == nil {
-			ended[e.target] = make(map[Print]bool)
-		}
-		maps.Copy(ended[e.target], e.prints)
-	}
-	b.counts, b.guilty = count(ended), make(map[Print]int)
+	b.guilty = make(map[Print]int)
+	var ended map[string]map[Print]int // that are not explained yet; nil for all
 	for counts := b.counts; ; counts = count(ended) {
 		worst, ok := b.worst(counts)
 		if !ok {
-			return
+			return // mostly at once: few requests are at several targets that end
+		}
+		if ended == nil {
+			ended = maps.Clone(b.ended)
 		}
 		alike, rivals := compare(ended, counts, worst)
 		if rivals == 0 || counts[worst] >= sure {
@@ -196,7 +231,7 @@
 				b.guilty[p] = counts[p]
 			}
 		}
-		maps.DeleteFunc(ended, func(_ string, prints map[Print]bool) bool { return prints[worst] })
+		maps.DeleteFunc(ended, func(_ string, prints map[Print]int) bool { return prints[worst] > 0 })
 	}
 }
 
@@ -214,7 +249,7 @@
 }
 
 // count returns at how many of the targets each request was.
-func count(ended map[string]map[Print]bool) map[Print]int {
+func count(ended map[string]map[Print]int) map[Print]int {
 	counts := make(map[Print]int)
 	for _, prints := range ended {
 		for p := range prints {
@@ -226,10 +261,10 @@
 
 // compare returns the requests that were at just the targets that one was at, that one
 // among them, and how many others were at as many, some of them the same.
-func compare(ended map[string]map[Print]bool, counts map[Print]int, one Print) (alike []Print, rivals int) {
+func compare(ended map[string]map[Print]int, counts map[Print]int, one Print) (alike []Print, rivals int) {
 	shared := make(map[Print]int)
 	for _, prints := range ended {
-		if !prints[one] {
+		if prints[one] == 0 {
 			continue
 		}
 		for p := range prints {
--- a/internal/crash/book_test.go
+++ b/internal/crash/book_test.go
@@ -52,7 +52,7 @@
 	for i := range 5 {
 		b.Put(fmt.Sprint(i), Revision(i+1), Report{Target: "t", Prints: []Print{bad}})
 	}
-	if got := b.Counts()[bad]; got != 1 {
+	if got := b.Count(bad); got != 1 {
 		t.Errorf("got %d targets, want 1", got)
 	}
 }
--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -102,7 +102,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.recent.Add(now, p)
-	known := c.book.Counts()[p]
+	known := c.book.Count(p)
 	if known == 0 {
 		return
 	}
--- a/internal/edge/teller.go
+++ b/internal/edge/teller.go
@@ -24,11 +24,12 @@
 	// again without it at an instance that starts then.
 	answerTime   = 10 * time.Minute
 	evidenceTime = answerTime / 2
-	// mostOutbox bounds what waits to be written, mostWrites what one call writes. At most
-	// one call is made each writePause, or each renewRetry while they fail.
+	// mostOutbox bounds what waits to be written, mostWrites what one call writes. Writes are
+	// gathered for writePause, as many targets may end at once; while calls fail, one is made
+	// each renewRetry.
 	mostOutbox = 256
 	mostWrites = 32
-	writePause = 100 * time.Millisecond
+	writePause = 250 * time.Millisecond
 	// tellTime is how long a peer may take to be told: some round trips in a region.
 	// tellAtOnce bounds how many are told at the same time.
 	tellTime   = 400 * time.Millisecond
@@ -96,6 +97,7 @@
 			return
 		case <-t.soon:
 		}
+		boottime.Sleep(ctx, boottime.Now().Add(writePause))
 		for batch := t.first(); len(batch) > 0 && ctx.Err() == nil; batch = t.first() {
 			pause := writePause
 			if err := t.write(ctx, batch); err != nil && ctx.Err() == nil {
@@ -115,22 +117,16 @@
 	return slices.Clone(t.outbox[:min(len(t.outbox), mostWrites)])
 }
 
-// write writes a batch into the store, and takes it out of the outbox.
+// write writes a batch into the store, and takes it out of the outbox. A lease that has ended
+// is replaced at once: whoever starts now should find what went with it.
 func (t *teller) write(ctx context.Context, batch []note) error {
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
-	var txn platform.Txn
-	for _, w := range batch {
-		id, err := t.under(ctx, w.life)
-		if err != nil {
-			return err
-		}
-		txn.Put = append(txn.Put, platform.Write{Key: w.key, Value: w.value, Lease: id})
-	}
-	_, err := t.node.store.Do(ctx, txn)
+	err := t.put(ctx, batch)
 	var missing *platform.MissingError
 	if errors.As(err, &missing) {
 		clear(t.leases)
+		err = t.put(ctx, batch)
 	}
 	if err != nil {
 		return err
@@ -144,6 +140,20 @@
 	return nil
 }
 
+// put makes one transaction of a batch.
+func (t *teller) put(ctx context.Context, batch []note) error {
+	var txn platform.Txn
+	for _, w := range batch {
+		id, err := t.under(ctx, w.life)
+		if err != nil {
+			return err
+		}
+		txn.Put = append(txn.Put, platform.Write{Key: w.key, Value: w.value, Lease: id})
+	}
+	_, err := t.node.store.Do(ctx, txn)
+	return err
+}
+
 // under returns a lease under which a note lasts for half of a time at least.
 func (t *teller) under(ctx context.Context, life time.Duration) (platform.LeaseID, error) {
 	now := boottime.Now()
