Wake nobody before the time that was asked for

A time converted for the runtime's clock was early by the few hundred nanoseconds between two readings. Whoever is woken and finds that its time has not come takes the end of a request's head for the end of its connection.

--- a/internal/boottime/clock.go
+++ b/internal/boottime/clock.go
@@ -132,8 +132,12 @@
 func Since(t time.Time) time.Duration { return Now().Sub(t) }
 
 // Runtime returns when t comes by the clock of the runtime, for timers, contexts and
-// connections, if the machine is not suspended before.
-func Runtime(t time.Time) time.Time { return time.Now().Add(Until(t)) }
+// connections, if the machine is not suspended before: not sooner, so that who is woken by it
+// finds that t has come.
+func Runtime(t time.Time) time.Time {
+	left := Until(t)
+	return time.Now().Add(left)
+}
 
 // Suspend has the clock go on as if the machine had been suspended for d until now. It is
 // for tests and stand-ins, which can't suspend their machine.
--- a/internal/boottime/clock_test.go
+++ b/internal/boottime/clock_test.go
@@ -86,9 +86,13 @@
 // The clock of this machine goes, and its times can be handed to the runtime.
 func TestSystem(t *testing.T) {
 	at := Now().Add(20 * time.Millisecond)
-	if got := time.Until(Runtime(at)); got <= 0 || got > 20*time.Millisecond {
+	first, last := Runtime(at), Runtime(at)
+	if got := time.Until(last); got <= 0 || got > 20*time.Millisecond {
 		t.Errorf("got %s by the clock of the runtime, want 20ms at most", got)
 	}
+	if early := at.Sub(first); early > 0 {
+		t.Errorf("got woken %s too soon", early)
+	}
 	Sleep(context.Background(), at)
 	if Until(at) > 0 || Since(at) < 0 {
 		t.Errorf("got awake %s too soon", Until(at))
