Write no key twice in a call; look for a target again that was not found to have ended

An answer that is told twice while the store is away waited twice, and a transaction with a key twice may be refused for good, with all that waits behind it. A target that broke exchanges off again within 5 s was not looked for a second time when the first look had timed out.

--- a/internal/edge/breach.go
+++ b/internal/edge/breach.go
@@ -29,7 +29,7 @@
 	target steer.Target
 	prints []crash.Print
 	until  time.Time // it is forgotten then
-	alive  bool      // the target was found to live
+	over   bool      // the target was looked for and not found to have ended
 
 	planned bool // the target was leaving, or gone from the store
 	ended   bool // the target is known to have ended
@@ -45,7 +45,7 @@
 		return
 	}
 	b := c.broken[target.ID]
-	if b == nil || b.alive || !b.target.Started.Equal(target.Started) {
+	if b == nil || b.over || !b.target.Started.Equal(target.Started) {
 		b = &breach{target: target, until: now.Add(keepBroken), planned: !c.node.serving(target)}
 		c.broken[target.ID] = b
 		go c.look(b)
@@ -75,7 +75,7 @@
 	serving := c.node.serving(b.target)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	b.alive = found == "lives"
+	b.over = found != "ended"
 	b.planned = b.planned || !serving
 	if found == "ended" {
 		c.ended(b)
--- a/internal/edge/teller.go
+++ b/internal/edge/teller.go
@@ -74,10 +74,15 @@
 	return &teller{node: n, soon: make(chan struct{}, 1), client: peerhttp.New("", 1, maxTold), leases: make(map[time.Duration]lease)}
 }
 
-// post has a note written.
+// post has a note written. It takes the place of one that waits under its key: one call writes
+// no key twice.
 func (t *teller) post(w note) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if i := slices.IndexFunc(t.outbox, func(o note) bool { return o.key == w.key }); i >= 0 {
+		t.outbox[i] = w
+		return
+	}
 	if len(t.outbox) >= mostOutbox {
 		t.node.cfg.Log.Warn("not told, as too much waits", "key", t.outbox[0].key)
 		t.outbox = t.outbox[1:]
