Log what targets ask for in their answers

Change: the three headers are decoded in platform, what a run of a target said last is kept, and a line and a counter tell each news of it. A header that can't be read counts for nothing and is logged. Nothing is decided by it yet. Tests: TestReadNotice. TestReadAnswer compares by reflect.DeepEqual now, as an answer holds a list; it compares as much as before.

--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -112,11 +112,11 @@
 	if p.rules.keys.Needed() {
 		platform.SetWorkspace(header, p.name())
 	}
-	id := p.info.ID
+	sent := boottime.Now()
 	return n.pool.Do(ctx, &http1.Exchange{
 		Request: p.in, Header: header, Target: target.ID, Group: target.Service, Address: target.Address,
 		Once: !p.repeatable, Until: p.deadline,
-		Mine: func(status int, h http.Header) bool { return platform.ReadAnswer(status, h).For(id) },
+		Mine: func(status int, h http.Header) bool { return n.headRead(p, target, sent, status, h) },
 		Keep: func(resp *http1.Response) bool { return resp.Status != http.StatusMisdirectedRequest },
 	})
 }
--- /dev/null
+++ b/internal/edge/notice.go
@@ -0,0 +1,49 @@
+package edge
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/firlever/firlever/internal/boottime"
+	"github.com/firlever/firlever/internal/metrics"
+	"github.com/firlever/firlever/internal/steer"
+	"github.com/firlever/firlever/platform"
+)
+
+// headRead takes in what the head of an answer says of its target, and returns whether the
+// answer belongs to the request. It is called before the body has come.
+func (n *Node) headRead(p *passage, target steer.Target, sent time.Time, status int, h http.Header) bool {
+	a := platform.ReadAnswer(status, h)
+	if !a.For(p.info.ID) {
+		return false
+	}
+	if status != http.StatusMisdirectedRequest { // another target's
+		n.noticed(p, target, sent, status, a)
+	}
+	return true
+}
+
+// noticed takes in what a target says of the requests that it wants.
+func (n *Node) noticed(p *passage, target steer.Target, sent time.Time, status int, a platform.Answer) {
+	now := boottime.Now()
+	n.mu.Lock()
+	news := n.fleet.Notice(now, target, sent, steer.Notice{
+		Leaving: a.Leaving, Limit: a.Limit, Limited: a.Limited, Rest: a.Rest,
+		Success: status < http.StatusMultipleChoices && a.Signed,
+	})
+	n.mu.Unlock()
+	for _, what := range news {
+		n.cfg.Metrics.Decided(metrics.Decision{Kind: "notice", Service: target.Service, Reason: string(what)})
+		if suppressed, ok := n.failures.Allow(now); ok {
+			n.cfg.Log.Info("target notice", "target", target.ID, "service", target.Service, "domain", target.Domain, "started", target.Started,
+				"news", what, "limit", a.Limit, "rest", a.Rest, "id", p.info.ID, "status", status, "suppressed", suppressed)
+		}
+	}
+	if a.Unread == nil {
+		return
+	}
+	n.cfg.Metrics.Decided(metrics.Decision{Kind: "notice", Service: target.Service, Reason: "unreadable"})
+	if suppressed, ok := n.failures.Allow(now); ok {
+		n.cfg.Log.Warn("target notice unreadable", "target", target.ID, "headers", a.Unread, "id", p.info.ID, "suppressed", suppressed)
+	}
+}
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -74,7 +74,7 @@
 	"relay lost": true, "store followed through a peer": true, "lease not renewed": true, "lease renewed again": true, "lease ended": true,
 	"configuration in force": true, "evacuation": true, "settings reloaded": true, "log lines dropped": true,
 	"loads not exchanged": true, "registration unusable": true, "tokens not asked for": true,
-	"machine was suspended": true,
+	"machine was suspended": true, "target notice": true, "target notice unreadable": true,
 }
 
 // Story returns the lines that explain a request, in the order of time. What became known
--- a/internal/steer/fleet.go
+++ b/internal/steer/fleet.go
@@ -19,6 +19,7 @@
 	targets   map[string]*target
 	bySeed    map[uint64]*target // the same, by the hashes of their IDs
 	services  map[string]*service
+	wishes    map[run]*wishes      // of runs that have said any, known or gone not long ago
 	evacuated map[string]bool      // by failure domain
 	peers     []string             // instances that bounds are divided among, this one among them; sorted
 	lapsed    map[string]time.Time // those of peers whose records are gone: they count until then
@@ -46,6 +47,7 @@
 		targets:   make(map[string]*target),
 		bySeed:    make(map[uint64]*target),
 		services:  make(map[string]*service),
+		wishes:    make(map[run]*wishes),
 		evacuated: make(map[string]bool),
 		lapsed:    make(map[string]time.Time),
 	}, nil
@@ -79,6 +81,7 @@
 	}
 	s := f.service(now, t.Service)
 	n := newTarget(now, t, s, f.cfg.Regions[t.Domain])
+	n.wishes = f.wishes[runOf(&t)]
 	f.targets[t.ID], f.bySeed[n.seed] = n, n
 	i, _ := slices.BinarySearchFunc(s.targets, t.ID, byID)
 	s.targets = slices.Insert(s.targets, i, n)
--- a/internal/steer/target.go
+++ b/internal/steer/target.go
@@ -40,6 +40,7 @@
 	Target
 
 	service *service
+	wishes  *wishes // nil if the target has said none
 	seed    uint64
 	region  string
 	added   time.Time   // when this run of it was first known
