Keep to the limits that targets name, over all instances

What callers and operators saw: two targets that had named limits of 9.0 and 6.3 requests a second got 103 and 93 requests within 4 s from nine instances, where 59 and 43 are allowed. Cause: nothing read the header; choices went on by load alone. Class: what a target asks for in an answer is lost with the answer. Change: each run of a target that names a limit has a bucket of tokens here. A limit is divided evenly among as many instances as can save up a token each, by their rank for the target; the parts take in no more than the limit, and hold no more together than a window allows beyond it. The place where targets are chosen asks it, so that first, further and second attempts keep to it alike. A success that names none, of a request sent after the limit was last heard, ends it; who may send nothing has a turn to try each time. What was said stays with the run: it holds when the entry lapses in an outage and comes back, and not for the next run. Refused callers get places one after the other. The other way that was weighed is to lend parts as quotas do. It needs its holders to know of limits that only answers tell, and a call between instances before a target is chosen. It was not built.

--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -47,7 +47,7 @@
 		"config", p.rules.Config().Version,
 		"status", resp.Status, "took", now.Sub(p.in.At), "left", p.deadline.Sub(now), "attempts", p.arrived,
 		"target", c.Target.ID, "domain", c.Target.Domain, "wait", c.Wait, "cost", c.Cost, "home", c.Home, "cold", c.Cold,
-		"busy", c.Busy, "usual", c.Usual, "load-age", c.Age, "store-age", n.mirror.Age(now),
+		"busy", c.Busy, "usual", c.Usual, "limit", c.Limit, "part", c.Part, "load-age", c.Age, "store-age", n.mirror.Age(now),
 		"ending", p.outcome(), "ended", p.ended, "conn", p.in.Conn,
 	}
 }
--- /dev/null
+++ b/internal/edge/notice_test.go
@@ -0,0 +1,59 @@
+package edge
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/firlever/firlever/internal/emulator/store"
+)
+
+// What a target has said of the requests that it wants holds on each way to it.
+func TestNoWayPastANotice(t *testing.T) {
+	notices := map[string]string{"limit": "good, Server-Limit: 0"}
+	ways := map[string]struct {
+		other string // behaviour of another target; "" for none
+		away  bool   // the store is
+	}{
+		"first attempt":               {},
+		"retry":                       {other: "shed"},
+		"second attempt":              {other: "hang"},
+		"first attempt in an outage":  {away: true},
+		"retry in an outage":          {other: "shed", away: true},
+		"second attempt in an outage": {other: "hang", away: true},
+	}
+	for notice, behaviour := range notices {
+		for way, tt := range ways {
+			t.Run(notice+"/"+way, func(t *testing.T) {
+				t.Parallel()
+				r := newRig(t)
+				r.configure(1, "s")
+				a := r.target(behaviour)
+				r.register("a", a.address, "n1", "ready")
+				r.start()
+				r.knows(1)
+				if tt.away {
+					r.store.SetFaults(store.Faults{Refuse: true})
+				}
+				r.send("GET", "/get/x")
+				if got := a.requests(); got != 1 {
+					t.Fatalf("got %d requests at the target, want 1", got)
+				}
+				if tt.other != "" {
+					r.add(r.target(tt.other).address)
+				}
+				before := a.requests()
+				for range 4 {
+					begun := time.Now()
+					got := r.send("GET", "/get/x")
+					if tt.other == "" && (got.status != http.StatusServiceUnavailable || got.again == "" || time.Since(begun) > 50*time.Millisecond) {
+						t.Errorf("got %+v, want 503 at once, and when to come back", got)
+					}
+				}
+				if got := a.requests() - before; got != 0 {
+					t.Errorf("got %d further requests at the target, want none", got)
+				}
+			})
+		}
+	}
+}
--- a/internal/edge/rig_test.go
+++ b/internal/edge/rig_test.go
@@ -14,7 +14,9 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/emulator/store"
+	"github.com/firlever/firlever/internal/steer"
 	"github.com/firlever/firlever/platform"
 )
 
@@ -150,6 +152,13 @@
 		address, started, domain, state, sequence))
 }
 
+// add makes a further target known, past the store.
+func (r *rig) add(address string) {
+	r.node.mu.Lock()
+	defer r.node.mu.Unlock()
+	r.node.fleet.Put(boottime.Now(), steer.Target{ID: "other", Sequence: 1, Service: "s", Address: address, Domain: "n1", Slots: 4})
+}
+
 // knows waits until the node knows so many usable targets.
 func (r *rig) knows(usable int) {
 	r.t.Helper()
@@ -204,7 +213,7 @@
 }
 
 // target is a scripted target: each request gets the next behaviour, the last one
-// again and again.
+// again and again. A header may stand behind a behaviour, as "good, Name: value".
 type target struct {
 	address string
 
@@ -241,6 +250,10 @@
 
 func (t *target) answer(w http.ResponseWriter, q *http.Request, behaviour string) {
 	body, _ := io.ReadAll(q.Body)
+	behaviour, notice, _ := strings.Cut(behaviour, ", ")
+	if name, value, ok := strings.Cut(notice, ": "); ok {
+		w.Header().Set(name, value)
+	}
 	refuses := behaviour == "shed" || behaviour == "replaced"
 	t.mu.Lock()
 	if !refuses {
@@ -291,6 +304,13 @@
 	return t.asks[len(t.asks)-1]
 }
 
+// requests is how many requests reached the target.
+func (t *target) requests() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.got)
+}
+
 func (t *target) runs() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/steer/fleet.go
+++ b/internal/steer/fleet.go
@@ -23,6 +23,7 @@
 	evacuated map[string]bool      // by failure domain
 	peers     []string             // instances that bounds are divided among, this one among them; sorted
 	lapsed    map[string]time.Time // those of peers whose records are gone: they count until then
+	division  int                  // counts the changes of peers
 }
 
 // service is what is known of a service as a whole.
@@ -33,6 +34,7 @@
 	domains map[string]time.Duration // the same at the targets of a failure domain
 	budget  *retry.Window            // additional attempts of this instance
 	usual   float64                  // requests of other instances for each slot of a target, smoothed over reports; 0 or more
+	booked  time.Time                // refused callers were told to come back until then
 }
 
 // New makes an empty fleet. It returns a *ConfigError.
--- a/internal/steer/notice.go
+++ b/internal/steer/notice.go
@@ -48,13 +48,6 @@
 	until    time.Time // remembered so long without its entry
 }
 
-// limit is how many requests a target takes from all instances together.
-type limit struct {
-	named bool
-	rate  float64   // requests a second; 0 or more
-	heard time.Time // when an answer last named it
-}
-
 // Notice takes in what a target said in an answer to a request that was sent at a time.
 func (f *Fleet) Notice(now time.Time, of Target, sent time.Time, n Notice) []News {
 	key := runOf(&of)
@@ -92,7 +85,7 @@
 		if !w.limit.named || w.limit.rate != n.Limit {
 			news = append(news, Limits)
 		}
-		w.limit = limit{named: true, rate: n.Limit, heard: now}
+		w.limit.name(now, n.Limit)
 	case n.Success && w.limit.named && sent.After(w.limit.heard):
 		w.limit = limit{}
 		news = append(news, LimitOver)
--- a/internal/steer/notice_test.go
+++ b/internal/steer/notice_test.go
@@ -199,3 +199,114 @@
 		})
 	}
 }
+
+// A limit is used: callers are served by it where nothing else has room.
+func TestLimitIsUsed(t *testing.T) {
+	tests := map[string]struct {
+		rates []float64
+		limit float64
+		want  int // requests in 20 s, at least
+	}{
+		"even load":           {even(9, 200), 50, 950},
+		"unequal load":        {[]float64{100, 50, 20, 10, 8, 6, 5, 5, 5}, 18, 350},
+		"all at one instance": {[]float64{200, 0, 0, 0, 0, 0, 0, 0, 0}, 18, 40},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newNoticeWorld(t, tt.rates, 1, limited(tt.limit, 5))
+			w.run(0, 10)
+			before := len(w.arrivals)
+			w.run(10, 30)
+			if got := len(w.arrivals) - before; got < tt.want {
+				t.Errorf("got %d requests, want %d at least", got, tt.want)
+			}
+		})
+	}
+}
+
+// Once a target names no limit any more, it is used as before, and not by all at once.
+func TestLimitEnds(t *testing.T) {
+	tests := map[string]struct {
+		rates  []float64
+		limit  float64
+		within float64 // seconds
+	}{
+		"even load":    {even(9, 360), 9, 2},
+		"unequal load": {[]float64{200, 100, 40, 10, 5, 2, 1, 1, 1}, 9, 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newNoticeWorld(t, tt.rates, 16, func(target string, now time.Time) word {
+				if now.Sub(start) < seconds(25) {
+					return limited(tt.limit, 5)(target, now)
+				}
+				return word{}
+			})
+			w.run(0, 25)
+			w.run(25, 25+tt.within)
+			begin := len(w.arrivals)
+			w.run(25+tt.within, 30+tt.within)
+			if got, want := len(w.arrivals)-begin, 60; got < want {
+				t.Errorf("got %d requests in 5 s, want %d at least", got, want)
+			}
+		})
+	}
+}
+
+// What a target has said holds for its run: when its entry comes back too, and not for the next.
+func TestNoticeOfARun(t *testing.T) {
+	first, second := start.Add(-time.Hour), start.Add(time.Second)
+	target := Target{ID: "t00", Started: first, Sequence: 5, Service: "s", Domain: "n1", Slots: 9}
+	newer := target
+	newer.Sequence = 6
+	restarted := target
+	restarted.Started, restarted.Sequence = second, 1
+	tests := map[string]struct {
+		change func(f *Fleet)
+		want   Reason
+	}{
+		"nothing":             {func(*Fleet) {}, Limited},
+		"a report":            {func(f *Fleet) { f.Put(start, newer) }, Limited},
+		"gone and back":       {func(f *Fleet) { f.Remove("t00"); f.Put(start, target) }, Limited},
+		"another run":         {func(f *Fleet) { f.Put(start, restarted) }, ""},
+		"gone, another run":   {func(f *Fleet) { f.Remove("t00"); f.Put(start, restarted) }, ""},
+		"others join":         {func(f *Fleet) { f.Peers(start, []string{"a", "b", "c"}) }, Limited},
+		"an answer without":   {func(f *Fleet) { f.Notice(start.Add(2), target, start.Add(1), Notice{Success: true}) }, ""},
+		"a failure without":   {func(f *Fleet) { f.Notice(start.Add(2), target, start.Add(1), Notice{}) }, Limited},
+		"an answer of before": {func(f *Fleet) { f.Notice(start.Add(2), target, start, Notice{Success: true}) }, Limited},
+		"another run's word":  {func(f *Fleet) { f.Notice(start.Add(2), restarted, start.Add(1), Notice{Success: true}) }, Limited},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 0, 9)
+			f.Put(start, target)
+			f.Notice(start, target, start, Notice{Limit: 0, Limited: true})
+			tt.change(f)
+			if got := f.Pick(start.Add(3), query("7")).Reason; got != tt.want {
+				t.Errorf("got %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
+// Callers that are refused for limits come back one after the other.
+func TestPlacesWithinLimits(t *testing.T) {
+	f := newFleet(t, 1, 9)
+	target := f.targets["t00"].Target
+	f.Notice(start, target, start, Notice{Limit: 20, Limited: true})
+	now := start.Add(10 * time.Millisecond)
+	var got []time.Duration
+	for i := range 5 {
+		c := f.Pick(now, query(fmt.Sprint(i)))
+		if c.Reason != Limited {
+			t.Fatalf("got reason %q, want %q", c.Reason, Limited)
+		}
+		got = append(got, c.Again)
+	}
+	for i, again := range got {
+		// One of two instances may send 10 a second.
+		if want := 90*time.Millisecond + time.Duration(i)*100*time.Millisecond; (again - want).Abs() > time.Millisecond {
+			t.Errorf("caller %d: got %s, want %s", i, again, want)
+		}
+	}
+}
--- a/internal/steer/peers.go
+++ b/internal/steer/peers.go
@@ -61,6 +61,7 @@
 		return
 	}
 	f.peers = peers
+	f.division++
 	for _, s := range f.services {
 		s.budget.SetSlack(f.slack())
 	}
--- a/internal/steer/pick.go
+++ b/internal/steer/pick.go
@@ -28,6 +28,7 @@
 	NoRoom   Reason = "no-room"   // every target would answer too late
 	NoBudget Reason = "no-budget" // the retry budget is used up
 	Cold     Reason = "cold"      // the targets with room are cold and have had their share
+	Limited  Reason = "limited"   // every target has named a limit, and has had this instance's part of it
 )
 
 // Choice is the target that gets the request, or why there is none.
@@ -40,6 +41,8 @@
 	Busy   int           // requests that the target had to do, as far as was known
 	Usual  float64       // usual load of the service's targets, for each slot; counts where Age is long
 	Age    time.Duration // since the target last told its load; -1 if it never did
+	Limit  float64       // requests a second that the target takes from all instances, as it said; -1 if it named no limit
+	Part   float64       // of Limit, that this instance may send
 	SlowAt time.Time     // without an answer by then, there hardly will be one; another target may be tried beside
 	Reason Reason        // set if the request is refused
 	Again  time.Duration // when it is worth coming back; set if the request is refused
@@ -80,6 +83,7 @@
 	if q.Retry && !s.budget.Spend(now) {
 		return c.noBudget()
 	}
+	f.spend(now, f.targets[c.Target.ID])
 	f.targets[c.Target.ID].begin(now)
 	c.SlowAt = now.Add(c.Wait + max(q.Objective, hedgeFactor*s.latency(q.Objective)))
 	return c
@@ -91,7 +95,7 @@
 func (c Choice) noBudget() Choice {
 	return Choice{
 		Reason: NoBudget, Again: max(againSoonest, c.Wait), First: c.Target.ID,
-		Wait: c.Wait, Busy: c.Busy, Usual: c.Usual, Age: c.Age,
+		Wait: c.Wait, Busy: c.Busy, Usual: c.Usual, Age: c.Age, Limit: c.Limit, Part: c.Part,
 	}
 }
 
@@ -105,18 +109,26 @@
 	mean := s.latency(q.Objective)
 	found, refused := f.cheapest(now, o.short(), q, mean)
 	if found.Target.ID == "" || q.Object == "" {
-		found, _ = f.cheapest(now, f.unranked(now, s, q, o), q, mean)
+		var all Choice
+		found, all = f.cheapest(now, f.unranked(now, s, q, o), q, mean)
+		if refused.Reason == Limited {
+			refused = all
+		}
+	}
+	if found.Target.ID != "" {
+		return found
 	}
-	if found.Target.ID == "" {
-		return refused
+	if refused.Reason == Limited {
+		refused.Again = s.place(now, now.Add(refused.Again), f.limitGap(now, s))
 	}
-	return found
+	return refused
 }
 
 // cheapest returns the cheapest of some targets that can answer in time, and the
 // refusal if there is none.
 func (f *Fleet) cheapest(now time.Time, list []candidate, q Query, mean time.Duration) (found, refused Choice) {
 	first := list[0]
+	limited, next := 0, againLimited
 	refused = Choice{Reason: NoRoom, Again: againNone, First: first.ID, Wait: first.wait(now, first.work(mean))}.basedOn(now, first)
 	for _, c := range list {
 		wait := c.wait(now, c.work(mean))
@@ -132,6 +144,10 @@
 			refused.Reason, refused.Again = Cold, min(refused.Again, againCold)
 			continue
 		}
+		if wait := f.limitRoom(now, c.target); wait > 0 {
+			limited, next = limited+1, min(next, wait)
+			continue
+		}
 		cost := wait + f.penalty(c, q, mean) + c.slowness(now, mean)
 		if c.cold(now) {
 			cost += mean
@@ -142,12 +158,18 @@
 			}.basedOn(now, c)
 		}
 	}
+	if limited == len(list) {
+		refused.Reason, refused.Again = Limited, next
+	} else if limited > 0 {
+		refused.Again = min(refused.Again, max(againSoonest, next))
+	}
 	return found, refused
 }
 
 // basedOn notes what is known of the load of the target that decided.
 func (c Choice) basedOn(now time.Time, t candidate) Choice {
 	c.Busy, c.Usual, c.Age = t.occupied(now), t.service.usual, t.loadAge(now)
+	c.Limit, c.Part = t.limitPart()
 	return c
 }
 
