Tell the instances of a region of limits and of targets that leave

Cause: where a limit is smaller than the number of instances, most of them may send nothing, and don't hear when it is over; each would try by itself, in turn. Change: with the loads go, for each target that an answer told something of, its limit and whether it leaves, of one run of it: 27 bytes a target, 512 a message, only while answers say so. What is older than what an instance heard itself changes nothing. Figures (TestLimitEnds, simulated): of 195 instances and a target that takes 1.2 requests a second, 5 may send; 10 s after the limit is over it gets as much as the others again. Where none is let in (limit 0) it takes 25 s.

--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -8,18 +8,23 @@
 	"github.com/firlever/firlever/internal/steer"
 )
 
-// told lists what targets have told this instance of their load since a time.
-func (n *Node) told(since time.Time) []steer.Report {
+// told lists what targets have told this instance of themselves since a time.
+func (n *Node) told(since time.Time) steer.Told {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.fleet.Reports(boottime.Now(), since)
+	return steer.Told{Loads: n.fleet.Reports(boottime.Now(), since), Constraints: n.fleet.Constraints(since)}
 }
 
 // hear takes in what targets have told other instances.
-func (n *Node) hear(reports []steer.Report) {
+func (n *Node) hear(told steer.Told) {
+	now := boottime.Now()
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.fleet.Hear(boottime.Now(), reports)
+	n.fleet.Hear(now, told.Loads)
+	heard := n.fleet.HearConstraints(now, told.Constraints)
+	n.mu.Unlock()
+	for _, h := range heard {
+		n.logNotice(now, h, "peer", true)
+	}
 }
 
 // loadsFailed notes that reports of load were not passed on.
--- a/internal/edge/notice.go
+++ b/internal/edge/notice.go
@@ -33,11 +33,7 @@
 	})
 	n.mu.Unlock()
 	for _, what := range news {
-		n.cfg.Metrics.Decided(metrics.Decision{Kind: "notice", Service: target.Service, Reason: string(what)})
-		if suppressed, ok := n.failures.Allow(now); ok {
-			n.cfg.Log.Info("target notice", "target", target.ID, "service", target.Service, "domain", target.Domain, "started", target.Started,
-				"news", what, "limit", a.Limit, "rest", a.Rest, "id", p.info.ID, "status", status, "suppressed", suppressed)
-		}
+		n.logNotice(now, steer.Heard{Target: target, News: what, Limit: a.Limit}, "rest", a.Rest, "id", p.info.ID, "status", status)
 	}
 	if a.Unread == nil {
 		return
@@ -47,3 +43,17 @@
 		n.cfg.Log.Warn("target notice unreadable", "target", target.ID, "headers", a.Unread, "id", p.info.ID, "suppressed", suppressed)
 	}
 }
+
+// logNotice logs what became known of the requests that a target wants, with further fields.
+func (n *Node) logNotice(now time.Time, h steer.Heard, fields ...any) {
+	t := h.Target
+	n.cfg.Metrics.Decided(metrics.Decision{Kind: "notice", Service: t.Service, Reason: string(h.News)})
+	suppressed, ok := n.failures.Allow(now)
+	if !ok {
+		return
+	}
+	line := []any{
+		"target", t.ID, "service", t.Service, "domain", t.Domain, "started", t.Started, "news", h.News, "limit", h.Limit, "suppressed", suppressed,
+	}
+	n.cfg.Log.Info("target notice", append(line, fields...)...)
+}
--- a/internal/loads/board.go
+++ b/internal/loads/board.go
@@ -1,5 +1,5 @@
-// Package loads passes on what targets say of their load between the instances of a
-// region. One of them collects: each tells it now and then what it was told itself, and
+// Package loads passes on what targets say of themselves, of their load and of the requests
+// that they want, between the instances of a region. One of them collects: each tells it now and then what it was told itself, and
 // gets what the others were told since. Nothing rests on it: what comes late or not at
 // all leaves an instance with what it hears by itself.
 package loads
@@ -9,67 +9,73 @@
 	"slices"
 	"sync"
 	"time"
-
-	"github.com/firlever/firlever/internal/steer"
 )
 
 // keep is how long a report is passed on: about as long as it counts.
 const keep = 5 * time.Second
 
+// about is what instances tell each other of a target.
+type about interface {
+	// About is the hash of the target's ID.
+	About() uint64
+	// Made is when it was so.
+	Made() time.Time
+}
+
 // board holds the newest report of each target at the instance that collects. It is safe
 // for concurrent use.
-type board struct {
+type board[R about] struct {
 	mu   sync.Mutex
-	rows map[uint64]row // by target; guarded by mu
-	last uint64         // number of the newest row; guarded by mu
+	rows map[uint64]row[R] // by target; guarded by mu
+	last uint64            // number of the newest row; guarded by mu
 }
 
 // row is the newest report of a target.
-type row struct {
-	steer.Report
+type row[R about] struct {
+	report R
 	from   uint64 // who told it
 	number uint64 // grows with each row that is written
 }
 
-func newBoard() *board { return &board{rows: make(map[uint64]row)} }
+func newBoard[R about]() *board[R] { return &board[R]{rows: make(map[uint64]row[R])} }
 
-// add takes in what an instance tells, and returns what of it is news.
-func (b *board) add(from uint64, reports []steer.Report) []steer.Report {
+// add takes reports in, and returns those that are newer than what was known.
+func (b *board[R]) add(from uint64, reports []R) []R {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var news []steer.Report
+	var news []R
 	for _, r := range reports {
-		if old, ok := b.rows[r.Target]; ok && !r.At.After(old.At) {
+		if old, ok := b.rows[r.About()]; ok && !r.Made().After(old.report.Made()) {
 			continue
 		}
 		b.last++
-		b.rows[r.Target] = row{Report: r, from: from, number: b.last}
+		b.rows[r.About()] = row[R]{report: r, from: from, number: b.last}
 		news = append(news, r)
 	}
 	return news
 }
 
-// since lists the rows after a number that others than one instance told, and the number
-// to go on from. If there are more than most, it lists the newest.
-func (b *board) since(now time.Time, number, but uint64, most int) ([]steer.Report, uint64) {
+// since returns what others than one have told after a number, at most so many, the
+// newest first if there are more. It returns the number up to which all is told then.
+func (b *board[R]) since(now time.Time, number, but uint64, most int) ([]R, uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var rows []row
+	var rows []row[R]
 	for target, r := range b.rows {
 		switch {
-		case now.Sub(r.At) > keep:
+		case now.Sub(r.report.Made()) > keep:
 			delete(b.rows, target)
 		case r.number > number && r.from != but:
 			rows = append(rows, r)
 		}
 	}
 	if len(rows) > most {
-		slices.SortFunc(rows, func(x, y row) int { return cmp.Compare(y.number, x.number) })
+		slices.SortFunc(rows, func(x, y row[R]) int { return cmp.Compare(y.number, x.number) })
 		rows = rows[:most]
 	}
-	reports := make([]steer.Report, 0, len(rows))
+	reports := make([]R, 0, len(rows))
 	for _, r := range rows {
-		reports = append(reports, r.Report)
+		reports = append(reports, r.report)
 	}
 	return reports, b.last
 }
--- a/internal/loads/exchange.go
+++ b/internal/loads/exchange.go
@@ -26,7 +26,7 @@
 	// pause is how long a collector is left alone that gave no answer.
 	pause = 2 * time.Second
 	// maxMessage bounds what is read of a message, in bytes.
-	maxMessage = 16 << 10
+	maxMessage = 32 << 10
 )
 
 // Peers is what an Exchange needs of its instance. The functions must be safe for
@@ -36,9 +36,9 @@
 	// Collector is the address of the instance to tell; "" if this one collects.
 	Collector func() string
 	// Told lists what targets have told this instance itself since a time.
-	Told func(since time.Time) []steer.Report
+	Told func(since time.Time) steer.Told
 	// Hear takes what others were told.
-	Hear func(reports []steer.Report)
+	Hear func(told steer.Told)
 	// Failed tells that the collector could not be asked, or an answer not be made.
 	Failed func(err error)
 }
@@ -46,11 +46,12 @@
 // Exchange tells and asks the instance that collects, and is an http.Handler that
 // collects for others.
 type Exchange struct {
-	peers  Peers
-	name   uint64 // hash of the instance's name
-	run    uint64 // of this process
-	board  *board
-	client *peerhttp.Client
+	peers       Peers
+	name        uint64 // hash of the instance's name
+	run         uint64 // of this process
+	loads       *board[steer.Report]
+	constraints *board[steer.Constraint]
+	client      *peerhttp.Client
 
 	// Used by the goroutine of Run alone.
 	told    time.Time // what came until then was told
@@ -62,7 +63,7 @@
 // New makes an exchange.
 func New(peers Peers) *Exchange {
 	return &Exchange{
-		peers: peers, name: xxhash.Sum64String(peers.Name), run: uint64(time.Now().UnixNano()), board: newBoard(),
+		peers: peers, name: xxhash.Sum64String(peers.Name), run: uint64(time.Now().UnixNano()), loads: newBoard[steer.Report](), constraints: newBoard[steer.Constraint](),
 		client: peerhttp.New("", 1, maxMessage),
 	}
 }
@@ -83,11 +84,11 @@
 
 // turn tells and asks once.
 func (x *Exchange) turn(ctx context.Context, now time.Time) {
-	reports := x.peers.Told(x.told)
+	told := x.peers.Told(x.told)
 	address := x.peers.Collector()
 	if address == "" {
 		x.told = now
-		x.board.add(x.name, reports)
+		x.add(x.name, told)
 		return
 	}
 	if now.Before(x.alone) {
@@ -96,7 +97,9 @@
 	if address != x.address {
 		x.address, x.heard = address, head{}
 	}
-	answer, err := x.ask(ctx, address, message{head: head{From: x.name, Run: x.heard.Run, Number: x.heard.Number}, reports: reports})
+	answer, err := x.ask(ctx, address, message{
+		head: head{From: x.name, Run: x.heard.Run, Loads: x.heard.Loads, Constraints: x.heard.Constraints}, told: told,
+	})
 	if err != nil {
 		x.alone = now.Add(pause)
 		if ctx.Err() == nil {
@@ -105,7 +108,12 @@
 		return
 	}
 	x.told, x.heard = now, answer.head
-	x.peers.Hear(answer.reports)
+	x.peers.Hear(answer.told)
+}
+
+// add takes in what an instance was told, and returns what is new of it.
+func (x *Exchange) add(from uint64, told steer.Told) steer.Told {
+	return steer.Told{Loads: x.loads.add(from, told.Loads), Constraints: x.constraints.add(from, told.Constraints)}
 }
 
 // ask sends a message to the collector and reads its answer. It returns a
@@ -142,15 +150,17 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if news := x.board.add(m.From, m.reports); len(news) > 0 {
+	if news := x.add(m.From, m.told); len(news.Loads)+len(news.Constraints) > 0 {
 		x.peers.Hear(news)
 	}
-	known := m.Number
+	known := m.head
 	if m.Run != x.run {
-		known = 0 // it asks for what another process, or none, has told it
+		known = head{} // it asks for what another process, or none, has told it
 	}
-	reports, number := x.board.since(now, known, m.From, most)
-	body, err := message{head: head{From: x.name, Run: x.run, Number: number}, reports: reports}.encode(now)
+	answer := message{head: head{From: x.name, Run: x.run}}
+	answer.told.Loads, answer.Loads = x.loads.since(now, known.Loads, m.From, mostLoads)
+	answer.told.Constraints, answer.Constraints = x.constraints.since(now, known.Constraints, m.From, mostConstraints)
+	body, err := answer.encode(now)
 	if err != nil {
 		x.peers.Failed(err)
 		http.Error(w, err.Error(), http.StatusInternalServerError)
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -1,9 +1,11 @@
 package loads
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -18,7 +20,7 @@
 var start = time.UnixMilli(1_800_000_000_000)
 
 func TestBoard(t *testing.T) {
-	b := newBoard()
+	b := newBoard[steer.Report]()
 	first := steer.Report{Target: 1, Load: 3, At: start}
 	later := steer.Report{Target: 1, Load: 5, At: start.Add(time.Second)}
 	other := steer.Report{Target: 2, Load: 7, At: start}
@@ -60,8 +62,14 @@
 }
 
 func TestMessage(t *testing.T) {
-	m := message{head: head{From: 1, Run: 2, Number: 3}, reports: []steer.Report{
-		{Target: 7, Load: 4, At: start.Add(-time.Second)}, {Target: 8, Load: 1 << 20, At: start.Add(-time.Hour)},
+	m := message{head: head{From: 1, Run: 2, Loads: 3, Constraints: 4}, told: steer.Told{
+		Loads: []steer.Report{
+			{Target: 7, Load: 4, At: start.Add(-time.Second)}, {Target: 8, Load: 1 << 20, At: start.Add(-time.Hour)},
+		},
+		Constraints: []steer.Constraint{
+			{Target: 7, Started: start.Add(-time.Minute), Limit: 9.1, Limited: true, At: start.Add(-time.Second)},
+			{Target: 8, Leaving: true, At: start.Add(-time.Hour)},
+		},
 	}}
 	b, err := m.encode(start)
 	if err != nil {
@@ -74,10 +82,17 @@
 	want := []steer.Report{
 		{Target: 7, Load: 4, At: start.Add(-1001 * time.Millisecond)}, {Target: 8, Load: 65535, At: start.Add(-65535 * time.Millisecond)},
 	}
-	if got.head != m.head || !slices.Equal(got.reports, want) {
+	if got.head != m.head || !slices.Equal(got.told.Loads, want) {
 		t.Errorf("got %+v, want head %+v and %v", got, m.head, want)
 	}
-	for _, size := range []int{0, 23, 25, 24 + 12*(most+1)} {
+	wantConstraints := []steer.Constraint{
+		{Target: 7, Started: start.Add(-time.Minute), Limit: 9.1, Limited: true, At: start.Add(-1001 * time.Millisecond)},
+		{Target: 8, Leaving: true, At: start.Add(-65535 * time.Millisecond)},
+	}
+	if !slices.EqualFunc(got.told.Constraints, wantConstraints, sameConstraint) {
+		t.Errorf("got %+v, want %+v", got.told.Constraints, wantConstraints)
+	}
+	for _, size := range []int{0, 23, 25, 33, 35, 34 + 12*(mostLoads+1)} {
 		var fault *MessageError
 		if _, err := decode(start, make([]byte, size)); !errors.As(err, &fault) {
 			t.Errorf("%d bytes: got %v, want a *MessageError", size, err)
@@ -85,25 +100,61 @@
 	}
 }
 
+func sameConstraint(a, b steer.Constraint) bool {
+	if !a.Started.Equal(b.Started) || !a.At.Equal(b.At) {
+		return false
+	}
+	a.Started, a.At = b.Started, b.At
+	return a == b
+}
+
+// A message whose counts or limits can't be is refused as a whole.
+func TestUnreadableMessage(t *testing.T) {
+	limited := message{told: steer.Told{Constraints: []steer.Constraint{{Target: 7, Limit: math.NaN(), Limited: true, At: start}}}}
+	nan, err := limited.encode(start)
+	if err != nil {
+		t.Fatal(err)
+	}
+	limited.told.Constraints[0].Limit = -1
+	negative, err := limited.encode(start)
+	if err != nil {
+		t.Fatal(err)
+	}
+	more := bytes.Clone(negative)
+	more[32] = 2
+	for name, b := range map[string][]byte{"no number": nan, "negative": negative, "more than there are": more, "cut": negative[:40]} {
+		var fault *MessageError
+		if _, err := decode(start, b); !errors.As(err, &fault) {
+			t.Errorf("%s: got %v, want a *MessageError", name, err)
+		}
+	}
+}
+
 func FuzzDecode(f *testing.F) {
-	f.Add(make([]byte, 36))
+	f.Add(make([]byte, 34+12))
+	f.Add(append(append(make([]byte, 32), 1, 0), make([]byte, 27)...))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		m, err := decode(start, b)
 		if err != nil {
 			return
 		}
-		for _, r := range m.reports {
+		for _, r := range m.told.Loads {
 			if r.Load < 0 || r.At.After(start) {
 				t.Errorf("got %+v", r)
 			}
 		}
+		for _, r := range m.told.Constraints {
+			if !(r.Limit >= 0) || r.At.After(start) {
+				t.Errorf("got %+v", r)
+			}
+		}
 	})
 }
 
 func TestBoardForgets(t *testing.T) {
-	b := newBoard()
+	b := newBoard[steer.Report]()
 	b.add(10, []steer.Report{{Target: 1, Load: 3, At: start}})
-	if got, _ := b.since(start.Add(keep+1), 0, 0, most); len(got) != 0 || len(b.rows) != 0 {
+	if got, _ := b.since(start.Add(keep+1), 0, 0, mostLoads); len(got) != 0 || len(b.rows) != 0 {
 		t.Errorf("got %v and %d rows, want none that is older than %s", got, len(b.rows), keep)
 	}
 }
@@ -115,21 +166,30 @@
 	told   []steer.Report
 	heard  []steer.Report
 	failed int
+
+	constraints []steer.Constraint // that it was told
+	limits      []float64          // that it heard of
 }
 
 func newPeer(name, collector string) *peer {
 	p := &peer{}
 	p.Exchange = New(Peers{
 		Name: name, Collector: func() string { return collector },
-		Told: func(since time.Time) []steer.Report {
+		Told: func(since time.Time) steer.Told {
 			p.mu.Lock()
 			defer p.mu.Unlock()
-			return slices.DeleteFunc(slices.Clone(p.told), func(r steer.Report) bool { return !r.At.After(since) })
+			return steer.Told{
+				Loads:       slices.DeleteFunc(slices.Clone(p.told), func(r steer.Report) bool { return !r.At.After(since) }),
+				Constraints: slices.DeleteFunc(slices.Clone(p.constraints), func(c steer.Constraint) bool { return !c.At.After(since) }),
+			}
 		},
-		Hear: func(reports []steer.Report) {
+		Hear: func(told steer.Told) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
-			p.heard = append(p.heard, reports...)
+			p.heard = append(p.heard, told.Loads...)
+			for _, c := range told.Constraints {
+				p.limits = append(p.limits, c.Limit)
+			}
 		},
 		Failed: func(error) { p.failed++ },
 	})
@@ -159,6 +219,7 @@
 	a.told = []steer.Report{{Target: 1, Load: 3, At: now}}
 	b.told = []steer.Report{{Target: 2, Load: 4, At: now}}
 	collector.told = []steer.Report{{Target: 3, Load: 5, At: now}}
+	a.constraints = []steer.Constraint{{Target: 1, Limit: 9, Limited: true, At: now}}
 	for i := range 3 {
 		for _, p := range []*peer{collector, a, b, a} {
 			p.turn(context.Background(), now.Add(time.Duration(i+1)*time.Millisecond))
@@ -169,6 +230,11 @@
 			t.Errorf("got %q, want %q", got, want)
 		}
 	}
+	for p, want := range map[*peer][]float64{collector: {9}, a: nil, b: {9}} {
+		if !slices.Equal(p.limits, want) {
+			t.Errorf("got limits %v, want %v", p.limits, want)
+		}
+	}
 }
 
 // A collector that fails is left alone for a while, and what could not be told is told
@@ -187,7 +253,7 @@
 	p := newPeer("a", strings.TrimPrefix(server.URL, "http://"))
 	now := time.Now()
 	p.told = []steer.Report{{Target: 1, Load: 3, At: now}}
-	collector.board.add(9, []steer.Report{{Target: 2, Load: 4, At: now}})
+	collector.Exchange.loads.add(9, []steer.Report{{Target: 2, Load: 4, At: now}})
 	p.turn(context.Background(), now.Add(1))
 	broken = false
 	p.turn(context.Background(), now.Add(pause-1))
--- a/internal/steer/fleet.go
+++ b/internal/steer/fleet.go
@@ -14,16 +14,16 @@
 
 // Fleet holds the targets of all services and decides who gets a request.
 type Fleet struct {
-	cfg       Config
-	region    string // of this instance
-	targets   map[string]*target
-	bySeed    map[uint64]*target // the same, by the hashes of their IDs
-	services  map[string]*service
-	wishes    map[run]*wishes      // of runs that have said any, known or gone not long ago
-	evacuated map[string]bool      // by failure domain
-	peers     []string             // instances that bounds are divided among, this one among them; sorted
-	lapsed    map[string]time.Time // those of peers whose records are gone: they count until then
-	division  int                  // counts the changes of peers
+	cfg         Config
+	region      string // of this instance
+	targets     map[string]*target
+	bySeed      map[uint64]*target // the same, by the hashes of their IDs
+	services    map[string]*service
+	constraints map[run]*constraints // of runs that have said any, known or gone not long ago
+	evacuated   map[string]bool      // by failure domain
+	peers       []string             // instances that bounds are divided among, this one among them; sorted
+	lapsed      map[string]time.Time // those of peers whose records are gone: they count until then
+	division    int                  // counts the changes of peers
 }
 
 // service is what is known of a service as a whole.
@@ -44,14 +44,14 @@
 		return nil, errors.Annotate(err, "steer.New")
 	}
 	return &Fleet{
-		cfg:       cfg,
-		region:    cfg.Regions[cfg.Domain],
-		targets:   make(map[string]*target),
-		bySeed:    make(map[uint64]*target),
-		services:  make(map[string]*service),
-		wishes:    make(map[run]*wishes),
-		evacuated: make(map[string]bool),
-		lapsed:    make(map[string]time.Time),
+		cfg:         cfg,
+		region:      cfg.Regions[cfg.Domain],
+		targets:     make(map[string]*target),
+		bySeed:      make(map[uint64]*target),
+		services:    make(map[string]*service),
+		constraints: make(map[run]*constraints),
+		evacuated:   make(map[string]bool),
+		lapsed:      make(map[string]time.Time),
 	}, nil
 }
 
@@ -83,7 +83,7 @@
 	}
 	s := f.service(now, t.Service)
 	n := newTarget(now, t, s, f.cfg.Regions[t.Domain])
-	n.wishes = f.wishes[runOf(&t)]
+	n.constraints = f.constraints[runOf(&t)]
 	f.targets[t.ID], f.bySeed[n.seed] = n, n
 	i, _ := slices.BinarySearchFunc(s.targets, t.ID, byID)
 	s.targets = slices.Insert(s.targets, i, n)
--- a/internal/steer/limit.go
+++ b/internal/steer/limit.go
@@ -75,7 +75,7 @@
 
 // fill takes in the tokens up to now.
 func (f *Fleet) fill(now time.Time, t *target) {
-	l := &t.wishes.limit
+	l := &t.constraints.limit
 	if l.part.division != f.division {
 		l.part = f.divideLimit(t, l.rate)
 	}
@@ -86,11 +86,11 @@
 // limitRoom returns how long until the target may get a request of this instance, as far as
 // its limit goes; 0 if it may now.
 func (f *Fleet) limitRoom(now time.Time, t *target) time.Duration {
-	if t.wishes == nil || !t.wishes.limit.named {
+	if t.constraints == nil || !t.constraints.limit.named {
 		return 0
 	}
 	f.fill(now, t)
-	l := &t.wishes.limit
+	l := &t.constraints.limit
 	if l.tokens >= 1 {
 		return 0
 	}
@@ -113,10 +113,10 @@
 
 // spend takes the token of a request to the target.
 func (f *Fleet) spend(now time.Time, t *target) {
-	if t.wishes == nil || !t.wishes.limit.named {
+	if t.constraints == nil || !t.constraints.limit.named {
 		return
 	}
-	l := &t.wishes.limit
+	l := &t.constraints.limit
 	if l.tokens < 1 {
 		l.tried = now
 	}
@@ -139,9 +139,9 @@
 func (f *Fleet) limitGap(now time.Time, s *service) time.Duration {
 	rate := 0.0
 	for _, t := range s.targets {
-		if f.open(t) && t.wishes != nil && t.wishes.limit.named {
+		if f.open(t) && t.constraints != nil && t.constraints.limit.named {
 			f.fill(now, t)
-			rate += t.wishes.limit.part.rate
+			rate += t.constraints.limit.part.rate
 		}
 	}
 	if rate <= 0 {
@@ -152,8 +152,8 @@
 
 // limitPart is what the target has named, and this instance's part of it; -1 if nothing.
 func (t *target) limitPart() (rate, part float64) {
-	if t.wishes == nil || !t.wishes.limit.named {
+	if t.constraints == nil || !t.constraints.limit.named {
 		return -1, -1
 	}
-	return t.wishes.limit.rate, t.wishes.limit.part.rate
+	return t.constraints.limit.rate, t.constraints.limit.part.rate
 }
--- a/internal/steer/notice.go
+++ b/internal/steer/notice.go
@@ -35,59 +35,150 @@
 // run tells the runs of a target apart.
 type run struct {
 	id      string
-	started int64 // in Unix nanoseconds
+	started time.Time
 }
 
-func runOf(t *Target) run { return run{id: t.ID, started: t.Started.UnixNano()} }
+func runOf(t *Target) run { return run{id: t.ID, started: t.Started.UTC()} }
 
-// wishes is what a run of a target has said of the requests that it wants.
-type wishes struct {
+// constraints is what a run of a target has said of the requests that it wants.
+type constraints struct {
+	run      run
 	leaving  bool      // for good: the next run is another one
 	restEnds time.Time // it gets nothing before
 	limit    limit
 	until    time.Time // remembered so long without its entry
+
+	told time.Time // when an answer to this instance last brought what others should know
+	as   time.Time // when it was so
 }
 
 // Notice takes in what a target said in an answer to a request that was sent at a time.
 func (f *Fleet) Notice(now time.Time, of Target, sent time.Time, n Notice) []News {
-	key := runOf(&of)
-	w := f.wishes[key]
-	if w == nil {
-		if !n.says() {
-			return nil
-		}
-		w = &wishes{}
-		f.wishes[key] = w
+	if !n.says() && f.constraints[runOf(&of)] == nil {
+		return nil
+	}
+	return f.constrain(now, &of).take(now, sent, n)
+}
+
+// constrain returns the constraints of a run of a target, made when they are first needed.
+func (f *Fleet) constrain(now time.Time, of *Target) *constraints {
+	key := runOf(of)
+	c := f.constraints[key]
+	if c == nil {
+		maps.DeleteFunc(f.constraints, func(_ run, old *constraints) bool { return !now.Before(old.until) })
+		c = &constraints{run: key}
+		f.constraints[key] = c
 		if t, ok := f.targets[of.ID]; ok && runOf(&t.Target) == key {
-			t.wishes = w
+			t.constraints = c
 		}
-		maps.DeleteFunc(f.wishes, func(_ run, w *wishes) bool { return w != f.wishes[key] && !now.Before(w.until) })
 	}
-	w.until = now.Add(noticeLife)
-	return w.take(now, sent, n)
+	c.until = now.Add(noticeLife)
+	return c
 }
 
 // take takes in a notice, and returns what it changes.
-func (w *wishes) take(now, sent time.Time, n Notice) []News {
+func (c *constraints) take(now, sent time.Time, n Notice) []News {
 	var news []News
-	if n.Leaving && !w.leaving {
-		w.leaving = true
+	if n.Leaving && !c.leaving {
+		c.leaving = true
 		news = append(news, Leaves)
 	}
 	if n.Rest > 0 {
-		if !now.Before(w.restEnds) {
+		if !now.Before(c.restEnds) {
 			news = append(news, Rests)
 		}
-		w.restEnds = later(w.restEnds, now.Add(n.Rest))
+		c.restEnds = later(c.restEnds, now.Add(n.Rest))
 	}
 	switch {
 	case n.Limited:
-		if !w.limit.named || w.limit.rate != n.Limit {
+		if !c.limit.named || c.limit.rate != n.Limit {
+			news = append(news, Limits)
+		}
+		c.limit.name(now, n.Limit)
+		c.told, c.as = now, now
+	case n.Success && c.limit.named && sent.After(c.limit.heard):
+		c.limit = limit{}
+		c.told, c.as = now, sent
+		news = append(news, LimitOver)
+	case n.Success && n.Leaving:
+		c.told, c.as = now, sent
+	}
+	return news
+}
+
+// Constraint is what a target said to some instance of the requests that it wants from all.
+// Instances of a region tell each other: who may send it nothing hears so that a limit is over.
+type Constraint struct {
+	Target  uint64    // hash of its ID
+	Started time.Time // of the run; zero if not known
+	Leaving bool
+	Limit   float64 // requests a second; 0 or more
+	Limited bool    // Limit is set
+	At      time.Time
+}
+
+// About is the hash of the target's ID.
+func (c Constraint) About() uint64 { return c.Target }
+
+// Made is when it was so.
+func (c Constraint) Made() time.Time { return c.At }
+
+// Constraints lists what answers have told this instance itself since a time.
+func (f *Fleet) Constraints(since time.Time) []Constraint {
+	var list []Constraint
+	for _, c := range f.constraints {
+		if c.told.After(since) {
+			list = append(list, Constraint{
+				Target: hash(c.run.id), Started: c.run.started, Leaving: c.leaving, Limit: c.limit.rate, Limited: c.limit.named, At: c.as,
+			})
+		}
+	}
+	return list
+}
+
+// Heard is what a peer's word changes.
+type Heard struct {
+	Target Target
+	News   News
+	Limit  float64 // requests a second; counts if News is Limits
+}
+
+// HearConstraints takes in what targets have told other instances, and returns what it changes.
+func (f *Fleet) HearConstraints(now time.Time, list []Constraint) []Heard {
+	var heard []Heard
+	for _, r := range list {
+		t := f.bySeed[r.Target]
+		if t == nil || !t.Started.Equal(r.Started) || r.At.After(now) {
+			continue
+		}
+		if t.constraints == nil && !r.Leaving && !r.Limited {
+			continue
+		}
+		for _, news := range f.constrain(now, &t.Target).hear(now, r) {
+			heard = append(heard, Heard{Target: t.Target, News: news, Limit: r.Limit})
+		}
+	}
+	return heard
+}
+
+// hear takes in what the target has told another instance. What was so before a limit was last
+// heard of changes nothing of it.
+func (c *constraints) hear(now time.Time, r Constraint) []News {
+	var news []News
+	if r.Leaving && !c.leaving {
+		c.leaving = true
+		news = append(news, Leaves)
+	}
+	switch {
+	case !r.At.After(c.limit.heard):
+	case r.Limited:
+		if !c.limit.named || c.limit.rate != r.Limit {
 			news = append(news, Limits)
 		}
-		w.limit.name(now, n.Limit)
-	case n.Success && w.limit.named && sent.After(w.limit.heard):
-		w.limit = limit{}
+		c.limit.name(now, r.Limit)
+		c.limit.heard = r.At
+	case c.limit.named:
+		c.limit = limit{}
 		news = append(news, LimitOver)
 	}
 	return news
--- a/internal/steer/notice_test.go
+++ b/internal/steer/notice_test.go
@@ -57,6 +57,9 @@
 	refused  int
 	served   int
 	rng      *rand.Rand
+
+	shares bool // instances of a region tell each other
+	shared time.Time
 }
 
 const (
@@ -93,6 +96,9 @@
 		for len(w.answers) > 0 && !w.answers[0].at.After(now) {
 			w.answer(heap.Pop(&w.answers).(due))
 		}
+		if w.shares && now.Sub(w.shared) >= 500*time.Millisecond {
+			w.share(now)
+		}
 		for i, rate := range w.rates {
 			for more := rate * worldTick.Seconds(); w.rng.Float64() < more; more-- {
 				w.send(now, i)
@@ -101,6 +107,19 @@
 	}
 }
 
+// share passes on in each region what its instances were told.
+func (w *noticeWorld) share(now time.Time) {
+	for i, from := range w.fleets {
+		list := from.Constraints(w.shared)
+		for j, to := range w.fleets {
+			if i != j && from.region == to.region {
+				to.HearConstraints(now, list)
+			}
+		}
+	}
+	w.shared = now
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 func (w *noticeWorld) send(now time.Time, instance int) {
@@ -231,8 +250,11 @@
 		limit  float64
 		within float64 // seconds
 	}{
-		"even load":    {even(9, 360), 9, 2},
-		"unequal load": {[]float64{200, 100, 40, 10, 5, 2, 1, 1, 1}, 9, 2},
+		"even load":                {even(9, 360), 9, 2},
+		"unequal load":             {[]float64{200, 100, 40, 10, 5, 2, 1, 1, 1}, 9, 2},
+		"none was let in":          {even(9, 360), 0, 12},
+		"few of many were let in":  {even(195, 360), 1.2, 10},
+		"of many, none was let in": {even(195, 360), 0, 25},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -242,6 +264,7 @@
 				}
 				return word{}
 			})
+			w.shares = true
 			w.run(0, 25)
 			w.run(25, 25+tt.within)
 			begin := len(w.arrivals)
--- a/internal/steer/report.go
+++ b/internal/steer/report.go
@@ -14,6 +14,18 @@
 	At     time.Time // when it said so
 }
 
+// About is the hash of the target's ID.
+func (r Report) About() uint64 { return r.Target }
+
+// Made is when the target said so.
+func (r Report) Made() time.Time { return r.At }
+
+// Told is what targets have said of themselves to some instance.
+type Told struct {
+	Loads       []Report
+	Constraints []Constraint
+}
+
 // Reports lists what targets have told this instance itself since a time, as far as others
 // that know what was passed on before would foresee another wait.
 func (f *Fleet) Reports(now, since time.Time) []Report {
--- a/internal/steer/target.go
+++ b/internal/steer/target.go
@@ -39,12 +39,12 @@
 type target struct {
 	Target
 
-	service *service
-	wishes  *wishes // nil if the target has said none
-	seed    uint64
-	region  string
-	added   time.Time   // when this run of it was first known
-	starts  []time.Time // when each request of this instance that has not ended went to it, the first first
+	service     *service
+	constraints *constraints // nil if the target has said none
+	seed        uint64
+	region      string
+	added       time.Time   // when this run of it was first known
+	starts      []time.Time // when each request of this instance that has not ended went to it, the first first
 
 	others      int       // requests of other instances by the last report
 	othersUntil time.Time // the report counts until then, less and less
