--- a/internal/steer/notice_test.go
+++ b/internal/steer/notice_test.go
@@ -333,3 +333,33 @@
 		}
 	}
 }
+
+// A target that leaves gets nothing from an instance that has been told so.
+func TestRequestsAtALeavingTarget(t *testing.T) {
+	tests := map[string]struct {
+		rates   []float64
+		targets int
+		shares  bool
+	}{
+		"even load":           {even(9, 360), 16, false},
+		"all at one instance": {[]float64{360, 0, 0, 0, 0, 0, 0, 0, 0}, 16, false},
+		"the only target":     {even(9, 200), 1, false},
+		"told by peers":       {even(60, 300), 12, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newNoticeWorld(t, tt.rates, tt.targets, func(target string, now time.Time) word {
+				return word{Notice: Notice{Leaving: target == "t00" && now.Sub(start) >= seconds(5)}}
+			})
+			w.shares = tt.shares
+			w.run(0, 5)
+			if len(w.arrivals) == 0 {
+				t.Fatal("the target got nothing before it left")
+			}
+			w.run(5, 20)
+			if got := w.most(time.Minute, worldTick, start); got != 0 {
+				t.Errorf("got %d requests of instances that had been told, want none", got)
+			}
+		})
+	}
+}
