--- a/internal/steer/notice_test.go
+++ b/internal/steer/notice_test.go
@@ -363,3 +363,65 @@
 		})
 	}
 }
+
+// rests says that some targets refuse requests in a span, and ask for rest.
+func rests(which func(target string) bool, from, to float64, rest time.Duration) func(target string, now time.Time) word {
+	return func(target string, now time.Time) word {
+		at := now.Sub(start)
+		if which(target) && at >= seconds(from) && at < seconds(to) {
+			return word{Notice: Notice{Rest: rest}, refused: true}
+		}
+		return word{}
+	}
+}
+
+// A target that has asked for rest gets it from the instance that it asked.
+func TestRequestsInATimeOfRest(t *testing.T) {
+	one := func(target string) bool { return target == "t00" }
+	third := func(target string) bool { return target <= "t04" }
+	all := func(string) bool { return true }
+	tests := map[string]struct {
+		rates   []float64
+		targets int
+		which   func(target string) bool
+	}{
+		"one target":          {even(9, 360), 16, one},
+		"a third of them":     {even(9, 360), 16, third},
+		"all at once":         {even(9, 360), 16, all},
+		"all at one instance": {[]float64{360, 0, 0, 0, 0, 0, 0, 0, 0}, 16, third},
+		"the only target":     {even(9, 200), 1, all},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newNoticeWorld(t, tt.rates, tt.targets, rests(tt.which, 5, 14, 3*time.Second))
+			w.run(0, 14)
+			for i := range w.rates {
+				if got := w.inRest(i); got > 2 {
+					t.Errorf("instance %d: got %d requests within 3 s of rest, want 2 at most", i, got)
+				}
+			}
+		})
+	}
+}
+
+// inRest is the most requests of an instance between half a second after the watched target
+// refused one of its, and the end of the rest that it asked for.
+func (w *noticeWorld) inRest(instance int) int {
+	var times []time.Time
+	for _, a := range w.arrivals {
+		if a.instance == instance {
+			times = append(times, a.at)
+		}
+	}
+	most := 0
+	for _, at := range times {
+		if !w.says(w.watched, at).refused {
+			continue
+		}
+		told := at.Add(worldTick)
+		from, _ := slices.BinarySearchFunc(times, told.Add(500*time.Millisecond), time.Time.Compare)
+		to, _ := slices.BinarySearchFunc(times, told.Add(3*time.Second), time.Time.Compare)
+		most = max(most, to-from)
+	}
+	return most
+}
