Send nothing to a target whose answers say that it leaves

What callers and operators saw: requests reached a target 2.5 and 2.9 s after instances had passed on answers that said it leaves, while the store was away and could not tell; at such a target work is cut when it ends. Cause: only the store's word counted. Class: what a target asks for in an answer is lost with the answer. Change: a run that says so in any answer gets nothing more from this instance, whatever the store says of it later; the next run under its ID is another one. The answer counts from its head on. The instances of the region hear of it with the loads. A request that waited for its connection meanwhile is withheld and goes to another target; it was not sent, and nothing is held against the target.

--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -116,15 +116,19 @@
 	return n.pool.Do(ctx, &http1.Exchange{
 		Request: p.in, Header: header, Target: target.ID, Group: target.Service, Address: target.Address,
 		Once: !p.repeatable, Until: p.deadline,
-		Mine: func(status int, h http.Header) bool { return n.headRead(p, target, sent, status, h) },
-		Keep: func(resp *http1.Response) bool { return resp.Status != http.StatusMisdirectedRequest },
+		Mine:   func(status int, h http.Header) bool { return n.headRead(p, target, sent, status, h) },
+		Wanted: func() bool { return n.wanted(target) },
+		Keep:   func(resp *http1.Response) bool { return resp.Status != http.StatusMisdirectedRequest },
 	})
 }
 
 // judge says what an attempt's answer or error means.
 func judge(ctx context.Context, resp *http1.Response, err error) verdict {
 	var unsent *http1.NotSentError
+	var unwanted *http1.UnwantedError
 	switch {
+	case errors.As(err, &unwanted):
+		return verdict{ending: steer.Withheld}
 	case errors.As(err, &unsent) && ctx.Err() != nil:
 		return verdict{ending: steer.Left}
 	case errors.As(err, &unsent):
--- a/internal/edge/notice.go
+++ b/internal/edge/notice.go
@@ -44,6 +44,13 @@
 	}
 }
 
+// wanted says whether a target still wants the request that it was chosen for.
+func (n *Node) wanted(target steer.Target) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.fleet.Wanted(target)
+}
+
 // logNotice logs what became known of the requests that a target wants, with further fields.
 func (n *Node) logNotice(now time.Time, h steer.Heard, fields ...any) {
 	t := h.Target
--- a/internal/edge/notice_test.go
+++ b/internal/edge/notice_test.go
@@ -10,7 +10,10 @@
 
 // What a target has said of the requests that it wants holds on each way to it.
 func TestNoWayPastANotice(t *testing.T) {
-	notices := map[string]string{"limit": "good, Server-Limit: 0"}
+	notices := map[string]string{
+		"limit":   "good, Server-Limit: 0",
+		"leaving": "good, Server-Leaving: 1",
+	}
 	ways := map[string]struct {
 		other string // behaviour of another target; "" for none
 		away  bool   // the store is
@@ -43,6 +46,8 @@
 					r.add(r.target(tt.other).address)
 				}
 				before := a.requests()
+				// What the store says of the same run is older.
+				r.report("a", a.address, "n1", "ready", 0, 1000)
 				for range 4 {
 					begun := time.Now()
 					got := r.send("GET", "/get/x")
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -36,8 +36,14 @@
 	Mine    func(status int, h http.Header) bool // whether an answer belongs to this request
 	Keep    func(resp *Response) bool            // whether the connection is kept after an answer
 	Until   time.Time                            // when the attempt is given up
+	Wanted  func() bool                          // whether to send it, asked when there is a connection; nil: always
 }
 
+// UnwantedError says that a request was not sent, as Wanted said so.
+type UnwantedError struct{}
+
+func (e *UnwantedError) Error() string { return "not wanted any more" }
+
 // NotSentError says that nothing of a request was sent: it can't have run.
 type NotSentError struct{ Err error }
 
@@ -74,6 +80,10 @@
 	if err != nil {
 		return nil, &NotSentError{Err: err}
 	}
+	if e.Wanted != nil && !e.Wanted() {
+		c.conn.Close()
+		return nil, &NotSentError{Err: &UnwantedError{}}
+	}
 	c.conn.SetDeadline(boottime.Runtime(e.Until))
 	p.begin(c, e.Until)
 	defer p.end(c)
--- a/internal/http1/pool_test.go
+++ b/internal/http1/pool_test.go
@@ -144,6 +144,25 @@
 	}
 }
 
+// A request that is not wanted any more when there is a connection is not sent.
+func TestUnwanted(t *testing.T) {
+	address, _ := script(t, "close")
+	p := NewPool("")
+	defer p.Close()
+	e := exchange(address)
+	asked := 0
+	e.Wanted = func() bool {
+		asked++
+		return false
+	}
+	_, err := p.Do(context.Background(), e)
+	var unsent *NotSentError
+	var unwanted *UnwantedError
+	if !errors.As(err, &unsent) || !errors.As(err, &unwanted) || asked != 1 {
+		t.Errorf("got %v, asked %d times, want a *NotSentError for an *UnwantedError, and once", err, asked)
+	}
+}
+
 func TestGivesUp(t *testing.T) {
 	tests := map[string]func(e *Exchange) context.Context{
 		"deadline": func(e *Exchange) context.Context {
--- a/internal/steer/fleet.go
+++ b/internal/steer/fleet.go
@@ -104,13 +104,16 @@
 	}
 }
 
-// Target returns what a target has registered.
+// Target returns what is known of a target: what it has registered, and whether it leaves by
+// its answers.
 func (f *Fleet) Target(id string) (Target, bool) {
 	t, ok := f.targets[id]
 	if !ok {
 		return Target{}, false
 	}
-	return t.Target, true
+	known := t.Target
+	known.Leaving = t.leaves()
+	return known, true
 }
 
 // Limit sets what the configuration says of the services.
@@ -183,7 +186,7 @@
 }
 
 // open says whether a target may get requests at all.
-func (f *Fleet) open(t *target) bool { return !t.Leaving && !f.evacuated[t.Domain] }
+func (f *Fleet) open(t *target) bool { return !t.leaves() && !f.evacuated[t.Domain] }
 
 func byID(t *target, id string) int { return cmp.Compare(t.ID, id) }
 
--- a/internal/steer/notice.go
+++ b/internal/steer/notice.go
@@ -106,6 +106,19 @@
 	return news
 }
 
+// Wanted says whether a target still wants the request that it was chosen for, which may have
+// waited for a connection since.
+func (f *Fleet) Wanted(of Target) bool {
+	c := f.constraints[runOf(&of)]
+	return c == nil || !c.leaving
+}
+
+// leaves says whether the target leaves, by the store or by its answers. These may come first,
+// and what the store says is older while it is away.
+func (t *target) leaves() bool {
+	return t.Leaving || t.constraints != nil && t.constraints.leaving
+}
+
 // Constraint is what a target said to some instance of the requests that it wants from all.
 // Instances of a region tell each other: who may send it nothing hears so that a limit is over.
 type Constraint struct {
--- a/internal/steer/notice_test.go
+++ b/internal/steer/notice_test.go
@@ -312,6 +312,40 @@
 	}
 }
 
+// A run that leaves stays so, whatever older entries or other answers say; the next run is another.
+func TestLeavingOfARun(t *testing.T) {
+	target := Target{ID: "t00", Started: start.Add(-time.Hour), Sequence: 5, Service: "s", Domain: "n1", Slots: 9}
+	newer := target
+	newer.Sequence = 6
+	restarted := target
+	restarted.Started, restarted.Sequence = start.Add(time.Second), 1
+	tests := map[string]struct {
+		change func(f *Fleet)
+		want   Reason
+	}{
+		"nothing":           {func(*Fleet) {}, NoTarget},
+		"a report":          {func(f *Fleet) { f.Put(start, newer) }, NoTarget},
+		"gone and back":     {func(f *Fleet) { f.Remove("t00"); f.Put(start, target) }, NoTarget},
+		"another answer":    {func(f *Fleet) { f.Notice(start.Add(2), target, start.Add(1), Notice{Success: true}) }, NoTarget},
+		"another run":       {func(f *Fleet) { f.Put(start, restarted) }, ""},
+		"gone, another run": {func(f *Fleet) { f.Remove("t00"); f.Put(start, restarted) }, ""},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 0, 9)
+			f.Put(start, target)
+			f.Notice(start, target, start, Notice{Leaving: true})
+			if f.Wanted(target) {
+				t.Error("got a request that is wanted, want none")
+			}
+			tt.change(f)
+			if got := f.Pick(start.Add(3), query("7")).Reason; got != tt.want {
+				t.Errorf("got %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
 // Callers that are refused for limits come back one after the other.
 func TestPlacesWithinLimits(t *testing.T) {
 	f := newFleet(t, 1, 9)
--- a/internal/steer/outcome.go
+++ b/internal/steer/outcome.go
@@ -13,11 +13,12 @@
 	Replaced               // the address belongs to another target now
 	Late                   // no answer before the time was over
 	Left                   // the caller left; says nothing of the target
+	Withheld               // it was not sent, as the target did not want it any more; says nothing of the target
 )
 
 // String names the ending in log lines.
 func (e Ending) String() string {
-	return [...]string{"answered", "failed", "shed", "replaced", "late", "left"}[e]
+	return [...]string{"answered", "failed", "shed", "replaced", "late", "left", "withheld"}[e]
 }
 
 // Outcome is what came of an attempt.
@@ -61,7 +62,7 @@
 		return t.failed(now)
 	case Failed:
 		return t.failed(now)
-	case Left:
+	case Left, Withheld:
 	}
 	return false
 }
