Give targets the rest that they ask for when they refuse

What callers saw: five of 16 targets refused all requests of an outage of nine seconds, and each instance sent them 10 to 20 a second meanwhile; 0.06 to 0.25 of the requests ended refused after two attempts there. Cause: the time that a refusal asks for was not read. A refusal counted for 200 ms, and for nothing where the target told free slots. Class: what a target asks for in an answer is lost with the answer. Change: a target that refuses with 503 and Retry-After gets nothing from this instance for so long, by the latest end that it named, and then one request at a time until an answer shows that it takes more. It is no candidate meanwhile, so that its objects have another home. A request that waited for a connection is withheld. Where all targets rest, a request is refused at once (resting) and told the earliest end, each caller another time within a second of it; so is one whose last attempt was refused for that.

--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -89,6 +89,13 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	c := n.fleet.Pick(boottime.Now(), n.query(p))
+	n.cfg.Metrics.Decided(metrics.Decision{Kind: "load", Service: p.service, Reason: knowledge(c)})
+	return c
+}
+
+// query is what a target is asked for. n.mu is held.
+func (n *Node) query(p *passage) steer.Query {
 	q := steer.Query{
 		Service: p.service, Spread: p.info.ID, Regions: p.regions(),
 		Objective: p.route.Objective, Deadline: p.deadline, Size: n.sizes[p.route.Name],
@@ -97,9 +104,7 @@
 	if p.route.Affinity {
 		q.Object = p.info.Object
 	}
-	c := n.fleet.Pick(boottime.Now(), q)
-	n.cfg.Metrics.Decided(metrics.Decision{Kind: "load", Service: p.service, Reason: knowledge(c)})
-	return c
+	return q
 }
 
 func (n *Node) exchange(ctx context.Context, p *passage, target steer.Target) (*http1.Response, error) {
--- a/internal/edge/notice.go
+++ b/internal/edge/notice.go
@@ -48,7 +48,14 @@
 func (n *Node) wanted(target steer.Target) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.fleet.Wanted(target)
+	return n.fleet.Wanted(boottime.Now(), target)
+}
+
+// rest is how long all targets that the request may go to want nothing from this instance.
+func (n *Node) rest(p *passage) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.fleet.Rest(boottime.Now(), n.query(p))
 }
 
 // logNotice logs what became known of the requests that a target wants, with further fields.
--- a/internal/edge/notice_test.go
+++ b/internal/edge/notice_test.go
@@ -13,6 +13,7 @@
 	notices := map[string]string{
 		"limit":   "good, Server-Limit: 0",
 		"leaving": "good, Server-Leaving: 1",
+		"rest":    "shed, Retry-After: 3",
 	}
 	ways := map[string]struct {
 		other string // behaviour of another target; "" for none
--- a/internal/edge/pass.go
+++ b/internal/edge/pass.go
@@ -39,6 +39,9 @@
 	}
 	resp := ownAnswer(p.info, status)
 	if status == http.StatusServiceUnavailable {
+		if p.choice.Reason == "" {
+			p.choice.Again = n.rest(p)
+		}
 		platform.RetryAfter(resp.Header, max(p.choice.Again, againSoonest))
 	}
 	return resp
--- a/internal/metrics/edge.go
+++ b/internal/metrics/edge.go
@@ -15,7 +15,7 @@
 	nameInstances   = "instances"         // that are registered
 	nameConnections = "connections"       // of callers that are open
 	nameTargets     = "targets"           // by service: registered
-	nameUsable      = "targets_usable"    // by service: neither leaving, evacuated nor ejected
+	nameUsable      = "targets_usable"    // by service: neither leaving, evacuated, ejected nor at rest
 )
 
 const (
--- a/internal/steer/fleet.go
+++ b/internal/steer/fleet.go
@@ -165,7 +165,7 @@
 		return 0, 0
 	}
 	for _, t := range s.targets {
-		if f.open(t) && !t.ejected(now) {
+		if f.open(t) && !t.ejected(now) && !t.rests(now) {
 			usable++
 		}
 	}
--- a/internal/steer/notice.go
+++ b/internal/steer/notice.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -45,6 +46,7 @@
 	run      run
 	leaving  bool      // for good: the next run is another one
 	restEnds time.Time // it gets nothing before
+	resumes  bool      // it has asked for rest, and has not answered since other than by a refusal
 	limit    limit
 	until    time.Time // remembered so long without its entry
 
@@ -87,7 +89,9 @@
 		if !now.Before(c.restEnds) {
 			news = append(news, Rests)
 		}
-		c.restEnds = later(c.restEnds, now.Add(n.Rest))
+		c.restEnds, c.resumes = later(c.restEnds, now.Add(n.Rest)), true
+	} else if sent.After(c.restEnds) {
+		c.resumes = false
 	}
 	switch {
 	case n.Limited:
@@ -108,9 +112,53 @@
 
 // Wanted says whether a target still wants the request that it was chosen for, which may have
 // waited for a connection since.
-func (f *Fleet) Wanted(of Target) bool {
+func (f *Fleet) Wanted(now time.Time, of Target) bool {
 	c := f.constraints[runOf(&of)]
-	return c == nil || !c.leaving
+	return c == nil || !c.leaving && !now.Before(c.restEnds)
+}
+
+// rests says whether the target gets no request of this instance for now, as it has asked for
+// rest. After that it gets one at a time, until an answer shows that it takes more.
+func (t *target) rests(now time.Time) bool {
+	c := t.constraints
+	if c == nil || !c.resumes {
+		return false
+	}
+	return now.Before(c.restEnds) || len(t.starts) > 0 && !t.starts[len(t.starts)-1].Before(c.restEnds)
+}
+
+// rested refuses a request as all targets that it could go to have asked for rest; false if
+// that is not so.
+func (f *Fleet) rested(now time.Time, s *service, q Query) (Choice, bool) {
+	var first *target
+	slots := 0
+	for _, t := range s.targets {
+		if !f.open(t) || !q.Regions.Allow(t.region) || !t.rests(now) {
+			continue
+		}
+		slots += t.Slots
+		if first == nil || t.constraints.restEnds.Before(first.constraints.restEnds) {
+			first = t
+		}
+	}
+	if first == nil {
+		return Choice{}, false
+	}
+	// All instances send to these slots.
+	each := s.latency(q.Objective) * time.Duration(max(1, len(f.peers))) / time.Duration(max(1, slots))
+	c := Choice{Reason: Resting, Again: s.place(now, first.constraints.restEnds, each), First: first.ID}
+	return c.basedOn(now, candidate{target: first}), true
+}
+
+// Rest returns how long all targets of a service want nothing from this instance; 0 if any may
+// get a request now.
+func (f *Fleet) Rest(now time.Time, q Query) time.Duration {
+	s, ok := f.services[q.Service]
+	if !ok || slices.ContainsFunc(s.targets, func(t *target) bool { return f.may(now, t, Query{Regions: q.Regions}) }) {
+		return 0
+	}
+	c, _ := f.rested(now, s, q)
+	return c.Again
 }
 
 // leaves says whether the target leaves, by the store or by its answers. These may come first,
--- a/internal/steer/notice_test.go
+++ b/internal/steer/notice_test.go
@@ -335,7 +335,7 @@
 			f := newFleet(t, 0, 9)
 			f.Put(start, target)
 			f.Notice(start, target, start, Notice{Leaving: true})
-			if f.Wanted(target) {
+			if f.Wanted(start, target) {
 				t.Error("got a request that is wanted, want none")
 			}
 			tt.change(f)
@@ -459,3 +459,55 @@
 	}
 	return most
 }
+
+// Who comes while all targets rest is refused at once and told when they take requests again,
+// each another time.
+func TestRefusedInATimeOfRest(t *testing.T) {
+	f := newFleet(t, 3, 9)
+	for i, rest := range []time.Duration{4 * time.Second, 3 * time.Second, 5 * time.Second} {
+		f.Notice(start, f.targets[fmt.Sprintf("t%02d", i)].Target, start, Notice{Rest: rest})
+	}
+	now := start.Add(time.Second)
+	before := time.Duration(0)
+	for i := range 5 {
+		c := f.Pick(now, query(fmt.Sprint(i)))
+		if c.Reason != Resting || c.Target.ID != "" {
+			t.Fatalf("got %+v, want a refusal as resting", c)
+		}
+		if c.Again < 2*time.Second || c.Again > 2*time.Second+placesTime || c.Again <= before {
+			t.Errorf("got %s, want another time than %s between 2 s and 3 s", c.Again, before)
+		}
+		before = c.Again
+	}
+	if got := f.Pick(start.Add(3100*time.Millisecond), query("7")); got.Target.ID != "t01" {
+		t.Errorf("got %+v, want t01, which has rested", got)
+	}
+}
+
+// After its rest a target gets one request of an instance at a time until it has answered one,
+// and then as many as before.
+func TestRestEnds(t *testing.T) {
+	tests := map[string]struct {
+		targets int
+		want    int // requests in 12 s, at least
+	}{
+		"one of many":     {16, 120},
+		"the only target": {1, 2000},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newNoticeWorld(t, even(9, 360), tt.targets, rests(func(target string) bool { return target == "t00" }, 5, 6, 3*time.Second))
+			w.run(0, 8)
+			w.arrivals = nil
+			w.run(8, 20)
+			end := w.arrivals[0].at.Add(worldWork)
+			got, _ := slices.BinarySearchFunc(w.arrivals, end, func(a arrival, at time.Time) int { return a.at.Compare(at) })
+			if got > len(w.rates) {
+				t.Errorf("got %d requests before the first answer, want %d at most", got, len(w.rates))
+			}
+			if got := len(w.arrivals); got < tt.want {
+				t.Errorf("got %d requests in 12 s, want %d at least", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/steer/order.go
+++ b/internal/steer/order.go
@@ -64,7 +64,7 @@
 	out := 0
 	slots := make(map[string]int, 4)
 	for _, t := range s.targets {
-		if f.may(t, q) {
+		if f.may(now, t, q) {
 			o.size++
 			slots[t.region] += t.Slots
 			if t.ejected(now) {
@@ -113,12 +113,12 @@
 }
 
 // may says whether a target may get the request, were it sound.
-func (f *Fleet) may(t *target, q Query) bool {
-	return f.open(t) && q.Regions.Allow(t.region) && !slices.Contains(q.Tried, t.ID)
+func (f *Fleet) may(now time.Time, t *target, q Query) bool {
+	return f.open(t) && !t.rests(now) && q.Regions.Allow(t.region) && !slices.Contains(q.Tried, t.ID)
 }
 
 func (f *Fleet) candidate(now time.Time, t *target, q Query, o *order) bool {
-	return f.may(t, q) && (o.ejected || !t.ejected(now))
+	return f.may(now, t, q) && (o.ejected || !t.ejected(now))
 }
 
 // key is what the targets are ranked by.
--- a/internal/steer/pick.go
+++ b/internal/steer/pick.go
@@ -28,6 +28,7 @@
 	NoRoom   Reason = "no-room"   // every target would answer too late
 	NoBudget Reason = "no-budget" // the retry budget is used up
 	Cold     Reason = "cold"      // the targets with room are cold and have had their share
+	Resting  Reason = "resting"   // every target has asked for rest
 	Limited  Reason = "limited"   // every target has named a limit, and has had this instance's part of it
 )
 
@@ -104,6 +105,9 @@
 func (f *Fleet) best(now time.Time, s *service, q Query) Choice {
 	o := f.order(now, s, q)
 	if o.size == 0 {
+		if c, ok := f.rested(now, s, q); ok {
+			return c
+		}
 		return Choice{Reason: NoTarget, Again: againNone}
 	}
 	mean := s.latency(q.Objective)
