Read what targets ask for in a package of its own

Cause: firlever serve has to read the same of its targets' answers, under names of its own. Change: internal/notice holds the type and reads it by given names; platform gives those of the platform, and steer takes the type as it is.

--- a/internal/edge/notice.go
+++ b/internal/edge/notice.go
@@ -27,13 +27,10 @@
 func (n *Node) noticed(p *passage, target steer.Target, sent time.Time, status int, a platform.Answer) {
 	now := boottime.Now()
 	n.mu.Lock()
-	news := n.fleet.Notice(now, target, sent, steer.Notice{
-		Leaving: a.Leaving, Limit: a.Limit, Limited: a.Limited, Rest: a.Rest,
-		Success: status < http.StatusMultipleChoices && a.Signed,
-	})
+	news := n.fleet.Notice(now, target, sent, a.Notice, status < http.StatusMultipleChoices && a.Signed)
 	n.mu.Unlock()
 	for _, what := range news {
-		n.logNotice(now, steer.Heard{Target: target, News: what, Limit: a.Limit}, "rest", a.Rest, "id", p.info.ID, "status", status)
+		n.logNotice(now, steer.Heard{Target: target, News: what, Limit: a.Notice.Limit}, "rest", a.Notice.Rest, "id", p.info.ID, "status", status)
 	}
 	if a.Unread == nil {
 		return
--- a/internal/steer/notice.go
+++ b/internal/steer/notice.go
@@ -4,19 +4,9 @@
 	"maps"
 	"slices"
 	"time"
-)
-
-// Notice is what a target says in an answer of the requests that it wants.
-type Notice struct {
-	Leaving bool          // it leaves, and wants no new ones
-	Limit   float64       // requests a second that it takes from all instances together; 0 or more
-	Limited bool          // Limit is set
-	Rest    time.Duration // it wants none from this instance for so long; 0 if not said
-	Success bool          // the answer is a success: without a limit in it there is none
-}
 
-// says reports whether there is anything in the notice.
-func (n Notice) says() bool { return n.Leaving || n.Limited || n.Rest > 0 }
+	"github.com/firlever/firlever/internal/notice"
+)
 
 // News is what a notice changes of what was known.
 type News string
@@ -54,12 +44,13 @@
 	as   time.Time // when it was so
 }
 
-// Notice takes in what a target said in an answer to a request that was sent at a time.
-func (f *Fleet) Notice(now time.Time, of Target, sent time.Time, n Notice) []News {
-	if !n.says() && f.constraints[runOf(&of)] == nil {
+// Notice takes in what a target said in an answer to a request that was sent at a time. A success
+// that names no limit says that there is none.
+func (f *Fleet) Notice(now time.Time, of Target, sent time.Time, n notice.Notice, success bool) []News {
+	if !n.Any() && f.constraints[runOf(&of)] == nil {
 		return nil
 	}
-	return f.constrain(now, &of).take(now, sent, n)
+	return f.constrain(now, &of).take(now, sent, n, success)
 }
 
 // constrain returns the constraints of a run of a target, made when they are first needed.
@@ -79,7 +70,7 @@
 }
 
 // take takes in a notice, and returns what it changes.
-func (c *constraints) take(now, sent time.Time, n Notice) []News {
+func (c *constraints) take(now, sent time.Time, n notice.Notice, success bool) []News {
 	var news []News
 	if n.Leaving && !c.leaving {
 		c.leaving = true
@@ -100,11 +91,11 @@
 		}
 		c.limit.name(now, n.Limit)
 		c.told, c.as = now, now
-	case n.Success && c.limit.named && sent.After(c.limit.heard):
+	case success && c.limit.named && sent.After(c.limit.heard):
 		c.limit = limit{}
 		c.told, c.as = now, sent
 		news = append(news, LimitOver)
-	case n.Success && n.Leaving:
+	case success && n.Leaving:
 		c.told, c.as = now, sent
 	}
 	return news
--- a/internal/steer/notice_test.go
+++ b/internal/steer/notice_test.go
@@ -7,11 +7,13 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/firlever/firlever/internal/notice"
 )
 
 // word is what a stand-in answers.
 type word struct {
-	Notice
+	notice.Notice
 	refused bool
 }
 
@@ -143,10 +145,8 @@
 
 func (w *noticeWorld) answer(d due) {
 	f := w.fleets[d.instance]
-	n := d.word.Notice
-	n.Success = !d.word.refused
-	f.Notice(d.at, d.target, d.begun, n)
-	if d.target.ID == w.watched && n.says() && w.told[d.instance].IsZero() {
+	f.Notice(d.at, d.target, d.begun, d.word.Notice, !d.word.refused)
+	if d.target.ID == w.watched && d.word.Any() && w.told[d.instance].IsZero() {
 		w.told[d.instance] = d.at
 	}
 	o := Outcome{Ending: Answered, Took: d.at.Sub(d.begun), Load: &Load{Running: 1}}
@@ -178,7 +178,7 @@
 func limited(rate, from float64) func(target string, now time.Time) word {
 	return func(target string, now time.Time) word {
 		if target == "t00" && now.Sub(start) >= seconds(from) {
-			return word{Notice: Notice{Limit: rate, Limited: true}}
+			return word{Notice: notice.Notice{Limit: rate, Limited: true}}
 		}
 		return word{}
 	}
@@ -294,16 +294,16 @@
 		"another run":         {func(f *Fleet) { f.Put(start, restarted) }, ""},
 		"gone, another run":   {func(f *Fleet) { f.Remove("t00"); f.Put(start, restarted) }, ""},
 		"others join":         {func(f *Fleet) { f.Peers(start, []string{"a", "b", "c"}) }, Limited},
-		"an answer without":   {func(f *Fleet) { f.Notice(start.Add(2), target, start.Add(1), Notice{Success: true}) }, ""},
-		"a failure without":   {func(f *Fleet) { f.Notice(start.Add(2), target, start.Add(1), Notice{}) }, Limited},
-		"an answer of before": {func(f *Fleet) { f.Notice(start.Add(2), target, start, Notice{Success: true}) }, Limited},
-		"another run's word":  {func(f *Fleet) { f.Notice(start.Add(2), restarted, start.Add(1), Notice{Success: true}) }, Limited},
+		"an answer without":   {func(f *Fleet) { f.Notice(start.Add(2), target, start.Add(1), notice.Notice{}, true) }, ""},
+		"a failure without":   {func(f *Fleet) { f.Notice(start.Add(2), target, start.Add(1), notice.Notice{}, false) }, Limited},
+		"an answer of before": {func(f *Fleet) { f.Notice(start.Add(2), target, start, notice.Notice{}, true) }, Limited},
+		"another run's word":  {func(f *Fleet) { f.Notice(start.Add(2), restarted, start.Add(1), notice.Notice{}, true) }, Limited},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t, 0, 9)
 			f.Put(start, target)
-			f.Notice(start, target, start, Notice{Limit: 0, Limited: true})
+			f.Notice(start, target, start, notice.Notice{Limit: 0, Limited: true}, true)
 			tt.change(f)
 			if got := f.Pick(start.Add(3), query("7")).Reason; got != tt.want {
 				t.Errorf("got %q, want %q", got, tt.want)
@@ -326,7 +326,7 @@
 		"nothing":           {func(*Fleet) {}, NoTarget},
 		"a report":          {func(f *Fleet) { f.Put(start, newer) }, NoTarget},
 		"gone and back":     {func(f *Fleet) { f.Remove("t00"); f.Put(start, target) }, NoTarget},
-		"another answer":    {func(f *Fleet) { f.Notice(start.Add(2), target, start.Add(1), Notice{Success: true}) }, NoTarget},
+		"another answer":    {func(f *Fleet) { f.Notice(start.Add(2), target, start.Add(1), notice.Notice{}, true) }, NoTarget},
 		"another run":       {func(f *Fleet) { f.Put(start, restarted) }, ""},
 		"gone, another run": {func(f *Fleet) { f.Remove("t00"); f.Put(start, restarted) }, ""},
 	}
@@ -334,7 +334,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t, 0, 9)
 			f.Put(start, target)
-			f.Notice(start, target, start, Notice{Leaving: true})
+			f.Notice(start, target, start, notice.Notice{Leaving: true}, true)
 			if f.Wanted(start, target) {
 				t.Error("got a request that is wanted, want none")
 			}
@@ -350,7 +350,7 @@
 func TestPlacesWithinLimits(t *testing.T) {
 	f := newFleet(t, 1, 9)
 	target := f.targets["t00"].Target
-	f.Notice(start, target, start, Notice{Limit: 20, Limited: true})
+	f.Notice(start, target, start, notice.Notice{Limit: 20, Limited: true}, true)
 	now := start.Add(10 * time.Millisecond)
 	var got []time.Duration
 	for i := range 5 {
@@ -383,7 +383,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			w := newNoticeWorld(t, tt.rates, tt.targets, func(target string, now time.Time) word {
-				return word{Notice: Notice{Leaving: target == "t00" && now.Sub(start) >= seconds(5)}}
+				return word{Notice: notice.Notice{Leaving: target == "t00" && now.Sub(start) >= seconds(5)}}
 			})
 			w.shares = tt.shares
 			w.run(0, 5)
@@ -403,7 +403,7 @@
 	return func(target string, now time.Time) word {
 		at := now.Sub(start)
 		if which(target) && at >= seconds(from) && at < seconds(to) {
-			return word{Notice: Notice{Rest: rest}, refused: true}
+			return word{Notice: notice.Notice{Rest: rest}, refused: true}
 		}
 		return word{}
 	}
@@ -465,7 +465,7 @@
 func TestRefusedInATimeOfRest(t *testing.T) {
 	f := newFleet(t, 3, 9)
 	for i, rest := range []time.Duration{4 * time.Second, 3 * time.Second, 5 * time.Second} {
-		f.Notice(start, f.targets[fmt.Sprintf("t%02d", i)].Target, start, Notice{Rest: rest})
+		f.Notice(start, f.targets[fmt.Sprintf("t%02d", i)].Target, start, notice.Notice{Rest: rest}, true)
 	}
 	now := start.Add(time.Second)
 	before := time.Duration(0)
