Keep to leaving, rest and limits of targets in 'firlever serve' too

A target's refusal told its caller when to come back, and the target itself got the next request at once; it had no way to name a limit, or to say that it leaves before its operator drains it. Change: targets say so by Firlever-Leaving, Firlever-Limit and Retry-After with 503, in answers and to probes. The owner of a target, which alone sends to it, gives it nothing then, or as much as its limit lets it; who owns a part of its slots while ownership moves has that part of the limit. Weights, rooms and offers that peers are told of count such a target as full. Requests that only such targets could serve are refused at once with the true time, spread over a second, whether they arrive, were handed over, wait in the queue or were refused there. As a target has no runs here, a successful answer or probe that does not say it any more ends leaving and limits.

--- a/internal/callers/exchange.go
+++ b/internal/callers/exchange.go
@@ -226,13 +226,18 @@
 	}
 }
 
-// fromTarget takes in a target's answer. Of its headers with our names only
-// the refusal that proves that nothing ran is understood.
+// fromTarget takes in a target's answer. Of its headers with our names only the refusal that
+// proves that nothing ran, and what it says of the requests that it wants, are understood.
 func (x *exchange) fromTarget(t try, resp *http.Response) bool {
+	said := Noticed(t.target, t.began, resp)
+	x.s.dispatcher.Step(said)
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderOutcome) == OutcomeNotRun {
-		x.fail(t, core.Finished{
-			Result: core.NotRun, Proof: once.ProofRefusal, Retry: retryAfter(resp.Header, x.s.dispatcher.Now()),
-		})
+		now := x.s.dispatcher.Now()
+		ev := core.Finished{Result: core.NotRun, Proof: once.ProofRefusal, Retry: retryAfter(resp.Header, now)}
+		if ev.Retry.IsZero() && said.Notice.Rest > 0 {
+			ev.Retry = now.Add(said.Notice.Rest)
+		}
+		x.fail(t, ev)
 		return false
 	}
 	return x.relay(t, resp)
--- a/internal/callers/header.go
+++ b/internal/callers/header.go
@@ -6,6 +6,10 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/firlever/firlever/internal/core"
+	"github.com/firlever/firlever/internal/notice"
+	"github.com/firlever/firlever/internal/owner"
 )
 
 // Headers of requests and answers, towards callers, peers and targets alike.
@@ -20,6 +24,11 @@
 	HeaderHome    = "Firlever-Home"    // the caller's home place
 	HeaderFrom    = "Firlever-From"    // the instance that handed the request off
 
+	// Of targets' answers, those to probes too.
+	HeaderLeaving = "Firlever-Leaving" // "1": the target leaves, and wants no new requests
+	HeaderLimit   = "Firlever-Limit"   // requests a second that it takes, a decimal number
+	headerRest    = "Retry-After"      // seconds for which it wants none, with 503
+
 	// Between instances only.
 	HeaderWant    = "Firlever-Want"    // requests that the sender would like to hand off
 	HeaderRelease = "Firlever-Release" // requests that it was granted and has no use for
@@ -35,6 +44,17 @@
 	OutcomeUnknown  = "unknown"
 )
 
+// notices are the headers by which targets say which requests they want.
+var notices = notice.Names{Leaving: HeaderLeaving, Limit: HeaderLimit, Rest: headerRest}
+
+// Noticed is what a target's answer says of the requests that it wants. A success says all.
+func Noticed(target owner.TargetKey, asked time.Time, resp *http.Response) core.Noticed {
+	n, unread := notices.Read(resp.StatusCode, resp.Header)
+	return core.Noticed{
+		Target: target, Asked: asked, Notice: n, Unread: unread, Whole: resp.StatusCode < http.StatusMultipleChoices,
+	}
+}
+
 // ownPrefix begins the names of our own headers.
 const ownPrefix = "Firlever-"
 
@@ -95,5 +115,5 @@
 	wait := max(at.Sub(now), 0)
 	h.Set(HeaderRetry, strconv.FormatInt(wait.Milliseconds()+1, 10))
 	seconds := (wait + time.Second - 1) / time.Second
-	h.Set("Retry-After", strconv.FormatInt(int64(max(seconds, 1)), 10))
+	h.Set(headerRest, strconv.FormatInt(int64(max(seconds, 1)), 10))
 }
--- a/internal/core/apply.go
+++ b/internal/core/apply.go
@@ -255,8 +255,11 @@
 	n.pump(now)
 }
 
-// weight is how many slots of a target health lets this instance use.
+// weight is how many slots of a target its health, and what it said itself, let this instance use.
 func (n *Node) weight(now time.Time, key owner.TargetKey) int {
+	if _, why := n.barred(now, key); why != "" {
+		return 0
+	}
 	s := n.service(now, key.Service)
 	return s.health.Weight(now, key, s.limits[key])
 }
--- a/internal/core/baseline.go
+++ b/internal/core/baseline.go
@@ -34,7 +34,8 @@
 func (n *Node) untried(now time.Time, f *flight) []owner.TargetKey {
 	var keys []owner.TargetKey
 	for _, key := range n.service(now, f.req.Service).keys {
-		if !f.hasTried(key.Name) && !n.snapshot.TargetDrained(f.req.Service, key.Name) {
+		_, why := n.barred(now, key)
+		if why == "" && !f.hasTried(key.Name) && !n.snapshot.TargetDrained(f.req.Service, key.Name) {
 			keys = append(keys, key)
 		}
 	}
--- a/internal/core/decision.go
+++ b/internal/core/decision.go
@@ -48,6 +48,8 @@
 	ReasonRepeat      Reason = "repeat"          // the recorded answer of the key's first request
 	ReasonNotKept     Reason = "answer-not-kept" // the key's request was answered, but the answer was too large to keep
 	ReasonEndsTargets Reason = "ends-targets"    // it has ended the targets that ran it
+	ReasonResting     Reason = "resting"         // the targets have asked for rest
+	ReasonLimited     Reason = "limited"         // the targets have named limits, and had as much
 	ReasonNoEnd       Reason = "answer-no-end"   // the end of the target's answer can't be told from a cut
 )
 
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -118,6 +118,8 @@
 		n.book.Abandon(ev.Removed)
 	case Probed:
 		n.probed(now, ev)
+	case Noticed:
+		n.noticed(now, ev)
 	case CrashesHeard:
 		n.crashesHeard(now, ev.News)
 	case Stopping:
--- a/internal/core/outcome.go
+++ b/internal/core/outcome.go
@@ -174,7 +174,7 @@
 func (n *Node) otherWays(now time.Time, f *flight) int {
 	if n.servesHere(f) {
 		for _, key := range n.service(now, f.req.Service).keys {
-			if !f.hasTried(key.Name) {
+			if _, why := n.barred(now, key); why == "" && !f.hasTried(key.Name) {
 				return 1
 			}
 		}
--- a/internal/core/room.go
+++ b/internal/core/room.go
@@ -117,7 +117,11 @@
 	var rooms []Room
 	for _, id := range n.snapshot.Services() {
 		if s, ok := n.services[id]; ok && len(s.keys) > 0 {
-			rooms = append(rooms, Room{Service: id, Free: n.book.FreeService(now, id)})
+			free := n.book.FreeService(now, id)
+			if _, why := n.allBarred(now, id); why != "" {
+				free = 0
+			}
+			rooms = append(rooms, Room{Service: id, Free: free})
 		}
 	}
 	return rooms
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -33,6 +33,7 @@
 		n.refuse(now, f, ReasonNoTargets)
 	case f.origin != FromPeer && !n.servesHere(f) && !f.awaits:
 		n.refuse(now, f, f.reason())
+	case !f.awaits && n.refuseBarred(now, f):
 	default:
 		n.hold(now, f)
 	}
@@ -66,6 +67,9 @@
 	if n.snapshot.PlaceDrained(id, n.cfg.Place) || n.ownSlots(now, id) == 0 {
 		return false
 	}
+	if _, why := n.allBarred(now, id); why != "" {
+		return false
+	}
 	return n.queue.Wait(now, id) < n.cfg.Spill
 }
 
@@ -144,6 +148,7 @@
 	n.check(invariant.Leaving, !n.snapshot.TargetDrained(f.req.Service, key.Name), func() string {
 		return key.Name + " got new work while drained"
 	})
+	n.spend(now, key)
 	f.stage, f.target = stageTarget, key
 	f.attempts++
 	n.decide(Serve{
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -19,12 +19,14 @@
 	limits map[owner.TargetKey]int         // each target's allowance
 	keys   []owner.TargetKey               // of the place's targets, in the document's order
 	rev    uint64                          // version of the service's document
+
+	constraints map[owner.TargetKey]*constraint // of targets that have said any
 }
 
 // newService makes the state of a service. The configurations are constant and
 // valid, so their errors can't happen.
 func (n *Node) newService(now time.Time) *service {
-	s := &service{}
+	s := &service{constraints: make(map[owner.TargetKey]*constraint)}
 	s.ramp, _ = shift.New(shift.Config{Counter: n.cfg.Checks})
 	s.health, _ = health.New(health.Config{}, compareTargets, n.cfg.Rand)
 	s.budget, _ = retry.NewBudget(now, retry.Config{})
@@ -59,6 +61,7 @@
 	for key := range old {
 		if _, ok := s.limits[key]; !ok {
 			s.health.Remove(key)
+			delete(s.constraints, key)
 		}
 	}
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -179,6 +179,8 @@
 		case in.asks <- d:
 		default: // the node asks again
 		}
+	case core.TargetNews:
+		in.logNews(d)
 	case core.TellCrashes:
 		select {
 		case in.news <- d:
--- a/internal/instance/log.go
+++ b/internal/instance/log.go
@@ -1,6 +1,9 @@
 package instance
 
-import "github.com/firlever/firlever/internal/core"
+import (
+	"github.com/firlever/firlever/internal/core"
+	"github.com/firlever/firlever/internal/metrics"
+)
 
 func (in *Instance) platformFailed(call string, err error) {
 	in.cfg.Metrics.PlatformFailed(call)
@@ -22,3 +25,12 @@
 			"reason", d.Reason, "removed", d.Removed, "members", len(d.Next.Members), "err", err)
 	}
 }
+
+// logNews writes the line of what a target said of the requests that it wants.
+func (in *Instance) logNews(d core.TargetNews) {
+	in.cfg.Metrics.Decided(metrics.Decision{Kind: "notice", Service: d.Target.Service.String()})
+	if in.cfg.Log != nil {
+		in.cfg.Log.Info("target notice", "service", d.Target.Service, "target", d.Target.Name, "leaving", d.Notice.Leaving,
+			"limited", d.Notice.Limited, "limit", d.Notice.Limit, "rest", d.Notice.Rest, "unread", d.Unread)
+	}
+}
--- a/internal/instance/probe.go
+++ b/internal/instance/probe.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/firlever/firlever/internal/callers"
 	"github.com/firlever/firlever/internal/core"
 )
 
@@ -64,6 +65,7 @@
 		return got
 	}
 	health.Body.Close()
+	in.dispatcher.Step(callers.Noticed(p.Target, p.Asked, health))
 	got.Healthy = health.StatusCode == http.StatusOK
 	resp, err := in.get(ctx, p.Address, "/load")
 	if err != nil {
