Demo and emulated targets that limit, leave and rest

Cause: no stand-in of a target said which requests it wants, so that nothing showed what becomes of that. Proxies show the far end where a connection comes from.

--- a/internal/demo/fault.go
+++ b/internal/demo/fault.go
@@ -19,10 +19,11 @@
 	FaultCut      FaultKind = "cut"      // a place is cut off from all else
 	FaultPlatform FaultKind = "platform" // the platform has an outage
 	FaultCrash    FaultKind = "crash"    // a request that is sent again and again ends each target that runs it
+	FaultNotice   FaultKind = "notice"   // targets of a place say in their answers that they leave, want rest, or name a limit
 	FaultSuspend  FaultKind = "suspend"  // the clocks of all instances go on as if their machines had been suspended
 )
 
-var allFaults = []FaultKind{FaultKill, FaultDrain, FaultStop, FaultCut, FaultPlatform, FaultCrash, FaultSuspend}
+var allFaults = []FaultKind{FaultKill, FaultDrain, FaultStop, FaultCut, FaultPlatform, FaultCrash, FaultSuspend, FaultNotice}
 
 // ParseFaults reads a list such as "kill,cut", "none" or "all". Another word
 // gives a *ConfigError.
@@ -37,7 +38,7 @@
 	for word := range strings.SplitSeq(s, ",") {
 		k := FaultKind(strings.TrimSpace(word))
 		if !slices.Contains(allFaults, k) {
-			return nil, &ConfigError{Faults: []string{`fault "` + string(k) + `" is none of none, all, kill, drain, stop, cut, platform, crash, suspend`}}
+			return nil, &ConfigError{Faults: []string{`fault "` + string(k) + `" is none of none, all, kill, drain, stop, cut, platform, crash, suspend, notice`}}
 		}
 		kinds = append(kinds, k)
 	}
@@ -60,7 +61,7 @@
 )
 
 // schedule draws one fault of each kind. The place that is cut off is not
-// the one that is drained, and no instance is hit twice.
+// the one that is drained or whose targets want less, and no instance is hit twice.
 func schedule(seed uint64, kinds []FaultKind, places, instances []string, total time.Duration) []Fault {
 	rng := rand.New(rand.NewPCG(seed, faultStream))
 	places, instances = shuffled(rng, places), shuffled(rng, instances)
@@ -74,7 +75,7 @@
 		switch k {
 		case FaultKill, FaultStop:
 			f.On, instances = first(instances)
-		case FaultDrain, FaultCut:
+		case FaultDrain, FaultCut, FaultNotice:
 			f.On, places = first(places)
 		}
 		list = append(list, f)
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -43,6 +43,7 @@
 	store   *inproc.Store // the operators' own way to the platform, which answers the instances too
 	proxies map[string]*link.Proxy
 	started uint64            // targets that were started
+	mortals []*mortal         // the same
 	ends    ends              // of targets under the request that ends them
 	direct  map[string]string // address of the target to call directly, by place
 	roll    *roll
--- a/internal/demo/inject.go
+++ b/internal/demo/inject.go
@@ -82,6 +82,8 @@
 		r.f.store.SetFaults(store.Faults{Refuse: true, Until: r.start.Add(fault.Back)})
 	case FaultSuspend:
 		boottime.Suspend(suspension)
+	case FaultNotice:
+		r.f.constrain(fault.On, r.start.Add(fault.Back))
 	case FaultCrash:
 		return r.crash(ctx, fault)
 	}
--- a/internal/demo/target.go
+++ b/internal/demo/target.go
@@ -88,6 +88,7 @@
 		ln.Close()
 		return "", errors.Annotate(err, "fleet.startTarget")
 	}
+	f.mortals = append(f.mortals, m)
 	f.closers = append(f.closers, m.close)
 	address := ln.Addr().String()
 	f.directory.add(address, link.At(cfg.Place))
--- a/internal/emulator/link/proxy.go
+++ b/internal/emulator/link/proxy.go
@@ -54,7 +54,7 @@
 // forward carries one connection. When it breaks on one side, the other side
 // is reset.
 func (p *Proxy) forward(near net.Conn) {
-	far, err := p.links.DialContext(p.ctx, p.from, p.to, p.addr)
+	far, err := p.links.DialFrom(p.ctx, source(near), p.from, p.to, p.addr)
 	if err != nil {
 		abort(near)
 		return
@@ -72,6 +72,14 @@
 	_ = near.Close()
 }
 
+// source is the address that the far end sees: that of the dialer, as far as it is this machine's.
+func source(near net.Conn) net.Addr {
+	if a, ok := near.RemoteAddr().(*net.TCPAddr); ok && a.IP.IsLoopback() {
+		return &net.TCPAddr{IP: a.IP}
+	}
+	return nil
+}
+
 // carry copies one direction and passes its end on.
 func carry(dst, src net.Conn) {
 	_, err := io.Copy(dst, src)
--- a/internal/emulator/target/serve.go
+++ b/internal/emulator/target/serve.go
@@ -17,6 +17,9 @@
 	headerKey     = "Firlever-Key"
 	headerHome    = "Firlever-Home"
 	headerOutcome = "Firlever-Outcome"
+	headerLeaving = "Firlever-Leaving"
+	headerLimit   = "Firlever-Limit"
+	headerRest    = "Retry-After"
 
 	outcomeNotRun  = "not-run"
 	outcomeUnknown = "unknown"
@@ -33,17 +36,26 @@
 
 // ServeHTTP answers probes and requests.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	now := time.Now()
+	rests := t.notices.say(w.Header(), now)
 	switch r.URL.Path {
 	case "/health":
 		t.serveHealth(w, r)
 	case "/load":
 		t.serveLoad(w, r)
 	default:
+		t.notices.arrived(t.journal, t.Scope(), now)
+		if rests {
+			refuse(w, http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Del(headerRest)
 		t.serveWork(w, r)
 	}
 }
 
 func (t *Target) serveHealth(w http.ResponseWriter, r *http.Request) {
+	w.Header().Del(headerRest)
 	s, report, ok := t.probe(r)
 	if !ok {
 		return
--- a/internal/emulator/target/target.go
+++ b/internal/emulator/target/target.go
@@ -23,6 +23,7 @@
 	pace    *pace
 	done    chan struct{} // closed when the server has ended
 	fatal   sync.Once     // of what ends it
+	notices notices
 
 	mu     sync.Mutex
 	report Report
--- a/internal/invariant/counter.go
+++ b/internal/invariant/counter.go
@@ -19,12 +19,13 @@
 	GracefulStop  Name = "graceful-stop"  // a planned stop cuts no request
 	ConfigForward Name = "config-forward" // an accepted configuration never reverts
 	Contained     Name = "contained"      // a request that ends the targets that run it is held back
+	Wanted        Name = "wanted"         // a target gets no more than it has said that it wants
 )
 
 // names lists all invariants: those of the brief in its order, then others.
 var names = [...]Name{
 	ShiftCap, RegionLimit, WholeAnswer, NotRunTrue,
-	AtMostOnce, Leaving, GracefulStop, ConfigForward, Contained,
+	AtMostOnce, Leaving, GracefulStop, ConfigForward, Contained, Wanted,
 }
 
 // Count is the tally of one invariant.
