Soak with targets that limit, leave and rest

Cause: the soak's targets said nothing of the requests that they want. An instance that is signalled, and a fault on the way to targets, excuse what was said before. Callers come back when they are told to, for a third of their patience.

--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -29,6 +30,9 @@
 // crashEvery is the pause between two requests that end targets.
 const crashEvery = 100 * time.Millisecond
 
+// mostWait is the most of a refusal's time that callers wait for.
+const mostWait = patience / 3
+
 // patience is how long a caller waits for an answer, as it says in its requests.
 const patience = 2 * time.Second
 
@@ -118,10 +122,14 @@
 		c.hangUp()
 		return
 	}
+	c.world.wants.toldBy(c.conn.RemoteAddr(), resp.Header)
 	c.world.journal.answered(id, resp.StatusCode, wrong(resp, id, string(got), body))
 	if resp.Close {
 		c.hangUp()
 	}
+	if seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil && resp.StatusCode == http.StatusServiceUnavailable {
+		time.Sleep(min(time.Duration(seconds*float64(time.Second)), mostWait))
+	}
 }
 
 // wrong says what is wrong with an answer; "" if nothing is.
--- a/internal/soak/edge_test.go
+++ b/internal/soak/edge_test.go
@@ -35,13 +35,15 @@
 	cmd  *exec.Cmd     // guarded by mu
 	done chan struct{} // closed when cmd has ended; guarded by mu
 	out  lastLines
+
+	harmed func() // called before and after a signal
 }
 
 // grace is from SIGTERM to SIGKILL.
 const grace = 3 * time.Second
 
 func newEdge(t *testing.T, k int, domain, store string, seeds []string) *edge {
-	e := &edge{t: t, name: fmt.Sprintf("e%d", k), ip: address(k), domain: domain}
+	e := &edge{t: t, name: fmt.Sprintf("e%d", k), ip: address(k), domain: domain, harmed: func() {}}
 	e.settings = filepath.Join(t.TempDir(), "boot.yaml")
 	text := fmt.Sprintf(`{node: %q, ip: %q, zone: %q, region: north, zones: {n1: north, n2: north},
 listen: {front: %q, ready: %q, directory: %q, control: %q}, seeds: [%q, %q], platform: {address: %q, ttl_min: 500ms},
@@ -82,6 +84,8 @@
 
 // signal sends a signal to the process that this test started.
 func (e *edge) signal(s syscall.Signal) {
+	e.harmed()
+	defer e.harmed()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.cmd != nil {
@@ -105,6 +109,7 @@
 	}
 	e.signal(syscall.SIGKILL)
 	<-done
+	e.harmed()
 }
 
 // ready asks the instance whether it is ready.
--- a/internal/soak/fault_test.go
+++ b/internal/soak/fault_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/firlever/firlever/internal/emulator/link"
 	"github.com/firlever/firlever/internal/emulator/store"
+	"github.com/firlever/firlever/internal/notice"
 )
 
 // fault begins one fault at random. It ends by itself; others may begin meanwhile.
@@ -16,7 +17,7 @@
 	e := w.edges[w.rng.IntN(len(w.edges))]
 	t := w.targets[w.rng.IntN(len(w.targets))]
 	length := time.Duration(100+w.rng.IntN(1200)) * time.Millisecond
-	switch w.rng.IntN(17) {
+	switch w.rng.IntN(22) {
 	case 0:
 		w.lasting(e.name, func() { e.stop(false); time.Sleep(length / 4); e.start() })
 		return "kill " + e.name
@@ -64,6 +65,21 @@
 			w.lasting(t.name, func() { t.bad.Store(60); time.Sleep(length); t.bad.Store(3) })
 		}
 		return "bad answers of all targets"
+	case 17:
+		n := notice.Notice{Limited: true, Limit: float64(w.rng.IntN(40)) / 2}
+		w.constrain([]*target{t}, n, 3*length)
+		return fmt.Sprintf("%s says %+v", t.name, n)
+	case 18, 19:
+		n := notice.Notice{Rest: 2 * length}
+		w.constrain([]*target{t}, n, length)
+		return fmt.Sprintf("%s says %+v", t.name, n)
+	case 20:
+		n := []notice.Notice{{Rest: length}, {Limited: true, Limit: 10}}[w.rng.IntN(2)]
+		w.constrain(w.targets, n, length)
+		return fmt.Sprintf("all targets say %+v", n)
+	case 21:
+		w.leave()
+		return "a target says that it leaves"
 	case 13:
 		w.replace()
 		return "replace a target"
@@ -103,6 +119,8 @@
 func (w *world) path(from, to string, f link.Fault, length time.Duration) {
 	both := w.rng.IntN(2) == 0
 	w.lasting(from+to, func() {
+		w.wants.harm(to, 1)
+		defer w.wants.harm(to, -1)
 		w.links.Set(from, to, f)
 		if both {
 			w.links.Set(to, from, f)
--- a/internal/soak/target_test.go
+++ b/internal/soak/target_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/firlever/firlever/internal/emulator/link"
 	"github.com/firlever/firlever/internal/emulator/store"
+	"github.com/firlever/firlever/internal/notice"
 	"github.com/firlever/firlever/platform"
 )
 
@@ -27,6 +28,7 @@
 	server       *httptest.Server
 	bad          atomic.Int64 // percent of the requests at which it misbehaves
 	reports      atomic.Int64 // that it has written of itself
+	said         atomic.Pointer[notice.Notice]
 
 	mu     sync.Mutex
 	rng    *rand.Rand  // guarded by mu
@@ -46,6 +48,7 @@
 
 func newTarget(w *world, id, domain string, seed uint64) *target {
 	t := &target{name: id, domain: domain, world: w, journal: w.journal, rng: rand.New(rand.NewPCG(seed, 1))}
+	t.said.Store(&notice.Notice{})
 	t.server = httptest.NewServer(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -135,6 +138,11 @@
 	if err != nil {
 		return // the caller left before it was in
 	}
+	if t.say(w.Header(), r) {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	misbehaves := int64(t.draw(100)) < t.bad.Load()
 	way := t.draw(7)
 	if misbehaves && way == 0 {
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -32,6 +32,7 @@
 	links   *link.Links
 	store   *store.Store
 	journal *journal
+	wants   *wants
 	edges   []*edge
 	targets []*target
 	next    int // number of the next target
@@ -47,6 +48,7 @@
 		t: t, rng: rand.New(rand.NewPCG(seed, seed)), store: store.New(), journal: newJournal(), broken: make(map[string]bool),
 		links: link.New(nil, link.Latency{}, seed, nil),
 	}
+	w.wants = newWants(w.journal)
 	server := httptest.NewServer(w.store)
 	t.Cleanup(func() {
 		server.CloseClientConnections()
@@ -69,6 +71,7 @@
 		p := link.NewProxy(ln, w.links, link.At(fmt.Sprint("e", k)), link.At("store"), server.Listener.Addr().String())
 		t.Cleanup(func() { p.Close() })
 		e := newEdge(t, k, domain(k), p.Addr(), []string{peers[(k+1)%edges], peers[(k+2)%edges]})
+		e.harmed = func() { w.wants.excuse(e.ip) }
 		e.start()
 		t.Cleanup(func() { e.stop(false) })
 		w.edges = append(w.edges, e)
