Hash the names of instances once for shares of common bounds

Cause: the rank of an instance for a target hashed the names of all instances each time; with limits at all targets that is asked for each of them. Change: the hashes are kept with the list.

--- a/internal/steer/capacity_test.go
+++ b/internal/steer/capacity_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/firlever/firlever/internal/notice"
 	"github.com/firlever/firlever/internal/routes"
 )
 
@@ -34,3 +35,36 @@
 		})
 	}
 }
+
+// What a choice costs where all targets have named limits, and there are many instances.
+func BenchmarkCapacityPickLimited(b *testing.B) {
+	for _, n := range []int{12, 100, 300, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			f, err := New(config("a", "n1"))
+			if err != nil {
+				b.Fatal(err)
+			}
+			f.Limit(start, map[string]routes.Service{"s": {Name: "s"}})
+			peers := []string{"a"}
+			for i := range 2 * n {
+				peers = append(peers, fmt.Sprintf("i%04d", i))
+			}
+			f.Peers(start, peers)
+			domains := []string{"n1", "n2", "s1", "s2"}
+			for i := range n {
+				target := Target{ID: fmt.Sprintf("t%04d", i), Service: "s", Domain: domains[i%4], Slots: 8}
+				f.Put(start, target)
+				f.Notice(start, target, start, notice.Notice{Limit: 5, Limited: true}, true)
+			}
+			now := start
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(time.Millisecond)
+				q := query(fmt.Sprint(i % 500))
+				q.Deadline = now.Add(time.Second)
+				if c := f.Pick(now, q); c.Reason == "" {
+					f.Done(now, c.Target, Outcome{Ending: Answered, Took: 100 * time.Millisecond})
+				}
+			}
+		})
+	}
+}
--- a/internal/steer/fleet.go
+++ b/internal/steer/fleet.go
@@ -22,6 +22,7 @@
 	constraints map[run]*constraints // of runs that have said any, known or gone not long ago
 	evacuated   map[string]bool      // by failure domain
 	peers       []string             // instances that bounds are divided among, this one among them; sorted
+	peerSeeds   []uint64             // hashes of peers
 	lapsed      map[string]time.Time // those of peers whose records are gone: they count until then
 	division    int                  // counts the changes of peers
 }
--- a/internal/steer/peers.go
+++ b/internal/steer/peers.go
@@ -62,6 +62,10 @@
 	}
 	f.peers = peers
 	f.division++
+	f.peerSeeds = f.peerSeeds[:0]
+	for _, p := range peers {
+		f.peerSeeds = append(f.peerSeeds, hash(p))
+	}
 	for _, s := range f.services {
 		s.budget.SetSlack(f.slack())
 	}
--- a/internal/steer/share.go
+++ b/internal/steer/share.go
@@ -43,16 +43,16 @@
 
 // rank is the place of this instance among all in the order that t's ID gives.
 func (f *Fleet) rank(t *target) int {
+	if !slices.Contains(f.peers, f.cfg.Instance) {
+		return len(f.peers)
+	}
 	own := mix(t.seed, hash(f.cfg.Instance))
 	n := 0
-	for _, p := range f.peers {
-		if p != f.cfg.Instance && mix(t.seed, hash(p)) > own {
+	for _, seed := range f.peerSeeds {
+		if mix(t.seed, seed) > own {
 			n++
 		}
 	}
-	if !slices.Contains(f.peers, f.cfg.Instance) {
-		return len(f.peers)
-	}
 	return n
 }
 
