One error type for calls between instances that fail

RelayError and TellError had the fields and methods of peerhttp.Error. Only the texts of log lines change: 'peer ADDRESS: status N' in place of 'mirror: relay' and 'callers: tell'.

--- a/internal/callers/crash.go
+++ b/internal/callers/crash.go
@@ -4,13 +4,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"time"
 
 	"github.com/firlever/firlever/internal/core"
 	"github.com/firlever/firlever/internal/metrics"
+	"github.com/firlever/firlever/internal/peerhttp"
 )
 
 const (
@@ -20,20 +20,6 @@
 	maxNews = 1 << 20
 )
 
-// TellError says that a peer could not be told of targets that ended.
-type TellError struct {
-	Peer   string
-	Status int // of its answer; 0 if there was none
-	Err    error
-}
-
-func (e *TellError) Error() string {
-	return fmt.Sprintf("callers: tell %s: status %d: %v", e.Peer, e.Status, e.Err)
-}
-
-// Unwrap returns the cause.
-func (e *TellError) Unwrap() error { return e.Err }
-
 // TellCrashes carries a decision out.
 func (s *Server) TellCrashes(ctx context.Context, d core.TellCrashes) {
 	body, err := json.Marshal(d.News)
@@ -56,20 +42,20 @@
 	s.noteTell(d, failed)
 }
 
-// tell tells one peer. It returns a *TellError.
+// tell tells one peer. It returns a *peerhttp.Error.
 func (s *Server) tell(ctx context.Context, p core.Peer, body []byte) error {
 	out, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.Address+PathCrashes, bytes.NewReader(body))
 	if err != nil {
-		return &TellError{Peer: p.ID, Err: err}
+		return &peerhttp.Error{Address: p.Address, Err: err}
 	}
 	out.Header["User-Agent"] = nil
 	resp, err := s.client.Send(ctx, out, nil)
 	if err != nil {
-		return &TellError{Peer: p.ID, Err: err}
+		return &peerhttp.Error{Address: p.Address, Err: err}
 	}
 	resp.Body.Close()
 	if resp.StatusCode != http.StatusNoContent {
-		return &TellError{Peer: p.ID, Status: resp.StatusCode}
+		return &peerhttp.Error{Address: p.Address, Status: resp.StatusCode}
 	}
 	return nil
 }
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"github.com/firlever/firlever/internal/boottime"
+	"github.com/firlever/firlever/internal/peerhttp"
 )
 
 // step is what follows on a try to learn from a peer.
@@ -106,7 +107,7 @@
 
 // pauseAfter is how long a relay is left alone after a failure.
 func pauseAfter(err error) time.Duration {
-	var failed *RelayError
+	var failed *peerhttp.Error
 	if errors.As(err, &failed) && failed.Status == http.StatusServiceUnavailable {
 		return staleSoon
 	}
@@ -166,7 +167,7 @@
 	}
 	if query.Has(anyAge) && boottime.Since(n.confirmed) > relayAge {
 		m.adopt(n)
-		return errors.Trace(&RelayError{Address: address, Status: http.StatusServiceUnavailable})
+		return errors.Trace(&peerhttp.Error{Address: address, Status: http.StatusServiceUnavailable})
 	}
 	delete(m.avoided, address)
 	m.regain(address)
--- a/internal/mirror/news.go
+++ b/internal/mirror/news.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -13,23 +12,10 @@
 	"github.com/juju/errors"
 
 	"github.com/firlever/firlever/internal/boottime"
+	"github.com/firlever/firlever/internal/peerhttp"
 	"github.com/firlever/firlever/platform"
 )
 
-// RelayError says that a relay can't be followed.
-type RelayError struct {
-	Address string
-	Status  int // of its answer; 0 if there was none
-	Err     error
-}
-
-func (e *RelayError) Error() string {
-	return fmt.Sprintf("mirror: relay %s: status %d: %v", e.Address, e.Status, e.Err)
-}
-
-// Unwrap returns the cause.
-func (e *RelayError) Unwrap() error { return e.Err }
-
 // news is what a relay said.
 type news struct {
 	events    []platform.Event
@@ -46,28 +32,28 @@
 	begin := boottime.Now()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+RelayPath+"?"+query.Encode(), nil)
 	if err != nil {
-		return news{}, errors.Trace(&RelayError{Address: address, Err: err})
+		return news{}, errors.Trace(&peerhttp.Error{Address: address, Err: err})
 	}
 	resp, err := m.client.Do(r)
 	if err != nil {
-		return news{}, errors.Trace(&RelayError{Address: address, Err: err})
+		return news{}, errors.Trace(&peerhttp.Error{Address: address, Err: err})
 	}
 	defer resp.Body.Close()
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxRelayed))
 	if err != nil || resp.StatusCode != http.StatusOK {
-		return news{}, errors.Trace(&RelayError{Address: address, Status: resp.StatusCode, Err: err})
+		return news{}, errors.Trace(&peerhttp.Error{Address: address, Status: resp.StatusCode, Err: err})
 	}
 	var answer relayed
 	if err := json.Unmarshal(b, &answer); err != nil {
-		return news{}, errors.Trace(&RelayError{Address: address, Status: resp.StatusCode, Err: err})
+		return news{}, errors.Trace(&peerhttp.Error{Address: address, Status: resp.StatusCode, Err: err})
 	}
 	age, err := milliseconds(resp.Header, headerAge)
 	if err != nil {
-		return news{}, errors.Trace(&RelayError{Address: address, Status: resp.StatusCode, Err: err})
+		return news{}, errors.Trace(&peerhttp.Error{Address: address, Status: resp.StatusCode, Err: err})
 	}
 	settling, err := milliseconds(resp.Header, headerSettling)
 	if err != nil {
-		return news{}, errors.Trace(&RelayError{Address: address, Status: resp.StatusCode, Err: err})
+		return news{}, errors.Trace(&peerhttp.Error{Address: address, Status: resp.StatusCode, Err: err})
 	}
 	n := answer.news()
 	n.confirmed = begin.Add(-age) // the answer was made later
