--- a/internal/steer/capacity_test.go
+++ b/internal/steer/capacity_test.go
@@ -12,27 +12,7 @@
 // What a choice costs grows with the targets of the service.
 func BenchmarkCapacityPick(b *testing.B) {
 	for _, n := range []int{12, 100, 300, 1000} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			f, err := New(config("a", "n1"))
-			if err != nil {
-				b.Fatal(err)
-			}
-			f.Limit(start, map[string]routes.Service{"s": {Name: "s"}})
-			f.Peers(start, []string{"a"})
-			domains := []string{"n1", "n2", "s1", "s2"}
-			for i := range n {
-				f.Put(start, Target{ID: fmt.Sprintf("t%04d", i), Service: "s", Domain: domains[i%4], Slots: 8})
-			}
-			now := start
-			for i := 0; b.Loop(); i++ {
-				now = now.Add(time.Millisecond)
-				q := query(fmt.Sprint(i % 500))
-				q.Deadline = now.Add(time.Second)
-				if c := f.Pick(now, q); c.Reason == "" {
-					f.Done(now, c.Target, Outcome{Ending: Answered, Took: 100 * time.Millisecond})
-				}
-			}
-		})
+		b.Run(fmt.Sprint(n), func(b *testing.B) { pickOf(b, fleetOf(b, n, 0)) })
 	}
 }
 
@@ -40,31 +20,44 @@
 func BenchmarkCapacityPickLimited(b *testing.B) {
 	for _, n := range []int{12, 100, 300, 1000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			f, err := New(config("a", "n1"))
-			if err != nil {
-				b.Fatal(err)
-			}
-			f.Limit(start, map[string]routes.Service{"s": {Name: "s"}})
-			peers := []string{"a"}
-			for i := range 2 * n {
-				peers = append(peers, fmt.Sprintf("i%04d", i))
-			}
-			f.Peers(start, peers)
-			domains := []string{"n1", "n2", "s1", "s2"}
-			for i := range n {
-				target := Target{ID: fmt.Sprintf("t%04d", i), Service: "s", Domain: domains[i%4], Slots: 8}
-				f.Put(start, target)
-				f.Notice(start, target, start, notice.Notice{Limit: 5, Limited: true}, true)
-			}
-			now := start
-			for i := 0; b.Loop(); i++ {
-				now = now.Add(time.Millisecond)
-				q := query(fmt.Sprint(i % 500))
-				q.Deadline = now.Add(time.Second)
-				if c := f.Pick(now, q); c.Reason == "" {
-					f.Done(now, c.Target, Outcome{Ending: Answered, Took: 100 * time.Millisecond})
-				}
+			f := fleetOf(b, n, 2*n)
+			for _, t := range f.targets {
+				f.Notice(start, t.Target, start, notice.Notice{Limit: 5, Limited: true}, true)
 			}
+			pickOf(b, f)
 		})
 	}
 }
+
+// fleetOf is a fleet of so many targets and further instances.
+func fleetOf(b *testing.B, targets, others int) *Fleet {
+	b.Helper()
+	f, err := New(config("a", "n1"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	f.Limit(start, map[string]routes.Service{"s": {Name: "s"}})
+	peers := []string{"a"}
+	for i := range others {
+		peers = append(peers, fmt.Sprintf("i%04d", i))
+	}
+	f.Peers(start, peers)
+	domains := []string{"n1", "n2", "s1", "s2"}
+	for i := range targets {
+		f.Put(start, Target{ID: fmt.Sprintf("t%04d", i), Service: "s", Domain: domains[i%4], Slots: 8})
+	}
+	return f
+}
+
+// pickOf chooses targets, a thousand a second.
+func pickOf(b *testing.B, f *Fleet) {
+	now := start
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(time.Millisecond)
+		q := query(fmt.Sprint(i % 500))
+		q.Deadline = now.Add(time.Second)
+		if c := f.Pick(now, q); c.Reason == "" {
+			f.Done(now, c.Target, Outcome{Ending: Answered, Took: 100 * time.Millisecond})
+		}
+	}
+}
--- /dev/null
+++ b/internal/steer/limit_test.go
@@ -0,0 +1,133 @@
+package steer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/firlever/firlever/internal/notice"
+)
+
+// limited says that the watched target names a limit from a second on.
+func limited(rate, from float64) func(target string, now time.Time) word {
+	return func(target string, now time.Time) word {
+		if target == "t00" && now.Sub(start) >= seconds(from) {
+			return word{Notice: notice.Notice{Limit: rate, Limited: true}}
+		}
+		return word{}
+	}
+}
+
+// even is n instances that get so many requests a second together.
+func even(n int, rate float64) []float64 {
+	rates := make([]float64, n)
+	for i := range rates {
+		rates[i] = rate / float64(n)
+	}
+	return rates
+}
+
+func TestMoreThanATargetsLimit(t *testing.T) {
+	tests := map[string]struct {
+		rates   []float64
+		targets int
+		limit   float64
+	}{
+		"even load":            {even(9, 360), 16, 9},
+		"unequal load":         {[]float64{200, 100, 40, 10, 5, 2, 1, 1, 1}, 16, 9},
+		"all at one instance":  {[]float64{360, 0, 0, 0, 0, 0, 0, 0, 0}, 16, 9},
+		"fewer than instances": {even(60, 300), 12, 2.5},
+		"less than one":        {even(195, 400), 8, 0.4},
+		"none":                 {even(9, 360), 16, 0},
+		"of the only target":   {even(9, 200), 1, 50},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newNoticeWorld(t, tt.rates, tt.targets, limited(tt.limit, 5))
+			w.run(0, 45)
+			want := int(1.5*tt.limit*4) + 5
+			if got := w.most(4*time.Second, 500*time.Millisecond, start); got > want {
+				t.Errorf("got %d requests in 4 s, want %d at most", got, want)
+			}
+		})
+	}
+}
+
+// A limit is used: callers are served by it where nothing else has room.
+func TestLimitIsUsed(t *testing.T) {
+	tests := map[string]struct {
+		rates []float64
+		limit float64
+		want  int // requests in 20 s, at least
+	}{
+		"even load":           {even(9, 200), 50, 950},
+		"unequal load":        {[]float64{100, 50, 20, 10, 8, 6, 5, 5, 5}, 18, 350},
+		"all at one instance": {[]float64{200, 0, 0, 0, 0, 0, 0, 0, 0}, 18, 40},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newNoticeWorld(t, tt.rates, 1, limited(tt.limit, 5))
+			w.run(0, 10)
+			before := len(w.arrivals)
+			w.run(10, 30)
+			if got := len(w.arrivals) - before; got < tt.want {
+				t.Errorf("got %d requests, want %d at least", got, tt.want)
+			}
+		})
+	}
+}
+
+// Once a target names no limit any more, it is used as before, and not by all at once.
+func TestLimitEnds(t *testing.T) {
+	tests := map[string]struct {
+		rates  []float64
+		limit  float64
+		within float64 // seconds
+	}{
+		"even load":                {even(9, 360), 9, 2},
+		"unequal load":             {[]float64{200, 100, 40, 10, 5, 2, 1, 1, 1}, 9, 2},
+		"none was let in":          {even(9, 360), 0, 12},
+		"few of many were let in":  {even(195, 360), 1.2, 10},
+		"of many, none was let in": {even(195, 360), 0, 25},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newNoticeWorld(t, tt.rates, 16, func(target string, now time.Time) word {
+				if now.Sub(start) < seconds(25) {
+					return limited(tt.limit, 5)(target, now)
+				}
+				return word{}
+			})
+			w.shares = true
+			w.run(0, 25)
+			w.run(25, 25+tt.within)
+			begin := len(w.arrivals)
+			w.run(25+tt.within, 30+tt.within)
+			if got, want := len(w.arrivals)-begin, 60; got < want {
+				t.Errorf("got %d requests in 5 s, want %d at least", got, want)
+			}
+		})
+	}
+}
+
+// Callers that are refused for limits come back one after the other.
+func TestPlacesWithinLimits(t *testing.T) {
+	f := newFleet(t, 1, 9)
+	target := f.targets["t00"].Target
+	f.Notice(start, target, start, notice.Notice{Limit: 20, Limited: true}, true)
+	now := start.Add(10 * time.Millisecond)
+	var got []time.Duration
+	for i := range 5 {
+		c := f.Pick(now, query(fmt.Sprint(i)))
+		if c.Reason != Limited {
+			t.Fatalf("got reason %q, want %q", c.Reason, Limited)
+		}
+		got = append(got, c.Again)
+	}
+	for i, again := range got {
+		// One of two instances may send 10 a second.
+		if want := 90*time.Millisecond + time.Duration(i)*100*time.Millisecond; (again - want).Abs() > time.Millisecond {
+			t.Errorf("caller %d: got %s, want %s", i, again, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/steer/rest_test.go
@@ -0,0 +1,124 @@
+package steer
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/firlever/firlever/internal/notice"
+)
+
+// rests says that some targets refuse requests in a span, and ask for rest.
+func rests(which func(target string) bool, from, to float64, rest time.Duration) func(target string, now time.Time) word {
+	return func(target string, now time.Time) word {
+		at := now.Sub(start)
+		if which(target) && at >= seconds(from) && at < seconds(to) {
+			return word{Notice: notice.Notice{Rest: rest}, refused: true}
+		}
+		return word{}
+	}
+}
+
+// A target that has asked for rest gets it from the instance that it asked.
+func TestRequestsInATimeOfRest(t *testing.T) {
+	one := func(target string) bool { return target == "t00" }
+	third := func(target string) bool { return target <= "t04" }
+	all := func(string) bool { return true }
+	tests := map[string]struct {
+		rates   []float64
+		targets int
+		which   func(target string) bool
+	}{
+		"one target":          {even(9, 360), 16, one},
+		"a third of them":     {even(9, 360), 16, third},
+		"all at once":         {even(9, 360), 16, all},
+		"all at one instance": {[]float64{360, 0, 0, 0, 0, 0, 0, 0, 0}, 16, third},
+		"the only target":     {even(9, 200), 1, all},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newNoticeWorld(t, tt.rates, tt.targets, rests(tt.which, 5, 14, 3*time.Second))
+			w.run(0, 14)
+			for i := range w.rates {
+				if got := w.inRest(i); got > 2 {
+					t.Errorf("instance %d: got %d requests within 3 s of rest, want 2 at most", i, got)
+				}
+			}
+		})
+	}
+}
+
+// inRest is the most requests of an instance between half a second after the watched target
+// refused one of its, and the end of the rest that it asked for.
+func (w *noticeWorld) inRest(instance int) int {
+	var times []time.Time
+	for _, a := range w.arrivals {
+		if a.instance == instance {
+			times = append(times, a.at)
+		}
+	}
+	most := 0
+	for _, at := range times {
+		if !w.says(w.watched, at).refused {
+			continue
+		}
+		told := at.Add(worldTick)
+		from, _ := slices.BinarySearchFunc(times, told.Add(500*time.Millisecond), time.Time.Compare)
+		to, _ := slices.BinarySearchFunc(times, told.Add(3*time.Second), time.Time.Compare)
+		most = max(most, to-from)
+	}
+	return most
+}
+
+// Who comes while all targets rest is refused at once and told when they take requests again,
+// each another time.
+func TestRefusedInATimeOfRest(t *testing.T) {
+	f := newFleet(t, 3, 9)
+	for i, rest := range []time.Duration{4 * time.Second, 3 * time.Second, 5 * time.Second} {
+		f.Notice(start, f.targets[fmt.Sprintf("t%02d", i)].Target, start, notice.Notice{Rest: rest}, true)
+	}
+	now := start.Add(time.Second)
+	before := time.Duration(0)
+	for i := range 5 {
+		c := f.Pick(now, query(fmt.Sprint(i)))
+		if c.Reason != Resting || c.Target.ID != "" {
+			t.Fatalf("got %+v, want a refusal as resting", c)
+		}
+		if c.Again < 2*time.Second || c.Again > 2*time.Second+placesTime || c.Again <= before {
+			t.Errorf("got %s, want another time than %s between 2 s and 3 s", c.Again, before)
+		}
+		before = c.Again
+	}
+	if got := f.Pick(start.Add(3100*time.Millisecond), query("7")); got.Target.ID != "t01" {
+		t.Errorf("got %+v, want t01, which has rested", got)
+	}
+}
+
+// After its rest a target gets one request of an instance at a time until it has answered one,
+// and then as many as before.
+func TestRestEnds(t *testing.T) {
+	tests := map[string]struct {
+		targets int
+		want    int // requests in 12 s, at least
+	}{
+		"one of many":     {16, 120},
+		"the only target": {1, 2000},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newNoticeWorld(t, even(9, 360), tt.targets, rests(func(target string) bool { return target == "t00" }, 5, 6, 3*time.Second))
+			w.run(0, 8)
+			w.arrivals = nil
+			w.run(8, 20)
+			end := w.arrivals[0].at.Add(worldWork)
+			got, _ := slices.BinarySearchFunc(w.arrivals, end, func(a arrival, at time.Time) int { return a.at.Compare(at) })
+			if got > len(w.rates) {
+				t.Errorf("got %d requests before the first answer, want %d at most", got, len(w.rates))
+			}
+			if got := len(w.arrivals); got < tt.want {
+				t.Errorf("got %d requests in 12 s, want %d at least", got, tt.want)
+			}
+		})
+	}
+}
