--- a/internal/core/notice.go
+++ b/internal/core/notice.go
@@ -51,7 +51,8 @@
 	rate     float64   // requests a second; counts if limited
 	next     time.Time // when it takes the next one, if limited
 	restEnds time.Time // it gets nothing before
-	heard    time.Time // when what it said last was asked
+	heard    time.Time // when it last said anything
+	unread   bool      // its last notice could not be read whole
 }
 
 // noticed takes in what a target said. Requests that wait for nothing else then are refused.
@@ -73,7 +74,7 @@
 	if c.limited && !limited {
 		c.next = now.Add(n.gap(now, ev.Target, c))
 	}
-	if changed || ev.Unread != nil {
+	if changed {
 		n.decide(TargetNews{Target: ev.Target, Notice: ev.Notice, Unread: ev.Unread})
 		n.replace(now, ev.Target.Service)
 	}
@@ -97,7 +98,8 @@
 	if ev.Notice.Any() {
 		c.heard = now
 	}
-	return c.leaving != before.leaving || c.limited != before.limited || c.rate != before.rate ||
+	c.unread = ev.Unread != nil
+	return c.unread != before.unread || c.leaving != before.leaving || c.limited != before.limited || c.rate != before.rate ||
 		c.restEnds != before.restEnds && !now.Before(before.restEnds)
 }
 
--- a/internal/core/notice_test.go
+++ b/internal/core/notice_test.go
@@ -121,6 +121,26 @@
 	}
 }
 
+// What can't be read counts for nothing, and is told once.
+func TestUnreadableNotice(t *testing.T) {
+	at := begin.Add(2 * time.Second)
+	n := constrained(t, at, notice.Notice{})
+	news := 0
+	for i := range 3 {
+		for _, d := range n.Step(at, Noticed{Target: testTarget, Asked: at, Unread: []string{"Firlever-Limit: many"}, Whole: true}) {
+			if _, ok := d.(TargetNews); ok {
+				news++
+			}
+		}
+		if got := word(n.Step(at, request(ID(i+1), "10.1.0.1"))); got == "refuse limited" {
+			t.Errorf("got %s, want a target that may get requests", got)
+		}
+	}
+	if news != 1 {
+		t.Errorf("got %d news, want 1", news)
+	}
+}
+
 // A target that names a limit gets so many requests a second.
 func TestMoreThanATargetsLimit(t *testing.T) {
 	at := begin.Add(2 * time.Second)
