Keep what targets said while they are known; bear any size of limit

Found by reading the change: - What a target had said was dropped after ten minutes when another target said something, though the target was still known: a request that waited for a connection, or an entry that lapsed, could pass by its leaving or its rest. - A limit near 0 made the wait for a token overflow, and let all requests pass. - A word of a peer from before the end of a limit brought the limit back. - A target that is at its limit and is no home of the object counted as full, so that the refusal said no-room. - Callers refused for slow limits were all told the same time. - Lines of requests name limit and part only where the target has named one.

--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -42,14 +42,18 @@
 // known when its target was chosen, and what came of it.
 func (n *Node) fields(now time.Time, p *passage, resp *http1.Response) []any {
 	c := p.choice
-	return []any{
+	line := []any{
 		"id", p.info.ID, "print", p.print, "object", p.info.Object, "route", p.route.Name, "workspace", p.name(), "service", p.service,
 		"config", p.rules.Config().Version,
 		"status", resp.Status, "took", now.Sub(p.in.At), "left", p.deadline.Sub(now), "attempts", p.arrived,
 		"target", c.Target.ID, "domain", c.Target.Domain, "wait", c.Wait, "cost", c.Cost, "home", c.Home, "cold", c.Cold,
-		"busy", c.Busy, "usual", c.Usual, "limit", c.Limit, "part", c.Part, "load-age", c.Age, "store-age", n.mirror.Age(now),
+		"busy", c.Busy, "usual", c.Usual, "load-age", c.Age, "store-age", n.mirror.Age(now),
 		"ending", p.outcome(), "ended", p.ended, "conn", p.in.Conn,
 	}
+	if c.Part != nil {
+		line = append(line, "limit", c.Part.Limit, "part", c.Part.Rate)
+	}
+	return line
 }
 
 // outcome names what decided about a request: why no target was chosen, or how the
--- a/internal/steer/limit.go
+++ b/internal/steer/limit.go
@@ -19,9 +19,10 @@
 	trialGap = 10 * time.Second
 	// againLimited is the longest that a refused caller is told to wait for limits: they may
 	// end any time. placesTime is the span in which callers that may come back at the same
-	// time are given their places.
+	// time are given their places, mostGap the most between two of these.
 	againLimited = 1500 * time.Millisecond
 	placesTime   = time.Second
+	mostGap      = placesTime / 8
 )
 
 // limit is how many requests a target takes from all instances together, and this instance's
@@ -29,7 +30,7 @@
 type limit struct {
 	named bool
 	rate  float64   // requests a second; 0 or more
-	heard time.Time // when an answer last named it
+	heard time.Time // when an answer last named it, or said that there is none
 	tried time.Time // when a request was last sent without a token
 
 	part   part
@@ -95,10 +96,16 @@
 		return 0
 	}
 	wait := max(0, l.trialAt(len(f.peers)).Sub(now))
-	if l.part.rate > 0 {
-		wait = min(wait, time.Duration((1-l.tokens)/l.part.rate*float64(time.Second)))
+	return min(wait, waitFor(1-l.tokens, l.part.rate))
+}
+
+// waitFor is how long so many tokens take to come in at a rate; noticeLife at most, as rates may
+// be as small as anything.
+func waitFor(tokens, rate float64) time.Duration {
+	if tokens >= rate*noticeLife.Seconds() {
+		return noticeLife
 	}
-	return wait
+	return time.Duration(tokens / rate * float64(time.Second))
 }
 
 // trialAt is when this instance may try whether the limit is over without a token. Each has
@@ -135,7 +142,7 @@
 }
 
 // limitGap is how long it takes until this instance may send one more request to any target
-// of a service, where all have limits.
+// of a service, where all have limits; mostGap at most.
 func (f *Fleet) limitGap(now time.Time, s *service) time.Duration {
 	rate := 0.0
 	for _, t := range s.targets {
@@ -144,16 +151,17 @@
 			rate += t.constraints.limit.part.rate
 		}
 	}
-	if rate <= 0 {
-		return againSoonest
-	}
-	return min(againLimited, time.Duration(float64(time.Second)/rate))
+	return min(mostGap, waitFor(1, rate))
 }
 
-// limitPart is what the target has named, and this instance's part of it; -1 if nothing.
-func (t *target) limitPart() (rate, part float64) {
+// Part is the limit that a target has named, and this instance's part of it, in requests a second.
+type Part struct{ Limit, Rate float64 }
+
+// limitPart is the part of the target's limit; nil if it has named none.
+func (t *target) limitPart() *Part {
 	if t.constraints == nil || !t.constraints.limit.named {
-		return -1, -1
+		return nil
 	}
-	return t.constraints.limit.rate, t.constraints.limit.part.rate
+	l := &t.constraints.limit
+	return &Part{Limit: l.rate, Rate: l.part.rate}
 }
--- a/internal/steer/limit_test.go
+++ b/internal/steer/limit_test.go
@@ -40,6 +40,7 @@
 		"less than one":        {even(195, 400), 8, 0.4},
 		"none":                 {even(9, 360), 16, 0},
 		"of the only target":   {even(9, 200), 1, 50},
+		"as small as anything": {even(9, 360), 16, 5e-324},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/steer/notice.go
+++ b/internal/steer/notice.go
@@ -38,7 +38,7 @@
 	restEnds time.Time // it gets nothing before
 	resumes  bool      // it has asked for rest, and has not answered since other than by a refusal
 	limit    limit
-	until    time.Time // remembered so long without its entry
+	until    time.Time // remembered so long when the run is not known any more
 
 	told time.Time // when an answer to this instance last brought what others should know
 	as   time.Time // when it was so
@@ -58,17 +58,25 @@
 	key := runOf(of)
 	c := f.constraints[key]
 	if c == nil {
-		maps.DeleteFunc(f.constraints, func(_ run, old *constraints) bool { return !now.Before(old.until) })
+		maps.DeleteFunc(f.constraints, func(r run, old *constraints) bool { return !now.Before(old.until) && f.known(r) == nil })
 		c = &constraints{run: key}
 		f.constraints[key] = c
-		if t, ok := f.targets[of.ID]; ok && runOf(&t.Target) == key {
+		if t := f.known(key); t != nil {
 			t.constraints = c
 		}
 	}
-	c.until = now.Add(noticeLife)
+	c.until = later(c.until, now.Add(noticeLife))
 	return c
 }
 
+// known returns the target whose run it is; nil if there is another one or none.
+func (f *Fleet) known(r run) *target {
+	if t, ok := f.targets[r.id]; ok && runOf(&t.Target) == r {
+		return t
+	}
+	return nil
+}
+
 // take takes in a notice, and returns what it changes.
 func (c *constraints) take(now, sent time.Time, n notice.Notice, success bool) []News {
 	var news []News
@@ -81,6 +89,7 @@
 			news = append(news, Rests)
 		}
 		c.restEnds, c.resumes = later(c.restEnds, now.Add(n.Rest)), true
+		c.until = later(c.until, c.restEnds)
 	} else if sent.After(c.restEnds) {
 		c.resumes = false
 	}
@@ -92,7 +101,7 @@
 		c.limit.name(now, n.Limit)
 		c.told, c.as = now, now
 	case success && c.limit.named && sent.After(c.limit.heard):
-		c.limit = limit{}
+		c.limit = limit{heard: sent}
 		c.told, c.as = now, sent
 		news = append(news, LimitOver)
 	case success && n.Leaving:
@@ -230,7 +239,7 @@
 		c.limit.name(now, r.Limit)
 		c.limit.heard = r.At
 	case c.limit.named:
-		c.limit = limit{}
+		c.limit = limit{heard: r.At}
 		news = append(news, LimitOver)
 	}
 	return news
--- a/internal/steer/notice_test.go
+++ b/internal/steer/notice_test.go
@@ -106,3 +106,45 @@
 		})
 	}
 }
+
+// What a target said outlasts the memory of runs that are gone as long as the target is known.
+func TestNoticeIsKept(t *testing.T) {
+	f := newFleet(t, 2, 9)
+	leaving, rests := f.targets["t00"].Target, f.targets["t01"].Target
+	f.Notice(start, leaving, start, notice.Notice{Leaving: true}, true)
+	f.Notice(start, rests, start, notice.Notice{Rest: time.Hour}, false)
+	now := start.Add(2 * noticeLife)
+	f.Put(now, Target{ID: "t02", Service: "s", Domain: "n1", Slots: 9})
+	f.Notice(now, f.targets["t02"].Target, now, notice.Notice{Limit: 1, Limited: true}, true)
+	f.Notice(now, leaving, now, notice.Notice{}, false)
+	f.HearConstraints(now, []Constraint{{Target: f.targets["t01"].seed, Limit: 5, Limited: true, At: now}})
+	f.Remove("t01")
+	f.Put(now, rests)
+	for _, of := range []Target{leaving, rests} {
+		if f.Wanted(now, of) {
+			t.Errorf("%s: got a request that is wanted, want none", of.ID)
+		}
+	}
+	q := query("7")
+	q.Deadline = now.Add(time.Second)
+	if got := f.Pick(now, q).Reason; got != Limited {
+		t.Errorf("got %q, want %q, as the others want nothing", got, Limited)
+	}
+}
+
+// What a peer heard before the end of a limit does not bring it back.
+func TestOldWordOfALimit(t *testing.T) {
+	f := newFleet(t, 1, 9)
+	of := f.targets["t00"]
+	f.Notice(start, of.Target, start, notice.Notice{Limited: true}, true)
+	f.Notice(start.Add(2*time.Second), of.Target, start.Add(time.Second), notice.Notice{}, true)
+	now := start.Add(3 * time.Second)
+	f.HearConstraints(now, []Constraint{{Target: of.seed, Limited: true, At: start.Add(time.Second / 2)}})
+	if got := f.Pick(now, query("7")).Reason; got != "" {
+		t.Errorf("got %q, want a target that may get the request", got)
+	}
+	f.HearConstraints(now, []Constraint{{Target: of.seed, Limited: true, At: start.Add(2 * time.Second)}})
+	if got := f.Pick(now, query("7")).Reason; got != Limited {
+		t.Errorf("got %q, want %q", got, Limited)
+	}
+}
--- a/internal/steer/pick.go
+++ b/internal/steer/pick.go
@@ -42,8 +42,7 @@
 	Busy   int           // requests that the target had to do, as far as was known
 	Usual  float64       // usual load of the service's targets, for each slot; counts where Age is long
 	Age    time.Duration // since the target last told its load; -1 if it never did
-	Limit  float64       // requests a second that the target takes from all instances, as it said; -1 if it named no limit
-	Part   float64       // of Limit, that this instance may send
+	Part   *Part         // of the target's limit; nil if it has named none
 	SlowAt time.Time     // without an answer by then, there hardly will be one; another target may be tried beside
 	Reason Reason        // set if the request is refused
 	Again  time.Duration // when it is worth coming back; set if the request is refused
@@ -96,7 +95,7 @@
 func (c Choice) noBudget() Choice {
 	return Choice{
 		Reason: NoBudget, Again: max(againSoonest, c.Wait), First: c.Target.ID,
-		Wait: c.Wait, Busy: c.Busy, Usual: c.Usual, Age: c.Age, Limit: c.Limit, Part: c.Part,
+		Wait: c.Wait, Busy: c.Busy, Usual: c.Usual, Age: c.Age, Part: c.Part,
 	}
 }
 
@@ -135,6 +134,10 @@
 	limited, next := 0, againLimited
 	refused = Choice{Reason: NoRoom, Again: againNone, First: first.ID, Wait: first.wait(now, first.work(mean))}.basedOn(now, first)
 	for _, c := range list {
+		if wait := f.limitRoom(now, c.target); wait > 0 {
+			limited, next = limited+1, min(next, wait)
+			continue
+		}
 		wait := c.wait(now, c.work(mean))
 		if wait > q.Objective || !q.Deadline.After(now.Add(wait)) || now.Before(c.shedUntil) {
 			refused.Again = min(refused.Again, max(againSoonest, mean/2, wait-q.Objective))
@@ -148,10 +151,6 @@
 			refused.Reason, refused.Again = Cold, min(refused.Again, againCold)
 			continue
 		}
-		if wait := f.limitRoom(now, c.target); wait > 0 {
-			limited, next = limited+1, min(next, wait)
-			continue
-		}
 		cost := wait + f.penalty(c, q, mean) + c.slowness(now, mean)
 		if c.cold(now) {
 			cost += mean
@@ -173,7 +172,7 @@
 // basedOn notes what is known of the load of the target that decided.
 func (c Choice) basedOn(now time.Time, t candidate) Choice {
 	c.Busy, c.Usual, c.Age = t.occupied(now), t.service.usual, t.loadAge(now)
-	c.Limit, c.Part = t.limitPart()
+	c.Part = t.limitPart()
 	return c
 }
 
