Count a target's requests anew when its limit changes, in the soak

By its events the target had named 19 a second for 1.57 s before, and 1 a second for the rest of the window: up to 28 requests of those 4 s were allowed by the first limit. The check took the lower limit for the whole window.

--- a/internal/soak/notice_test.go
+++ b/internal/soak/notice_test.go
@@ -150,11 +150,20 @@
 	clear(w.rests)
 }
 
+// renew forgets what reached a run while it named another limit.
+func (w *wants) renew(run string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.told, word{run, headerLimit})
+	delete(w.arrived, run)
+}
+
 // constrain lets targets say something for a while.
 func (w *world) constrain(list []*target, n notice.Notice, length time.Duration) {
 	for _, t := range list {
 		w.lasting(t.name+" says", func() {
 			t.said.Store(&n)
+			w.wants.renew(t.id())
 			time.Sleep(length)
 			t.said.Store(&notice.Notice{})
 		})
