Soak with API keys and a quota

Change: the configuration has two workspaces, one with a quota. Callers show their key, now and then one that nobody has, and claim another workspace. Checked: who runs for whom, that no key reaches a target, 401 and 429 only where they are due, and the quota in each window over all instances. Keys are drawn from a source of their own, so that the callers' other draws by seed stay.

--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -25,6 +25,9 @@
 	read  *bufio.Reader
 	sent  int
 	crash bool // it sends the request that ends targets, and nothing else
+
+	workspace *workspace
+	keys      *rand.Rand // decides which key it shows
 }
 
 // crashEvery is the pause between two requests that end targets.
@@ -102,10 +105,15 @@
 		path, body, object = crashPath, "", 0
 		time.Sleep(crashEvery)
 	}
+	account, key := c.workspace, c.workspace.key
+	if !c.crash && c.keys.IntN(40) == 0 {
+		account, key = nil, unknownKey
+	}
+	c.world.accounts.sent(id, account)
 	c.world.journal.sent(id, once)
 	c.conn.SetDeadline(time.Now().Add(patience + time.Second))
-	fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nCookie: Affinity-Key=%d\r\nContent-Length: %d\r\n\r\n%s",
-		method, path, id, patience.Milliseconds(), object, len(body), body)
+	fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nCookie: Affinity-Key=%d\r\nAuthorization: Bearer %s\r\nTenant: pretended\r\nContent-Length: %d\r\n\r\n%s",
+		method, path, id, patience.Milliseconds(), object, key, len(body), body)
 	if !c.crash && c.rng.IntN(50) == 0 { // leaves with the answer due
 		c.hangUp()
 		return
@@ -122,12 +130,13 @@
 		c.hangUp()
 		return
 	}
+	c.world.accounts.answered(id, resp.StatusCode)
 	c.world.wants.toldBy(c.conn.RemoteAddr(), resp.Header)
 	c.world.journal.answered(id, resp.StatusCode, wrong(resp, id, string(got), body))
 	if resp.Close {
 		c.hangUp()
 	}
-	if seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil && resp.StatusCode == http.StatusServiceUnavailable {
+	if seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
 		time.Sleep(min(time.Duration(seconds*float64(time.Second)), mostWait))
 	}
 }
--- a/internal/soak/target_test.go
+++ b/internal/soak/target_test.go
@@ -151,6 +151,7 @@
 		return
 	}
 	t.journal.ran(id)
+	t.world.accounts.ran(id, r.Header, time.Now())
 	if r.URL.Path == crashPath {
 		time.Sleep(crashAfter)
 		go t.crash()
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -27,16 +27,17 @@
 
 // world is a whole deployment, with what may be done to it.
 type world struct {
-	t       *testing.T
-	rng     *rand.Rand
-	links   *link.Links
-	store   *store.Store
-	journal *journal
-	wants   *wants
-	edges   []*edge
-	targets []*target
-	next    int // number of the next target
-	version int // of the configuration
+	t        *testing.T
+	rng      *rand.Rand
+	links    *link.Links
+	store    *store.Store
+	journal  *journal
+	wants    *wants
+	accounts *accounts
+	edges    []*edge
+	targets  []*target
+	next     int // number of the next target
+	version  int // of the configuration
 
 	mu     sync.Mutex
 	broken map[string]bool // faults that last, by what they are on; guarded by mu
@@ -48,7 +49,7 @@
 		t: t, rng: rand.New(rand.NewPCG(seed, seed)), store: store.New(), journal: newJournal(), broken: make(map[string]bool),
 		links: link.New(nil, link.Latency{}, seed, nil),
 	}
-	w.wants = newWants(w.journal)
+	w.wants, w.accounts = newWants(w.journal), newAccounts(w.journal)
 	server := httptest.NewServer(w.store)
 	t.Cleanup(func() {
 		server.CloseClientConnections()
@@ -86,9 +87,10 @@
 	w.version++
 	const route = `{"resource_kind":"routes","metadata":{"name":"%s"},"spec":{"host":"h","prefix":"/%s/","route_type":"%s","timeout":"%dms","target_latency":"100ms","max_attempts":%d,"service":"s","session_affinity":true}}`
 	const service = `{"resource_kind":"services","metadata":{"name":"s"},"spec":{"warmup":"300ms","cold_per_s":50}}`
-	w.store.Put(platform.ConfigKey, fmt.Appendf(nil, `{"version":%d,"resources":[%s,%s,%s]}`, w.version,
+	w.store.Put(platform.ConfigKey, fmt.Appendf(nil, `{"version":%d,"resources":[%s,%s,%s,%s,%s]}`, w.version,
 		fmt.Sprintf(route, "get", "get", "idempotent", timeout.Milliseconds(), attempts),
-		fmt.Sprintf(route, "do", "do", "non_idempotent", timeout.Milliseconds(), attempts), service))
+		fmt.Sprintf(route, "do", "do", "non_idempotent", timeout.Milliseconds(), attempts), service,
+		unlimited.resource(), limited.resource()))
 }
 
 // add adds a target.
@@ -102,15 +104,27 @@
 // calls runs the callers until ctx ends.
 func (w *world) calls(ctx context.Context, seed uint64) {
 	for k := range callers {
-		c := &caller{world: w, name: fmt.Sprint("c", k), rng: rand.New(rand.NewPCG(seed, uint64(k)))}
+		c := w.caller(seed, k)
+		c.name = fmt.Sprint("c", k)
+		if k%2 == 1 {
+			c.workspace = limited
+		}
 		w.work.Go(func() { c.run(ctx) })
 	}
 	if seed%2 == 1 {
-		c := &caller{world: w, name: "crash", rng: rand.New(rand.NewPCG(seed, callers)), crash: true}
+		c := w.caller(seed, callers)
+		c.name, c.crash = "crash", true
 		w.work.Go(func() { c.run(ctx) })
 	}
 }
 
+func (w *world) caller(seed uint64, k int) *caller {
+	return &caller{
+		world: w, workspace: unlimited,
+		rng: rand.New(rand.NewPCG(seed, uint64(k))), keys: rand.New(rand.NewPCG(seed, uint64(1000+k))),
+	}
+}
+
 // within fails the test unless ok holds within a time.
 func (w *world) within(limit time.Duration, what string, ok func() bool) {
 	w.t.Helper()
