--- /dev/null
+++ b/internal/quota/capacity_test.go
@@ -0,0 +1,69 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// workspaces is how many have a quota: those of a large deployment.
+const workspaces = 5000
+
+// large is a ledger with many workspaces among so many instances.
+func large(b *testing.B, instances int) (*Ledger, []Member) {
+	b.Helper()
+	l, err := New(Config{Self: "i0000", Domain: "d00", Region: "r0", Bounds: Bounds{Over: 0.1, Slack: 20}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	members := make([]Member, 0, instances)
+	for i := range instances {
+		members = append(members, Member{
+			Name: fmt.Sprintf("i%04d", i), Domain: fmt.Sprintf("d%02d", i%21), Region: fmt.Sprint("r", i%10), Size: 1 / float64(1+i%2*4),
+		})
+	}
+	limits := make(map[string]Limit, workspaces)
+	for i := range workspaces {
+		limits[fmt.Sprintf("w%04d", i)] = Limit{Rate: 20, Burst: 10}
+	}
+	now := time.Unix(0, 0)
+	l.Peers(now, members)
+	l.Limit(limits)
+	l.Begin(now, false)
+	return l, members
+}
+
+// What a token costs when the quota is divided already.
+func BenchmarkCapacityToken(b *testing.B) {
+	for _, n := range []int{59, 300, 2000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			l, _ := large(b, n)
+			names := make([]string, 100)
+			for i := range names {
+				names[i] = fmt.Sprintf("w%04d", i*50)
+				l.Take(time.Unix(0, 0), names[i])
+			}
+			now := time.Unix(1, 0)
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(time.Millisecond)
+				l.Take(now, names[i%len(names)])
+			}
+		})
+	}
+}
+
+// What the first token of a workspace costs after an instance has come or gone.
+func BenchmarkCapacityDivide(b *testing.B) {
+	for _, n := range []int{59, 300, 2000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			l, members := large(b, n)
+			now := time.Unix(1, 0)
+			for i := 0; b.Loop(); i++ {
+				members[n-1].Name = fmt.Sprint("j", i%2)
+				now = now.Add(lapseTime)
+				l.Peers(now, members)
+				l.Take(now, fmt.Sprintf("w%04d", i%workspaces))
+			}
+		})
+	}
+}
