Tell in a request's story what its instance last knew of targets' notices

Cause: 'explain' shows what an instance came to believe within 10 s of a request; a limit that was named a minute before is what it was refused for. Change: the last line of each kind for each target belongs to the story, of the instances that handled the request, however old. Test: TestStoryOfNotices, which fails without it.

--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -74,7 +74,7 @@
 	"relay lost": true, "store followed through a peer": true, "lease not renewed": true, "lease renewed again": true, "lease ended": true,
 	"configuration in force": true, "evacuation": true, "settings reloaded": true, "log lines dropped": true,
 	"loads not exchanged": true, "registration unusable": true, "tokens not asked for": true,
-	"machine was suspended": true, "target notice": true, "target notice unreadable": true,
+	"machine was suspended": true,
 }
 
 // Story returns the lines that explain a request, in the order of time. What became known
@@ -101,11 +101,12 @@
 	if first.IsZero() {
 		return nil
 	}
+	said := notices(lines, sources, last)
 	var story []Line
-	for _, l := range lines {
+	for i, l := range lines {
 		near := !l.Time.Before(first.Add(-around)) && !l.Time.After(last.Add(around))
 		about := beliefs[l.Field("msg")] || l.Field("id") == "" && targets[l.Field("target")]
-		if l.Field("id") == id || near && sources[l.Source] && about || l.about(prints) {
+		if l.Field("id") == id || near && sources[l.Source] && about || l.about(prints) || said[i] {
 			story = append(story, l)
 		}
 	}
@@ -113,6 +114,30 @@
 	return story
 }
 
+// noticeMessage is of lines that tell which requests a target wants.
+const noticeMessage = "target notice"
+
+// notices finds the lines that tell what some instances last knew, at a time, of the requests that
+// targets want: that may hold for long.
+func notices(lines []Line, sources map[string]bool, at time.Time) map[int]bool {
+	type key struct{ source, target, news string }
+	newest := make(map[key]int)
+	for i, l := range lines {
+		if l.Field("msg") != noticeMessage || !sources[l.Source] || l.Time.After(at) {
+			continue
+		}
+		k := key{l.Source, l.Field("target"), l.Field("news")}
+		if old, ok := newest[k]; !ok || !l.Time.Before(lines[old].Time) {
+			newest[k] = i
+		}
+	}
+	found := make(map[int]bool, len(newest))
+	for _, i := range newest {
+		found[i] = true
+	}
+	return found
+}
+
 // about says whether the line tells what became known of one of some fingerprints, and not
 // of another request that has it.
 func (l Line) about(prints map[string]bool) bool {
--- a/internal/explain/story_test.go
+++ b/internal/explain/story_test.go
@@ -97,3 +97,24 @@
 		}
 	})
 }
+
+// What targets last said of the requests that they want belongs to a story, from long before too,
+// as far as the request's instance knew it.
+func TestStoryOfNotices(t *testing.T) {
+	const here = `time=2026-01-01T00:00:00Z level=info msg="target notice" target=t1 news=limits limit=4 id=q0
+time=2026-01-01T00:00:01Z level=info msg="target notice" target=t1 news=limits limit=5 id=q0
+time=2026-01-01T00:00:02Z level=info msg="target notice" target=t2 news=rests rest=3s id=q0
+time=2026-01-01T00:05:00Z level=warn msg=request id=q1 status=503 ending=limited first=t1
+time=2026-01-01T00:05:01Z level=info msg="target notice" target=t1 news=limit-over id=q2
+`
+	const elsewhere = `time=2026-01-01T00:04:00Z level=info msg="target notice" target=t1 news=limits limit=6 id=q3
+`
+	var got []string
+	for _, l := range Story(append(read(t, here, "a"), read(t, elsewhere, "b")...), "q1") {
+		got = append(got, strings.Join([]string{l.Field("msg"), l.Field("target"), l.Field("limit"), l.Field("rest")}, " "))
+	}
+	want := []string{"target notice t1 5 ", "target notice t2  3s", "request   "}
+	if strings.Join(got, ",") != strings.Join(want, ",") {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
