End no limit by a header that can't be read

A success whose Server-Limit can't be read was taken for one that names none, and ended the limit; in firlever serve also leaving. It says nothing now. Test: TestUnreadableNotice (internal/edge) failed before; TestNoticed.

--- a/internal/callers/header.go
+++ b/internal/callers/header.go
@@ -47,11 +47,12 @@
 // notices are the headers by which targets say which requests they want.
 var notices = notice.Names{Leaving: HeaderLeaving, Limit: HeaderLimit, Rest: headerRest}
 
-// Noticed is what a target's answer says of the requests that it wants. A success says all.
+// Noticed is what a target's answer says of the requests that it wants. A success says all,
+// if it can be read.
 func Noticed(target owner.TargetKey, asked time.Time, resp *http.Response) core.Noticed {
 	n, unread := notices.Read(resp.StatusCode, resp.Header)
 	return core.Noticed{
-		Target: target, Asked: asked, Notice: n, Unread: unread, Whole: resp.StatusCode < http.StatusMultipleChoices,
+		Target: target, Asked: asked, Notice: n, Unread: unread, Whole: resp.StatusCode < http.StatusMultipleChoices && unread == nil,
 	}
 }
 
--- a/internal/edge/notice.go
+++ b/internal/edge/notice.go
@@ -26,8 +26,9 @@
 // noticed takes in what a target says of the requests that it wants.
 func (n *Node) noticed(p *passage, target steer.Target, sent time.Time, status int, a platform.Answer) {
 	now := boottime.Now()
+	success := status < http.StatusMultipleChoices && a.Signed && a.Unread == nil
 	n.mu.Lock()
-	news := n.fleet.Notice(now, target, sent, a.Notice, status < http.StatusMultipleChoices && a.Signed)
+	news := n.fleet.Notice(now, target, sent, a.Notice, success)
 	n.mu.Unlock()
 	for _, what := range news {
 		n.logNotice(now, steer.Heard{Target: target, News: what, Limit: a.Notice.Limit}, "rest", a.Notice.Rest, "id", p.info.ID, "status", status)
--- a/internal/edge/notice_test.go
+++ b/internal/edge/notice_test.go
@@ -63,3 +63,36 @@
 		}
 	}
 }
+
+// A header that can't be read counts for nothing: it does not end a limit either.
+func TestUnreadableNotice(t *testing.T) {
+	tests := map[string]struct {
+		second string
+		want   bool // the target is limited after its second answer
+	}{
+		"unreadable": {"good, Server-Limit: many", true},
+		"none":       {"good", false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t)
+			r.configure(1, "s")
+			a := r.target("good, Server-Limit: 1000", tt.second)
+			r.register("a", a.address, "n1", "ready")
+			r.start()
+			r.knows(1)
+			r.send("GET", "/get/x")
+			time.Sleep(10 * time.Millisecond) // a token comes in
+			if got := r.send("GET", "/get/x"); got.status != http.StatusOK {
+				t.Fatalf("got %+v, want 200", got)
+			}
+			r.node.mu.Lock()
+			defer r.node.mu.Unlock()
+			list := r.node.fleet.Constraints(time.Time{})
+			if len(list) != 1 || list[0].Limited != tt.want {
+				t.Errorf("got %+v, want one with limited %t", list, tt.want)
+			}
+		})
+	}
+}
