Hold refusals for notices to the route's deadline in the test of all ways

The aim is that a request which can't be served does not wait until its deadline passes: the route's timeout of 300 ms is the bound now. That the decision waits for nothing is checked without a clock in internal/steer (TestRefusedInATimeOfRest, TestPlacesWithinLimits).

--- a/internal/edge/rig_test.go
+++ b/internal/edge/rig_test.go
@@ -104,6 +104,9 @@
 	r.t.Fatalf("not within %s: %s", bound, what)
 }
 
+// routeTimeout is that of the routes of configure.
+const routeTimeout = 300 * time.Millisecond
+
 // configure writes a configuration with routes /get/ and /do/ of service s, whose
 // requests time out after 300 ms.
 func (r *rig) configure(version int, service string) {
