Let the stand-in of the store come back from a copy

Cause: a term of the platform has changed: the store may come back from a copy some seconds old, and the stand-in could not. Change: Copy, GoBack and Rewrite; Store-Era in all answers; watches from revisions that the store doesn't have get 410.

--- /dev/null
+++ b/internal/emulator/store/copy_test.go
@@ -0,0 +1,127 @@
+package store
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// call makes a call, and decodes its answer into out if that is not nil.
+func call(t *testing.T, s *Store, method, target, body string, out any) *httptest.ResponseRecorder {
+	t.Helper()
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, httptest.NewRequest(method, "http://store"+target, strings.NewReader(body)))
+	if out != nil {
+		if err := json.Unmarshal(w.Body.Bytes(), out); err != nil {
+			t.Fatalf("%s %s: %v", method, target, err)
+		}
+	}
+	return w
+}
+
+// lend takes a lease and writes a key under it.
+func lend(t *testing.T, s *Store, key string) uint64 {
+	t.Helper()
+	var l struct{ Lease uint64 }
+	call(t, s, "POST", "/kv-lease", `{"ttl_time":"5s"}`, &l)
+	body := fmt.Sprintf(`{"writes":[{"key":%q,"value":"","lease":%d}]}`, key, l.Lease)
+	if w := call(t, s, "POST", "/kv-txn", body, nil); w.Code != http.StatusOK {
+		t.Fatalf("got status %d of a write", w.Code)
+	}
+	return l.Lease
+}
+
+// A store that comes back from a copy holds what that held: revisions and leases go back,
+// and what was written from outside since is written again.
+func TestGoBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New()
+		defer s.Close()
+		s.Put("kept", []byte("1"))
+		s.Put("removed", []byte("1"))
+		old := lend(t, s, "old")
+		c := s.Copy()
+		revision := s.revision
+		s.Put("kept", []byte("2"))
+		s.Put("kept", []byte("3"))
+		s.Remove("removed")
+		lent := lend(t, s, "new")
+		s.GoBack(c)
+		if s.revision != revision || string(s.Get("kept")) != "1" || s.Get("removed") == nil {
+			t.Errorf("got %q and %q at revision %d, want the copy's at %d", s.Get("kept"), s.Get("removed"), s.revision, revision)
+		}
+		for lease, want := range map[uint64]int{old: http.StatusOK, lent: http.StatusNotFound} {
+			if w := call(t, s, "POST", fmt.Sprint("/kv-keep/", lease), "", nil); w.Code != want {
+				t.Errorf("got status %d of a renewal, want %d", w.Code, want)
+			}
+		}
+		if w := call(t, s, "GET", fmt.Sprintf("/kv-watch?prefix=&after=%d&wait_ms=0", revision+1), "", nil); w.Code != http.StatusGone {
+			t.Errorf("got status %d of a watch from a lost revision, want 410", w.Code)
+		}
+		if again := lend(t, s, "another"); again > lent {
+			t.Errorf("got lease %d after %d was lost, want it given out again or an earlier one", again, lent)
+		}
+		time.Sleep(6 * time.Second)
+		if w := call(t, s, "GET", "/kv-key?key=old", "", nil); w.Code != http.StatusNotFound {
+			t.Errorf("got status %d of a key whose lease is over, want 404", w.Code)
+		}
+		s.Rewrite()
+		if string(s.Get("kept")) != "3" || s.Get("removed") != nil {
+			t.Errorf("got %q and %q, want what was written last", s.Get("kept"), s.Get("removed"))
+		}
+	})
+}
+
+// What was written from outside is written again although the store goes back twice, before
+// that and after.
+func TestGoBackTwice(t *testing.T) {
+	tests := map[string]func(s *Store, c *Copy){
+		"at once":                   func(s *Store, c *Copy) { s.GoBack(c); s.GoBack(c) },
+		"to a copy without it":      func(s *Store, c *Copy) { s.GoBack(c); s.GoBack(s.Copy()) },
+		"after it is written again": func(s *Store, c *Copy) { s.GoBack(c); s.Rewrite(); s.GoBack(c) },
+	}
+	for name, goBack := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := New()
+			defer s.Close()
+			c := s.Copy()
+			s.Put("a", []byte("1"))
+			goBack(s, c)
+			s.Rewrite()
+			if got := string(s.Get("a")); got != "1" || s.Era() != 3 {
+				t.Errorf("got %q in era %d, want 1 in era 3", got, s.Era())
+			}
+		})
+	}
+}
+
+// Each answer names the era, refusals too.
+func TestEra(t *testing.T) {
+	tests := map[string]struct {
+		faults Faults
+		target string
+	}{
+		"list":    {Faults{}, "/kv-range?prefix="},
+		"missing": {Faults{}, "/kv-key?key=a"},
+		"watch":   {Faults{}, "/kv-watch?prefix=&after=0&wait_ms=0"},
+		"gone":    {Faults{}, "/kv-watch?prefix=&after=9&wait_ms=0"},
+		"refused": {Faults{Refuse: true}, "/kv-range?prefix="},
+		"delayed": {Faults{Delay: time.Millisecond}, "/kv-range?prefix="},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := New()
+			defer s.Close()
+			s.GoBack(s.Copy())
+			s.SetFaults(tt.faults)
+			if got := call(t, s, "GET", tt.target, "", nil).Header().Get("Store-Era"); got != "2" {
+				t.Errorf("got era %q, want 2", got)
+			}
+		})
+	}
+}
--- a/internal/emulator/store/read.go
+++ b/internal/emulator/store/read.go
@@ -65,8 +65,9 @@
 	for {
 		s.mu.Lock()
 		events, gone := s.since(q.Get("prefix"), after)
-		revision, changed, f := s.revision, s.changed, s.failing(time.Now())
+		revision, changed, f, era := s.revision, s.changed, s.failing(time.Now()), s.Era()
 		s.mu.Unlock()
+		setEra(w, era)
 		switch {
 		case f.Silent:
 			s.ignore(r)
@@ -105,7 +106,7 @@
 			events = append(events, it)
 		}
 	}
-	return events, after < s.oldest
+	return events, after < s.oldest || after > s.revision
 }
 
 func reply(w http.ResponseWriter, status int, body any) {
--- a/internal/emulator/store/serve.go
+++ b/internal/emulator/store/serve.go
@@ -112,6 +112,7 @@
 
 // ServeHTTP answers a call, or fails it as the faults say.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w = eraWriter{w, s}
 	f := s.begin(r)
 	switch {
 	case f.Silent:
@@ -129,7 +130,7 @@
 		panic(http.ErrAbortHandler)
 	case f.Delay > 0:
 		a := &answer{}
-		s.router.ServeHTTP(a, r)
+		s.router.ServeHTTP(eraWriter{a, s}, r)
 		select {
 		case <-time.After(f.Delay):
 		case <-r.Context().Done():
--- a/internal/emulator/store/store.go
+++ b/internal/emulator/store/store.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -30,6 +31,8 @@
 	reads  *rate.Limiter // nil: any number; in readPrice
 	stop   chan struct{}
 
+	era atomic.Uint64 // one, and how often the store has come back from a copy; written with mu held
+
 	mu       sync.Mutex
 	rng      *rand.Rand        // guarded by mu
 	revision uint64            // of the last change; guarded by mu
@@ -42,6 +45,10 @@
 	faults   Faults            // guarded by mu
 	changed  chan struct{}     // closed at each change; guarded by mu
 	calls    map[string]int    // by path; guarded by mu
+
+	outside   []outside // the last writes from outside, at most maxOutside; guarded by mu
+	dropped   int       // of those, that are not kept any more; guarded by mu
+	unwritten []outside // writes from outside that the store has lost; guarded by mu
 }
 
 type item struct {
@@ -79,6 +86,7 @@
 		calls: make(map[string]int), changed: make(chan struct{}),
 		writes: limiter(cfg.Writes), reads: limiter(readPrice * cfg.Reads),
 	}
+	s.era.Store(1)
 	r := chi.NewRouter()
 	r.Get("/kv-key", s.key)
 	r.Get("/kv-range", s.list)
@@ -105,14 +113,14 @@
 func (s *Store) Put(key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.put(key, value, 0)
+	s.write(outside{key: key, value: value})
 }
 
 // Remove removes a key.
 func (s *Store) Remove(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.remove(key)
+	s.write(outside{key: key, removed: true})
 }
 
 // Get returns the value of a key, or nil.
--- a/internal/emulator/store/write.go
+++ b/internal/emulator/store/write.go
@@ -74,8 +74,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	id := s.revision
-	s.leases[id] = &lease{ttl: ttl, timer: time.AfterFunc(ttl, func() { s.lapsed(id) })}
+	s.lend(s.revision, ttl)
 	reply(w, http.StatusOK, map[string]any{"lease": s.revision, "ttl_time": body.TTL})
 }
 
@@ -118,6 +117,13 @@
 	timer *time.Timer // ends it
 }
 
+// lend begins a lease. s.mu is held.
+func (s *Store) lend(id uint64, ttl time.Duration) {
+	l := &lease{ttl: ttl}
+	l.timer = time.AfterFunc(ttl, func() { s.lapsed(id, l) })
+	s.leases[id] = l
+}
+
 // lapse ends a lease; its keys go with it. s.mu is held.
 func (s *Store) lapse(id uint64) {
 	if l, ok := s.leases[id]; ok {
@@ -131,11 +137,13 @@
 	}
 }
 
-// lapsed ends a lease whose time is over.
-func (s *Store) lapsed(id uint64) {
+// lapsed ends a lease whose time is over, unless another has its ID now.
+func (s *Store) lapsed(id uint64, l *lease) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lapse(id)
+	if s.leases[id] == l {
+		s.lapse(id)
+	}
 }
 
 // Revoke ends all leases at once.
