--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -54,6 +54,27 @@
 	n.cfg.Log.Info("store listed", "resumed", n.resumed)
 }
 
+// Read notes what a reading of the whole store brought.
+func (n *Node) Read(r mirror.Reading) {
+	suppressed, ok := n.failures.Allow(boottime.Now())
+	if r.Skipped > 0 {
+		n.cfg.Metrics.Decided(metrics.Decision{Kind: "store-items", Reason: "older"})
+	}
+	if !ok {
+		return
+	}
+	n.cfg.Log.Info("store read", "era", r.Era, "revision", r.Revision, "known", r.Known, "items", r.Items, "changes", r.Changes,
+		"skipped", r.Skipped, "suppressed", suppressed)
+}
+
+// Forgotten notes that the store doesn't have the changes since a revision.
+func (n *Node) Forgotten(since platform.Revision) {
+	n.cfg.Metrics.Decided(metrics.Decision{Kind: "store-history", Reason: "gone"})
+	if suppressed, ok := n.failures.Allow(boottime.Now()); ok {
+		n.cfg.Log.Warn("store history gone", "since", since, "era", n.store.Era(), "suppressed", suppressed)
+	}
+}
+
 // Through notes that a peer is followed while the store is out of reach.
 func (n *Node) Through(address string) {
 	n.cfg.Log.Info("store followed through a peer", "peer", address)
--- a/internal/mirror/copy.go
+++ b/internal/mirror/copy.go
@@ -3,6 +3,7 @@
 package mirror
 
 import (
+	"bytes"
 	"maps"
 	"slices"
 	"time"
@@ -83,6 +84,18 @@
 	return events
 }
 
+// Older returns how many listed items differ from what is known of them, and are not later.
+func (c *Copy) Older(items []platform.Item) int {
+	n := 0
+	for _, item := range items {
+		old, known := c.items[item.Key]
+		if known && item.Changed <= old.Changed && !bytes.Equal(item.Value, old.Value) {
+			n++
+		}
+	}
+	return n
+}
+
 // Items returns all items, by key.
 func (c *Copy) Items() []platform.Item {
 	items := make([]platform.Item, 0, len(c.items))
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -56,6 +56,10 @@
 	Changed(changes []Change)
 	// Listed tells that the whole store has been read for the first time.
 	Listed()
+	// Read tells what each reading of the whole store brought.
+	Read(r Reading)
+	// Forgotten tells that the store doesn't have the changes since a revision.
+	Forgotten(since platform.Revision)
 	// Lost and Found tell that the store is out of reach, and that it is back.
 	Lost(err error)
 	Found()
@@ -68,6 +72,16 @@
 	AnswerFailed(err error)
 }
 
+// Reading is what a reading of the whole store brought.
+type Reading struct {
+	Era      uint64            // of the store
+	Revision platform.Revision // that it is true at
+	Known    platform.Revision // up to which all changes were known before
+	Items    int               // that the store has
+	Changes  int               // that follow from it
+	Skipped  int               // items that differ from what is known of them, and are not later
+}
+
 // Relays is how many instances of a region are followed by its others, one in place of
 // the other: with a third of the instances turned away by the store, all of them are in
 // one outage of 27.
@@ -179,6 +193,7 @@
 	err := m.watch(ctx)
 	var gone *platform.HistoryError
 	if errors.As(err, &gone) {
+		m.sink.Forgotten(m.history.at())
 		return m.list(ctx)
 	}
 	return err
@@ -218,7 +233,11 @@
 	if err != nil {
 		return err
 	}
-	m.take(m.copy.Difference(items, since), since, begin)
+	events := m.copy.Difference(items, since)
+	m.sink.Read(Reading{
+		Era: m.store.Era(), Revision: since, Known: m.history.at(), Items: len(items), Changes: len(events), Skipped: m.copy.Older(items),
+	})
+	m.take(events, since, begin)
 	m.begun()
 	return nil
 }
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -41,6 +41,10 @@
 
 func (s *sink) Listed() {}
 
+func (s *sink) Read(Reading) {}
+
+func (s *sink) Forgotten(platform.Revision) {}
+
 func (s *sink) Through(string) {}
 
 func (s *sink) AnswerFailed(error) {}
