--- a/internal/core/crash.go
+++ b/internal/core/crash.go
@@ -125,7 +125,7 @@
 	if slices.ContainsFunc(e.told, func(m remembered) bool { return m.report.Key == r.Key }) {
 		return false
 	}
-	e.book.Put(r.Key, 0, r.Report)
+	e.book.Put(r.Key, crash.Unwritten, r.Report)
 	e.told = append(e.told, remembered{until: now.Add(evidenceTime), report: r})
 	if len(e.told) > crash.MostReports {
 		n.forgetFirst()
@@ -159,7 +159,7 @@
 	if known == 0 {
 		return
 	}
-	n.endings.book.Answered(p, 0)
+	n.endings.book.Answered(p, crash.Unwritten)
 	if known >= toldAnswer {
 		n.tellAll(CrashNews{Place: n.cfg.Place, Answered: []crash.Print{p}})
 	}
@@ -175,7 +175,7 @@
 		}
 	}
 	for _, p := range news.Answered {
-		n.endings.book.Answered(p, 0)
+		n.endings.book.Answered(p, crash.Unwritten)
 	}
 	if news.Place != "" && news.Place != n.cfg.Place && len(fresh.Reports)+len(fresh.Answered) > 0 {
 		n.tell(n.peers.local[n.cfg.Place], fresh)
--- a/internal/crash/book.go
+++ b/internal/crash/book.go
@@ -3,8 +3,9 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
+
+	"github.com/firlever/firlever/platform"
 )
 
 // MostReports bounds the reports that are kept; the oldest go first.
@@ -24,36 +25,42 @@
 	mostFormer   = 512
 )
 
+// Unwritten is the revision of a report or an answer that the store does not have, or not yet.
+var Unwritten platform.Revision
+
 // Report says which requests one instance had at a target when that ended.
 type Report struct {
 	Target string  `json:"target"` // its run
 	Prints []Print `json:"prints"`
 }
 
-// Revision orders reports and answers of all instances; 0 if it is not known yet.
-type Revision uint64
-
 // entry is a report under its key.
 type entry struct {
-	revision Revision
+	revision platform.Revision // orders reports and answers of all instances; Unwritten comes after all
 	target   string
 	prints   map[Print]bool // without those that were answered since
 }
 
-// order is where the entry stands among others: what has no revision yet is the latest.
-func (e *entry) order() Revision {
-	if e.revision == 0 {
-		return math.MaxUint64
+// before says whether the entry was written before a revision: what has none yet is the latest.
+func (e *entry) before(r platform.Revision) bool { return !e.revision.IsZero() && r.After(e.revision) }
+
+// after says whether the entry was written after a revision.
+func (e *entry) after(r platform.Revision) bool { return e.revision.IsZero() || e.revision.After(r) }
+
+// compare orders entries in time.
+func (e *entry) compare(o *entry) int {
+	if e.revision.IsZero() || o.revision.IsZero() {
+		return o.revision.Compare(e.revision) // the zero one is the latest
 	}
-	return e.revision
+	return e.revision.Compare(o.revision)
 }
 
 // Book holds the reports of all instances. It is not safe for concurrent use.
 type Book struct {
-	reports  map[string]*entry  // by key; MostReports at most
-	answered map[Print]Revision // when a request was answered with success; mostAnswered at most
-	former   []Print            // that ended targets, by reports that are forgotten; the oldest first, mostFormer at most
-	dropped  []Print            // of guilty, that were in reports forgotten since
+	reports  map[string]*entry           // by key; MostReports at most
+	answered map[Print]platform.Revision // when a request was answered with success; mostAnswered at most
+	former   []Print                     // that ended targets, by reports that are forgotten; the oldest first, mostFormer at most
+	dropped  []Print                     // of guilty, that were in reports forgotten since
 
 	ended  map[string]map[Print]int // by target that ended: in how many reports on it a request is; 1 or more
 	counts map[Print]int            // targets that ended under a request; 1 or more
@@ -64,20 +71,20 @@
 // NewBook makes an empty book.
 func NewBook() *Book {
 	return &Book{
-		reports: make(map[string]*entry), answered: make(map[Print]Revision),
+		reports: make(map[string]*entry), answered: make(map[Print]platform.Revision),
 		ended: make(map[string]map[Print]int), counts: make(map[Print]int),
 	}
 }
 
 // Put takes in a report under its key. One that is known only gets its revision.
-func (b *Book) Put(key string, revision Revision, r Report) {
+func (b *Book) Put(key string, revision platform.Revision, r Report) {
 	if old, ok := b.reports[key]; ok {
-		old.revision = max(old.revision, revision)
+		old.revision = platform.Later(old.revision, revision)
 		return
 	}
 	e := &entry{revision: revision, target: r.Target, prints: make(map[Print]bool)}
 	for _, p := range r.Prints[:min(len(r.Prints), mostPrints)] {
-		if b.answered[p] < e.order() && !e.prints[p] {
+		if e.after(b.answered[p]) && !e.prints[p] {
 			e.prints[p] = true
 			b.blame(e.target, p)
 		}
@@ -135,7 +142,7 @@
 	first := ""
 	for key, e := range b.reports {
 		old := b.reports[first]
-		if old == nil || e.order() < old.order() || e.order() == old.order() && key < first {
+		if old == nil || cmp.Or(e.compare(old), cmp.Compare(key, first)) < 0 {
 			first = key
 		}
 	}
@@ -162,15 +169,15 @@
 // Answered notes that a target has answered a request with success at a revision, which
 // shows that the targets that ended before ended of something else. Without a revision,
 // all reports that are known are from before.
-func (b *Book) Answered(p Print, revision Revision) {
-	at := revision
-	if at == 0 {
-		at = math.MaxUint64
-	} else if b.answered[p] = max(b.answered[p], at); len(b.answered) > mostAnswered {
+func (b *Book) Answered(p Print, revision platform.Revision) {
+	if !revision.IsZero() {
+		b.answered[p] = platform.Later(b.answered[p], revision)
+	}
+	if len(b.answered) > mostAnswered {
 		b.forgetAnswer()
 	}
 	for _, e := range b.reports {
-		if e.order() < at || revision == 0 {
+		if revision.IsZero() || e.before(revision) {
 			b.clear(e, p)
 		}
 	}
@@ -182,7 +189,7 @@
 // forgetAnswer drops the oldest answer.
 func (b *Book) forgetAnswer() {
 	prints := slices.Sorted(maps.Keys(b.answered))
-	delete(b.answered, slices.MinFunc(prints, func(x, y Print) int { return cmp.Compare(b.answered[x], b.answered[y]) }))
+	delete(b.answered, slices.MinFunc(prints, func(x, y Print) int { return b.answered[x].Compare(b.answered[y]) }))
 }
 
 // Count returns how many targets ended under a request.
--- a/internal/crash/book_test.go
+++ b/internal/crash/book_test.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"testing"
+
+	"github.com/firlever/firlever/platform"
 )
 
 const (
@@ -37,7 +39,7 @@
 		t.Run(name, func(t *testing.T) {
 			b := NewBook()
 			for i, prints := range tt.ended {
-				b.Put(fmt.Sprint(i), Revision(i+1), Report{Target: fmt.Sprint("t", i), Prints: prints})
+				b.Put(fmt.Sprint(i), at(uint64(i+1)), Report{Target: fmt.Sprint("t", i), Prints: prints})
 			}
 			if got := slices.Sorted(maps.Keys(b.Guilty())); !slices.Equal(got, tt.want) {
 				t.Errorf("got %v, want %v", got, tt.want)
@@ -50,17 +52,20 @@
 func TestReportsOfOneTarget(t *testing.T) {
 	b := NewBook()
 	for i := range 5 {
-		b.Put(fmt.Sprint(i), Revision(i+1), Report{Target: "t", Prints: []Print{bad}})
+		b.Put(fmt.Sprint(i), at(uint64(i+1)), Report{Target: "t", Prints: []Print{bad}})
 	}
 	if got := b.Count(bad); got != 1 {
 		t.Errorf("got %d targets, want 1", got)
 	}
 }
 
+// at is a revision.
+func at(count uint64) platform.Revision { return platform.NewRevision(1, count) }
+
 // end puts ends of targets under a request into the book.
-func end(b *Book, p Print, from, until Revision) {
+func end(b *Book, p Print, from, until uint64) {
 	for r := from; r <= until; r++ {
-		b.Put(fmt.Sprint(r), r, Report{Target: fmt.Sprint("t", r), Prints: []Print{p}})
+		b.Put(fmt.Sprint(r), at(r), Report{Target: fmt.Sprint("t", r), Prints: []Print{p}})
 	}
 }
 
@@ -70,17 +75,17 @@
 		play func(b *Book)
 		want bool
 	}{
-		"answered after":         {func(b *Book) { end(b, bad, 1, 3); b.Answered(bad, 4) }, false},
-		"answered between":       {func(b *Book) { end(b, bad, 1, 2); b.Answered(bad, 3); end(b, bad, 4, 5) }, false},
-		"ends after the answer":  {func(b *Book) { end(b, bad, 1, 2); b.Answered(bad, 3); end(b, bad, 4, 6) }, true},
-		"heard in another order": {func(b *Book) { b.Answered(bad, 4); end(b, bad, 1, 3) }, false},
-		"answer not yet written": {func(b *Book) { end(b, bad, 1, 3); b.Answered(bad, 0) }, false},
-		"another's answer":       {func(b *Book) { end(b, bad, 1, 3); b.Answered(other, 4) }, true},
+		"answered after":         {func(b *Book) { end(b, bad, 1, 3); b.Answered(bad, at(4)) }, false},
+		"answered between":       {func(b *Book) { end(b, bad, 1, 2); b.Answered(bad, at(3)); end(b, bad, 4, 5) }, false},
+		"ends after the answer":  {func(b *Book) { end(b, bad, 1, 2); b.Answered(bad, at(3)); end(b, bad, 4, 6) }, true},
+		"heard in another order": {func(b *Book) { b.Answered(bad, at(4)); end(b, bad, 1, 3) }, false},
+		"answer not yet written": {func(b *Book) { end(b, bad, 1, 3); b.Answered(bad, Unwritten) }, false},
+		"another's answer":       {func(b *Book) { end(b, bad, 1, 3); b.Answered(other, at(4)) }, true},
 		"heard again with its revision": {func(b *Book) {
-			b.Put("a", 0, Report{Target: "t", Prints: []Print{bad}})
+			b.Put("a", Unwritten, Report{Target: "t", Prints: []Print{bad}})
 			end(b, bad, 1, 2)
-			b.Answered(bad, 0)
-			b.Put("a", 9, Report{Target: "t", Prints: []Print{bad}})
+			b.Answered(bad, Unwritten)
+			b.Put("a", at(9), Report{Target: "t", Prints: []Print{bad}})
 		}, false},
 	}
 	for name, tt := range tests {
@@ -108,7 +113,7 @@
 	if _, got := b.Guilty()[bad]; !got {
 		t.Error("got it not told again after one more end")
 	}
-	b.Answered(bad, 5)
+	b.Answered(bad, at(5))
 	end(b, bad, 6, 6)
 	if _, got := b.Guilty()[bad]; got {
 		t.Error("got it told after an answer and one end")
@@ -123,11 +128,11 @@
 	for i := range prints {
 		prints[i] = Print(1000 + i)
 	}
-	for r := Revision(10); r < 10+2*MostReports; r++ {
-		b.Put(fmt.Sprint(r), r, Report{Target: fmt.Sprint("t", r), Prints: prints[:2]})
-		b.Answered(Print(r+5000), r)
+	for r := uint64(10); r < 10+2*MostReports; r++ {
+		b.Put(fmt.Sprint(r), at(r), Report{Target: fmt.Sprint("t", r), Prints: prints[:2]})
+		b.Answered(Print(r+5000), at(r))
 	}
-	b.Put("wide", 5000, Report{Target: "wide", Prints: prints})
+	b.Put("wide", at(5000), Report{Target: "wide", Prints: prints})
 	if got := len(b.reports); got != MostReports {
 		t.Errorf("got %d reports, want %d", got, MostReports)
 	}
--- a/internal/crash/capacity_test.go
+++ b/internal/crash/capacity_test.go
@@ -24,7 +24,7 @@
 				for k := range 9 { // as many as a target works on at once
 					prints = append(prints, Print(1000+10*i+k))
 				}
-				book.Put(fmt.Sprint(i), Revision(i+1), Report{Target: fmt.Sprint("t", i), Prints: prints})
+				book.Put(fmt.Sprint(i), at(uint64(i+1)), Report{Target: fmt.Sprint("t", i), Prints: prints})
 			}
 			for b.Loop() {
 				book.stale = true
--- a/internal/docstore/client.go
+++ b/internal/docstore/client.go
@@ -35,7 +35,7 @@
 // line is a line of the list as it was written under its lease.
 type line struct {
 	in    Instance
-	lease platform.LeaseID
+	lease platform.Lease
 }
 
 var _ Store = (*Client)(nil)
@@ -64,15 +64,15 @@
 // One that was never written has version 0.
 func (c *Client) read(ctx context.Context, call, path string) (Entry, platform.Revision, error) {
 	if err := CheckPath(call, path); err != nil {
-		return Entry{}, 0, err
+		return Entry{}, platform.Revision{}, err
 	}
 	item, err := c.store.Get(ctx, entryPrefix+path)
 	var missing *platform.MissingError
 	if errors.As(err, &missing) {
-		return Entry{Path: path}, 0, nil
+		return Entry{Path: path}, platform.Revision{}, nil
 	}
 	if err != nil {
-		return Entry{}, 0, unread(call, err)
+		return Entry{}, platform.Revision{}, unread(call, err)
 	}
 	e, err := decodeEntry(item)
 	return e, item.Changed, err
@@ -80,10 +80,10 @@
 
 // List reads every entry under a prefix, and the revision that the first page is
 // true at; what came since is for a watch.
-func (c *Client) List(ctx context.Context, prefix string) ([]Entry, uint64, error) {
+func (c *Client) List(ctx context.Context, prefix string) ([]Entry, platform.Revision, error) {
 	all, revision, err := c.list(ctx, "List", prefix)
 	if err != nil {
-		return nil, 0, err
+		return nil, platform.Revision{}, err
 	}
 	var entries []Entry
 	for _, e := range all {
@@ -95,20 +95,20 @@
 }
 
 // list reads every entry under a prefix, deleted ones too.
-func (c *Client) list(ctx context.Context, call, prefix string) ([]Entry, uint64, error) {
+func (c *Client) list(ctx context.Context, call, prefix string) ([]Entry, platform.Revision, error) {
 	items, revision, err := c.store.List(ctx, entryPrefix+prefix, false)
 	if err != nil {
-		return nil, 0, unread(call, err)
+		return nil, platform.Revision{}, unread(call, err)
 	}
 	entries := make([]Entry, 0, len(items))
 	for _, item := range items {
 		e, err := decodeEntry(item)
 		if err != nil {
-			return nil, 0, err
+			return nil, platform.Revision{}, err
 		}
 		entries = append(entries, e)
 	}
-	return entries, uint64(revision), nil
+	return entries, revision, nil
 }
 
 // Swap writes value if the path still has the given version. A value over
@@ -147,14 +147,14 @@
 	if err != nil {
 		return Entry{}, unwritten(call, e.Path, want, err)
 	}
-	e.Revision = uint64(revision)
+	e.Revision = revision
 	return e, nil
 }
 
 // Watch waits for entries under prefix past a revision. If the store has forgotten
 // the changes since, all entries that are newer are read instead.
-func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Entry, uint64, error) {
-	events, revision, err := c.store.Watch(ctx, entryPrefix+prefix, platform.Revision(after), min(wait, platform.MaxWait))
+func (c *Client) Watch(ctx context.Context, prefix string, after platform.Revision, wait time.Duration) ([]Entry, platform.Revision, error) {
+	events, revision, err := c.store.Watch(ctx, entryPrefix+prefix, after, min(wait, platform.MaxWait))
 	var gone *platform.HistoryError
 	if errors.As(err, &gone) {
 		return c.newer(ctx, prefix, after)
@@ -177,22 +177,22 @@
 		}
 		entries = append(entries, e)
 	}
-	return entries, uint64(revision), nil
+	return entries, revision, nil
 }
 
 // newer reads the entries that were written past a revision.
-func (c *Client) newer(ctx context.Context, prefix string, after uint64) ([]Entry, uint64, error) {
+func (c *Client) newer(ctx context.Context, prefix string, after platform.Revision) ([]Entry, platform.Revision, error) {
 	all, revision, err := c.list(ctx, "Watch", prefix)
 	if err != nil {
 		return nil, after, err
 	}
 	var entries []Entry
 	for _, e := range all {
-		if e.Revision > after {
+		if e.Revision.After(after) {
 			entries = append(entries, e)
 		}
 	}
-	return entries, max(after, revision), nil
+	return entries, platform.Later(after, revision), nil
 }
 
 // Register puts this instance in the list, or renews its line.
@@ -204,8 +204,7 @@
 	defer c.mu.Unlock()
 	if old, ok := c.lines[in.ID]; ok && old.in == in {
 		err := c.store.Keep(ctx, old.lease)
-		var ended *platform.MissingError
-		if !errors.As(err, &ended) {
+		if !platform.LeaseGone(err) {
 			return failed("Register", in.ID, err)
 		}
 	}
--- a/internal/docstore/client_test.go
+++ b/internal/docstore/client_test.go
@@ -67,7 +67,7 @@
 			return answer{[]any{e, n}, err}
 		},
 		"watch": func(s docstore.Store) answer {
-			e, n, err := s.Watch(ctx, "/", 0, time.Second)
+			e, n, err := s.Watch(ctx, "/", platform.Revision{}, time.Second)
 			return answer{[]any{e, n}, err}
 		},
 		"register nothing": func(s docstore.Store) answer { return answer{nil, s.Register(ctx, docstore.Instance{})} },
@@ -160,7 +160,7 @@
 			}
 			got, next, err := s.Watch(ctx, "/t/", first.Revision, time.Minute)
 			if err != nil || next != last.Revision {
-				t.Fatalf("got revision %d, %v, want %d", next, err, last.Revision)
+				t.Fatalf("got revision %s, %v, want %s", next, err, last.Revision)
 			}
 			seen := make(map[string]docstore.Entry)
 			for _, e := range got {
@@ -173,6 +173,36 @@
 	}
 }
 
+// A watch finds what a store has that has come back from a copy, whatever revisions it gives.
+func TestWatchAfterRestore(t *testing.T) {
+	for name, writes := range map[string]uint64{"behind": 1, "past": 9} {
+		t.Run(name, func(t *testing.T) {
+			stand := store.New()
+			defer stand.Close()
+			s, ctx := docstore.NewClient(platform.NewStoreOver("stand-in", stand)), t.Context()
+			_, _ = s.Swap(ctx, "/a", 0, nil)
+			c := stand.Copy()
+			var last docstore.Entry
+			for version := range uint64(5) {
+				last, _ = s.Swap(ctx, "/b", version, nil)
+			}
+			stand.GoBack(c)
+			for version := range writes {
+				if _, err := s.Swap(ctx, "/c", version, []byte("new")); err != nil {
+					t.Fatal(err)
+				}
+			}
+			got, next, err := s.Watch(ctx, "/", last.Revision, time.Minute)
+			if err != nil || next != platform.NewRevision(2, 1+writes) {
+				t.Fatalf("got revision %s, %v, want %d of epoch 2", next, err, 1+writes)
+			}
+			if len(got) != 2 || got[0].Path != "/a" || got[1].Path != "/c" || got[1].Version != writes {
+				t.Errorf("got %+v, want /a, and /c at %d", got, writes)
+			}
+		})
+	}
+}
+
 // The list shows who registers, some time later, and drops who does not any more.
 func TestInstances(t *testing.T) {
 	lag := store.Defaults().Lag
--- a/internal/docstore/entry.go
+++ b/internal/docstore/entry.go
@@ -34,8 +34,8 @@
 }
 
 func decodeEntry(item platform.Item) (Entry, error) {
-	e := Entry{Path: pathOf(item.Key), Revision: uint64(item.Changed)}
-	if item.Changed == 0 {
+	e := Entry{Path: pathOf(item.Key), Revision: item.Changed}
+	if item.Changed.IsZero() {
 		return e, nil // the key doesn't exist
 	}
 	line, value, ok := bytes.Cut(item.Value, []byte("\n"))
--- a/internal/docstore/store.go
+++ b/internal/docstore/store.go
@@ -6,15 +6,17 @@
 import (
 	"context"
 	"time"
+
+	"github.com/firlever/firlever/platform"
 )
 
 // Entry is one key of the platform's service as it stood at one moment.
 type Entry struct {
-	Path     string `json:"path"`              // absolute, starts with "/"
-	Version  uint64 `json:"version"`           // counts the writes to this path; 0 means the path has never been written
-	Revision uint64 `json:"revision"`          // counts the writes to the whole store; orders entries of different paths
-	Value    []byte `json:"value,omitempty"`   // at most MaxValue bytes; nil in a deleted entry
-	Deleted  bool   `json:"deleted,omitempty"` // a deleted path keeps its version, so that versions never go back
+	Path     string            `json:"path"`              // absolute, starts with "/"
+	Version  uint64            `json:"version"`           // counts the writes to this path; 0 means the path has never been written
+	Revision platform.Revision `json:"revision"`          // of the whole store; orders entries of different paths
+	Value    []byte            `json:"value,omitempty"`   // at most MaxValue bytes; nil in a deleted entry
+	Deleted  bool              `json:"deleted,omitempty"` // a deleted path keeps its version, so that versions never go back
 }
 
 // Instance is one line of the platform's list of instances. The list lags.
@@ -37,7 +39,7 @@
 	// Get reads one path. A path never written gives *NotFoundError.
 	Get(ctx context.Context, path string) (Entry, error)
 	// List reads every entry under a prefix, with the revision it is true at.
-	List(ctx context.Context, prefix string) ([]Entry, uint64, error)
+	List(ctx context.Context, prefix string) ([]Entry, platform.Revision, error)
 	// Swap writes value if the path still has the given version; 0 creates.
 	// A lost race gives *ConflictError with the newer entry; an answer that
 	// never came gives *UncertainError: the write may have landed.
@@ -46,7 +48,7 @@
 	Delete(ctx context.Context, path string, version uint64) (Entry, error)
 	// Watch waits for entries under prefix past the revision, and returns them
 	// with the revision to watch from next. It returns none when wait is over.
-	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Entry, uint64, error)
+	Watch(ctx context.Context, prefix string, after platform.Revision, wait time.Duration) ([]Entry, platform.Revision, error)
 	// Register puts this instance in the platform's list, or renews its line.
 	Register(ctx context.Context, in Instance) error
 	// Instances reads the list of live and leaving instances. It lags.
--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -63,7 +63,7 @@
 	if !ok {
 		return
 	}
-	n.cfg.Log.Info("store read", "era", r.Era, "revision", r.Revision, "known", r.Known, "items", r.Items, "changes", r.Changes,
+	n.cfg.Log.Info("store read", "revision", r.Revision, "known", r.Known, "items", r.Items, "changes", r.Changes,
 		"skipped", r.Skipped, "suppressed", suppressed)
 }
 
@@ -71,10 +71,16 @@
 func (n *Node) Forgotten(since platform.Revision) {
 	n.cfg.Metrics.Decided(metrics.Decision{Kind: "store-history", Reason: "gone"})
 	if suppressed, ok := n.failures.Allow(boottime.Now()); ok {
-		n.cfg.Log.Warn("store history gone", "since", since, "era", n.store.Era(), "suppressed", suppressed)
+		n.cfg.Log.Warn("store history gone", "since", since, "epoch", n.store.Epoch(), "suppressed", suppressed)
 	}
 }
 
+// Restored notes that the store has come back from a copy of itself.
+func (n *Node) Restored(known platform.Revision, epoch uint64) {
+	n.cfg.Metrics.Decided(metrics.Decision{Kind: "store-restored"})
+	n.cfg.Log.Warn("store restored", "known", known, "epoch", epoch)
+}
+
 // Through notes that a peer is followed while the store is out of reach.
 func (n *Node) Through(address string) {
 	n.cfg.Log.Info("store followed through a peer", "peer", address)
--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -16,6 +16,7 @@
 	"github.com/firlever/firlever/internal/metrics"
 	"github.com/firlever/firlever/internal/mirror"
 	"github.com/firlever/firlever/internal/steer"
+	"github.com/firlever/firlever/platform"
 )
 
 // Keys of the store under which instances tell of targets that ended, and of requests that
@@ -82,7 +83,7 @@
 	key := fmt.Sprintf("%s%s/%d-%d", crashPrefix, n.cfg.Settings.Instance, n.started, c.number)
 	n.cfg.Log.Warn("target ended", "target", target.ID, "service", target.Service, "domain", target.Domain, "prints", prints)
 	n.cfg.Metrics.Decided(metrics.Decision{Kind: "target-ended", Service: target.Service})
-	c.keep(key, 0, r, true)
+	c.keep(key, crash.Unwritten, r, true)
 	c.judged()
 	c.post(key, r)
 }
@@ -106,7 +107,7 @@
 	if known == 0 {
 		return
 	}
-	c.book.Answered(p, 0)
+	c.book.Answered(p, crash.Unwritten)
 	c.judged()
 	if known >= toldAnswer {
 		c.tell.post(note{key: answeredPrefix + p.String(), value: []byte(c.node.cfg.Settings.Instance), life: answerTime})
@@ -153,7 +154,7 @@
 		if err := p.UnmarshalText([]byte(text)); err != nil || change.Removed {
 			return err
 		}
-		c.book.Answered(p, crash.Revision(change.Changed))
+		c.book.Answered(p, change.Changed)
 		return nil
 	}
 	if change.Removed {
@@ -164,12 +165,12 @@
 	if err := json.Unmarshal(change.Value, &r); err != nil {
 		return err
 	}
-	c.keep(change.Key, crash.Revision(change.Changed), r, false)
+	c.keep(change.Key, change.Changed, r, false)
 	return nil
 }
 
 // keep takes a report into the book. c.mu is held.
-func (c *crashes) keep(key string, revision crash.Revision, r crash.Report, mine bool) {
+func (c *crashes) keep(key string, revision platform.Revision, r crash.Report, mine bool) {
 	c.book.Put(key, revision, r)
 	if _, ok := c.kept[key]; !ok {
 		c.kept[key] = kept{until: boottime.Now().Add(evidenceTime), mine: mine}
--- a/internal/edge/register.go
+++ b/internal/edge/register.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"time"
 
 	"github.com/firlever/firlever/internal/boottime"
@@ -15,9 +14,9 @@
 // used by the goroutine of run alone, and by end after that.
 type registrar struct {
 	node    *Node
-	leaving chan struct{}    // tells run to write that this instance leaves
-	lease   platform.LeaseID // 0: none
-	lost    bool             // the last call failed
+	leaving chan struct{}  // tells run to write that this instance leaves
+	lease   platform.Lease // zero: none
+	lost    bool           // the last call failed
 }
 
 func newRegistrar(n *Node) *registrar {
@@ -54,14 +53,13 @@
 func (r *registrar) step(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
-	if r.lease != 0 {
+	if !r.lease.IsZero() {
 		err := r.node.store.Keep(ctx, r.lease)
-		var missing *platform.MissingError
-		if !errors.As(err, &missing) {
+		if !platform.LeaseGone(err) {
 			return err
 		}
-		r.node.cfg.Log.Warn("lease ended", "lease", r.lease)
-		r.lease = 0
+		r.node.cfg.Log.Warn("lease ended", "lease", r.lease.Number(), "err", err)
+		r.lease = platform.Lease{}
 	}
 	lease, err := r.node.store.Grant(ctx, r.node.cfg.leaseTime())
 	if err != nil {
@@ -74,7 +72,7 @@
 	return nil
 }
 
-func (r *registrar) write(ctx context.Context, lease platform.LeaseID, leaving bool) error {
+func (r *registrar) write(ctx context.Context, lease platform.Lease, leaving bool) error {
 	s := &r.node.cfg.Settings
 	value, err := json.Marshal(record{
 		Callers: s.Callers, Peers: r.node.peers, Domain: s.Domain, Region: s.Region,
@@ -116,7 +114,7 @@
 // leave writes that this instance takes no new callers. Without a lease, the next
 // step writes it.
 func (r *registrar) leave(ctx context.Context) {
-	if r.lease == 0 {
+	if r.lease.IsZero() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -128,7 +126,7 @@
 
 // end gives the lease up; the record goes with it.
 func (r *registrar) end(ctx context.Context) {
-	if r.lease == 0 {
+	if r.lease.IsZero() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, endTimeout)
--- a/internal/edge/teller.go
+++ b/internal/edge/teller.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
 	"slices"
@@ -66,7 +65,7 @@
 
 // lease is one of the platform's, under which notes are written until a time.
 type lease struct {
-	id    platform.LeaseID
+	platform.Lease
 	until time.Time
 }
 
@@ -128,8 +127,7 @@
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	err := t.put(ctx, batch)
-	var missing *platform.MissingError
-	if errors.As(err, &missing) {
+	if platform.LeaseGone(err) {
 		clear(t.leases)
 		err = t.put(ctx, batch)
 	}
@@ -149,28 +147,28 @@
 func (t *teller) put(ctx context.Context, batch []note) error {
 	var txn platform.Txn
 	for _, w := range batch {
-		id, err := t.under(ctx, w.life)
+		l, err := t.under(ctx, w.life)
 		if err != nil {
 			return err
 		}
-		txn.Put = append(txn.Put, platform.Write{Key: w.key, Value: w.value, Lease: id})
+		txn.Put = append(txn.Put, platform.Write{Key: w.key, Value: w.value, Lease: l})
 	}
 	_, err := t.node.store.Do(ctx, txn)
 	return err
 }
 
 // under returns a lease under which a note lasts for half of a time at least.
-func (t *teller) under(ctx context.Context, life time.Duration) (platform.LeaseID, error) {
+func (t *teller) under(ctx context.Context, life time.Duration) (platform.Lease, error) {
 	now := boottime.Now()
 	if l := t.leases[life]; now.Before(l.until) {
-		return l.id, nil
+		return l.Lease, nil
 	}
-	id, err := t.node.store.Grant(ctx, life)
+	granted, err := t.node.store.Grant(ctx, life)
 	if err != nil {
-		return 0, err
+		return platform.Lease{}, err
 	}
-	t.leases[life] = lease{id: id, until: now.Add(life / 2)}
-	return id, nil
+	t.leases[life] = lease{Lease: granted, until: now.Add(life / 2)}
+	return granted, nil
 }
 
 // toldWrite is a write as peers are told of it.
--- a/internal/instance/capacity_test.go
+++ b/internal/instance/capacity_test.go
@@ -17,6 +17,7 @@
 	"github.com/firlever/firlever/internal/emulator/target"
 	"github.com/firlever/firlever/internal/invariant"
 	"github.com/firlever/firlever/internal/replica"
+	"github.com/firlever/firlever/platform"
 )
 
 const (
@@ -200,7 +201,7 @@
 	c.put(path, version, benchSites(0)+"# changed\n")
 	return c.until(func(in *Instance) bool {
 		var got uint64
-		in.docs.Read(func(s *replica.Set, _ uint64) {
+		in.docs.Read(func(s *replica.Set, _ platform.Revision) {
 			doc, _ := s.Get(path)
 			got = doc.Version
 		})
--- a/internal/instance/documents.go
+++ b/internal/instance/documents.go
@@ -9,6 +9,7 @@
 	"github.com/firlever/firlever/internal/invariant"
 	"github.com/firlever/firlever/internal/replica"
 	"github.com/firlever/firlever/pkg/settings"
+	"github.com/firlever/firlever/platform"
 )
 
 // documents is this instance's copy of the operators' documents, and the
@@ -27,8 +28,8 @@
 
 // mark says how far a copy of the documents has come.
 type mark struct {
-	root     uint64 // hash of all paths and versions held
-	complete uint64 // the platform's revision up to which nothing is missing; 0 until that is known; never goes back
+	root     uint64            // hash of all paths and versions held
+	complete platform.Revision // of the store, up to which nothing is missing; zero until that is known; never goes back
 }
 
 func newDocuments(checks *invariant.Counter, logger *log.Logger, force func(*settings.Snapshot)) *documents {
@@ -56,7 +57,7 @@
 	}
 	m := mark{root: d.set.Root(), complete: d.marked.Load().complete}
 	d.marked.Store(&m)
-	if m.complete > 0 {
+	if !m.complete.IsZero() {
 		d.advance(newer)
 	}
 	return changed
@@ -71,7 +72,7 @@
 
 // Complete notes that the documents held now lack nothing up to a revision of
 // the platform. The first time, they come into force.
-func (d *documents) Complete(revision uint64) {
+func (d *documents) Complete(revision platform.Revision) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.completed(revision)
@@ -79,7 +80,7 @@
 
 // Matched notes the same of documents whose hash is root, if those are held and
 // it can be done at once: packets don't wait while documents are read.
-func (d *documents) Matched(root, revision uint64) {
+func (d *documents) Matched(root uint64, revision platform.Revision) {
 	if !d.mu.TryLock() {
 		return // a later packet tells again
 	}
@@ -90,10 +91,10 @@
 }
 
 // completed needs mu.
-func (d *documents) completed(revision uint64) {
+func (d *documents) completed(revision platform.Revision) {
 	m := *d.marked.Load()
-	first := m.complete == 0 && revision > 0
-	m.complete = max(m.complete, revision)
+	first := m.complete.IsZero() && !revision.IsZero()
+	m.complete = platform.Later(m.complete, revision)
 	d.marked.Store(&m)
 	if first && d.set.Len() > 0 {
 		d.advance(d.set.Documents())
@@ -101,8 +102,8 @@
 }
 
 // Mark is the hash of all paths and versions held, and the platform's revision
-// up to which they lack nothing; 0 if that is not known.
-func (d *documents) Mark() (root, complete uint64) {
+// up to which they lack nothing; zero if that is not known.
+func (d *documents) Mark() (root uint64, complete platform.Revision) {
 	m := d.marked.Load()
 	return m.root, m.complete
 }
@@ -137,7 +138,7 @@
 func (d *documents) Root() uint64 { return d.marked.Load().root }
 
 // Read runs f with the set locked. f must not keep the set.
-func (d *documents) Read(f func(s *replica.Set, complete uint64)) {
+func (d *documents) Read(f func(s *replica.Set, complete platform.Revision)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	f(d.set, d.marked.Load().complete)
--- a/internal/instance/gossip.go
+++ b/internal/instance/gossip.go
@@ -14,6 +14,7 @@
 	"github.com/firlever/firlever/internal/owner"
 	"github.com/firlever/firlever/internal/peer"
 	"github.com/firlever/firlever/internal/wire"
+	"github.com/firlever/firlever/platform"
 )
 
 // roomEvery is how often peers of the place are told of this instance's room.
@@ -95,12 +96,13 @@
 // be complete as far as they are there.
 func (g *gossip) heardMark(p *wire.Packet, from docstore.Instance) {
 	root, complete := g.in.docs.Mark()
+	there := platform.NewRevision(p.Epoch, p.Complete)
 	switch {
 	case p.Root == root:
-		if p.Complete > complete {
-			g.in.docs.Matched(root, p.Complete)
+		if there.After(complete) {
+			g.in.docs.Matched(root, there)
 		}
-	case complete > 0 || p.Complete > 0:
+	case !complete.IsZero() || !there.IsZero():
 		g.in.differs(from)
 	}
 }
@@ -135,7 +137,8 @@
 // prepare completes a packet with what the node knows now. An ack promises
 // something about the roster, which the node has to allow.
 func (g *gossip) prepare(p, cause *wire.Packet) {
-	p.Root, p.Complete = g.in.docs.Mark()
+	root, complete := g.in.docs.Mark()
+	p.Root, p.Complete, p.Epoch = root, complete.Count(), complete.Epoch()
 	near := g.isNear(p.To)
 	g.in.dispatcher.Read(func(now time.Time, n *core.Node) {
 		p.Roster = n.Roster().Version
--- a/internal/instance/network_test.go
+++ b/internal/instance/network_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/firlever/firlever/internal/docstore"
+	"github.com/firlever/firlever/platform"
 )
 
 // network carries packets and connections in memory, so that whole instances
@@ -212,9 +213,9 @@
 	return d.Store.Get(ctx, path)
 }
 
-func (d *door) List(ctx context.Context, prefix string) ([]docstore.Entry, uint64, error) {
+func (d *door) List(ctx context.Context, prefix string) ([]docstore.Entry, platform.Revision, error) {
 	if err := d.pass("list"); err != nil {
-		return nil, 0, err
+		return nil, platform.Revision{}, err
 	}
 	return d.Store.List(ctx, prefix)
 }
@@ -226,9 +227,9 @@
 	return d.Store.Swap(ctx, path, version, value)
 }
 
-func (d *door) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]docstore.Entry, uint64, error) {
+func (d *door) Watch(ctx context.Context, prefix string, after platform.Revision, wait time.Duration) ([]docstore.Entry, platform.Revision, error) {
 	if err := d.pass("watch"); err != nil {
-		return nil, 0, err
+		return nil, platform.Revision{}, err
 	}
 	return d.Store.Watch(ctx, prefix, after, wait)
 }
--- a/internal/instance/start.go
+++ b/internal/instance/start.go
@@ -8,6 +8,7 @@
 	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/internal/member"
 	"github.com/firlever/firlever/internal/wire"
+	"github.com/firlever/firlever/platform"
 )
 
 // How an instance gets all documents at its start.
@@ -54,7 +55,7 @@
 
 func (in *Instance) complete() bool {
 	_, complete := in.docs.Mark()
-	return complete > 0
+	return !complete.IsZero()
 }
 
 // ask asks a few peers in random order for all documents, until one has them.
@@ -138,6 +139,6 @@
 		return err
 	}
 	in.takeEntries(entries)
-	in.docs.Complete(max(revision, 1))
+	in.docs.Complete(platform.Later(revision, platform.NewRevision(0, 1))) // also of a store that is empty
 	return nil
 }
--- a/internal/instance/sync.go
+++ b/internal/instance/sync.go
@@ -13,6 +13,7 @@
 	"github.com/firlever/firlever/internal/replica"
 	"github.com/firlever/firlever/internal/wire"
 	"github.com/firlever/firlever/pkg/settings"
+	"github.com/firlever/firlever/platform"
 )
 
 // How documents spread among instances.
@@ -55,19 +56,20 @@
 	defer cancel()
 	client := in.peerClient(address)
 	var buckets replica.Buckets
-	var complete uint64
-	in.docs.Read(func(s *replica.Set, c uint64) { buckets, complete = s.Buckets(), c })
+	var complete platform.Revision
+	in.docs.Read(func(s *replica.Set, c platform.Revision) { buckets, complete = s.Buckets(), c })
 	digest, err := client.Digest(ctx, &wire.DigestRequest{Buckets: buckets[:]})
 	if err != nil {
 		return err
 	}
-	if complete == 0 && digest.Complete == 0 {
+	there := platform.NewRevision(digest.Epoch, digest.Complete)
+	if complete.IsZero() && there.IsZero() {
 		return nil
 	}
 	if err := in.fetch(ctx, client, in.missing(digest.Versions)); err != nil {
 		return err
 	}
-	in.docs.Complete(digest.Complete)
+	in.docs.Complete(there)
 	return nil
 }
 
@@ -101,7 +103,7 @@
 		versions = append(versions, replica.Version{Path: v.Path, Version: v.Version})
 	}
 	var paths []string
-	in.docs.Read(func(s *replica.Set, _ uint64) {
+	in.docs.Read(func(s *replica.Set, _ platform.Revision) {
 		for _, v := range s.Missing(versions) {
 			paths = append(paths, v.Path)
 		}
@@ -113,7 +115,7 @@
 func (in *Instance) takeDocuments(docs []settings.Document) {
 	_, complete := in.docs.Mark()
 	changed := in.docs.Apply(docs)
-	if len(changed) == 0 || complete == 0 {
+	if len(changed) == 0 || complete.IsZero() {
 		return // before this instance is complete, what it learns is news to no one
 	}
 	in.push(changed)
@@ -141,7 +143,7 @@
 func (in *Instance) named(paths []string, most int) []*wire.Document {
 	var docs []*wire.Document
 	size := 0
-	in.docs.Read(func(s *replica.Set, _ uint64) {
+	in.docs.Read(func(s *replica.Set, _ platform.Revision) {
 		for _, path := range paths {
 			doc, ok := s.Get(path)
 			if !ok {
@@ -190,8 +192,8 @@
 	var remote replica.Buckets
 	copy(remote[:], r.Buckets)
 	resp := &wire.DigestResponse{}
-	s.in.docs.Read(func(set *replica.Set, complete uint64) {
-		resp.Root, resp.Complete = set.Root(), complete
+	s.in.docs.Read(func(set *replica.Set, complete platform.Revision) {
+		resp.Root, resp.Complete, resp.Epoch = set.Root(), complete.Count(), complete.Epoch()
 		for _, bucket := range set.Differ(remote) {
 			for _, v := range set.Digest(bucket) {
 				resp.Versions = append(resp.Versions, &wire.Version{Path: v.Path, Version: v.Version})
--- a/internal/metrics/edge.go
+++ b/internal/metrics/edge.go
@@ -10,8 +10,8 @@
 const (
 	nameReady       = "ready"             // 1 if the instance can serve
 	nameVersion     = "config_version"    // of the configuration in force
-	nameRevision    = "store_revision"    // up to which changes are known
-	nameEra         = "store_era"         // how often the store has come back from a copy
+	nameRevision    = "store_revision"    // up to which changes are known, within its epoch
+	nameEpoch       = "store_epoch"       // how often the store has come back from a copy of itself
 	nameStoreAge    = "store_age_seconds" // since the store confirmed that
 	nameInstances   = "instances"         // that are registered
 	nameConnections = "connections"       // of callers that are open
@@ -35,7 +35,7 @@
 	Ready       bool
 	Version     uint64
 	Revision    uint64
-	Era         uint64
+	Epoch       uint64
 	StoreAge    time.Duration
 	Instances   int
 	Connections int
@@ -55,7 +55,7 @@
 		return
 	}
 	for name, value := range map[string]float64{
-		nameReady: asFloat(e.Ready), nameVersion: float64(e.Version), nameRevision: float64(e.Revision), nameEra: float64(e.Era),
+		nameReady: asFloat(e.Ready), nameVersion: float64(e.Version), nameRevision: float64(e.Revision), nameEpoch: float64(e.Epoch),
 		nameStoreAge: e.StoreAge.Seconds(), nameInstances: float64(e.Instances), nameConnections: float64(e.Connections),
 	} {
 		s.scope.Gauge(name).Update(value)
--- a/internal/mirror/answer.go
+++ b/internal/mirror/answer.go
@@ -30,8 +30,8 @@
 
 // answer is an encoded answer.
 type answer struct {
-	since    platform.Revision // of the changes; 0 for all that is known
-	revision platform.Revision // 0: there is no answer
+	since    platform.Revision // of the changes; zero for all that is known
+	revision platform.Revision // zero: there is no answer
 	plain    []byte
 	packed   []byte // compressed; nil if that isn't worth it
 }
@@ -42,7 +42,7 @@
 	defer a.mu.Unlock()
 	kept := &a.changes
 	if !e.known {
-		kept, since = &a.whole, 0
+		kept, since = &a.whole, platform.Revision{}
 	}
 	if kept.revision == e.revision && kept.since == since {
 		return *kept, nil
@@ -55,7 +55,7 @@
 }
 
 func newAnswer(since platform.Revision, e excerpt) (answer, error) {
-	body := relayed{Revision: uint64(e.revision), Whole: !e.known, Events: []relayedEvent{}}
+	body := relayed{Revision: e.revision, Whole: !e.known, Events: []relayedEvent{}}
 	events := e.events
 	if !e.known {
 		events = nil
@@ -82,7 +82,7 @@
 // compress better than in base64: a list of 3,000 targets took 128 KB, and takes 107 KB by
 // the same level.
 func relay(event platform.Event) relayedEvent {
-	e := relayedEvent{Key: event.Key, Changed: uint64(event.Changed), Created: uint64(event.Created), Removed: event.Removed}
+	e := relayedEvent{Key: event.Key, Changed: event.Changed, Created: event.Created, Removed: event.Removed}
 	if utf8.Valid(event.Value) {
 		e.Text = string(event.Value)
 		return e
--- a/internal/mirror/begin_test.go
+++ b/internal/mirror/begin_test.go
@@ -84,21 +84,21 @@
 // that take that.
 func TestAnswers(t *testing.T) {
 	var a answers
-	e := excerpt{revision: 9}
+	e := excerpt{revision: at(9)}
 	for i := range 100 {
-		e.items = append(e.items, platform.Item{Key: fmt.Sprintf("key%d", i), Value: []byte("value"), Changed: platform.Revision(i)})
+		e.items = append(e.items, platform.Item{Key: fmt.Sprintf("key%d", i), Value: []byte("value"), Changed: at(uint64(i + 1))})
 	}
-	first, err := a.encode(3, e)
+	first, err := a.encode(at(3), e)
 	if err != nil {
 		t.Fatal(err)
 	}
-	second, _ := a.encode(4, e)
+	second, _ := a.encode(at(4), e)
 	if &first.plain[0] != &second.plain[0] {
 		t.Error("got all that is known made twice")
 	}
 	newer := e
-	newer.revision = 10
-	if third, _ := a.encode(3, newer); &third.plain[0] == &first.plain[0] {
+	newer.revision = at(10)
+	if third, _ := a.encode(at(3), newer); &third.plain[0] == &first.plain[0] {
 		t.Error("got an old answer for a newer revision")
 	}
 	for encoding, packed := range map[string]bool{"gzip, br": true, "": false} {
@@ -114,11 +114,11 @@
 			}
 			body = json.NewDecoder(z)
 		}
-		if err := body.Decode(&got); err != nil || len(got.Events) != 100 || got.Revision != 9 {
-			t.Errorf("%q: got %d events at %d, %v, want 100 at 9", encoding, len(got.Events), got.Revision, err)
+		if err := body.Decode(&got); err != nil || len(got.Events) != 100 || got.Revision != at(9) {
+			t.Errorf("%q: got %d events at %s, %v, want 100 at 9", encoding, len(got.Events), got.Revision, err)
 		}
 	}
-	if few, _ := a.encode(8, excerpt{revision: 9, known: true}); few.packed != nil {
+	if few, _ := a.encode(at(8), excerpt{revision: at(9), known: true}); few.packed != nil {
 		t.Error("got a short answer compressed")
 	}
 }
--- a/internal/mirror/check.go
+++ b/internal/mirror/check.go
@@ -71,14 +71,14 @@
 		m.miss()
 		return nil
 	}
-	m.history.confirm(begin)
+	m.history.confirm(revision, begin)
 	return nil
 }
 
 // behind says whether the copy lacks changes up to a revision.
 func (m *Mirror) behind(revision platform.Revision) bool {
 	at := m.history.at()
-	return at > 0 && at < revision
+	return !at.IsZero() && revision.After(at)
 }
 
 // miss ends the watch that waits, for a list instead.
--- a/internal/mirror/copy.go
+++ b/internal/mirror/copy.go
@@ -1,5 +1,6 @@
 // Package mirror keeps a copy of the platform's store: it lists the keys once and
-// then follows their changes, past lost connections and forgotten history.
+// then follows their changes, past lost connections, forgotten history, and a store that
+// comes back from a copy of its own.
 package mirror
 
 import (
@@ -24,14 +25,20 @@
 // Copy is what is known of the store. It does no input or output and is not safe
 // for concurrent use.
 type Copy struct {
-	items   map[string]platform.Item // by key; Changed is that of a delayed removal, if there is one
-	missing map[string]time.Time     // keys that are removed at this time unless they come back
+	items   map[string]platform.Item // by key
+	missing map[string]removal       // of items that are kept for a while
 	settled time.Time                // removals before are delayed until then
 }
 
+// removal is one that is delayed.
+type removal struct {
+	changed platform.Revision
+	due     time.Time
+}
+
 // NewCopy makes an empty copy.
 func NewCopy() *Copy {
-	return &Copy{items: make(map[string]platform.Item), missing: make(map[string]time.Time)}
+	return &Copy{items: make(map[string]platform.Item), missing: make(map[string]removal)}
 }
 
 // Outage notes that the store is out of reach at now, so that keys which are
@@ -47,15 +54,25 @@
 	}
 }
 
+// changed is when a key was last changed, as far as is known.
+func (c *Copy) changed(key string) platform.Revision {
+	if r, ok := c.missing[key]; ok {
+		return r.changed
+	}
+	return c.items[key].Changed
+}
+
 // Apply takes events in and returns the changes that follow from them.
 func (c *Copy) Apply(now time.Time, events []platform.Event) []Change {
 	var changes []Change
 	for _, e := range events {
 		old, known := c.items[e.Key]
-		if known && e.Changed <= old.Changed {
+		if known && !e.Changed.After(c.changed(e.Key)) {
 			continue
 		}
 		switch {
+		case !e.Removed && known && restored(old, e.Item):
+			c.put(e.Item)
 		case !e.Removed:
 			changes = append(changes, c.put(e.Item))
 		case known:
@@ -65,6 +82,11 @@
 	return changes
 }
 
+// restored says whether an item is the same as before in a later epoch: nobody has changed it.
+func restored(old, item platform.Item) bool {
+	return old.Changed.Epoch() != item.Changed.Epoch() && bytes.Equal(old.Value, item.Value)
+}
+
 // Difference returns the events that lead from the copy to a whole list of what
 // the store held at a revision. Items older than what is known are skipped.
 func (c *Copy) Difference(items []platform.Item, at platform.Revision) []platform.Event {
@@ -72,12 +94,12 @@
 	listed := make(map[string]bool, len(items))
 	for _, item := range items {
 		listed[item.Key] = true
-		if old, known := c.items[item.Key]; !known || item.Changed > old.Changed {
+		if _, known := c.items[item.Key]; !known || item.Changed.After(c.changed(item.Key)) {
 			events = append(events, platform.Event{Item: item})
 		}
 	}
 	for _, key := range slices.Sorted(maps.Keys(c.items)) {
-		if !listed[key] && c.items[key].Changed < at {
+		if !listed[key] && at.After(c.changed(key)) {
 			events = append(events, platform.Event{Item: platform.Item{Key: key, Changed: at}, Removed: true})
 		}
 	}
@@ -89,7 +111,7 @@
 	n := 0
 	for _, item := range items {
 		old, known := c.items[item.Key]
-		if known && item.Changed <= old.Changed && !bytes.Equal(item.Value, old.Value) {
+		if known && !item.Changed.After(c.changed(item.Key)) && !bytes.Equal(item.Value, old.Value) {
 			n++
 		}
 	}
@@ -109,8 +131,8 @@
 func (c *Copy) Due(now time.Time) []Change {
 	var changes []Change
 	for _, key := range slices.Sorted(maps.Keys(c.missing)) {
-		if !now.Before(c.missing[key]) {
-			changes = append(changes, c.drop(key, c.items[key].Changed))
+		if r := c.missing[key]; !now.Before(r.due) {
+			changes = append(changes, c.drop(key, r.changed))
 		}
 	}
 	return changes
@@ -128,12 +150,11 @@
 	if !now.Before(c.settled) {
 		return []Change{c.drop(key, changed)}
 	}
-	item := c.items[key]
-	item.Changed = changed
-	c.items[key] = item
-	if _, ok := c.missing[key]; !ok {
-		c.missing[key] = c.settled
+	due := c.settled
+	if before, ok := c.missing[key]; ok {
+		due = before.due
 	}
+	c.missing[key] = removal{changed: changed, due: due}
 	return nil
 }
 
--- a/internal/mirror/copy_test.go
+++ b/internal/mirror/copy_test.go
@@ -10,12 +10,15 @@
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func put(key string, revision platform.Revision) platform.Event {
-	return platform.Event{Item: platform.Item{Key: key, Changed: revision}}
+// at is a revision.
+func at(count uint64) platform.Revision { return platform.NewRevision(1, count) }
+
+func put(key string, count uint64) platform.Event {
+	return platform.Event{Item: platform.Item{Key: key, Changed: at(count)}}
 }
 
-func removed(key string, revision platform.Revision) platform.Event {
-	e := put(key, revision)
+func removed(key string, count uint64) platform.Event {
+	e := put(key, count)
 	e.Removed = true
 	return e
 }
@@ -27,7 +30,7 @@
 		if c.Removed {
 			sign = "-"
 		}
-		text += fmt.Sprintf("%s%s@%d ", sign, c.Key, c.Changed)
+		text += fmt.Sprintf("%s%s@%d ", sign, c.Key, c.Changed.Count())
 	}
 	return text
 }
@@ -56,9 +59,9 @@
 func TestDifference(t *testing.T) {
 	c := NewCopy()
 	c.Apply(start, []platform.Event{put("a", 1), put("b", 2), put("c", 5), put("e", 9)})
-	items := []platform.Item{{Key: "a", Changed: 3}, {Key: "c", Changed: 4}, {Key: "d", Changed: 4}}
+	items := []platform.Item{{Key: "a", Changed: at(3)}, {Key: "c", Changed: at(4)}, {Key: "d", Changed: at(4)}}
 	want := "+a@3 +d@4 -b@6 " // e was written after the list
-	if got := show(c.Apply(start, c.Difference(items, 6))); got != want {
+	if got := show(c.Apply(start, c.Difference(items, at(6)))); got != want {
 		t.Errorf("got %q, want %q", got, want)
 	}
 }
@@ -98,7 +101,7 @@
 	c := NewCopy()
 	c.Apply(start, []platform.Event{put("a", 1), put("b", 2)})
 	c.Outage(start)
-	if got := show(c.Apply(start, c.Difference([]platform.Item{{Key: "b", Changed: 2}}, 3))); got != "" {
+	if got := show(c.Apply(start, c.Difference([]platform.Item{{Key: "b", Changed: at(2)}}, at(3)))); got != "" {
 		t.Errorf("got %q at once", got)
 	}
 	if got, want := show(c.Due(start.Add(settle))), "-a@3 "; got != want {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -60,6 +60,9 @@
 	Read(r Reading)
 	// Forgotten tells that the store doesn't have the changes since a revision.
 	Forgotten(since platform.Revision)
+	// Restored tells that the store has come back from a copy of itself, and is in an epoch
+	// after that of the revision up to which changes were known.
+	Restored(known platform.Revision, epoch uint64)
 	// Lost and Found tell that the store is out of reach, and that it is back.
 	Lost(err error)
 	Found()
@@ -74,7 +77,6 @@
 
 // Reading is what a reading of the whole store brought.
 type Reading struct {
-	Era      uint64            // of the store
 	Revision platform.Revision // that it is true at
 	Known    platform.Revision // up to which all changes were known before
 	Items    int               // that the store has
@@ -233,15 +235,30 @@
 	if err != nil {
 		return err
 	}
+	if m.enter(since) {
+		m.copy.Outage(begin) // what the store has lost is written again, as after an outage
+	}
 	events := m.copy.Difference(items, since)
 	m.sink.Read(Reading{
-		Era: m.store.Era(), Revision: since, Known: m.history.at(), Items: len(items), Changes: len(events), Skipped: m.copy.Older(items),
+		Revision: since, Known: m.history.at(), Items: len(items), Changes: len(events), Skipped: m.copy.Older(items),
 	})
 	m.take(events, since, begin)
 	m.begun()
 	return nil
 }
 
+// enter notes that the store was at a revision, and says whether it has come back from a copy
+// of itself since what is known.
+func (m *Mirror) enter(revision platform.Revision) bool {
+	known := m.history.at()
+	if known.IsZero() || revision.Epoch() <= known.Epoch() {
+		return false
+	}
+	m.store.Reached(revision.Epoch())
+	m.sink.Restored(known, revision.Epoch())
+	return true
+}
+
 // errKicked says that a watch was ended as its connection may be dead, or as it has
 // missed changes.
 var errKicked = errors.New("mirror: watch ended to begin anew")
@@ -266,7 +283,7 @@
 		return errKicked
 	}
 	if err != nil {
-		m.take(nil, 0, time.Time{}) // removals may be due
+		m.take(nil, platform.Revision{}, time.Time{}) // removals may be due
 		return err
 	}
 	if len(events) == 0 {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -45,6 +45,8 @@
 
 func (s *sink) Forgotten(platform.Revision) {}
 
+func (s *sink) Restored(platform.Revision, uint64) {}
+
 func (s *sink) Through(string) {}
 
 func (s *sink) AnswerFailed(error) {}
--- a/internal/mirror/news.go
+++ b/internal/mirror/news.go
@@ -77,9 +77,9 @@
 
 // news decodes an answer.
 func (a relayed) news() news {
-	n := news{whole: a.Whole, revision: platform.Revision(a.Revision)}
+	n := news{whole: a.Whole, revision: a.Revision}
 	for _, e := range a.Events {
-		item := platform.Item{Key: e.Key, Value: e.value(), Changed: platform.Revision(e.Changed), Created: platform.Revision(e.Created)}
+		item := platform.Item{Key: e.Key, Value: e.value(), Changed: e.Changed, Created: e.Created}
 		n.events = append(n.events, platform.Event{Item: item, Removed: e.Removed})
 	}
 	return n
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -14,7 +14,7 @@
 // instance of a region follows the store, and the others follow it: a call to the
 // store costs as much as a request is worth, or more. The number is that of the form of
 // its answers.
-const RelayPath = "/changes/2"
+const RelayPath = "/changes/3"
 
 const (
 	// relayWait is how long a peer waits for changes. Its answer also says that
@@ -53,18 +53,18 @@
 
 // relayed is an answer of a relay.
 type relayed struct {
-	Whole    bool           `json:"whole"` // the events are all that is known, not what has changed
-	Events   []relayedEvent `json:"events"`
-	Revision uint64         `json:"revision"`
+	Whole    bool              `json:"whole"` // the events are all that is known, not what has changed
+	Events   []relayedEvent    `json:"events"`
+	Revision platform.Revision `json:"revision"`
 }
 
 type relayedEvent struct {
-	Key     string `json:"key"`
-	Text    string `json:"text,omitempty"`  // the value, if it is UTF-8
-	Value   []byte `json:"value,omitempty"` // the value otherwise
-	Changed uint64 `json:"changed"`
-	Created uint64 `json:"created,omitempty"`
-	Removed bool   `json:"removed,omitempty"`
+	Key     string            `json:"key"`
+	Text    string            `json:"text,omitempty"`  // the value, if it is UTF-8
+	Value   []byte            `json:"value,omitempty"` // the value otherwise
+	Changed platform.Revision `json:"changed"`
+	Created platform.Revision `json:"created,omitzero"`
+	Removed bool              `json:"removed,omitempty"`
 }
 
 // ServeHTTP answers a peer: with the changes since a revision as soon as there are
@@ -73,25 +73,25 @@
 // that knows it is in reach, or instances follow each other in a circle. A peer that
 // knows nothing yet asks for it at any age.
 func (m *Mirror) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	since, err := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
-	if err != nil {
-		http.Error(w, "since is no revision", http.StatusBadRequest)
+	var since platform.Revision
+	if err := since.UnmarshalText([]byte(r.URL.Query().Get("since"))); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	limit := relayAge
 	if ms, err := strconv.ParseUint(r.URL.Query().Get(maxAge), 10, 16); err == nil {
 		limit = min(limit, time.Duration(ms)*time.Millisecond)
 	}
-	e := m.history.since(boottime.Now(), platform.Revision(since))
-	atAnyAge := r.URL.Query().Get(anyAge) != "" && e.revision > 0
+	e := m.history.since(boottime.Now(), since)
+	atAnyAge := r.URL.Query().Get(anyAge) != "" && !e.revision.IsZero()
 	if !atAnyAge {
-		e = m.await(r.Context(), platform.Revision(since), limit)
+		e = m.await(r.Context(), since, limit)
 	}
 	if e.age > limit && !atAnyAge {
 		http.Error(w, "what is known is too old", http.StatusServiceUnavailable)
 		return
 	}
-	a, err := m.answers.encode(platform.Revision(since), e)
+	a, err := m.answers.encode(since, e)
 	if err != nil {
 		m.sink.AnswerFailed(err)
 		http.Error(w, err.Error(), http.StatusInternalServerError)
@@ -107,14 +107,14 @@
 // will soon.
 func (m *Mirror) await(ctx context.Context, since platform.Revision, limit time.Duration) excerpt {
 	wait := relayWait
-	if m.history.at() > 0 {
+	if !m.history.at().IsZero() {
 		wait = min(wait, limit-m.history.age(boottime.Now()))
 	}
 	over := time.NewTimer(wait)
 	defer over.Stop()
 	for {
 		e := m.history.since(boottime.Now(), since)
-		if e.revision > 0 && (len(e.events) > 0 || !e.known) {
+		if !e.revision.IsZero() && (len(e.events) > 0 || !e.known || e.revision.Epoch() > since.Epoch()) {
 			return e
 		}
 		select {
--- /dev/null
+++ b/internal/mirror/restore_test.go
@@ -0,0 +1,154 @@
+package mirror
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/firlever/firlever/internal/emulator/store"
+	"github.com/firlever/firlever/platform"
+)
+
+// away lets the store be away for a moment and come back from a copy.
+func away(fake *store.Store, c *store.Copy, meanwhile func()) {
+	fake.SetFaults(store.Faults{Refuse: true})
+	time.Sleep(100 * time.Millisecond)
+	fake.GoBack(c)
+	meanwhile()
+	fake.SetFaults(store.Faults{})
+}
+
+// The store comes back from a copy. What it holds then is known in time, whatever revisions
+// it gives, by who follows the store and by who follows another.
+func TestRestored(t *testing.T) {
+	tests := map[string]func(fake *store.Store, c *store.Copy){
+		"behind what is known": func(fake *store.Store, c *store.Copy) {
+			away(fake, c, func() {})
+		},
+		"past what is known": func(fake *store.Store, c *store.Copy) {
+			away(fake, c, func() {
+				for i := range 20 {
+					fake.Put("filler", fmt.Append(nil, i))
+				}
+			})
+		},
+		"just at what is known": func(fake *store.Store, c *store.Copy) {
+			away(fake, c, func() {
+				for i := range 8 {
+					fake.Put("filler", fmt.Append(nil, i))
+				}
+			})
+		},
+		"twice at once": func(fake *store.Store, c *store.Copy) {
+			away(fake, c, func() { fake.Put("filler", nil); fake.GoBack(c) })
+		},
+		"twice": func(fake *store.Store, c *store.Copy) {
+			away(fake, c, func() {})
+			time.Sleep(500 * time.Millisecond)
+			away(fake, c, func() {})
+		},
+		"without being away": func(fake *store.Store, c *store.Copy) { fake.GoBack(c) },
+	}
+	for name, restore := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fake, first, second, _ := relays(t)
+			fake.Put("kept", []byte("1"))
+			fake.Put("changed", []byte("1"))
+			within(t, bound, "the second knows it", func() bool { return second.get("changed") == "1" })
+			c := fake.Copy()
+			for i := range 7 {
+				fake.Put("changed", fmt.Append(nil, i+2))
+			}
+			fake.Put("later", []byte("1"))
+			within(t, bound, "the second knows all", func() bool { return second.get("later") == "1" })
+			restore(fake, c)
+			fake.Put("changed", []byte("new"))
+			fake.Put("added", []byte("1"))
+			for i, out := range []*sink{first, second} {
+				within(t, 2*bound, fmt.Sprintf("changes are known at %d", i), func() bool {
+					return out.get("changed") == "new" && out.get("added") == "1"
+				})
+				within(t, settle+bound, fmt.Sprintf("what is lost is gone at %d", i), func() bool { return out.get("later") == "" })
+				if got := out.get("kept"); got != "1" {
+					t.Errorf("got kept=%q at %d, want 1", got, i)
+				}
+			}
+		})
+	}
+}
+
+// What a relay tells a peer that has come to a revision of another epoch.
+func TestHistoryOfEpochs(t *testing.T) {
+	h := newHistory()
+	event := func(key string, r platform.Revision) platform.Event {
+		return platform.Event{Item: platform.Item{Key: key, Changed: r}}
+	}
+	rev := platform.NewRevision
+	add := func(at platform.Revision, events ...platform.Event) { h.add(events, nil, at, start, time.Time{}) }
+	add(rev(1, 50))
+	add(rev(1, 57), event("a", rev(1, 55)), event("b", rev(1, 57)))
+	add(rev(2, 53), event("c", rev(2, 52)), event("b", rev(2, 51)))
+	add(rev(2, 54), event("a", rev(2, 54)))
+	tests := map[string]struct {
+		since platform.Revision
+		keys  []string // nil: all that is known
+	}{
+		"at the same":                  {rev(2, 54), []string{}},
+		"in the epoch":                 {rev(2, 53), []string{"a"}},
+		"at the end of the one before": {rev(1, 57), []string{"c", "b", "a"}},
+		"in the one before":            {rev(1, 55), []string{"b", "c", "b", "a"}},
+		"past what was known of it":    {rev(1, 58), nil},
+		"before all that is kept":      {rev(1, 49), nil},
+		"of one never seen":            {rev(0, 60), nil},
+		"further":                      {rev(2, 60), []string{}},
+		"of a later epoch":             {rev(3, 1), []string{}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			e := h.since(start, tt.since)
+			if e.known != (tt.keys != nil) {
+				t.Fatalf("got changes: %t, want %t", e.known, tt.keys != nil)
+			}
+			got := []string{}
+			for _, event := range e.events {
+				got = append(got, event.Key)
+			}
+			if e.known && !slices.Equal(got, tt.keys) {
+				t.Errorf("got %v, want %v", got, tt.keys)
+			}
+		})
+	}
+}
+
+// What was confirmed of an earlier epoch says nothing of what is known of a later one.
+func TestConfirmedInAnotherEpoch(t *testing.T) {
+	h := newHistory()
+	h.add(nil, nil, platform.NewRevision(2, 5), start, time.Time{})
+	h.confirm(platform.NewRevision(1, 90), start.Add(time.Second))
+	if got := h.age(start.Add(time.Second)); got != time.Second {
+		t.Errorf("got age %s after an answer of an earlier epoch, want %s", got, time.Second)
+	}
+	h.confirm(platform.NewRevision(2, 5), start.Add(time.Second))
+	if got := h.age(start.Add(time.Second)); got != 0 {
+		t.Errorf("got age %s after an answer of the epoch, want 0", got)
+	}
+}
+
+// Items that a store has kept through its loss are no changes.
+func TestKeptItems(t *testing.T) {
+	c := NewCopy()
+	rev := platform.NewRevision
+	item := func(key, value string, r platform.Revision) platform.Item {
+		return platform.Item{Key: key, Value: []byte(value), Changed: r}
+	}
+	c.Apply(start, c.Difference([]platform.Item{item("kept", "1", rev(1, 5)), item("other", "1", rev(1, 6))}, rev(1, 9)))
+	events := c.Difference([]platform.Item{item("kept", "1", rev(2, 5)), item("other", "0", rev(2, 4))}, rev(2, 7))
+	if got, want := show(c.Apply(start, events)), "+other@4 "; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	if got, want := show(c.Apply(start, []platform.Event{{Item: item("kept", "2", rev(2, 8))}})), "+kept@8 "; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
--- a/internal/mirror/values_test.go
+++ b/internal/mirror/values_test.go
@@ -22,8 +22,8 @@
 	}
 	for name, value := range tests {
 		t.Run(name, func(t *testing.T) {
-			item := platform.Item{Key: "k", Value: value, Changed: 7, Created: 5}
-			a, err := newAnswer(0, excerpt{revision: 9, items: []platform.Item{item}})
+			item := platform.Item{Key: "k", Value: value, Changed: at(7), Created: at(5)}
+			a, err := newAnswer(platform.Revision{}, excerpt{revision: at(9), items: []platform.Item{item}})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -32,7 +32,7 @@
 				t.Fatal(err)
 			}
 			got := r.news().items()
-			if len(got) != 1 || got[0].Key != "k" || got[0].Changed != 7 || got[0].Created != 5 || !bytes.Equal(got[0].Value, value) {
+			if len(got) != 1 || got[0].Key != "k" || got[0].Changed != at(7) || got[0].Created != at(5) || !bytes.Equal(got[0].Value, value) {
 				t.Errorf("got %+v, want %+v", got, item)
 			}
 		})
@@ -42,11 +42,11 @@
 // wholeList is all that is known of 3,000 targets.
 func wholeList() excerpt {
 	rng := rand.New(rand.NewPCG(1, 1))
-	e := excerpt{revision: 9}
+	e := excerpt{revision: at(9)}
 	for i := range 3000 {
 		value := fmt.Sprintf(`{"id":"i-%08x","service":"s%d","address":"10.%d.64.%d:8127","domain":"d%d","slots":6,"started":%d,"sequence":%d}`,
 			rng.Uint32(), i%3, i%6, i%250, i%6, 1_779_000_000_000+rng.Int64N(1e9), i%9)
-		e.items = append(e.items, platform.Item{Key: fmt.Sprintf("/targets/i-%08x", rng.Uint32()), Value: []byte(value), Changed: platform.Revision(i)})
+		e.items = append(e.items, platform.Item{Key: fmt.Sprintf("/targets/i-%08x", rng.Uint32()), Value: []byte(value), Changed: at(uint64(i + 1))})
 	}
 	return e
 }
@@ -56,7 +56,7 @@
 func BenchmarkWholeList(b *testing.B) {
 	e, sent := wholeList(), 0
 	for b.Loop() {
-		a, err := newAnswer(0, e)
+		a, err := newAnswer(platform.Revision{}, e)
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -67,7 +67,7 @@
 
 // BenchmarkTakeWholeList decodes that answer.
 func BenchmarkTakeWholeList(b *testing.B) {
-	a, err := newAnswer(0, wholeList())
+	a, err := newAnswer(platform.Revision{}, wholeList())
 	if err != nil {
 		b.Fatal(err)
 	}
