Tell peers of a relay all where its changes have gaps

What callers saw: nothing so far; found by reading what a restored store does to relays, and shown by TestCopiesConverge. Cause: a relay that catches up by a list knows the difference to its last revision, not all changes between. A peer that stands between the two (it read the store by itself, or followed another relay) got the later changes alone: a key that was written and removed meanwhile stayed at the peer for good, and one that the relay knew already was never told to it. Evidence: TestCopiesConverge (random fleets in virtual time) fails after 13 tests without the change: member 1: got map[a:12 last: y:v13], want map[a:12 last:]. Change: a history keeps spans of revisions of which it has all changes. Events are told to a peer that stands in one of them; others get all that is known. An answer says if its events have gaps, so that the peer's own peers are told the same. Answers with all that is known are made anew when a delayed removal is over.

--- a/internal/emulator/store/copy.go
+++ b/internal/emulator/store/copy.go
@@ -88,8 +88,10 @@
 // Era returns how often the store has come back from a copy, and one.
 func (s *Store) Era() uint64 { return s.era.Load() }
 
-// write makes a write from outside. s.mu is held.
+// write makes a write from outside. Whoever writes a key anew writes nothing older of it
+// again. s.mu is held.
 func (s *Store) write(w outside) {
+	s.unwritten = slices.DeleteFunc(s.unwritten, func(o outside) bool { return o.key == w.key })
 	s.outside = append(s.outside, w)
 	if over := len(s.outside) - maxOutside; over > 0 {
 		s.dropped += over
--- a/internal/mirror/answer.go
+++ b/internal/mirror/answer.go
@@ -32,6 +32,7 @@
 type answer struct {
 	since    platform.Revision // of the changes; zero for all that is known
 	revision platform.Revision // zero: there is no answer
+	version  int               // of all that is known
 	plain    []byte
 	packed   []byte // compressed; nil if that isn't worth it
 }
@@ -44,7 +45,7 @@
 	if !e.known {
 		kept, since = &a.whole, platform.Revision{}
 	}
-	if kept.revision == e.revision && kept.since == since {
+	if kept.revision == e.revision && kept.version == e.version && kept.since == since {
 		return *kept, nil
 	}
 	made, err := newAnswer(since, e)
@@ -55,22 +56,19 @@
 }
 
 func newAnswer(since platform.Revision, e excerpt) (answer, error) {
-	body := relayed{Revision: e.revision, Whole: !e.known, Events: []relayedEvent{}}
-	events := e.events
-	if !e.known {
-		events = nil
-		for _, item := range e.items {
-			events = append(events, platform.Event{Item: item})
+	body := relayed{Revision: e.revision, Whole: !e.known, Gaps: e.known && e.gaps, Events: []relayedEvent{}}
+	if e.known {
+		for _, event := range e.events {
+			body.Events = append(body.Events, relay(event))
 		}
-	}
-	for _, event := range events {
-		body.Events = append(body.Events, relay(event))
+	} else {
+		body.Events = append(body.Events, relayItems(e.items)...)
 	}
 	plain, err := json.Marshal(body)
 	if err != nil {
 		return answer{}, errors.Trace(err)
 	}
-	a := answer{since: since, revision: e.revision, plain: plain}
+	a := answer{since: since, revision: e.revision, version: e.version, plain: plain}
 	if len(plain) < packFrom {
 		return a, nil
 	}
@@ -78,6 +76,14 @@
 	return a, err
 }
 
+func relayItems(items []platform.Item) []relayedEvent {
+	list := make([]relayedEvent, 0, len(items))
+	for _, item := range items {
+		list = append(list, relay(platform.Event{Item: item}))
+	}
+	return list
+}
+
 // relay gives the form in which a change is passed on. Values are text nearly always, and
 // compress better than in base64: a list of 3,000 targets took 128 KB, and takes 107 KB by
 // the same level.
--- a/internal/mirror/check.go
+++ b/internal/mirror/check.go
@@ -71,13 +71,13 @@
 		m.miss()
 		return nil
 	}
-	m.history.confirm(revision, begin)
+	m.known.history.confirm(revision, begin)
 	return nil
 }
 
 // behind says whether the copy lacks changes up to a revision.
 func (m *Mirror) behind(revision platform.Revision) bool {
-	at := m.history.at()
+	at := m.known.history.at()
 	return !at.IsZero() && revision.After(at)
 }
 
@@ -175,7 +175,7 @@
 }
 
 // Age is how long ago the store confirmed what is known of it.
-func (m *Mirror) Age(now time.Time) time.Duration { return m.history.age(now) }
+func (m *Mirror) Age(now time.Time) time.Duration { return m.known.history.age(now) }
 
 // Revision is the store's revision up to which all changes are known.
-func (m *Mirror) Revision() platform.Revision { return m.history.at() }
+func (m *Mirror) Revision() platform.Revision { return m.known.history.at() }
--- /dev/null
+++ b/internal/mirror/converge_test.go
@@ -0,0 +1,175 @@
+package mirror
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/firlever/firlever/internal/emulator/store"
+	"github.com/firlever/firlever/platform"
+)
+
+// member is an instance of a fleet: what it knows, and what it was told of changes.
+type member struct {
+	knowledge
+	client *platform.Store
+	told   map[string]string // by key
+}
+
+// fleet is some instances that follow a store or each other, in virtual time.
+type fleet struct {
+	*rapid.T
+	store   *store.Store
+	now     time.Time
+	members []*member
+	written int // number of the last write
+}
+
+func newFleet(t *rapid.T) *fleet {
+	f := &fleet{T: t, store: store.New(), now: start}
+	for range rapid.IntRange(1, 4).Draw(t, "members") {
+		f.members = append(f.members, &member{
+			knowledge: newKnowledge(), client: platform.NewStoreOver("stand-in", f.store), told: make(map[string]string),
+		})
+	}
+	return f
+}
+
+// key draws a key: states of those with a number as their value have an order, others have
+// none.
+func (f *fleet) key() string {
+	return rapid.SampledFrom([]string{"a", "b", "c", "x", "y"}).Draw(f.T, "key")
+}
+
+func (f *fleet) put() {
+	f.written++
+	key, value := f.key(), fmt.Sprint(f.written)
+	if key >= "x" {
+		value = "v" + value
+	}
+	f.store.Put(key, []byte(value))
+}
+
+func (f *fleet) member(what string) *member {
+	return f.members[rapid.IntRange(0, len(f.members)-1).Draw(f.T, what)]
+}
+
+// learn lets a member learn from the store by a list or a watch, or from another.
+func (f *fleet) learn() {
+	m := f.member("member")
+	switch rapid.IntRange(0, 3).Draw(f.T, "from") {
+	case 0:
+		f.list(m)
+	case 1:
+		f.watch(m)
+	default:
+		f.follow(m, f.member("peer"))
+	}
+}
+
+func (f *fleet) list(m *member) {
+	items, at, err := m.client.List(context.Background(), "", false)
+	if err != nil {
+		f.Fatal(err)
+	}
+	_, changes := m.list(f.now, items, at, f.now)
+	f.tell(m, changes)
+}
+
+func (f *fleet) watch(m *member) {
+	events, at, err := m.client.Watch(context.Background(), "", m.history.at(), 0)
+	if err != nil {
+		f.list(m)
+		return
+	}
+	f.tell(m, m.take(f.now, growth{events: events, revision: at, confirmed: f.now}))
+}
+
+func (f *fleet) follow(m, peer *member) {
+	e := peer.history.since(f.now, m.history.at())
+	if peer == m || e.revision.IsZero() {
+		return
+	}
+	a, err := newAnswer(m.history.at(), e)
+	if err != nil {
+		f.Fatal(err)
+	}
+	var r relayed
+	if err := json.Unmarshal(a.plain, &r); err != nil {
+		f.Fatal(err)
+	}
+	n := r.news()
+	n.confirmed, n.settled = f.now.Add(-e.age), f.now.Add(e.settling)
+	f.tell(m, m.adopt(f.now, n))
+}
+
+// tell checks that what was told of a key never comes back older.
+func (f *fleet) tell(m *member, changes []Change) {
+	for _, c := range changes {
+		if c.Removed {
+			delete(m.told, c.Key)
+			continue
+		}
+		before, _ := strconv.Atoi(m.told[c.Key])
+		if n, err := strconv.Atoi(string(c.Value)); err == nil && n < before {
+			f.Errorf("got %s from %d to %d", c.Key, before, n)
+		}
+		m.told[c.Key] = string(c.Value)
+	}
+}
+
+func (f *fleet) step() {
+	switch rapid.IntRange(0, 9).Draw(f.T, "step") {
+	case 0, 1, 2:
+		f.put()
+	case 3:
+		f.store.Remove(f.key())
+	default:
+		f.learn()
+	}
+}
+
+// Whatever instances learn of a store, and from whom, nothing that they were told comes back
+// older, and in the end all know what the store holds.
+func TestCopiesConverge(t *testing.T) {
+	for range 10 { // of rapid's 100 checks each
+		rapid.Check(t, converge)
+	}
+}
+
+func converge(t *rapid.T) {
+	f := newFleet(t)
+	defer f.store.Close()
+	for range rapid.IntRange(1, 60).Draw(t, "steps") {
+		f.step()
+		f.now = f.now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+	}
+	f.store.Put("last", nil)
+	for _, wait := range []time.Duration{0, settle, 0} {
+		f.now = f.now.Add(wait)
+		f.list(f.members[0])
+		for _, m := range f.members[1:] {
+			f.follow(m, f.members[0])
+			f.follow(m, f.members[0])
+		}
+	}
+	items, _, err := f.members[0].client.List(context.Background(), "", false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := make(map[string]string)
+	for _, item := range items {
+		want[item.Key] = string(item.Value)
+	}
+	for i, m := range f.members {
+		if !maps.Equal(m.told, want) {
+			t.Errorf("member %d: got %v, want %v", i, m.told, want)
+		}
+	}
+}
--- a/internal/mirror/copy.go
+++ b/internal/mirror/copy.go
@@ -1,6 +1,3 @@
-// Package mirror keeps a copy of the platform's store: it lists the keys once and
-// then follows their changes, past lost connections, forgotten history, and a store that
-// comes back from a copy of its own.
 package mirror
 
 import (
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -155,7 +155,7 @@
 // learn waits once for changes from a peer. query may hold further parameters of the
 // call. What a peer knew that is too old is taken, and is an error all the same.
 func (m *Mirror) learn(ctx context.Context, address string, query url.Values) error {
-	query.Set("since", m.history.at().String())
+	query.Set("since", m.known.history.at().String())
 	if m.isLost() && !m.listed {
 		query.Set(anyAge, "1") // an old configuration serves callers, none doesn't
 	}
@@ -196,11 +196,7 @@
 // adopt takes in what a peer said.
 func (m *Mirror) adopt(n news) {
 	m.enter(n.revision)
-	m.copy.Settle(n.settled)
-	if n.whole {
-		n.events = m.copy.Difference(n.items(), n.revision)
-	}
-	m.take(n.events, n.revision, n.confirmed)
+	m.tell(m.known.adopt(boottime.Now(), n))
 	m.begun()
 }
 
@@ -222,7 +218,7 @@
 		if err == nil {
 			return
 		}
-		if !m.history.at().IsZero() {
+		if !m.known.history.at().IsZero() {
 			m.sink.Alone(err) // what it knew was old: a relay or the store tells the rest
 			return
 		}
--- a/internal/mirror/history.go
+++ b/internal/mirror/history.go
@@ -1,7 +1,6 @@
 package mirror
 
 import (
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -17,69 +16,103 @@
 // for concurrent use.
 type history struct {
 	mu        sync.Mutex
-	events    []platform.Event             // by revision; at most historyLen; guarded by mu
-	items     []platform.Item              // all that is known; guarded by mu
-	floor     platform.Revision            // changes up to here are not kept; guarded by mu
-	revision  platform.Revision            // all changes up to here are known; guarded by mu
-	ends      map[uint64]platform.Revision // by former epoch, not before floor's: what was known of it; guarded by mu
-	confirmed time.Time                    // when the store last said that there are no others; guarded by mu
-	settled   time.Time                    // removals are delayed until then, as the store was out of reach; guarded by mu
-	grown     chan struct{}                // closed when events come; guarded by mu
+	events    []platform.Event  // by revision; at most historyLen; guarded by mu
+	items     []platform.Item   // all that is known; guarded by mu
+	version   int               // counts the changes of items; guarded by mu
+	revision  platform.Revision // all changes up to here are known; guarded by mu
+	spans     []span            // in their order, mostSpans at most; the last ends at revision; guarded by mu
+	confirmed time.Time         // when the store last said that there are no others; guarded by mu
+	settled   time.Time         // removals are delayed until then, as the store was out of reach; guarded by mu
+	grown     chan struct{}     // closed when events come; guarded by mu
 }
 
-func newHistory() *history {
-	return &history{ends: make(map[uint64]platform.Revision), grown: make(chan struct{})}
+// mostSpans bounds the spans that are kept: a new one begins with each list after a watch that
+// failed.
+const mostSpans = 64
+
+// span is a row of revisions of which all changes are kept. Between two spans some may be
+// missing: a list does not show what was written and removed since the one before.
+type span struct {
+	from, to platform.Revision // the changes after from, up to to
+}
+
+func newHistory() *history { return &history{grown: make(chan struct{})} }
+
+// growth is what is added to a history.
+type growth struct {
+	events    []platform.Event
+	revision  platform.Revision // that they lead up to
+	confirmed time.Time         // when the store said so; zero if it did not
+	gaps      bool              // the events are not all changes up to the revision
+	changed   bool              // the copy has changed by other things than events
 }
 
-// add appends changes that lead up to a revision, which the store confirmed at a time.
-// items are all that is known then; removals are delayed until settled. Peers that wait
-// see all of it at once: an answer with new changes and an old age would be refused.
-func (h *history) add(events []platform.Event, items []platform.Item, revision platform.Revision, confirmed, settled time.Time) {
+// add appends a growth, after which the copy is c. Peers that wait see all of it at once: an
+// answer with new changes and an old age would be refused.
+func (h *history) add(g growth, c *Copy) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if confirmed.After(h.confirmed) {
-		h.confirmed = confirmed
+	if g.confirmed.After(h.confirmed) {
+		h.confirmed = g.confirmed
 	}
-	h.items, h.settled = items, settled
-	first := h.revision.IsZero() && !revision.IsZero()
-	if h.revision.IsZero() {
-		h.floor = revision // what was there before is for a list
-	} else {
-		h.events = append(h.events, events...)
+	h.settled = c.settled
+	next := platform.Later(h.revision, g.revision)
+	begun := next.Epoch() != h.revision.Epoch() || h.revision.IsZero() && !next.IsZero()
+	if !h.revision.IsZero() {
+		h.events = append(h.events, g.events...) // what was there before is for a list
 	}
-	next := platform.Later(h.revision, revision)
-	begun := !first && next.Epoch() != h.revision.Epoch()
-	if begun {
-		h.ends[h.revision.Epoch()] = h.revision
+	if next != h.revision {
+		h.reach(next, g.gaps)
 	}
-	h.revision = next
 	h.trim()
-	if len(events) > 0 || first || begun {
+	if g.changed || begun || len(g.events) > 0 {
+		h.items = c.Items()
+		h.version++
+	}
+	if begun || len(g.events) > 0 {
 		h.wake()
 	}
 }
 
+// reach notes that changes are known up to a revision, all of them or with gaps. h.mu is held.
+func (h *history) reach(revision platform.Revision, gaps bool) {
+	h.revision = revision
+	if gaps || len(h.spans) == 0 {
+		h.spans = append(h.spans, span{from: revision})
+		h.spans = h.spans[max(0, len(h.spans)-mostSpans):]
+	}
+	h.spans[len(h.spans)-1].to = revision
+}
+
 // trim drops the oldest changes that are too many. h.mu is held.
 func (h *history) trim() {
 	over := len(h.events) - historyLen
 	if over <= 0 {
 		return
 	}
+	var dropped platform.Revision
 	for _, e := range h.events[:over] {
-		h.floor = platform.Later(h.floor, e.Changed) // a list is in the order of keys
+		dropped = platform.Later(dropped, e.Changed) // a list is in the order of keys
 	}
 	h.events = slices.Clone(h.events[over:])
-	maps.DeleteFunc(h.ends, func(epoch uint64, _ platform.Revision) bool { return epoch < h.floor.Epoch() })
+	h.spans = slices.DeleteFunc(h.spans, func(s span) bool { return dropped.After(s.to) })
+	for i := range h.spans {
+		h.spans[i].from = platform.Later(h.spans[i].from, dropped)
+	}
 }
 
-// covers says whether all changes since a revision are kept. Of an earlier epoch that is only
-// so up to what was known of it: what a peer knows beyond is lost. h.mu is held.
+// covers says whether the events after a revision lead from what was known then to what is
+// known now. h.mu is held.
 func (h *history) covers(revision platform.Revision) bool {
-	if h.revision.IsZero() || h.floor.After(revision) {
-		return false
+	if h.revision.IsZero() || revision.After(h.revision) {
+		return !h.revision.IsZero()
 	}
-	end, former := h.ends[revision.Epoch()]
-	return revision.Epoch() >= h.revision.Epoch() || former && !revision.After(end)
+	return slices.ContainsFunc(h.spans, func(s span) bool { return !s.from.After(revision) && !revision.After(s.to) })
+}
+
+// gapsAfter says whether they are not all changes since. h.mu is held.
+func (h *history) gapsAfter(revision platform.Revision) bool {
+	return len(h.spans) > 0 && h.spans[len(h.spans)-1].from.After(revision)
 }
 
 // confirm notes that at a time the store was at a revision, up to which all changes are known.
@@ -115,10 +148,12 @@
 type excerpt struct {
 	events   []platform.Event
 	items    []platform.Item   // all that is known
+	version  int               // of items
 	revision platform.Revision // what the events lead up to
 	age      time.Duration     // since the store confirmed it
 	settling time.Duration     // for which removals are still delayed; 0 or more
-	known    bool              // the events since the asked revision are all kept
+	known    bool              // the events lead there from the asked revision
+	gaps     bool              // they are not all changes since
 	grown    <-chan struct{}   // closed when there is more
 }
 
@@ -126,8 +161,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	e := excerpt{
-		revision: h.revision, age: now.Sub(h.confirmed), known: h.covers(revision),
-		grown: h.grown, items: h.items, settling: max(0, h.settled.Sub(now)),
+		revision: h.revision, age: now.Sub(h.confirmed), known: h.covers(revision), gaps: h.gapsAfter(revision),
+		grown: h.grown, items: h.items, version: h.version, settling: max(0, h.settled.Sub(now)),
 	}
 	for _, event := range h.events {
 		if event.Changed.After(revision) {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -75,15 +75,6 @@
 	AnswerFailed(err error)
 }
 
-// Reading is what a reading of the whole store brought.
-type Reading struct {
-	Revision platform.Revision // that it is true at
-	Known    platform.Revision // up to which all changes were known before
-	Items    int               // that the store has
-	Changes  int               // that follow from it
-	Skipped  int               // items that differ from what is known of them, and are not later
-}
-
 // Relays is how many instances of a region are followed by its others, one in place of
 // the other: with a third of the instances turned away by the store, all of them are in
 // one outage of 27.
@@ -114,8 +105,7 @@
 	client  *http.Client  // calls peers
 	soon    chan struct{} // asks for a check at once
 	back    chan struct{} // ends a pause, as the store answers again
-	copy    *Copy
-	history *history
+	known   knowledge
 	answers answers
 
 	listed  bool
@@ -139,7 +129,7 @@
 	return &Mirror{
 		store: store, sink: sink, peers: peers, client: &http.Client{Transport: transport},
 		soon: make(chan struct{}, 1), back: make(chan struct{}, 1),
-		copy: NewCopy(), history: newHistory(), avoided: make(map[string]time.Time),
+		known: newKnowledge(), avoided: make(map[string]time.Time),
 	}
 }
 
@@ -187,7 +177,7 @@
 	if m.isLost() {
 		// What lapsed meanwhile may come back: the first list after an outage of over
 		// settle must not take it away.
-		m.copy.Outage(boottime.Now())
+		m.known.copy.Outage(boottime.Now())
 	}
 	if !m.listed || m.takeMissed() {
 		return m.list(ctx)
@@ -195,7 +185,7 @@
 	err := m.watch(ctx)
 	var gone *platform.HistoryError
 	if errors.As(err, &gone) {
-		m.sink.Forgotten(m.history.at())
+		m.sink.Forgotten(m.known.history.at())
 		return m.list(ctx)
 	}
 	return err
@@ -209,7 +199,7 @@
 	case errors.Is(err, errKicked):
 		return nil
 	default:
-		m.copy.Outage(boottime.Now())
+		m.known.copy.Outage(boottime.Now())
 		if !m.setLost(true) {
 			m.sink.Lost(err)
 		}
@@ -223,7 +213,7 @@
 		return
 	}
 	m.via = ""
-	m.copy.Outage(boottime.Now())
+	m.known.copy.Outage(boottime.Now())
 	m.sink.Found()
 }
 
@@ -231,32 +221,25 @@
 // are watched for.
 func (m *Mirror) list(ctx context.Context) error {
 	begin := boottime.Now()
-	items, since, err := m.store.List(ctx, "", false)
+	items, at, err := m.store.List(ctx, "", false)
 	if err != nil {
 		return err
 	}
-	if m.enter(since) {
-		m.copy.Outage(begin) // what the store has lost is written again, as after an outage
-	}
-	events := m.copy.Difference(items, since)
-	m.sink.Read(Reading{
-		Revision: since, Known: m.history.at(), Items: len(items), Changes: len(events), Skipped: m.copy.Older(items),
-	})
-	m.take(events, since, begin)
+	m.enter(at)
+	reading, changes := m.known.list(boottime.Now(), items, at, begin)
+	m.sink.Read(reading)
+	m.tell(changes)
 	m.begun()
 	return nil
 }
 
-// enter notes that the store was at a revision, and says whether it has come back from a copy
-// of itself since what is known.
-func (m *Mirror) enter(revision platform.Revision) bool {
-	known := m.history.at()
-	if known.IsZero() || revision.Epoch() <= known.Epoch() {
-		return false
+// enter notes that the store was at a revision.
+func (m *Mirror) enter(at platform.Revision) {
+	if !m.known.restored(at) {
+		return
 	}
-	m.store.Reached(revision.Epoch())
-	m.sink.Restored(known, revision.Epoch())
-	return true
+	m.store.Reached(at.Epoch())
+	m.sink.Restored(m.Revision(), at.Epoch())
 }
 
 // errKicked says that a watch was ended as its connection may be dead, or as it has
@@ -266,7 +249,7 @@
 // watch waits for changes once.
 func (m *Mirror) watch(ctx context.Context) error {
 	wait := watchWait
-	if len(m.copy.missing) > 0 || m.isLost() {
+	if len(m.known.copy.missing) > 0 || m.isLost() {
 		wait = settleCheck
 	}
 	inner, cancel := context.WithTimeout(ctx, wait+answerTime)
@@ -275,7 +258,7 @@
 	m.kick = cancel
 	m.mu.Unlock()
 	begin := boottime.Now()
-	events, since, err := m.store.Watch(inner, "", m.history.at(), wait)
+	events, since, err := m.store.Watch(inner, "", m.known.history.at(), wait)
 	if errors.Is(inner.Err(), context.Canceled) && ctx.Err() == nil {
 		if failed := m.takeFailed(); failed != nil {
 			return failed
@@ -283,22 +266,18 @@
 		return errKicked
 	}
 	if err != nil {
-		m.take(nil, platform.Revision{}, time.Time{}) // removals may be due
+		m.tell(m.known.take(boottime.Now(), growth{})) // removals may be due
 		return err
 	}
 	if len(events) == 0 {
 		begin = time.Time{} // an empty answer may come from a deaf watch
 	}
-	m.take(events, since, begin)
+	m.tell(m.known.take(boottime.Now(), growth{events: events, revision: since, confirmed: begin}))
 	return nil
 }
 
-// take takes in events that lead up to a revision, which the store confirmed at a time;
-// zero if it did not.
-func (m *Mirror) take(events []platform.Event, revision platform.Revision, confirmed time.Time) {
-	now := boottime.Now()
-	changes := append(m.copy.Apply(now, events), m.copy.Due(now)...)
-	m.history.add(events, m.copy.Items(), revision, confirmed, m.copy.settled)
+// tell tells of changes, if there are any.
+func (m *Mirror) tell(changes []Change) {
 	if len(changes) > 0 {
 		m.sink.Changed(changes)
 	}
--- a/internal/mirror/news.go
+++ b/internal/mirror/news.go
@@ -20,6 +20,7 @@
 type news struct {
 	events    []platform.Event
 	whole     bool // the events are all that there is
+	gaps      bool // they are not all changes since the revision that was asked for
 	revision  platform.Revision
 	confirmed time.Time // when the store said so
 	settled   time.Time // removals are delayed until then
@@ -77,19 +78,14 @@
 
 // news decodes an answer.
 func (a relayed) news() news {
-	n := news{whole: a.Whole, revision: a.Revision}
+	n := news{whole: a.Whole, gaps: a.Gaps, revision: a.Revision}
 	for _, e := range a.Events {
-		item := platform.Item{Key: e.Key, Value: e.value(), Changed: e.Changed, Created: e.Created}
-		n.events = append(n.events, platform.Event{Item: item, Removed: e.Removed})
+		n.events = append(n.events, e.event())
 	}
 	return n
 }
 
-// items are the items of whole news.
-func (n news) items() []platform.Item {
-	items := make([]platform.Item, 0, len(n.events))
-	for _, e := range n.events {
-		items = append(items, e.Item)
-	}
-	return items
+func (e relayedEvent) event() platform.Event {
+	item := platform.Item{Key: e.Key, Value: e.value(), Changed: e.Changed, Created: e.Created}
+	return platform.Event{Item: item, Removed: e.Removed}
 }
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -53,7 +53,8 @@
 
 // relayed is an answer of a relay.
 type relayed struct {
-	Whole    bool              `json:"whole"` // the events are all that is known, not what has changed
+	Whole    bool              `json:"whole"`          // the events are all that is known, not what has changed
+	Gaps     bool              `json:"gaps,omitempty"` // they are not all changes since
 	Events   []relayedEvent    `json:"events"`
 	Revision platform.Revision `json:"revision"`
 }
@@ -82,7 +83,7 @@
 	if ms, err := strconv.ParseUint(r.URL.Query().Get(maxAge), 10, 16); err == nil {
 		limit = min(limit, time.Duration(ms)*time.Millisecond)
 	}
-	e := m.history.since(boottime.Now(), since)
+	e := m.known.history.since(boottime.Now(), since)
 	atAnyAge := r.URL.Query().Get(anyAge) != "" && !e.revision.IsZero()
 	if !atAnyAge {
 		e = m.await(r.Context(), since, limit)
@@ -107,20 +108,20 @@
 // will soon.
 func (m *Mirror) await(ctx context.Context, since platform.Revision, limit time.Duration) excerpt {
 	wait := relayWait
-	if !m.history.at().IsZero() {
-		wait = min(wait, limit-m.history.age(boottime.Now()))
+	if !m.known.history.at().IsZero() {
+		wait = min(wait, limit-m.known.history.age(boottime.Now()))
 	}
 	over := time.NewTimer(wait)
 	defer over.Stop()
 	for {
-		e := m.history.since(boottime.Now(), since)
+		e := m.known.history.since(boottime.Now(), since)
 		if !e.revision.IsZero() && (len(e.events) > 0 || !e.known || e.revision.Epoch() > since.Epoch()) {
 			return e
 		}
 		select {
 		case <-e.grown:
 		case <-over.C:
-			return m.history.since(boottime.Now(), since)
+			return m.known.history.since(boottime.Now(), since)
 		case <-ctx.Done():
 			return e
 		}
--- a/internal/mirror/restore_test.go
+++ b/internal/mirror/restore_test.go
@@ -81,12 +81,14 @@
 
 // What a relay tells a peer that has come to a revision of another epoch.
 func TestHistoryOfEpochs(t *testing.T) {
-	h := newHistory()
+	h, c := newHistory(), NewCopy()
 	event := func(key string, r platform.Revision) platform.Event {
 		return platform.Event{Item: platform.Item{Key: key, Changed: r}}
 	}
 	rev := platform.NewRevision
-	add := func(at platform.Revision, events ...platform.Event) { h.add(events, nil, at, start, time.Time{}) }
+	add := func(at platform.Revision, events ...platform.Event) {
+		h.add(growth{events: events, revision: at, confirmed: start, gaps: at.Epoch() == 2 && len(events) == 2}, c)
+	}
 	add(rev(1, 50))
 	add(rev(1, 57), event("a", rev(1, 55)), event("b", rev(1, 57)))
 	add(rev(2, 53), event("c", rev(2, 52)), event("b", rev(2, 51)))
@@ -125,7 +127,7 @@
 // What was confirmed of an earlier epoch says nothing of what is known of a later one.
 func TestConfirmedInAnotherEpoch(t *testing.T) {
 	h := newHistory()
-	h.add(nil, nil, platform.NewRevision(2, 5), start, time.Time{})
+	h.add(growth{revision: platform.NewRevision(2, 5), confirmed: start}, NewCopy())
 	h.confirm(platform.NewRevision(1, 90), start.Add(time.Second))
 	if got := h.age(start.Add(time.Second)); got != time.Second {
 		t.Errorf("got age %s after an answer of an earlier epoch, want %s", got, time.Second)
--- a/internal/mirror/values_test.go
+++ b/internal/mirror/values_test.go
@@ -31,7 +31,7 @@
 			if err := json.Unmarshal(a.plain, &r); err != nil {
 				t.Fatal(err)
 			}
-			got := r.news().items()
+			got := r.news().events
 			if len(got) != 1 || got[0].Key != "k" || got[0].Changed != at(7) || got[0].Created != at(5) || !bytes.Equal(got[0].Value, value) {
 				t.Errorf("got %+v, want %+v", got, item)
 			}
