Keep what is known while a restored store is behind

After the store came back from a copy, a target that had gone got requests again, and a failure domain whose evacuation had ended got none, until they were removed once more. Cause: what a store that came back holds was taken for its latest word, though what it has lost is written again only later. An instance that starts meanwhile takes the older configuration, also from a relay that knows a later one. Evidence: TestConfirmedComesBackOlder failed for the gone target and the end of an evacuation (status 200 and 503 0.6 s after the return). Change: a mirror keeps apart what the store holds and what is believed. A state that its writer made later, by what it counts itself, stays until the store has one as late; a key that the store lacks stays for 2 s, one that had gone stays so until it is written anew, or for 10 s. Who learns all from a peer gets its beliefs too, and who has read the store by itself asks for them once. Why this holds: what relays pass on is what the store holds at a revision, and beliefs are each instance's own, so that all come to the same (TestCopiesConverge, random fleets whose store goes back to random copies: nothing that was told comes back older, and all end at what the store holds).

--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -56,15 +56,15 @@
 
 // Read notes what a reading of the whole store brought.
 func (n *Node) Read(r mirror.Reading) {
-	suppressed, ok := n.failures.Allow(boottime.Now())
-	if r.Skipped > 0 {
-		n.cfg.Metrics.Decided(metrics.Decision{Kind: "store-items", Reason: "older"})
+	if r.Behind > 0 {
+		n.cfg.Metrics.Decided(metrics.Decision{Kind: "store-items", Reason: "behind"})
 	}
+	suppressed, ok := n.failures.Allow(boottime.Now())
 	if !ok {
 		return
 	}
 	n.cfg.Log.Info("store read", "revision", r.Revision, "known", r.Known, "items", r.Items, "changes", r.Changes,
-		"skipped", r.Skipped, "suppressed", suppressed)
+		"behind", r.Behind, "suppressed", suppressed)
 }
 
 // Forgotten notes that the store doesn't have the changes since a revision.
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -83,7 +83,7 @@
 	}
 	n.bounds.Store(&s.Bounds)
 	n.peers = peersAddress(s)
-	n.mirror = mirror.New(n.store, n, mirror.Peers{Relays: n.relays, Others: n.others, Seeds: n.seeds(), First: s.FirstStart})
+	n.mirror = mirror.New(n.store, n, mirror.Peers{Relays: n.relays, Others: n.others, Seeds: n.seeds(), First: s.FirstStart}, order)
 	n.loads = loads.New(loads.Peers{Name: s.Instance, Collector: n.collector, Told: n.told, Hear: n.hear, Failed: n.loadsFailed})
 	n.registrar = newRegistrar(n)
 	n.crashes = newCrashes(n)
--- a/internal/edge/restore_test.go
+++ b/internal/edge/restore_test.go
@@ -98,3 +98,66 @@
 		})
 	}
 }
+
+// What was confirmed does not come back older while a store that came back from a copy is
+// written again, and what was gone does not come back.
+func TestConfirmedComesBackOlder(t *testing.T) {
+	tests := map[string]struct {
+		before, change func(r *restored)
+		served         bool // the one target gets requests
+	}{
+		"configuration": {nil, func(r *restored) { r.configure(8, "none"); r.inForce(8) }, false},
+		"leaving target": {nil, func(r *restored) {
+			r.register("early", r.early.address, "n1", "draining")
+			r.usable(0)
+		}, false},
+		"gone target": {nil, func(r *restored) { r.store.Remove("servers/early"); r.usable(0) }, false},
+		"evacuation":  {nil, func(r *restored) { r.store.Put("op/evacuate/n1", []byte("{}")); r.usable(0) }, false},
+		"end of an evacuation": {
+			func(r *restored) { r.store.Put("op/evacuate/n1", []byte("{}")); r.usable(0) },
+			func(r *restored) { r.store.Remove("op/evacuate/n1"); r.usable(1) }, true,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRestored(t)
+			if tt.before != nil {
+				tt.before(r)
+			}
+			c := r.store.Copy()
+			tt.change(r)
+			r.store.SetFaults(store.Faults{Refuse: true})
+			time.Sleep(300 * time.Millisecond)
+			r.store.GoBack(c)
+			r.store.SetFaults(store.Faults{})
+			time.AfterFunc(rewrite, r.store.Rewrite)
+			for begin, before := time.Now(), r.early.requests(); time.Since(begin) < 2*rewrite; time.Sleep(50 * time.Millisecond) {
+				for _, n := range r.nodes {
+					if got := r.sendTo(n, "", "GET", "/get/x"); (got.status == http.StatusOK) != tt.served {
+						t.Fatalf("%s: got %+v %s after the return, want it served: %t", n.cfg.Settings.Instance, got, time.Since(begin), tt.served)
+					}
+				}
+				if got := r.early.requests() - before; !tt.served && got > 0 {
+					t.Fatalf("got %d requests %s after the return, want none", got, time.Since(begin))
+				}
+			}
+		})
+	}
+}
+
+// rewrite is how long after the return of the store what it has lost is written again.
+const rewrite = 1500 * time.Millisecond
+
+// usable waits until both instances know so many usable targets.
+func (r *restored) usable(want int) {
+	r.t.Helper()
+	for _, n := range r.nodes {
+		r.within("the targets are known at "+n.cfg.Settings.Instance, func() bool {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			_, got := n.fleet.Targets(time.Now(), "s")
+			return got == want
+		})
+	}
+}
--- a/internal/mirror/answer.go
+++ b/internal/mirror/answer.go
@@ -63,6 +63,7 @@
 		}
 	} else {
 		body.Events = append(body.Events, relayItems(e.items)...)
+		body.Kept, body.Hidden = relayItems(e.beliefs.Kept), relayItems(e.beliefs.Hidden)
 	}
 	plain, err := json.Marshal(body)
 	if err != nil {
--- a/internal/mirror/converge_test.go
+++ b/internal/mirror/converge_test.go
@@ -28,6 +28,7 @@
 	store   *store.Store
 	now     time.Time
 	members []*member
+	copies  []*store.Copy
 	written int // number of the last write
 }
 
@@ -35,7 +36,7 @@
 	f := &fleet{T: t, store: store.New(), now: start}
 	for range rapid.IntRange(1, 4).Draw(t, "members") {
 		f.members = append(f.members, &member{
-			knowledge: newKnowledge(), client: platform.NewStoreOver("stand-in", f.store), told: make(map[string]string),
+			knowledge: newKnowledge(byNumber), client: platform.NewStoreOver("stand-in", f.store), told: make(map[string]string),
 		})
 	}
 	return f
@@ -92,11 +93,11 @@
 }
 
 func (f *fleet) follow(m, peer *member) {
-	e := peer.history.since(f.now, m.history.at())
+	e := peer.history.since(f.now, m.since())
 	if peer == m || e.revision.IsZero() {
 		return
 	}
-	a, err := newAnswer(m.history.at(), e)
+	a, err := newAnswer(m.since(), e)
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -105,7 +106,7 @@
 		f.Fatal(err)
 	}
 	n := r.news()
-	n.confirmed, n.settled = f.now.Add(-e.age), f.now.Add(e.settling)
+	n.confirmed, n.settled, n.ahead = f.now.Add(-e.age), f.now.Add(e.settling), e.ahead
 	f.tell(m, m.adopt(f.now, n))
 }
 
@@ -124,19 +125,36 @@
 	}
 }
 
+// restore lets the store come back from a copy; what was lost is written again some time
+// later.
+func (f *fleet) restore() {
+	if len(f.copies) == 0 {
+		return
+	}
+	f.store.GoBack(f.copies[rapid.IntRange(0, len(f.copies)-1).Draw(f.T, "copy")])
+	for range rapid.IntRange(0, 4).Draw(f.T, "meanwhile") {
+		f.step()
+		f.now = f.now.Add(100 * time.Millisecond)
+	}
+	f.store.Rewrite()
+}
+
 func (f *fleet) step() {
 	switch rapid.IntRange(0, 9).Draw(f.T, "step") {
 	case 0, 1, 2:
 		f.put()
 	case 3:
 		f.store.Remove(f.key())
+	case 4:
+		f.copies = append(f.copies, f.store.Copy())
+		f.copies = f.copies[max(0, len(f.copies)-3):]
 	default:
 		f.learn()
 	}
 }
 
-// Whatever instances learn of a store, and from whom, nothing that they were told comes back
-// older, and in the end all know what the store holds.
+// Whatever instances learn of a store that comes back from copies, and from whom, nothing that
+// they were told comes back older, and in the end all know what the store holds.
 func TestCopiesConverge(t *testing.T) {
 	for range 10 { // of rapid's 100 checks each
 		rapid.Check(t, converge)
@@ -147,11 +165,15 @@
 	f := newFleet(t)
 	defer f.store.Close()
 	for range rapid.IntRange(1, 60).Draw(t, "steps") {
+		if rapid.IntRange(0, 9).Draw(t, "what") == 0 {
+			f.restore()
+			continue
+		}
 		f.step()
 		f.now = f.now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
 	}
 	f.store.Put("last", nil)
-	for _, wait := range []time.Duration{0, settle, 0} {
+	for _, wait := range []time.Duration{0, settle, hideTime, hideTime} {
 		f.now = f.now.Add(wait)
 		f.list(f.members[0])
 		for _, m := range f.members[1:] {
--- a/internal/mirror/copy.go
+++ b/internal/mirror/copy.go
@@ -9,33 +9,56 @@
 	"github.com/firlever/firlever/platform"
 )
 
-// settle is how long after an outage of the store a key that is missing may come
-// back: the platform says that live entries are back within about two seconds.
-const settle = 2 * time.Second
+const (
+	// settle is how long after an outage of the store a key that is missing may come
+	// back: the platform says that live entries are back within about two seconds.
+	settle = 2 * time.Second
+	// hideTime is how long a key that had gone stays so when a store that came back from a
+	// copy has it again: by then whoever removed it has done so once more, or its lease has
+	// ended.
+	hideTime = 10 * time.Second
+	// mostFormer bounds the former states that are kept.
+	mostFormer = 2000
+)
+
+// Order tells which of two states of a key its writer made later: above 0 for a, below 0 for
+// b, and 0 if that doesn't show.
+type Order func(a, b platform.Item) int
 
-// Change is one change of the copy.
+// Change is one change of what is believed.
 type Change struct {
 	platform.Item
 	Removed bool // only Key and Changed are set
 }
 
-// Copy is what is known of the store. It does no input or output and is not safe
-// for concurrent use.
+// Copy is what the store holds, and what is believed of it. It does no input or output and is
+// not safe for concurrent use.
+//
+// The two differ for a while after an outage of the store, and after it came back from a copy
+// of itself with older states: what it has lost is written again. A key that it lacks stays
+// for settle, a state that its writer made later (Order) until the store has as late a one,
+// and a key that had gone stays so for hideTime.
 type Copy struct {
-	items   map[string]platform.Item // by key
-	missing map[string]removal       // of items that are kept for a while
+	order   Order
+	stored  map[string]platform.Item // what the store holds, by key
+	kept    map[string]keptItem      // believed in place of what is stored, or in spite of its lack
+	hidden  map[string]time.Time     // keys in stored that are not believed to be there before; none of them in kept
+	former  former                   // states that were believed
 	settled time.Time                // removals before are delayed until then
 }
 
-// removal is one that is delayed.
-type removal struct {
-	changed platform.Revision
-	due     time.Time
+// keptItem is an item that the store has lost.
+type keptItem struct {
+	platform.Item
+	due time.Time // of its removal; zero if the store has an older state
 }
 
 // NewCopy makes an empty copy.
-func NewCopy() *Copy {
-	return &Copy{items: make(map[string]platform.Item), missing: make(map[string]removal)}
+func NewCopy(order Order) *Copy {
+	return &Copy{
+		order: order, stored: make(map[string]platform.Item), kept: make(map[string]keptItem),
+		hidden: make(map[string]time.Time), former: newFormer(mostFormer),
+	}
 }
 
 // Outage notes that the store is out of reach at now, so that keys which are
@@ -51,27 +74,47 @@
 	}
 }
 
-// changed is when a key was last changed, as far as is known.
-func (c *Copy) changed(key string) platform.Revision {
-	if r, ok := c.missing[key]; ok {
-		return r.changed
+// Settling says whether removals are delayed.
+func (c *Copy) Settling() bool {
+	for _, k := range c.kept {
+		if !k.due.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+// Ahead says whether the store has an older state of something than is believed.
+func (c *Copy) Ahead() bool {
+	for _, k := range c.kept {
+		if k.due.IsZero() {
+			return true
+		}
 	}
-	return c.items[key].Changed
+	return false
+}
+
+// believed returns what is believed of a key; false if it is not there.
+func (c *Copy) believed(key string) (platform.Item, bool) {
+	if k, ok := c.kept[key]; ok {
+		return k.Item, true
+	}
+	if _, hidden := c.hidden[key]; hidden {
+		return platform.Item{}, false
+	}
+	item, ok := c.stored[key]
+	return item, ok
 }
 
 // Apply takes events in and returns the changes that follow from them.
 func (c *Copy) Apply(now time.Time, events []platform.Event) []Change {
 	var changes []Change
 	for _, e := range events {
-		old, known := c.items[e.Key]
-		if known && !e.Changed.After(c.changed(e.Key)) {
-			continue
-		}
+		old, known := c.stored[e.Key]
 		switch {
-		case !e.Removed && known && restored(old, e.Item):
-			c.put(e.Item)
+		case known && !e.Changed.After(old.Changed):
 		case !e.Removed:
-			changes = append(changes, c.put(e.Item))
+			changes = append(changes, c.put(now, e.Item)...)
 		case known:
 			changes = append(changes, c.remove(now, e.Key, e.Changed)...)
 		}
@@ -79,84 +122,179 @@
 	return changes
 }
 
-// restored says whether an item is the same as before in a later epoch: nobody has changed it.
-func restored(old, item platform.Item) bool {
-	return old.Changed.Epoch() != item.Changed.Epoch() && bytes.Equal(old.Value, item.Value)
+// put takes an item that the store holds now.
+func (c *Copy) put(now time.Time, item platform.Item) []Change {
+	old, was := c.believed(item.Key)
+	c.stored[item.Key] = item
+	switch {
+	case !was && c.hides(item):
+		if _, hidden := c.hidden[item.Key]; !hidden {
+			c.hidden[item.Key] = now.Add(hideTime)
+		}
+		return nil
+	case !was:
+		delete(c.hidden, item.Key)
+		return []Change{{Item: item}}
+	case c.lost(old, item):
+		c.kept[item.Key] = keptItem{Item: old}
+		return nil
+	}
+	delete(c.kept, item.Key)
+	c.former.add(old)
+	if old.Changed.Epoch() != item.Changed.Epoch() && bytes.Equal(old.Value, item.Value) {
+		return nil // nobody has changed it
+	}
+	return []Change{{Item: item}}
+}
+
+// hides says whether an item had gone, and a store that came back from a copy has it again.
+func (c *Copy) hides(item platform.Item) bool {
+	epoch, had := c.former.epoch(item)
+	return had && epoch < item.Changed.Epoch()
+}
+
+// lost says whether a state is later than what the store has in another epoch.
+func (c *Copy) lost(state, stored platform.Item) bool {
+	return state.Changed.Epoch() != stored.Changed.Epoch() && c.order(state, stored) > 0
+}
+
+// remove notes that the store doesn't hold a key any more. If the store was out of reach a
+// moment ago, it may come back.
+func (c *Copy) remove(now time.Time, key string, changed platform.Revision) []Change {
+	old, was := c.believed(key)
+	delete(c.stored, key)
+	delete(c.hidden, key)
+	switch {
+	case !was:
+		return nil
+	case now.Before(c.settled):
+		c.kept[key] = keptItem{Item: old, due: c.settled}
+		return nil
+	}
+	return []Change{c.drop(old, changed)}
+}
+
+// drop forgets what is believed of a key that the store doesn't hold.
+func (c *Copy) drop(old platform.Item, changed platform.Revision) Change {
+	delete(c.kept, old.Key)
+	c.former.add(old)
+	return Change{Item: platform.Item{Key: old.Key, Changed: changed}, Removed: true}
+}
+
+// Due returns the changes whose delay is over. at is the revision up to which the store is known.
+func (c *Copy) Due(now time.Time, at platform.Revision) []Change {
+	var changes []Change
+	for _, key := range slices.Sorted(maps.Keys(c.kept)) {
+		if k := c.kept[key]; !k.due.IsZero() && !now.Before(k.due) {
+			changes = append(changes, c.drop(k.Item, at))
+		}
+	}
+	for _, key := range slices.Sorted(maps.Keys(c.hidden)) {
+		if !now.Before(c.hidden[key]) {
+			delete(c.hidden, key)
+			changes = append(changes, Change{Item: c.stored[key]})
+		}
+	}
+	return changes
 }
 
 // Difference returns the events that lead from the copy to a whole list of what
-// the store held at a revision. Items older than what is known are skipped.
+// the store held at a revision. Items older than what is known are skipped; those that the
+// store still has as they were, in a new epoch, are noted without an event. A peer's list may
+// have items by their revisions of an earlier epoch, as nobody has changed them since.
 func (c *Copy) Difference(items []platform.Item, at platform.Revision) []platform.Event {
 	var events []platform.Event
 	listed := make(map[string]bool, len(items))
 	for _, item := range items {
 		listed[item.Key] = true
-		if _, known := c.items[item.Key]; !known || item.Changed.After(c.changed(item.Key)) {
+		old, known := c.stored[item.Key]
+		sameEpoch := item.Changed.Epoch() == old.Changed.Epoch()
+		switch {
+		case known && sameEpoch && !item.Changed.After(old.Changed):
+		case known && !sameEpoch && bytes.Equal(item.Value, old.Value):
+			item.Changed = platform.Later(item.Changed, old.Changed)
+			c.stored[item.Key] = item
+		case known && old.Changed.After(item.Changed):
+			item.Changed = at
+			events = append(events, platform.Event{Item: item})
+		default:
 			events = append(events, platform.Event{Item: item})
 		}
 	}
-	for _, key := range slices.Sorted(maps.Keys(c.items)) {
-		if !listed[key] && at.After(c.changed(key)) {
+	for _, key := range slices.Sorted(maps.Keys(c.stored)) {
+		if !listed[key] && at.After(c.stored[key].Changed) {
 			events = append(events, platform.Event{Item: platform.Item{Key: key, Changed: at}, Removed: true})
 		}
 	}
 	return events
 }
 
-// Older returns how many listed items differ from what is known of them, and are not later.
-func (c *Copy) Older(items []platform.Item) int {
+// Behind returns how many listed items are older states than what is believed.
+func (c *Copy) Behind(items []platform.Item) int {
 	n := 0
 	for _, item := range items {
-		old, known := c.items[item.Key]
-		if known && !item.Changed.After(c.changed(item.Key)) && !bytes.Equal(item.Value, old.Value) {
+		if old, ok := c.believed(item.Key); ok && c.lost(old, item) {
 			n++
 		}
 	}
 	return n
 }
 
-// Items returns all items, by key.
-func (c *Copy) Items() []platform.Item {
-	items := make([]platform.Item, 0, len(c.items))
-	for _, key := range slices.Sorted(maps.Keys(c.items)) {
-		items = append(items, c.items[key])
-	}
-	return items
+// Beliefs are what an instance believes in spite of what the store holds, for peers that
+// learn all from it.
+type Beliefs struct {
+	Kept   []platform.Item // that the store lacks or has an older state of
+	Hidden []platform.Item // that the store holds, and that are not believed to be there
 }
 
-// Due returns the removals whose delay is over.
-func (c *Copy) Due(now time.Time) []Change {
-	var changes []Change
-	for _, key := range slices.Sorted(maps.Keys(c.missing)) {
-		if r := c.missing[key]; !now.Before(r.due) {
-			changes = append(changes, c.drop(key, r.changed))
-		}
+// Beliefs returns them, by key.
+func (c *Copy) Beliefs() Beliefs {
+	var b Beliefs
+	for _, key := range slices.Sorted(maps.Keys(c.kept)) {
+		b.Kept = append(b.Kept, c.kept[key].Item)
 	}
-	return changes
+	for _, key := range slices.Sorted(maps.Keys(c.hidden)) {
+		b.Hidden = append(b.Hidden, c.stored[key])
+	}
+	return b
 }
 
-func (c *Copy) put(item platform.Item) Change {
-	c.items[item.Key] = item
-	delete(c.missing, item.Key)
-	return Change{Item: item}
+// Items returns all that the store holds, by key.
+func (c *Copy) Items() []platform.Item {
+	items := make([]platform.Item, 0, len(c.stored))
+	for _, key := range slices.Sorted(maps.Keys(c.stored)) {
+		items = append(items, c.stored[key])
+	}
+	return items
 }
 
-// remove drops a key, or notes when it will be dropped if the store was out of
-// reach a moment ago.
-func (c *Copy) remove(now time.Time, key string, changed platform.Revision) []Change {
-	if !now.Before(c.settled) {
-		return []Change{c.drop(key, changed)}
-	}
-	due := c.settled
-	if before, ok := c.missing[key]; ok {
-		due = before.due
+// Hide takes over from a peer, before its items are taken, which of them are not believed to
+// be there.
+func (c *Copy) Hide(b Beliefs) {
+	for _, item := range b.Hidden {
+		if _, known := c.believed(item.Key); !known {
+			item.Changed = platform.NewRevision(0, item.Changed.Count()) // of an epoch before
+			c.former.add(item)
+		}
 	}
-	c.missing[key] = removal{changed: changed, due: due}
-	return nil
 }
 
-func (c *Copy) drop(key string, changed platform.Revision) Change {
-	delete(c.items, key)
-	delete(c.missing, key)
-	return Change{Item: platform.Item{Key: key, Changed: changed}, Removed: true}
+// Keep takes over from a peer, after its items were taken, what the store has lost.
+func (c *Copy) Keep(now time.Time, b Beliefs) []Change {
+	var changes []Change
+	for _, item := range b.Kept {
+		old, known := c.believed(item.Key)
+		_, stored := c.stored[item.Key]
+		switch {
+		case known && !c.lost(item, old):
+		case stored:
+			delete(c.hidden, item.Key)
+			c.kept[item.Key] = keptItem{Item: item}
+			changes = append(changes, Change{Item: item})
+		case now.Before(c.settled):
+			c.kept[item.Key] = keptItem{Item: item, due: c.settled}
+			changes = append(changes, Change{Item: item})
+		}
+	}
+	return changes
 }
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -155,7 +155,7 @@
 // learn waits once for changes from a peer. query may hold further parameters of the
 // call. What a peer knew that is too old is taken, and is an error all the same.
 func (m *Mirror) learn(ctx context.Context, address string, query url.Values) error {
-	query.Set("since", m.known.history.at().String())
+	query.Set("since", m.known.since().String())
 	if m.isLost() && !m.listed {
 		query.Set(anyAge, "1") // an old configuration serves callers, none doesn't
 	}
--- a/internal/mirror/history.go
+++ b/internal/mirror/history.go
@@ -17,8 +17,10 @@
 type history struct {
 	mu        sync.Mutex
 	events    []platform.Event  // by revision; at most historyLen; guarded by mu
-	items     []platform.Item   // all that is known; guarded by mu
-	version   int               // counts the changes of items; guarded by mu
+	items     []platform.Item   // all that the store held at revision; guarded by mu
+	beliefs   Beliefs           // in spite of that; guarded by mu
+	version   int               // counts the changes of both; guarded by mu
+	ahead     bool              // some of it the store has lost; guarded by mu
 	revision  platform.Revision // all changes up to here are known; guarded by mu
 	spans     []span            // in their order, mostSpans at most; the last ends at revision; guarded by mu
 	confirmed time.Time         // when the store last said that there are no others; guarded by mu
@@ -55,7 +57,7 @@
 	if g.confirmed.After(h.confirmed) {
 		h.confirmed = g.confirmed
 	}
-	h.settled = c.settled
+	h.settled, h.ahead = c.settled, c.Ahead()
 	next := platform.Later(h.revision, g.revision)
 	begun := next.Epoch() != h.revision.Epoch() || h.revision.IsZero() && !next.IsZero()
 	if !h.revision.IsZero() {
@@ -66,7 +68,7 @@
 	}
 	h.trim()
 	if g.changed || begun || len(g.events) > 0 {
-		h.items = c.Items()
+		h.items, h.beliefs = c.Items(), c.Beliefs()
 		h.version++
 	}
 	if begun || len(g.events) > 0 {
@@ -147,8 +149,10 @@
 // excerpt is what a peer gets to know.
 type excerpt struct {
 	events   []platform.Event
-	items    []platform.Item   // all that is known
-	version  int               // of items
+	items    []platform.Item   // all that the store held at revision
+	beliefs  Beliefs           // in spite of that
+	version  int               // of both
+	ahead    bool              // some of it the store has lost
 	revision platform.Revision // what the events lead up to
 	age      time.Duration     // since the store confirmed it
 	settling time.Duration     // for which removals are still delayed; 0 or more
@@ -162,7 +166,7 @@
 	defer h.mu.Unlock()
 	e := excerpt{
 		revision: h.revision, age: now.Sub(h.confirmed), known: h.covers(revision), gaps: h.gapsAfter(revision),
-		grown: h.grown, items: h.items, version: h.version, settling: max(0, h.settled.Sub(now)),
+		grown: h.grown, items: h.items, beliefs: h.beliefs, version: h.version, ahead: h.ahead, settling: max(0, h.settled.Sub(now)),
 	}
 	for _, event := range h.events {
 		if event.Changed.After(revision) {
--- a/internal/mirror/knowledge.go
+++ b/internal/mirror/knowledge.go
@@ -12,7 +12,7 @@
 	Known    platform.Revision // up to which all changes were known before
 	Items    int               // that the store has
 	Changes  int               // that follow from it
-	Skipped  int               // items that differ from what is known of them, and are not later
+	Behind   int               // items that are older states than what is known
 }
 
 // knowledge is what a mirror knows of the store, and what it passes on of that. It does no
@@ -20,10 +20,12 @@
 type knowledge struct {
 	copy    *Copy
 	history *history
+	own     bool // the store was read here since a peer told all that it knows
+	askAll  bool // all that a peer knows is to be asked for
 }
 
-func newKnowledge() knowledge {
-	return knowledge{copy: NewCopy(), history: newHistory()}
+func newKnowledge(order Order) knowledge {
+	return knowledge{copy: NewCopy(order), history: newHistory()}
 }
 
 // restored says whether the store has come back from a copy of itself between what is known
@@ -39,14 +41,26 @@
 	if k.restored(at) {
 		k.copy.Outage(now)
 	}
-	r := Reading{Revision: at, Known: k.history.at(), Items: len(items), Skipped: k.copy.Older(items)}
+	r := Reading{Revision: at, Known: k.history.at(), Items: len(items), Behind: k.copy.Behind(items)}
 	events := k.copy.Difference(items, at)
 	r.Changes = len(events)
+	k.own = true
 	return r, k.take(now, growth{events: events, revision: at, confirmed: confirmed, gaps: true})
 }
 
-// adopt takes in what a peer knows.
+// since is the revision after which changes are to be asked of a peer.
+func (k *knowledge) since() platform.Revision {
+	if k.askAll {
+		return platform.Revision{}
+	}
+	return k.history.at()
+}
+
+// adopt takes in what a peer knows. If some of that is lost to the store, which was read here
+// meanwhile, all that the peer knows is asked for once.
 func (k *knowledge) adopt(now time.Time, n news) []Change {
+	k.askAll = n.ahead && k.own && !n.whole
+	k.own = k.own && !n.whole
 	k.copy.Settle(n.settled)
 	if !n.whole {
 		return k.take(now, growth{events: n.events, revision: n.revision, confirmed: n.confirmed, gaps: n.gaps})
@@ -58,12 +72,20 @@
 	for _, e := range n.events {
 		all = append(all, e.Item)
 	}
-	return k.take(now, growth{events: k.copy.Difference(all, n.revision), revision: n.revision, confirmed: n.confirmed, gaps: true})
+	k.copy.Hide(n.beliefs)
+	events := k.copy.Difference(all, n.revision)
+	changes := append(k.copy.Apply(now, events), k.copy.Keep(now, n.beliefs)...)
+	return k.grow(now, changes, growth{events: events, revision: n.revision, confirmed: n.confirmed, gaps: true})
 }
 
 // take takes in a growth of what is known.
 func (k *knowledge) take(now time.Time, g growth) []Change {
-	changes := append(k.copy.Apply(now, g.events), k.copy.Due(now)...)
+	return k.grow(now, k.copy.Apply(now, g.events), g)
+}
+
+// grow notes a growth that the copy has taken, and returns all changes.
+func (k *knowledge) grow(now time.Time, changes []Change, g growth) []Change {
+	changes = append(changes, k.copy.Due(now, platform.Later(k.history.at(), g.revision))...)
 	g.changed = len(changes) > 0
 	k.history.add(g, k.copy)
 	return changes
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -124,12 +124,12 @@
 }
 
 // New makes a mirror of a store.
-func New(store *platform.Store, sink Sink, peers Peers) *Mirror {
+func New(store *platform.Store, sink Sink, peers Peers, order Order) *Mirror {
 	transport := &http.Transport{DialContext: tcp.NewDialer("").DialContext, MaxIdleConnsPerHost: 1}
 	return &Mirror{
 		store: store, sink: sink, peers: peers, client: &http.Client{Transport: transport},
 		soon: make(chan struct{}, 1), back: make(chan struct{}, 1),
-		known: newKnowledge(), avoided: make(map[string]time.Time),
+		known: newKnowledge(order), avoided: make(map[string]time.Time),
 	}
 }
 
@@ -249,7 +249,7 @@
 // watch waits for changes once.
 func (m *Mirror) watch(ctx context.Context) error {
 	wait := watchWait
-	if len(m.known.copy.missing) > 0 || m.isLost() {
+	if m.known.copy.Settling() || m.isLost() {
 		wait = settleCheck
 	}
 	inner, cancel := context.WithTimeout(ctx, wait+answerTime)
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -1,8 +1,10 @@
 package mirror
 
 import (
+	"cmp"
 	"context"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -85,7 +87,7 @@
 func startMirror(t *testing.T, address string, peers Peers) (*Mirror, *sink) {
 	t.Helper()
 	out := &sink{keys: make(map[string]string)}
-	m := New(platform.NewStore(address), out, peers)
+	m := New(platform.NewStore(address), out, peers, byNumber)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -114,6 +116,16 @@
 	return fake, out
 }
 
+// byNumber orders states by the numbers that they are, if both are.
+func byNumber(a, b platform.Item) int {
+	x, err := strconv.Atoi(string(a.Value))
+	y, fault := strconv.Atoi(string(b.Value))
+	if err != nil || fault != nil {
+		return 0
+	}
+	return cmp.Compare(x, y)
+}
+
 // within fails the test unless ok holds within a time.
 func within(t *testing.T, limit time.Duration, what string, ok func() bool) {
 	t.Helper()
--- a/internal/mirror/news.go
+++ b/internal/mirror/news.go
@@ -19,11 +19,13 @@
 // news is what a relay said.
 type news struct {
 	events    []platform.Event
-	whole     bool // the events are all that there is
-	gaps      bool // they are not all changes since the revision that was asked for
+	beliefs   Beliefs // of whole news
+	whole     bool    // the events are all that there is
+	gaps      bool    // they are not all changes since the revision that was asked for
 	revision  platform.Revision
 	confirmed time.Time // when the store said so
 	settled   time.Time // removals are delayed until then
+	ahead     bool      // some of what the relay knows the store has lost
 }
 
 // call waits once for changes from a relay, whose answer may take so long.
@@ -59,6 +61,7 @@
 	n := answer.news()
 	n.confirmed = begin.Add(-age) // the answer was made later
 	n.settled = boottime.Now().Add(settling)
+	n.ahead = resp.Header.Get(headerAhead) != ""
 	return n, nil
 }
 
@@ -82,9 +85,18 @@
 	for _, e := range a.Events {
 		n.events = append(n.events, e.event())
 	}
+	n.beliefs = Beliefs{Kept: items(a.Kept), Hidden: items(a.Hidden)}
 	return n
 }
 
+func items(events []relayedEvent) []platform.Item {
+	var list []platform.Item
+	for _, e := range events {
+		list = append(list, e.event().Item)
+	}
+	return list
+}
+
 func (e relayedEvent) event() platform.Event {
 	item := platform.Item{Key: e.Key, Value: e.value(), Changed: e.Changed, Created: e.Created}
 	return platform.Event{Item: item, Removed: e.Removed}
--- a/internal/mirror/region_test.go
+++ b/internal/mirror/region_test.go
@@ -161,7 +161,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			m := New(nil, &sink{}, Peers{Relays: func() []string { return tt.relays }})
+			m := New(nil, &sink{}, Peers{Relays: func() []string { return tt.relays }}, byNumber)
 			m.setLost(tt.lost)
 			if got := m.checkPause(tt.failed); got != tt.want {
 				t.Errorf("got %s, want %s", got, tt.want)
@@ -186,7 +186,7 @@
 	m = New(platform.NewStore(address), &sink{keys: make(map[string]string)}, Peers{
 		Relays: func() []string { return []string{relay, relay, relay} },
 		Others: func() []string { return []string{other} },
-	})
+	}, byNumber)
 	m.listed = true
 	m.setLost(true)
 	m.avoided[relay] = time.Now().Add(time.Minute)
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -46,6 +46,9 @@
 	// long removals in it are still delayed, in milliseconds.
 	headerAge      = "Firlever-Age"
 	headerSettling = "Firlever-Settling"
+	// headerAhead is set if the relay knows something that the store has lost: who has read
+	// the store by itself since needs all that is known.
+	headerAhead = "Firlever-Ahead"
 	// maxRelayed bounds an answer of a relay, in bytes: the whole history of today's
 	// sizes, and some configurations of 1 MB.
 	maxRelayed = 16 << 20
@@ -56,6 +59,8 @@
 	Whole    bool              `json:"whole"`          // the events are all that is known, not what has changed
 	Gaps     bool              `json:"gaps,omitempty"` // they are not all changes since
 	Events   []relayedEvent    `json:"events"`
+	Kept     []relayedEvent    `json:"kept,omitempty"`   // of a whole answer: what is believed in spite of what the store holds
+	Hidden   []relayedEvent    `json:"hidden,omitempty"` // of a whole answer: what it holds that is not believed
 	Revision platform.Revision `json:"revision"`
 }
 
@@ -99,6 +104,9 @@
 		return
 	}
 	w.Header().Set(headerAge, strconv.FormatInt(e.age.Milliseconds(), 10))
+	if e.ahead {
+		w.Header().Set(headerAhead, "1")
+	}
 	w.Header().Set(headerSettling, strconv.FormatInt(e.settling.Milliseconds(), 10))
 	a.write(w, r)
 }
--- a/internal/mirror/restore_test.go
+++ b/internal/mirror/restore_test.go
@@ -81,7 +81,7 @@
 
 // What a relay tells a peer that has come to a revision of another epoch.
 func TestHistoryOfEpochs(t *testing.T) {
-	h, c := newHistory(), NewCopy()
+	h, c := newHistory(), NewCopy(byNumber)
 	event := func(key string, r platform.Revision) platform.Event {
 		return platform.Event{Item: platform.Item{Key: key, Changed: r}}
 	}
@@ -127,7 +127,7 @@
 // What was confirmed of an earlier epoch says nothing of what is known of a later one.
 func TestConfirmedInAnotherEpoch(t *testing.T) {
 	h := newHistory()
-	h.add(growth{revision: platform.NewRevision(2, 5), confirmed: start}, NewCopy())
+	h.add(growth{revision: platform.NewRevision(2, 5), confirmed: start}, NewCopy(byNumber))
 	h.confirm(platform.NewRevision(1, 90), start.Add(time.Second))
 	if got := h.age(start.Add(time.Second)); got != time.Second {
 		t.Errorf("got age %s after an answer of an earlier epoch, want %s", got, time.Second)
@@ -140,13 +140,13 @@
 
 // Items that a store has kept through its loss are no changes.
 func TestKeptItems(t *testing.T) {
-	c := NewCopy()
+	c := NewCopy(byNumber)
 	rev := platform.NewRevision
 	item := func(key, value string, r platform.Revision) platform.Item {
 		return platform.Item{Key: key, Value: []byte(value), Changed: r}
 	}
 	c.Apply(start, c.Difference([]platform.Item{item("kept", "1", rev(1, 5)), item("other", "1", rev(1, 6))}, rev(1, 9)))
-	events := c.Difference([]platform.Item{item("kept", "1", rev(2, 5)), item("other", "0", rev(2, 4))}, rev(2, 7))
+	events := c.Difference([]platform.Item{item("kept", "1", rev(2, 5)), item("other", "x", rev(2, 4))}, rev(2, 7))
 	if got, want := show(c.Apply(start, events)), "+other@4 "; got != want {
 		t.Errorf("got %q, want %q", got, want)
 	}
