Write a registration again that the store has lost, and no other

An instance whose lease was granted after the copy from which the store came back can find its number given to another: it renewed that, and ended it when it stopped, which took the other's keys away. One whose lease was kept took a new one and wrote its record once more: two writes for each instance after each return. Cause: a lease was known by its number alone. Evidence: TestStopAfterRestore failed (got the key of another instance removed), TestRegistrationLostByRestore for the record that was kept (4 writes, want 2 at most). Change: after the store came back an instance reads its record, within a second of noticing at a random moment. If that is as it was written and under its lease, nothing is written; else it takes a new lease. An instance that stops removes its record under the condition that it is the one that it wrote, in place of ending a lease by its number, which is gone from the client. Cost: a read for each instance for each return of the store.

--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -79,6 +79,7 @@
 func (n *Node) Restored(known platform.Revision, epoch uint64) {
 	n.cfg.Metrics.Decided(metrics.Decision{Kind: "store-restored"})
 	n.cfg.Log.Warn("store restored", "known", known, "epoch", epoch)
+	n.registrar.checkSoon()
 }
 
 // Through notes that a peer is followed while the store is out of reach.
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -85,9 +85,13 @@
 	// keptLonger is how many times as long as told some callers keep an address.
 	keptLonger = 3
 	// stopMargin is left of the time between SIGTERM and SIGKILL for the end of the
-	// lease, the last log lines, and a processor that is shared.
+	// record, the last log lines, and a processor that is shared.
 	stopMargin = time.Second
-	// endTimeout bounds the call that ends the lease; without it the lease lapses.
+	// restoreSpread is over how long instances see to their registrations when the store has
+	// come back from a copy: others keep those that it has lost for 2 s.
+	restoreSpread = time.Second
+	// endTimeout bounds the call that removes the record; without it the record goes with the
+	// lease.
 	endTimeout = 300 * time.Millisecond
 	// storeTimeout bounds one write to the store.
 	storeTimeout = 2 * time.Second
--- /dev/null
+++ b/internal/edge/register_test.go
@@ -0,0 +1,119 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/firlever/firlever/internal/emulator/store"
+	"github.com/firlever/firlever/platform"
+)
+
+// registered says whether the record of an instance is in the store.
+func (r *rig) registered(name string) bool { return r.store.Get(instancePrefix+name) != nil }
+
+// leaseOf is the number of the lease under which an instance is registered.
+func (r *rig) leaseOf(name string) uint64 {
+	r.t.Helper()
+	item, err := platform.NewStoreOver("stand-in", r.store).Get(context.Background(), instancePrefix+name)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return item.Lease.Number()
+}
+
+// takeLease has another writer take the lease of a number that the store gives out again, and
+// write a key under it.
+func (r *rig) takeLease(number uint64, key string) {
+	r.t.Helper()
+	other := platform.NewStoreOver("stand-in", r.store)
+	for {
+		l, err := other.Grant(context.Background(), time.Minute)
+		if err != nil || l.Number() > number {
+			r.t.Fatalf("got lease %d, %v, want %d", l.Number(), err, number)
+		}
+		if l.Number() < number {
+			continue
+		}
+		if _, err := other.Do(context.Background(), platform.Txn{Put: []platform.Write{{Key: key, Value: []byte("x"), Lease: l}}}); err != nil {
+			r.t.Fatal(err)
+		}
+		return
+	}
+}
+
+// An instance whose registration the store has lost is back before others take it for gone,
+// also if its lease is another's by now. One whose registration was kept writes nothing.
+func TestRegistrationLostByRestore(t *testing.T) {
+	tests := map[string]struct {
+		late  bool // the instance registers after the copy
+		taken bool // its lease is given to another
+	}{
+		"kept":                        {false, false},
+		"lost":                        {true, false},
+		"lost, lease given out again": {true, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t)
+			r.configure(1, "s")
+			c := r.store.Copy()
+			r.start()
+			r.within("the first is registered", func() bool { return r.registered("e1") })
+			if !tt.late {
+				c = r.store.Copy()
+			}
+			second := r.instance("e2", "n1")
+			r.within("each knows the other", func() bool {
+				return len(r.node.instances.names()) == 2 && len(second.instances.names()) == 2
+			})
+			lease := r.leaseOf("e1")
+			writes := r.store.Calls("/kv-txn") + r.store.Calls("/kv-lease")
+			r.store.SetFaults(store.Faults{Closed: []string{"127.0.0.1"}}) // all instances
+			time.Sleep(200 * time.Millisecond)
+			r.store.GoBack(c)
+			if tt.taken {
+				r.takeLease(lease, "another's")
+			}
+			r.store.SetFaults(store.Faults{})
+			r.store.Rewrite()
+			for begin := time.Now(); time.Since(begin) < 2*bound; time.Sleep(20 * time.Millisecond) {
+				if len(r.node.instances.names()) != 2 || len(second.instances.names()) != 2 {
+					t.Fatalf("got %v and %v known %s after the return, want both", r.node.instances.names(), second.instances.names(), time.Since(begin))
+				}
+				if time.Since(begin) > bound && !r.registered("e1") {
+					t.Fatalf("got no registration %s after the return", time.Since(begin))
+				}
+			}
+			if got := r.store.Calls("/kv-txn") + r.store.Calls("/kv-lease") - writes; !tt.late && got > 2 { // e2's
+				t.Errorf("got %d writes, want those of the one that was lost", got)
+			}
+		})
+	}
+}
+
+// An instance that stops takes nothing away that isn't its own, also if it has not noticed that
+// the store has come back from a copy.
+func TestStopAfterRestore(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, "s")
+	c := r.store.Copy()
+	n, err := New(Config{Log: log.New(io.Discard), Settings: platform.Settings{Instance: "e1", Domain: "n1", Regions: map[string]string{"n1": "north"}, Store: r.url}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := n.registrar.step(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	lease := r.leaseOf("e1")
+	r.store.GoBack(c)
+	r.takeLease(lease, "another's")
+	n.registrar.end(t.Context())
+	if r.store.Get("another's") == nil {
+		t.Error("got the key of another instance removed")
+	}
+}
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -73,6 +73,7 @@
 	"started": true, "stopping": true, "stopped": true, "store listed": true, "store lost": true, "store regained": true,
 	"store read": true, "store history gone": true,
 	"relay lost": true, "store followed through a peer": true, "lease not renewed": true, "lease renewed again": true, "lease ended": true,
+	"registration verified": true, "store restored": true,
 	"configuration in force": true, "evacuation": true, "settings reloaded": true, "log lines dropped": true,
 	"loads not exchanged": true, "registration unusable": true, "tokens not asked for": true,
 	"machine was suspended": true,
