Tell of answered requests again that the store has lost

What callers saw: nothing yet; shown by a test. Reports of targets that ended were written again when they had gone early, answers that clear a request were not: an instance that starts after the store came back from a copy would hold an innocent request back. Evidence: TestReportsLostByRestore failed (not within 2s: the answer is written again). Change: who told of an answer tells of it again, with the revision of the first time, so that ends since then count on. Without that revision the test fails too (not within 2s: it knows the ends).

--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -50,6 +50,7 @@
 	recent crash.Recent       // guarded by mu
 	broken map[string]*breach // by ID of the target; guarded by mu
 	kept   map[string]kept    // the reports in book, by key; crash.MostReports at most; guarded by mu
+	told   map[string]answer  // answers that this instance has told of, by key; crash.MostReports at most; guarded by mu
 	number int                // of the last report; guarded by mu
 }
 
@@ -60,8 +61,17 @@
 	mine  bool // this instance has written it
 }
 
+// answer is an answer that this instance has told of.
+type answer struct {
+	until   time.Time         // it is told of
+	written platform.Revision // when it was told of first; zero if it was not yet
+}
+
 func newCrashes(n *Node) *crashes {
-	return &crashes{node: n, tell: newTeller(n), book: crash.NewBook(), broken: make(map[string]*breach), kept: make(map[string]kept)}
+	return &crashes{
+		node: n, tell: newTeller(n), book: crash.NewBook(), broken: make(map[string]*breach),
+		kept: make(map[string]kept), told: make(map[string]answer),
+	}
 }
 
 // under returns how many targets ended under a request that ends targets; 0 if it doesn't.
@@ -110,7 +120,33 @@
 	c.book.Answered(p, crash.Unwritten)
 	c.judged()
 	if known >= toldAnswer {
-		c.tell.post(note{key: answeredPrefix + p.String(), value: []byte(c.node.cfg.Settings.Instance), life: answerTime})
+		c.tellAnswer(now, answeredPrefix+p.String())
+	}
+}
+
+// tellAnswer has an answer written. c.mu is held.
+func (c *crashes) tellAnswer(now time.Time, key string) {
+	c.told[key] = answer{until: now.Add(answerTime)}
+	if len(c.told) > crash.MostReports {
+		delete(c.told, soonest(c.told, func(a answer) time.Time { return a.until }))
+	}
+	c.tell.post(note{key: key, value: []byte(c.node.cfg.Settings.Instance), life: answerTime})
+}
+
+// soonest returns the key whose time comes first.
+func soonest[V any](m map[string]V, until func(V) time.Time) string {
+	return slices.MinFunc(slices.Collect(maps.Keys(m)), func(a, b string) int { return until(m[a]).Compare(until(m[b])) })
+}
+
+// written notes that notes were written at a revision of the store.
+func (c *crashes) written(notes []note, at platform.Revision) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, w := range notes {
+		if a, ok := c.told[w.key]; ok && a.written.IsZero() {
+			a.written = at
+			c.told[w.key] = a
+		}
 	}
 }
 
@@ -151,10 +187,14 @@
 func (c *crashes) take(change mirror.Change) error {
 	if text, ok := strings.CutPrefix(change.Key, answeredPrefix); ok {
 		var p crash.Print
-		if err := p.UnmarshalText([]byte(text)); err != nil || change.Removed {
+		if err := p.UnmarshalText([]byte(text)); err != nil {
 			return err
 		}
-		c.book.Answered(p, change.Changed)
+		if change.Removed {
+			c.answerRemoved(change.Key)
+			return nil
+		}
+		c.book.Answered(p, answeredAt(change))
 		return nil
 	}
 	if change.Removed {
@@ -169,6 +209,16 @@
 	return nil
 }
 
+// answeredAt is when an answer was told of first: one that is written again, as the store had
+// lost it, says that itself.
+func answeredAt(change mirror.Change) platform.Revision {
+	var first platform.Revision
+	if first.UnmarshalText(change.Value) == nil {
+		return first
+	}
+	return change.Changed
+}
+
 // keep takes a report into the book. c.mu is held.
 func (c *crashes) keep(key string, revision platform.Revision, r crash.Report, mine bool) {
 	c.book.Put(key, revision, r)
@@ -176,9 +226,7 @@
 		c.kept[key] = kept{until: boottime.Now().Add(evidenceTime), mine: mine}
 	}
 	if len(c.kept) > crash.MostReports {
-		oldest := slices.MinFunc(slices.Collect(maps.Keys(c.kept)), func(a, b string) int {
-			return c.kept[a].until.Compare(c.kept[b].until)
-		})
+		oldest := soonest(c.kept, func(k kept) time.Time { return k.until })
 		delete(c.kept, oldest)
 		c.book.Remove(oldest)
 	}
@@ -197,10 +245,22 @@
 	}
 }
 
+// answerRemoved notes that the entry of an answer is gone. One of this instance's that has gone
+// long before its time is written again, with when it was told of first: the ends since then
+// count. c.mu is held.
+func (c *crashes) answerRemoved(key string) {
+	a := c.told[key]
+	if a.written.IsZero() || boottime.Until(a.until) < answerTime/2 {
+		return
+	}
+	c.tell.post(note{key: key, value: []byte(a.written.String()), life: answerTime})
+}
+
 // forget forgets what is old.
 func (c *crashes) forget(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	maps.DeleteFunc(c.told, func(_ string, a answer) bool { return !now.Before(a.until) })
 	for key, k := range c.kept {
 		if !now.Before(k.until) {
 			delete(c.kept, key)
--- a/internal/edge/restore_test.go
+++ b/internal/edge/restore_test.go
@@ -1,11 +1,15 @@
 package edge
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
 
+	"github.com/firlever/firlever/internal/boottime"
+	"github.com/firlever/firlever/internal/crash"
 	"github.com/firlever/firlever/internal/emulator/store"
+	"github.com/firlever/firlever/internal/steer"
 )
 
 // restored is a rig with an instance that follows the store and one that follows the first.
@@ -161,3 +165,44 @@
 		})
 	}
 }
+
+// What instances have told each other of requests that end targets is written again when the
+// store has lost it, for those that start later; an answer keeps its place among the ends.
+func TestReportsLostByRestore(t *testing.T) {
+	r := newRestored(t)
+	const guilty, innocent = crash.Print(7), crash.Print(8)
+	report := func(target string, p crash.Print) {
+		r.node.crashes.mu.Lock()
+		defer r.node.crashes.mu.Unlock()
+		r.node.crashes.report(steer.Target{ID: target}, []crash.Print{p})
+	}
+	known := func(n *Node, p crash.Print) int {
+		n.crashes.mu.Lock()
+		defer n.crashes.mu.Unlock()
+		return n.crashes.book.Count(p)
+	}
+	everywhere := func(what string, p crash.Print, want int) {
+		t.Helper()
+		for _, n := range r.nodes {
+			r.within(what+" at "+n.cfg.Settings.Instance, func() bool { return known(n, p) == want })
+		}
+	}
+	for k := range 3 {
+		report(fmt.Sprint("t", k), guilty)
+	}
+	report("u1", innocent)
+	report("u2", innocent)
+	everywhere("two ends", innocent, 2)
+	r.nodes[1].crashes.answered(boottime.Now(), innocent)
+	everywhere("an answer", innocent, 0)
+	r.within("the answer is written", func() bool { return r.store.Get(answeredPrefix+innocent.String()) != nil })
+	report("u3", innocent)
+	everywhere("one more end", innocent, 1)
+	r.restore()
+	time.Sleep(bound)
+	r.within("the answer is written again", func() bool { return r.store.Get(answeredPrefix+innocent.String()) != nil })
+	late := r.instance("e3", "n1")
+	r.within("a newcomer is ready", late.Ready)
+	r.within("it knows the ends", func() bool { return known(late, guilty) == 3 && known(late, innocent) == 1 })
+	everywhere("one end after the answer", innocent, 1)
+}
--- a/internal/edge/teller.go
+++ b/internal/edge/teller.go
@@ -126,14 +126,15 @@
 func (t *teller) write(ctx context.Context, batch []note) error {
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
-	err := t.put(ctx, batch)
+	at, err := t.put(ctx, batch)
 	if platform.LeaseGone(err) {
 		clear(t.leases)
-		err = t.put(ctx, batch)
+		at, err = t.put(ctx, batch)
 	}
 	if err != nil {
 		return err
 	}
+	t.node.crashes.written(batch, at)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	last := batch[len(batch)-1].key
@@ -144,17 +145,16 @@
 }
 
 // put makes one transaction of a batch.
-func (t *teller) put(ctx context.Context, batch []note) error {
+func (t *teller) put(ctx context.Context, batch []note) (platform.Revision, error) {
 	var txn platform.Txn
 	for _, w := range batch {
 		l, err := t.under(ctx, w.life)
 		if err != nil {
-			return err
+			return platform.Revision{}, err
 		}
 		txn.Put = append(txn.Put, platform.Write{Key: w.key, Value: w.value, Lease: l})
 	}
-	_, err := t.node.store.Do(ctx, txn)
-	return err
+	return t.node.store.Do(ctx, txn)
 }
 
 // under returns a lease under which a note lasts for half of a time at least.
