Write documents and rosters again that the platform has lost

Rosters could not be changed any more: no instance joined or left. Cause: what the platform holds was taken for all that was ever written to it. Change: instances notice a new epoch by any answer or packet. A document written again names no writes, so that none is told as refused that may have landed. Lines of the list are verified, and the list proves no end for one lag more.

--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -159,6 +159,7 @@
 type Listed struct {
 	Instances []docstore.Instance
 	Sent      time.Time
+	Epoch     uint64 // of the platform's store
 }
 
 // Released brings what a peer still holds of targets that it does not own.
--- a/internal/core/roster.go
+++ b/internal/core/roster.go
@@ -239,5 +239,5 @@
 	for _, in := range ev.Instances {
 		list = append(list, owner.Listing{Instance: in.ID, Incarnation: in.Incarnation})
 	}
-	n.book.Listed(now, ev.Sent, list)
+	n.book.Listed(now, ev.Sent, ev.Epoch, list)
 }
--- a/internal/docstore/client.go
+++ b/internal/docstore/client.go
@@ -139,16 +139,34 @@
 	if now.Version != want {
 		return Entry{}, &ConflictError{Path: e.Path, Want: want, Now: now}
 	}
+	if e.Revision, err = c.put(ctx, e, changed); err != nil {
+		return Entry{}, unwritten(call, e.Path, want, err)
+	}
+	return e, nil
+}
+
+// put writes an entry if its path has not changed since a revision.
+func (c *Client) put(ctx context.Context, e Entry, changed platform.Revision) (platform.Revision, error) {
 	key := entryPrefix + e.Path
-	revision, err := c.store.Do(ctx, platform.Txn{
+	return c.store.Do(ctx, platform.Txn{
 		If:  []platform.Condition{{Key: key, Changed: changed}},
 		Put: []platform.Write{{Key: key, Value: encodeEntry(e)}},
 	})
-	if err != nil {
-		return Entry{}, unwritten(call, e.Path, want, err)
+}
+
+// Restore writes an entry at its version if the path is at an earlier one.
+func (c *Client) Restore(ctx context.Context, e Entry) error {
+	if err := CheckValue(e.Path, e.Value); err != nil {
+		return err
 	}
-	e.Revision = revision
-	return e, nil
+	now, changed, err := c.read(ctx, "Restore", e.Path)
+	if err != nil || now.Version >= e.Version {
+		return err
+	}
+	if _, err := c.put(ctx, e, changed); err != nil {
+		return unwritten("Restore", e.Path, now.Version, err)
+	}
+	return nil
 }
 
 // Watch waits for entries under prefix past a revision. If the store has forgotten
@@ -203,8 +221,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if old, ok := c.lines[in.ID]; ok && old.in == in {
-		err := c.store.Keep(ctx, old.lease)
-		if !platform.LeaseGone(err) {
+		kept, err := c.renew(ctx, old)
+		if kept || err != nil {
 			return failed("Register", in.ID, err)
 		}
 	}
@@ -224,21 +242,54 @@
 	return nil
 }
 
+// renew renews a line of the list, and says whether it is still there. c.mu is held.
+func (c *Client) renew(ctx context.Context, l line) (bool, error) {
+	err := c.store.Keep(ctx, l.lease)
+	var restored *platform.EpochError
+	switch {
+	case errors.As(err, &restored):
+		return c.verify(ctx, l)
+	case platform.LeaseGone(err):
+		return false, nil
+	}
+	return err == nil, err
+}
+
+// verify says whether a store that came back from a copy still has a line as it was written,
+// under its lease, whose number may be another's by now. c.mu is held.
+func (c *Client) verify(ctx context.Context, l line) (bool, error) {
+	item, err := c.store.Get(ctx, instancePrefix+l.in.ID)
+	var missing *platform.MissingError
+	if errors.As(err, &missing) {
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	var in Instance
+	if json.Unmarshal(item.Value, &in) != nil || in != l.in || item.Lease.Number() != l.lease.Number() {
+		return false, nil
+	}
+	l.lease = item.Lease
+	c.lines[l.in.ID] = l
+	return true, nil
+}
+
 // Instances reads the list of instances. It may be seconds old.
-func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
-	items, _, err := c.store.List(ctx, instancePrefix, true)
+func (c *Client) Instances(ctx context.Context) ([]Instance, platform.Revision, error) {
+	items, at, err := c.store.List(ctx, instancePrefix, true)
 	if err != nil {
-		return nil, unread("Instances", err)
+		return nil, platform.Revision{}, unread("Instances", err)
 	}
 	list := make([]Instance, 0, len(items))
 	for _, item := range items {
 		var in Instance
 		if err := json.Unmarshal(item.Value, &in); err != nil {
-			return nil, &FormatError{Path: item.Key, Reason: err.Error()}
+			return nil, platform.Revision{}, &FormatError{Path: item.Key, Reason: err.Error()}
 		}
 		list = append(list, in)
 	}
-	return list, nil
+	return list, at, nil
 }
 
 // unread types the failure of a call that changes nothing.
--- a/internal/docstore/client_test.go
+++ b/internal/docstore/client_test.go
@@ -71,7 +71,10 @@
 			return answer{[]any{e, n}, err}
 		},
 		"register nothing": func(s docstore.Store) answer { return answer{nil, s.Register(ctx, docstore.Instance{})} },
-		"instances":        func(s docstore.Store) answer { return pair(s.Instances(ctx)) },
+		"instances": func(s docstore.Store) answer {
+			list, at, err := s.Instances(ctx)
+			return answer{[]any{list, at}, err}
+		},
 	}
 	for name, call := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -228,7 +231,7 @@
 				}
 				time.Sleep(tt.at)
 				synctest.Wait()
-				list, err := s.Instances(ctx)
+				list, _, err := s.Instances(ctx)
 				var got []uint64
 				for _, in := range list {
 					got = append(got, in.Incarnation)
--- a/internal/docstore/document.go
+++ b/internal/docstore/document.go
@@ -131,6 +131,10 @@
 // From here on it can't land any more; it may have landed before.
 func (p *putter) superseded(now Entry) (PutResult, error) {
 	made := p.doc.Version + 1
+	if p.uncertain && now.Version < p.doc.Version {
+		// The platform has lost writes; whoever has seen this one writes it again.
+		return PutResult{}, &UncertainError{Path: p.doc.Path, Err: p.conflict(now)}
+	}
 	if now.Version < made {
 		return PutResult{Outcome: Refused, Newer: now}, p.conflict(now)
 	}
--- a/internal/docstore/envelope.go
+++ b/internal/docstore/envelope.go
@@ -23,6 +23,9 @@
 	// made the version i below the entry's own, without gaps.
 	Writes  []string `json:"writes"`
 	Deleted bool     `json:"deleted,omitempty"`
+	// Restored says that Writes don't name the writes to the path: the platform had lost the
+	// document, and who wrote it again does not know them.
+	Restored bool `json:"restored,omitempty"`
 }
 
 // EncodeDocument returns the value that keeps a document. writes names the last
@@ -31,7 +34,11 @@
 	if err := checkWrites(doc.Path, writes); err != nil {
 		return nil, err
 	}
-	h := header{Writes: writes[:min(len(writes), maxWrites)], Deleted: doc.Deleted}
+	return encodeDocument(doc, header{Writes: writes[:min(len(writes), maxWrites)]})
+}
+
+func encodeDocument(doc settings.Document, h header) ([]byte, error) {
+	h.Deleted = doc.Deleted
 	line, err := encode("EncodeDocument", h)
 	if err != nil {
 		return nil, err
@@ -43,6 +50,14 @@
 	return value, CheckValue(doc.Path, value)
 }
 
+// restoredWrite stands in the place of the writes to a document that are not known.
+const restoredWrite = "restored"
+
+// EncodeRestored returns the value that keeps a document which the platform has lost.
+func EncodeRestored(doc settings.Document) ([]byte, error) {
+	return encodeDocument(doc, header{Writes: []string{restoredWrite}, Restored: true})
+}
+
 // DecodeDocument reads the document of an entry. An entry that the platform
 // itself deleted gives a deleted document; any other value that
 // EncodeDocument didn't make gives *FormatError.
@@ -67,7 +82,7 @@
 		return nil
 	}
 	h, _, err := decodeEnvelope(e)
-	if err != nil {
+	if err != nil || h.Restored {
 		return nil
 	}
 	return h.Writes
--- a/internal/docstore/faults_test.go
+++ b/internal/docstore/faults_test.go
@@ -126,7 +126,7 @@
 			if _, err := client.Get(t.Context(), "/a"); err == nil || errors.As(err, &lost) {
 				t.Errorf("got %v from a read, want a certain error", err)
 			}
-			if _, err := client.Instances(t.Context()); err == nil || errors.As(err, &lost) {
+			if _, _, err := client.Instances(t.Context()); err == nil || errors.As(err, &lost) {
 				t.Errorf("got %v from the list, want a certain error", err)
 			}
 		})
--- a/internal/docstore/store.go
+++ b/internal/docstore/store.go
@@ -46,11 +46,15 @@
 	Swap(ctx context.Context, path string, version uint64, value []byte) (Entry, error)
 	// Delete removes a path if it still has the given version.
 	Delete(ctx context.Context, path string, version uint64) (Entry, error)
+	// Restore writes an entry at its version if the path is at an earlier one, as a platform
+	// that came back from a copy of itself has lost it.
+	Restore(ctx context.Context, e Entry) error
 	// Watch waits for entries under prefix past the revision, and returns them
 	// with the revision to watch from next. It returns none when wait is over.
 	Watch(ctx context.Context, prefix string, after platform.Revision, wait time.Duration) ([]Entry, platform.Revision, error)
 	// Register puts this instance in the platform's list, or renews its line.
 	Register(ctx context.Context, in Instance) error
-	// Instances reads the list of live and leaving instances. It lags.
-	Instances(ctx context.Context) ([]Instance, error)
+	// Instances reads the list of live and leaving instances, and the revision that it is true
+	// at. It lags.
+	Instances(ctx context.Context) ([]Instance, platform.Revision, error)
 }
--- a/internal/emulator/inproc/inproc.go
+++ b/internal/emulator/inproc/inproc.go
@@ -29,6 +29,13 @@
 // SetFaults replaces the faults of the stand-in, also for calls that wait.
 func (s *Store) SetFaults(f store.Faults) { s.stand.SetFaults(f) }
 
+// Copy takes a copy of all that the stand-in holds.
+func (s *Store) Copy() *store.Copy { return s.stand.Copy() }
+
+// GoBack lets the stand-in come back from a copy. Documents are the system's own: nobody else
+// writes them again.
+func (s *Store) GoBack(c *store.Copy) { s.stand.GoBack(c) }
+
 // Calls returns how often a path of the platform's store was called.
 func (s *Store) Calls(path string) int { return s.stand.Calls(path) }
 
--- a/internal/instance/documents.go
+++ b/internal/instance/documents.go
@@ -134,6 +134,13 @@
 	return d.set.Documents()
 }
 
+// Get is the document held at a path.
+func (d *documents) Get(path string) (settings.Document, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.set.Get(path)
+}
+
 // Root is the hash of all paths and versions held.
 func (d *documents) Root() uint64 { return d.marked.Load().root }
 
--- a/internal/instance/gossip.go
+++ b/internal/instance/gossip.go
@@ -84,6 +84,7 @@
 	if !ok || m.Incarnation != p.Incarnation {
 		return
 	}
+	g.in.heardEpoch(p)
 	g.heardMark(p, m.Instance)
 	g.heardNamed(now, p)
 	if m.Place == g.in.cfg.Place {
@@ -137,6 +138,7 @@
 // prepare completes a packet with what the node knows now. An ack promises
 // something about the roster, which the node has to allow.
 func (g *gossip) prepare(p, cause *wire.Packet) {
+	g.in.setRestored(p)
 	root, complete := g.in.docs.Mark()
 	p.Root, p.Complete, p.Epoch = root, complete.Count(), complete.Epoch()
 	near := g.isNear(p.To)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -52,7 +52,8 @@
 	news        chan core.TellCrashes
 	unequal     chan docstore.Instance // peers whose documents differ
 	ahead       chan docstore.Instance // peers of the place that have a newer roster
-	rpc         *http.Client           // of control calls to peers
+	restoration *restoration
+	rpc         *http.Client // of control calls to peers
 
 	listeners []net.Listener // callers', peers' and operators', in this order
 	servers   []*http.Server // of listeners
@@ -80,9 +81,11 @@
 		news:        make(chan core.TellCrashes, queueLength),
 		unequal:     make(chan docstore.Instance, 1),
 		ahead:       make(chan docstore.Instance, 1),
+		restoration: newRestoration(),
 		replaced:    make(chan struct{}),
 		rpc:         &http.Client{Transport: &http.Transport{DialContext: cfg.Dial}, Timeout: syncTimeout},
 	}
+	in.cfg.Store = &epochStore{Store: cfg.Store, reached: in.reached}
 	if err := in.listen(); err != nil {
 		return nil, errors.Annotate(err, "instance.New")
 	}
@@ -239,7 +242,7 @@
 		in.servers = append(in.servers, srv)
 		go srv.Serve(ln)
 	}
-	for _, loop := range []func(context.Context){in.tick, in.watch, in.register, in.learn, in.tendRoster, in.probe, in.askGrants, in.tellCrashes, in.sync, in.show} {
+	for _, loop := range []func(context.Context){in.tick, in.watch, in.register, in.learn, in.tendRoster, in.probe, in.askGrants, in.tellCrashes, in.sync, in.show, in.restoreLost} {
 		in.loops.Go(func() { loop(ctx) })
 	}
 	in.members.start()
--- a/internal/instance/list.go
+++ b/internal/instance/list.go
@@ -37,7 +37,12 @@
 			wait = rand.N(registerEvery) // those that started together part here
 		}
 		registered = registered || err == nil
-		sleep(ctx, wait)
+		select {
+		case <-ctx.Done():
+		case <-in.restoration.register:
+			sleep(ctx, rand.N(registerSoon))
+		case <-time.After(wait):
+		}
 	}
 }
 
@@ -65,11 +70,11 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sent := in.now()
-	list, err := in.cfg.Store.Instances(ctx)
+	list, at, err := in.cfg.Store.Instances(ctx)
 	if err != nil {
 		return err
 	}
-	in.dispatcher.Step(core.Listed{Instances: list, Sent: sent})
+	in.dispatcher.Step(core.Listed{Instances: list, Sent: sent, Epoch: at.Epoch()})
 	in.members.Learn(list)
 	return nil
 }
--- a/internal/instance/list_test.go
+++ b/internal/instance/list_test.go
@@ -110,7 +110,7 @@
 		const rest = 2 * time.Minute
 		for range rest / time.Second {
 			time.Sleep(time.Second)
-			if list, err := w.kv.Instances(context.Background()); err != nil || len(list) != len(w.all()) {
+			if list, _, err := w.kv.Instances(context.Background()); err != nil || len(list) != len(w.all()) {
 				t.Fatalf("got %d in the list, %v, want all %d", len(list), err, len(w.all()))
 			}
 		}
--- a/internal/instance/log.go
+++ b/internal/instance/log.go
@@ -19,6 +19,13 @@
 }
 
 // logSwap writes the line of a placement decision.
+// logRestored logs that the platform's store has come back from a copy of itself.
+func (in *Instance) logRestored(epoch uint64) {
+	if in.cfg.Log != nil {
+		in.cfg.Log.Warn("store restored", "epoch", epoch, "root", in.docs.Root())
+	}
+}
+
 func (in *Instance) logSwap(d core.SwapRoster, err error) {
 	if in.cfg.Log != nil {
 		in.cfg.Log.Info("roster", "place", in.cfg.Place, "version", d.Next.Version,
--- a/internal/instance/network_test.go
+++ b/internal/instance/network_test.go
@@ -234,6 +234,13 @@
 	return d.Store.Watch(ctx, prefix, after, wait)
 }
 
+func (d *door) Restore(ctx context.Context, e docstore.Entry) error {
+	if err := d.pass("restore"); err != nil {
+		return err
+	}
+	return d.Store.Restore(ctx, e)
+}
+
 func (d *door) Register(ctx context.Context, in docstore.Instance) error {
 	if err := d.pass("register"); err != nil {
 		return err
@@ -241,9 +248,9 @@
 	return d.Store.Register(ctx, in)
 }
 
-func (d *door) Instances(ctx context.Context) ([]docstore.Instance, error) {
+func (d *door) Instances(ctx context.Context) ([]docstore.Instance, platform.Revision, error) {
 	if err := d.pass("instances"); err != nil {
-		return nil, err
+		return nil, platform.Revision{}, err
 	}
 	return d.Store.Instances(ctx)
 }
--- a/internal/instance/operators.go
+++ b/internal/instance/operators.go
@@ -45,7 +45,7 @@
 		in.metrics = set
 	}
 	s, err := operator.New(operator.Config{
-		Store:     in.cfg.Store,
+		Store:     in.operatorStore(),
 		Snapshot:  in.snapshot,
 		Documents: in.docs.Documents,
 		Apply:     in.takeDocuments,
--- a/internal/instance/recovery_test.go
+++ b/internal/instance/recovery_test.go
@@ -7,10 +7,8 @@
 	"testing"
 	"time"
 
-	"github.com/firlever/firlever/internal/core"
 	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/internal/emulator/store"
-	"github.com/firlever/firlever/internal/owner"
 	"github.com/firlever/firlever/pkg/settings"
 )
 
@@ -242,8 +240,3 @@
 	}
 	return false
 }
-
-func (in *Instance) roster() (r owner.Roster) {
-	in.dispatcher.Read(func(_ time.Time, n *core.Node) { r = n.Roster() })
-	return r
-}
--- a/internal/instance/roster.go
+++ b/internal/instance/roster.go
@@ -44,6 +44,9 @@
 			if !in.pullRoster(ctx, p) {
 				read = time.Time{}
 			}
+		case <-in.restoration.roster:
+			sleep(ctx, rand.N(restoreTime))
+			read = time.Time{}
 		case <-tick.C:
 		}
 		wait := time.Duration(share * float64(in.rosterWait(failed)))
@@ -104,8 +107,7 @@
 // ownRoster is the place's roster as a document for peers of the place; nil
 // if it is not known.
 func (in *Instance) ownRoster() *wire.Document {
-	var r owner.Roster
-	in.dispatcher.Read(func(_ time.Time, n *core.Node) { r = n.Roster() })
+	r := in.roster()
 	value, err := r.Encode()
 	if err != nil || r.Version == 0 {
 		return nil
@@ -126,17 +128,22 @@
 	sent := in.now()
 	e, err := in.cfg.Store.Get(ctx, rosterRoot+in.cfg.Place)
 	var missing *docstore.NotFoundError
-	if errors.As(err, &missing) {
-		in.dispatcher.Step(core.RosterRead{Sent: sent})
-		return nil
-	}
-	if err != nil {
+	if err != nil && !errors.As(err, &missing) {
 		return err
 	}
-	r, err := owner.Decode(e.Value, e.Version)
-	if err != nil {
+	if behind, err := in.restoreRoster(ctx, e.Version); behind || err != nil {
 		return err
 	}
+	var r owner.Roster
+	if e.Version > 0 {
+		if r, err = owner.Decode(e.Value, e.Version); err != nil {
+			return err
+		}
+	}
+	if in.restoration.restoring(sent) {
+		in.dispatcher.Step(core.RosterHeard{Roster: r}) // others may know a later one
+		return nil
+	}
 	in.dispatcher.Step(core.RosterRead{Roster: r, Sent: sent})
 	return nil
 }
@@ -144,6 +151,10 @@
 // swapRoster writes a roster by compare-and-swap. Whatever comes of it, the
 // roster is read again afterwards.
 func (in *Instance) swapRoster(ctx context.Context, d core.SwapRoster) {
+	if in.restoration.restoring(in.now()) {
+		in.dispatcher.Step(core.SwapFailed{Removed: d.Removed})
+		return
+	}
 	value, err := d.Next.Encode()
 	if err != nil {
 		in.logError("roster", err)
--- a/internal/instance/sync.go
+++ b/internal/instance/sync.go
@@ -115,6 +115,7 @@
 func (in *Instance) takeDocuments(docs []settings.Document) {
 	_, complete := in.docs.Mark()
 	changed := in.docs.Apply(docs)
+	in.suspectNews(changed)
 	if len(changed) == 0 || complete.IsZero() {
 		return // before this instance is complete, what it learns is news to no one
 	}
--- a/internal/instance/watch.go
+++ b/internal/instance/watch.go
@@ -85,6 +85,9 @@
 	if err != nil {
 		return false, err
 	}
+	if !after.IsZero() && next.Epoch() > after.Epoch() {
+		in.compare(entries)
+	}
 	in.takeEntries(entries)
 	in.docs.Complete(next)
 	return len(entries) > 0, nil
--- a/internal/owner/book.go
+++ b/internal/owner/book.go
@@ -35,6 +35,8 @@
 	ended    map[string]ending
 	learned  map[Member]time.Time // when a former line was first seen
 	unlisted map[Member]time.Time // since when the platform's list has not named a line
+	epoch    uint64               // of the platform's store, by its last list
+	proves   time.Time            // the list proves nothing before, as the store has lost lines of it
 
 	platformUntil time.Time // tenure by the platform ends here
 	refreshAt     time.Time // when a reserve next changes by itself; zero for never
--- a/internal/owner/ending.go
+++ b/internal/owner/ending.go
@@ -57,11 +57,16 @@
 	return false
 }
 
-// Listed notes the platform's list, asked for at sent. With Config.ListProves a
-// line of the roster that it has not named for all of Lag has ended, unless it
-// shows a sign of life. Without, a missing line proves nothing: the process may
-// be cut off, and still use half of its targets.
-func (b *Book) Listed(now, sent time.Time, list []Listing) {
+// Listed notes the platform's list, asked for at sent, in an epoch of the platform's store. With
+// Config.ListProves a line of the roster that it has not named for all of Lag has ended, unless
+// it shows a sign of life. Without, a missing line proves nothing: the process may be cut off,
+// and still use half of its targets. A new epoch begins without lines that the store has lost,
+// which come back within Lag.
+func (b *Book) Listed(now, sent time.Time, epoch uint64, list []Listing) {
+	if b.epoch != 0 && epoch > b.epoch {
+		b.proves = now.Add(b.skewed(b.cfg.Lag))
+	}
+	b.epoch = max(b.epoch, epoch)
 	listed := make(map[string]uint64, len(list))
 	for _, l := range list {
 		listed[l.Instance] = max(listed[l.Instance], l.Incarnation)
@@ -81,6 +86,7 @@
 		if !ok {
 			since = now
 		}
+		since = later(since, b.proves)
 		missing[s.Member] = since
 		if !sent.Before(since.Add(b.skewed(b.cfg.Lag))) && !b.isOwn(claim{Member: s.Member}) {
 			b.end(now, s.Instance, ending{incarnation: s.Incarnation, at: now, listed: true})
--- a/internal/owner/ending_test.go
+++ b/internal/owner/ending_test.go
@@ -32,14 +32,14 @@
 		"then a heartbeat": {later, func(b *Book) { b.MayAck(later, "b", 1, 2) }, false},
 		"then an ack":      {later, func(b *Book) { b.Ack("b", 1, later, 2) }, false},
 		"then a release":   {later, func(b *Book) { b.Released(later, Release{From: "b", Incarnation: 1, Version: 2}) }, false},
-		"then listed":      {later, func(b *Book) { b.Listed(later, later, []Listing{{"b", 1}}) }, false},
+		"then listed":      {later, func(b *Book) { b.Listed(later, later, 1, []Listing{{"b", 1}}) }, false},
 		"a restart":        {later, func(b *Book) { b.MayAck(later, "b", 2, 2) }, true},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			b := listBook(t)
-			b.Listed(epoch, epoch, nil)
-			b.Listed(later, tt.sent, nil)
+			b.Listed(epoch, epoch, 1, nil)
+			b.Listed(later, tt.sent, 1, nil)
 			tt.then(b)
 			m, _ := b.roster.Member("b")
 			if got := b.finished(later.Add(time.Hour), m); got != tt.ended {
@@ -49,13 +49,40 @@
 	}
 }
 
+// A list of a platform that came back from a copy proves no end before the lines that it has lost
+// had time to come back.
+func TestListAfterRestore(t *testing.T) {
+	tests := map[string]struct {
+		number uint64        // of the epoch of later lists
+		after  time.Duration // of the last list
+		ended  bool
+	}{
+		"the same epoch":                {1, 2 * DefaultLag, true},
+		"a later epoch":                 {2, 2 * DefaultLag, false},
+		"a later epoch, and a lag more": {2, 3 * DefaultLag, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := listBook(t)
+			b.Listed(epoch, epoch, 1, []Listing{{"b", 1}})
+			b.Listed(epoch.Add(time.Second), epoch.Add(time.Second), tt.number, nil)
+			last := epoch.Add(time.Second + tt.after)
+			b.Listed(last, last, tt.number, nil)
+			m, _ := b.roster.Member("b")
+			if got := b.finished(last.Add(time.Hour), m); got != tt.ended {
+				t.Errorf("got ended %v, want %v", got, tt.ended)
+			}
+		})
+	}
+}
+
 // TestPromiseOutlastsList: an ack binds even when the list leaves the peer out.
 func TestPromiseOutlastsList(t *testing.T) {
 	b := listBook(t)
 	later := epoch.Add(2 * DefaultLag)
 	b.MayAck(later.Add(-time.Second), "b", 1, 2)
-	b.Listed(epoch, epoch, nil)
-	b.Listed(later, later, nil)
+	b.Listed(epoch, epoch, 1, nil)
+	b.Listed(later, later, 1, nil)
 	if b.Removable(later, "b") {
 		t.Error("got removable under a promise, want not")
 	}
@@ -88,8 +115,8 @@
 			b.SetRoster(epoch, both)
 			b.SetRoster(epoch, cut)
 			late := epoch.Add(time.Hour)
-			b.Listed(epoch, epoch, nil)
-			b.Listed(late, late, nil)
+			b.Listed(epoch, epoch, 1, nil)
+			b.Listed(late, late, 1, nil)
 			late = late.Add(time.Minute)
 			b.Confirm(late, cut.Version)
 			if got := b.Free(late, key); got != tt.want {
--- a/internal/owner/model_test.go
+++ b/internal/owner/model_test.go
@@ -282,7 +282,7 @@
 			}
 			n.book.SetRoster(m.local(n), roster)
 			n.book.Confirm(sent, roster.Version)
-			n.book.Listed(m.local(n), sent, list)
+			n.book.Listed(m.local(n), sent, 1, list)
 		})
 	})
 }
--- a/internal/owner/scene_test.go
+++ b/internal/owner/scene_test.go
@@ -115,29 +115,29 @@
 			b.Released(at(1), Release{From: "a", Incarnation: 1, Version: cut.Version, Seq: 1, Held: []Held{{key, 3, 3}}})
 		}, 1, 7},
 		"unlisted": {func(b *Book) {
-			b.Listed(at(0), at(0), nil)
-			b.Listed(at(32), at(32), nil)
+			b.Listed(at(0), at(0), 1, nil)
+			b.Listed(at(32), at(32), 1, nil)
 		}, 35, 10},
 		"unlisted before": {func(b *Book) {
 			b.MayAck(at(0), "a", 2, 0)
-			b.Listed(at(0), at(0), nil)
+			b.Listed(at(0), at(0), 1, nil)
 			next, err := b.Roster().Join("a", 2)
 			if err != nil {
 				panic(err)
 			}
 			b.SetRoster(at(40), next)
-			b.Listed(at(40), at(40), nil)
+			b.Listed(at(40), at(40), 1, nil)
 			next, err = next.Remove("a", 2, false)
 			if err != nil {
 				panic(err)
 			}
 			b.SetRoster(at(40), next)
-			b.Listed(at(40), at(40), nil)
+			b.Listed(at(40), at(40), 1, nil)
 		}, 43, 0},
 		"listed again": {func(b *Book) {
-			b.Listed(at(0), at(0), nil)
-			b.Listed(at(20), at(20), []Listing{{"a", 1}})
-			b.Listed(at(32), at(32), nil)
+			b.Listed(at(0), at(0), 1, nil)
+			b.Listed(at(20), at(20), 1, []Listing{{"a", 1}})
+			b.Listed(at(32), at(32), 1, nil)
 		}, 35, 5},
 	}
 	for name, tt := range tests {
