Pass on what a peer knows from an epoch before

Cause: all that a peer knows has items by the revisions of the epoch in which they were last changed. One that was new here was passed on by that revision, and so not to those who stand beyond it. Evidence: TestCopiesConverge, after 876,429 random fleets: three members kept a key that the store had lost. Change: such items are lifted to the revision that the peer is at. TestPassOnAll fails without it.

--- a/internal/mirror/beliefs_test.go
+++ b/internal/mirror/beliefs_test.go
@@ -135,6 +135,20 @@
 	}
 }
 
+// What all that a peer knows brings is passed on, also if nobody has changed it since an epoch
+// before.
+func TestPassOnAll(t *testing.T) {
+	k := newKnowledge(byNumber)
+	k.take(start, growth{revision: then(4)})
+	k.take(start, growth{events: []platform.Event{is("a", "1", then(5))}, revision: then(5)})
+	at := platform.NewRevision(3, 4)
+	k.adopt(start, news{whole: true, revision: at, events: []platform.Event{is("a", "2", was(3)), is("b", "1", was(4))}})
+	e := k.history.since(start, then(5))
+	if !e.known || len(e.events) != 2 || e.events[0].Changed != at || e.events[1].Changed != at {
+		t.Errorf("got %+v, known %t, want a and b at %s", e.events, e.known, at)
+	}
+}
+
 // A list of a store that came back from a copy takes nothing away at once.
 func TestListAfterRestore(t *testing.T) {
 	k := newKnowledge(byNumber)
--- a/internal/mirror/copy.go
+++ b/internal/mirror/copy.go
@@ -200,8 +200,7 @@
 
 // Difference returns the events that lead from the copy to a whole list of what
 // the store held at a revision. Items older than what is known are skipped; those that the
-// store still has as they were, in a new epoch, are noted without an event. A peer's list may
-// have items by their revisions of an earlier epoch, as nobody has changed them since.
+// store still has as they were, in a new epoch, are noted without an event.
 func (c *Copy) Difference(items []platform.Item, at platform.Revision) []platform.Event {
 	var events []platform.Event
 	listed := make(map[string]bool, len(items))
@@ -214,9 +213,6 @@
 		case known && !sameEpoch && bytes.Equal(item.Value, old.Value):
 			item.Changed = platform.Later(item.Changed, old.Changed)
 			c.stored[item.Key] = item
-		case known && old.Changed.After(item.Changed):
-			item.Changed = at
-			events = append(events, platform.Event{Item: item})
 		default:
 			events = append(events, platform.Event{Item: item})
 		}
--- a/internal/mirror/knowledge.go
+++ b/internal/mirror/knowledge.go
@@ -74,10 +74,22 @@
 	}
 	k.copy.Hide(n.beliefs)
 	events := k.copy.Difference(all, n.revision)
+	k.lift(events, n.revision)
 	changes := append(k.copy.Apply(now, events), k.copy.Keep(now, n.beliefs)...)
 	return k.grow(now, changes, growth{events: events, revision: n.revision, confirmed: n.confirmed, gaps: true})
 }
 
+// lift gives a revision to events by a peer's list that it has by earlier ones than what is known,
+// as nobody has changed them since: they are news here, and for those who follow this instance.
+func (k *knowledge) lift(events []platform.Event, at platform.Revision) {
+	known := k.history.at()
+	for i := range events {
+		if !events[i].Changed.After(known) {
+			events[i].Changed = at
+		}
+	}
+}
+
 // take takes in a growth of what is known.
 func (k *knowledge) take(now time.Time, g growth) []Change {
 	return k.grow(now, k.copy.Apply(now, g.events), g)
