Let the store come back from copies in the soak

Change: now and then, and at the end of each run, the store comes back from a copy, mostly after it was away; what it has lost is written again up to 1.5 s later. Checked: no run of an instance goes back to an earlier configuration, the last one is in force everywhere in the end, and nothing goes to targets that have gone. The draws of the other faults stay as they were.

--- a/internal/soak/edge_test.go
+++ b/internal/soak/edge_test.go
@@ -34,6 +34,7 @@
 	mu   sync.Mutex
 	cmd  *exec.Cmd     // guarded by mu
 	done chan struct{} // closed when cmd has ended; guarded by mu
+	runs int           // starts so far; guarded by mu
 	out  lastLines
 
 	harmed func() // called before and after a signal
@@ -77,12 +78,20 @@
 	}
 	done := make(chan struct{})
 	e.cmd, e.done = cmd, done
+	e.runs++
 	go func() {
 		cmd.Wait() // how it ended shows in its output
 		close(done)
 	}()
 }
 
+// run is the number of the process that runs, or ran last.
+func (e *edge) run() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs
+}
+
 // signal sends a signal to the process that this test started.
 func (e *edge) signal(s syscall.Signal) {
 	e.harmed()
--- a/internal/soak/fault_test.go
+++ b/internal/soak/fault_test.go
@@ -131,17 +131,60 @@
 	})
 }
 
+// mostCopies bounds the copies of the store that are kept: the oldest is some seconds old.
+const mostCopies = 20
+
+// restoreEvery is how many other faults come for one return of the store.
+const restoreEvery = 8
+
+// restore takes a copy of the store, and now and then lets the store come back from one, mostly
+// after it was away. What it has lost is written again some time later. It returns "" if it does
+// nothing else.
+func (w *world) restore() string {
+	w.copies = append(w.copies, w.store.Copy())
+	w.copies = w.copies[max(0, len(w.copies)-mostCopies):]
+	if w.backs.IntN(restoreEvery) != 0 {
+		return ""
+	}
+	k := w.backs.IntN(len(w.copies))
+	c := w.copies[k]
+	w.copies = w.copies[:k+1]
+	f := append(storeFaults[:2:2], store.Faults{})[w.backs.IntN(3)]
+	length := time.Duration(w.backs.IntN(1200)) * time.Millisecond
+	again := time.Duration(w.backs.IntN(1500)) * time.Millisecond
+	w.lasting("store", func() {
+		w.store.SetFaults(f)
+		time.Sleep(length)
+		w.store.GoBack(c)
+		w.store.SetFaults(store.Faults{})
+		time.Sleep(again)
+		w.store.Rewrite()
+	})
+	return fmt.Sprintf("store goes back by %d of %d copies: %+v, written again after %s", mostCopies-k, mostCopies, f, again)
+}
+
+// lastReturn lets the store come back from the oldest copy when all faults are over. Changes go on
+// with revisions that were given out before.
+func (w *world) lastReturn() {
+	w.store.GoBack(w.copies[0])
+	time.Sleep(time.Duration(w.backs.IntN(500)) * time.Millisecond)
+	w.store.Rewrite()
+	w.configure()
+}
+
 // replace lets the oldest target leave in plan, and adds another.
 func (w *world) replace() {
 	old := w.targets[0]
 	w.targets = w.targets[1:]
 	w.add()
+	w.gone = append(w.gone, old)
 	old.register(w.store, "draining", 0)
 	w.work.Go(func() {
 		time.Sleep(leaving)
+		old.mu.Lock()
+		old.closed = true // it does not come back when it ends
+		old.mu.Unlock()
 		w.store.Remove("servers/" + old.id())
-		time.Sleep(leaving)
-		old.close()
 	})
 }
 
--- a/internal/soak/journal_test.go
+++ b/internal/soak/journal_test.go
@@ -35,6 +35,13 @@
 	}
 }
 
+// late notes a broken promise.
+func (j *journal) late(format string, args ...any) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.fault(format, args...)
+}
+
 // sent notes a request before it goes out.
 func (j *journal) sent(id string, once bool) {
 	j.mu.Lock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -20,6 +20,10 @@
 	// deployment may then need until every instance serves.
 	runTime     = 6 * time.Second
 	recoverTime = 10 * time.Second
+	// settleTime is after how long without a fault nothing goes to what has gone, and quietTime
+	// how long that is watched: what lapsed in an outage may come back for 2 s.
+	settleTime = 4 * time.Second
+	quietTime  = time.Second
 	// least is the part of the requests that has to be answered with success under
 	// all these faults; it was 0.7 to 0.9 when it was set.
 	least = 0.3
@@ -76,12 +80,20 @@
 	for time.Since(begin) < runTime {
 		at := time.Since(begin).Round(time.Millisecond)
 		events = append(events, at.String()+" "+w.fault())
+		if back := w.restore(); back != "" {
+			events = append(events, at.String()+" "+back)
+		}
 		time.Sleep(time.Duration(50+w.rng.IntN(300)) * time.Millisecond)
 	}
 	w.within(recoverTime, "all instances are ready again", w.ready)
+	w.lastReturn()
+	w.within(recoverTime, "the last configuration is in force everywhere", w.current)
+	time.Sleep(settleTime)
+	w.quiet.Store(true)
+	time.Sleep(quietTime)
 	cancel()
 	w.work.Wait()
-	for _, t := range w.targets {
+	for _, t := range append(w.targets, w.gone...) {
 		t.close()
 	}
 	w.report(events)
--- a/internal/soak/target_test.go
+++ b/internal/soak/target_test.go
@@ -120,6 +120,13 @@
 	t.server.Close()
 }
 
+// isGone says whether the target has left for good.
+func (t *target) isGone() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.closed
+}
+
 func (t *target) draw(n int) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -150,6 +157,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if t.world.quiet.Load() && t.isGone() {
+		t.journal.late("%s gets %s, though the store has no entry of it", t.id(), id)
+	}
 	t.journal.ran(id)
 	t.world.accounts.ran(id, r.Header, time.Now())
 	if r.URL.Path == crashPath {
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,10 +26,14 @@
 	timeout  = 500 * time.Millisecond
 )
 
+// backStream keeps the draws for returns of the store apart from others of the same seed.
+const backStream = 0xbac
+
 // world is a whole deployment, with what may be done to it.
 type world struct {
 	t        *testing.T
 	rng      *rand.Rand
+	backs    *rand.Rand // decides when the store goes back
 	links    *link.Links
 	store    *store.Store
 	journal  *journal
@@ -36,8 +41,11 @@
 	accounts *accounts
 	edges    []*edge
 	targets  []*target
-	next     int // number of the next target
-	version  int // of the configuration
+	gone     []*target     // that the store has no entry of any more
+	next     int           // number of the next target
+	version  atomic.Int64  // of the configuration
+	quiet    atomic.Bool   // no fault has come for some time
+	copies   []*store.Copy // of the store, the newest last
 
 	mu     sync.Mutex
 	broken map[string]bool // faults that last, by what they are on; guarded by mu
@@ -46,7 +54,7 @@
 
 func newWorld(t *testing.T, seed uint64) *world {
 	w := &world{
-		t: t, rng: rand.New(rand.NewPCG(seed, seed)), store: store.New(), journal: newJournal(), broken: make(map[string]bool),
+		t: t, rng: rand.New(rand.NewPCG(seed, seed)), backs: rand.New(rand.NewPCG(seed, backStream)), store: store.New(), journal: newJournal(), broken: make(map[string]bool),
 		links: link.New(nil, link.Latency{}, seed, nil),
 	}
 	w.wants, w.accounts = newWants(w.journal), newAccounts(w.journal)
@@ -84,10 +92,12 @@
 
 // configure writes the next version of the configuration.
 func (w *world) configure() {
-	w.version++
+	version := w.version.Add(1)
 	const route = `{"resource_kind":"routes","metadata":{"name":"%s"},"spec":{"host":"h","prefix":"/%s/","route_type":"%s","timeout":"%dms","target_latency":"100ms","max_attempts":%d,"service":"s","session_affinity":true}}`
 	const service = `{"resource_kind":"services","metadata":{"name":"s"},"spec":{"warmup":"300ms","cold_per_s":50}}`
-	w.store.Put(platform.ConfigKey, fmt.Appendf(nil, `{"version":%d,"resources":[%s,%s,%s,%s,%s]}`, w.version,
+	const marker = `{"resource_kind":"routes","metadata":{"name":"at"},"spec":{"host":"h","prefix":"%s","route_type":"idempotent","timeout":"1s","target_latency":"1s","max_attempts":1,"service":"none","public":true}}`
+	w.store.Put(platform.ConfigKey, fmt.Appendf(nil, `{"version":%d,"resources":[%s,%s,%s,%s,%s,%s]}`, version,
+		fmt.Sprintf(marker, markerPath(version)),
 		fmt.Sprintf(route, "get", "get", "idempotent", timeout.Milliseconds(), attempts),
 		fmt.Sprintf(route, "do", "do", "non_idempotent", timeout.Milliseconds(), attempts), service,
 		unlimited.resource(), limited.resource()))
@@ -111,6 +121,9 @@
 		}
 		w.work.Go(func() { c.run(ctx) })
 	}
+	for _, e := range w.edges {
+		w.work.Go(func() { w.watch(ctx, e) })
+	}
 	if seed%2 == 1 {
 		c := w.caller(seed, callers)
 		c.name, c.crash = "crash", true
