Compare a peer's items with what is known of their epoch alone

Cause: all that a peer knows may have an item by the revision of an epoch before, as nobody has changed it since then. Compared with what is known of that epoch it looked older, though the peer is further. Evidence: TestCopiesConverge, after 156,995 random fleets: one member kept a state that the store had replaced. Change: such an item is older only if it is of the epoch that the peer is in. TestAdoptAll has the case.

--- a/internal/mirror/beliefs_test.go
+++ b/internal/mirror/beliefs_test.go
@@ -111,6 +111,11 @@
 			news{revision: platform.NewRevision(3, 4), events: []platform.Event{is("a", "2", was(3))}},
 			nil, "+a@4 ",
 		},
+		"a state from before one of an epoch between": {
+			[]platform.Event{is("x", "new", then(5))},
+			news{revision: platform.NewRevision(3, 4), events: []platform.Event{is("x", "old", then(3))}},
+			nil, "+x@4 ",
+		},
 		"a key that had gone, and that the peer keeps": {
 			[]platform.Event{is("a", "4", was(3)), gone("a", then(4))},
 			news{
--- a/internal/mirror/copy.go
+++ b/internal/mirror/copy.go
@@ -199,18 +199,18 @@
 }
 
 // Difference returns the events that lead from the copy to a whole list of what
-// the store held at a revision. Items older than what is known are skipped; those that the
-// store still has as they were, in a new epoch, are noted without an event.
+// the store held at a revision. Items older than what is known of its epoch are skipped; those
+// that the store still has as they were are noted without an event.
 func (c *Copy) Difference(items []platform.Item, at platform.Revision) []platform.Event {
 	var events []platform.Event
 	listed := make(map[string]bool, len(items))
 	for _, item := range items {
 		listed[item.Key] = true
 		old, known := c.stored[item.Key]
-		sameEpoch := item.Changed.Epoch() == old.Changed.Epoch()
+		epoch, after := item.Changed.Epoch(), item.Changed.After(old.Changed)
 		switch {
-		case known && sameEpoch && !item.Changed.After(old.Changed):
-		case known && !sameEpoch && bytes.Equal(item.Value, old.Value):
+		case known && !after && epoch == old.Changed.Epoch() && epoch == at.Epoch():
+		case known && (!after || epoch != old.Changed.Epoch()) && bytes.Equal(item.Value, old.Value):
 			item.Changed = platform.Later(item.Changed, old.Changed)
 			c.stored[item.Key] = item
 		default:
