Let the platform come back from a copy in the demo

Documents and rosters have to be there again within 10 s at the versions that they had, which counts under config-forward. With the writing again switched off TestRestore fails (the platform has not got /blocks/demo at version 2 again).

--- a/internal/demo/fault.go
+++ b/internal/demo/fault.go
@@ -20,10 +20,11 @@
 	FaultPlatform FaultKind = "platform" // the platform has an outage
 	FaultCrash    FaultKind = "crash"    // a request that is sent again and again ends each target that runs it
 	FaultNotice   FaultKind = "notice"   // targets of a place say in their answers that they leave, want rest, or name a limit
+	FaultRestore  FaultKind = "restore"  // the platform comes back from a copy of itself, after a moment away
 	FaultSuspend  FaultKind = "suspend"  // the clocks of all instances go on as if their machines had been suspended
 )
 
-var allFaults = []FaultKind{FaultKill, FaultDrain, FaultStop, FaultCut, FaultPlatform, FaultCrash, FaultSuspend, FaultNotice}
+var allFaults = []FaultKind{FaultKill, FaultDrain, FaultStop, FaultCut, FaultPlatform, FaultCrash, FaultSuspend, FaultNotice, FaultRestore}
 
 // ParseFaults reads a list such as "kill,cut", "none" or "all". Another word
 // gives a *ConfigError.
@@ -38,7 +39,7 @@
 	for word := range strings.SplitSeq(s, ",") {
 		k := FaultKind(strings.TrimSpace(word))
 		if !slices.Contains(allFaults, k) {
-			return nil, &ConfigError{Faults: []string{`fault "` + string(k) + `" is none of none, all, kill, drain, stop, cut, platform, crash, suspend, notice`}}
+			return nil, &ConfigError{Faults: []string{`fault "` + string(k) + `" is none of none, all, kill, drain, stop, cut, platform, crash, suspend, notice, restore`}}
 		}
 		kinds = append(kinds, k)
 	}
--- a/internal/demo/inject.go
+++ b/internal/demo/inject.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,8 @@
 	leaveSeen   = 500 * time.Millisecond // for which a drain lasts on at least, to see that
 	stopWait    = 20 * time.Second
 	writeEvery  = 100 * time.Millisecond // between two tries of a drain's document
+	awayTime    = time.Second            // for which the platform is away until it comes back from a copy
+	againWithin = 10 * time.Second       // after which it holds again what it had lost
 )
 
 // Event is a fault as it happened.
@@ -80,6 +83,8 @@
 		r.f.links.Isolate(fault.On, link.Fault{})
 	case FaultPlatform:
 		r.f.store.SetFaults(store.Faults{Refuse: true, Until: r.start.Add(fault.Back)})
+	case FaultRestore:
+		return r.restore(ctx, fault)
 	case FaultSuspend:
 		boottime.Suspend(suspension)
 	case FaultNotice:
@@ -98,6 +103,41 @@
 	return r.replace(p.seat)
 }
 
+// restore lets the platform come back from a copy that is as old as the fault lasts, and sees
+// that nothing of what it has lost stays so.
+func (r *run) restore(ctx context.Context, fault Fault) error {
+	c := r.f.store.Copy()
+	r.until(ctx, fault.Back-awayTime)
+	lost, _, err := r.f.store.List(ctx, "/") // that it may lose, unless it is away already
+	r.f.store.SetFaults(store.Faults{Refuse: true, Until: r.start.Add(fault.Back)})
+	r.until(ctx, fault.Back)
+	r.f.store.GoBack(c)
+	for end := time.Now().Add(againWithin); len(lost) > 0 && time.Now().Before(end) && ctx.Err() == nil; time.Sleep(writeEvery) {
+		lost = r.behind(ctx, lost)
+	}
+	for _, e := range lost {
+		r.f.truth.Check(invariant.ConfigForward, false, func() string {
+			return fmt.Sprintf("the platform has not got %s at version %d again", e.Path, e.Version)
+		})
+	}
+	r.f.truth.Check(invariant.ConfigForward, true, nil)
+	return err
+}
+
+// behind returns those entries of which the platform has an earlier version, or none, as far as it
+// tells.
+func (r *run) behind(ctx context.Context, entries []docstore.Entry) []docstore.Entry {
+	now, _, err := r.f.store.List(ctx, "/")
+	if err != nil {
+		return entries
+	}
+	versions := make(map[string]uint64, len(now))
+	for _, e := range now {
+		versions[e.Path] = e.Version
+	}
+	return slices.DeleteFunc(entries, func(e docstore.Entry) bool { return versions[e.Path] >= e.Version })
+}
+
 // stop is a planned stop, and a start after it.
 func (r *run) stop(ctx context.Context, fault Fault) error {
 	p := r.f.roll.take(fault.On)
