Let the demo's targets rest by the clock that suspensions move

The fault suspend moves the instances' clocks on by 3 s; a target that had asked for 3.2 s of rest kept to the real clock, so the instances sent too early as it saw them.

Change: targets' notices go by the clock that counts suspensions: in the demo all machines are suspended at once. The check is as it was.

--- a/internal/emulator/target/notice.go
+++ b/internal/emulator/target/notice.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/invariant"
 	"github.com/firlever/firlever/internal/notice"
 )
@@ -26,17 +27,17 @@
 type notices struct {
 	mu    sync.Mutex
 	said  notice.Notice
-	until time.Time   // it is said until then
+	until time.Time   // it is said until then; as all below by a clock that goes on in suspensions
 	told  time.Time   // when it was first said; zero before
 	after []time.Time // requests that came since it should be known
 }
 
 // SetNotice makes the target say something in all answers until a time. With Rest it refuses all
-// requests until then.
+// requests until then. A suspension is one of all machines: the time goes on for targets too.
 func (t *Target) SetNotice(n notice.Notice, until time.Time) {
 	t.notices.mu.Lock()
 	defer t.notices.mu.Unlock()
-	t.notices.said, t.notices.until = n, until
+	t.notices.said, t.notices.until = n, boottime.Now().Add(time.Until(until))
 	t.notices.told, t.notices.after = time.Time{}, nil
 }
 
--- a/internal/emulator/target/serve.go
+++ b/internal/emulator/target/serve.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/firlever/firlever/internal/boottime"
 )
 
 // Headers that a target reads or writes.
@@ -36,7 +38,7 @@
 
 // ServeHTTP answers probes and requests.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	now := time.Now()
+	now := boottime.Now()
 	rests := t.notices.say(w.Header(), now)
 	switch r.URL.Path {
 	case "/health":
