--- a/internal/emulator/target/notice_test.go
+++ b/internal/emulator/target/notice_test.go
@@ -1,8 +1,7 @@
 package target
 
 import (
-	"net/http"
-	"net/http/httptest"
+	"io"
 	"testing"
 	"time"
 
@@ -12,17 +11,22 @@
 
 func TestNoticeEndsInSuspension(t *testing.T) {
 	const rest = time.Hour
-	tg := &Target{}
-	tg.SetNotice(notice.Notice{Rest: rest}, time.Now().Add(rest))
-	if got, want := tg.notices.say(http.Header{}, boottime.Now()), true; got != want {
-		t.Fatalf("got refused %t before the suspension, want %t", got, want)
+	b := newBench(t, Config{})
+	b.SetNotice(notice.Notice{Rest: rest}, time.Now().Add(rest))
+	said := func() string {
+		resp, err := b.client.Get("http://t/load")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		return resp.Header.Get(headerRest)
 	}
-	boottime.Suspend(rest)
-	w := httptest.NewRecorder()
-	if got, want := tg.notices.say(w.Header(), boottime.Now()), false; got != want {
-		t.Errorf("got refused %t after it, want %t", got, want)
+	if got := said(); got == "" {
+		t.Fatalf("got no %s before the suspension", headerRest)
 	}
-	if got, want := w.Header().Get(headerRest), ""; got != want {
+	boottime.Suspend(rest)
+	if got, want := said(), ""; got != want {
 		t.Errorf("got %s %q after it, want %q", headerRest, got, want)
 	}
 }
