Let callers' connections be silent before their first request

Callers saw requests end with EOF in place of an answer: bulk requests in the demo, eight of one place in a millisecond (TestCrash in KNOWN-RED.txt).

Cause: callers open a connection, send on another one that becomes free first, and keep the new one for later, up to a minute. http.Server counts ReadHeaderTimeout from the moment of connecting there, so that instances closed such connections after 5 s, and a request that was sent on one meanwhile was lost. The transport doesn't repeat a request on a connection that has never answered.

Change: tcp.NewListener lets a connection be silent for the server's idle time before the first byte, and counts the time for the header from it. serve uses it for callers, peers and operators, edge for peers; edge's own server for callers did so.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -21,6 +21,7 @@
 	"github.com/firlever/firlever/internal/quota"
 	"github.com/firlever/firlever/internal/routes"
 	"github.com/firlever/firlever/internal/steer"
+	"github.com/firlever/firlever/internal/tcp"
 	"github.com/firlever/firlever/platform"
 )
 
@@ -199,7 +200,7 @@
 	*address = ln.Addr().String()
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
 	n.web = append(n.web, server)
-	go server.Serve(ln)
+	go server.Serve(tcp.NewListener(ln, headerTime, idleTime))
 	return nil
 }
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -19,6 +19,7 @@
 	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/internal/metrics"
 	"github.com/firlever/firlever/internal/targets"
+	"github.com/firlever/firlever/internal/tcp"
 	"github.com/firlever/firlever/pkg/settings"
 )
 
@@ -26,7 +27,7 @@
 const (
 	tickEvery     = 10 * time.Millisecond // while something waits for time to pass
 	tickIdle      = 50 * time.Millisecond // while nothing does
-	headerTimeout = 5 * time.Second       // for a caller to send a request's headers
+	headerTimeout = 5 * time.Second       // for a caller to send a request's headers, from their first byte on
 	idleTimeout   = 2 * time.Minute
 	readHeader    = 256 << 10 // from callers and peers; over 32 KB gets a typed refusal
 	maxHeader     = 32 << 10  // from operators
@@ -240,7 +241,7 @@
 			IdleTimeout: idleTimeout, MaxHeaderBytes: heads[i],
 		}
 		in.servers = append(in.servers, srv)
-		go srv.Serve(ln)
+		go srv.Serve(tcp.NewListener(ln, headerTimeout, idleTimeout))
 	}
 	for _, loop := range []func(context.Context){in.tick, in.watch, in.register, in.learn, in.tendRoster, in.probe, in.askGrants, in.tellCrashes, in.sync, in.show, in.restoreLost} {
 		in.loops.Go(func() { loop(ctx) })
