End delays of the store's copy at their time, without news

Callers and instances learned too late that a key was back: one that had gone, and that a store which came back from a copy holds again, is hidden for hideTime, 10 s. It came back with the mirror's next news: after 22.8 s where the store was quiet.

Cause: Copy.Due was called with what the store or a peer told, and a watch of a quiet store waits for 20 s. Delayed removals were helped by watches of 0.2 s, each of them a priced call; beside a store and peers that are all out of reach, nothing helped.

Change: while the mirror waits for the store, a peer or a pause, it tells of delays that end meanwhile. Watches after an outage are as long as others again.

--- a/internal/mirror/copy.go
+++ b/internal/mirror/copy.go
@@ -74,16 +74,6 @@
 	}
 }
 
-// Settling says whether removals are delayed.
-func (c *Copy) Settling() bool {
-	for _, k := range c.kept {
-		if !k.due.IsZero() {
-			return true
-		}
-	}
-	return false
-}
-
 // Ahead says whether the store has an older state of something than is believed.
 func (c *Copy) Ahead() bool {
 	for _, k := range c.kept {
@@ -181,6 +171,25 @@
 	return Change{Item: platform.Item{Key: old.Key, Changed: changed}, Removed: true}
 }
 
+// NextDue is when the next delay ends; zero if nothing is delayed.
+func (c *Copy) NextDue() time.Time {
+	var next time.Time
+	sooner := func(due time.Time) {
+		if next.IsZero() || due.Before(next) {
+			next = due
+		}
+	}
+	for _, k := range c.kept {
+		if !k.due.IsZero() {
+			sooner(k.due)
+		}
+	}
+	for _, due := range c.hidden {
+		sooner(due)
+	}
+	return next
+}
+
 // Due returns the changes whose delay is over. at is the revision up to which the store is known.
 func (c *Copy) Due(now time.Time, at platform.Revision) []Change {
 	var changes []Change
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -161,7 +161,9 @@
 	}
 	limit, within := m.limits()
 	query.Set(maxAge, strconv.FormatInt(limit.Milliseconds(), 10))
-	n, err := m.call(ctx, address, query, within)
+	var n news
+	var err error
+	m.during(func() { n, err = m.call(ctx, address, query, within) })
 	if err != nil {
 		return err
 	}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -44,9 +44,9 @@
 	// a power loss of 195 instances, as the seeds came back last.
 	againTime  = 150 * time.Millisecond
 	beginPause = 50 * time.Millisecond // between two questions
-	// settleCheck is how often delayed removals are looked at, and how long the
-	// first watch after an outage waits, to show soon that the store is back.
-	settleCheck = 200 * time.Millisecond
+	// firstWatch is how long the first watch after an outage waits, to show soon that the
+	// store is back.
+	firstWatch = 200 * time.Millisecond
 )
 
 // Sink takes what the mirror finds. Its methods are called by one goroutine, but for
@@ -221,7 +221,10 @@
 // are watched for.
 func (m *Mirror) list(ctx context.Context) error {
 	begin := boottime.Now()
-	items, at, err := m.store.List(ctx, "", false)
+	var items []platform.Item
+	var at platform.Revision
+	var err error
+	m.during(func() { items, at, err = m.store.List(ctx, "", false) })
 	if err != nil {
 		return err
 	}
@@ -249,8 +252,8 @@
 // watch waits for changes once.
 func (m *Mirror) watch(ctx context.Context) error {
 	wait := watchWait
-	if m.known.copy.Settling() || m.isLost() {
-		wait = settleCheck
+	if m.isLost() {
+		wait = firstWatch
 	}
 	inner, cancel := context.WithTimeout(ctx, wait+answerTime)
 	defer cancel()
@@ -258,7 +261,10 @@
 	m.kick = cancel
 	m.mu.Unlock()
 	begin := boottime.Now()
-	events, since, err := m.store.Watch(inner, "", m.known.history.at(), wait)
+	var events []platform.Event
+	var since platform.Revision
+	var err error
+	m.during(func() { events, since, err = m.store.Watch(inner, "", m.known.history.at(), wait) })
 	if errors.Is(inner.Err(), context.Canceled) && ctx.Err() == nil {
 		if failed := m.takeFailed(); failed != nil {
 			return failed
@@ -266,7 +272,6 @@
 		return errKicked
 	}
 	if err != nil {
-		m.tell(m.known.take(boottime.Now(), growth{})) // removals may be due
 		return err
 	}
 	if len(events) == 0 {
@@ -283,13 +288,44 @@
 	}
 }
 
+// during runs a call that waits for others, and meanwhile tells of the changes whose delay
+// ends. The call must leave the copy alone.
+func (m *Mirror) during(call func()) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		call()
+	}()
+	for {
+		resumed := boottime.Resumed()
+		select {
+		case <-done:
+			return
+		case <-m.due():
+			m.tell(m.known.take(boottime.Now(), growth{}))
+		case <-resumed: // the delay may be over
+		}
+	}
+}
+
+// due fires when the next delay ends. It is nil if nothing is delayed.
+func (m *Mirror) due() <-chan time.Time {
+	next := m.known.copy.NextDue()
+	if next.IsZero() {
+		return nil
+	}
+	return time.After(boottime.Until(next))
+}
+
 // rest waits for a pause, or until the store answers again.
 func (m *Mirror) rest(ctx context.Context, pause time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-m.back:
-	case <-time.After(pause):
-	}
+	m.during(func() {
+		select {
+		case <-ctx.Done():
+		case <-m.back:
+		case <-time.After(pause):
+		}
+	})
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -71,6 +71,18 @@
 	return s.keys[key]
 }
 
+func (s *sink) losses() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lost
+}
+
+func (s *sink) finds() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.found
+}
+
 func newStore(t *testing.T) (*store.Store, string) {
 	t.Helper()
 	fake := store.New()
