Divide a lapsed instance's part of a quota at its time, without news

Callers of a workspace with a limit were refused below it: an instance that has gone counts as a holder for 5 minutes, and counted on until the next news of any instance.

Change: the ledger looks at it whenever tokens are taken or given, as steer.Fleet does.

--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -90,18 +90,32 @@
 		if _, runs := next[m.Name]; runs {
 			continue
 		}
-		until, gone := l.lapsed[m.Name]
-		if !gone {
-			until = now.Add(lapseTime)
-			l.lapsed[m.Name] = until
+		if _, gone := l.lapsed[m.Name]; !gone {
+			l.lapsed[m.Name] = now.Add(lapseTime)
 		}
-		if now.Before(until) {
-			next[m.Name] = m
-		} else {
-			delete(l.lapsed, m.Name)
+		next[m.Name] = m
+	}
+	l.count(slices.Collect(maps.Values(next)))
+	l.forget(now)
+}
+
+// forget leaves out the instances that have been gone for lapseTime.
+func (l *Ledger) forget(now time.Time) {
+	over := make(map[string]bool)
+	for name, until := range l.lapsed {
+		if !now.Before(until) {
+			over[name] = true
+			delete(l.lapsed, name)
 		}
 	}
-	members := slices.SortedFunc(maps.Values(next), func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	if len(over) > 0 {
+		l.count(slices.DeleteFunc(slices.Clone(l.members), func(m Member) bool { return over[m.Name] }))
+	}
+}
+
+// count sets among whom the quotas are divided.
+func (l *Ledger) count(members []Member) {
+	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
 	if !slices.Equal(members, l.members) {
 		l.members = members
 		l.divide()
@@ -231,6 +245,7 @@
 
 // fill lets tokens come in.
 func (l *Ledger) fill(now time.Time, workspace string, q *quota) {
+	l.forget(now)
 	if !q.divided {
 		l.divideOne(workspace, q)
 	}
--- a/internal/quota/ledger_test.go
+++ b/internal/quota/ledger_test.go
@@ -219,3 +219,32 @@
 		t.Errorf("got %d instances remembered after 50 were replaced, want 3 at most", got)
 	}
 }
+
+// The part of an instance that has been gone for long is the others' again, though nothing is
+// heard of any instance since.
+func TestLapsedPartIsDividedWithoutNews(t *testing.T) {
+	self, other := Member{Name: "a", Domain: "d", Region: "r", Size: 1}, Member{Name: "b", Domain: "d", Region: "r", Size: 1}
+	for name, tt := range map[string]struct {
+		after time.Duration
+		part  float64
+	}{
+		"before the end": {lapseTime - time.Second, 0.5},
+		"at the end":     {lapseTime, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1_000_000, 0)
+			l, err := New(Config{Self: "a", Domain: "d", Region: "r"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			l.Limit(map[string]Limit{"w": {Rate: 100, Burst: 100}})
+			l.Peers(now, []Member{self})
+			whole := l.Take(now, "w").Rate
+			l.Peers(now, []Member{self, other})
+			l.Peers(now, []Member{self})
+			if got, want := l.Take(now.Add(tt.after), "w").Rate, tt.part*whole; got != want {
+				t.Errorf("got %g tokens a second, want %g", got, want)
+			}
+		})
+	}
+}
