Refuse what an overloaded process has no time for at once, in edge

Callers of an instance that got more than its processor can do got next to no answers: all requests waited for the processor, callers left after their timeout and connected anew, and the instance worked for those who had left.

Cause: nothing bounds what is begun. Targets' queues are foreseen, the process's own queue for the processor was not.

Change: internal/overload measures how long what becomes ready waits for the processor behind this process's own work, set off by requests. While that stands above 5 ms a growing share of new requests is refused by the head alone, without a goroutine, with 503, reason overloaded, and a time to come back that is spread by the share.

--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -214,12 +214,13 @@
 	return resp
 }
 
-// refuse answers a request that no target is chosen for.
-func (n *Node) refuse(r *http1.Request, info platform.Request, why *refusal) *http1.Response {
+// refuse answers a request that no target is chosen for. inputs are further fields of its
+// log line.
+func (n *Node) refuse(r *http1.Request, info platform.Request, why *refusal, inputs ...any) *http1.Response {
 	resp := ownAnswer(info, why.status)
 	if why.again > 0 {
 		platform.RetryAfter(resp.Header, why.again)
 	}
-	n.logRefusal(r, info, why)
+	n.logRefusal(r, info, why, inputs)
 	return resp
 }
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -99,14 +99,16 @@
 }
 
 // logRefusal logs a request that was refused before a service was chosen.
-func (n *Node) logRefusal(r *http1.Request, info platform.Request, why *refusal) {
+func (n *Node) logRefusal(r *http1.Request, info platform.Request, why *refusal, inputs []any) {
 	n.cfg.Metrics.Decided(metrics.Decision{Kind: statusKind(why.status), Reason: why.reason})
 	suppressed, ok := n.failures.Allow(boottime.Now())
 	if !ok {
 		return
 	}
-	n.cfg.Log.Warn("request", "id", info.ID, "host", r.Host, "path", r.Path, "status", why.status, "reason", why.reason,
-		"again", why.again, "config", n.version(), "store-age", n.mirror.Age(boottime.Now()), "suppressed", suppressed)
+	n.cfg.Log.Warn("request", append([]any{
+		"id", info.ID, "host", r.Host, "path", r.Path, "status", why.status, "reason", why.reason,
+		"again", why.again, "config", n.version(), "store-age", n.mirror.Age(boottime.Now()), "suppressed", suppressed,
+	}, inputs...)...)
 }
 
 // version is that of the configuration in force; 0 if none is known.
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -18,6 +18,7 @@
 	"github.com/firlever/firlever/internal/loads"
 	"github.com/firlever/firlever/internal/logs"
 	"github.com/firlever/firlever/internal/mirror"
+	"github.com/firlever/firlever/internal/overload"
 	"github.com/firlever/firlever/internal/quota"
 	"github.com/firlever/firlever/internal/routes"
 	"github.com/firlever/firlever/internal/steer"
@@ -40,7 +41,8 @@
 	pool      *http1.Pool
 	crashes   *crashes
 	server    *http1.Server
-	web       []*http.Server // look-ups, readiness and metrics
+	load      *overload.Meter // refuses what this process has no time for
+	web       []*http.Server  // look-ups, readiness and metrics
 	callers   net.Listener
 	peers     string // address for other instances, IP:port
 
@@ -77,6 +79,7 @@
 		evacuated: make(map[string]bool), sizes: make(map[string]float64),
 		successes: logs.NewLimiter(cfg.LogRate), failures: logs.NewLimiter(failureLines),
 	}
+	n.load = overload.NewMeter(s.Cores)
 	n.store.Note(n.called)
 	n.started = time.Now().UnixNano()
 	if n.quotas, err = n.newQuotas(); err != nil {
@@ -88,7 +91,7 @@
 	n.loads = loads.New(loads.Peers{Name: s.Instance, Collector: n.collector, Told: n.told, Hear: n.hear, Failed: n.loadsFailed})
 	n.registrar = newRegistrar(n)
 	n.crashes = newCrashes(n)
-	n.server = http1.NewServer(http1.Callers{Handle: n.handle, Early: n.early, Limits: n.limits, Unreadable: n.unreadable})
+	n.server = http1.NewServer(http1.Callers{Handle: n.handle, Early: n.early, Busy: n.busy, Limits: n.limits, Unreadable: n.unreadable})
 	return n, nil
 }
 
--- a/internal/http1/server_test.go
+++ b/internal/http1/server_test.go
@@ -19,7 +19,7 @@
 // handling returns what a server does whose requests a function answers.
 func handling(handle func(context.Context, *Request) *Response) Callers {
 	return Callers{
-		Handle: handle, Early: func(*Request) *Response { return nil }, Limits: func() Limits { return testLimits },
+		Handle: handle, Early: func(*Request) *Response { return nil }, Busy: func(*Request) *Response { return nil }, Limits: func() Limits { return testLimits },
 		Unreadable: func(status int) *Response { return &Response{Status: status, Header: http.Header{}} },
 	}
 }
@@ -297,6 +297,49 @@
 	}
 }
 
+// A busy server refuses a request by its head, in its turn, and keeps the connection unless a
+// body is to come.
+func TestBusyRefusal(t *testing.T) {
+	const get, no = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n", "GET /no HTTP/1.1\r\nHost: h\r\n\r\n"
+	tests := map[string]struct {
+		send string
+		want []string
+		left bool // the connection is open after the answers
+	}{
+		"no body":         {no, []string{"503 "}, true},
+		"body is there":   {"POST /no HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi" + get, []string{"503 ", "200 GET /1 "}, true},
+		"chunks there":    {"POST /no HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n", []string{"503 "}, false},
+		"body to come":    {"POST /no HTTP/1.1\r\nHost: h\r\nContent-Length: 900\r\n\r\n", []string{"503 "}, false},
+		"behind others":   {get + no + get, []string{"200 GET /1 ", "503 ", "200 GET /1 "}, true},
+		"before others":   {no + no + get, []string{"503 ", "503 ", "200 GET /1 "}, true},
+		"asked to close":  {"GET /no HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", []string{"503 "}, false},
+		"not so busy":     {get, []string{"200 GET /1 "}, true},
+		"body never came": {"POST /no HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 9\r\n\r\n", []string{"503 "}, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			callers := handling(echo)
+			callers.Busy = func(r *Request) *Response {
+				if r.Path == "/no" {
+					return &Response{Status: http.StatusServiceUnavailable, Header: http.Header{}}
+				}
+				return nil
+			}
+			_, dial := serveCallers(t, callers)
+			c := dial()
+			io.WriteString(c, tt.send)
+			if got := answers(t, c, len(tt.want)); fmt.Sprint(got) != fmt.Sprint(tt.want) {
+				t.Errorf("got %q, want %q", got, tt.want)
+			}
+			c.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+			_, err := c.Read(make([]byte, 1))
+			if left := err != io.EOF; left != tt.left {
+				t.Errorf("got the connection open: %t, want %t", left, tt.left)
+			}
+		})
+	}
+}
+
 type failing struct{}
 
 func (*failing) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -66,7 +66,11 @@
 		mine := make(chan struct{})
 		c.work.Add(1)
 		c.slots <- struct{}{}
-		go c.answer(in, previous, mine)
+		if in.refusal != nil && isClosed(previous) {
+			c.answer(in, previous, mine) // spares an overloaded process a goroutine
+		} else {
+			go c.answer(in, previous, mine)
+		}
 		previous = mine
 		if in.last {
 			break
@@ -76,6 +80,16 @@
 	c.work.Wait()
 }
 
+// isClosed says whether a channel that nothing is sent on is closed.
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // begin counts a request that was read, unless the connection is closing.
 func (c *serverConn) begin(last bool) bool {
 	c.mu.Lock()
--- a/internal/http1/serverread.go
+++ b/internal/http1/serverread.go
@@ -40,7 +40,14 @@
 		return refused(http.StatusRequestEntityTooLarge)
 	}
 	expects := r.Header.Get("Expect") != ""
-	if c.awaits(r) {
+	awaits := c.awaits(r)
+	if resp := c.server.callers.Busy(c.request(r, nil)); resp != nil {
+		if !awaits {
+			io.Copy(io.Discard, r.Body) // it is all in the buffer
+		}
+		return incoming{refusal: resp, last: r.Close || awaits}
+	}
+	if awaits {
 		if resp := c.server.callers.Early(c.request(r, nil)); resp != nil {
 			return incoming{refusal: resp, last: true}
 		}
--- a/internal/metrics/edge.go
+++ b/internal/metrics/edge.go
@@ -15,6 +15,7 @@
 	nameStoreAge    = "store_age_seconds" // since the store confirmed that
 	nameInstances   = "instances"         // that are registered
 	nameConnections = "connections"       // of callers that are open
+	nameRefusing    = "overload_share"    // of new requests that is refused, as the process has too much to do
 	nameTargets     = "targets"           // by service: registered
 	nameUsable      = "targets_usable"    // by service: neither leaving, evacuated, ejected nor at rest
 )
@@ -39,6 +40,7 @@
 	StoreAge    time.Duration
 	Instances   int
 	Connections int
+	Refusing    float64 // 0 to 1
 	Services    []EdgeService
 }
 
@@ -57,6 +59,7 @@
 	for name, value := range map[string]float64{
 		nameReady: asFloat(e.Ready), nameVersion: float64(e.Version), nameRevision: float64(e.Revision), nameEpoch: float64(e.Epoch),
 		nameStoreAge: e.StoreAge.Seconds(), nameInstances: float64(e.Instances), nameConnections: float64(e.Connections),
+		nameRefusing: e.Refusing,
 	} {
 		s.scope.Gauge(name).Update(value)
 	}
--- a/internal/metrics/edge_test.go
+++ b/internal/metrics/edge_test.go
@@ -12,7 +12,7 @@
 func TestShowEdge(t *testing.T) {
 	s := New()
 	s.ShowEdge(Edge{
-		Ready: true, Version: 7, Revision: 42, StoreAge: 1500 * time.Millisecond, Instances: 9, Connections: 3,
+		Ready: true, Version: 7, Revision: 42, StoreAge: 1500 * time.Millisecond, Instances: 9, Connections: 3, Refusing: 0.25,
 		Services: []EdgeService{{Name: "s", Targets: 4, Usable: 2}},
 	})
 	if err := s.Close(); err != nil { // reports what was set
@@ -22,7 +22,7 @@
 	s.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
 	for _, want := range []string{
 		"firlever_ready 1", "firlever_config_version 7", "firlever_store_revision 42", "firlever_store_age_seconds 1.5",
-		"firlever_instances 9", "firlever_connections 3", `firlever_targets{service="s"} 4`, `firlever_targets_usable{service="s"} 2`,
+		"firlever_instances 9", "firlever_connections 3", "firlever_overload_share 0.25", `firlever_targets{service="s"} 4`, `firlever_targets_usable{service="s"} 2`,
 	} {
 		if !strings.Contains(w.Body.String(), want+"\n") {
 			t.Errorf("got no %q in\n%s", want, w.Body)
