Refuse on overload only while the queue stands, not in bursts

Change: a long measurement is followed by others 5 ms apart until one is short; requests are refused when none was short for 30 ms.

--- a/internal/overload/gate.go
+++ b/internal/overload/gate.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 )
@@ -18,9 +17,9 @@
 	// and refused by turns.
 	rise = 15 * time.Millisecond
 	fall = 300 * time.Millisecond
-	// standing is how many delays in a row have to be long: a collection of garbage or a stop
-	// of the process makes a single one long.
-	standing = 2
+	// standing is how long delays have to be long without a short one between: a burst, a
+	// collection of garbage or a stop of the process makes them so for a moment.
+	standing = 30 * time.Millisecond
 	// least is a share that is not worth refusing.
 	least = 0.01
 )
@@ -29,19 +28,24 @@
 // waits for a processor. It is safe for concurrent use; the zero one refuses none.
 type Gate struct {
 	mu    sync.Mutex
-	last  [standing]time.Duration // the delays that were measured last; guarded by mu
-	count int                     // of all that were; guarded by mu
-	noted time.Time               // when the last one was; guarded by mu
-	share float64                 // of new requests to refuse, 0 to 1; guarded by mu
+	last  time.Duration // the delay that was measured last; guarded by mu
+	noted time.Time     // when that was; guarded by mu
+	short time.Time     // when a delay was short, or before the first long one, last; guarded by mu
+	share float64       // of new requests to refuse, 0 to 1; guarded by mu
 }
 
-// Note takes in a delay that was measured.
-func (g *Gate) Note(now time.Time, delay time.Duration) {
+// Note takes in a delay that was measured, and says whether it is long.
+func (g *Gate) Note(now time.Time, delay time.Duration) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.last[g.count%standing] = delay
-	g.count++
-	want, time := ramp(slices.Min(g.last[:])), fall
+	long := delay > quiet
+	if !long || g.last <= quiet {
+		g.short = now
+	}
+	want, time := 0.0, fall
+	if now.Sub(g.short) >= standing {
+		want = ramp(min(delay, g.last))
+	}
 	if want > g.share {
 		time = rise
 	}
@@ -50,7 +54,8 @@
 	if want == 0 && g.share < least {
 		g.share = 0
 	}
-	g.noted = now
+	g.last, g.noted = delay, now
+	return long
 }
 
 // ramp is the share to refuse at a delay that lasts.
--- a/internal/overload/meter.go
+++ b/internal/overload/meter.go
@@ -10,9 +10,14 @@
 	"golang.org/x/sys/unix"
 )
 
-// measureEvery is the least time between two measurements. Requests set them off: a process
-// without any has nothing to refuse, and need not be woken.
-const measureEvery = 10 * time.Millisecond
+const (
+	// measureEvery is the least time between two measurements that requests set off: a
+	// process without any has nothing to refuse, and need not be woken.
+	measureEvery = 10 * time.Millisecond
+	// watchEvery is the pause between measurements while they are long: who is asked by
+	// requests alone, which come in bursts, takes those for a queue that stands.
+	watchEvery = 5 * time.Millisecond
+)
 
 // Meter is a Gate that measures the delay itself. It is safe for concurrent use.
 type Meter struct {
@@ -40,16 +45,24 @@
 	return m.Gate.Refuse()
 }
 
-// measure goes to the end of the queue of what is ready to run, and notes how long that took:
+// measure notes how long the queue is, until it is short.
+func (m *Meter) measure(begin time.Time, used time.Duration) {
+	for m.Note(m.queue(begin, used)) {
+		time.Sleep(watchEvery)
+		begin, used = time.Now(), processorTime()
+	}
+	m.next.Store(int64(time.Since(m.start) + measureEvery))
+	m.busy.Store(false)
+}
+
+// queue goes to the end of the queue of what is ready to run, and returns how long that took:
 // no longer than the processors needed for the work before it. What others on the machine
 // take from this process makes its work slow, and is not its own queue.
-func (m *Meter) measure(begin time.Time, used time.Duration) {
+func (m *Meter) queue(begin time.Time, used time.Duration) (now time.Time, delay time.Duration) {
 	runtime.Gosched()
-	now := time.Now()
+	now = time.Now()
 	work := time.Duration(float64(processorTime()-used) / m.cores)
-	m.Note(now, min(now.Sub(begin), work))
-	m.next.Store(int64(now.Add(measureEvery).Sub(m.start)))
-	m.busy.Store(false)
+	return now, min(now.Sub(begin), work)
 }
 
 // processorTime is what this process has used so far, or 0 if the system doesn't tell.
