Refuse what an overloaded process has no time for at once, in serve

A request without a key is refused by its head alone; one with a key goes to the node, which refuses what has not run and gives the answer of what has: a refusal by the head could say of a repeated request that it has not run.

--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -17,6 +17,7 @@
 	"github.com/firlever/firlever/internal/dispatch"
 	"github.com/firlever/firlever/internal/invariant"
 	"github.com/firlever/firlever/internal/metrics"
+	"github.com/firlever/firlever/internal/overload"
 	"github.com/firlever/firlever/internal/targets"
 	"github.com/firlever/firlever/pkg/settings"
 )
@@ -36,11 +37,12 @@
 	dispatcher *dispatch.Dispatcher
 	client     *targets.Client
 	link       *link
+	load       *overload.Meter // of this process
 }
 
 // New makes a server.
 func New(cfg Config, dispatcher *dispatch.Dispatcher, client *targets.Client) *Server {
-	return &Server{cfg: cfg, dispatcher: dispatcher, client: client, link: &link{now: dispatcher.Now}}
+	return &Server{cfg: cfg, dispatcher: dispatcher, client: client, link: &link{now: dispatcher.Now}, load: overload.NewMeter(0)}
 }
 
 // Callers is the handler of the callers' address.
@@ -79,11 +81,17 @@
 // handler serves requests that come in by one way.
 func (s *Server) handler(prefix string, origin core.Origin) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		again := s.busy()
+		if !again.IsZero() && r.Header.Get(HeaderKey) == "" {
+			s.refuseBusy(w, r, again)
+			return
+		}
 		x, err := s.take(w, r, prefix)
 		if err != nil {
 			s.badRequest(w, http.StatusBadRequest, err)
 			return
 		}
+		x.req.Again = again
 		if origin != core.FromCaller {
 			x.req.Home = r.Header.Get(HeaderHome)
 		}
--- a/internal/core/arrival.go
+++ b/internal/core/arrival.go
@@ -32,6 +32,11 @@
 	if !f.idempotent && f.origin != FromPeer && !n.claim(now, f) {
 		return
 	}
+	if !f.req.Again.IsZero() {
+		f.sooner(f.req.Again)
+		n.refuse(now, f, ReasonOverloaded)
+		return
+	}
 	if f.origin == FromPeer {
 		f.covered = n.covered(now, f)
 	}
--- a/internal/core/decision.go
+++ b/internal/core/decision.go
@@ -50,6 +50,7 @@
 	ReasonEndsTargets Reason = "ends-targets"    // it has ended the targets that ran it
 	ReasonResting     Reason = "resting"         // the targets have asked for rest
 	ReasonLimited     Reason = "limited"         // the targets have named limits, and had as much
+	ReasonOverloaded  Reason = "overloaded"      // this process has more to do than its processors can
 	ReasonNoEnd       Reason = "answer-no-end"   // the end of the target's answer can't be told from a cut
 )
 
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -33,6 +33,7 @@
 	Sent       crash.Print // the same for a request that is sent again by the same caller
 	Deadline   time.Time
 	Start      time.Time // by when the answer must begin; zero if by Deadline
+	Again      time.Time // when to come back, as this process has no time for it; zero if it has
 	Replayable bool      // the body can be sent again; Finished says when that is over
 }
 
