Measure the processor's queue for whole processes alone, not for parts of one

In the demo ten instances share the process with callers, links and targets: none of them can tell its own overload by the process's queue.

Change: the commands edge and serve make the meter of their process; without one nothing is refused for it.

--- a/cmd/firlever/edge.go
+++ b/cmd/firlever/edge.go
@@ -13,6 +13,7 @@
 	"github.com/firlever/firlever/internal/edge"
 	"github.com/firlever/firlever/internal/logs"
 	"github.com/firlever/firlever/internal/metrics"
+	"github.com/firlever/firlever/internal/overload"
 	"github.com/firlever/firlever/platform"
 )
 
@@ -73,6 +74,7 @@
 		return &usageError{Command: cmd.CommandPath(), Reason: err.Error()}
 	}
 	cfg.Settings = settings
+	cfg.Load = overload.NewMeter(settings.Cores)
 	if flags.check {
 		return checkEdge(cmd, cfg)
 	}
--- a/cmd/firlever/serve.go
+++ b/cmd/firlever/serve.go
@@ -15,6 +15,7 @@
 	"github.com/firlever/firlever/internal/invariant"
 	"github.com/firlever/firlever/internal/logs"
 	"github.com/firlever/firlever/internal/metrics"
+	"github.com/firlever/firlever/internal/overload"
 	"github.com/firlever/firlever/platform"
 )
 
@@ -81,6 +82,7 @@
 	}
 	cfg.Log = logger.With("instance", cfg.ID)
 	cfg.Metrics = metrics.New()
+	cfg.Load = overload.NewMeter(0)
 	cfg.Checks = invariant.New(func(name invariant.Name, detail string) {
 		cfg.Log.Error("invariant broken", "name", name, "detail", detail)
 	})
--- a/internal/callers/busy.go
+++ b/internal/callers/busy.go
@@ -20,10 +20,10 @@
 // if it has. A request with a key may have run before: only who keeps the key's record can
 // refuse it truthfully.
 func (s *Server) busy() time.Time {
-	if !s.load.Refuse() {
+	if !s.cfg.Load.Refuse() {
 		return time.Time{}
 	}
-	return s.dispatcher.Now().Add(againSoonest + rand.N(time.Duration(s.load.Share()*float64(againBusy))+1))
+	return s.dispatcher.Now().Add(againSoonest + rand.N(time.Duration(s.cfg.Load.Share()*float64(againBusy))+1))
 }
 
 // refuseBusy refuses a request without a key by its head alone.
@@ -35,7 +35,7 @@
 	s.cfg.Metrics.Decided(metrics.Decision{Kind: kindRefuse, Reason: string(core.ReasonOverloaded)})
 	if s.cfg.Log != nil {
 		s.cfg.Log.Info(kindRefuse, "request", name, "path", r.URL.Path, "reason", core.ReasonOverloaded,
-			"share", s.load.Share(), "retry", again)
+			"share", s.cfg.Load.Share(), "retry", again)
 	}
 	w.Header().Set(HeaderRequest, name)
 	setRetry(w.Header(), s.dispatcher.Now(), again)
--- a/internal/callers/busy_test.go
+++ b/internal/callers/busy_test.go
@@ -6,14 +6,17 @@
 	"strconv"
 	"testing"
 	"time"
+
+	"github.com/firlever/firlever/internal/overload"
 )
 
 // overload lets the server take its process for overloaded.
 func (g *rig) overload() {
+	g.server.cfg.Load = overload.NewMeter(0)
 	ahead := time.Now().Add(time.Hour) // what is measured meanwhile counts for nothing
 	for range 10 {
 		ahead = ahead.Add(time.Second)
-		g.server.load.Note(ahead, time.Minute)
+		g.server.cfg.Load.Note(ahead, time.Minute)
 	}
 }
 
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -27,8 +27,9 @@
 	Instance string
 	Callers  string // this instance's own address for callers
 	Checks   *invariant.Counter
-	Log      *log.Logger  // nil logs nothing
-	Metrics  *metrics.Set // nil counts nothing
+	Log      *log.Logger     // nil logs nothing
+	Metrics  *metrics.Set    // nil counts nothing
+	Load     *overload.Meter // of this process; nil refuses nothing for it
 }
 
 // Server serves callers and peers. It is safe for concurrent use.
@@ -37,12 +38,11 @@
 	dispatcher *dispatch.Dispatcher
 	client     *targets.Client
 	link       *link
-	load       *overload.Meter // of this process
 }
 
 // New makes a server.
 func New(cfg Config, dispatcher *dispatch.Dispatcher, client *targets.Client) *Server {
-	return &Server{cfg: cfg, dispatcher: dispatcher, client: client, link: &link{now: dispatcher.Now}, load: overload.NewMeter(0)}
+	return &Server{cfg: cfg, dispatcher: dispatcher, client: client, link: &link{now: dispatcher.Now}}
 }
 
 // Callers is the handler of the callers' address.
--- a/internal/edge/busy.go
+++ b/internal/edge/busy.go
@@ -16,10 +16,10 @@
 // busy refuses a request that this process has no time for: with more than it can do, each
 // request would take so long that its caller leaves before the answer.
 func (n *Node) busy(r *http1.Request) *http1.Response {
-	if !n.load.Refuse() {
+	if !n.cfg.Load.Refuse() {
 		return nil
 	}
-	share := n.load.Share()
+	share := n.cfg.Load.Share()
 	why := &refusal{
 		status: http.StatusServiceUnavailable, reason: "overloaded",
 		again: againSoonest + rand.N(time.Duration(share*float64(againBusy))+1),
--- a/internal/edge/busy_test.go
+++ b/internal/edge/busy_test.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"testing"
 	"time"
+
+	"github.com/firlever/firlever/internal/overload"
 )
 
 // What an overloaded instance has no time for is refused at once, with a time to come back,
@@ -14,6 +16,7 @@
 	r.configure(1, "s")
 	target := r.target("good")
 	r.register("a", target.address, "n1", "ready")
+	r.load = overload.NewMeter(0)
 	r.start()
 	r.knows(1)
 	ahead := time.Now().Add(time.Hour) // what is measured meanwhile counts for nothing
@@ -28,7 +31,7 @@
 		t.Run(name, func(t *testing.T) {
 			for range 10 {
 				ahead = ahead.Add(time.Second)
-				r.node.load.Note(ahead, tt.delay)
+				r.node.cfg.Load.Note(ahead, tt.delay)
 			}
 			before := target.runs()
 			got := r.send("POST", "/do/x")
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -8,6 +8,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/firlever/firlever/internal/metrics"
+	"github.com/firlever/firlever/internal/overload"
 	"github.com/firlever/firlever/internal/steer"
 	"github.com/firlever/firlever/platform"
 )
@@ -17,9 +18,10 @@
 	Settings platform.Settings
 	Log      *log.Logger
 	Metrics  *metrics.Set
-	ByteCost float64       // nanoseconds of latency that one byte between failure domains is worth; 0: the default
-	LogRate  int           // lines a second about requests that went well
-	TTL      time.Duration // how long callers keep a look-up's answer
+	Load     *overload.Meter // of this process; nil refuses nothing for it
+	ByteCost float64         // nanoseconds of latency that one byte between failure domains is worth; 0: the default
+	LogRate  int             // lines a second about requests that went well
+	TTL      time.Duration   // how long callers keep a look-up's answer
 }
 
 // Defaults of Config.
--- a/internal/edge/gauges.go
+++ b/internal/edge/gauges.go
@@ -36,7 +36,7 @@
 func (n *Node) state(at time.Time) metrics.Edge {
 	e := metrics.Edge{
 		Ready: n.Ready(), Connections: n.server.Open(), Instances: len(n.instances.names()),
-		Revision: n.mirror.Revision().Count(), Epoch: n.store.Epoch(), StoreAge: n.mirror.Age(at), Refusing: n.load.Share(),
+		Revision: n.mirror.Revision().Count(), Epoch: n.store.Epoch(), StoreAge: n.mirror.Age(at), Refusing: n.cfg.Load.Share(),
 	}
 	now := n.rules.Load()
 	if now == nil {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -18,7 +18,6 @@
 	"github.com/firlever/firlever/internal/loads"
 	"github.com/firlever/firlever/internal/logs"
 	"github.com/firlever/firlever/internal/mirror"
-	"github.com/firlever/firlever/internal/overload"
 	"github.com/firlever/firlever/internal/quota"
 	"github.com/firlever/firlever/internal/routes"
 	"github.com/firlever/firlever/internal/steer"
@@ -41,8 +40,7 @@
 	pool      *http1.Pool
 	crashes   *crashes
 	server    *http1.Server
-	load      *overload.Meter // refuses what this process has no time for
-	web       []*http.Server  // look-ups, readiness and metrics
+	web       []*http.Server // look-ups, readiness and metrics
 	callers   net.Listener
 	peers     string // address for other instances, IP:port
 
@@ -79,7 +77,6 @@
 		evacuated: make(map[string]bool), sizes: make(map[string]float64),
 		successes: logs.NewLimiter(cfg.LogRate), failures: logs.NewLimiter(failureLines),
 	}
-	n.load = overload.NewMeter(s.Cores)
 	n.store.Note(n.called)
 	n.started = time.Now().UnixNano()
 	if n.quotas, err = n.newQuotas(); err != nil {
--- a/internal/edge/rig_test.go
+++ b/internal/edge/rig_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/emulator/store"
+	"github.com/firlever/firlever/internal/overload"
 	"github.com/firlever/firlever/internal/steer"
 	"github.com/firlever/firlever/platform"
 )
@@ -27,7 +28,8 @@
 	node  *Node
 	url   string // of the store, without the scheme
 
-	reports int // that targets have written
+	load    *overload.Meter // of the nodes; nil refuses nothing
+	reports int             // that targets have written
 }
 
 func newRig(t *testing.T) *rig {
@@ -61,8 +63,9 @@
 	r.t.Helper()
 	regions := map[string]string{"n1": "north", "s1": "south"}
 	n, err := New(Config{
-		Log: log.New(io.Discard),
-		TTL: 50 * time.Millisecond,
+		Log:  log.New(io.Discard),
+		Load: r.load,
+		TTL:  50 * time.Millisecond,
 		Settings: platform.Settings{
 			Instance: name, Domain: domain, Region: regions[domain], Regions: regions,
 			Callers: anyPort, Ready: anyPort, Lookups: anyPort, Peers: anyPort, Store: r.url,
--- a/internal/instance/config.go
+++ b/internal/instance/config.go
@@ -14,6 +14,7 @@
 	"github.com/firlever/firlever/internal/docstore"
 	"github.com/firlever/firlever/internal/invariant"
 	"github.com/firlever/firlever/internal/metrics"
+	"github.com/firlever/firlever/internal/overload"
 	"github.com/firlever/firlever/internal/targets"
 	"github.com/firlever/firlever/pkg/settings"
 )
@@ -49,6 +50,7 @@
 	Checks  *invariant.Counter                                  // nil makes one
 	Metrics *metrics.Set                                        // nil counts nothing
 	Log     *log.Logger                                         // nil logs nothing
+	Load    *overload.Meter                                     // of this process; nil refuses nothing for it
 }
 
 // Defaults fills in what is zero.
--- a/internal/overload/meter.go
+++ b/internal/overload/meter.go
@@ -19,7 +19,8 @@
 	watchEvery = 5 * time.Millisecond
 )
 
-// Meter is a Gate that measures the delay itself. It is safe for concurrent use.
+// Meter is a Gate that measures the delay itself, of one process. It is safe for concurrent
+// use; nil refuses nothing.
 type Meter struct {
 	Gate
 	start time.Time
@@ -39,12 +40,23 @@
 
 // Refuse says whether to refuse a request that has come.
 func (m *Meter) Refuse() bool {
+	if m == nil {
+		return false
+	}
 	if int64(time.Since(m.start)) >= m.next.Load() && m.busy.CompareAndSwap(false, true) {
 		go m.measure(time.Now(), processorTime())
 	}
 	return m.Gate.Refuse()
 }
 
+// Share is the share of new requests to refuse, 0 to 1.
+func (m *Meter) Share() float64 {
+	if m == nil {
+		return 0
+	}
+	return m.Gate.Share()
+}
+
 // measure notes how long the queue is, until it is short.
 func (m *Meter) measure(begin time.Time, used time.Duration) {
 	for m.Note(m.queue(begin, used)) {
