--- a/internal/procs/saturation_test.go
+++ b/internal/procs/saturation_test.go
@@ -26,29 +26,18 @@
 		t.Skip("set FIRLEVER_SOAK")
 	}
 	t.Setenv("GOMAXPROCS", "1")
-	const timeout, probe, second = 500 * time.Millisecond, 1000, time.Second
+	const timeout = 500 * time.Millisecond
 	f := newFleet(t, options{places: []place{{"a", 1, 4}}, slots: 50, timeout: timeout})
 	n := f.in("a")[0]
-	pid := n.proc.cmd.Process.Pid
-	before, err := rush.ProcessorTime(pid)
+	got, err := rush.Overload(n.proc.cmd.Process.Pid, 1000, func() *rush.Rush { return n.crowd(timeout) })
 	if err != nil {
 		t.Fatal(err)
 	}
-	n.crowd(timeout).Play(probe, 2*second)
-	after, err := rush.ProcessorTime(pid)
-	if err != nil {
-		t.Fatal(err)
-	}
-	capacity := probe * 2 * second.Seconds() / (after - before).Seconds()
-	over, usual := n.crowd(timeout), n.crowd(timeout)
-	got := over.Play(1.5*capacity, 4*second)
-	t.Logf("%.0f answers a second of %.0f that the processor can do; %s", got, capacity, over)
-	if want := capacity / 2; got < want {
-		t.Errorf("got %.0f answers a second, want %.0f of %.0f", got, want, capacity)
+	t.Log(got)
+	if want := got.Capacity / 2; got.Answers < want {
+		t.Errorf("got %.0f answers a second, want %.0f", got.Answers, want)
 	}
-	usual.Play(capacity/3, 4*second)
-	t.Logf("afterwards: %s", usual)
-	if got, want := usual.Answered(), usual.All()*9/10; got < want {
+	if got, want := got.Usual.Answered(), got.Usual.All()*9/10; got < want {
 		t.Errorf("got %d answers afterwards, want %d", got, want)
 	}
 }
--- a/internal/soak/overload_test.go
+++ b/internal/soak/overload_test.go
@@ -31,26 +31,15 @@
 		t.Skip("set " + envSoak)
 	}
 	e := overloaded(t)
-	const probe, second = 2000, time.Second
-	before, err := rush.ProcessorTime(e.cmd.Process.Pid)
+	got, err := rush.Overload(e.cmd.Process.Pid, 2000, e.crowd)
 	if err != nil {
 		t.Fatal(err)
 	}
-	e.crowd().Play(probe, 2*second)
-	after, err := rush.ProcessorTime(e.cmd.Process.Pid)
-	if err != nil {
-		t.Fatal(err)
-	}
-	capacity := probe * 2 * second.Seconds() / (after - before).Seconds()
-	over, usual := e.crowd(), e.crowd()
-	got := over.Play(1.5*capacity, 4*second)
-	t.Logf("%.0f answers a second of %.0f that the processor can do; %s", got, capacity, over)
-	if want := capacity / 2; got < want {
-		t.Errorf("got %.0f answers a second, want %.0f of %.0f", got, want, capacity)
+	t.Log(got)
+	if want := got.Capacity / 2; got.Answers < want {
+		t.Errorf("got %.0f answers a second, want %.0f", got.Answers, want)
 	}
-	usual.Play(capacity/3, 4*second)
-	t.Logf("afterwards: %s", usual)
-	if got, want := usual.Answered(), usual.All()*9/10; got < want {
+	if got, want := got.Usual.Answered(), got.Usual.All()*9/10; got < want {
 		t.Errorf("got %d answers afterwards, want %d", got, want)
 	}
 }
