Ask about the overload before a request is made of a head, and bound its lines

Each request was decoded once more to ask whether it is refused for the overload, and each such refusal of serve wrote a line: thousands a second. The callers of the trial of an overloaded instance could share IDs.

--- a/internal/callers/busy.go
+++ b/internal/callers/busy.go
@@ -16,6 +16,10 @@
 	againBusy    = time.Second
 )
 
+// refusalLines bounds the lines a second about refusals by the head alone, which come by the
+// thousand.
+const refusalLines = 200
+
 // busy says when to come back with a request that this process has no time for; the zero time
 // if it has. A request with a key may have run before: only who keeps the key's record can
 // refuse it truthfully.
@@ -33,9 +37,9 @@
 		name = ""
 	}
 	s.cfg.Metrics.Decided(metrics.Decision{Kind: kindRefuse, Reason: string(core.ReasonOverloaded)})
-	if s.cfg.Log != nil {
+	if suppressed, ok := s.refusals.Allow(s.dispatcher.Now()); ok && s.cfg.Log != nil {
 		s.cfg.Log.Info(kindRefuse, "request", name, "path", r.URL.Path, "reason", core.ReasonOverloaded,
-			"share", s.cfg.Load.Share(), "retry", again)
+			"share", s.cfg.Load.Share(), "retry", again, "suppressed", suppressed)
 	}
 	w.Header().Set(HeaderRequest, name)
 	setRetry(w.Header(), s.dispatcher.Now(), again)
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -16,6 +16,7 @@
 	"github.com/firlever/firlever/internal/core"
 	"github.com/firlever/firlever/internal/dispatch"
 	"github.com/firlever/firlever/internal/invariant"
+	"github.com/firlever/firlever/internal/logs"
 	"github.com/firlever/firlever/internal/metrics"
 	"github.com/firlever/firlever/internal/overload"
 	"github.com/firlever/firlever/internal/targets"
@@ -38,11 +39,12 @@
 	dispatcher *dispatch.Dispatcher
 	client     *targets.Client
 	link       *link
+	refusals   *logs.Limiter // of lines about refusals on overload
 }
 
 // New makes a server.
 func New(cfg Config, dispatcher *dispatch.Dispatcher, client *targets.Client) *Server {
-	return &Server{cfg: cfg, dispatcher: dispatcher, client: client, link: &link{now: dispatcher.Now}}
+	return &Server{cfg: cfg, dispatcher: dispatcher, client: client, link: &link{now: dispatcher.Now}, refusals: logs.NewLimiter(refusalLines)}
 }
 
 // Callers is the handler of the callers' address.
--- a/internal/edge/busy.go
+++ b/internal/edge/busy.go
@@ -13,12 +13,9 @@
 // refuses all requests; to one that refuses a part of them, over as large a part of it.
 const againBusy = time.Second
 
-// busy refuses a request that this process has no time for: with more than it can do, each
+// tooBusy refuses a request that this process has no time for: with more than it can do, each
 // request would take so long that its caller leaves before the answer.
-func (n *Node) busy(r *http1.Request) *http1.Response {
-	if !n.cfg.Load.Refuse() {
-		return nil
-	}
+func (n *Node) tooBusy(r *http1.Request) *http1.Response {
 	share := n.cfg.Load.Share()
 	why := &refusal{
 		status: http.StatusServiceUnavailable, reason: "overloaded",
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -88,7 +88,7 @@
 	n.loads = loads.New(loads.Peers{Name: s.Instance, Collector: n.collector, Told: n.told, Hear: n.hear, Failed: n.loadsFailed})
 	n.registrar = newRegistrar(n)
 	n.crashes = newCrashes(n)
-	n.server = http1.NewServer(http1.Callers{Handle: n.handle, Early: n.early, Busy: n.busy, Limits: n.limits, Unreadable: n.unreadable})
+	n.server = http1.NewServer(http1.Callers{Handle: n.handle, Early: n.early, Busy: cfg.Load.Refuse, TooBusy: n.tooBusy, Limits: n.limits, Unreadable: n.unreadable})
 	return n, nil
 }
 
--- a/internal/emulator/rush/rush.go
+++ b/internal/emulator/rush/rush.go
@@ -55,7 +55,8 @@
 			half = r.answered.Load()
 		}
 		for due := int(took.Seconds() * rate); sent < due; sent++ {
-			work.Go(func() { r.send(fmt.Sprintf("%p-%d", r, sent)) })
+			id := fmt.Sprintf("%p-%d", r, sent)
+			work.Go(func() { r.send(id) })
 		}
 		time.Sleep(pace)
 	}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -23,9 +23,11 @@
 	Handle func(ctx context.Context, r *Request) *Response
 	// Early refuses a request whose body has not come yet; nil lets it come.
 	Early func(r *Request) *Response
-	// Busy refuses a request as soon as its head was read, as this process has too much to
-	// do; nil lets it through. It is called by the goroutine that reads the connection.
-	Busy func(r *Request) *Response
+	// Busy says whether this process has no time for a request whose head was read.
+	Busy func() bool
+	// TooBusy makes the answer to such a request. It is called by the goroutine that reads
+	// the connection.
+	TooBusy func(r *Request) *Response
 	// Limits is asked for each request.
 	Limits func() Limits
 	// Unreadable makes the answer to a request that can't be read.
--- a/internal/http1/server_test.go
+++ b/internal/http1/server_test.go
@@ -19,7 +19,7 @@
 // handling returns what a server does whose requests a function answers.
 func handling(handle func(context.Context, *Request) *Response) Callers {
 	return Callers{
-		Handle: handle, Early: func(*Request) *Response { return nil }, Busy: func(*Request) *Response { return nil }, Limits: func() Limits { return testLimits },
+		Handle: handle, Early: func(*Request) *Response { return nil }, Busy: func() bool { return false }, Limits: func() Limits { return testLimits },
 		Unreadable: func(status int) *Response { return &Response{Status: status, Header: http.Header{}} },
 	}
 }
@@ -300,30 +300,34 @@
 // A busy server refuses a request by its head, in its turn, and keeps the connection unless a
 // body is to come.
 func TestBusyRefusal(t *testing.T) {
-	const get, no = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n", "GET /no HTTP/1.1\r\nHost: h\r\n\r\n"
+	const get, busy = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n", "GET /busy HTTP/1.1\r\nHost: h\r\n\r\n"
+	const post = "POST /busy HTTP/1.1\r\nHost: h\r\n"
 	tests := map[string]struct {
 		send string
+		busy []bool // for each request
 		want []string
 		left bool // the connection is open after the answers
 	}{
-		"no body":         {no, []string{"503 "}, true},
-		"body is there":   {"POST /no HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi" + get, []string{"503 ", "200 GET /1 "}, true},
-		"chunks there":    {"POST /no HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n", []string{"503 "}, false},
-		"body to come":    {"POST /no HTTP/1.1\r\nHost: h\r\nContent-Length: 900\r\n\r\n", []string{"503 "}, false},
-		"behind others":   {get + no + get, []string{"200 GET /1 ", "503 ", "200 GET /1 "}, true},
-		"before others":   {no + no + get, []string{"503 ", "503 ", "200 GET /1 "}, true},
-		"asked to close":  {"GET /no HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", []string{"503 "}, false},
-		"not so busy":     {get, []string{"200 GET /1 "}, true},
-		"body never came": {"POST /no HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 9\r\n\r\n", []string{"503 "}, false},
+		"no body":              {busy, []bool{true}, []string{"503 /busy"}, true},
+		"body is there":        {post + "Content-Length: 2\r\n\r\nhi" + get, []bool{true, false}, []string{"503 /busy", "200 GET /1 "}, true},
+		"chunks there":         {post + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n", []bool{true}, []string{"503 /busy"}, false},
+		"body to come":         {post + "Content-Length: 900\r\n\r\n", []bool{true}, []string{"503 /busy"}, false},
+		"behind others":        {get + busy + get, []bool{false, true, false}, []string{"200 GET /1 ", "503 /busy", "200 GET /1 "}, true},
+		"before others":        {busy + busy + get, []bool{true, true, false}, []string{"503 /busy", "503 /busy", "200 GET /1 "}, true},
+		"asked to close":       {"GET /busy HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", []bool{true}, []string{"503 /busy"}, false},
+		"not so busy":          {get, []bool{false}, []string{"200 GET /1 "}, true},
+		"waits for a go-ahead": {post + "Expect: 100-continue\r\nContent-Length: 9\r\n\r\n", []bool{true}, []string{"503 /busy"}, false},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			callers := handling(echo)
-			callers.Busy = func(r *Request) *Response {
-				if r.Path == "/no" {
-					return &Response{Status: http.StatusServiceUnavailable, Header: http.Header{}}
-				}
-				return nil
+			next := 0
+			callers.Busy = func() bool {
+				next++
+				return tt.busy[next-1]
+			}
+			callers.TooBusy = func(r *Request) *Response {
+				return &Response{Status: http.StatusServiceUnavailable, Header: http.Header{}, Body: []byte(r.Path)}
 			}
 			_, dial := serveCallers(t, callers)
 			c := dial()
--- a/internal/http1/serverread.go
+++ b/internal/http1/serverread.go
@@ -41,11 +41,11 @@
 	}
 	expects := r.Header.Get("Expect") != ""
 	awaits := c.awaits(r)
-	if resp := c.server.callers.Busy(c.request(r, nil)); resp != nil {
+	if c.server.callers.Busy() {
 		if !awaits {
 			io.Copy(io.Discard, r.Body) // it is all in the buffer
 		}
-		return incoming{refusal: resp, last: r.Close || awaits}
+		return incoming{refusal: c.server.callers.TooBusy(c.request(r, nil)), last: r.Close || awaits}
 	}
 	if awaits {
 		if resp := c.server.callers.Early(c.request(r, nil)); resp != nil {
--- a/internal/overload/gate.go
+++ b/internal/overload/gate.go
@@ -42,15 +42,15 @@
 	if !long || g.last <= quiet {
 		g.short = now
 	}
-	want, time := 0.0, fall
+	want, follow := 0.0, fall
 	if now.Sub(g.short) >= standing {
 		want = ramp(min(delay, g.last))
 	}
 	if want > g.share {
-		time = rise
+		follow = rise
 	}
 	elapsed := max(0, now.Sub(g.noted))
-	g.share += (want - g.share) * (1 - math.Exp(-float64(elapsed)/float64(time)))
+	g.share += (want - g.share) * (1 - math.Exp(-float64(elapsed)/float64(follow)))
 	if want == 0 && g.share < least {
 		g.share = 0
 	}
