Roll out versions: a canary, a verdict, and a takeover or a roll-back

Cause: an order at op/rollout/SERVICE was not read.

Change: internal/rollout decides from counts and times, without input or output. The canary gets a share of the requests that holds as a sum: each instance spends parts of its own requests. Few targets get it, as many as then bear the load of old ones, and the same objects, so that their caches are as warm. The judge compares failures and late answers on each route and over all with Fisher's exact test, leaves out canaries that are much worse than the rest, and promotes as late as the deadline allows. Counts go to the collector of the region, which writes them to the store; any collector may decide, and the condition of the write settles whose status holds. Canaries get nothing from an instance whose counts nobody gets, or that would not learn of the verdict.

--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -32,6 +32,8 @@
 			n.applyEvacuation(now, domain, c)
 		case isCrashKey(c.Key):
 			crashChanges = append(crashChanges, c)
+		case isRolloutKey(c.Key):
+			n.rollouts.apply(now, c)
 		case strings.HasPrefix(c.Key, instancePrefix):
 			n.applyInstance(c)
 			instances = true
@@ -80,6 +82,7 @@
 	n.cfg.Metrics.CountDecision(metrics.Decision{Kind: "store-restored"})
 	n.cfg.Log.Warn("store restored", "known", known, "epoch", epoch)
 	n.registrar.checkSoon()
+	n.rollouts.storeRestored()
 }
 
 // FollowingPeer is called when a peer is followed because the store is unreachable.
@@ -152,8 +155,8 @@
 		return
 	}
 	t := steer.Target{
-		ID: r.ID, Started: r.Started, Sequence: r.Sequence, Service: r.Service, Address: r.Address, Domain: r.Domain,
-		Slots: r.Slots, Leaving: r.Leaving,
+		ID: r.ID, Started: r.Started, Sequence: r.Sequence, Service: r.Service, Version: r.Version, Address: r.Address,
+		Domain: r.Domain, Slots: r.Slots, Leaving: r.Leaving,
 	}
 	if r.WarmIn > 0 {
 		t.WarmAt = now.Add(r.WarmIn)
@@ -165,7 +168,7 @@
 		n.pool.CloseTarget(id)
 		n.crashes.targetRestarted(now, t)
 	}
-	n.cfg.Log.Info("target", "target", id, "change", change, "service", r.Service, "domain", r.Domain, "address", r.Address,
+	n.cfg.Log.Info("target", "target", id, "change", change, "service", r.Service, "version", r.Version, "domain", r.Domain, "address", r.Address,
 		"leaving", r.Leaving, "warm-in", r.WarmIn, "slots", r.Slots, "started", r.Started, "sequence", r.Sequence, "revision", c.Changed)
 }
 
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -39,6 +39,7 @@
 	registrar      *registrar
 	pool           *http1.Pool
 	crashes        *crashTracker
+	rollouts       *rolloutTracker
 	server         *http1.Server
 	webServers     []*http.Server // look-ups, readiness, peers and metrics
 	callerListener net.Listener
@@ -88,6 +89,7 @@
 	n.loads = loads.New(loads.Peers{Name: s.Instance, Collector: n.collector, Reports: n.loadReports, Receive: n.receiveLoadReports, Failed: n.loadExchangeFailed})
 	n.registrar = newRegistrar(n)
 	n.crashes = newCrashTracker(n)
+	n.rollouts = newRolloutTracker(n)
 	n.server = http1.NewServer(http1.Handlers{Handle: n.handle, RefuseEarly: n.refuseEarly, Busy: cfg.Overload.Refuse, BusyAnswer: n.refuseOverloaded, Limits: n.limits, ErrorAnswer: n.refuseUnreadable})
 	return n, nil
 }
@@ -117,6 +119,7 @@
 	n.background.Go(func() { n.registrar.run(ctx) })
 	n.background.Go(func() { n.loads.Run(ctx) })
 	n.background.Go(func() { n.crashes.notifier.run(ctx) })
+	n.background.Go(func() { n.rollouts.run(ctx) })
 	n.background.Go(func() { n.updateGauges(ctx) })
 	return nil
 }
@@ -188,6 +191,7 @@
 	r.Handle(loads.Path, n.loads)
 	r.Handle(quota.Path, n.quotas)
 	r.Handle(crashesPath, n.crashes)
+	r.Handle(rolloutsPath, n.rollouts)
 	return r
 }
 
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -50,7 +50,7 @@
 func steerBounds(b platform.Bounds) steer.Bounds {
 	return steer.Bounds{
 		RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack, RetryWindow: b.RetryWindow,
-		ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack,
+		ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack, CanaryShare: b.CanaryShare,
 	}
 }
 
--- a/internal/edge/rig_test.go
+++ b/internal/edge/rig_test.go
@@ -71,7 +71,7 @@
 			Callers: anyPort, Ready: anyPort, Lookups: anyPort, Peers: anyPort, Store: r.url,
 			Bounds: platform.Bounds{
 				Grace: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 60, ColdFactor: 1.5, ColdSlack: 5,
-				LookupTTL: 5 * time.Second,
+				LookupTTL: 5 * time.Second, CanaryShare: 0.5,
 			},
 		},
 	})
--- /dev/null
+++ b/internal/edge/rollout.go
@@ -0,0 +1,297 @@
+package edge
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/firlever/firlever/internal/boottime"
+	"github.com/firlever/firlever/internal/metrics"
+	"github.com/firlever/firlever/internal/mirror"
+	"github.com/firlever/firlever/internal/peerhttp"
+	"github.com/firlever/firlever/internal/rollout"
+	"github.com/firlever/firlever/internal/steer"
+	"github.com/firlever/firlever/platform"
+)
+
+// rolloutPrefix is the prefix of the store keys under which the collector of a region writes what
+// the region's instances have counted; a service and a region follow.
+const rolloutPrefix = "firlever/rollouts/"
+
+// rolloutTracker follows the operators' orders to roll out versions: it counts answers, tells the
+// fleet which version may get requests, and writes the status of rollouts. It is safe for
+// concurrent use.
+type rolloutTracker struct {
+	node   *Node
+	client *peerhttp.Client
+	active atomic.Bool // some rollout is in the canary phase or being promoted
+
+	mu        sync.Mutex
+	byService map[string]*serviceRollout // guarded by mu
+}
+
+// serviceRollout is the rollout of a service. Its fields are guarded by rolloutTracker.mu.
+type serviceRollout struct {
+	order      rollout.Order
+	status     rollout.Status
+	stored     rollout.Status // what the store has
+	promotedAt time.Time
+	barred     []string // versions of earlier orders that were not completed; maxBarred at most
+
+	counts      rollout.Counts             // of answers to this instance; rollout.MaxCounts at most
+	members     *rollout.Members           // reports to this instance
+	regions     map[string]rollout.Summary // of the regions, from the store
+	permitUntil time.Time                  // canaries may get requests until then
+	avoid       map[string]time.Time       // collectors that gave no permit, with the time until which they are not asked
+}
+
+// maxBarred bounds the versions that are remembered as rolled back.
+const maxBarred = 8
+
+func newRolloutTracker(n *Node) *rolloutTracker {
+	return &rolloutTracker{node: n, client: peerhttp.New("", 1, maxRolloutMessage), byService: make(map[string]*serviceRollout)}
+}
+
+// isRolloutKey reports whether a store key is one that rolloutTracker applies.
+func isRolloutKey(key string) bool {
+	return strings.HasPrefix(key, platform.RolloutPrefix) || strings.HasPrefix(key, platform.RolloutStatusPrefix) ||
+		strings.HasPrefix(key, rolloutPrefix)
+}
+
+// apply applies a change of a key that isRolloutKey accepts.
+func (t *rolloutTracker) apply(now time.Time, c mirror.Change) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if service, ok := platform.RolloutService(c.Key); ok {
+		t.applyOrder(now, service, c)
+		return
+	}
+	if service, ok := platform.RolloutStatusService(c.Key); ok {
+		t.applyStatus(now, service, c)
+		return
+	}
+	t.applySummary(c)
+}
+
+// applyOrder applies a change of an order. t.mu is held.
+func (t *rolloutTracker) applyOrder(now time.Time, service string, c mirror.Change) {
+	r := t.byService[service]
+	if c.Removed {
+		if r != nil && !r.status.Phase.Final() {
+			t.setStatus(now, r, rollout.Status{Order: r.order.ID, Phase: rollout.RolledBack, Reason: rollout.ReasonWithdrawn})
+		}
+		return
+	}
+	o, err := platform.DecodeRolloutOrder(c.Key, c.Value)
+	id := fmt.Sprintf("%d-%s", c.Changed.Count(), o.Version)
+	switch {
+	case err != nil:
+		t.rejectOrder(now, service, c, err)
+		return
+	case r != nil && r.order.ID == id:
+		return
+	case r != nil && r.order.Version == o.Version && r.status.Phase.Final() && r.order.Epoch != c.Changed.Epoch():
+		return // written again after the store lost it
+	}
+	order := rollout.Order{
+		ID: id, Epoch: c.Changed.Epoch(), Service: service, Version: o.Version,
+		Schedule: rollout.Schedule{Began: now, Deadline: now.Add(o.Duration)},
+	}
+	next := newServiceRollout(order)
+	if r != nil {
+		next.stored = r.stored
+		next.barred = r.barredAfter(o.Version)
+	}
+	t.byService[service] = next
+	t.setStatus(now, next, rollout.Status{Order: id, Phase: rollout.Canary, Deadline: boottime.ToRuntime(order.Deadline)})
+}
+
+func newServiceRollout(order rollout.Order) *serviceRollout {
+	return &serviceRollout{
+		order: order, counts: make(rollout.Counts), members: rollout.NewMembers(),
+		regions: make(map[string]rollout.Summary), avoid: make(map[string]time.Time),
+	}
+}
+
+// barredAfter returns the versions that are barred when another order follows for a version.
+func (r *serviceRollout) barredAfter(version string) []string {
+	barred := slices.Clone(r.barred)
+	if r.status.Phase != rollout.Completed && !slices.Contains(barred, r.order.Version) {
+		barred = append(barred, r.order.Version)
+	}
+	barred = slices.DeleteFunc(barred, func(v string) bool { return v == version || v == "" })
+	return barred[max(0, len(barred)-maxBarred):]
+}
+
+// rejectOrder reports an order that can't be used. It changes nothing about a rollout of the
+// service that is under way. t.mu is held.
+func (t *rolloutTracker) rejectOrder(now time.Time, service string, c mirror.Change, err error) {
+	t.node.cfg.Log.Error("rollout order unusable", "service", service, "revision", c.Changed, "err", err)
+	t.node.cfg.Metrics.CountDecision(metrics.Decision{Kind: "rollout", Service: service, Reason: "unusable"})
+	if r := t.byService[service]; r != nil {
+		return
+	}
+	r := newServiceRollout(rollout.Order{ID: fmt.Sprint(c.Changed.Count()), Service: service})
+	t.byService[service] = r
+	t.setStatus(now, r, rollout.Status{Order: r.order.ID, Phase: rollout.RolledBack, Reason: err.Error()})
+}
+
+// applyStatus applies a status that an instance has written. t.mu is held.
+func (t *rolloutTracker) applyStatus(now time.Time, service string, c mirror.Change) {
+	r := t.byService[service]
+	if r == nil {
+		return
+	}
+	if c.Removed {
+		r.stored = rollout.Status{}
+		return
+	}
+	s, _, err := platform.DecodeRolloutStatus(c.Key, c.Value)
+	if err != nil {
+		t.node.cfg.Log.Error("rollout status unreadable", "service", service, "revision", c.Changed, "err", err)
+		return
+	}
+	r.stored = s
+	if s.Order == r.order.ID {
+		r.adoptDeadline(now, s)
+		if s.Follows(r.status) {
+			t.setStatus(now, r, s)
+		}
+	}
+}
+
+// adoptDeadline moves the deadline of a rollout forward to that of its status, as this instance may
+// have started after the order.
+func (r *serviceRollout) adoptDeadline(now time.Time, s rollout.Status) {
+	left := time.Until(s.Deadline)
+	if at := now.Add(left); left > 0 && at.Before(r.order.Deadline) {
+		r.order.Deadline = at
+	}
+}
+
+// applySummary applies what a region has counted. t.mu is held.
+func (t *rolloutTracker) applySummary(c mirror.Change) {
+	service, region, _ := strings.Cut(strings.TrimPrefix(c.Key, rolloutPrefix), "/")
+	r := t.byService[service]
+	if r == nil || c.Removed {
+		return
+	}
+	s, err := decodeSummary(c.Value)
+	if err != nil {
+		t.node.cfg.Log.Error("rollout counts unreadable", "service", service, "region", region, "err", err)
+		return
+	}
+	if s.Order == r.order.ID {
+		r.regions[region] = s
+	}
+}
+
+// setStatus puts a status in force at this instance. t.mu is held.
+func (t *rolloutTracker) setStatus(now time.Time, r *serviceRollout, s rollout.Status) {
+	r.status = s
+	if s.Phase == rollout.Promoting {
+		r.promotedAt = now
+	}
+	t.active.Store(slices.ContainsFunc(slices.Collect(maps.Values(t.byService)), func(o *serviceRollout) bool { return !o.status.Phase.Final() }))
+	n := t.node
+	if r.order.Version != "" {
+		n.mu.Lock()
+		n.fleet.SetRollout(now, r.order.Service, steer.Rollout{
+			Schedule: r.order.Schedule, Version: r.order.Version, Phase: s.Phase, PromotedAt: r.promotedAt, Barred: r.barred,
+		})
+		n.mu.Unlock()
+	}
+	canaries, old := r.totals().Totals()
+	n.cfg.Metrics.CountDecision(metrics.Decision{Kind: "rollout", Service: r.order.Service, Reason: string(s.Phase)})
+	n.cfg.Log.Info("rollout", "service", r.order.Service, "version", r.order.Version, "order", s.Order, "phase", s.Phase, "reason", s.Reason,
+		"left", r.order.Deadline.Sub(now), "new-answers", canaries.Answers, "new-bad", canaries.Bad, "old-answers", old.Answers, "old-bad", old.Bad,
+		"barred", r.barred, "store-age", n.mirror.Age(now))
+}
+
+// totals returns what all regions have counted.
+func (r *serviceRollout) totals() rollout.Counts {
+	counts := make(rollout.Counts)
+	for _, s := range r.regions {
+		counts.Add(s.Counts)
+	}
+	return counts
+}
+
+// lateFactor is the multiple of the objective above which an answer counts against its version.
+// Work with an empty cache ends below it.
+const lateFactor = 2
+
+// record counts an answer for or against the version of its target.
+func (t *rolloutTracker) record(now time.Time, p *pendingRequest, a attempt, ending steer.Ending) {
+	if !t.active.Load() || a.choice.Cold {
+		return
+	}
+	bad := false
+	switch late := now.Sub(a.start) > lateFactor*objectiveOf(p); ending {
+	case steer.Answered:
+		bad = late
+	case steer.Failed, steer.TimedOut:
+		bad = true
+	case steer.CallerLeft:
+		if !late {
+			return
+		}
+		bad = true
+	default:
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.byService[p.service]
+	if r == nil || r.status.Phase.Final() || slices.Contains(r.barred, a.choice.Target.Version) {
+		return
+	}
+	source := rollout.Source{Route: p.route.Name}
+	if a.choice.Target.Version == r.order.Version {
+		source.Target = xxhash.Sum64String(a.choice.Target.ID)
+	}
+	tally, known := r.counts[source]
+	if !known && len(r.counts) >= rollout.MaxCounts {
+		return
+	}
+	tally.Answers++
+	if bad {
+		tally.Bad++
+	}
+	r.counts[source] = tally
+	if bad && source.Target != 0 && rollout.Fault(r.counts) != "" {
+		t.pause(now, p.service)
+	}
+}
+
+// pause keeps requests from canaries until the next permit, as this instance has itself seen that
+// they are worse. t.mu is held.
+func (t *rolloutTracker) pause(now time.Time, service string) {
+	t.node.mu.Lock()
+	defer t.node.mu.Unlock()
+	t.node.fleet.AllowCanary(service, now)
+}
+
+// storeRestored has the statuses checked, as a store that was restored from a snapshot may have lost
+// them.
+func (t *rolloutTracker) storeRestored() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.byService {
+		r.stored = rollout.Status{}
+	}
+}
+
+// objectiveOf returns the objective of a request's route, or a default.
+func objectiveOf(p *pendingRequest) time.Duration {
+	if p.route.Objective > 0 {
+		return p.route.Objective
+	}
+	return steer.DefaultObjective
+}
--- a/internal/steer/config.go
+++ b/internal/steer/config.go
@@ -34,6 +34,7 @@
 	RetryWindow time.Duration // length of the window; 0: default
 	ColdFactor  float64       // multiple of its cold rate that a cold target may get in one second
 	ColdSlack   float64       // requests per second on top of that
+	CanaryShare float64       // share of a service's requests for a version that is not proved good; 0: default
 }
 
 // Defaults of Config.
@@ -67,6 +68,9 @@
 	if b.RetryWindow == 0 {
 		b.RetryWindow = defaultRetryWindow
 	}
+	if b.CanaryShare == 0 {
+		b.CanaryShare = defaultCanaryShare
+	}
 }
 
 // Validate returns a *ConfigError that lists every fault, or nil.
@@ -93,6 +97,9 @@
 	if b.RetryRatio < 0 || b.RetryRatio > 1 {
 		faults = append(faults, "retry ratio is not within 0 and 1")
 	}
+	if b.CanaryShare < 0 || b.CanaryShare > 1 {
+		faults = append(faults, "canary share is not within 0 and 1")
+	}
 	if min(b.ColdFactor, b.ColdSlack, float64(b.RetrySlack), float64(b.RetryWindow)) < 0 {
 		faults = append(faults, "a bound is negative")
 	}
--- a/internal/steer/fleet.go
+++ b/internal/steer/fleet.go
@@ -35,6 +35,7 @@
 	domainLatency map[string]time.Duration // meanLatency by failure domain of the targets
 	budget        *retry.Window            // additional attempts allowed to this instance
 	typicalLoad   float64                  // running mean of other instances' requests per slot of a target, from load reports; 0 or more
+	split         *versionSplit            // nil if no rollout was ordered
 	retriesUntil  time.Time                // latest time at which a refused caller was asked to retry
 }
 
@@ -77,6 +78,7 @@
 			return Outdated
 		case old.Service == t.Service && old.Started.Equal(t.Started):
 			old.Target = t
+			old.service.markOutdated()
 			return Updated
 		}
 		change = Restarted
@@ -88,6 +90,7 @@
 	f.targets[t.ID], f.byHash[n.idHash] = n, n
 	i, _ := slices.BinarySearchFunc(s.targets, t.ID, compareID)
 	s.targets = slices.Insert(s.targets, i, n)
+	s.markOutdated()
 	return change
 }
 
@@ -103,6 +106,7 @@
 	if i, found := slices.BinarySearchFunc(s.targets, id, compareID); found {
 		s.targets = slices.Delete(s.targets, i, i+1)
 	}
+	s.markOutdated()
 }
 
 // Target returns the registration of a target. Leaving is also set if the target announced in its
@@ -138,6 +142,9 @@
 		}
 	}
 	f.evacuated = next
+	for _, s := range f.services {
+		s.markOutdated()
+	}
 }
 
 // Evacuated reports whether the targets of a failure domain get no requests.
--- a/internal/steer/order.go
+++ b/internal/steer/order.go
@@ -115,7 +115,7 @@
 
 // eligible reports whether a target may get the request, apart from ejection.
 func (f *Fleet) eligible(now time.Time, t *target, q Query) bool {
-	return f.available(t) && !t.backingOff(now) && q.Regions.Allows(t.region) && !slices.Contains(q.Tried, t.ID)
+	return f.available(t) && q.pool.includes(now, t) && !t.backingOff(now) && q.Regions.Allows(t.region) && !slices.Contains(q.Tried, t.ID)
 }
 
 func (f *Fleet) isCandidate(now time.Time, t *target, q Query, o *order) bool {
--- a/internal/steer/pick.go
+++ b/internal/steer/pick.go
@@ -17,6 +17,8 @@
 	AnswerSize float64        // estimated bytes of the answer; 0 if unknown
 	Retry      bool           // whether the request was sent to another target before
 	Tried      []string       // IDs of the targets that it was sent to before
+
+	pool pool // where the target is looked for; set by Pick
 }
 
 // Reason is why a request is refused.
@@ -56,9 +58,9 @@
 	noTargetRetryAfter = time.Second // for a target to register
 )
 
-// defaultObjective is used for routes without an objective: a latency that is acceptable to an
+// DefaultObjective is used for routes without an objective: a latency that is acceptable to an
 // interactive caller.
-const defaultObjective = time.Second
+const DefaultObjective = time.Second
 
 // initialLatencyShare is the share of the objective that is assumed as a service's latency before
 // the first measurement.
@@ -72,20 +74,27 @@
 	}
 	f.expirePeers(now)
 	if q.Objective <= 0 {
-		q.Objective = defaultObjective
+		q.Objective = DefaultObjective
 	}
 	if !q.Retry {
 		s.budget.Request(now)
 	}
-	c := f.best(now, s, q)
+	var c Choice
+	for _, q.pool = range f.pools(now, s, q) {
+		if c = f.best(now, s, q); c.Target.ID != "" {
+			break
+		}
+	}
 	if c.Target.ID == "" {
 		return c
 	}
 	if q.Retry && !s.budget.Spend(now) {
 		return c.refuseRetry()
 	}
-	f.spendToken(now, f.targets[c.Target.ID])
-	f.targets[c.Target.ID].startRequest(now)
+	t := f.targets[c.Target.ID]
+	f.spendToken(now, t)
+	s.spendCanaryToken(t)
+	t.startRequest(now)
 	c.HedgeAt = now.Add(c.Wait + max(q.Objective, hedgeFactor*s.latency(q.Objective)))
 	return c
 }
--- a/internal/steer/target.go
+++ b/internal/steer/target.go
@@ -14,6 +14,7 @@
 	Started  time.Time // start of this run; a target that restarts under the same ID keeps no state
 	Sequence uint64    // number of the registration; increases within a run
 	Service  string
+	Version  string // of its software
 	Address  string
 	Domain   string
 	Slots    int
