Collect all items of the store only for a peer that needs them

Cause: after each batch of changes every instance copied and sorted all items of its view, in case that a peer asks for all of it. What an instance does for a change grew with the number of targets, and the number of changes grows with it too. When many instances start at once, each batch also made the next asker's whole view be encoded anew.

Change: the view collects its items when a peer asks for all, and an encoded whole view is sent to further peers for a second, as the changes since follow from the history.

--- a/internal/mirror/answer.go
+++ b/internal/mirror/answer.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"time"
 	"unicode/utf8"
 
 	"github.com/juju/errors"
@@ -29,15 +30,16 @@
 
 // answer is an encoded answer.
 type answer struct {
-	since      platform.Revision // of the changes; zero for the whole view
-	revision   platform.Revision // zero: there is no answer
-	version    int               // of the whole view
-	plain      []byte
-	compressed []byte // gzip; nil if the answer is too short for it
+	since       platform.Revision // of the changes; zero for the whole view
+	revision    platform.Revision // zero: there is no answer
+	version     int               // of the whole view
+	confirmedAt time.Time         // when the store confirmed the whole view
+	plain       []byte
+	compressed  []byte // gzip; nil if the answer is too short for it
 }
 
 // encode returns the answer to a peer that has all changes up to a revision.
-func (a *answerCache) encode(since platform.Revision, e excerpt) (answer, error) {
+func (a *answerCache) encode(now time.Time, since platform.Revision, e excerpt) (answer, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	kept := &a.changes
@@ -48,12 +50,27 @@
 		return *kept, nil
 	}
 	made, err := newAnswer(since, e)
+	made.confirmedAt = now.Add(-e.age)
 	if err == nil {
 		*kept = made
 	}
 	return made, err
 }
 
+// wholeTTL is how long an encoded whole view is sent to further peers although there have been
+// changes, which they then ask for. When many instances start at once, changes come all the time.
+const wholeTTL = time.Second
+
+// recentWhole returns the last encoded whole view if a peer can do with it and its data is no older
+// than limit, and how old that is.
+func (a *answerCache) recentWhole(now time.Time, h *history, limit time.Duration) (answer, time.Duration, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	age := now.Sub(a.whole.confirmedAt)
+	ok := !a.whole.revision.IsZero() && age <= min(wholeTTL, limit) && h.leadsOnFrom(a.whole.revision)
+	return a.whole, age, ok
+}
+
 func newAnswer(since platform.Revision, e excerpt) (answer, error) {
 	body := relayAnswer{Revision: e.revision, Whole: !e.covered, Gaps: e.covered && e.gaps, Events: []relayEvent{}}
 	if e.covered {
--- a/internal/mirror/begin_test.go
+++ b/internal/mirror/begin_test.go
@@ -88,17 +88,17 @@
 	for i := range 100 {
 		e.items = append(e.items, platform.Item{Key: fmt.Sprintf("key%d", i), Value: []byte("value"), Changed: at(uint64(i + 1))})
 	}
-	first, err := a.encode(at(3), e)
+	first, err := a.encode(start, at(3), e)
 	if err != nil {
 		t.Fatal(err)
 	}
-	second, _ := a.encode(at(4), e)
+	second, _ := a.encode(start, at(4), e)
 	if &first.plain[0] != &second.plain[0] {
 		t.Error("got the whole view encoded twice")
 	}
 	newer := e
 	newer.revision = at(10)
-	if third, _ := a.encode(at(3), newer); &third.plain[0] == &first.plain[0] {
+	if third, _ := a.encode(start, at(3), newer); &third.plain[0] == &first.plain[0] {
 		t.Error("got an old answer for a newer revision")
 	}
 	for encoding, packed := range map[string]bool{"gzip, br": true, "": false} {
@@ -118,7 +118,7 @@
 			t.Errorf("%q: got %d events at %s, %v, want 100 at 9", encoding, len(got.Events), got.Revision, err)
 		}
 	}
-	if few, _ := a.encode(at(8), excerpt{revision: at(9), covered: true}); few.compressed != nil {
+	if few, _ := a.encode(start, at(8), excerpt{revision: at(9), covered: true}); few.compressed != nil {
 		t.Error("got a short answer compressed")
 	}
 }
--- a/internal/mirror/converge_test.go
+++ b/internal/mirror/converge_test.go
@@ -17,7 +17,7 @@
 
 // member is an instance of a fleet: its view, and the values that its sink was notified of.
 type member struct {
-	view
+	*view
 	client   *platform.Store
 	notified map[string]string // value by key
 }
@@ -93,7 +93,7 @@
 }
 
 func (f *fleet) follow(m, peer *member) {
-	e := peer.history.since(f.now, m.since())
+	e := peer.excerpt(f.now, m.since())
 	if peer == m || e.revision.IsZero() {
 		return
 	}
--- a/internal/mirror/history.go
+++ b/internal/mirror/history.go
@@ -17,9 +17,7 @@
 type history struct {
 	mu          sync.Mutex
 	events      []platform.Event  // in order of their revisions; at most historyLen; guarded by mu
-	items       []platform.Item   // all that the store held at revision; guarded by mu
-	overrides   Overrides         // differences of the view from items; guarded by mu
-	version     int               // counts the changes of items and overrides; guarded by mu
+	version     int               // counts the changes of the view; guarded by mu
 	storeBehind bool              // the store has lost a part of the view; guarded by mu
 	revision    platform.Revision // all changes up to here are known; guarded by mu
 	spans       []span            // in ascending order, at most maxSpans; the last ends at revision; guarded by mu
@@ -67,7 +65,6 @@
 	}
 	h.trim()
 	if g.changed || begun || len(g.events) > 0 {
-		h.items, h.overrides = c.Items(), c.Overrides()
 		h.version++
 	}
 	if begun || len(g.events) > 0 {
@@ -111,6 +108,13 @@
 	return slices.ContainsFunc(h.spans, func(s span) bool { return !s.from.After(revision) && !revision.After(s.to) })
 }
 
+// leadsOnFrom reports whether a peer that has the view at a revision can be sent the changes since.
+func (h *history) leadsOnFrom(revision platform.Revision) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return revision.Epoch() == h.revision.Epoch() && h.covers(revision)
+}
+
 // gapsAfter reports whether the kept events after a revision may lack some changes. h.mu is held.
 func (h *history) gapsAfter(revision platform.Revision) bool {
 	return len(h.spans) > 0 && h.spans[len(h.spans)-1].from.After(revision)
@@ -148,9 +152,9 @@
 // excerpt is the part of a history that is sent to a peer.
 type excerpt struct {
 	events      []platform.Event
-	items       []platform.Item   // all that the store held at revision
-	overrides   Overrides         // differences of the view from items
-	version     int               // of items and overrides
+	items       []platform.Item   // all that the store held at revision; set by view.excerpt unless covered
+	overrides   Overrides         // differences of the view from items; set with them
+	version     int               // of the view
 	storeBehind bool              // the store has lost a part of the view
 	revision    platform.Revision // the revision that the events lead up to
 	age         time.Duration     // time since the store confirmed it
@@ -165,7 +169,7 @@
 	defer h.mu.Unlock()
 	e := excerpt{
 		revision: h.revision, age: now.Sub(h.confirmedAt), covered: h.covers(revision), gaps: h.gapsAfter(revision),
-		updated: h.updated, items: h.items, overrides: h.overrides, version: h.version, storeBehind: h.storeBehind, removeDelay: max(0, h.removeAfter.Sub(now)),
+		updated: h.updated, version: h.version, storeBehind: h.storeBehind, removeDelay: max(0, h.removeAfter.Sub(now)),
 	}
 	for _, event := range h.events {
 		if event.Changed.After(revision) {
--- a/internal/mirror/knowledge.go
+++ b/internal/mirror/knowledge.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"sync"
 	"time"
 
 	"github.com/firlever/firlever/platform"
@@ -16,16 +17,18 @@
 }
 
 // view is a mirror's state of the store, and the history that it passes on to peers. It does no
-// input or output; only its history is safe for concurrent use.
+// input or output. Its history and excerpt are safe for concurrent use; all else is used by one
+// goroutine.
 type view struct {
+	mu        sync.Mutex // held while copy changes, and while another goroutine reads it
 	copy      *Replica
 	history   *history
 	readStore bool // the store was read directly since the last whole update of a peer
 	needWhole bool // the next poll of a peer requests its whole view
 }
 
-func newView(order Order) view {
-	return view{copy: NewReplica(order), history: newHistory()}
+func newView(order Order) *view {
+	return &view{copy: NewReplica(order), history: newHistory()}
 }
 
 // isRestored reports whether the store was restored from a snapshot between what is known and a
@@ -39,6 +42,8 @@
 // restore, states that the store has lost are written again, so removals are delayed as after an
 // outage.
 func (v *view) applyList(now time.Time, items []platform.Item, at platform.Revision, confirmed time.Time) (ListResult, []Change) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	if v.isRestored(at) {
 		v.copy.MarkOutage(now)
 	}
@@ -46,7 +51,7 @@
 	events := v.copy.Difference(items, at)
 	r.Changes = len(events)
 	v.readStore = true
-	return r, v.applyBatch(now, batch{events: events, revision: at, confirmedAt: confirmed, gaps: true})
+	return r, v.applyEvents(now, batch{events: events, revision: at, confirmedAt: confirmed, gaps: true})
 }
 
 // since returns the revision after which changes are requested from a peer.
@@ -60,14 +65,16 @@
 // applyPeer applies an update of a peer. If the store has lost some of the peer's view, and was
 // read directly here meanwhile, the peer's whole view is requested once.
 func (v *view) applyPeer(now time.Time, n peerUpdate) []Change {
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	v.needWhole = n.storeBehind && v.readStore && !n.whole
 	v.readStore = v.readStore && !n.whole
 	v.copy.DelayRemovals(n.removeAfter)
 	if !n.whole {
-		return v.applyBatch(now, batch{events: n.events, revision: n.revision, confirmedAt: n.confirmedAt, gaps: n.gaps})
+		return v.applyEvents(now, batch{events: n.events, revision: n.revision, confirmedAt: n.confirmedAt, gaps: n.gaps})
 	}
 	if v.history.latest().After(n.revision) {
-		return v.applyBatch(now, batch{}) // the peer is behind
+		return v.applyEvents(now, batch{}) // the peer is behind
 	}
 	all := make([]platform.Item, 0, len(n.events))
 	for _, e := range n.events {
@@ -94,14 +101,41 @@
 
 // applyBatch applies a batch of changes and returns the resulting changes of the view.
 func (v *view) applyBatch(now time.Time, g batch) []Change {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.applyEvents(now, g)
+}
+
+// applyEvents is applyBatch with v.mu held.
+func (v *view) applyEvents(now time.Time, g batch) []Change {
 	return v.record(now, v.copy.Apply(now, g.events), g)
 }
 
 // record adds a batch, which the replica has applied already, to the history. It returns all
-// changes, with those whose delay has ended.
+// changes, with those whose delay has ended. v.mu is held.
 func (v *view) record(now time.Time, changes []Change, g batch) []Change {
 	changes = append(changes, v.copy.Due(now, platform.Later(v.history.latest(), g.revision))...)
 	g.changed = len(changes) > 0
 	v.history.add(g, v.copy)
 	return changes
 }
+
+// markOutage records that the store is unreachable at now.
+func (v *view) markOutage(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.copy.MarkOutage(now)
+}
+
+// excerpt returns what a peer needs that has all changes up to a revision: the changes since, or all
+// items. Items are collected only where a peer needs them, as there are many times more of them than
+// changes.
+func (v *view) excerpt(now time.Time, revision platform.Revision) excerpt {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	e := v.history.since(now, revision)
+	if !e.covered {
+		e.items, e.overrides = v.copy.Items(), v.copy.Overrides()
+	}
+	return e
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -106,7 +106,7 @@
 	client    *http.Client  // for calls to peers
 	checkNow  chan struct{} // requests an immediate check
 	storeBack chan struct{} // ends a back-off when the store answers again
-	view      view
+	view      *view
 	answers   answerCache
 
 	listed       bool
@@ -178,7 +178,7 @@
 	if m.isUnreachable() {
 		// Keys whose leases expired during the outage may be written again, so the first list must
 		// not remove them at once, even if the outage lasted longer than removalDelay.
-		m.view.copy.MarkOutage(boottime.Now())
+		m.view.markOutage(boottime.Now())
 	}
 	if !m.listed || m.takeMissed() {
 		return m.list(ctx)
@@ -200,7 +200,7 @@
 	case errors.Is(err, errWatchCanceled):
 		return nil
 	default:
-		m.view.copy.MarkOutage(boottime.Now())
+		m.view.markOutage(boottime.Now())
 		if !m.setUnreachable(true) {
 			m.sink.Unreachable(err)
 		}
@@ -214,7 +214,7 @@
 		return
 	}
 	m.fallbackPeer = ""
-	m.view.copy.MarkOutage(boottime.Now())
+	m.view.markOutage(boottime.Now())
 	m.sink.Reachable()
 }
 
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -96,13 +96,13 @@
 		http.Error(w, "store data is too old", http.StatusServiceUnavailable)
 		return
 	}
-	a, err := m.answers.encode(since, e)
+	a, age, err := m.encodeAt(boottime.Now(), since, e, limit)
 	if err != nil {
 		m.sink.AnswerFailed(err)
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	w.Header().Set(headerAge, strconv.FormatInt(e.age.Milliseconds(), 10))
+	w.Header().Set(headerAge, strconv.FormatInt(age.Milliseconds(), 10))
 	if e.storeBehind {
 		w.Header().Set(headerStoreBehind, "1")
 	}
@@ -110,6 +110,19 @@
 	a.write(w, r)
 }
 
+// encodeAt returns the encoded answer to a peer, and how old its data is. e is what the peer needs, but
+// for the items of the whole view.
+func (m *Mirror) encodeAt(now time.Time, since platform.Revision, e excerpt, limit time.Duration) (answer, time.Duration, error) {
+	if !e.covered {
+		if a, age, ok := m.answers.recentWhole(now, m.view.history, limit); ok && !e.storeBehind {
+			return a, age, nil
+		}
+		e = m.view.excerpt(now, since)
+	}
+	a, err := m.answers.encode(now, since, e)
+	return a, e.age, err
+}
+
 // awaitChanges waits for changes until relayWait has passed or the data becomes too old, so that
 // the peer then polls elsewhere at once. A mirror that has no data yet waits for the full
 // relayWait, because it will have some soon.
