Build the lists of instances when they are needed, not with each record

Cause: each record of an instance that came, changed or went had all lists of instances built and sorted anew. When n instances start, each did that n times: work of the order of n squared times its logarithm at each instance. Relays were also picked out of all records at each poll and each exchange of loads.

Change: a record marks the lists as outdated, and the next look-up or poll builds them, the relays' order with them.

--- a/internal/edge/instances.go
+++ b/internal/edge/instances.go
@@ -36,14 +36,18 @@
 
 // instances is the cached view of all registered instances. It is safe for concurrent use.
 type instances struct {
-	mu      sync.RWMutex
+	mu      sync.Mutex
 	records map[string]record // by instance; guarded by mu
 
-	// Instances that are not leaving, sorted by address. The lists are rebuilt when a record
-	// changes, as look-ups are a hundred times as frequent. Guarded by mu.
+	// Instances that are not leaving, sorted by address, and the relays of each region, the first
+	// ranked first. The lists are built when they are needed after records have changed: look-ups
+	// are a hundred times as frequent as changes, and many changes come at once when the whole
+	// system starts. Guarded by mu.
+	outdated bool
 	byDomain map[string][]record
 	byRegion map[string][]record
 	all      []record
+	ranked   map[string][]relayCandidate
 }
 
 func (i *instances) put(name string, r record) {
@@ -53,19 +57,32 @@
 		i.records = make(map[string]record)
 	}
 	i.records[name] = r
-	i.rebuildLists()
+	i.outdated = true
 }
 
 func (i *instances) remove(name string) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	delete(i.records, name)
-	i.rebuildLists()
+	i.outdated = true
 }
 
-// rebuildLists rebuilds the sorted lists. i.mu is held.
-func (i *instances) rebuildLists() {
+// updateLists builds the sorted lists anew if records have changed. i.mu is held.
+func (i *instances) updateLists() {
+	if !i.outdated {
+		return
+	}
+	i.outdated = false
 	i.byDomain, i.byRegion, i.all = make(map[string][]record), make(map[string][]record), nil
+	i.ranked = make(map[string][]relayCandidate)
+	for name, r := range i.records {
+		if !r.Leaving && r.Peers != "" {
+			i.ranked[r.Region] = append(i.ranked[r.Region], relayCandidate{name: name, cores: r.Cores, peers: r.Peers})
+		}
+	}
+	for _, list := range i.ranked {
+		slices.SortFunc(list, relayCandidate.compare)
+	}
 	records := slices.SortedFunc(maps.Values(i.records), func(a, b record) int { return cmp.Compare(a.Callers, b.Callers) })
 	for _, r := range records {
 		if r.Leaving {
@@ -78,8 +95,8 @@
 }
 
 func (i *instances) names() []string {
-	i.mu.RLock()
-	defer i.mu.RUnlock()
+	i.mu.Lock()
+	defer i.mu.Unlock()
 	return slices.Collect(maps.Keys(i.records))
 }
 
@@ -87,18 +104,14 @@
 // rank before self, limit at most. Relaying takes resources, so the largest machines rank first,
 // then names decide. Leaving instances are excluded.
 func (i *instances) relays(region string, self relayCandidate, limit int) []string {
-	i.mu.RLock()
-	defer i.mu.RUnlock()
-	var list []relayCandidate
-	for name, r := range i.records {
-		m := relayCandidate{name: name, cores: r.Cores, peers: r.Peers}
-		if r.Region == region && !r.Leaving && r.Peers != "" && m.compare(self) < 0 {
-			list = append(list, m)
-		}
-	}
-	slices.SortFunc(list, relayCandidate.compare)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.updateLists()
 	var addresses []string
-	for _, m := range list[:min(len(list), limit)] {
+	for _, m := range i.ranked[region] {
+		if len(addresses) == limit || m.compare(self) >= 0 {
+			break
+		}
 		addresses = append(addresses, m.peers)
 	}
 	return addresses
@@ -106,8 +119,8 @@
 
 // members returns all known instances and self, as the members among which tokens are divided.
 func (i *instances) members(name string, self record) []quota.Member {
-	i.mu.RLock()
-	defer i.mu.RUnlock()
+	i.mu.Lock()
+	defer i.mu.Unlock()
 	all := maps.Clone(i.records)
 	if all == nil {
 		all = make(map[string]record)
@@ -135,8 +148,8 @@
 
 // regionPeers returns the peer addresses of a region's instances except self.
 func (i *instances) regionPeers(region, self string) []string {
-	i.mu.RLock()
-	defer i.mu.RUnlock()
+	i.mu.Lock()
+	defer i.mu.Unlock()
 	var list []string
 	for name, r := range i.records {
 		if name != self && r.Peers != "" && r.Region == region {
@@ -150,8 +163,8 @@
 // otherPeers returns the peer addresses of all instances except self, those of a region
 // first.
 func (i *instances) otherPeers(region, self string) []string {
-	i.mu.RLock()
-	defer i.mu.RUnlock()
+	i.mu.Lock()
+	defer i.mu.Unlock()
 	var near, far []string
 	for name, r := range i.records {
 		switch {
@@ -171,8 +184,9 @@
 // domain; of those in the region if the domain has fewer than two, as one may fail; or of all if
 // the region has none. Leaving instances are excluded.
 func (i *instances) near(region, domain, caller string, limit int) []string {
-	i.mu.RLock()
-	defer i.mu.RUnlock()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.updateLists()
 	list := i.byDomain[domain]
 	if len(list) < minAddresses {
 		list = i.byRegion[region]
--- a/internal/edge/instances_test.go
+++ b/internal/edge/instances_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"slices"
 	"testing"
 )
@@ -109,3 +110,19 @@
 		})
 	}
 }
+
+// Records that come at once, as when the whole system starts, cost the same each, however many.
+func TestCostOfARecord(t *testing.T) {
+	cost := make(map[int]uint64)
+	for _, n := range []int{200, 2000} {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		i := newInstances(n)
+		i.near("r1", "d1", "caller", 5)
+		runtime.ReadMemStats(&after)
+		cost[n] = (after.TotalAlloc - before.TotalAlloc) / uint64(n)
+	}
+	if cost[2000] > 2*cost[200] {
+		t.Errorf("got %d bytes a record with 2,000 instances, %d with 200", cost[2000], cost[200])
+	}
+}
