Bound the log lines about targets and instances that change

Cause: an instance that starts learns of all targets and instances at once and wrote a line for each: 11,000 lines at 985 instances and 10,005 targets, formatted on a sixth of a processor while callers wait.

Change: 200 such lines a second, and the number of those left out.

--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -35,7 +35,7 @@
 		case isRolloutKey(c.Key):
 			n.rollouts.apply(now, c)
 		case strings.HasPrefix(c.Key, instancePrefix):
-			n.applyInstance(c)
+			n.applyInstance(now, c)
 			instances = true
 		}
 	}
@@ -143,7 +143,9 @@
 func (n *Node) applyTarget(now time.Time, id string, c mirror.Change) {
 	if c.Removed {
 		n.removeTarget(id)
-		n.cfg.Log.Info("target gone", "target", id, "revision", c.Changed)
+		if suppressed, ok := n.changeLimiter.Allow(now); ok {
+			n.cfg.Log.Info("target gone", "target", id, "revision", c.Changed, "suppressed", suppressed)
+		}
 		return
 	}
 	r, err := platform.DecodeRegistration(c.Item)
@@ -168,8 +170,12 @@
 		n.pool.CloseTarget(id)
 		n.crashes.targetRestarted(now, t)
 	}
+	suppressed, ok := n.changeLimiter.Allow(now)
+	if !ok {
+		return
+	}
 	n.cfg.Log.Info("target", "target", id, "change", change, "service", r.Service, "version", r.Version, "domain", r.Domain, "address", r.Address,
-		"leaving", r.Leaving, "warm-in", r.WarmIn, "slots", r.Slots, "started", r.Started, "sequence", r.Sequence, "revision", c.Changed)
+		"leaving", r.Leaving, "warm-in", r.WarmIn, "slots", r.Slots, "started", r.Started, "sequence", r.Sequence, "revision", c.Changed, "suppressed", suppressed)
 }
 
 // dropUnusable removes the target of a store entry that can't be used, as it is uncertain
@@ -203,11 +209,13 @@
 	n.cfg.Log.Info("evacuation", "domain", domain, "over", c.Removed, "revision", c.Changed)
 }
 
-func (n *Node) applyInstance(c mirror.Change) {
+func (n *Node) applyInstance(now time.Time, c mirror.Change) {
 	name := strings.TrimPrefix(c.Key, instancePrefix)
 	if c.Removed {
 		n.instances.remove(name)
-		n.cfg.Log.Info("instance gone", "name", name, "revision", c.Changed)
+		if suppressed, ok := n.changeLimiter.Allow(now); ok {
+			n.cfg.Log.Info("instance gone", "name", name, "revision", c.Changed, "suppressed", suppressed)
+		}
 		return
 	}
 	r, err := decodeRecord(c.Value)
@@ -219,7 +227,9 @@
 	if name == n.cfg.Settings.Instance && (r.Run != n.processStart || c.Created != c.Changed) {
 		n.hadRecord = true
 	}
-	n.cfg.Log.Info("instance", "name", name, "domain", r.Domain, "leaving", r.Leaving, "revision", c.Changed)
+	if suppressed, ok := n.changeLimiter.Allow(now); ok {
+		n.cfg.Log.Info("instance", "name", name, "domain", r.Domain, "leaving", r.Leaving, "revision", c.Changed, "suppressed", suppressed)
+	}
 }
 
 func (n *Node) applyPeers(now time.Time) {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -29,6 +29,10 @@
 // about 70 requests a second today, and each of them may fail.
 const failureLogRate = 200
 
+// changeLogRate bounds the log lines a second about targets and instances that come, change or go:
+// an instance that starts learns of all of them at once.
+const changeLogRate = 200
+
 // Node is one instance.
 type Node struct {
 	cfg            Config
@@ -56,6 +60,7 @@
 	acceptUntil    atomic.Pointer[time.Time] // requests that arrive later are refused, as the instance stops; nil while it runs
 	successLimiter *logs.Limiter
 	failureLimiter *logs.Limiter
+	changeLimiter  *logs.Limiter
 
 	mu          sync.Mutex
 	fleet       *steer.Fleet       // guarded by mu
@@ -77,6 +82,7 @@
 		cfg: cfg, store: platform.NewStore(s.Store), pool: http1.NewPool(s.IP), fleet: fleet,
 		evacuated: make(map[string]bool), answerSizes: make(map[string]float64),
 		successLimiter: logs.NewLimiter(cfg.SuccessLogRate), failureLimiter: logs.NewLimiter(failureLogRate),
+		changeLimiter: logs.NewLimiter(changeLogRate),
 	}
 	n.store.OnCallDone(n.countStoreCall)
 	n.processStart = time.Now().UnixNano()
