Pass queries by reference and count regions' slots in a list

Cause: the passes over targets copied a query of 150 bytes for each target and counted slots in a map; the window's iterator and the pools of a rollout had made choices of small services a fifth to a half dearer.

--- a/internal/steer/fleet_test.go
+++ b/internal/steer/fleet_test.go
@@ -41,6 +41,12 @@
 	return Query{Service: "s", Object: object, SpreadKey: object, Objective: 400 * time.Millisecond, Deadline: start.Add(time.Minute)}
 }
 
+// queryOf returns a query for an object to be passed on.
+func queryOf(object string) *Query {
+	q := query(object)
+	return &q
+}
+
 func TestConfigFaults(t *testing.T) {
 	tests := map[string]func(*Config){
 		"no instance":     func(c *Config) { c.Instance = "" },
@@ -70,7 +76,7 @@
 	moved := 0
 	for i := range 200 {
 		object := fmt.Sprint(i)
-		got, other := a.best(start, a.services["s"], query(object)), b.best(start, b.services["s"], query(object))
+		got, other := a.best(start, a.services["s"], queryOf(object)), b.best(start, b.services["s"], queryOf(object))
 		if got.Target.ID != other.Target.ID || !got.Home {
 			t.Fatalf("object %s: got %q and %q", object, got.Target.ID, other.Target.ID)
 		}
@@ -78,7 +84,7 @@
 	}
 	a.Remove("t03")
 	for object, home := range homes {
-		got := a.best(start, a.services["s"], query(object)).Target.ID
+		got := a.best(start, a.services["s"], queryOf(object)).Target.ID
 		if home != "t03" && got != home {
 			t.Errorf("object %s moved from %s to %s", object, home, got)
 		}
@@ -148,7 +154,7 @@
 	for i := range 320 {
 		q := query("")
 		q.SpreadKey = fmt.Sprint(i)
-		used[f.best(start, f.services["s"], q).Target.ID]++
+		used[f.best(start, f.services["s"], &q).Target.ID]++
 	}
 	if len(used) != 16 {
 		t.Errorf("got %d of 16 targets used", len(used))
@@ -166,7 +172,7 @@
 	for i := range 50 {
 		q := query(fmt.Sprint(i))
 		q.AnswerSize = 90e3
-		c := f.best(start, f.services["s"], q)
+		c := f.best(start, f.services["s"], &q)
 		if c.Target.Domain != "n1" {
 			t.Errorf("object %d: got domain %s, want n1", i, c.Target.Domain)
 		}
@@ -231,7 +237,7 @@
 				if tt.query != nil {
 					tt.query(&q)
 				}
-				if c := f.best(start, f.services["s"], q); !tt.want(c) {
+				if c := f.best(start, f.services["s"], &q); !tt.want(c) {
 					t.Errorf("object %d: got %+v", i, c)
 				}
 			}
@@ -249,7 +255,7 @@
 	}
 	got := map[string]bool{}
 	for i := range 40 {
-		got[f.best(start, f.services["s"], query(fmt.Sprint(i))).Target.ID] = true
+		got[f.best(start, f.services["s"], queryOf(fmt.Sprint(i))).Target.ID] = true
 	}
 	if len(got) != 4 {
 		t.Errorf("got %d targets used, want all 4", len(got))
@@ -266,17 +272,17 @@
 	for id := range f.targets {
 		f.Done(start, Target{ID: id}, Outcome{Ending: Answered, Took: 100 * time.Millisecond})
 	}
-	home := f.best(start, f.services["s"], query("x")).Target.ID
+	home := f.best(start, f.services["s"], queryOf("x")).Target.ID
 	for range 10 {
 		f.Done(start, Target{ID: home}, Outcome{Ending: TimedOut, Took: 2 * time.Second})
 		f.targets[home].ejectedUntil = time.Time{}
 		f.services["s"].meanLatency = 100 * time.Millisecond
 	}
-	if got := f.best(start, f.services["s"], query("x")).Target.ID; got == home {
+	if got := f.best(start, f.services["s"], queryOf("x")).Target.ID; got == home {
 		t.Errorf("got the slow home %s", got)
 	}
 	q := query("x")
-	if got := f.best(start.Add(30*time.Second), f.services["s"], q).Target.ID; got != home {
+	if got := f.best(start.Add(30*time.Second), f.services["s"], &q).Target.ID; got != home {
 		t.Errorf("got %s after 30 s, want the home %s", got, home)
 	}
 }
@@ -360,7 +366,7 @@
 		f.cfg.Domain, f.region = domain, region
 		near := 0
 		for i := range 1000 {
-			c := f.best(start, f.services["s"], query(fmt.Sprint(i)))
+			c := f.best(start, f.services["s"], queryOf(fmt.Sprint(i)))
 			if regions[c.Target.Domain] == region {
 				near++
 			}
--- a/internal/steer/limit.go
+++ b/internal/steer/limit.go
@@ -145,9 +145,9 @@
 // limitRetryGap returns how long it takes until this instance may send one more request to any
 // target of a service whose targets all have limits; maxRetryGap at most. It is estimated from the
 // targets that the request may go to.
-func (f *Fleet) limitRetryGap(now time.Time, s *service, q Query) time.Duration {
+func (f *Fleet) limitRetryGap(now time.Time, s *service, q *Query) time.Duration {
 	rate, considered := 0.0, 0
-	for t := range s.window(q) {
+	for t := range s.window(q).all {
 		considered++
 		if f.available(t) && t.constraints != nil && t.constraints.limit.active {
 			f.refill(now, t)
--- a/internal/steer/load_test.go
+++ b/internal/steer/load_test.go
@@ -72,7 +72,7 @@
 // long as at other targets. It must keep the objects to become warm.
 func TestNewTargetKeepsObjects(t *testing.T) {
 	f := newFleet(t, 4, 4)
-	home := f.best(start, f.services["s"], query("x")).Target.ID
+	home := f.best(start, f.services["s"], queryOf("x")).Target.ID
 	for range 20 {
 		for id := range f.targets {
 			took := 100 * time.Millisecond
@@ -83,7 +83,7 @@
 		}
 	}
 	f.services["s"].meanLatency = 100 * time.Millisecond
-	if got := f.best(start, f.services["s"], query("x")).Target.ID; got != home {
+	if got := f.best(start, f.services["s"], queryOf("x")).Target.ID; got != home {
 		t.Errorf("got %s, want the home %s", got, home)
 	}
 }
@@ -110,7 +110,7 @@
 			}
 		}
 		for i := range objects {
-			home := f.best(start, f.services["s"], query(fmt.Sprint(region, i))).Target.Domain
+			home := f.best(start, f.services["s"], queryOf(fmt.Sprint(region, i))).Target.Domain
 			homes[home]++
 			if home == region {
 				own[region]++
--- a/internal/steer/notice.go
+++ b/internal/steer/notice.go
@@ -129,10 +129,10 @@
 
 // refuseBackingOff refuses a request because all targets that it could go to are backing off;
 // false if that is not the case.
-func (f *Fleet) refuseBackingOff(now time.Time, s *service, q Query) (Choice, bool) {
+func (f *Fleet) refuseBackingOff(now time.Time, s *service, q *Query) (Choice, bool) {
 	var first *target
 	slots := 0
-	for t := range s.window(q) {
+	for t := range s.window(q).all {
 		if !f.available(t) || !q.Regions.Allows(t.region) || !t.backingOff(now) {
 			continue
 		}
@@ -147,25 +147,26 @@
 	// These slots serve the requests of all instances.
 	gap := s.latency(q.Objective) * time.Duration(max(1, len(f.peers))) / time.Duration(max(1, slots))
 	c := Choice{Reason: BackingOff, RetryAfter: s.scheduleRetry(now, first.constraints.backOffUntil, gap), FirstCandidate: first.ID}
-	return c.withLoadOf(now, candidate{target: first}), true
+	return c.withLoadOf(now, first), true
 }
 
 // BackOff returns the remaining time in which all targets of a service are backing off for this
 // instance; 0 if any may get a request now.
 func (f *Fleet) BackOff(now time.Time, q Query) time.Duration {
 	s, ok := f.services[q.Service]
-	if !ok || f.anyEligible(now, s, q) {
+	if !ok || f.anyEligible(now, s, &q) {
 		return 0
 	}
-	c, _ := f.refuseBackingOff(now, s, q)
+	c, _ := f.refuseBackingOff(now, s, &q)
 	return c.RetryAfter
 }
 
 // anyEligible reports whether some target may get a first attempt at the request.
-func (f *Fleet) anyEligible(now time.Time, s *service, q Query) bool {
-	q.Tried = nil
-	for t := range s.window(q) {
-		if f.eligible(now, t, q) {
+func (f *Fleet) anyEligible(now time.Time, s *service, q *Query) bool {
+	first := *q
+	first.Tried = nil
+	for t := range s.window(q).all {
+		if f.eligible(now, t, &first) {
 			return true
 		}
 	}
--- a/internal/steer/order.go
+++ b/internal/steer/order.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"iter"
 	"math"
 	"slices"
 	"time"
@@ -56,8 +55,9 @@
 
 // order is the ranking of a service's targets for an object.
 type order struct {
-	size           int  // number of candidates
-	includeEjected bool // ejected targets are candidates, as too many are ejected
+	targets        window // that were considered
+	size           int    // number of candidates
+	includeEjected bool   // ejected targets are candidates, as too many are ejected
 	global         top
 	region         top
 	domain         top
@@ -67,17 +67,29 @@
 // and otherwise those that follow the request's object in the order of hashes. So what a choice
 // costs does not grow with the service, an object has the same window at all instances, and a
 // target that comes or goes changes the windows near it alone.
-func (s *service) window(q Query) iter.Seq[*target] {
+func (s *service) window(q *Query) window {
 	if q.pool == canaryTargets {
-		return slices.Values(s.split.canaries)
+		return window{s.split.canaries, nil}
 	}
 	if len(s.targets) <= windowSize {
-		return slices.Values(s.targets)
+		return window{s.targets, nil}
 	}
 	first, _ := slices.BinarySearchFunc(s.targets, hash(q.key()), func(t *target, h uint64) int { return cmp.Compare(t.idHash, h) })
-	return func(yield func(*target) bool) {
-		for i := range windowSize {
-			if !yield(s.targets[(first+i)%len(s.targets)]) {
+	end := first + windowSize
+	if end <= len(s.targets) {
+		return window{s.targets[first:end], nil}
+	}
+	return window{s.targets[first:], s.targets[:end-len(s.targets)]}
+}
+
+// window is a list of targets in two parts, as it may begin near the end of a service's targets.
+type window [2][]*target
+
+// all iterates over the targets of a window.
+func (w window) all(yield func(*target) bool) {
+	for _, part := range w {
+		for _, t := range part {
+			if !yield(t) {
 				return
 			}
 		}
@@ -86,14 +98,14 @@
 
 // order ranks the targets that may get the request, in time linear in the number of targets that it
 // may go to.
-func (f *Fleet) order(now time.Time, s *service, q Query) *order {
-	o := &order{}
+func (f *Fleet) order(now time.Time, s *service, q *Query) *order {
+	o := &order{targets: s.window(q)}
 	ejected := 0
-	slots := make(map[string]int, 4)
-	for t := range s.window(q) {
+	var slots regionSlots
+	for t := range o.targets.all {
 		if f.eligible(now, t, q) {
 			o.size++
-			slots[t.region] += t.Slots
+			slots.add(t.region, t.Slots)
 			if t.ejected(now) {
 				ejected++
 			}
@@ -106,7 +118,7 @@
 	}
 	keyHash := hash(q.key())
 	preference := f.regionPreference(slots)
-	for t := range s.window(q) {
+	for t := range o.targets.all {
 		if !f.isCandidate(now, t, q, o) {
 			continue
 		}
@@ -128,24 +140,46 @@
 // callers, targets were homes of 1.35 times as many objects as the mean, and the region's domains
 // were served worst: 0.824 of the credit on a day of high load, against 0.837 with this
 // reduction.
-func (f *Fleet) regionPreference(slots map[string]int) float64 {
-	total := 0
-	for _, n := range slots {
-		total += n
+func (f *Fleet) regionPreference(slots regionSlots) float64 {
+	total, own := 0, 0
+	for _, r := range slots {
+		total += r.slots
+		if r.region == f.region {
+			own = r.slots
+		}
 	}
 	if total == 0 {
 		return 1
 	}
-	share := float64(slots[f.region]*len(slots)) / float64(total)
+	share := float64(own*len(slots)) / float64(total)
 	return 1 + (ownRegionWeight-1)*min(1, share)
 }
 
+// regionSlots counts slots by region. There are a few regions, so a list is faster than a map.
+type regionSlots []struct {
+	region string
+	slots  int
+}
+
+func (l *regionSlots) add(region string, slots int) {
+	for i := range *l {
+		if (*l)[i].region == region {
+			(*l)[i].slots += slots
+			return
+		}
+	}
+	*l = append(*l, struct {
+		region string
+		slots  int
+	}{region, slots})
+}
+
 // eligible reports whether a target may get the request, apart from ejection.
-func (f *Fleet) eligible(now time.Time, t *target, q Query) bool {
+func (f *Fleet) eligible(now time.Time, t *target, q *Query) bool {
 	return f.available(t) && q.pool.includes(now, t) && !t.backingOff(now) && q.Regions.Allows(t.region) && !slices.Contains(q.Tried, t.ID)
 }
 
-func (f *Fleet) isCandidate(now time.Time, t *target, q Query, o *order) bool {
+func (f *Fleet) isCandidate(now time.Time, t *target, q *Query, o *order) bool {
 	return f.eligible(now, t, q) && (o.includeEjected || !t.ejected(now))
 }
 
@@ -183,9 +217,9 @@
 
 // allCandidates returns all candidates without ranks. The list begins at a different candidate
 // for each key, which varies the choice among candidates of equal cost.
-func (f *Fleet) allCandidates(now time.Time, s *service, q Query, o *order) []candidate {
+func (f *Fleet) allCandidates(now time.Time, q *Query, o *order) []candidate {
 	list := make([]candidate, 0, o.size)
-	for t := range s.window(q) {
+	for t := range o.targets.all {
 		if f.isCandidate(now, t, q, o) {
 			list = append(list, candidate{target: t, globalRank: lowestRank, regionRank: lowestRank, domainRank: lowestRank})
 		}
--- a/internal/steer/pick.go
+++ b/internal/steer/pick.go
@@ -81,7 +81,7 @@
 	}
 	var c Choice
 	for _, q.pool = range f.pools(now, s, q) {
-		if c = f.best(now, s, q); c.Target.ID != "" {
+		if c = f.best(now, s, &q); c.Target.ID != "" {
 			break
 		}
 	}
@@ -111,7 +111,7 @@
 
 // best returns the cheapest target that can answer in time: first among those ranked for the
 // object, then among all.
-func (f *Fleet) best(now time.Time, s *service, q Query) Choice {
+func (f *Fleet) best(now time.Time, s *service, q *Query) Choice {
 	o := f.order(now, s, q)
 	if o.size == 0 {
 		if c, ok := f.refuseBackingOff(now, s, q); ok {
@@ -123,7 +123,7 @@
 	found, refused := f.cheapest(now, o.rankedCandidates(), q, mean)
 	if found.Target.ID == "" || q.Object == "" {
 		var all Choice
-		found, all = f.cheapest(now, f.allCandidates(now, s, q, o), q, mean)
+		found, all = f.cheapest(now, f.allCandidates(now, q, o), q, mean)
 		if refused.Reason == LimitReached {
 			refused = all
 		}
@@ -139,11 +139,12 @@
 
 // cheapest returns the cheapest target of a list that can answer in time. If there is none,
 // refused holds the reason.
-func (f *Fleet) cheapest(now time.Time, list []candidate, q Query, mean time.Duration) (found, refused Choice) {
-	first := list[0]
+func (f *Fleet) cheapest(now time.Time, list []candidate, q *Query, mean time.Duration) (found, refused Choice) {
+	first := &list[0]
 	limitedCount, limitRetry := 0, maxLimitWait
-	refused = Choice{Reason: NoCapacity, RetryAfter: noTargetRetryAfter, FirstCandidate: first.ID, Wait: first.queueWait(now, first.workTime(mean))}.withLoadOf(now, first)
-	for _, c := range list {
+	refused = Choice{Reason: NoCapacity, RetryAfter: noTargetRetryAfter, FirstCandidate: first.ID, Wait: first.queueWait(now, first.workTime(mean))}.withLoadOf(now, first.target)
+	for i := range list {
+		c := &list[i]
 		if wait := f.limitWait(now, c.target); wait > 0 {
 			limitedCount, limitRetry = limitedCount+1, min(limitRetry, wait)
 			continue
@@ -168,7 +169,7 @@
 		if found.Target.ID == "" || cost < found.Cost {
 			found = Choice{
 				Target: c.Target, Wait: wait, Cost: cost, Home: c.globalRank == 0, Cold: c.cold(now),
-			}.withLoadOf(now, c)
+			}.withLoadOf(now, c.target)
 		}
 	}
 	if limitedCount == len(list) {
@@ -180,14 +181,14 @@
 }
 
 // withLoadOf adds the load data of the target that the choice is based on.
-func (c Choice) withLoadOf(now time.Time, t candidate) Choice {
+func (c Choice) withLoadOf(now time.Time, t *target) Choice {
 	c.TargetLoad, c.TypicalLoad, c.LoadAge = t.currentLoad(now), t.service.typicalLoad, t.loadAge(now)
 	c.LimitShare = t.limitShare()
 	return c
 }
 
 // isHome reports whether the target is one of those that keep the object warm.
-func (f *Fleet) isHome(c candidate, q Query) bool {
+func (f *Fleet) isHome(c *candidate, q *Query) bool {
 	if c.globalRank < homeCount {
 		return true
 	}
@@ -196,10 +197,10 @@
 
 // hasLocalHomes reports whether the object also has homes in each failure domain and region
 // because its answers are too large to transfer from a single home.
-func (f *Fleet) hasLocalHomes(q Query) bool { return f.transferCost(q) > domainHomeCost }
+func (f *Fleet) hasLocalHomes(q *Query) bool { return f.transferCost(q) > domainHomeCost }
 
 // transferCost returns the cost of transferring the answer between failure domains.
-func (f *Fleet) transferCost(q Query) time.Duration {
+func (f *Fleet) transferCost(q *Query) time.Duration {
 	return time.Duration(f.cfg.ByteCost * q.AnswerSize)
 }
 
@@ -212,7 +213,7 @@
 }
 
 // penalty returns the cost of a target for its location and for not being the object's home.
-func (f *Fleet) penalty(c candidate, q Query, mean time.Duration) time.Duration {
+func (f *Fleet) penalty(c *candidate, q *Query, mean time.Duration) time.Duration {
 	cost := time.Duration(0)
 	if c.Domain != f.cfg.Domain {
 		cost += f.transferCost(q)
--- a/internal/steer/rollout.go
+++ b/internal/steer/rollout.go
@@ -174,9 +174,10 @@
 // includes reports whether a pool has the target.
 func (p pool) includes(now time.Time, t *target) bool {
 	v := t.service.split
-	switch {
-	case v == nil:
+	if v == nil {
 		return true
+	}
+	switch {
 	case v.isBarred(t):
 		return false
 	case p == anyVersion:
