Let few instances list a large store when many start

Cause: an instance that found no seed with data within 0.15 s (0.8 s at the first start) listed the store. That holds while a list is shorter than that: with 10,005 targets it takes seconds, so that all 985 listed, 220 calls each, at a store of 16,000 reads a second. And three seeds can't give the whole view, some 300 KB, to 985 instances over links of 20 Mbit/s.

Change: an instance that reads the store says so, and those that ask wait as long as it does. Whoever has the data gives it away as fast as its link allows, and names to further askers those that it gave it to, so that the holders multiply. An instance that reaches no seed looks at one page of the instances' records, and lists only where there are few. The time for an answer counts until it begins.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -91,7 +91,7 @@
 	}
 	n.bounds.Store(&s.Bounds)
 	n.peerAddress = choosePeerAddress(s)
-	n.mirror = mirror.New(n.store, n, mirror.Peers{Relays: n.relays, Fallbacks: n.others, Seeds: n.seeds(), FirstStart: s.FirstStart}, compareItems)
+	n.mirror = mirror.New(n.store, n, mirror.Peers{Relays: n.relays, Fallbacks: n.others, Seeds: n.seeds(), FirstStart: s.FirstStart, Self: n.peerAddress, LinkMbps: s.LinkMbps, Registered: n.registeredPeers}, compareItems)
 	n.loads = loads.New(loads.Peers{Name: s.Instance, Collector: n.collector, Reports: n.loadReports, Receive: n.receiveLoadReports, Failed: n.loadExchangeFailed})
 	n.registrar = newRegistrar(n)
 	n.crashes = newCrashTracker(n)
@@ -163,6 +163,30 @@
 	return seeds
 }
 
+// registeredPeers returns the addresses of some other instances from a page of their records in the
+// store: those that follow this instance in the order of names, and the first ones.
+func (n *Node) registeredPeers(ctx context.Context) []string {
+	ctx, cancel := context.WithTimeout(ctx, recordsTimeout)
+	defer cancel()
+	var list []string
+	for _, after := range []string{instancePrefix + n.cfg.Settings.Instance, ""} {
+		page, err := n.store.Range(ctx, instancePrefix, after, true)
+		if err != nil {
+			n.cfg.Metrics.CountPlatformFailure("records")
+			return nil
+		}
+		for _, item := range page.Items {
+			if r, err := decodeRecord(item.Value); err == nil && r.Peers != "" && r.Peers != n.peerAddress {
+				list = append(list, r.Peers)
+			}
+		}
+		if page.More {
+			break
+		}
+	}
+	return list
+}
+
 // others returns the peers to ask while the store is unreachable: those of the region first, then
 // other instances, then the seeds, which are all that is known at the start.
 func (n *Node) others() []string {
--- a/internal/mirror/answer.go
+++ b/internal/mirror/answer.go
@@ -133,13 +133,26 @@
 	return b.Bytes(), nil
 }
 
+// body returns what is sent to a peer, and whether it is compressed.
+func (a *answer) body(r *http.Request) (body []byte, compressed bool) {
+	if a.compressed != nil && strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		return a.compressed, true
+	}
+	return a.plain, false
+}
+
+// size returns how many bytes are sent to a peer.
+func (a *answer) size(r *http.Request) int {
+	body, _ := a.body(r)
+	return len(body)
+}
+
 // write sends the answer, compressed if the peer accepts that.
 func (a *answer) write(w http.ResponseWriter, r *http.Request) {
-	body := a.plain
+	body, compressed := a.body(r)
 	w.Header().Set("Content-Type", "application/json")
-	if a.compressed != nil && strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+	if compressed {
 		w.Header().Set("Content-Encoding", "gzip")
-		body = a.compressed
 	}
 	w.Write(body) // an error means that the peer has disconnected
 }
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"slices"
@@ -35,7 +34,7 @@
 		m.setFollowing(false)
 		return m.stepWithoutPeer(answered)
 	}
-	err := m.pollPeer(ctx, address, url.Values{})
+	err := m.pollPeer(ctx, address, url.Values{}, relayTimeout)
 	if err == nil {
 		m.setFollowing(true)
 		return stepPeer
@@ -88,7 +87,7 @@
 		}
 	}
 	for _, address := range relays {
-		if m.pollPeer(ctx, address, url.Values{}) == nil {
+		if m.pollPeer(ctx, address, url.Values{}, relayTimeout) == nil {
 			m.relayWaitEnd = time.Time{}
 			m.setFollowing(true)
 			return true
@@ -155,13 +154,15 @@
 }
 
 // pollPeer waits once for changes from a peer and applies them. query may hold further parameters
-// of the call. Data that is too old is applied, and is an error nevertheless.
-func (m *Mirror) pollPeer(ctx context.Context, address string, query url.Values) error {
+// of the call, and the answer has to begin within a time. Data that is too old is applied, and is an
+// error nevertheless.
+func (m *Mirror) pollPeer(ctx context.Context, address string, query url.Values, within time.Duration) error {
 	query.Set("since", m.view.since().String())
 	if m.isUnreachable() && !m.listed {
 		query.Set(paramAnyAge, "1") // callers can be served with an old configuration, but not without any
 	}
-	limit, within := m.relayLimits()
+	limit, answer := m.relayLimits()
+	within = min(within, answer)
 	query.Set(paramMaxAge, strconv.FormatInt(limit.Milliseconds(), 10))
 	var n peerUpdate
 	var err error
@@ -205,32 +206,6 @@
 	m.markListed()
 }
 
-// bootstrap reads everything from a seed, if there is one that has it: a list of 816 targets takes
-// 17 calls to the store and more. When all instances start at once, the seeds list the store and
-// the others wait for them, which saves 380 calls with 195 instances. An instance that finds no
-// seed with data lists the store.
-func (m *Mirror) bootstrap(ctx context.Context) {
-	timeout := restartTimeout
-	if m.peers.FirstStart {
-		timeout = firstStartTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	first := rand.IntN(max(1, len(m.peers.Seeds))) // spreads the starts over the seeds
-	for i := first; len(m.peers.Seeds) > 0 && ctx.Err() == nil; i++ {
-		address := m.peers.Seeds[i%len(m.peers.Seeds)]
-		err := m.pollPeer(ctx, address, url.Values{paramAnyAge: {"1"}})
-		if err == nil {
-			return
-		}
-		if !m.view.history.latest().IsZero() {
-			m.sink.RelayFailed(err) // its data was old: a relay or the store provides the rest
-			return
-		}
-		sleep(ctx, seedRetryDelay)
-	}
-}
-
 // requestCheck requests an immediate check of the store.
 func (m *Mirror) requestCheck() {
 	select {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/firlever/firlever/internal/boottime"
@@ -36,14 +37,6 @@
 	// instances poll them. The interval leaves part of the 3 s after an outage in which nothing is
 	// held against an instance.
 	outageCheckInterval = 2*checkInterval + 300*time.Millisecond
-	// firstStartTimeout is how long an instance polls the seeds when the whole system starts for
-	// the first time: all instances start within 0.3 s, seconds before callers come.
-	firstStartTimeout = 800 * time.Millisecond
-	// restartTimeout is the same at any later start, when callers are waiting: some round trips
-	// between regions. With firstStartTimeout, 1,300 more of 4,600 requests were refused in the 2 s
-	// after a power loss of 195 instances, because the seeds came back last.
-	restartTimeout = 150 * time.Millisecond
-	seedRetryDelay = 50 * time.Millisecond // between two polls of seeds
 	// recoveryWatchWait is how long the first watch after an outage waits. It is short so that the
 	// recovery is reported soon.
 	recoveryWatchWait = 200 * time.Millisecond
@@ -93,6 +86,13 @@
 	// Seeds are the addresses to poll at the start, before any instance is known. It is empty if
 	// this instance is a seed or if there are none.
 	Seeds []string
+	// Self is the address at which others poll this instance, and LinkMbps the bandwidth of its link;
+	// 0 if not known.
+	Self     string
+	LinkMbps float64
+	// Registered returns the addresses of some instances from their records in the store, a page at
+	// most; nil if it can't be read. It may be nil.
+	Registered func(ctx context.Context) []string
 	// FirstStart is set if the whole system starts for the first time.
 	FirstStart bool
 }
@@ -108,6 +108,8 @@
 	storeBack chan struct{} // ends a back-off when the store answers again
 	view      *view
 	answers   answerCache
+	holders   holders
+	reading   atomic.Bool // the whole store is being read for the first time
 
 	listed       bool
 	avoidUntil   map[string]time.Time // by address: relays that failed aren't polled before
@@ -130,7 +132,7 @@
 	return &Mirror{
 		store: store, sink: sink, peers: peers, client: &http.Client{Transport: transport},
 		checkNow: make(chan struct{}, 1), storeBack: make(chan struct{}, 1),
-		view: newView(order), avoidUntil: make(map[string]time.Time),
+		holders: holders{linkMbps: peers.LinkMbps}, view: newView(order), avoidUntil: make(map[string]time.Time),
 	}
 }
 
@@ -225,7 +227,9 @@
 	var items []platform.Item
 	var at platform.Revision
 	var err error
+	m.reading.Store(!m.listed)
 	m.runNotifying(func() { items, at, err = m.store.List(ctx, "", false) })
+	m.reading.Store(false)
 	if err != nil {
 		return err
 	}
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -21,6 +21,7 @@
 	outages       int               // guarded by mu
 	recoveries    int               // guarded by mu
 	relayFailures int               // guarded by mu
+	lists         int               // guarded by mu
 }
 
 func (s *sink) Changed(changes []Change) {
@@ -43,7 +44,11 @@
 
 func (s *sink) Listed() {}
 
-func (s *sink) ListRead(ListResult) {}
+func (s *sink) ListRead(ListResult) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists++
+}
 
 func (s *sink) HistoryGone(platform.Revision) {}
 
--- a/internal/mirror/peer_update.go
+++ b/internal/mirror/peer_update.go
@@ -28,10 +28,17 @@
 	storeBehind bool      // the store has lost a part of the relay's view
 }
 
-// fetch waits once for changes from a relay. within bounds the time of its answer.
+// wholeTimeout is how long the answer to an instance that starts may take once it has begun: many
+// take the whole view over the same links.
+const wholeTimeout = 2 * time.Second
+
+// fetch waits once for changes from a relay. within bounds the time until its answer begins, and
+// until it has ended unless this instance starts.
 func (m *Mirror) fetch(ctx context.Context, address string, query url.Values, within time.Duration) (peerUpdate, error) {
-	ctx, cancel := context.WithTimeout(ctx, within)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	timer := time.AfterFunc(within, cancel)
+	defer timer.Stop()
 	begin := boottime.Now()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+RelayPath+"?"+query.Encode(), nil)
 	if err != nil {
@@ -42,9 +49,12 @@
 		return peerUpdate{}, errors.Trace(&peerhttp.Error{Address: address, Err: err})
 	}
 	defer resp.Body.Close()
+	if query.Has(paramAnyAge) {
+		timer.Reset(wholeTimeout)
+	}
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil || resp.StatusCode != http.StatusOK {
-		return peerUpdate{}, errors.Trace(&peerhttp.Error{Address: address, Status: resp.StatusCode, Err: err})
+		return peerUpdate{}, errors.Trace(withProgress(&peerhttp.Error{Address: address, Status: resp.StatusCode, Err: err}, resp.Header))
 	}
 	var answer relayAnswer
 	if err := json.Unmarshal(b, &answer); err != nil {
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/firlever/firlever/internal/boottime"
@@ -88,7 +89,13 @@
 		limit = min(limit, time.Duration(ms)*time.Millisecond)
 	}
 	e := m.view.history.since(boottime.Now(), since)
-	atAnyAge := r.URL.Query().Get(paramAnyAge) != "" && !e.revision.IsZero()
+	starting := r.URL.Query().Get(paramAnyAge) != ""
+	if starting && e.revision.IsZero() && m.reading.Load() {
+		w.Header().Set(headerReading, "1")
+		http.Error(w, "reading the store", http.StatusServiceUnavailable)
+		return
+	}
+	atAnyAge := starting && !e.revision.IsZero()
 	if !atAnyAge {
 		e = m.awaitChanges(r.Context(), since, limit)
 	}
@@ -102,6 +109,13 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
+	if starting {
+		if others, ok := m.holders.admit(boottime.Now(), r.URL.Query().Get(paramFrom), a.size(r)); !ok {
+			w.Header().Set(headerHolders, strings.Join(others, ","))
+			http.Error(w, "sending to others", http.StatusServiceUnavailable)
+			return
+		}
+	}
 	w.Header().Set(headerAge, strconv.FormatInt(age.Milliseconds(), 10))
 	if e.storeBehind {
 		w.Header().Set(headerStoreBehind, "1")
