Pass long bodies on as they come, and bound the memory of bodies

Cause: the body of each request was received whole, up to the 64 MB that configurations allow, and copied once more to be sent; answers of up to 1 MB were held, and copied, for callers however slowly these read. Nothing bounded the sum.

Change: of a body longer than 256 KB that much is received, and the rest is passed on while it comes. Once some of it was passed on, the request is not sent again. Bodies are written without a copy. What is held takes from a budget of a quarter of the instance's memory: a request whose body doesn't fit is refused at once (no-memory), and an answer that doesn't fit is passed on 16 KB at a time. Gauges body_bytes and body_bytes_limit.

--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -35,6 +35,7 @@
 var (
 	refusedStopping   = &refusal{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: minRetryAfter}
 	refusedNoConfig   = &refusal{status: http.StatusServiceUnavailable, reason: "no-config", retryAfter: retryAfterNoConfig}
+	refusedNoMemory   = &refusal{status: http.StatusServiceUnavailable, reason: "no-memory", retryAfter: retryAfterNoMemory}
 	refusedNoRoute    = &refusal{status: http.StatusNotFound, reason: "no-route"}
 	refusedNoKey      = &refusal{status: http.StatusUnauthorized, reason: "no-key"}
 	refusedUnknownKey = &refusal{status: http.StatusUnauthorized, reason: "unknown-key"}
@@ -44,6 +45,8 @@
 const (
 	// retryAfterNoConfig: an instance that has just started lists the store in a few calls.
 	retryAfterNoConfig = 300 * time.Millisecond
+	// retryAfterNoMemory is about as long as bodies are held.
+	retryAfterNoMemory = 300 * time.Millisecond
 	// retryAfterStaleKeys: an instance whose keys have expired polls the store or a peer
 	// every second.
 	retryAfterStaleKeys = time.Second
--- a/internal/edge/attempts.go
+++ b/internal/edge/attempts.go
@@ -51,6 +51,9 @@
 	a.reached++
 	if !v.notRun {
 		a.mayHaveRun = true
+		if a.lastAnswer != nil {
+			a.lastAnswer.Discard()
+		}
 		a.lastAnswer = v.answer
 	}
 }
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -36,6 +36,12 @@
 	crashedTargets int          // targets that ended under the request, if it is refused for that
 }
 
+// canRetry reports whether the request may be sent to another target. A body that was passed on in
+// part can't be sent again.
+func (p *pendingRequest) canRetry() bool {
+	return (p.in.Rest == nil || !p.in.Rest.Used()) && p.attempts.canRetry()
+}
+
 // handle answers a request.
 func (n *Node) handle(ctx context.Context, r *http1.Request) *http1.Response {
 	info := platform.ReadRequest(r.Header)
@@ -131,7 +137,10 @@
 func classify(ctx context.Context, resp *http1.Response, err error) attemptOutcome {
 	var unsent *http1.NotSentError
 	var unwanted *http1.UnwantedError
+	var broken *http1.UploadError
 	switch {
+	case errors.As(err, &broken):
+		return attemptOutcome{ending: steer.CallerLeft, sent: true}
 	case errors.As(err, &unwanted):
 		return attemptOutcome{ending: steer.NotSent}
 	case errors.As(err, &unsent) && ctx.Err() != nil:
--- a/internal/edge/gauges.go
+++ b/internal/edge/gauges.go
@@ -37,6 +37,7 @@
 	e := metrics.EdgeGauges{
 		Ready: n.Ready(), Connections: n.server.ConnCount(), Instances: len(n.instances.names()),
 		Revision: n.mirror.Revision().Count(), Epoch: n.store.Epoch(), StoreAge: n.mirror.Age(at), OverloadShare: n.cfg.Overload.Share(),
+		BodyBytes: n.budget.Held(), BodyLimit: n.budget.Limit(),
 	}
 	current := n.rules.Load()
 	if current == nil {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -41,6 +41,7 @@
 	loads          *loads.Exchange
 	quotas         *quota.Exchange
 	registrar      *registrar
+	budget         *http1.Budget // of bodies that are held for callers and targets
 	pool           *http1.Pool
 	crashes        *crashTracker
 	rollouts       *rolloutTracker
@@ -79,11 +80,13 @@
 		return nil, errors.Annotate(err, "edge.New")
 	}
 	n := &Node{
-		cfg: cfg, store: platform.NewStore(s.Store), pool: http1.NewPool(s.IP), fleet: fleet,
+		cfg: cfg, store: platform.NewStore(s.Store), fleet: fleet,
 		evacuated: make(map[string]bool), answerSizes: make(map[string]float64),
 		successLimiter: logs.NewLimiter(cfg.SuccessLogRate), failureLimiter: logs.NewLimiter(failureLogRate),
 		changeLimiter: logs.NewLimiter(changeLogRate),
 	}
+	n.budget = http1.NewBudget(cfg.bodyBytes())
+	n.pool = http1.NewPool(s.IP, n.budget)
 	n.store.OnCallDone(n.countStoreCall)
 	n.processStart = time.Now().UnixNano()
 	if n.quotas, err = n.newQuotas(); err != nil {
@@ -96,7 +99,7 @@
 	n.registrar = newRegistrar(n)
 	n.crashes = newCrashTracker(n)
 	n.rollouts = newRolloutTracker(n)
-	n.server = http1.NewServer(http1.Handlers{Handle: n.handle, RefuseEarly: n.refuseEarly, Busy: cfg.Overload.Refuse, BusyAnswer: n.refuseOverloaded, Limits: n.limits, ErrorAnswer: n.refuseUnreadable})
+	n.server = http1.NewServer(http1.Handlers{Handle: n.handle, RefuseEarly: n.refuseEarly, Busy: cfg.Overload.Refuse, BusyAnswer: n.refuseOverloaded, Limits: n.limits, ErrorAnswer: n.refuseUnreadable, Budget: n.budget, NoMemory: n.refuseNoMemory})
 	return n, nil
 }
 
@@ -266,3 +269,8 @@
 func (n *Node) refuseUnreadable(status int) *http1.Response {
 	return n.refuse(&http1.Request{}, platform.Request{}, &refusal{status: status, reason: "unreadable"})
 }
+
+// refuseNoMemory answers a request whose body doesn't fit into the memory that is left for bodies.
+func (n *Node) refuseNoMemory(r *http1.Request) *http1.Response {
+	return n.refuse(r, platform.ReadRequest(r.Header), refusedNoMemory)
+}
--- a/internal/edge/pass.go
+++ b/internal/edge/pass.go
@@ -65,7 +65,7 @@
 // final answer counts, and the other attempt is cancelled.
 func (n *Node) sendHedged(ctx context.Context, p *pendingRequest) attemptOutcome {
 	p.begin(p.choice.Target.ID)
-	if !p.repeatable || !p.canRetry() {
+	if !p.repeatable || p.in.Rest != nil || !p.canRetry() {
 		return n.complete(ctx, p, n.send(ctx, p, p.choice))
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -111,6 +111,9 @@
 	v := classify(ctx, r.resp, r.err)
 	p.choice, p.ending, p.cause = r.choice, v.ending, r.err
 	p.end(v)
+	if r.resp != nil && v.answer == nil {
+		defer r.resp.Discard()
+	}
 	n.recordOutcome(p, r, v)
 	n.trackCrashes(p, r, v)
 	if !v.final {
@@ -135,8 +138,8 @@
 // answered first. It counts as late, unless it ended by itself at the same moment.
 func (n *Node) completeOvertaken(p *pendingRequest, results <-chan attempt) {
 	r := <-results
-	if r.resp != nil && r.resp.Rest != nil {
-		r.resp.Rest.Close()
+	if r.resp != nil {
+		defer r.resp.Discard()
 	}
 	v := classify(context.Background(), r.resp, r.err)
 	n.recordOutcome(p, r, v)
--- a/internal/edge/rig_test.go
+++ b/internal/edge/rig_test.go
@@ -23,16 +23,17 @@
 
 // rig is a node with an emulated store and scripted targets.
 type rig struct {
-	t     *testing.T
+	t     testing.TB
 	store *store.Store
 	node  *Node
 	url   string // of the store, without the scheme
 
+	memory  int             // of the nodes, in MB; 0 if not known
 	load    *overload.Meter // of the nodes; with nil, none refuses for overload
 	reports int             // that targets have written
 }
 
-func newRig(t *testing.T) *rig {
+func newRig(t testing.TB) *rig {
 	t.Helper()
 	fake := store.New()
 	server := httptest.NewServer(fake)
@@ -68,7 +69,8 @@
 		LookupTTL: 50 * time.Millisecond,
 		Settings: platform.Settings{
 			Instance: name, Domain: domain, Region: regions[domain], Regions: regions,
-			Callers: anyPort, Ready: anyPort, Lookups: anyPort, Peers: anyPort, Store: r.url,
+			MemoryMB: r.memory,
+			Callers:  anyPort, Ready: anyPort, Lookups: anyPort, Peers: anyPort, Store: r.url,
 			Bounds: platform.Bounds{
 				Grace: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 60, ColdFactor: 1.5, ColdSlack: 5,
 				LookupTTL: 5 * time.Second, CanaryShare: 0.5,
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -19,6 +19,8 @@
 	// maxBuffered is how many bytes of an answer are read before any are passed on. An
 	// answer that is truncated before that can be replaced by another target's.
 	maxBuffered = 1 << 20
+	// minBuffered is the same where the budget is used up.
+	minBuffered = 16 << 10
 	// maxSyncWrite is the size up to which a request is written before the answer is
 	// read. A longer one is written concurrently, as a target may answer before it
 	// has read the body.
@@ -94,9 +96,12 @@
 	defer stop()
 	begin := boottime.Now()
 	sent := c.send(e)
-	a, err := c.receive(e)
+	a, err := c.receive(e, p.budget)
 	if err != nil {
 		c.conn.Close()
+		if broken := c.uploadFailed.Load(); broken != nil {
+			return nil, &NoAnswerError{Err: broken, Reused: c.reused}
+		}
 		switch {
 		case c.reused && timedOut(ctx, err):
 			p.dropBefore(c.target, begin)
@@ -123,21 +128,56 @@
 // send writes the request. A long one is written in the background. The channel
 // yields the result of the write.
 func (c *poolConn) send(e *Exchange) <-chan error {
-	b := bytes.NewBuffer(make([]byte, 0, 512+len(e.Request.Body)))
-	appendRequest(b, e.Request, e.Header)
+	head := bytes.NewBuffer(make([]byte, 0, 512))
+	appendRequestHead(head, e.Request, e.Header)
 	done := make(chan error, 1)
-	if b.Len() <= maxSyncWrite {
-		_, err := c.conn.Write(b.Bytes())
+	if e.Request.Rest == nil && head.Len()+len(e.Request.Body) <= maxSyncWrite {
+		head.Write(e.Request.Body)
+		_, err := c.conn.Write(head.Bytes())
 		done <- err
 		return done
 	}
-	go func() {
-		_, err := c.conn.Write(b.Bytes())
-		done <- err
-	}()
+	go func() { done <- c.sendLong(head.Bytes(), e.Request) }()
 	return done
 }
 
+// sendLong writes a request without copying its body. If the caller's body breaks off, it closes the
+// connection, so that the request can't appear complete.
+func (c *poolConn) sendLong(head []byte, r *Request) error {
+	if r.Rest == nil {
+		buffers := net.Buffers{head, r.Body}
+		_, err := buffers.WriteTo(c.conn)
+		return err
+	}
+	if _, err := c.conn.Write(head); err != nil {
+		return err
+	}
+	body := io.MultiReader(bytes.NewReader(r.Body), r.Rest)
+	err := copyBody(c.conn, body, r.Rest.length)
+	var broken *UploadError
+	if errors.As(err, &broken) {
+		c.uploadFailed.Store(broken)
+		c.conn.Close()
+	}
+	return err
+}
+
+// copyBody writes a body of a length, or in chunks if that is -1. A body that is shorter is an error.
+func copyBody(w io.Writer, body io.Reader, length int64) error {
+	if length >= 0 {
+		n, err := io.Copy(w, body)
+		if err == nil && n != length {
+			err = io.ErrUnexpectedEOF
+		}
+		return err
+	}
+	chunks := newChunkWriter(w)
+	if _, err := io.Copy(chunks, body); err != nil {
+		return err
+	}
+	return chunks.Close()
+}
+
 // release returns the connection to the pool, or closes it unless the exchange is
 // complete and the connection reusable.
 func (p *Pool) release(c *poolConn, sent <-chan error, a answer, e *Exchange) {
@@ -177,7 +217,7 @@
 
 // receive reads the answer to the request. It skips up to maxStray answers to other
 // requests.
-func (c *poolConn) receive(e *Exchange) (answer, error) {
+func (c *poolConn) receive(e *Exchange, budget *Budget) (answer, error) {
 	request := &http.Request{Method: e.Request.Method}
 	for stray := 0; stray <= maxStray; stray++ {
 		in, err := readFinal(c, request)
@@ -191,7 +231,7 @@
 			continue
 		}
 		a := answer{reusable: stray == 0 && !in.Close, idleTimeout: keepAliveTimeout(in.Header)}
-		a.response, err = readBody(in)
+		a.response, err = readBody(in, budget)
 		return a, err
 	}
 	return answer{}, &StrayError{Count: maxStray + 1}
@@ -210,16 +250,26 @@
 	}
 }
 
-// readBody reads the body of an answer, or the first maxBuffered bytes of a longer one.
-func readBody(in *http.Response) (*Response, error) {
-	size := max(0, min(in.ContentLength, maxBuffered))
-	body := bytes.NewBuffer(make([]byte, 0, size+bytes.MinRead))
-	n, err := io.Copy(body, io.LimitReader(in.Body, maxBuffered))
+// readBody reads the body of an answer, or the beginning of one that is longer than maxBuffered or
+// than the budget allows.
+func readBody(in *http.Response, budget *Budget) (*Response, error) {
+	most := int64(maxBuffered)
+	if in.ContentLength >= 0 {
+		most = min(most, in.ContentLength)
+	}
+	if !budget.take(most) {
+		most = min(most, minBuffered)
+		budget = nil
+	}
+	body := bytes.NewBuffer(make([]byte, 0, min(max(0, in.ContentLength), most)+bytes.MinRead))
+	n, err := io.Copy(body, io.LimitReader(in.Body, most))
 	if err != nil {
+		budget.release(most)
 		return nil, err
 	}
-	resp := &Response{Status: in.StatusCode, Header: in.Header, Body: body.Bytes()}
-	if n == maxBuffered && n != in.ContentLength {
+	budget.release(most - n)
+	resp := &Response{Status: in.StatusCode, Header: in.Header, Body: body.Bytes(), budget: budget, taken: n}
+	if n == most && n != in.ContentLength {
 		resp.Rest, resp.BodyLength = in.Body, in.ContentLength
 	}
 	removeConnectionHeaders(resp.Header)
--- a/internal/http1/forgetful_test.go
+++ b/internal/http1/forgetful_test.go
@@ -56,7 +56,7 @@
 	for range 4 {
 		addresses = append(addresses, newStaleTarget(t, 150*time.Millisecond))
 	}
-	p := NewPool("")
+	p := NewPool("", nil)
 	defer p.Close()
 	send := func(target int, group string) error {
 		e := newExchange(addresses[target])
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -10,16 +10,17 @@
 	"time"
 )
 
-// Request is a caller's request with its complete body.
+// Request is a caller's request.
 type Request struct {
 	Method     string
 	URI        string // as in the request line
 	Path       string // of URI, decoded
 	Host       string
 	Header     http.Header // without hop-by-hop headers
-	Body       []byte
-	ReceivedAt time.Time // when it was read, or its head if the body was not
-	ConnID     uint64    // number of the connection, for log lines
+	Body       []byte      // complete, or the beginning if Rest is set
+	Rest       *Upload     // rest of a long body; nil if Body is complete
+	ReceivedAt time.Time   // when it was read, or its head if the body was not
+	ConnID     uint64      // number of the connection, for log lines
 }
 
 // Response is an answer to a caller or from a target.
@@ -29,6 +30,19 @@
 	Body       []byte        // complete, or the beginning if Rest is set
 	Rest       io.ReadCloser // rest of a long body; nil if Body is complete
 	BodyLength int64         // of the whole body if Rest is set; -1 if unknown
+
+	budget *Budget
+	taken  int64 // bytes of budget that Body takes; 0 after Discard
+}
+
+// Discard drops the body of an answer that is not passed on, or that was. It may be called twice, by
+// one goroutine.
+func (r *Response) Discard() {
+	if r.Rest != nil {
+		r.Rest.Close()
+	}
+	r.budget.release(r.taken)
+	r.taken = 0
 }
 
 // connectionHeaders are hop-by-hop headers, which are not forwarded, and the length,
@@ -68,9 +82,9 @@
 	}
 }
 
-// appendRequest writes a request with its body. The request target and the body are
-// unchanged from the caller's request.
-func appendRequest(b *bytes.Buffer, r *Request, h http.Header) {
+// appendRequestHead writes the head of a request. The request target is unchanged from the caller's
+// request.
+func appendRequestHead(b *bytes.Buffer, r *Request, h http.Header) {
 	b.WriteString(r.Method)
 	b.WriteByte(' ')
 	b.WriteString(r.URI)
@@ -78,13 +92,19 @@
 	b.WriteString(r.Host)
 	b.WriteString("\r\n")
 	appendHeader(b, h)
-	if len(r.Body) > 0 || expectsBody(r.Method) {
+	length := int64(len(r.Body))
+	if r.Rest != nil {
+		length = r.Rest.length
+	}
+	switch {
+	case length < 0:
+		b.WriteString("Transfer-Encoding: chunked\r\n")
+	case length > 0 || expectsBody(r.Method):
 		b.WriteString("Content-Length: ")
-		b.WriteString(strconv.Itoa(len(r.Body)))
+		b.WriteString(strconv.FormatInt(length, 10))
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 }
 
 // expectsBody reports whether a request of a method is expected to have a body, so that
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -29,6 +29,7 @@
 type Pool struct {
 	dialer *net.Dialer
 	stop   chan struct{}
+	budget *Budget // of answers' bodies
 
 	idleLimits idleLimits
 
@@ -39,9 +40,9 @@
 }
 
 // NewPool returns a pool whose connections use ip as their source address; "" lets
-// the system choose.
-func NewPool(ip string) *Pool {
-	p := &Pool{idle: make(map[string][]*poolConn), pending: make(map[*poolConn]time.Time), stop: make(chan struct{}), dialer: tcp.NewDialer(ip)}
+// the system choose. Bodies of answers take from the budget.
+func NewPool(ip string, budget *Budget) *Pool {
+	p := &Pool{budget: budget, idle: make(map[string][]*poolConn), pending: make(map[*poolConn]time.Time), stop: make(chan struct{}), dialer: tcp.NewDialer(ip)}
 	go p.sweep()
 	return p
 }
--- a/internal/http1/pool_test.go
+++ b/internal/http1/pool_test.go
@@ -104,7 +104,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			address, conns := newScriptedTarget(t, tt.answers...)
-			p := NewPool("")
+			p := NewPool("", nil)
 			defer p.Close()
 			resp, err := p.Do(context.Background(), newExchange(address))
 			var lost *NoAnswerError
@@ -136,7 +136,7 @@
 	}
 	address := ln.Addr().String()
 	ln.Close()
-	p := NewPool("")
+	p := NewPool("", nil)
 	defer p.Close()
 	_, err = p.Do(context.Background(), newExchange(address))
 	var unsent *NotSentError
@@ -148,7 +148,7 @@
 // A request that is no longer wanted when the connection is established is not sent.
 func TestUnwanted(t *testing.T) {
 	address, _ := newScriptedTarget(t, "close")
-	p := NewPool("")
+	p := NewPool("", nil)
 	defer p.Close()
 	e := newExchange(address)
 	asked := 0
@@ -179,7 +179,7 @@
 	for name, prepare := range tests {
 		t.Run(name, func(t *testing.T) {
 			address, _ := newScriptedTarget(t, "wait")
-			p := NewPool("")
+			p := NewPool("", nil)
 			defer p.Close()
 			e := newExchange(address)
 			begin := time.Now()
@@ -215,7 +215,7 @@
 			read <- n
 		}
 	}()
-	p := NewPool("")
+	p := NewPool("", nil)
 	defer p.Close()
 	e := newExchange(ln.Addr().String())
 	e.Request.Method, e.Request.Body = "POST", make([]byte, 32<<20)
@@ -230,7 +230,7 @@
 // Connections that the target may be closing are not used for non-idempotent requests.
 func TestOnceUsesFreshConnections(t *testing.T) {
 	address, conns := newScriptedTarget(t, goodAnswer, goodAnswer, goodAnswer)
-	p := NewPool("")
+	p := NewPool("", nil)
 	defer p.Close()
 	if _, err := p.Do(context.Background(), newExchange(address)); err != nil {
 		t.Fatal(err)
@@ -261,7 +261,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			address, conns := newScriptedTarget(t, goodAnswer, goodAnswer, "wait", goodAnswer)
-			p := NewPool("")
+			p := NewPool("", nil)
 			defer p.Close()
 			fillPool(t, p, address)
 			ctx, cancel := context.WithCancel(context.Background())
@@ -299,7 +299,7 @@
 	for _, c := range list {
 		e := newExchange(address)
 		sent := c.send(e)
-		a, err := c.receive(e)
+		a, err := c.receive(e, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -321,7 +321,7 @@
 func TestLongAnswer(t *testing.T) {
 	size := maxBuffered + 1000
 	address, _ := newScriptedTarget(t, fmt.Sprintf("HTTP/1.1 200 OK\nId: mine\nContent-Length: %d\n\n%s", size, strings.Repeat("x", size)))
-	p := NewPool("")
+	p := NewPool("", nil)
 	defer p.Close()
 	resp, err := p.Do(context.Background(), newExchange(address))
 	if err != nil {
--- a/internal/http1/poolconn.go
+++ b/internal/http1/poolconn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -14,10 +15,11 @@
 	conn               net.Conn
 	target             string
 	reader             *bufio.Reader
-	reused             bool      // at least one request was answered on it
-	idleSince          time.Time // when it was last added to the pool; zero if never
-	usableUntil        time.Time // not reused from then on
-	nonIdempotentUntil time.Time // the same for non-idempotent requests; at most usableUntil
+	reused             bool                        // at least one request was answered on it
+	idleSince          time.Time                   // when it was last added to the pool; zero if never
+	usableUntil        time.Time                   // not reused from then on
+	uploadFailed       atomic.Pointer[UploadError] // why the caller's body could not be sent whole; nil if it could
+	nonIdempotentUntil time.Time                   // the same for non-idempotent requests; at most usableUntil
 }
 
 func newPoolConn(conn net.Conn, target string) *poolConn {
--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -63,6 +63,7 @@
 	for {
 		in := c.readNext()
 		if in.closed || !c.admit(in.last) {
+			c.server.callers.Budget.release(in.taken)
 			break
 		}
 		mine := make(chan struct{})
@@ -74,7 +75,7 @@
 			go c.handle(in, previous, mine)
 		}
 		previous = mine
-		if in.last {
+		if !in.awaitUpload() || in.last {
 			break
 		}
 	}
@@ -82,6 +83,16 @@
 	c.handlers.Wait()
 }
 
+// awaitUpload waits until the rest of a long body is no longer read, and reports whether the
+// connection can be read on.
+func (in *incoming) awaitUpload() bool {
+	if in.request == nil || in.request.Rest == nil {
+		return true
+	}
+	<-in.request.Rest.done
+	return in.request.Rest.whole()
+}
+
 // isClosed reports whether a channel is closed on which nothing is sent.
 func isClosed(c <-chan struct{}) bool {
 	select {
@@ -135,10 +146,12 @@
 	defer close(mine)
 	defer func() { <-c.slots }()
 	resp := c.respond(in)
-	<-previous
-	if resp.Rest != nil {
-		defer resp.Rest.Close()
+	defer resp.Discard()
+	c.server.callers.Budget.release(in.taken)
+	if in.request != nil && in.request.Rest != nil {
+		c.endUpload(in.request.Rest)
 	}
+	<-previous
 	closing := c.decideClose()
 	head := in.request != nil && in.request.Method == http.MethodHead
 	if err := c.write(resp, head, closing); err != nil {
@@ -159,6 +172,18 @@
 	return c.server.callers.Handle(c.ctx, in.request)
 }
 
+// endUpload ends the rest of a long body. Unless it was received whole, the connection is closed
+// after the answer, as the caller may still be sending.
+func (c *serverConn) endUpload(u *Upload) {
+	if !u.whole() {
+		u.stop()
+		c.mu.Lock()
+		c.closing = true
+		c.mu.Unlock()
+	}
+	u.release()
+}
+
 // decideClose decides whether the connection closes with the answer that is written next,
 // and returns the result. While the server drains, it closes with the last pending one.
 func (c *serverConn) decideClose() bool {
@@ -230,7 +255,7 @@
 	if resp.Rest != nil {
 		length = resp.BodyLength
 	}
-	b := bytes.NewBuffer(make([]byte, 0, 512+len(resp.Body)))
+	b := bytes.NewBuffer(make([]byte, 0, 512))
 	appendStatus(b, resp, length, closing)
 	c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if head || !bodyAllowed(resp.Status) {
@@ -238,8 +263,8 @@
 		return err
 	}
 	if resp.Rest == nil {
-		b.Write(resp.Body)
-		_, err := c.conn.Write(b.Bytes())
+		buffers := net.Buffers{b.Bytes(), resp.Body}
+		_, err := buffers.WriteTo(c.conn)
 		return err
 	}
 	return c.stream(b, resp, length)
@@ -252,17 +277,5 @@
 	if _, err := c.conn.Write(b.Bytes()); err != nil {
 		return err
 	}
-	body := io.MultiReader(bytes.NewReader(resp.Body), resp.Rest)
-	if length >= 0 {
-		n, err := io.Copy(c.conn, body)
-		if err == nil && n != length {
-			err = io.ErrUnexpectedEOF
-		}
-		return err
-	}
-	w := newChunkWriter(c.conn)
-	if _, err := io.Copy(w, body); err != nil {
-		return err
-	}
-	return w.Close()
+	return copyBody(c.conn, io.MultiReader(bytes.NewReader(resp.Body), resp.Rest), length)
 }
--- a/internal/http1/serverread.go
+++ b/internal/http1/serverread.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -19,6 +20,7 @@
 	refusal *Response // of a request whose body was not read; nil if none
 	last    bool      // no further request is read
 	closed  bool      // the connection ended without a further request
+	taken   int64     // bytes of the budget that the body takes
 }
 
 // readNext reads the next request.
@@ -55,16 +57,36 @@
 	if expects {
 		c.sendContinue()
 	}
-	due = boottime.Now().Add(limits.IdleTimeout)
+	return c.readBody(r, limits)
+}
+
+// readBody reads the body of a request, or the beginning of a long one.
+func (c *serverConn) readBody(r *http.Request, limits Limits) incoming {
+	size := int64(maxWholeBody)
+	if r.ContentLength >= 0 {
+		size = min(size, r.ContentLength)
+	}
+	if !c.server.callers.Budget.take(size) {
+		return incoming{refusal: c.server.callers.NoMemory(c.newRequest(r, nil)), last: true}
+	}
+	due := boottime.Now().Add(limits.IdleTimeout)
 	c.conn.SetReadDeadline(boottime.ToRuntime(due))
-	body, err := io.ReadAll(io.LimitReader(r.Body, limits.BodyBytes+1))
-	if err != nil {
+	body := bytes.NewBuffer(make([]byte, 0, min(size, max(0, r.ContentLength))+bytes.MinRead))
+	_, err := io.Copy(body, io.LimitReader(r.Body, min(size, limits.BodyBytes+1)))
+	received := int64(body.Len())
+	switch {
+	case err != nil:
+		c.server.callers.Budget.release(size)
 		return c.classifyReadError(err, due)
-	}
-	if int64(len(body)) > limits.BodyBytes {
+	case received > limits.BodyBytes:
+		c.server.callers.Budget.release(size)
 		return refuse(http.StatusRequestEntityTooLarge)
 	}
-	return incoming{request: c.newRequest(r, body), last: r.Close}
+	in := incoming{request: c.newRequest(r, body.Bytes()), last: r.Close, taken: size}
+	if received == maxWholeBody && received != r.ContentLength {
+		in.request.Rest = newUpload(r, c.conn, limits, received)
+	}
+	return in
 }
 
 // bodyIncomplete reports whether part of the request's body has not been received.
--- a/internal/metrics/edge.go
+++ b/internal/metrics/edge.go
@@ -15,6 +15,8 @@
 	nameStoreAge      = "store_age_seconds" // time since the store last confirmed that revision
 	nameInstances     = "instances"         // registered instances
 	nameConnections   = "connections"       // open connections of callers
+	nameBodyBytes     = "body_bytes"        // held for callers and targets
+	nameBodyLimit     = "body_bytes_limit"  // upper bound of body_bytes
 	nameOverloadShare = "overload_share"    // fraction of new requests refused because the process is overloaded
 	nameTargets       = "targets"           // by service: registered targets
 	nameUsableTargets = "targets_usable"    // by service: targets that are neither leaving, evacuated, ejected nor backing off
@@ -41,6 +43,8 @@
 	StoreAge      time.Duration
 	Instances     int
 	Connections   int
+	BodyBytes     int64   // bytes of bodies that are held for callers and targets
+	BodyLimit     int64   // upper bound of BodyBytes
 	OverloadShare float64 // fraction of new requests that are refused, 0 to 1
 	Services      []EdgeService
 }
@@ -60,6 +64,7 @@
 	for name, value := range map[string]float64{
 		nameReady: asFloat(e.Ready), nameVersion: float64(e.ConfigVersion), nameRevision: float64(e.Revision), nameEpoch: float64(e.Epoch),
 		nameStoreAge: e.StoreAge.Seconds(), nameInstances: float64(e.Instances), nameConnections: float64(e.Connections),
+		nameBodyBytes: float64(e.BodyBytes), nameBodyLimit: float64(e.BodyLimit),
 		nameOverloadShare: e.OverloadShare,
 	} {
 		s.scope.Gauge(name).Update(value)
