--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -30,7 +30,8 @@
 type rolloutTracker struct {
 	node   *Node
 	client *peerhttp.Client
-	active atomic.Bool // some rollout is in the canary phase or being promoted
+	wake   chan struct{} // wakes run
+	active atomic.Bool   // some rollout is in the canary phase or being promoted
 
 	mu        sync.Mutex
 	byService map[string]*serviceRollout // guarded by mu
@@ -55,7 +56,7 @@
 const maxBarred = 8
 
 func newRolloutTracker(n *Node) *rolloutTracker {
-	return &rolloutTracker{node: n, client: peerhttp.New("", 1, maxRolloutMessage), byService: make(map[string]*serviceRollout)}
+	return &rolloutTracker{node: n, wake: make(chan struct{}, 1), client: peerhttp.New("", 1, maxRolloutMessage), byService: make(map[string]*serviceRollout)}
 }
 
 // isRolloutKey reports whether a store key is one that rolloutTracker applies.
@@ -150,6 +151,7 @@
 	}
 	if c.Removed {
 		r.stored = rollout.Status{}
+		t.wakeRun()
 		return
 	}
 	s, _, err := platform.DecodeRolloutStatus(c.Key, c.Value)
@@ -158,6 +160,7 @@
 		return
 	}
 	r.stored = s
+	t.wakeRun()
 	if s.Order == r.order.ID {
 		r.adoptDeadline(now, s)
 		if s.Follows(r.status) {
@@ -199,6 +202,7 @@
 		r.promotedAt = now
 	}
 	t.active.Store(slices.ContainsFunc(slices.Collect(maps.Values(t.byService)), func(o *serviceRollout) bool { return !o.status.Phase.Final() }))
+	t.wakeRun()
 	n := t.node
 	if r.order.Version != "" {
 		n.mu.Lock()
@@ -286,6 +290,15 @@
 	for _, r := range t.byService {
 		r.stored = rollout.Status{}
 	}
+	t.wakeRun()
+}
+
+// wakeRun has run look for rollouts that are under way.
+func (t *rolloutTracker) wakeRun() {
+	select {
+	case t.wake <- struct{}{}:
+	default:
+	}
 }
 
 // objectiveOf returns the objective of a request's route, or a default.
--- a/internal/edge/rollout_exchange.go
+++ b/internal/edge/rollout_exchange.go
@@ -48,18 +48,30 @@
 	return s, errors.Annotate(json.Unmarshal(value, &s), "rollout counts")
 }
 
-// run exchanges counts and decides about rollouts until ctx ends.
+// run exchanges counts and decides about rollouts until ctx ends. It sleeps while there is none.
 func (t *rolloutTracker) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.wake:
+			t.runActive(ctx)
+		}
+	}
+}
+
+// runActive exchanges and decides until no rollout is under way.
+func (t *rolloutTracker) runActive(ctx context.Context) {
 	ticker := time.NewTicker(rolloutInterval)
 	defer ticker.Stop()
-	for {
+	for services := t.unfinished(); len(services) > 0; services = t.unfinished() {
+		for _, service := range services {
+			t.step(ctx, service)
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			for _, service := range t.unfinished() {
-				t.step(ctx, service)
-			}
 		}
 	}
 }
