--- a/internal/rollout/fisher.go
+++ b/internal/rollout/fisher.go
@@ -18,6 +18,23 @@
 	return min(p, 1)
 }
 
+// binomialTail returns the probability of at least as many bad answers as counted if each is bad with
+// probability share.
+func binomialTail(t Tally, share float64) float64 {
+	if share >= 1 {
+		return 1
+	}
+	p := 0.0
+	for n := t.Bad; n <= t.Answers; n++ {
+		term := math.Exp(logChoose(t.Answers, n) + float64(n)*math.Log(share) + float64(t.Answers-n)*math.Log1p(-share))
+		p += term
+		if float64(n) > share*float64(t.Answers) && term < p*negligibleTerm {
+			break
+		}
+	}
+	return min(p, 1)
+}
+
 // negligibleTerm is the part of a sum below which a term doesn't change it in effect.
 const negligibleTerm = 1e-9
 
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -30,6 +30,28 @@
 	}
 }
 
+func TestBinomialTail(t *testing.T) {
+	tests := map[string]struct {
+		tally Tally
+		share float64
+		want  float64
+	}{
+		"all of three": {Tally{3, 3}, 0.5, 0.125},
+		"one of two":   {Tally{2, 1}, 0.5, 0.75},
+		"none":         {Tally{5, 0}, 0.1, 1},
+		"certain":      {Tally{5, 5}, 1.2, 1},
+		"half of many": {Tally{1000, 500}, 0.5, 0.5126},
+		"no answers":   {Tally{}, 0.5, 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := binomialTail(tt.tally, tt.share); math.Abs(got-tt.want) > 1e-4 {
+				t.Errorf("got %g, want %g", got, tt.want)
+			}
+		})
+	}
+}
+
 // counts returns tallies of answers on a route: of the old version, and of each canary.
 func counts(route string, old Tally, canaries ...Tally) Counts {
 	c := Counts{{Route: route}: old}
