Look for holders of the data only where the first pages name many instances

Cause: an instance that reached no seed read a page of records and waited half a second for another instance to have the data.

Change: an instance begins to list at once. When eight pages name 200 instances and more, it asks these, and goes on with the list if none has the data.

--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -113,9 +113,6 @@
 	// deregisterTimeout bounds the call that removes the record. If it fails, the record is
 	// removed when the lease expires.
 	deregisterTimeout = 300 * time.Millisecond
-	// recordsTimeout bounds reading a page of instances' records at the start, after which the
-	// whole store is read.
-	recordsTimeout = 300 * time.Millisecond
 	// storeTimeout bounds one write to the store.
 	storeTimeout = 2 * time.Second
 	// reloadInterval is how often the settings file is checked for changes without a signal.
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -166,25 +167,15 @@
 	return seeds
 }
 
-// registeredPeers returns the addresses of some other instances from a page of their records in the
-// store: those that follow this instance in the order of names, and the first ones.
-func (n *Node) registeredPeers(ctx context.Context) []string {
-	ctx, cancel := context.WithTimeout(ctx, recordsTimeout)
-	defer cancel()
+// registeredPeers returns the addresses of the other instances whose records are among items.
+func (n *Node) registeredPeers(items []platform.Item) []string {
 	var list []string
-	for _, after := range []string{instancePrefix + n.cfg.Settings.Instance, ""} {
-		page, err := n.store.Range(ctx, instancePrefix, after, true)
-		if err != nil {
-			n.cfg.Metrics.CountPlatformFailure("records")
-			return nil
+	for _, item := range items {
+		if !strings.HasPrefix(item.Key, instancePrefix) {
+			continue
 		}
-		for _, item := range page.Items {
-			if r, err := decodeRecord(item.Value); err == nil && r.Peers != "" && r.Peers != n.peerAddress {
-				list = append(list, r.Peers)
-			}
-		}
-		if page.More {
-			break
+		if r, err := decodeRecord(item.Value); err == nil && r.Peers != "" && r.Peers != n.peerAddress {
+			list = append(list, r.Peers)
 		}
 	}
 	return list
--- a/internal/mirror/bootstrap.go
+++ b/internal/mirror/bootstrap.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/firlever/firlever/internal/boottime"
+	"github.com/firlever/firlever/platform"
 )
 
 const (
@@ -94,43 +95,55 @@
 	}
 }
 
-// bootstrap reads everything from an instance that has it, if there is one: a list of a large store
-// takes hundreds of calls. When all instances start at once, the seeds list the store, and the
-// others wait as long as they do. Whoever has the data gives it to some others and names these to
-// further ones. An instance that finds none with data lists the store.
+// bootstrap reads everything from a seed that has it, if there is one: a list of a large store takes
+// hundreds of calls. When all instances start at once, the seeds list the store, and the others wait
+// as long as they do. An instance that finds no seed with data lists the store.
 func (m *Mirror) bootstrap(ctx context.Context) {
-	begin := boottime.Now()
-	until := begin.Add(restartTimeout)
+	wait := restartTimeout
 	if m.peers.FirstStart {
-		until = begin.Add(firstStartTimeout)
+		wait = firstStartTimeout
 	}
-	ctx, cancel := context.WithDeadline(ctx, boottime.ToRuntime(begin.Add(bootstrapTimeout)))
-	defer cancel()
 	c := &candidates{list: slices.Clone(m.peers.Seeds), next: rand.IntN(max(1, len(m.peers.Seeds)))} // spreads the starts over the seeds
-	asked := false
-	for ctx.Err() == nil {
-		now := boottime.Now()
-		address := c.take()
-		if address == "" || !now.Before(until) {
-			if asked || m.peers.Registered == nil {
-				return
-			}
-			asked = true
-			registered := m.peers.Registered(ctx)
-			if len(registered) < minLargeFleet {
-				return // a small store is listed sooner than an instance with data is found
-			}
-			c.add(m.peers.Self, registered)
-			until = boottime.Now().Add(progressTimeout)
-			continue
+	m.takeFrom(ctx, c, wait)
+}
+
+// firstList lists the store, unless that is large and another instance gives the data meanwhile: in
+// a large fleet the first pages hold the records of instances to ask. Whoever has the data gives it
+// to some others and names these to further ones.
+func (m *Mirror) firstList(ctx context.Context) ([]platform.Item, platform.Revision, error) {
+	m.reading.Store(len(m.peers.Seeds) == 0)
+	defer m.reading.Store(false)
+	return m.store.ListUnless(ctx, "", false, func(items []platform.Item) bool {
+		if m.peers.Registered == nil || len(m.peers.Seeds) == 0 {
+			return false
 		}
-		err := m.pollPeer(ctx, address, url.Values{paramAnyAge: {"1"}, paramFrom: {m.peers.Self}}, until.Sub(now))
+		registered := m.peers.Registered(items)
+		if len(registered) < minLargeFleet {
+			return false
+		}
+		rand.Shuffle(len(registered), func(i, j int) { registered[i], registered[j] = registered[j], registered[i] })
+		c := &candidates{list: slices.Clone(m.peers.Seeds)}
+		c.add(m.peers.Self, registered)
+		taken := m.takeFrom(ctx, c, progressTimeout)
+		m.reading.Store(!taken)
+		return taken
+	})
+}
+
+// takeFrom polls candidates in turn until one gives its data, and reports whether one did. It gives
+// up after a time without news of where the data is.
+func (m *Mirror) takeFrom(ctx context.Context, c *candidates, wait time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, bootstrapTimeout)
+	defer cancel()
+	until := boottime.Now().Add(wait)
+	for ctx.Err() == nil && len(c.list) > 0 && boottime.Now().Before(until) {
+		err := m.pollPeer(ctx, c.take(), url.Values{paramAnyAge: {"1"}, paramFrom: {m.peers.Self}}, boottime.Until(until))
 		if err == nil {
-			return
+			return true
 		}
 		if !m.view.history.latest().IsZero() {
 			m.sink.RelayFailed(err) // its data was old: a relay or the store provides the rest
-			return
+			return true
 		}
 		var notYet *notYetError
 		if errors.As(err, &notYet) {
@@ -139,11 +152,12 @@
 		}
 		sleep(ctx, seedRetryDelay)
 	}
+	return false
 }
 
-// minLargeFleet is how many instances one page of their records has to hold for an instance without
-// seeds to look for one with data, before it lists the store.
-const minLargeFleet = 50
+// minLargeFleet is how many instances the first pages of a store have to name for one that starts to
+// look for the data among them.
+const minLargeFleet = 200
 
 // holders are the instances that have taken the whole view from this one, and the time for which
 // its link is taken up by that. It is safe for concurrent use.
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -90,9 +90,9 @@
 	// 0 if not known.
 	Self     string
 	LinkMbps float64
-	// Registered returns the addresses of some instances from their records in the store, a page at
-	// most; nil if it can't be read. It may be nil.
-	Registered func(ctx context.Context) []string
+	// Registered returns the addresses of the instances whose records are among items of the store.
+	// It may be nil.
+	Registered func(items []platform.Item) []string
 	// FirstStart is set if the whole system starts for the first time.
 	FirstStart bool
 }
@@ -227,9 +227,15 @@
 	var items []platform.Item
 	var at platform.Revision
 	var err error
-	m.reading.Store(!m.listed)
-	m.runNotifying(func() { items, at, err = m.store.List(ctx, "", false) })
-	m.reading.Store(false)
+	if m.listed {
+		m.runNotifying(func() { items, at, err = m.store.List(ctx, "", false) })
+	} else {
+		items, at, err = m.firstList(ctx)
+	}
+	var stopped *platform.StoppedError
+	if errors.As(err, &stopped) {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
