--- a/cmd/firlever/explain.go
+++ b/cmd/firlever/explain.go
@@ -22,15 +22,20 @@
 --by groups the requests that reached a target by fields of their lines, and
 prints for each group the number of requests, the share that ended late, the mean
 expected wait, the mean time taken, and the share that was decided by a load report
-less than a second old.`
+less than a second old.
+
+--rollout shows the phases that the rollouts of a service reached, and why a version
+was rolled back.`
 
 const explainExample = `  firlever explain 9c41d07be2a35f68 edge-1.log edge-2.log
   firlever explain --failures *.log
+  firlever explain --rollout shop *.log
   firlever explain --by service,domain --from 2026-06-01T10:00:00Z *.log`
 
 func newExplainCommand() *cobra.Command {
 	var failures bool
 	var groupBy []string
+	var rollout string
 	var from, until timeFlag
 	cmd := &cobra.Command{
 		Use:     "explain [ID] [FILE...]",
@@ -41,6 +46,8 @@
 			switch {
 			case failures:
 				return listFailures(cmd, args)
+			case rollout != "":
+				return listRollout(cmd, args, rollout)
 			case len(groupBy) > 0:
 				return listGroups(cmd, args, groupBy, time.Time(from), time.Time(until))
 			}
@@ -51,6 +58,7 @@
 		},
 	}
 	cmd.Flags().BoolVar(&failures, "failures", false, "list the ways in which requests failed")
+	cmd.Flags().StringVar(&rollout, "rollout", "", "show the rollouts of this service")
 	cmd.Flags().StringSliceVar(&groupBy, "by", nil, "group requests by these fields; source is the file")
 	cmd.Flags().Var(&from, "from", "with --by: skip lines before this time")
 	cmd.Flags().Var(&until, "until", "with --by: skip lines at or after this time")
@@ -106,6 +114,26 @@
 	return nil
 }
 
+// noRolloutError reports that no log line is about a rollout of a service.
+type noRolloutError struct{ Service string }
+
+func (e *noRolloutError) Error() string { return "no log line found about a rollout of " + e.Service }
+
+func listRollout(cmd *cobra.Command, files []string, service string) error {
+	lines, err := readLogs(cmd.InOrStdin(), files)
+	if err != nil {
+		return err
+	}
+	steps := explain.Rollout(lines, service)
+	if len(steps) == 0 {
+		return &noRolloutError{Service: service}
+	}
+	for _, s := range steps {
+		fmt.Fprintf(cmd.OutOrStdout(), "%d instances, first %s %s\n", s.Instances, s.First.Source, s.First.Text)
+	}
+	return nil
+}
+
 func listGroups(cmd *cobra.Command, files, fields []string, from, until time.Time) error {
 	lines, err := readLogs(cmd.InOrStdin(), files)
 	if err != nil {
