Keep a target's order of instances until instances change

Cause: each choice that looked at a cold target passed over all instances, for each cold target that it looked at.

Figures: TestRankIsKept; it fails without the change.

--- a/internal/steer/share.go
+++ b/internal/steer/share.go
@@ -42,8 +42,15 @@
 }
 
 // rank returns the position of this instance among all instances in the rendezvous order for t's
-// ID.
+// ID. It is computed once for each change of the instances.
 func (f *Fleet) rank(t *target) int {
+	if t.rankedFor != f.peersVersion {
+		t.rank, t.rankedFor = f.computeRank(t), f.peersVersion
+	}
+	return t.rank
+}
+
+func (f *Fleet) computeRank(t *target) int {
 	if !slices.Contains(f.peers, f.cfg.Instance) {
 		return len(f.peers)
 	}
--- a/internal/steer/share_test.go
+++ b/internal/steer/share_test.go
@@ -121,3 +121,23 @@
 		t.Errorf("got %d of 200 retries at once after 500 requests, want %d at least", got, want)
 	}
 }
+
+// A target's order of instances is computed once for each change of the instances, as it takes a
+// pass over all of them.
+func TestRankIsKept(t *testing.T) {
+	f := newFleet(t, 1, 8)
+	target := f.targets["t00"]
+	first := f.rank(target)
+	f.peerHashes = nil // another computation would find no peer
+	if got := f.rank(target); got != first {
+		t.Errorf("got rank %d, want %d as computed before", got, first)
+	}
+	names := []string{"a", "b"}
+	for i := range 100 {
+		names = append(names, fmt.Sprint(i))
+	}
+	f.SetPeers(start, names)
+	if got, want := f.rank(target), f.computeRank(target); got != want || got == first {
+		t.Errorf("got rank %d among %d instances, want %d", got, len(names), want)
+	}
+}
--- a/internal/steer/target.go
+++ b/internal/steer/target.go
@@ -65,6 +65,9 @@
 	ejections           int     // consecutive ejections without a recovery
 	ejectedUntil        time.Time
 
+	rank      int // of this instance in the target's order of instances, for rankedFor
+	rankedFor int // Fleet.peersVersion; 0: not ranked yet
+
 	coldRequests []time.Time // start times of requests within coldWindow that were sent while it was cold
 }
 
