Decode a whole view one event after the other

Cause: an instance that starts held the text of all items, their decoded form and the items at once: for 11,000 items of a large store some 4 MB each.

--- a/internal/mirror/converge_test.go
+++ b/internal/mirror/converge_test.go
@@ -1,8 +1,8 @@
 package mirror
 
 import (
+	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"maps"
 	"strconv"
@@ -101,11 +101,10 @@
 	if err != nil {
 		f.Fatal(err)
 	}
-	var r relayAnswer
-	if err := json.Unmarshal(a.plain, &r); err != nil {
+	n, err := decodeUpdate(bytes.NewReader(a.plain))
+	if err != nil {
 		f.Fatal(err)
 	}
-	n := r.update()
 	n.confirmedAt, n.removeAfter, n.storeBehind = f.now.Add(-e.age), f.now.Add(e.removeDelay), e.storeBehind
 	f.checkNotified(m, m.applyPeer(f.now, n))
 }
--- a/internal/mirror/peer_update.go
+++ b/internal/mirror/peer_update.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -52,12 +53,11 @@
 	if query.Has(paramAnyAge) {
 		timer.Reset(wholeTimeout)
 	}
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
-	if err != nil || resp.StatusCode != http.StatusOK {
-		return peerUpdate{}, errors.Trace(withProgress(&peerhttp.Error{Address: address, Status: resp.StatusCode, Err: err}, resp.Header))
+	if resp.StatusCode != http.StatusOK {
+		return peerUpdate{}, errors.Trace(withProgress(&peerhttp.Error{Address: address, Status: resp.StatusCode}, resp.Header))
 	}
-	var answer relayAnswer
-	if err := json.Unmarshal(b, &answer); err != nil {
+	n, err := decodeUpdate(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
 		return peerUpdate{}, errors.Trace(&peerhttp.Error{Address: address, Status: resp.StatusCode, Err: err})
 	}
 	age, err := milliseconds(resp.Header, headerAge)
@@ -68,7 +68,6 @@
 	if err != nil {
 		return peerUpdate{}, errors.Trace(&peerhttp.Error{Address: address, Status: resp.StatusCode, Err: err})
 	}
-	n := answer.update()
 	n.confirmedAt = begin.Add(-age) // a lower bound: the answer was made after the request was sent
 	n.removeAfter = boottime.Now().Add(removeDelay)
 	n.storeBehind = resp.Header.Get(headerStoreBehind) != ""
@@ -89,22 +88,78 @@
 	return e.Value
 }
 
-// update converts an answer.
-func (a relayAnswer) update() peerUpdate {
-	n := peerUpdate{whole: a.Whole, gaps: a.Gaps, revision: a.Revision}
-	for _, e := range a.Events {
-		n.events = append(n.events, e.event())
+// decodeUpdate decodes the answer of a relay. It converts one event after the other, as a whole view
+// of a large store takes several times its size otherwise.
+func decodeUpdate(r io.Reader) (peerUpdate, error) {
+	d := json.NewDecoder(r)
+	var n peerUpdate
+	if err := expectDelim(d, '{'); err != nil {
+		return peerUpdate{}, err
+	}
+	for d.More() {
+		name, err := d.Token()
+		if err != nil {
+			return peerUpdate{}, errors.Trace(err)
+		}
+		switch name {
+		case "whole":
+			err = d.Decode(&n.whole)
+		case "gaps":
+			err = d.Decode(&n.gaps)
+		case "revision":
+			err = d.Decode(&n.revision)
+		case "events":
+			err = decodeEvents(d, func(e relayEvent) { n.events = append(n.events, e.event()) })
+		case "kept":
+			err = decodeEvents(d, func(e relayEvent) { n.overrides.Kept = append(n.overrides.Kept, e.event().Item) })
+		case "hidden":
+			err = decodeEvents(d, func(e relayEvent) { n.overrides.Hidden = append(n.overrides.Hidden, e.event().Item) })
+		default:
+			var ignored json.RawMessage
+			err = d.Decode(&ignored)
+		}
+		if err != nil {
+			return peerUpdate{}, errors.Trace(err)
+		}
+	}
+	return n, expectDelim(d, '}')
+}
+
+// decodeEvents decodes a list of events and passes each to add.
+func decodeEvents(d *json.Decoder, add func(relayEvent)) error {
+	if err := expectDelim(d, '['); err != nil {
+		return err
+	}
+	for d.More() {
+		var e relayEvent
+		if err := d.Decode(&e); err != nil {
+			return errors.Trace(err)
+		}
+		add(e)
 	}
-	n.overrides = Overrides{Kept: decodeItems(a.Kept), Hidden: decodeItems(a.Hidden)}
-	return n
+	return expectDelim(d, ']')
 }
 
-func decodeItems(events []relayEvent) []platform.Item {
-	var list []platform.Item
-	for _, e := range events {
-		list = append(list, e.event().Item)
+// expectDelim reads a delimiter.
+func expectDelim(d *json.Decoder, want json.Delim) error {
+	token, err := d.Token()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if token != want {
+		return errors.Trace(&AnswerError{Want: want, Got: token})
 	}
-	return list
+	return nil
+}
+
+// AnswerError reports an answer of a relay that has another structure than expected.
+type AnswerError struct {
+	Want json.Delim
+	Got  json.Token
+}
+
+func (e *AnswerError) Error() string {
+	return fmt.Sprintf("mirror: answer has %v in place of %s", e.Got, e.Want)
 }
 
 func (e relayEvent) event() platform.Event {
--- a/internal/mirror/values_test.go
+++ b/internal/mirror/values_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 
 	"github.com/firlever/firlever/platform"
@@ -27,11 +27,11 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			var r relayAnswer
-			if err := json.Unmarshal(a.plain, &r); err != nil {
+			n, err := decodeUpdate(bytes.NewReader(a.plain))
+			if err != nil {
 				t.Fatal(err)
 			}
-			got := r.update().events
+			got := n.events
 			if len(got) != 1 || got[0].Key != "k" || got[0].Changed != at(7) || got[0].Created != at(5) || !bytes.Equal(got[0].Value, value) {
 				t.Errorf("got %+v, want %+v", got, item)
 			}
@@ -72,10 +72,55 @@
 		b.Fatal(err)
 	}
 	for b.Loop() {
-		var r relayAnswer
-		if err := json.Unmarshal(a.plain, &r); err != nil {
+		if _, err := decodeUpdate(bytes.NewReader(a.plain)); err != nil {
 			b.Fatal(err)
 		}
-		r.update()
 	}
 }
+
+// A broken answer is an error, however it is broken, and fields of later versions are ignored.
+func TestDecodeUpdate(t *testing.T) {
+	tests := map[string]struct {
+		text   string
+		ok     bool
+		events int
+	}{
+		"whole":         {`{"whole":true,"events":[{"key":"a"},{"key":"b"}],"revision":"0.9"}`, true, 2},
+		"unknown field": {`{"more":{"x":[1]},"events":[{"key":"a"}],"revision":"0.9"}`, true, 1},
+		"no list":       {`{"events":{"key":"a"},"revision":"0.9"}`, false, 0},
+		"null list":     {`{"events":null,"revision":"0.9"}`, false, 0},
+		"cut":           {`{"whole":true,"events":[{"key":"a"}`, false, 0},
+		"no object":     {`[]`, false, 0},
+		"empty":         {``, false, 0},
+		"bad revision":  {`{"events":[],"revision":"x"}`, false, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			n, err := decodeUpdate(strings.NewReader(tt.text))
+			if (err == nil) != tt.ok || tt.ok && len(n.events) != tt.events {
+				t.Errorf("got %d events, %v, want %d, ok %t", len(n.events), err, tt.events, tt.ok)
+			}
+		})
+	}
+}
+
+// Decoding a whole view allocates little more than its items.
+func TestDecodeAllocates(t *testing.T) {
+	a, err := newAnswer(platform.Revision{}, wholeList())
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := allocated(func() {
+		if _, err := decodeUpdate(bytes.NewReader(a.plain)); err != nil {
+			t.Fatal(err)
+		}
+	})
+	if most := uint64(6 * len(a.plain)); got > most {
+		t.Errorf("got %d bytes allocated for an answer of %d, want %d at most", got, len(a.plain), most)
+	}
+}
+
+func FuzzDecodeUpdate(f *testing.F) {
+	f.Add([]byte(`{"whole":true,"events":[{"key":"a"}],"revision":"0.9"}`))
+	f.Fuzz(func(_ *testing.T, b []byte) { decodeUpdate(bytes.NewReader(b)) })
+}
