Let targets of any version get requests again some time after a rollout

Cause: after a completed rollout only its version got requests for as long as the order stood, so that a later release without an order would have got none.

Change: 30 s after the order's deadline, when the entries of the old targets have expired, any version gets requests.

Figures: TestVersionOfPhase, "completed long ago"; it fails without the change.

--- a/internal/steer/rollout.go
+++ b/internal/steer/rollout.go
@@ -39,6 +39,9 @@
 	// canaryOverload is how much more requests a canary gets than an old target, so that it shows
 	// what the version does under load.
 	canaryOverload = 1.1
+	// oldVersionTTL is how long after a rollout's deadline targets of other versions get no requests.
+	// By then the entries of the old targets have expired.
+	oldVersionTTL = 30 * time.Second
 	// defaultCanaryShare is used if the platform sets no share.
 	defaultCanaryShare = 0.05
 )
@@ -145,6 +148,9 @@
 		}
 		return []pool{oldVersion, newVersion}
 	case rollout.Completed:
+		if now.After(v.Deadline.Add(oldVersionTTL)) {
+			return []pool{anyVersion}
+		}
 		return []pool{newVersion}
 	}
 	return []pool{oldVersion}
--- a/internal/steer/rollout_test.go
+++ b/internal/steer/rollout_test.go
@@ -135,6 +135,7 @@
 		"ramp":                 {func(f *Fleet) { setPhase(f, rollout.Promoting) }, start.Add(time.Second), false, "v1", ""},
 		"promoted":             {func(f *Fleet) { setPhase(f, rollout.Promoting) }, start.Add(3 * time.Second), false, "v2", "v1"},
 		"completed":            {func(f *Fleet) { setPhase(f, rollout.Completed) }, start, false, "v2", "v1"},
+		"completed long ago":   {func(f *Fleet) { setPhase(f, rollout.Completed) }, testSchedule.Deadline.Add(oldVersionTTL + 1), false, "v1", ""},
 		"rolled back":          {func(f *Fleet) { setPhase(f, rollout.RolledBack) }, start, false, "v1", "v2"},
 		"another order": {func(f *Fleet) {
 			f.SetRollout(start, "s", Rollout{Schedule: testSchedule, Version: "v3", Phase: rollout.Canary, Barred: []string{"v2"}})
