Pass on only registrations that say something new

Cause: a target writes its entry with each heartbeat while it is cold, as the time that is left counts down, and each such change went to every instance. 10,005 targets that start together change 6,700 entries a second for 985 instances: messages that grow as targets times instances.

Change: who reads the store leaves out registrations of which only the number and the time until the target is warm differ, and that by no more than the time that has passed and half a second.

--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -156,13 +156,7 @@
 		n.dropUnusable(now, id, c, err)
 		return
 	}
-	t := steer.Target{
-		ID: r.ID, Started: r.Started, Sequence: r.Sequence, Service: r.Service, Version: r.Version, Address: r.Address,
-		Domain: r.Domain, Slots: r.Slots, Leaving: r.Leaving,
-	}
-	if r.WarmIn > 0 {
-		t.WarmAt = now.Add(r.WarmIn)
-	}
+	t := targetOf(now, r)
 	n.mu.Lock()
 	change := n.fleet.Put(now, t)
 	n.mu.Unlock()
@@ -178,6 +172,33 @@
 		"leaving", r.Leaving, "warm-in", r.WarmIn, "slots", r.Slots, "started", r.Started, "sequence", r.Sequence, "revision", c.Changed, "suppressed", suppressed)
 }
 
+// targetOf returns the target that a registration describes.
+func targetOf(now time.Time, r platform.Registration) steer.Target {
+	t := steer.Target{
+		ID: r.ID, Started: r.Started, Sequence: r.Sequence, Service: r.Service, Version: r.Version, Address: r.Address,
+		Domain: r.Domain, Slots: r.Slots, Leaving: r.Leaving,
+	}
+	if r.WarmIn > 0 {
+		t.WarmAt = now.Add(r.WarmIn)
+	}
+	return t
+}
+
+// redundant reports whether a change of the store is a registration that says nothing new.
+func (n *Node) redundant(e platform.Event) bool {
+	if _, ok := platform.TargetID(e.Key); !ok || e.Removed {
+		return false
+	}
+	r, err := platform.DecodeRegistration(e.Item)
+	if err != nil {
+		return false // to be reported where it is applied
+	}
+	now := boottime.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.fleet.Redundant(now, targetOf(now, r))
+}
+
 // dropUnusable removes the target of a store entry that can't be used, as it is uncertain
 // whether the last valid registration still holds. Other targets are not affected.
 func (n *Node) dropUnusable(now time.Time, id string, c mirror.Change, err error) {
--- a/internal/edge/register_test.go
+++ b/internal/edge/register_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"testing"
 	"time"
@@ -118,3 +119,35 @@
 		t.Error("got the key of another instance removed")
 	}
 }
+
+// While targets warm up, their heartbeats reach no other instance than the relay.
+func TestHeartbeatsOfColdTargets(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, "s")
+	r.start()
+	follower := r.startInstance("e2", "n1")
+	r.eventually("the follower is ready", follower.Ready)
+	heartbeat := func(sequence int, left time.Duration) {
+		r.store.Put(platform.TargetPrefix+"t1", fmt.Appendf(nil,
+			`{"address":"127.0.0.1:1","info":{"service":"s","version":"v1","zone":"n1","capacity":4},"status":{"state":"ready","sequence":%d,"warmup_left":"%dms"}}`,
+			sequence, left.Milliseconds()))
+	}
+	sequence := func(n *Node) uint64 {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		target, _ := n.fleet.Target("t1")
+		return target.Sequence
+	}
+	begin := time.Now()
+	heartbeat(1, time.Minute)
+	r.eventually("both know the target", func() bool { return sequence(r.node) == 1 && sequence(follower) == 1 })
+	for i := range 5 {
+		heartbeat(2+i, time.Minute-time.Since(begin))
+		time.Sleep(200 * time.Millisecond)
+	}
+	if a, b := sequence(r.node), sequence(follower); a != 1 || b != 1 {
+		t.Errorf("got sequences %d and %d, want the heartbeats left out", a, b)
+	}
+	heartbeat(9, 0)
+	r.eventually("both know that the target is warm", func() bool { return sequence(r.node) == 9 && sequence(follower) == 9 })
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -93,6 +94,9 @@
 	// Registered returns the addresses of the instances whose records are among items of the store.
 	// It may be nil.
 	Registered func(items []platform.Item) []string
+	// Redundant reports whether a change of the store says nothing that doesn't follow from what is
+	// known. Such changes are neither applied nor passed on. It may be nil.
+	Redundant func(e platform.Event) bool
 	// FirstStart is set if the whole system starts for the first time.
 	FirstStart bool
 }
@@ -286,7 +290,11 @@
 	if err != nil {
 		return err
 	}
-	if len(events) == 0 {
+	received := len(events)
+	if m.peers.Redundant != nil {
+		events = slices.DeleteFunc(events, m.peers.Redundant)
+	}
+	if received == 0 {
 		begin = time.Time{} // an empty answer may come from a watch that misses changes
 	}
 	m.notify(m.view.applyBatch(boottime.Now(), batch{events: events, revision: since, confirmedAt: begin}))
--- a/internal/steer/fleet.go
+++ b/internal/steer/fleet.go
@@ -95,6 +95,24 @@
 	return change
 }
 
+// maxWarmAtDrift is by how much the end of a target's warm-up may differ between two registrations
+// that say the same: they take different times to arrive.
+const maxWarmAtDrift = 500 * time.Millisecond
+
+// Redundant reports whether a registration says nothing new. A target writes one with each heartbeat
+// while it is cold, as the time that is left decreases.
+func (f *Fleet) Redundant(now time.Time, t Target) bool {
+	known, ok := f.targets[t.ID]
+	if !ok || t.olderThan(&known.Target) {
+		return false
+	}
+	old := known.Target
+	drift := later(old.WarmAt, now).Sub(later(t.WarmAt, now)).Abs()
+	old.Sequence, old.WarmAt, old.Started = t.Sequence, t.WarmAt, old.Started.UTC()
+	t.Started = t.Started.UTC()
+	return old == t && drift <= maxWarmAtDrift
+}
+
 // Remove drops a target that was removed or has departed.
 func (f *Fleet) Remove(id string) {
 	t, ok := f.targets[id]
--- a/internal/steer/fleet_test.go
+++ b/internal/steer/fleet_test.go
@@ -377,3 +377,39 @@
 		}
 	}
 }
+
+// A registration is redundant if nothing but its number and the time that is left until the target
+// is warm differ from the known one, and that only by the time that has passed.
+func TestRedundant(t *testing.T) {
+	known := Target{ID: "t", Started: start, Sequence: 3, Service: "s", Version: "v1", Address: "a", Domain: "n1", Slots: 8, WarmAt: start.Add(3 * time.Second)}
+	at := start.Add(1500 * time.Millisecond)
+	tests := map[string]struct {
+		change func(r *Target)
+		now    time.Time
+		want   bool
+	}{
+		"heartbeat":       {func(r *Target) { r.Sequence = 4 }, at, true},
+		"arrives later":   {func(r *Target) { r.WarmAt = r.WarmAt.Add(400 * time.Millisecond) }, at, true},
+		"warm, as known":  {func(r *Target) { r.WarmAt = time.Time{} }, start.Add(3 * time.Second), true},
+		"warm early":      {func(r *Target) { r.WarmAt = time.Time{} }, at, false},
+		"cold again":      {func(r *Target) { r.WarmAt = start.Add(9 * time.Second) }, start.Add(6 * time.Second), false},
+		"leaving":         {func(r *Target) { r.Leaving = true }, at, false},
+		"another run":     {func(r *Target) { r.Started = at }, at, false},
+		"another address": {func(r *Target) { r.Address = "b" }, at, false},
+		"another version": {func(r *Target) { r.Version = "v2" }, at, false},
+		"more slots":      {func(r *Target) { r.Slots = 9 }, at, false},
+		"older":           {func(r *Target) { r.Sequence = 2 }, at, false},
+		"another target":  {func(r *Target) { r.ID = "u" }, at, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 0, 8)
+			f.Put(start, known)
+			r := known
+			tt.change(&r)
+			if got := f.Redundant(tt.now, r); got != tt.want {
+				t.Errorf("got %t, want %t", got, tt.want)
+			}
+		})
+	}
+}
