Bound the answers that a relay gives its followers in a second

Cause: a relay answered each follower after each batch of changes, seven times a second: 2,200 answers a second at 330 followers, each with the last 200 registrations.

Change: changes are sent to all that wait at once, and so seldom that a relay gives 500 answers a second, each held for 1 s at most. The first after a quiet time goes at once, and regions of up to 75 instances are answered as before.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -113,6 +113,7 @@
 	view      *view
 	answers   answerCache
 	holders   holders
+	releases  releases
 	reading   atomic.Bool // the whole store is being read for the first time
 
 	listed       bool
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -137,6 +137,13 @@
 	return a, e.age, err
 }
 
+// closedAt returns a channel that is closed at a time.
+func closedAt(at time.Time) <-chan struct{} {
+	c := make(chan struct{})
+	time.AfterFunc(boottime.Until(at), func() { close(c) })
+	return c
+}
+
 // awaitChanges waits for changes until relayWait has passed or the data becomes too old, so that
 // the peer then polls elsewhere at once. A mirror that has no data yet waits for the full
 // relayWait, because it will have some soon.
@@ -147,13 +154,21 @@
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	m.releases.enter()
+	defer m.releases.leave()
 	for {
-		e := m.view.history.since(boottime.Now(), since)
+		now := boottime.Now()
+		e := m.view.history.since(now, since)
+		updated := e.updated
 		if !e.revision.IsZero() && (len(e.events) > 0 || !e.covered || e.revision.Epoch() > since.Epoch()) {
-			return e
+			at := m.releases.release(now)
+			if !at.After(now) {
+				return e
+			}
+			updated = closedAt(at) // until then there may be more
 		}
 		select {
-		case <-e.updated:
+		case <-updated:
 		case <-timer.C:
 			return m.view.history.since(boottime.Now(), since)
 		case <-ctx.Done():
