Keep to a region's collector that gives no permit for a moment

Cause: at the beginning of a rollout a collector has written nothing yet and gives no permit; instances then told the next relays too, and avoided the first for 2 s. Three instances of a region collected parts of its counts and wrote over each other.

Change: only a collector that gives no answer, or no permit for 1.5 s, is avoided.

--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -45,11 +45,12 @@
 	promotedAt time.Time
 	barred     []string // versions of earlier orders that were not completed; maxBarred at most
 
-	counts      rollout.Counts             // of answers to this instance; rollout.MaxCounts at most
-	members     *rollout.Members           // reports to this instance
-	regions     map[string]rollout.Summary // of the regions, from the store
-	permitUntil time.Time                  // canaries may get requests until then
-	avoid       map[string]time.Time       // collectors that gave no permit, with the time until which they are not asked
+	counts       rollout.Counts             // of answers to this instance; rollout.MaxCounts at most
+	members      *rollout.Members           // reports to this instance
+	regions      map[string]rollout.Summary // of the regions, from the store
+	permitUntil  time.Time                  // canaries may get requests until then
+	refusedSince map[string]time.Time       // collectors that give no permit, with the time since which they don't
+	avoid        map[string]time.Time       // collectors that gave no permit, with the time until which they are not asked
 }
 
 // maxBarred bounds the versions that are remembered as rolled back.
@@ -116,7 +117,7 @@
 func newServiceRollout(order rollout.Order) *serviceRollout {
 	return &serviceRollout{
 		order: order, counts: make(rollout.Counts), members: rollout.NewMembers(),
-		regions: make(map[string]rollout.Summary), avoid: make(map[string]time.Time),
+		regions: make(map[string]rollout.Summary), refusedSince: make(map[string]time.Time), avoid: make(map[string]time.Time),
 	}
 }
 
--- a/internal/edge/rollout_exchange.go
+++ b/internal/edge/rollout_exchange.go
@@ -28,6 +28,8 @@
 	permitTTL = 2 * time.Second
 	// avoidCollector is how long a collector that gave no permit is not asked again.
 	avoidCollector = 2 * time.Second
+	// refusalTTL is how long a collector may give no permit before the next one is told.
+	refusalTTL = 1500 * time.Millisecond
 	// maxRolloutMessage bounds a message in bytes: rollout.MaxCounts tallies.
 	maxRolloutMessage = 64 << 10
 )
@@ -109,8 +111,11 @@
 			t.collect(ctx, service, report)
 			return
 		}
-		if t.send(ctx, address, service, report) {
+		permit, err := t.send(ctx, address, service, report)
+		if permit {
 			t.permit(now, service)
+		}
+		if !t.avoids(address, service, permit, err) {
 			break
 		}
 	}
@@ -154,34 +159,54 @@
 }
 
 // send sends a report to a collector. It returns whether canaries may get requests.
-func (t *rolloutTracker) send(ctx context.Context, address, service string, report rollout.Report) bool {
+func (t *rolloutTracker) send(ctx context.Context, address, service string, report rollout.Report) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, rolloutTimeout)
 	defer cancel()
 	body, err := json.Marshal(rolloutMessage{Service: service, Report: report})
-	var answer rolloutAnswer
-	if err == nil {
-		body, err = t.client.Post(ctx, address, rolloutsPath, nil, body)
+	if err != nil {
+		return false, errors.Trace(err)
 	}
-	if err == nil {
-		err = json.Unmarshal(body, &answer)
+	if body, err = t.client.Post(ctx, address, rolloutsPath, nil, body); err != nil {
+		return false, err
+	}
+	var answer rolloutAnswer
+	err = json.Unmarshal(body, &answer)
+	return answer.Permit, errors.Trace(err)
+}
+
+// avoids records how a collector answered, and reports whether the next one is to be told: if it
+// gave no answer, or no permit for refusalTTL. A collector that has just begun to collect gives none.
+func (t *rolloutTracker) avoids(address, service string, permit bool, err error) bool {
+	now := boottime.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.byService[service]
+	if r == nil {
+		return false
 	}
-	if err == nil && answer.Permit {
-		return true
+	if permit {
+		delete(r.refusedSince, address)
+		return false
 	}
 	reason := "no-permit"
 	if err != nil {
 		reason = "collector-failed"
 	}
 	t.node.cfg.Metrics.CountDecision(metrics.Decision{Kind: "rollout-report", Service: service, Reason: reason})
-	if suppressed, ok := t.node.failureLimiter.Allow(boottime.Now()); ok {
-		t.node.cfg.Log.Warn("rollout report without permit", "service", service, "collector", address, "suppressed", suppressed, "err", err)
+	since, refused := r.refusedSince[address]
+	if !refused {
+		since = now
+		r.refusedSince[address] = now
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if r := t.byService[service]; r != nil {
-		r.avoid[address] = boottime.Now().Add(avoidCollector)
+	if err == nil && now.Sub(since) < refusalTTL {
+		return false
+	}
+	if suppressed, ok := t.node.failureLimiter.Allow(now); ok {
+		t.node.cfg.Log.Warn("rollout report without permit", "service", service, "collector", address, "suppressed", suppressed, "err", err)
 	}
-	return false
+	delete(r.refusedSince, address)
+	r.avoid[address] = now.Add(avoidCollector)
+	return true
 }
 
 // permit lets canaries get requests for permitTTL, if this instance would also learn of the end of
--- a/internal/edge/rollout_test.go
+++ b/internal/edge/rollout_test.go
@@ -255,3 +255,28 @@
 		t.Errorf("got status %+v, want v2", got)
 	}
 }
+
+// A collector that gives no permit for a moment stays the collector, so that the counts of a region
+// come together at one instance; one that fails, or gives none for long, is avoided.
+func TestAvoidedCollectors(t *testing.T) {
+	r, _, _ := newRolloutRig(t, "good")
+	r.order("v2", "60s")
+	r.waitRollout("running", changeTimeout)
+	tracker := r.node.rollouts
+	if tracker.avoids("a", "s", false, nil) {
+		t.Error("got a collector avoided at its first refusal")
+	}
+	if !tracker.avoids("b", "s", false, errTest) {
+		t.Error("got a collector that failed asked again")
+	}
+	time.Sleep(refusalTTL)
+	if !tracker.avoids("a", "s", false, nil) {
+		t.Errorf("got a collector asked again that gave no permit for %s", refusalTTL)
+	}
+	if tracker.avoids("a", "s", true, nil) || tracker.avoids("a", "s", false, nil) {
+		t.Error("got a collector avoided that gave a permit a moment ago")
+	}
+}
+
+// errTest is the error of a call in a test.
+var errTest = &platform.MissingError{Call: "test"}
