--- a/internal/mirror/bootstrap_test.go
+++ b/internal/mirror/bootstrap_test.go
@@ -121,7 +121,7 @@
 			holder := listen(t, m)
 			peers := withRelay(holder)
 			peers.Seeds = []string{"127.0.0.1:1"}
-			peers.Registered = func(items []platform.Item) []string {
+			peers.Registered = func(_ []platform.Item) []string {
 				list := make([]string, tt.registered)
 				for i := range list {
 					list[i] = holder
