Keep as many changes for peers as there are items in the store

Cause: a relay kept the last 2,000 changes. When 10,005 targets register at 1,400 a second, a follower that is 1.4 s behind, as answers take that long when a relay is busy, lacks some of them and is sent the whole view, 300 KB and more, with 330 others over one link: followers lose the relay, and fall further behind. A number of changes holds only while a deployment is small. Dropping the oldest also copied all that are kept with each change.

Change: as many changes are kept as there are items, 2,000 at least, and they are trimmed when a quarter more have come.

Figures: TestPeerBehindARegistrationWave: a peer 10,000 changes behind gets these; it fails without the change.

--- a/internal/mirror/cost_test.go
+++ b/internal/mirror/cost_test.go
@@ -73,3 +73,31 @@
 		t.Errorf("got the whole view of %s ago", 2*wholeTTL)
 	}
 }
+
+// A peer that falls behind while all targets of a large deployment register gets the changes since,
+// and not the whole view, which many would ask for at once.
+func TestPeerBehindARegistrationWave(t *testing.T) {
+	const items, wave, perBatch = 1000, 10_000, 200
+	v := newSizedView(items)
+	at0 := v.history.latest()
+	for i := 0; i < wave; i += perBatch {
+		var events []platform.Event
+		for j := i; j < i+perBatch; j++ {
+			events = append(events, putEvent(fmt.Sprintf("servers/n%05d", j), "1", at(uint64(items+j+1))))
+		}
+		v.applyBatch(start, batch{events: events, revision: at(uint64(items + i + perBatch)), confirmedAt: start})
+	}
+	for behind, covered := range map[int]bool{perBatch: true, wave / 2: true, wave: true} {
+		e := v.history.since(start, at(uint64(items+wave-behind)))
+		if e.covered != covered || covered && len(e.events) != behind {
+			t.Errorf("%d changes behind: got %d changes, covered %t, want them all", behind, len(e.events), e.covered)
+		}
+	}
+	for i := range 4 * wave { // the same targets change again
+		revision := at(uint64(items + wave + i + 1))
+		v.applyBatch(start, batch{events: []platform.Event{putEvent(fmt.Sprintf("servers/n%05d", i%wave), fmt.Sprint(i), revision)}, revision: revision, confirmedAt: start})
+	}
+	if e := v.history.since(start, at0); e.covered || len(v.history.events) > (items+wave)*(trimParts+1)/trimParts {
+		t.Errorf("got %d changes kept, the first of them: %t, want %d and a part at most", len(v.history.events), e.covered, items+wave)
+	}
+}
--- a/internal/mirror/history.go
+++ b/internal/mirror/history.go
@@ -8,15 +8,21 @@
 	"github.com/firlever/firlever/platform"
 )
 
-// historyLen is how many changes are kept for peers: several times the number of items in a store
-// of today's size, so that a peer that was paused for seconds still finds the ones it lacks.
-const historyLen = 2000
+// Changes that are kept for peers: minHistory, or as many as there are items in the store. When all
+// targets of a deployment register within seconds, a peer that is some seconds behind still finds the
+// ones that it lacks, and need not be sent the whole view.
+const (
+	minHistory = 2000
+	// trimParts: one in this many changes more are kept until the oldest are dropped.
+	trimParts = 4
+)
 
 // history holds the last changes for the peers that follow this mirror. It is safe for concurrent
 // use.
 type history struct {
 	mu          sync.Mutex
-	events      []platform.Event  // in order of their revisions; at most historyLen; guarded by mu
+	events      []platform.Event  // in order of their revisions; one part in trimParts above most at most; guarded by mu
+	most        int               // how many events are kept; guarded by mu
 	version     int               // counts the changes of the view; guarded by mu
 	storeBehind bool              // the store has lost a part of the view; guarded by mu
 	revision    platform.Revision // all changes up to here are known; guarded by mu
@@ -63,6 +69,7 @@
 	if next != h.revision {
 		h.advance(next, g.gaps)
 	}
+	h.most = max(minHistory, len(c.stored))
 	h.trim()
 	if g.changed || begun || len(g.events) > 0 {
 		h.version++
@@ -82,11 +89,11 @@
 	h.spans[len(h.spans)-1].to = revision
 }
 
-// trim drops the oldest changes beyond historyLen. h.mu is held.
+// trim drops the oldest changes beyond most. h.mu is held.
 func (h *history) trim() {
-	over := len(h.events) - historyLen
-	if over <= 0 {
-		return
+	over := len(h.events) - h.most
+	if over <= h.most/trimParts {
+		return // what is kept is copied, so it is trimmed seldom
 	}
 	var dropped platform.Revision
 	for _, e := range h.events[:over] {
