Keep the encoded answers for peers that are behind beside those for the others

Cause: a relay kept one encoded answer. Peers that were a little behind had it encode the changes for each of them, and anew for the others after that: milliseconds each, for 330 followers.

Change: up to 64 answers are kept, by the revision that the peer has, until the next change.

Figures: TestAnswers, the part on a peer that is behind; it fails without the change.

--- a/internal/mirror/answer.go
+++ b/internal/mirror/answer.go
@@ -20,17 +20,20 @@
 // that wait for it.
 const compressMinBytes = 400
 
-// answerCache keeps the last encoded answers to peers: most peers wait for the same changes, and
-// all that start at once request the whole view. It is safe for concurrent use.
+// answerCache keeps the encoded answers to peers: most peers wait for the same changes, some are a
+// little behind, and all that start at once request the whole view. It is safe for concurrent use.
 type answerCache struct {
-	mu      sync.Mutex
-	changes answer // guarded by mu
-	whole   answer // guarded by mu
+	mu       sync.Mutex
+	revision platform.Revision            // that the changes lead up to; guarded by mu
+	changes  map[platform.Revision]answer // by the revision that the peers have; maxAnswers at most; guarded by mu
+	whole    answer                       // guarded by mu
 }
 
+// maxAnswers bounds the encoded changes that are kept.
+const maxAnswers = 64
+
 // answer is an encoded answer.
 type answer struct {
-	since       platform.Revision // of the changes; zero for the whole view
 	revision    platform.Revision // zero: there is no answer
 	version     int               // of the whole view
 	confirmedAt time.Time         // when the store confirmed the whole view
@@ -42,17 +45,31 @@
 func (a *answerCache) encode(now time.Time, since platform.Revision, e excerpt) (answer, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	kept := &a.changes
 	if !e.covered {
-		kept, since = &a.whole, platform.Revision{}
+		return a.encodeWhole(now, e)
+	}
+	if a.revision != e.revision || len(a.changes) >= maxAnswers {
+		a.revision, a.changes = e.revision, make(map[platform.Revision]answer)
+	}
+	if kept, ok := a.changes[since]; ok && kept.version == e.version {
+		return kept, nil
+	}
+	made, err := newAnswer(e)
+	if err == nil {
+		a.changes[since] = made
 	}
-	if kept.revision == e.revision && kept.version == e.version && kept.since == since {
-		return *kept, nil
+	return made, err
+}
+
+// encodeWhole returns the whole view. a.mu is held.
+func (a *answerCache) encodeWhole(now time.Time, e excerpt) (answer, error) {
+	if a.whole.revision == e.revision && a.whole.version == e.version {
+		return a.whole, nil
 	}
-	made, err := newAnswer(since, e)
+	made, err := newAnswer(e)
 	made.confirmedAt = now.Add(-e.age)
 	if err == nil {
-		*kept = made
+		a.whole = made
 	}
 	return made, err
 }
@@ -71,7 +88,7 @@
 	return a.whole, age, ok
 }
 
-func newAnswer(since platform.Revision, e excerpt) (answer, error) {
+func newAnswer(e excerpt) (answer, error) {
 	body := relayAnswer{Revision: e.revision, Whole: !e.covered, Gaps: e.covered && e.gaps, Events: []relayEvent{}}
 	if e.covered {
 		for _, event := range e.events {
@@ -85,7 +102,7 @@
 	if err != nil {
 		return answer{}, errors.Trace(err)
 	}
-	a := answer{since: since, revision: e.revision, version: e.version, plain: plain}
+	a := answer{revision: e.revision, version: e.version, plain: plain}
 	if len(plain) < compressMinBytes {
 		return a, nil
 	}
--- a/internal/mirror/begin_test.go
+++ b/internal/mirror/begin_test.go
@@ -118,6 +118,12 @@
 			t.Errorf("%q: got %d events at %s, %v, want 100 at 9", encoding, len(got.Events), got.Revision, err)
 		}
 	}
+	behind, waiting := excerpt{revision: at(12), covered: true, events: make([]platform.Event, 9)}, excerpt{revision: at(12), covered: true, events: make([]platform.Event, 1)}
+	firstWaiting, _ := a.encode(start, at(11), waiting)
+	a.encode(start, at(3), behind)
+	if again, _ := a.encode(start, at(11), waiting); &again.plain[0] != &firstWaiting.plain[0] {
+		t.Error("got the changes encoded again for the peers that wait, as another is behind")
+	}
 	if few, _ := a.encode(start, at(8), excerpt{revision: at(9), covered: true}); few.compressed != nil {
 		t.Error("got a short answer compressed")
 	}
--- a/internal/mirror/converge_test.go
+++ b/internal/mirror/converge_test.go
@@ -97,7 +97,7 @@
 	if peer == m || e.revision.IsZero() {
 		return
 	}
-	a, err := newAnswer(m.since(), e)
+	a, err := newAnswer(e)
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/internal/mirror/values_test.go
+++ b/internal/mirror/values_test.go
@@ -23,7 +23,7 @@
 	for name, value := range tests {
 		t.Run(name, func(t *testing.T) {
 			item := platform.Item{Key: "k", Value: value, Changed: at(7), Created: at(5)}
-			a, err := newAnswer(platform.Revision{}, excerpt{revision: at(9), items: []platform.Item{item}})
+			a, err := newAnswer(excerpt{revision: at(9), items: []platform.Item{item}})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -56,7 +56,7 @@
 func BenchmarkWholeList(b *testing.B) {
 	e, sent := wholeList(), 0
 	for b.Loop() {
-		a, err := newAnswer(platform.Revision{}, e)
+		a, err := newAnswer(e)
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -67,7 +67,7 @@
 
 // BenchmarkTakeWholeList decodes that answer.
 func BenchmarkTakeWholeList(b *testing.B) {
-	a, err := newAnswer(platform.Revision{}, wholeList())
+	a, err := newAnswer(wholeList())
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -106,7 +106,7 @@
 
 // Decoding a whole view allocates little more than its items.
 func TestDecodeAllocates(t *testing.T) {
-	a, err := newAnswer(platform.Revision{}, wholeList())
+	a, err := newAnswer(wholeList())
 	if err != nil {
 		t.Fatal(err)
 	}
