--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -232,6 +232,10 @@
 // Work with an empty cache ends below it.
 const lateFactor = 2
 
+// lateGrace is how long after its registration late answers of a target don't count against its
+// version: it is cold for some seconds, and for some more its caches are empty. Failures count.
+const lateGrace = 6 * time.Second
+
 // record counts an answer for or against the version of its target.
 func (t *rolloutTracker) record(now time.Time, p *pendingRequest, a attempt, ending steer.Ending) {
 	if !t.active.Load() || a.choice.Cold {
@@ -240,11 +244,14 @@
 	bad := false
 	switch late := now.Sub(a.start) > lateFactor*objectiveOf(p); ending {
 	case steer.Answered:
+		if late && a.choice.TargetAge < lateGrace {
+			return
+		}
 		bad = late
 	case steer.Failed, steer.TimedOut:
 		bad = true
 	case steer.CallerLeft:
-		if !late {
+		if !late || a.choice.TargetAge < lateGrace {
 			return
 		}
 		bad = true
--- a/internal/edge/rollout_test.go
+++ b/internal/edge/rollout_test.go
@@ -7,7 +7,13 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/emulator/store"
+	"github.com/firlever/firlever/internal/rollout"
+	"github.com/firlever/firlever/internal/routes"
+	"github.com/firlever/firlever/internal/steer"
 	"github.com/firlever/firlever/platform"
 )
 
@@ -280,3 +286,40 @@
 
 // errTest is the error of a call in a test.
 var errTest = &platform.MissingError{Call: "test"}
+
+// Late answers of targets that are known only for a moment don't count, failures do.
+func TestLateAnswersOfNewTargets(t *testing.T) {
+	tests := map[string]struct {
+		age    time.Duration
+		took   time.Duration
+		ending steer.Ending
+		want   rollout.Tally
+	}{
+		"late":           {lateGrace, time.Second, steer.Answered, rollout.Tally{Answers: 1, Bad: 1}},
+		"late, new":      {lateGrace - 1, time.Second, steer.Answered, rollout.Tally{}},
+		"in time, new":   {0, time.Millisecond, steer.Answered, rollout.Tally{Answers: 1}},
+		"failed, new":    {0, time.Millisecond, steer.Failed, rollout.Tally{Answers: 1, Bad: 1}},
+		"left late, new": {0, time.Second, steer.CallerLeft, rollout.Tally{}},
+		"left late":      {lateGrace, time.Second, steer.CallerLeft, rollout.Tally{Answers: 1, Bad: 1}},
+		"left early":     {lateGrace, time.Millisecond, steer.CallerLeft, rollout.Tally{}},
+		"shed":           {lateGrace, time.Millisecond, steer.Shed, rollout.Tally{}},
+	}
+	r, _, _ := newRolloutRig(t, "good")
+	r.order("v2", "60s")
+	r.waitRollout("running", changeTimeout)
+	tracker := r.node.rollouts
+	route := &routes.Entry{Route: routes.Route{Name: "r", Objective: 100 * time.Millisecond}}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := boottime.Now()
+			p := &pendingRequest{service: "s", admission: admission{route: route}}
+			choice := steer.Choice{Target: steer.Target{ID: name, Version: "v2"}, TargetAge: tt.age}
+			tracker.record(now, p, attempt{choice: choice, start: now.Add(-tt.took)}, tt.ending)
+			tracker.mu.Lock()
+			defer tracker.mu.Unlock()
+			if got := tracker.byService["s"].counts[rollout.Source{Route: "r", Target: xxhash.Sum64String(name)}]; got != tt.want {
+				t.Errorf("got %+v, want %+v", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/steer/pick.go
+++ b/internal/steer/pick.go
@@ -41,6 +41,7 @@
 	Cost           time.Duration // estimated cost by which the target was selected
 	Home           bool          // whether the target is the object's home among all targets
 	Cold           bool          // whether the target was cold
+	TargetAge      time.Duration // time since this instance first knew the target's run
 	TargetLoad     int           // estimated requests at the target, running and waiting
 	TypicalLoad    float64       // typical load of the service's targets per slot; replaces the target's own as LoadAge grows
 	LoadAge        time.Duration // time since the target last reported its load; -1 if it never did
@@ -168,7 +169,7 @@
 		}
 		if found.Target.ID == "" || cost < found.Cost {
 			found = Choice{
-				Target: c.Target, Wait: wait, Cost: cost, Home: c.globalRank == 0, Cold: c.cold(now),
+				Target: c.Target, Wait: wait, Cost: cost, Home: c.globalRank == 0, Cold: c.cold(now), TargetAge: now.Sub(c.addedAt),
 			}.withLoadOf(now, c.target)
 		}
 	}
