Count how attempts at targets fail

The metrics showed that requests were refused after failed attempts, not whether connections were refused, hung or were reset: a partition of the instance looked like targets that are down. Attempts without a complete answer are now counted by service and kind of failure.

Tested by TestFailureOf; no behaviour changes.

--- /dev/null
+++ b/internal/edge/failure_test.go
@@ -0,0 +1,41 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"syscall"
+	"testing"
+
+	"github.com/firlever/firlever/internal/http1"
+)
+
+func TestFailureOf(t *testing.T) {
+	left, cancel := context.WithCancel(context.Background())
+	cancel()
+	unsent := func(err error) error { return &http1.NotSentError{Err: err} }
+	tests := map[string]struct {
+		ctx  context.Context
+		err  error
+		want attemptFailure
+	}{
+		"none":             {context.Background(), nil, ""},
+		"caller left":      {left, io.EOF, ""},
+		"refused":          {context.Background(), unsent(fmt.Errorf("dial: %w", syscall.ECONNREFUSED)), connectionRefused},
+		"connect timeout":  {context.Background(), unsent(context.DeadlineExceeded), connectTimeout},
+		"not acknowledged": {context.Background(), &http1.NoAnswerError{Err: os.NewSyscallError("read", syscall.ETIMEDOUT)}, connectionSilent},
+		"reset":            {context.Background(), &http1.NoAnswerError{Err: syscall.ECONNRESET}, connectionReset},
+		"no answer":        {context.Background(), &http1.NoAnswerError{Err: os.ErrDeadlineExceeded}, noAnswerInTime},
+		"truncated":        {context.Background(), &http1.NoAnswerError{Err: io.ErrUnexpectedEOF}, otherFailure},
+		"withheld":         {context.Background(), errors.New("any"), otherFailure},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := failureOf(tt.ctx, tt.err); got != tt.want {
+				t.Errorf("got %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"time"
 
 	"github.com/firlever/firlever/internal/boottime"
@@ -86,6 +87,13 @@
 	}
 }
 
+// countFailure counts an attempt that got no complete answer.
+func (n *Node) countFailure(ctx context.Context, r attempt) {
+	if failure := failureOf(ctx, r.err); failure != "" {
+		n.cfg.Metrics.CountDecision(metrics.Decision{Kind: "attempt", Service: r.choice.Target.Service, Reason: string(failure)})
+	}
+}
+
 // logFailedAttempt logs an attempt that did not answer the request.
 func (n *Node) logFailedAttempt(p *pendingRequest, r attempt, v attemptOutcome) {
 	target := r.choice.Target
--- a/internal/edge/pass.go
+++ b/internal/edge/pass.go
@@ -109,6 +109,7 @@
 // complete records the outcome of an attempt.
 func (n *Node) complete(ctx context.Context, p *pendingRequest, r attempt) attemptOutcome {
 	v := classify(ctx, r.resp, r.err)
+	n.countFailure(ctx, r)
 	p.choice, p.ending, p.cause = r.choice, v.ending, r.err
 	p.end(v)
 	if r.resp != nil && v.answer == nil {
