Test that callers of an instance without a path to targets are served

Nothing played an instance that is well by its own account and reaches no target: the links of one instance to all targets couldn't fail alone. The pool of connections takes its dial function, which tests replace by emulated links, and those can refuse new connections while open ones work.

--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -7,9 +7,11 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/firlever/firlever/internal/http1"
 	"github.com/firlever/firlever/internal/metrics"
 	"github.com/firlever/firlever/internal/overload"
 	"github.com/firlever/firlever/internal/steer"
+	"github.com/firlever/firlever/internal/tcp"
 	"github.com/firlever/firlever/platform"
 )
 
@@ -18,6 +20,7 @@
 	Settings       platform.Settings
 	Log            *log.Logger
 	Metrics        *metrics.Set
+	DialTargets    http1.Dial      // nil: TCP from the instance's address, with the time-outs of package tcp
 	Overload       *overload.Meter // of this process; with nil, no request is refused because of overload
 	ByteCost       float64         // nanoseconds of latency that one byte between failure domains is worth; 0: the default
 	SuccessLogRate int             // lines a second about successful requests
@@ -42,6 +45,9 @@
 	if c.LookupTTL == 0 {
 		c.LookupTTL = DefaultLookupTTL
 	}
+	if c.DialTargets == nil {
+		c.DialTargets = tcp.NewDialer(c.Settings.IP).DialContext
+	}
 }
 
 // Check returns an error that names every invalid field of the configuration.
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -87,7 +87,7 @@
 		changeLimiter: logs.NewLimiter(changeLogRate),
 	}
 	n.budget = http1.NewBudget(cfg.bodyBytes())
-	n.pool = http1.NewPool(s.IP, n.budget)
+	n.pool = http1.NewPool(cfg.DialTargets, n.budget)
 	n.store.OnCallDone(n.countStoreCall)
 	n.processStart = time.Now().UnixNano()
 	if n.quotas, err = n.newQuotas(); err != nil {
--- /dev/null
+++ b/internal/edge/partition_test.go
@@ -0,0 +1,180 @@
+package edge
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/firlever/firlever/internal/emulator/link"
+)
+
+// partitionRig is a rig of four instances in two failure domains, whose links to the targets can
+// fail, and a record of the requests that were sent to them.
+type partitionRig struct {
+	*rig
+	nodes   map[string]*Node
+	targets []*target
+	lastID  atomic.Int64
+}
+
+// partitionNames are the instances of a partitionRig; e1 and e2 are in domain n1, the others in s1.
+var partitionNames = []string{"e1", "e2", "e3", "e4"}
+
+func newPartitionRig(t *testing.T, behaviour string) *partitionRig {
+	t.Helper()
+	r := &partitionRig{rig: newRig(t), nodes: make(map[string]*Node)}
+	r.links = link.New(nil, link.Latency{}, 1, nil)
+	r.configure(1, "s")
+	for k := range 6 {
+		target := r.target(behaviour)
+		r.targets = append(r.targets, target)
+		r.register(fmt.Sprint("t", k), target.address, []string{"n1", "s1"}[k%2], "ready")
+	}
+	for k, name := range partitionNames {
+		r.nodes[name] = r.startInstance(name, []string{"n1", "n1", "s1", "s1"}[k])
+	}
+	for name, n := range r.nodes {
+		r.eventually(name+" is ready and knows the others", func() bool {
+			return n.Ready() && len(n.instances.names()) == len(partitionNames) && r.usable(n) == len(r.targets)
+		})
+	}
+	return r
+}
+
+func (r *partitionRig) usable(n *Node) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_, usable := n.fleet.CountTargets(time.Now(), "s")
+	return usable
+}
+
+// partition sets a fault between instances and the targets, in both directions.
+func (r *partitionRig) partition(f link.Fault, names ...string) {
+	for _, name := range names {
+		r.links.SetBoth(name, "targets", f)
+	}
+}
+
+// runs returns the runs at all targets.
+func (r *partitionRig) runs() int {
+	total := 0
+	for _, target := range r.targets {
+		total += target.runs()
+	}
+	return total
+}
+
+// served counts the requests of some callers to one instance.
+type served struct{ sent, good, unknown int }
+
+// load sends requests to instances for a time, each in its turn on a new connection, and returns
+// what became of them by instance. path is that of idempotent or other requests.
+func (r *partitionRig) load(length time.Duration, path string, names ...string) map[string]served {
+	var mu sync.Mutex
+	counts := make(map[string]served)
+	var callers sync.WaitGroup
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		for _, name := range names {
+			callers.Go(func() {
+				status := r.request(r.nodes[name], path)
+				mu.Lock()
+				defer mu.Unlock()
+				c := counts[name]
+				c.sent++
+				switch status {
+				case http.StatusOK:
+					c.good++
+				case http.StatusServiceUnavailable:
+				default:
+					c.unknown++
+				}
+				counts[name] = c
+			})
+		}
+	}
+	callers.Wait()
+	return counts
+}
+
+// request sends one request with an ID of its own and returns the answer's status; 0 if there is none.
+func (r *partitionRig) request(n *Node, path string) int {
+	c, err := net.Dial("tcp", n.cfg.Settings.Callers)
+	if err != nil {
+		return 0
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(2 * time.Second))
+	fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\nRequest-Id: r%d\r\nDeadline-Ms: 1000\r\n\r\n", path, r.lastID.Add(1))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	if _, err := io.ReadAll(resp.Body); err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// partitionDetection is within which time callers of an instance that was partitioned from all
+// targets must be served again.
+const partitionDetection = 2 * time.Second
+
+// Callers of instances that are partitioned from all targets are served nearly as often as those
+// of the others, and nothing runs twice.
+func TestPartitionFromTargets(t *testing.T) {
+	tests := map[string]struct {
+		fault     link.Fault
+		cut       []string
+		path      string
+		behaviour string // of the targets
+	}{
+		"one, refused":                {link.Fault{Refuse: true}, []string{"e1"}, "/get/x", "good"},
+		"one, silent":                 {link.Fault{Partition: true}, []string{"e1"}, "/get/x", "good"},
+		"one, new connections":        {link.Fault{RefuseNew: true}, []string{"e1"}, "/get/x", "good, Connection: close"},
+		"one, refused, once only":     {link.Fault{Refuse: true}, []string{"e1"}, "/do/x", "good"},
+		"one, silent, once only":      {link.Fault{Partition: true}, []string{"e1"}, "/do/x", "good"},
+		"a domain, refused":           {link.Fault{Refuse: true}, []string{"e1", "e2"}, "/get/x", "good"},
+		"a domain, silent, once only": {link.Fault{Partition: true}, []string{"e1", "e2"}, "/do/x", "good"},
+		"half, across domains":        {link.Fault{Refuse: true}, []string{"e2", "e3"}, "/get/x", "good"},
+		"all but one":                 {link.Fault{Refuse: true}, []string{"e1", "e2", "e3"}, "/get/x", "good"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newPartitionRig(t, tt.behaviour)
+			before := r.load(200*time.Millisecond, tt.path, partitionNames...)
+			r.partition(tt.fault, tt.cut...)
+			during := r.load(partitionDetection, tt.path, partitionNames...)
+			after := r.load(time.Second, tt.path, partitionNames...)
+			r.partition(link.Fault{}, tt.cut...)
+			healing := r.load(partitionDetection, tt.path, partitionNames...)
+			healed := r.load(time.Second, tt.path, partitionNames...)
+			sent := 0
+			for _, counts := range []map[string]served{before, during, after, healing, healed} {
+				for _, c := range counts {
+					sent += c.sent
+				}
+			}
+			for _, n := range partitionNames {
+				for phase, c := range map[string]served{"partitioned": after[n], "healed": healed[n]} {
+					if c.good*50 < c.sent*49 {
+						t.Errorf("%s, %s: got %+v, want 49 of 50 served", phase, n, c)
+					}
+				}
+			}
+			if tt.path == "/do/x" && r.runs() > sent {
+				t.Errorf("got %d runs of %d requests, want none twice", r.runs(), sent)
+			}
+			if slices.Contains(tt.cut, "e1") && during["e1"].good == 0 {
+				t.Errorf("got %+v in the first %s, want some served", during["e1"], partitionDetection)
+			}
+		})
+	}
+}
--- a/internal/edge/rig_test.go
+++ b/internal/edge/rig_test.go
@@ -15,7 +15,9 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/firlever/firlever/internal/boottime"
+	"github.com/firlever/firlever/internal/emulator/link"
 	"github.com/firlever/firlever/internal/emulator/store"
+	"github.com/firlever/firlever/internal/http1"
 	"github.com/firlever/firlever/internal/overload"
 	"github.com/firlever/firlever/internal/steer"
 	"github.com/firlever/firlever/platform"
@@ -28,6 +30,7 @@
 	node  *Node
 	url   string // of the store, without the scheme
 
+	links   *link.Links     // from the nodes, by name, to "targets"; nil for direct connections
 	memory  int             // of the nodes, in MB; 0 if not known
 	load    *overload.Meter // of the nodes; with nil, none refuses for overload
 	reports int             // that targets have written
@@ -65,7 +68,7 @@
 	regions := map[string]string{"n1": "north", "s1": "south"}
 	n, err := New(Config{
 		Log:       log.New(io.Discard),
-		Overload:  r.load,
+		Overload:  r.load, DialTargets: r.dialer(name),
 		LookupTTL: 50 * time.Millisecond,
 		Settings: platform.Settings{
 			Instance: name, Domain: domain, Region: regions[domain], Regions: regions,
@@ -91,6 +94,14 @@
 	return n
 }
 
+// dialer returns how a node connects to targets.
+func (r *rig) dialer(name string) http1.Dial {
+	if r.links == nil {
+		return nil
+	}
+	return r.links.Dialer(link.At(name), func(string) link.Point { return link.At("targets") })
+}
+
 const (
 	anyPort            = "127.0.0.1:0"
 	unreachableAddress = "127.0.0.1:1" // nothing listens there
--- a/internal/emulator/link/conn.go
+++ b/internal/emulator/link/conn.go
@@ -74,7 +74,7 @@
 		}
 		f, changed = p.state()
 	}
-	if f.Refuse {
+	if f.Refuse || f.RefuseNew {
 		return syscall.ECONNREFUSED
 	}
 	d := p.oneWay(f)
--- a/internal/emulator/link/fault.go
+++ b/internal/emulator/link/fault.go
@@ -13,6 +13,8 @@
 	Partition bool
 	// Refuse resets connections at once, and new ones are refused.
 	Refuse bool
+	// RefuseNew refuses new connections; open ones work.
+	RefuseNew bool
 	// Loss is the probability that a packet is lost, or that a stream's bytes
 	// are delayed by a retransmission.
 	Loss float64
--- a/internal/http1/forgetful_test.go
+++ b/internal/http1/forgetful_test.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/firlever/firlever/internal/tcp"
 )
 
 // newStaleTarget starts a target that resets a connection on which a request arrives after
@@ -56,7 +58,7 @@
 	for range 4 {
 		addresses = append(addresses, newStaleTarget(t, 150*time.Millisecond))
 	}
-	p := NewPool("", nil)
+	p := NewPool(tcp.NewDialer("").DialContext, nil)
 	defer p.Close()
 	send := func(target int, group string) error {
 		e := newExchange(addresses[target])
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/firlever/firlever/internal/boottime"
-	"github.com/firlever/firlever/internal/tcp"
 )
 
 const (
@@ -27,7 +26,7 @@
 
 // Pool keeps idle connections to targets for reuse. It is safe for concurrent use.
 type Pool struct {
-	dialer *net.Dialer
+	dial   Dial
 	stop   chan struct{}
 	budget *Budget // of answers' bodies
 
@@ -39,10 +38,12 @@
 	closed  bool                    // guarded by mu
 }
 
-// NewPool returns a pool whose connections use ip as their source address; "" lets
-// the system choose. Bodies of answers take from the budget.
-func NewPool(ip string, budget *Budget) *Pool {
-	p := &Pool{budget: budget, idle: make(map[string][]*poolConn), pending: make(map[*poolConn]time.Time), stop: make(chan struct{}), dialer: tcp.NewDialer(ip)}
+// Dial opens a connection.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewPool returns a pool that opens connections with dial. Bodies of answers take from the budget.
+func NewPool(dial Dial, budget *Budget) *Pool {
+	p := &Pool{budget: budget, idle: make(map[string][]*poolConn), pending: make(map[*poolConn]time.Time), stop: make(chan struct{}), dial: dial}
 	go p.sweep()
 	return p
 }
@@ -109,7 +110,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := p.dialer.DialContext(ctx, "tcp", e.Address)
+	conn, err := p.dial(ctx, "tcp", e.Address)
 	if err != nil {
 		return nil, err
 	}
@@ -121,7 +122,7 @@
 func (p *Pool) CheckConnection(ctx context.Context, target, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := p.dialer.DialContext(ctx, "tcp", address)
+	conn, err := p.dial(ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
--- a/internal/http1/pool_test.go
+++ b/internal/http1/pool_test.go
@@ -11,6 +11,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/firlever/firlever/internal/tcp"
 )
 
 // newScriptedTarget starts a target that answers each request with the next text. "close"
@@ -104,7 +106,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			address, conns := newScriptedTarget(t, tt.answers...)
-			p := NewPool("", nil)
+			p := NewPool(tcp.NewDialer("").DialContext, nil)
 			defer p.Close()
 			resp, err := p.Do(context.Background(), newExchange(address))
 			var lost *NoAnswerError
@@ -136,7 +138,7 @@
 	}
 	address := ln.Addr().String()
 	ln.Close()
-	p := NewPool("", nil)
+	p := NewPool(tcp.NewDialer("").DialContext, nil)
 	defer p.Close()
 	_, err = p.Do(context.Background(), newExchange(address))
 	var unsent *NotSentError
@@ -148,7 +150,7 @@
 // A request that is no longer wanted when the connection is established is not sent.
 func TestUnwanted(t *testing.T) {
 	address, _ := newScriptedTarget(t, "close")
-	p := NewPool("", nil)
+	p := NewPool(tcp.NewDialer("").DialContext, nil)
 	defer p.Close()
 	e := newExchange(address)
 	asked := 0
@@ -179,7 +181,7 @@
 	for name, prepare := range tests {
 		t.Run(name, func(t *testing.T) {
 			address, _ := newScriptedTarget(t, "wait")
-			p := NewPool("", nil)
+			p := NewPool(tcp.NewDialer("").DialContext, nil)
 			defer p.Close()
 			e := newExchange(address)
 			begin := time.Now()
@@ -215,7 +217,7 @@
 			read <- n
 		}
 	}()
-	p := NewPool("", nil)
+	p := NewPool(tcp.NewDialer("").DialContext, nil)
 	defer p.Close()
 	e := newExchange(ln.Addr().String())
 	e.Request.Method, e.Request.Body = "POST", make([]byte, 32<<20)
@@ -230,7 +232,7 @@
 // Connections that the target may be closing are not used for non-idempotent requests.
 func TestOnceUsesFreshConnections(t *testing.T) {
 	address, conns := newScriptedTarget(t, goodAnswer, goodAnswer, goodAnswer)
-	p := NewPool("", nil)
+	p := NewPool(tcp.NewDialer("").DialContext, nil)
 	defer p.Close()
 	if _, err := p.Do(context.Background(), newExchange(address)); err != nil {
 		t.Fatal(err)
@@ -261,7 +263,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			address, conns := newScriptedTarget(t, goodAnswer, goodAnswer, "wait", goodAnswer)
-			p := NewPool("", nil)
+			p := NewPool(tcp.NewDialer("").DialContext, nil)
 			defer p.Close()
 			fillPool(t, p, address)
 			ctx, cancel := context.WithCancel(context.Background())
@@ -321,7 +323,7 @@
 func TestLongAnswer(t *testing.T) {
 	size := maxBuffered + 1000
 	address, _ := newScriptedTarget(t, fmt.Sprintf("HTTP/1.1 200 OK\nId: mine\nContent-Length: %d\n\n%s", size, strings.Repeat("x", size)))
-	p := NewPool("", nil)
+	p := NewPool(tcp.NewDialer("").DialContext, nil)
 	defer p.Close()
 	resp, err := p.Do(context.Background(), newExchange(address))
 	if err != nil {
