Count a request once in its retry budget

A request whose targets couldn't be connected to counted anew in the retry budget for each target that it was chosen for: up to four times, so that the budget allowed up to four times the retries. Found while counting what a request that goes another way may use up.

A request that is counted says so in its query. TestCountedRequests: 16 retries were allowed for 20 counted requests, now 1, the first of a window.

--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -24,6 +24,7 @@
 	*attempts
 	admission
 
+	counted        bool // it counts in a retry budget
 	in             *http1.Request
 	info           platform.Request
 	service        string
@@ -96,6 +97,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	c := n.fleet.Pick(boottime.Now(), n.query(p))
+	p.counted = true
 	n.cfg.Metrics.CountDecision(metrics.Decision{Kind: "load", Service: p.service, Reason: loadFreshness(c)})
 	return c
 }
@@ -105,7 +107,7 @@
 	q := steer.Query{
 		Service: p.service, SpreadKey: p.info.ID, Regions: p.regions(),
 		Objective: p.route.Objective, Deadline: p.deadline, AnswerSize: n.answerSizes[p.route.Name],
-		Retry: p.reached+p.inFlight > 0, Tried: p.tried,
+		Retry: p.reached+p.inFlight > 0, Counted: p.counted, Tried: p.tried,
 	}
 	if p.route.Affinity {
 		q.Object = p.info.Object
--- a/internal/edge/rig_test.go
+++ b/internal/edge/rig_test.go
@@ -67,8 +67,8 @@
 	r.t.Helper()
 	regions := map[string]string{"n1": "north", "s1": "south"}
 	n, err := New(Config{
-		Log:       log.New(io.Discard),
-		Overload:  r.load, DialTargets: r.dialer(name),
+		Log:      log.New(io.Discard),
+		Overload: r.load, DialTargets: r.dialer(name),
 		LookupTTL: 50 * time.Millisecond,
 		Settings: platform.Settings{
 			Instance: name, Domain: domain, Region: regions[domain], Regions: regions,
--- a/internal/steer/pick.go
+++ b/internal/steer/pick.go
@@ -16,6 +16,7 @@
 	Deadline   time.Time      // an answer after it is useless
 	AnswerSize float64        // estimated bytes of the answer; 0 if unknown
 	Retry      bool           // whether the request was sent to another target before
+	Counted    bool           // whether the request counts in a retry budget already
 	Tried      []string       // IDs of the targets that it was sent to before
 
 	pool pool // where the target is looked for; set by Pick
@@ -77,7 +78,7 @@
 	if q.Objective <= 0 {
 		q.Objective = DefaultObjective
 	}
-	if !q.Retry {
+	if !q.Retry && !q.Counted {
 		s.budget.Request(now)
 	}
 	var c Choice
--- a/internal/steer/share_test.go
+++ b/internal/steer/share_test.go
@@ -141,3 +141,40 @@
 		t.Errorf("got rank %d among %d instances, want %d", got, len(names), want)
 	}
 }
+
+// A request counts once in the retry budget, however many targets it was chosen for and at however
+// many instances.
+func TestCountedRequests(t *testing.T) {
+	tests := map[string]struct {
+		counted bool
+		want    int // retries allowed for 20 requests with as many retries
+	}{
+		"counted":     {true, 1},   // the first of a window is always allowed
+		"not counted": {false, 16}, // dividedShare of the requests
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+			f := newFleet(t, 0, 1)
+			f.SetBounds(now, Bounds{RetryRatio: 1, ColdSlack: 1})
+			f.SetPeers(now, []string{f.cfg.Instance})
+			for k := range 4 {
+				f.Put(now, Target{ID: fmt.Sprint("t", k), Service: "s", Domain: f.cfg.Domain, Slots: 100})
+			}
+			q := Query{Service: "s", SpreadKey: "r", Deadline: now.Add(time.Second), Counted: tt.counted}
+			for range 20 {
+				f.Pick(now, q)
+			}
+			got := 0
+			q.Retry = true
+			for range 20 {
+				if f.Pick(now, q).Reason != NoBudget {
+					got++
+				}
+			}
+			if got != tt.want {
+				t.Errorf("got %d retries, want %d", got, tt.want)
+			}
+		})
+	}
+}
