Hand requests off while an instance reaches no target

Callers of an instance that had lost its links to all targets were refused, 0 of 244 and 38 of 1,084 first attempts served while the others served nearly all: each failed attempt was held against its target, and look-ups, readiness and registration ask only whether the instance has a configuration.

Two targets that fail on their connections, without an answer since, are now a reason to probe five others in as many failure domains as there are. If none is reached, the instance is partitioned: connects under way are given up, requests are handed off to a peer that reaches targets (one hop, in proportion to the peers' sizes, the region first), and its record says so, so that look-ups name others while there are any. It probes on, and serves by itself from the first answer.

A peer gets what the request has used up: attempts, targets tried, time left, that it counts in a retry budget, and the lowest configuration by which it may be handled. A peer that can't serve declines, which proves that nothing ran; after an exchange that broke off no other peer is asked. Cold targets, limits, regions and keys are the peer's own checks. Weighed too: only to leave the look-ups (callers keep addresses for up to three times the TTL), and to refuse with a time to return (each caller pays a round trip and a new connection, and most come back to the same instance).

TestDecodeConfig wants the health check's path, which is read now.

--- a/internal/edge/attempts.go
+++ b/internal/edge/attempts.go
@@ -13,7 +13,8 @@
 type attempts struct {
 	repeatable  bool
 	maxAttempts int             // attempts that may reach a target; values below 1 count as 1
-	tried       []string        // IDs of targets that the request was sent to, excluded from further choices
+	tried       []string        // IDs of targets that were chosen, excluded from further choices
+	sentTo      []string        // IDs of those that the request reached
 	inFlight    int             // attempts in flight
 	reached     int             // finished attempts that reached a target; at most maxAttempts
 	mayHaveRun  bool            // whether some attempt may have run
@@ -41,14 +42,15 @@
 	a.inFlight++
 }
 
-// end records the outcome of an attempt.
-func (a *attempts) end(v attemptOutcome) {
+// end records the outcome of an attempt at a target.
+func (a *attempts) end(target string, v attemptOutcome) {
 	a.inFlight--
 	if !v.sent {
 		a.unsent++
 		return
 	}
 	a.reached++
+	a.sentTo = append(a.sentTo, target)
 	if !v.notRun {
 		a.mayHaveRun = true
 		if a.lastAnswer != nil {
@@ -66,6 +68,9 @@
 	return a.reached+a.inFlight < max(1, a.maxAttempts) && a.unsent < maxUnsent
 }
 
+// onlyUnsent reports whether no attempt could be sent, so that another way may still be tried.
+func (a *attempts) onlyUnsent() bool { return a.unsent > 0 && a.reached+a.inFlight == 0 }
+
 // status returns the status of this instance's own answer after the last attempt. 503 means
 // that the request has not run and will not run.
 func (a *attempts) status(now, deadline time.Time) int {
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -116,6 +116,9 @@
 	// restoreSpread is the time over which instances check their registrations after the store
 	// was restored from a snapshot. Others keep registrations that it has lost for 2 s.
 	restoreSpread = time.Second
+	// partitionSpread is the time over which instances write that they have begun or ceased to reach
+	// targets.
+	partitionSpread = 300 * time.Millisecond
 	// deregisterTimeout bounds the call that removes the record. If it fails, the record is
 	// removed when the lease expires.
 	deregisterTimeout = 300 * time.Millisecond
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -24,7 +24,9 @@
 	*attempts
 	admission
 
-	counted        bool // it counts in a retry budget
+	from           string // peer that handed the request off; "" if a caller sent it
+	counted        bool   // it counts in a retry budget
+	peer           string // that it was handed off to; "" if none
 	in             *http1.Request
 	info           platform.Request
 	service        string
@@ -56,10 +58,7 @@
 	if resp := n.takeToken(ctx, a, r, info); resp != nil {
 		return resp
 	}
-	p := &pendingRequest{
-		attempts:  &attempts{repeatable: a.route.Kind.Repeatable(), maxAttempts: a.route.Attempts},
-		admission: a, in: r, info: info, service: a.route.Service(), fingerprint: fingerprintOf(r, info), deadline: deadlineOf(r.ReceivedAt, a.route, info),
-	}
+	p := newPendingRequest(a, r, info)
 	resp := n.forward(ctx, p)
 	if a.workspace != nil && !p.mayHaveRun {
 		n.quotas.Return(a.workspace.Name)
@@ -68,6 +67,13 @@
 	return resp
 }
 
+func newPendingRequest(a admission, r *http1.Request, info platform.Request) *pendingRequest {
+	return &pendingRequest{
+		attempts:  &attempts{repeatable: a.route.Kind.Repeatable(), maxAttempts: a.route.Attempts},
+		admission: a, in: r, info: info, service: a.route.Service(), fingerprint: fingerprintOf(r, info), deadline: deadlineOf(r.ReceivedAt, a.route, info),
+	}
+}
+
 // fingerprintOf returns the fingerprint of a request.
 func fingerprintOf(r *http1.Request, info platform.Request) crash.Fingerprint {
 	return crash.Request{Method: r.Method, Host: r.Host, URI: r.URI, Caller: info.Key, Object: info.Object, Body: r.Body}.Fingerprint()
@@ -180,6 +186,9 @@
 	now := boottime.Now()
 	target := r.choice.Target
 	o := steer.Outcome{Ending: v.ending, Took: now.Sub(r.start)}
+	if r.resp == nil && n.partition.partitioned() {
+		o.Ending = steer.NotSent // says nothing about the target
+	}
 	if r.resp != nil {
 		a := platform.ReadAnswer(r.resp.Status, r.resp.Header)
 		o.WarmIn = a.WarmIn
--- a/internal/edge/instances.go
+++ b/internal/edge/instances.go
@@ -24,6 +24,10 @@
 	Region  string `json:"region"`
 	Leaving bool   `json:"leaving"` // it is stopping, and takes no new callers
 
+	HandOffs    string `json:"handoffs,omitempty"`    // address for requests of other instances, IP:port; "" if it takes none
+	Partitioned bool   `json:"partitioned,omitempty"` // it reaches no target itself
+	Change      int    `json:"change,omitempty"`      // number of the record within the run
+
 	Cores float64 `json:"cores"` // processor cores of its machine
 	Link  float64 `json:"link"`  // network link of its machine, in Mbit/s
 	Run   int64   `json:"run"`   // start of its process, in Unix nanoseconds; distinguishes runs
@@ -39,15 +43,44 @@
 	mu      sync.Mutex
 	records map[string]record // by instance; guarded by mu
 
-	// Instances that are not leaving, sorted by address, and the relays of each region, the first
+	// Instances that are not leaving, and the relays of each region, the first
 	// ranked first. The lists are built when they are needed after records have changed: look-ups
 	// are a hundred times as frequent as changes, and many changes come at once when the whole
 	// system starts. Guarded by mu.
 	outdated bool
+	known    recordLists
+	reaching recordLists // known ones that reach targets
+	ranked   map[string][]relayCandidate
+}
+
+// recordLists holds records sorted by their callers' addresses.
+type recordLists struct {
 	byDomain map[string][]record
 	byRegion map[string][]record
 	all      []record
-	ranked   map[string][]relayCandidate
+}
+
+func newRecordLists() recordLists {
+	return recordLists{byDomain: make(map[string][]record), byRegion: make(map[string][]record)}
+}
+
+func (l *recordLists) add(r record) {
+	l.byDomain[r.Domain] = append(l.byDomain[r.Domain], r)
+	l.byRegion[r.Region] = append(l.byRegion[r.Region], r)
+	l.all = append(l.all, r)
+}
+
+// near returns the instances of a failure domain; those of the region if the domain has fewer than
+// two, as one may fail; or all if the region has none.
+func (l *recordLists) near(region, domain string) []record {
+	list := l.byDomain[domain]
+	if len(list) < minAddresses {
+		list = l.byRegion[region]
+	}
+	if len(list) == 0 {
+		list = l.all
+	}
+	return list
 }
 
 func (i *instances) put(name string, r record) {
@@ -73,7 +106,7 @@
 		return
 	}
 	i.outdated = false
-	i.byDomain, i.byRegion, i.all = make(map[string][]record), make(map[string][]record), nil
+	i.known, i.reaching = newRecordLists(), newRecordLists()
 	i.ranked = make(map[string][]relayCandidate)
 	for name, r := range i.records {
 		if !r.Leaving && r.Peers != "" {
@@ -88,9 +121,10 @@
 		if r.Leaving {
 			continue
 		}
-		i.byDomain[r.Domain] = append(i.byDomain[r.Domain], r)
-		i.byRegion[r.Region] = append(i.byRegion[r.Region], r)
-		i.all = append(i.all, r)
+		i.known.add(r)
+		if !r.Partitioned {
+			i.reaching.add(r)
+		}
 	}
 }
 
@@ -180,19 +214,15 @@
 	return append(near, far...)
 }
 
-// near returns addresses for a caller in a failure domain, limit at most: of instances in the
-// domain; of those in the region if the domain has fewer than two, as one may fail; or of all if
-// the region has none. Leaving instances are excluded.
+// near returns addresses for a caller in a failure domain, limit at most: of instances near it that
+// reach targets, or of any if none does. Leaving instances are excluded.
 func (i *instances) near(region, domain, caller string, limit int) []string {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.updateLists()
-	list := i.byDomain[domain]
-	if len(list) < minAddresses {
-		list = i.byRegion[region]
-	}
+	list := i.reaching.near(region, domain)
 	if len(list) == 0 {
-		list = i.all
+		list = i.known.near(region, domain)
 	}
 	return chooseAddresses(list, caller, limit)
 }
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -49,7 +49,7 @@
 		"status", resp.Status, "took", now.Sub(p.in.ReceivedAt), "left", p.deadline.Sub(now), "attempts", p.reached,
 		"target", c.Target.ID, "domain", c.Target.Domain, "wait", c.Wait, "cost", c.Cost, "home", c.Home, "cold", c.Cold,
 		"busy", c.TargetLoad, "usual", c.TypicalLoad, "load-age", c.LoadAge, "store-age", n.mirror.Age(now),
-		"ending", p.outcome(), "ended", p.crashedTargets, "conn", p.in.ConnID,
+		"ending", p.outcome(), "peer", p.peer, "from", p.from, "ended", p.crashedTargets, "conn", p.in.ConnID,
 	}
 	if c.LimitShare != nil {
 		line = append(line, "limit", c.LimitShare.Limit, "part", c.LimitShare.Rate)
@@ -65,6 +65,8 @@
 		return "key-revoked"
 	case p.choice.Reason != "":
 		return string(p.choice.Reason)
+	case p.peer != "":
+		return "handed-off"
 	case p.reached+p.unsent == 0:
 		return "out-of-time"
 	}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -44,12 +44,17 @@
 	registrar      *registrar
 	budget         *http1.Budget // of bodies that are held for callers and targets
 	pool           *http1.Pool
+	partition      *partitionMonitor
+	handOffs       *handOffs
+	handOffServer  *http1.Server // of requests that peers hand off
 	crashes        *crashTracker
 	rollouts       *rolloutTracker
 	server         *http1.Server
 	webServers     []*http.Server // look-ups, readiness, peers and metrics
 	callerListener net.Listener
 	peerAddress    string // address for other instances, IP:port
+	handOffAddress string // address for requests that peers hand off, IP:port
+	handOffLn      net.Listener
 
 	instances      instances
 	processStart   int64                 // start of this process, in Unix nanoseconds
@@ -68,6 +73,7 @@
 	fleet       *steer.Fleet       // guarded by mu
 	answerSizes map[string]float64 // average bytes of an answer by route; guarded by mu
 
+	ctx        context.Context // ends with the node
 	cancel     context.CancelFunc
 	background sync.WaitGroup // goroutines that Start started
 }
@@ -87,7 +93,10 @@
 		changeLimiter: logs.NewLimiter(changeLogRate),
 	}
 	n.budget = http1.NewBudget(cfg.bodyBytes())
-	n.pool = http1.NewPool(cfg.DialTargets, n.budget)
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.partition = newPartitionMonitor(n)
+	n.pool = http1.NewPool(n.partition.dialTarget, n.budget)
+	n.handOffs = newHandOffs(n, tcp.NewDialer(s.IP).DialContext)
 	n.store.OnCallDone(n.countStoreCall)
 	n.processStart = time.Now().UnixNano()
 	if n.quotas, err = n.newQuotas(); err != nil {
@@ -100,6 +109,7 @@
 	n.registrar = newRegistrar(n)
 	n.crashes = newCrashTracker(n)
 	n.rollouts = newRolloutTracker(n)
+	n.handOffServer = http1.NewServer(n.handOffHandlers())
 	n.server = http1.NewServer(http1.Handlers{Handle: n.handle, RefuseEarly: n.refuseEarly, Busy: cfg.Overload.Refuse, BusyAnswer: n.refuseOverloaded, Limits: n.limits, ErrorAnswer: n.refuseUnreadable, Budget: n.budget, NoMemory: n.refuseNoMemory})
 	return n, nil
 }
@@ -115,6 +125,9 @@
 	n.callerListener = ln
 	s.Callers = ln.Addr().String()
 	go n.server.Serve(ln)
+	if err := n.listenHandOffs(); err != nil {
+		return err
+	}
 	for address, handler := range map[*string]http.Handler{
 		&s.Lookups: n.lookupHandler(), &s.Ready: n.readinessHandler(), &n.peerAddress: n.peerHandler(),
 	} {
@@ -122,8 +135,7 @@
 			return err
 		}
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	n.cancel = cancel
+	ctx := n.ctx
 	n.background.Go(func() { boottime.Watch(ctx) })
 	n.background.Go(func() { n.mirror.Run(ctx) })
 	n.background.Go(func() { n.registrar.run(ctx) })
@@ -143,6 +155,16 @@
 	return net.JoinHostPort(s.IP, strconv.Itoa(s.Ports.First))
 }
 
+// chooseHandOffAddress returns the address at which other instances hand requests off: the internal
+// port after that of peers, or one that the system chooses.
+func chooseHandOffAddress(s *platform.Settings) string {
+	port := 0
+	if s.Ports.First > 0 && s.Ports.First < s.Ports.Last {
+		port = s.Ports.First + 1
+	}
+	return net.JoinHostPort(s.IP, strconv.Itoa(port))
+}
+
 // relays returns the addresses of the peers to follow in place of the store, the preferred first.
 func (n *Node) relays() []string {
 	s := &n.cfg.Settings
--- a/internal/edge/order.go
+++ b/internal/edge/order.go
@@ -41,14 +41,14 @@
 }
 
 // compareRecords compares records by run. Within a run the leaving one is later, as an instance that
-// leaves does so until its process ends.
+// leaves does so until its process ends, and then the one of the later change.
 func compareRecords(a, b platform.Item) int {
 	x, errA := decodeRecord(a.Value)
 	y, errB := decodeRecord(b.Value)
 	if errA != nil || errB != nil {
 		return 0
 	}
-	return cmp.Or(cmp.Compare(x.Run, y.Run), boolToInt(x.Leaving)-boolToInt(y.Leaving))
+	return cmp.Or(cmp.Compare(x.Run, y.Run), boolToInt(x.Leaving)-boolToInt(y.Leaving), cmp.Compare(x.Change, y.Change))
 }
 
 func boolToInt(b bool) int {
--- a/internal/edge/pass.go
+++ b/internal/edge/pass.go
@@ -17,6 +17,9 @@
 		if p.keyRevoked = !n.reauthorize(p); p.keyRevoked {
 			break
 		}
+		if n.partition.partitioned() {
+			return n.forwardElsewhere(ctx, p)
+		}
 		p.choice = n.pick(p)
 		if p.choice.Reason != "" {
 			break
@@ -25,6 +28,9 @@
 			return v.answer
 		}
 	}
+	if p.onlyUnsent() && n.partition.awaitCheck(ctx) {
+		return n.forwardElsewhere(ctx, p)
+	}
 	return n.failureAnswer(p)
 }
 
@@ -81,7 +87,7 @@
 		case r := <-results:
 			v = n.complete(ctx, p, r)
 		case <-hedge.C:
-			if n.rules.Load() != p.rules {
+			if n.rules.Load() != p.rules || n.partition.partitioned() {
 				continue
 			}
 			if c := n.pick(p); c.Reason == "" {
@@ -110,8 +116,9 @@
 func (n *Node) complete(ctx context.Context, p *pendingRequest, r attempt) attemptOutcome {
 	v := classify(ctx, r.resp, r.err)
 	n.countFailure(ctx, r)
+	n.partition.recordAttempt(ctx, r)
 	p.choice, p.ending, p.cause = r.choice, v.ending, r.err
-	p.end(v)
+	p.end(r.choice.Target.ID, v)
 	if r.resp != nil && v.answer == nil {
 		defer r.resp.Discard()
 	}
@@ -143,6 +150,9 @@
 		defer r.resp.Discard()
 	}
 	v := classify(context.Background(), r.resp, r.err)
+	if r.resp != nil {
+		n.partition.recordAttempt(context.Background(), r)
+	}
 	n.recordOutcome(p, r, v)
 	n.logFailedAttempt(p, r, v)
 }
--- a/internal/edge/register.go
+++ b/internal/edge/register.go
@@ -19,14 +19,17 @@
 	node          *Node
 	leaving       chan struct{}     // asks run to write that this instance is leaving
 	storeRestored chan struct{}     // notifies run that the store was restored from a snapshot
+	update        chan struct{}     // asks run to write the record if it has changed
 	lease         platform.Lease    // zero if there is none
 	recordBytes   []byte            // the record under lease
 	revision      platform.Revision // of the record
+	partitioned   bool              // as written in the record
+	changes       int               // records written in this run
 	failing       bool              // the last call failed
 }
 
 func newRegistrar(n *Node) *registrar {
-	return &registrar{node: n, leaving: make(chan struct{}, 1), storeRestored: make(chan struct{}, 1)}
+	return &registrar{node: n, leaving: make(chan struct{}, 1), storeRestored: make(chan struct{}, 1), update: make(chan struct{}, 1)}
 }
 
 // run registers the instance and renews its lease until ctx ends.
@@ -46,6 +49,9 @@
 				r.writeLeaving(ctx)
 			case <-r.storeRestored:
 				due, waiting = r.dueAfterRestore(due), true
+			case <-r.update:
+				r.writePartition(ctx)
+				waiting = true
 			case <-resumed:
 			case <-time.After(boottime.Until(due)):
 			}
@@ -71,6 +77,39 @@
 	}
 }
 
+// updateSoon asks run to write the record if this instance has begun or ceased to reach targets.
+func (r *registrar) updateSoon() {
+	select {
+	case r.update <- struct{}{}:
+	default:
+	}
+}
+
+// writePartition writes whether this instance reaches targets, if the record says otherwise. The time
+// of the write is random, as many instances may be partitioned at once. The next renewal tries again
+// if it fails.
+func (r *registrar) writePartition(ctx context.Context) {
+	if r.lease.IsZero() {
+		return
+	}
+	boottime.Sleep(ctx, boottime.Now().Add(rand.N(partitionSpread)))
+	if ctx.Err() != nil || !r.outdated() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	err := r.write(ctx, r.lease, r.node.stopping.Load())
+	if platform.LeaseLost(err) {
+		r.lease = platform.Lease{}
+	}
+	if err != nil {
+		r.node.cfg.Log.Warn("partition not written", "partitioned", r.node.partition.partitioned(), "err", err)
+	}
+}
+
+// outdated reports whether the record says otherwise than that this instance reaches targets or not.
+func (r *registrar) outdated() bool { return r.partitioned != r.node.partition.partitioned() }
+
 // nextRenewal returns when to renew after an attempt.
 func (r *registrar) nextRenewal(start time.Time, err error) time.Time {
 	if err != nil {
@@ -85,6 +124,9 @@
 	defer cancel()
 	if !r.lease.IsZero() {
 		kept, err := r.renew(ctx)
+		if err == nil && kept && r.outdated() {
+			return r.write(ctx, r.lease, r.node.stopping.Load())
+		}
 		if err != nil || kept {
 			return err
 		}
@@ -133,9 +175,12 @@
 
 func (r *registrar) write(ctx context.Context, lease platform.Lease, leaving bool) error {
 	s := &r.node.cfg.Settings
+	partitioned := r.node.partition.partitioned()
+	r.changes++
 	value, err := json.Marshal(record{
 		Callers: s.Callers, Peers: r.node.peerAddress, Domain: s.Domain, Region: s.Region,
 		Cores: s.Cores, Link: s.LinkMbps, Leaving: leaving, Run: r.node.processStart,
+		HandOffs: r.node.handOffAddress, Partitioned: partitioned, Change: r.changes,
 	})
 	if err != nil {
 		return err
@@ -144,7 +189,7 @@
 	if err != nil {
 		return err
 	}
-	r.lease, r.recordBytes, r.revision = lease, value, changed
+	r.lease, r.recordBytes, r.revision, r.partitioned = lease, value, changed, partitioned
 	return nil
 }
 
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -22,10 +22,16 @@
 	n.registrar.leaving <- struct{}{}
 	boottime.Sleep(ctx, begin.Add(leaveMargin))
 	n.server.Drain()
+	n.handOffServer.Drain()
 	boottime.Sleep(ctx, acceptUntil.Add(leaveMargin))
 	n.callerListener.Close()
+	n.handOffLn.Close()
 	n.server.CloseIdle()
+	n.handOffServer.CloseIdle()
 	err := n.server.Wait(ctx)
+	if err == nil {
+		err = n.handOffServer.Wait(ctx)
+	}
 	n.cancel()
 	n.background.Wait()
 	n.registrar.deregister(context.Background())
@@ -33,6 +39,8 @@
 		server.Close()
 	}
 	n.pool.Close()
+	n.partition.probes.Close()
+	n.handOffs.pool.Close()
 	n.cfg.Log.Info("stopped", "took", boottime.Since(begin), "connections", n.server.ConnCount(), "err", err)
 }
 
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -73,6 +73,18 @@
 	closeAll(list)
 }
 
+// CloseIdle closes all idle connections.
+func (p *Pool) CloseIdle() {
+	p.mu.Lock()
+	var all []*poolConn
+	for target, list := range p.idle {
+		all = append(all, list...)
+		delete(p.idle, target)
+	}
+	p.mu.Unlock()
+	closeAll(all)
+}
+
 // dropBefore closes the connections to a target that became idle before the given time, at
 // which a request was sent on another connection that timed out. The cause of a timeout,
 // such as a partition or an expired entry of a firewall, usually affects the other
@@ -108,25 +120,29 @@
 		}
 		c.conn.Close()
 	}
+	return p.open(ctx, e.Target, e.Address)
+}
+
+// open opens a connection.
+func (p *Pool) open(ctx context.Context, target, address string) (*poolConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := p.dial(ctx, "tcp", e.Address)
+	began := boottime.Now()
+	conn, err := p.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return newPoolConn(conn, e.Target), nil
+	return newPoolConn(conn, target, began), nil
 }
 
 // CheckConnection opens a connection to a target and adds it to the pool. It returns an error if the
 // target doesn't accept connections.
 func (p *Pool) CheckConnection(ctx context.Context, target, address string) error {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	conn, err := p.dial(ctx, "tcp", address)
+	c, err := p.open(ctx, target, address)
 	if err != nil {
 		return err
 	}
-	p.putIdle(newPoolConn(conn, target), 0)
+	p.putIdle(c, 0)
 	return nil
 }
 
--- a/internal/http1/poolconn.go
+++ b/internal/http1/poolconn.go
@@ -15,6 +15,7 @@
 	conn               net.Conn
 	target             string
 	reader             *bufio.Reader
+	openedAt           time.Time                   // when the dial of the connection began
 	reused             bool                        // at least one request was answered on it
 	idleSince          time.Time                   // when it was last added to the pool; zero if never
 	usableUntil        time.Time                   // not reused from then on
@@ -22,8 +23,8 @@
 	nonIdempotentUntil time.Time                   // the same for non-idempotent requests; at most usableUntil
 }
 
-func newPoolConn(conn net.Conn, target string) *poolConn {
-	return &poolConn{conn: conn, target: target, reader: bufio.NewReaderSize(conn, targetBufferSize)}
+func newPoolConn(conn net.Conn, target string, openedAt time.Time) *poolConn {
+	return &poolConn{conn: conn, target: target, openedAt: openedAt, reader: bufio.NewReaderSize(conn, targetBufferSize)}
 }
 
 // usable reports whether an idle connection may be reused: nothing was received after
--- a/internal/metrics/edge.go
+++ b/internal/metrics/edge.go
@@ -8,6 +8,7 @@
 
 // Names of the gauges of an instance on the users' platform, without the prefix.
 const (
+	namePartitioned   = "partitioned"       // 1 if the instance reaches no target, else 0
 	nameReady         = "ready"             // 1 if the instance can serve, else 0
 	nameVersion       = "config_version"    // of the configuration in force
 	nameRevision      = "store_revision"    // latest known revision of the store, within its epoch
@@ -37,6 +38,7 @@
 // EdgeGauges holds the values of the gauges of an instance on the users' platform.
 type EdgeGauges struct {
 	Ready         bool
+	Partitioned   bool
 	ConfigVersion uint64
 	Revision      uint64
 	Epoch         uint64
@@ -62,7 +64,7 @@
 		return
 	}
 	for name, value := range map[string]float64{
-		nameReady: asFloat(e.Ready), nameVersion: float64(e.ConfigVersion), nameRevision: float64(e.Revision), nameEpoch: float64(e.Epoch),
+		nameReady: asFloat(e.Ready), namePartitioned: asFloat(e.Partitioned), nameVersion: float64(e.ConfigVersion), nameRevision: float64(e.Revision), nameEpoch: float64(e.Epoch),
 		nameStoreAge: e.StoreAge.Seconds(), nameInstances: float64(e.Instances), nameConnections: float64(e.Connections),
 		nameBodyBytes: float64(e.BodyBytes), nameBodyLimit: float64(e.BodyLimit),
 		nameOverloadShare: e.OverloadShare,
--- /dev/null
+++ b/internal/partition/detector.go
@@ -0,0 +1,149 @@
+// Package partition detects that an instance is partitioned from all targets. A failed attempt
+// alone doesn't tell whether its target or the instance's own network has failed; failures at
+// several targets are a reason to probe others, and the probes decide.
+//
+// The package does no input or output and is not safe for concurrent use.
+package partition
+
+import (
+	"maps"
+	"time"
+)
+
+const (
+	// minSuspects is how many targets must fail, without an answer of any in between, before
+	// others are probed: one alone has probably failed itself.
+	minSuspects = 2
+	// suspicionTTL is how long a failure counts.
+	suspicionTTL = 2 * time.Second
+	// checkGap is the least time between two checks of an instance that reaches its targets.
+	checkGap = 500 * time.Millisecond
+	// healGap is the time between two checks of an instance that is partitioned.
+	healGap = 400 * time.Millisecond
+)
+
+// Failure is an attempt that failed on its connection.
+type Failure struct {
+	Target  string
+	Began   time.Time // when the attempt began
+	Connect bool      // no connection could be opened
+}
+
+// Result is what one probe found.
+type Result int
+
+// Values of Result.
+const (
+	Unreached Result = iota // no connection could be opened
+	Connected               // a connection was opened, and nothing was answered
+	Answered
+)
+
+// Detector decides whether an instance is partitioned from all targets.
+type Detector struct {
+	partitioned bool
+	since       time.Time            // of the first failure of the partition; zero if there is none
+	suspects    map[string]suspicion // by target: its last failure, which no answer has refuted
+	answeredAt  time.Time            // last answer of any target
+	freshAt     time.Time            // opening of the latest connection that carried an answer
+	checking    bool                 // a check is under way
+	checkBegan  time.Time            // of the last check
+	nextCheck   time.Time            // none begins before
+}
+
+// suspicion is the last failure of a target.
+type suspicion struct {
+	at      time.Time
+	connect bool // no connection could be opened
+}
+
+// New returns a detector of an instance that reaches its targets.
+func New() *Detector { return &Detector{suspects: make(map[string]suspicion)} }
+
+// Partitioned reports whether the instance is partitioned from all targets.
+func (d *Detector) Partitioned() bool { return d.partitioned }
+
+// Since returns when the first attempt of the present partition failed; zero if there is none.
+func (d *Detector) Since() time.Time {
+	if !d.partitioned {
+		return time.Time{}
+	}
+	return d.since
+}
+
+// RecordAnswer records an answer of a target on a connection that was opened at a time. It ends no
+// partition: open connections may work while new ones are refused.
+func (d *Detector) RecordAnswer(now, opened time.Time) {
+	d.answeredAt = now
+	if opened.After(d.freshAt) {
+		d.freshAt = opened
+	}
+	maps.DeleteFunc(d.suspects, func(_ string, s suspicion) bool { return !s.connect || opened.After(s.at) })
+}
+
+// RecordFailure records a failure and reports whether targets should be probed now.
+func (d *Detector) RecordFailure(now time.Time, f Failure) bool {
+	refuted := d.answeredAt
+	if f.Connect {
+		refuted = d.freshAt
+	}
+	if d.partitioned || refuted.After(f.Began) {
+		return false
+	}
+	maps.DeleteFunc(d.suspects, func(_ string, s suspicion) bool { return now.Sub(s.at) > suspicionTTL })
+	if len(d.suspects) == 0 {
+		d.since = f.Began
+	}
+	d.suspects[f.Target] = suspicion{at: now, connect: f.Connect}
+	return len(d.suspects) >= minSuspects && !now.Before(d.nextCheck) && d.BeginCheck(now)
+}
+
+// BeginCheck records that a check begins. It reports false if one is under way.
+func (d *Detector) BeginCheck(now time.Time) bool {
+	if d.checking {
+		return false
+	}
+	d.checking, d.checkBegan = true, now
+	return true
+}
+
+// CheckedSince reports whether the last check, or the one under way, began after a time.
+func (d *Detector) CheckedSince(t time.Time) bool { return d.checkBegan.After(t) }
+
+// AnsweredSince reports whether some target has answered after a time.
+func (d *Detector) AnsweredSince(t time.Time) bool { return d.answeredAt.After(t) }
+
+// EndCheck records what the probes of a check found, and reports whether that changed the state.
+// Without targets to probe there is no partition from them.
+func (d *Detector) EndCheck(now time.Time, results []Result) bool {
+	d.checking = false
+	before := d.partitioned
+	d.partitioned = len(results) > 0 && !d.reached(results)
+	d.nextCheck = now.Add(checkGap)
+	if d.partitioned {
+		d.nextCheck = now.Add(healGap)
+	}
+	if !d.partitioned {
+		clear(d.suspects)
+	} else if !before && d.since.IsZero() {
+		d.since = d.checkBegan
+	}
+	return d.partitioned != before
+}
+
+// reached reports whether the results show that some target is reachable. A connection on which
+// nothing is answered may end at a proxy whose own path is cut; it counts if targets still answer
+// elsewhere.
+func (d *Detector) reached(results []Result) bool {
+	connected := false
+	for _, r := range results {
+		if r == Answered {
+			return true
+		}
+		connected = connected || r == Connected
+	}
+	return connected && d.answeredAt.After(d.checkBegan)
+}
+
+// NextCheck returns when a partitioned instance is to be checked again.
+func (d *Detector) NextCheck() time.Time { return d.nextCheck }
--- a/internal/routes/config.go
+++ b/internal/routes/config.go
@@ -78,10 +78,11 @@
 
 // Service is the configuration that all targets of a service share.
 type Service struct {
-	Name     string
-	MaxConns int           // connections that a target accepts from all instances; 0: not set
-	Warmup   time.Duration // how long a target stays cold after a start
-	ColdRate float64       // requests per second that a cold target can serve
+	Name       string
+	HealthPath string        // path of the targets' health check; "" if not set
+	MaxConns   int           // connections that a target accepts from all instances; 0: not set
+	Warmup     time.Duration // how long a target stays cold after a start
+	ColdRate   float64       // requests per second that a cold target can serve
 }
 
 // Limits are the limits of what a caller may send.
--- a/internal/steer/health.go
+++ b/internal/steer/health.go
@@ -39,4 +39,11 @@
 	return true
 }
 
+// ForgetFailures drops the failures of all targets, as the path to them had failed.
+func (f *Fleet) ForgetFailures() {
+	for _, t := range f.targets {
+		t.consecutiveFailures, t.failureShare, t.ejections, t.ejectedUntil = 0, 0, 0, time.Time{}
+	}
+}
+
 func (t *target) ejected(now time.Time) bool { return now.Before(t.ejectedUntil) }
