Report no ended targets while no target is reached

An aborted exchange is now reported only after another target was reached by a check that began after it.

--- a/internal/edge/breach.go
+++ b/internal/edge/breach.go
@@ -62,6 +62,7 @@
 // probe connects to a target that aborted exchanges: if nothing listens at its address, it
 // has ended.
 func (c *crashTracker) probe(b *abortGroup) {
+	aborted := boottime.Now()
 	time.Sleep(probeDelay)
 	err := c.node.pool.CheckConnection(context.Background(), b.target.ID, b.target.Address)
 	found := "unknown"
@@ -71,6 +72,9 @@
 	case errors.Is(err, syscall.ECONNREFUSED):
 		found = "ended"
 	}
+	if found == "ended" && !c.node.partition.confirmReached(aborted) {
+		found = "unknown" // what failed is the path to all targets
+	}
 	c.node.cfg.Metrics.CountDecision(metrics.Decision{Kind: "broken-off", Service: b.target.Service, Reason: found})
 	serving := c.node.isServing(b.target)
 	c.mu.Lock()
--- a/internal/edge/partition_test.go
+++ b/internal/edge/partition_test.go
@@ -178,3 +178,35 @@
 		})
 	}
 }
+
+// An instance that reaches no target tells others neither that targets have ended, nor that requests
+// end them.
+func TestNoCrashReportsFromPartition(t *testing.T) {
+	t.Parallel()
+	tests := map[string]link.Fault{"refused": {Refuse: true}, "silent": {Partition: true}}
+	for name, fault := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newPartitionRig(t, "hang")
+			var callers sync.WaitGroup
+			for range 20 {
+				callers.Go(func() { r.request(r.nodes["e1"], "/get/x") })
+			}
+			r.eventually("requests are at all targets", func() bool { return r.runs() >= 20 })
+			r.partition(fault, "e1")
+			callers.Wait()
+			r.eventually("the partition is detected", func() bool {
+				r.request(r.nodes["e1"], "/get/x")
+				return r.nodes["e1"].partition.partitioned()
+			})
+			time.Sleep(200 * time.Millisecond) // for reports to be written
+			for name, n := range r.nodes {
+				n.crashes.mu.Lock()
+				if got := len(n.crashes.retained); got != 0 {
+					t.Errorf("%s: got %d reports of ended targets, want none", name, got)
+				}
+				n.crashes.mu.Unlock()
+			}
+		})
+	}
+}
--- a/internal/edge/pass.go
+++ b/internal/edge/pass.go
@@ -133,7 +133,7 @@
 // trackCrashes passes what an attempt shows about poison requests to the crash tracker.
 func (n *Node) trackCrashes(p *pendingRequest, r attempt, v attemptOutcome) {
 	switch {
-	case v.aborted:
+	case v.aborted && !n.partition.partitioned():
 		n.crashes.exchangeAborted(boottime.Now(), r.choice.Target, p.fingerprint)
 	case v.final && v.answer.Rest != nil:
 		v.answer.Rest = &streamedAnswer{ReadCloser: v.answer.Rest, tracker: n.crashes, target: r.choice.Target, fingerprint: p.fingerprint}
