Count no failures of a partitioned instance against a version

Connections that were reset or refused by the partition of an instance counted as bad answers of the version that is rolled out, and could roll a good version back.

A failure without an answer counts once some target has answered or was reached after it.

--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -202,7 +202,7 @@
 		n.recordSize(p.route.Name, r.resp)
 	}
 	n.mu.Unlock()
-	n.rollouts.record(now, p, r, v.ending)
+	n.recordRollout(now, p, r, v)
 	if ejected {
 		n.cfg.Log.Warn("target ejected", "target", target.ID, "service", p.service, "domain", target.Domain, "ending", v.ending)
 	}
--- a/internal/edge/partition_test.go
+++ b/internal/edge/partition_test.go
@@ -210,3 +210,28 @@
 		})
 	}
 }
+
+// Failures of an instance that reaches no target don't count against a version.
+func TestNoRolloutEvidenceFromPartition(t *testing.T) {
+	t.Parallel()
+	r := newPartitionRig(t, "good")
+	n := r.nodes["e1"]
+	r.order("v2", "60s")
+	r.node = n
+	r.waitRollout("running", changeTimeout)
+	for k := range 2 {
+		r.registerVersion(fmt.Sprint("new", k), r.target("good").address, "v2", "ready")
+	}
+	r.load(500*time.Millisecond, "/get/x", "e1")
+	r.partition(link.Fault{Refuse: true}, "e1")
+	r.load(time.Second, "/get/x", "e1")
+	n.rollouts.mu.Lock()
+	defer n.rollouts.mu.Unlock()
+	answers, bad := 0, 0
+	for _, tally := range n.rollouts.byService["s"].counts {
+		answers, bad = answers+int(tally.Answers), bad+int(tally.Bad)
+	}
+	if answers == 0 || bad != 0 {
+		t.Errorf("got %d bad of %d answers, want none", bad, answers)
+	}
+}
--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -236,6 +236,22 @@
 // version: it is cold for some seconds, and for some more its caches are empty. Failures count.
 const lateGrace = 6 * time.Second
 
+// recordRollout records the outcome of an attempt for the rollout of its service. A failure without an
+// answer counts once some target was reached after it.
+func (n *Node) recordRollout(now time.Time, p *pendingRequest, a attempt, v attemptOutcome) {
+	if a.resp != nil || v.ending != steer.Failed && v.ending != steer.TimedOut {
+		n.rollouts.record(now, p, a, v.ending)
+		return
+	}
+	if n.rollouts.active.Load() {
+		go func() {
+			if n.partition.answeredSince(now) || n.partition.confirmReached(now) {
+				n.rollouts.record(now, p, a, v.ending)
+			}
+		}()
+	}
+}
+
 // record counts an answer for or against the version of its target.
 func (t *rolloutTracker) record(now time.Time, p *pendingRequest, a attempt, ending steer.Ending) {
 	if !t.active.Load() || a.choice.Cold {
