Leave targets to peers while serve reaches none

An instance of serve that had lost its links to its place's targets went on owning a part of them: no other instance may send there, its own requests and those that peers handed to it failed one attempt after the other, and it reported free slots.

The core now detects the partition as edge does, with checks of up to five targets of the place by new probes. While it lasts, requests of callers go to peers or are refused at once, those of peers are refused as "partitioned", no free slots are reported or granted, look-ups name the peers, and reports of crashed targets wait for a check that reached another one. Once a peer of the place has answered a hand-off, the instance leaves the roster, so that its targets get another owner; without that sign it keeps them, as the targets may have failed. A place with a single target knows no partition, as nothing tells the two apart.

--- a/internal/core/apply.go
+++ b/internal/core/apply.go
@@ -10,6 +10,7 @@
 	"github.com/firlever/firlever/internal/health"
 	"github.com/firlever/firlever/internal/once"
 	"github.com/firlever/firlever/internal/owner"
+	"github.com/firlever/firlever/internal/partition"
 	"github.com/firlever/firlever/internal/queue"
 	"github.com/firlever/firlever/internal/retry"
 	"github.com/firlever/firlever/pkg/settings"
@@ -245,8 +246,13 @@
 	if !ok || !slices.Contains(s.keys, ev.Target) {
 		return
 	}
+	if ev.Check {
+		n.checked(now, ev)
+		return
+	}
 	n.resolveAbort(now, ev)
 	if ev.Err {
+		n.recordUnreached(now, partition.Failure{Target: nameOf(ev.Target), Began: ev.Sent, Connect: ev.Refused})
 		s.health.Observe(now, ev.Target, health.Failed, 0)
 		return
 	}
--- a/internal/core/crash.go
+++ b/internal/core/crash.go
@@ -37,6 +37,7 @@
 type abortedExchange struct {
 	at           time.Time // of the first abort
 	fingerprints []crash.Fingerprint
+	refused      bool // nothing listens at the target; a check shows whether another is reached
 }
 
 // storedReport is a report with its expiry time.
@@ -110,14 +111,44 @@
 	if b == nil || ev.Sent.Before(b.at) || ev.Err && !ev.Refused {
 		return
 	}
-	delete(n.crashes.aborts, ev.Target)
 	if !ev.Refused {
+		delete(n.crashes.aborts, ev.Target)
 		return
 	}
+	if len(n.placeTargets()) < minCheckedTargets {
+		n.targetCrashed(now, ev.Target)
+		return
+	}
+	b.refused = true
+	n.startCheck(now)
+}
+
+// resolveRefusedAborts evaluates, after a check, the aborts of targets at which nothing listens: they
+// have crashed if another target was reached.
+func (n *Node) resolveRefusedAborts(now time.Time) {
+	e := &n.crashes
+	keys := slices.SortedFunc(maps.Keys(e.aborts), compareTargets)
+	for _, key := range keys {
+		switch b := e.aborts[key]; {
+		case !b.refused:
+		case n.partitioned():
+			delete(e.aborts, key)
+		case !n.reach.detector.CheckedSince(b.at):
+			n.startCheck(now)
+		default:
+			n.targetCrashed(now, key)
+		}
+	}
+}
+
+// targetCrashed reports a target that crashed under the requests that it aborted.
+func (n *Node) targetCrashed(now time.Time, target owner.TargetKey) {
 	e := &n.crashes
+	b := e.aborts[target]
+	delete(e.aborts, target)
 	e.lastReport++
 	name := fmt.Sprintf("%s/%d-%d", n.cfg.Instance, n.cfg.Incarnation, e.lastReport)
-	r := CrashReport{Key: name, Report: crash.Report{Target: ev.Target.Service.String() + "/" + ev.Target.Name + "@" + name, Fingerprints: b.fingerprints}}
+	r := CrashReport{Key: name, Report: crash.Report{Target: nameOf(target) + "@" + name, Fingerprints: b.fingerprints}}
 	n.storeReport(now, r)
 	n.notifyAll(CrashUpdate{Place: n.cfg.Place, Reports: []CrashReport{r}})
 }
--- a/internal/core/decision.go
+++ b/internal/core/decision.go
@@ -50,6 +50,7 @@
 	ReasonPoisonRequest   Reason = "ends-targets"    // the request crashed the targets that ran it
 	ReasonBackingOff      Reason = "resting"         // the targets are backing off
 	ReasonLimited         Reason = "limited"         // the targets are at the limits that they announced
+	ReasonPartitioned     Reason = "partitioned"     // this instance reaches no target
 	ReasonOverloaded      Reason = "overloaded"      // this process has no processor time to spare
 	ReasonNoEnd           Reason = "answer-no-end"   // a complete answer can't be distinguished from a truncated one
 )
@@ -146,6 +147,7 @@
 	Address       string
 	Sent          time.Time // copied into the result
 	NewConnection bool      // over a new connection: a kept one may belong to a process that has ended
+	Check         bool      // part of a check of the path to the targets, and no evidence about this one
 }
 
 // Reasons for roster changes.
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -182,6 +182,9 @@
 	Healthy bool
 	Slots   int
 	Busy    int
+
+	Check     bool // copied from the Probe
+	Connected bool // a connection was opened; set if Check is
 }
 
 // Stopping reports that this instance has begun a planned stop.
--- a/internal/core/grant.go
+++ b/internal/core/grant.go
@@ -37,7 +37,7 @@
 	}
 	use := n.useHere(a.Service, a.Home)
 	n.grants.Release(now, a.Peer, use, a.Release)
-	if _, ok := service.Site(n.cfg.Place); !ok || n.stopping || n.snapshot.PlaceDrained(a.Service, n.cfg.Place) {
+	if _, ok := service.Site(n.cfg.Place); !ok || n.stopping || n.partitioned() || n.snapshot.PlaceDrained(a.Service, n.cfg.Place) {
 		return Offer{}
 	}
 	o := Offer{Free: n.healthyFreeSlots(now, a.Service)}
@@ -69,6 +69,9 @@
 // healthyFreeSlots returns how many requests of a service could go to targets now, within
 // the targets' health.
 func (n *Node) healthyFreeSlots(now time.Time, id settings.ServiceID) int {
+	if n.partitioned() {
+		return 0
+	}
 	free := 0
 	for _, key := range n.state(now, id).keys {
 		free += max(min(n.owners.Free(now, key), n.weight(now, key)-n.owners.InFlight(key)), 0)
--- a/internal/core/lookup.go
+++ b/internal/core/lookup.go
@@ -92,16 +92,24 @@
 			return list[:maxInstances]
 		}
 	}
+	if len(list) == 0 && n.partitioned() {
+		return []Peer{n.self()}
+	}
 	return list
 }
 
+// self returns this instance as callers see it.
+func (n *Node) self() Peer {
+	return Peer{ID: n.cfg.Instance, Incarnation: n.cfg.Incarnation, Place: n.cfg.Place}
+}
+
 // shuffled lists a place's instances that accept new work, in random order. In this
 // place, where the owners are known, the probability of being first is an instance's
 // share of the service's slots: a request sent to an owner needs no hand-off.
 func (n *Node) shuffled(id settings.ServiceID, place string) []Peer {
 	var list []Peer
-	if place == n.cfg.Place && !n.stopping && !n.snapshot.InstanceDrained(n.cfg.Instance) {
-		list = append(list, Peer{ID: n.cfg.Instance, Incarnation: n.cfg.Incarnation, Place: place})
+	if place == n.cfg.Place && !n.stopping && !n.partitioned() && !n.snapshot.InstanceDrained(n.cfg.Instance) {
+		list = append(list, n.self())
 	}
 	for _, p := range n.peers.byPlace[place] {
 		if !p.Leaving && !n.snapshot.InstanceDrained(p.ID) {
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -12,6 +12,7 @@
 	"github.com/firlever/firlever/internal/invariant"
 	"github.com/firlever/firlever/internal/once"
 	"github.com/firlever/firlever/internal/owner"
+	"github.com/firlever/firlever/internal/partition"
 	"github.com/firlever/firlever/internal/queue"
 	"github.com/firlever/firlever/internal/retry"
 	"github.com/firlever/firlever/pkg/settings"
@@ -49,6 +50,7 @@
 	started     time.Time
 	quarantine  []quarantinedSlot // slots of aborted attempts, oldest first
 	crashes     crashTracker
+	reach       reach
 	stopping    bool
 	keysCloseAt time.Time // when a planned stop stops accepting keyed requests
 
@@ -74,6 +76,7 @@
 		probes:      make(map[owner.TargetKey]time.Time),
 		reports:     make(map[owner.TargetKey]int),
 		crashes:     newCrashTracker(),
+		reach:       reach{detector: partition.New()},
 		started:     now,
 	}
 	if err := n.build(); err != nil {
@@ -143,6 +146,7 @@
 	n.grants.Sweep(now)
 	n.expireCrashes(now)
 	if n.snapshot != nil {
+		n.maintainReach(now)
 		n.updateCaps(now)
 		n.probeDue(now)
 		n.maintainGrants(now)
--- a/internal/core/notice.go
+++ b/internal/core/notice.go
@@ -179,9 +179,13 @@
 // rerouteQueued decides again on a service's queued requests if none of its targets
 // accepts any now.
 func (n *Node) rerouteQueued(now time.Time, id settings.ServiceID) {
-	if _, why := n.allUnavailableUntil(now, id); why == "" {
-		return
+	if _, why := n.allUnavailableUntil(now, id); why != "" {
+		n.reroute(now, id)
 	}
+}
+
+// reroute decides again on a service's queued requests.
+func (n *Node) reroute(now time.Time, id settings.ServiceID) {
 	var waiting []ID
 	for _, f := range n.requests {
 		if f.stage == stageQueued && f.req.Service == id {
--- a/internal/core/outcome.go
+++ b/internal/core/outcome.go
@@ -63,6 +63,7 @@
 	case stageTarget:
 		n.freeSlot(now, f, ev)
 		n.recordAttempt(now, f, ev)
+		n.recordReach(now, f, ev)
 		if ev.Aborted && !ev.CallerGone {
 			n.recordAbort(now, f)
 		}
@@ -86,6 +87,7 @@
 func (n *Node) finishHandOff(now time.Time, f *inFlight, ev Finished) {
 	if ev.Result == Answered {
 		n.queue.Completed(now, f.req.Service, ev.Took)
+		n.recordPeerServed(f.peer)
 	}
 	if !f.slotsReported || ev.Result != Answered {
 		n.slotReturned(now, f.peer, f.req.Service, ev)
--- a/internal/core/process_test.go
+++ b/internal/core/process_test.go
@@ -215,7 +215,7 @@
 func (p *proc) probe(d core.Probe) {
 	w := p.w
 	t := w.targets[d.Address]
-	ev := core.Probed{Target: d.Target, Sent: d.Sent, Err: t.down, Healthy: !t.degraded || w.chance(0.5), Slots: 5, Busy: len(t.works)}
+	ev := core.Probed{Target: d.Target, Sent: d.Sent, Err: t.down, Healthy: !t.degraded || w.chance(0.5), Slots: 5, Busy: len(t.works), Check: d.Check}
 	if w.chance(0.1) {
 		ev.Healthy, ev.Busy = w.chance(0.5), w.rng.IntN(9)
 	}
--- a/internal/core/room.go
+++ b/internal/core/room.go
@@ -120,7 +120,7 @@
 	for _, id := range n.snapshot.Services() {
 		if s, ok := n.services[id]; ok && len(s.keys) > 0 {
 			free := n.owners.FreeService(now, id)
-			if _, why := n.allUnavailableUntil(now, id); why != "" {
+			if _, why := n.allUnavailableUntil(now, id); why != "" || n.partitioned() {
 				free = 0
 			}
 			rooms = append(rooms, FreeSlots{Service: id, Free: free})
--- a/internal/core/roster.go
+++ b/internal/core/roster.go
@@ -58,7 +58,7 @@
 	if !n.roster.read || now.Before(n.roster.nextChange) {
 		return
 	}
-	if n.roster.leaving || n.drained() || n.rejoining() {
+	if n.roster.leaving || n.drained() || n.yieldsTargets() || n.rejoining() {
 		n.leaveRoster(now)
 		return
 	}
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -27,10 +27,16 @@
 	case f.origin == FromPeer && n.stopping:
 		// It is never served here, and its own instance needs the refusal in time.
 		n.refuse(now, f, ReasonStopping)
+	case f.origin == FromPeer && n.partitioned():
+		f.lowerRetryAt(now.Add(retryPartitioned))
+		n.refuse(now, f, ReasonPartitioned)
 	case f.origin == FromPeer && n.ownSlots(now, f.req.Service) == 0:
 		// Only targets owned here may serve it, and none of them belongs to the service.
 		n.refuse(now, f, ReasonNoTargets)
 	case f.origin != FromPeer && !n.servesHere(f) && !f.awaitsGrant:
+		if n.partitioned() {
+			f.lowerRetryAt(now.Add(retryPartitioned))
+		}
 		n.refuse(now, f, f.refusalReason())
 	case !f.awaitsGrant && n.refuseUnavailable(now, f):
 	default:
@@ -119,6 +125,9 @@
 	if n.stopping && f.origin == FromPeer {
 		return ReasonStopping
 	}
+	if n.partitioned() {
+		return ReasonPartitioned
+	}
 	if f.shifted(n.cfg.Place) {
 		ramp := n.state(now, f.req.Service).ramp
 		if ramp.Free(now) < 1 {
@@ -257,5 +266,5 @@
 	if _, ok := f.service.Site(n.cfg.Place); !ok {
 		return false
 	}
-	return !n.snapshot.PlaceDrained(f.req.Service, n.cfg.Place)
+	return !n.partitioned() && !n.snapshot.PlaceDrained(f.req.Service, n.cfg.Place)
 }
--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -117,6 +117,13 @@
 	tr.Observe(now, key, outcome, t.latency)
 }
 
+// ForgetFailures ends all ejections and drops what led to them, as the path to the targets had failed.
+func (tr *Tracker[K]) ForgetFailures() {
+	for _, t := range tr.targets {
+		t.ejected, t.ejections, t.consecutiveFailures, t.failureRate, t.samples = false, 0, 0, 0, 0
+	}
+}
+
 // SetOwned sets whether this instance uses a target. Targets that are added count as used. Only
 // used targets count for the bound on ejections.
 func (tr *Tracker[K]) SetOwned(key K, own bool) {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -183,6 +183,8 @@
 		case in.grantRequests <- d:
 		default: // the node repeats the request
 		}
+	case core.PartitionChanged:
+		in.logPartition(d)
 	case core.ReportNotice:
 		in.logNotice(d)
 	case core.SendCrashes:
--- a/internal/instance/log.go
+++ b/internal/instance/log.go
@@ -33,6 +33,18 @@
 	}
 }
 
+// logPartition counts and logs the begin or the end of a partition from the place's targets.
+func (in *Instance) logPartition(d core.PartitionChanged) {
+	reason, message := "ended", "targets reached again"
+	if d.Partitioned {
+		reason, message = "began", "partitioned from targets"
+	}
+	in.cfg.Metrics.CountDecision(metrics.Decision{Kind: "partition", Reason: reason})
+	if in.cfg.Log != nil {
+		in.cfg.Log.Warn(message, "place", in.cfg.Place, "probes", d.Probes, "since", d.Since)
+	}
+}
+
 // logNotice logs a notice of a target about the requests that it accepts.
 func (in *Instance) logNotice(d core.ReportNotice) {
 	in.cfg.Metrics.CountDecision(metrics.Decision{Kind: "notice", Service: d.Target.Service.String()})
--- a/internal/instance/probe.go
+++ b/internal/instance/probe.go
@@ -56,10 +56,14 @@
 func (in *Instance) probeOnce(ctx context.Context, p core.Probe) core.Probed {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	got := core.Probed{Target: p.Target, Sent: p.Sent}
-	if p.NewConnection && errors.Is(in.client.CheckConnection(ctx, p.Address), syscall.ECONNREFUSED) {
-		got.Err, got.Refused = true, true
-		return got
+	got := core.Probed{Target: p.Target, Sent: p.Sent, Check: p.Check}
+	if p.NewConnection {
+		err := in.client.CheckConnection(ctx, p.Address)
+		got.Connected, got.Refused = err == nil, errors.Is(err, syscall.ECONNREFUSED)
+		if got.Refused || err != nil && p.Check {
+			got.Err = true
+			return got
+		}
 	}
 	health, err := in.get(ctx, p.Address, "/health")
 	if err != nil {
--- a/internal/partition/detector.go
+++ b/internal/partition/detector.go
@@ -42,6 +42,7 @@
 // Detector decides whether an instance is partitioned from all targets.
 type Detector struct {
 	partitioned bool
+	inUse       int                  // targets that the instance uses; 0: unknown, and not a few
 	since       time.Time            // of the first failure of the partition; zero if there is none
 	suspects    map[string]suspicion // by target: its last failure, which no answer has refuted
 	answeredAt  time.Time            // last answer of any target
@@ -95,7 +96,18 @@
 		d.since = f.Began
 	}
 	d.suspects[f.Target] = suspicion{at: now, connect: f.Connect}
-	return len(d.suspects) >= minSuspects && !now.Before(d.nextCheck) && d.BeginCheck(now)
+	return len(d.suspects) >= d.needed() && !now.Before(d.nextCheck) && d.BeginCheck(now)
+}
+
+// SetTargets sets how many targets the instance uses. Of fewer than two, one that fails is enough.
+func (d *Detector) SetTargets(n int) { d.inUse = n }
+
+// needed returns how many targets must fail before others are probed.
+func (d *Detector) needed() int {
+	if d.inUse > 0 {
+		return min(minSuspects, d.inUse)
+	}
+	return minSuspects
 }
 
 // BeginCheck records that a check begins. It reports false if one is under way.
@@ -107,8 +119,8 @@
 	return true
 }
 
-// CheckedSince reports whether the last check, or the one under way, began after a time.
-func (d *Detector) CheckedSince(t time.Time) bool { return d.checkBegan.After(t) }
+// CheckedSince reports whether the last check, or the one under way, began no earlier than a time.
+func (d *Detector) CheckedSince(t time.Time) bool { return !d.checkBegan.Before(t) }
 
 // AnsweredSince reports whether some target has answered after a time.
 func (d *Detector) AnsweredSince(t time.Time) bool { return d.answeredAt.After(t) }
