--- a/internal/demo/address.go
+++ b/internal/demo/address.go
@@ -24,11 +24,28 @@
 // directory maps addresses to points of the emulated network. It is safe for
 // concurrent use.
 type directory struct {
-	mu     sync.Mutex
-	points map[string]link.Point // by IP:port
+	mu      sync.Mutex
+	points  map[string]link.Point // by IP:port; guarded by mu
+	targets map[string]bool       // addresses of targets; guarded by mu
 }
 
-func newDirectory() *directory { return &directory{points: make(map[string]link.Point)} }
+func newDirectory() *directory {
+	return &directory{points: make(map[string]link.Point), targets: make(map[string]bool)}
+}
+
+// addTarget adds the address of a target.
+func (d *directory) addTarget(address string, p link.Point) {
+	d.add(address, p)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.targets[address] = true
+}
+
+func (d *directory) isTarget(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.targets[address]
+}
 
 func (d *directory) add(address string, p link.Point) {
 	d.mu.Lock()
--- a/internal/demo/fault.go
+++ b/internal/demo/fault.go
@@ -13,18 +13,19 @@
 
 // Kinds of faults.
 const (
-	FaultKill     FaultKind = "kill"     // an instance is killed; a new incarnation replaces it
-	FaultDrain    FaultKind = "drain"    // a place is drained and undrained
-	FaultStop     FaultKind = "stop"     // an instance is stopped gracefully and started again
-	FaultCut      FaultKind = "cut"      // a place is partitioned from all others and from the platform
-	FaultPlatform FaultKind = "platform" // the platform refuses all calls for a time
-	FaultCrash    FaultKind = "crash"    // a poison request, which crashes each target that runs it, is sent repeatedly
-	FaultNotice   FaultKind = "notice"   // targets of a place announce a limit, a back-off or that they leave
-	FaultRestore  FaultKind = "restore"  // the platform is restored from a snapshot after a short outage
-	FaultSuspend  FaultKind = "suspend"  // the clocks of all instances advance as if their machines had been suspended
+	FaultKill      FaultKind = "kill"      // an instance is killed; a new incarnation replaces it
+	FaultDrain     FaultKind = "drain"     // a place is drained and undrained
+	FaultStop      FaultKind = "stop"      // an instance is stopped gracefully and started again
+	FaultCut       FaultKind = "cut"       // a place is partitioned from all others and from the platform
+	FaultPlatform  FaultKind = "platform"  // the platform refuses all calls for a time
+	FaultCrash     FaultKind = "crash"     // a poison request, which crashes each target that runs it, is sent repeatedly
+	FaultNotice    FaultKind = "notice"    // targets of a place announce a limit, a back-off or that they leave
+	FaultPartition FaultKind = "partition" // an instance is partitioned from all targets
+	FaultRestore   FaultKind = "restore"   // the platform is restored from a snapshot after a short outage
+	FaultSuspend   FaultKind = "suspend"   // the clocks of all instances advance as if their machines had been suspended
 )
 
-var allFaults = []FaultKind{FaultKill, FaultDrain, FaultStop, FaultCut, FaultPlatform, FaultCrash, FaultSuspend, FaultNotice, FaultRestore}
+var allFaults = []FaultKind{FaultKill, FaultDrain, FaultStop, FaultCut, FaultPlatform, FaultCrash, FaultSuspend, FaultNotice, FaultRestore, FaultPartition}
 
 // ParseFaults parses a comma-separated list such as "kill,cut", "none" or "all".
 // It returns a *ConfigError for any other word.
@@ -39,7 +40,7 @@
 	for word := range strings.SplitSeq(s, ",") {
 		k := FaultKind(strings.TrimSpace(word))
 		if !slices.Contains(allFaults, k) {
-			return nil, &ConfigError{Faults: []string{`fault "` + string(k) + `" is not one of none, all, kill, drain, stop, cut, platform, crash, suspend, notice, restore`}}
+			return nil, &ConfigError{Faults: []string{`fault "` + string(k) + `" is not one of none, all, kill, drain, stop, cut, platform, crash, suspend, notice, restore, partition`}}
 		}
 		kinds = append(kinds, k)
 	}
@@ -76,7 +77,7 @@
 		}
 		f := Fault{Kind: k, At: at, Back: at + fraction(total, faultLength)}
 		switch k {
-		case FaultKill, FaultStop:
+		case FaultKill, FaultStop, FaultPartition:
 			f.On, instances = takeFirst(instances)
 		case FaultDrain, FaultCut, FaultNotice:
 			f.On, places = takeFirst(places)
--- a/internal/demo/inject.go
+++ b/internal/demo/inject.go
@@ -83,6 +83,8 @@
 		r.f.links.Isolate(fault.On, link.Fault{})
 	case FaultPlatform:
 		r.f.store.SetFaults(store.Faults{Refuse: true, Until: r.start.Add(fault.Back)})
+	case FaultPartition:
+		r.partition(ctx, fault)
 	case FaultRestore:
 		return r.restore(ctx, fault)
 	case FaultSuspend:
@@ -103,6 +105,17 @@
 	return r.replace(p.placement)
 }
 
+// partition partitions an instance from all targets until fault.Back.
+func (r *run) partition(ctx context.Context, fault Fault) {
+	p, ok := r.f.instances.get(fault.On)
+	if !ok {
+		return
+	}
+	p.conns.partition()
+	defer p.conns.heal()
+	r.sleepUntil(ctx, fault.Back)
+}
+
 // restore restores the platform at fault.Back from a snapshot taken at the start of the fault. It
 // checks that all versions lost by this are written again within recoveryTimeout.
 func (r *run) restore(ctx context.Context, fault Fault) error {
--- a/internal/demo/process.go
+++ b/internal/demo/process.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 
 	"github.com/juju/errors"
 
@@ -33,16 +34,19 @@
 
 // connections holds the open connections that a process has dialled. It is safe for concurrent use.
 type connections struct {
-	dial func(ctx context.Context, network, address string) (net.Conn, error)
+	dial     func(ctx context.Context, network, address string) (net.Conn, error)
+	isTarget func(address string) bool
 
-	mu     sync.Mutex
-	frozen bool                     // no new connections are opened; guarded by mu
-	open   map[*connection]struct{} // guarded by mu
+	mu          sync.Mutex
+	frozen      bool                     // no new connections are opened; guarded by mu
+	partitioned bool                     // targets refuse new connections; guarded by mu
+	open        map[*connection]struct{} // guarded by mu
 }
 
 type connection struct {
 	net.Conn
-	owner *connections
+	owner    *connections
+	toTarget bool
 }
 
 // Close closes the connection and removes it from the open ones.
@@ -64,13 +68,17 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := &connection{Conn: raw, owner: c}
+	conn := &connection{Conn: raw, owner: c, toTarget: c.isTarget(address)}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.frozen {
 		raw.Close()
 		return nil, net.ErrClosed
 	}
+	if c.partitioned && conn.toTarget {
+		raw.Close()
+		return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
+	}
 	c.open[conn] = struct{}{}
 	return conn, nil
 }
@@ -87,6 +95,25 @@
 	c.frozen = true
 }
 
+// partition closes the connections to targets and has new ones refused until heal.
+func (c *connections) partition() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.partitioned = true
+	for conn := range c.open {
+		if conn.toTarget {
+			conn.Conn.Close()
+			delete(c.open, conn)
+		}
+	}
+}
+
+func (c *connections) heal() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.partitioned = false
+}
+
 func (c *connections) closeAll() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -119,7 +146,7 @@
 func (f *fleet) newProcess(pl placement) (*process, error) {
 	at := link.At(pl.place)
 	p := &process{placement: pl, client: docstore.NewClient(platform.NewStore(f.proxies[pl.place].Addr()))}
-	p.conns = &connections{dial: f.links.Dialer(at, f.directory.locate), open: make(map[*connection]struct{})}
+	p.conns = &connections{dial: f.links.Dialer(at, f.directory.locate), isTarget: f.directory.isTarget, open: make(map[*connection]struct{})}
 	place, _ := f.snapshot.Place(pl.place)
 	cfg := instance.Config{
 		ID: pl.id, Callers: loopback, Peers: loopback, Operators: loopback,
--- a/internal/demo/roll.go
+++ b/internal/demo/roll.go
@@ -35,6 +35,14 @@
 	return p
 }
 
+// get returns an instance; false if it isn't running.
+func (s *instanceSet) get(id string) (*process, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, ok := s.byID[id]
+	return p, ok
+}
+
 // running returns the running instances, sorted by ID.
 func (s *instanceSet) running() []*process {
 	s.mu.Lock()
--- a/internal/demo/target.go
+++ b/internal/demo/target.go
@@ -91,6 +91,6 @@
 	f.targets = append(f.targets, t)
 	f.closers = append(f.closers, t.close)
 	address := ln.Addr().String()
-	f.directory.add(address, link.At(cfg.Place))
+	f.directory.addTarget(address, link.At(cfg.Place))
 	return address, nil
 }
