Apply notices of targets in answers that a peer has passed back

An instance that passed on a target's notice in the answer of a hand-off didn't take it in: once it reached targets again, it would have sent to one that had announced to its callers, through this instance, that it leaves. The peer names the target that answered. TestHandOffBounds wants the name.

--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -24,19 +24,20 @@
 	*attempts
 	admission
 
-	from           string // peer that handed the request off; "" if a caller sent it
-	counted        bool   // it counts in a retry budget
-	peer           string // that it was handed off to; "" if none
-	in             *http1.Request
-	info           platform.Request
-	service        string
-	fingerprint    crash.Fingerprint // recognises the request when it is sent again
-	deadline       time.Time         // the caller gets an answer by then
-	choice         steer.Choice
-	ending         steer.Ending // of the last attempt
-	cause          error        // error of the last attempt
-	keyRevoked     bool         // its key was revoked before it could be sent
-	crashedTargets int          // targets that ended under the request, if it is refused for that
+	from             string // peer that handed the request off; "" if a caller sent it
+	counted          bool   // it counts in a retry budget
+	peer             string // that it was handed off to; "" if none
+	in               *http1.Request
+	info             platform.Request
+	service          string
+	fingerprint      crash.Fingerprint // recognises the request when it is sent again
+	deadline         time.Time         // the caller gets an answer by then
+	choice           steer.Choice
+	ending           steer.Ending // of the last attempt
+	cause            error        // error of the last attempt
+	answeredByTarget bool         // the answer that is passed on is that of choice.Target
+	keyRevoked       bool         // its key was revoked before it could be sent
+	crashedTargets   int          // targets that ended under the request, if it is refused for that
 }
 
 // canRetry reports whether the request may be sent to another target. A body that was passed on in
--- a/internal/edge/handoff.go
+++ b/internal/edge/handoff.go
@@ -36,6 +36,7 @@
 type handOffAnswer struct {
 	Config   uint64 `json:"config"`             // version of the configuration by which the request was handled
 	Ran      bool   `json:"ran"`                // the request may have run
+	Target   string `json:"target,omitempty"`   // ID of the target that answered; "" if none did
 	Declined string `json:"declined,omitempty"` // why the peer serves no request now, so that another may be asked; only if the request has not run
 }
 
@@ -74,6 +75,7 @@
 // handOffResult is what became of a request that was handed off.
 type handOffResult struct {
 	peer    string // the last that was asked; "" if there was none
+	target  string // that answered
 	resp    *http1.Response
 	ran     bool  // the request may have run
 	refused bool  // no peer serves it
@@ -131,7 +133,7 @@
 		r.resp, r.err = nil, &HandOffError{Peer: peer.name, Status: resp.Status}
 	default:
 		h.raiseConfig(a.Config)
-		r.ran, r.refused = a.Ran, a.Declined != "" && !a.Ran
+		r.ran, r.refused, r.target = a.Ran, a.Declined != "" && !a.Ran, a.Target
 		if r.refused {
 			r.err = &HandOffError{Peer: peer.name, Status: resp.Status, Declined: a.Declined}
 		}
--- a/internal/edge/handoff_forward.go
+++ b/internal/edge/handoff_forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -19,8 +20,12 @@
 	if p.from != "" {
 		return n.refusePartitioned(p)
 	}
+	sent := boottime.Now()
 	r := n.handOffs.send(ctx, p, n.handOffRequest(p))
 	p.peer, p.cause = r.peer, r.err
+	if r.target != "" {
+		n.applyPeersNotice(p, r, sent)
+	}
 	if r.refused {
 		if r.resp != nil {
 			r.resp.Discard()
@@ -42,6 +47,17 @@
 	return r.resp
 }
 
+// applyPeersNotice applies what the target of a peer announces in an answer that is passed on here: the
+// target may expect that this instance knows it from then on.
+func (n *Node) applyPeersNotice(p *pendingRequest, r handOffResult, sent time.Time) {
+	n.mu.Lock()
+	target, ok := n.fleet.Target(r.target)
+	n.mu.Unlock()
+	if ok {
+		n.applyNotice(p, target, sent, r.resp.Status, platform.ReadAnswer(r.resp.Status, r.resp.Header))
+	}
+}
+
 // handOffRequest returns what a peer needs to know of a request.
 func (n *Node) handOffRequest(p *pendingRequest) handOffRequest {
 	return handOffRequest{
@@ -79,6 +95,9 @@
 	resp := n.forward(ctx, p)
 	n.recordAnswer(p, resp)
 	answer := handOffAnswer{Config: p.rules.Config().Version, Ran: p.mayHaveRun}
+	if p.answeredByTarget {
+		answer.Target = p.choice.Target.ID
+	}
 	if p.choice.Reason == reasonPartitioned {
 		answer.Declined = declinedPartitioned
 	}
--- a/internal/edge/handoff_test.go
+++ b/internal/edge/handoff_test.go
@@ -57,13 +57,13 @@
 		runs   int
 		want   handOffAnswer
 	}{
-		"served":                {"/get/x", handOffRequest{From: "e2", Config: 3}, 200, 1, handOffAnswer{Config: 3, Ran: true}},
-		"once only":             {"/do/x", handOffRequest{From: "e2", Config: 3}, 200, 1, handOffAnswer{Config: 3, Ran: true}},
-		"one attempt left":      {"/get/x", handOffRequest{From: "e2", Config: 3, Attempts: 1, Counted: true}, 200, 1, handOffAnswer{Config: 3, Ran: true}},
+		"served":                {"/get/x", handOffRequest{From: "e2", Config: 3}, 200, 1, handOffAnswer{Config: 3, Ran: true, Target: "t0"}},
+		"once only":             {"/do/x", handOffRequest{From: "e2", Config: 3}, 200, 1, handOffAnswer{Config: 3, Ran: true, Target: "t0"}},
+		"one attempt left":      {"/get/x", handOffRequest{From: "e2", Config: 3, Attempts: 1, Counted: true}, 200, 1, handOffAnswer{Config: 3, Ran: true, Target: "t0"}},
 		"no attempt left":       {"/get/x", handOffRequest{From: "e2", Config: 3, Attempts: 2, Counted: true}, 503, 0, handOffAnswer{Config: 3}},
 		"tried the only target": {"/get/x", handOffRequest{From: "e2", Config: 3, Tried: []string{"t0"}}, 503, 0, handOffAnswer{Config: 3}},
 		"newer configuration":   {"/get/x", handOffRequest{From: "e2", Config: 4}, 503, 0, handOffAnswer{Config: 3, Declined: declinedOldConfig}},
-		"older configuration":   {"/get/x", handOffRequest{From: "e2", Config: 2}, 200, 1, handOffAnswer{Config: 3, Ran: true}},
+		"older configuration":   {"/get/x", handOffRequest{From: "e2", Config: 2}, 200, 1, handOffAnswer{Config: 3, Ran: true, Target: "t0"}},
 		"a route that is gone":  {"/gone/x", handOffRequest{From: "e2", Config: 2}, 404, 0, handOffAnswer{Config: 3}},
 		"negative attempts":     {"/get/x", handOffRequest{From: "e2", Config: 3, Attempts: -1}, 400, 0, handOffAnswer{Config: 3}},
 		"not from any instance": {"/get/x", handOffRequest{Config: 3}, 400, 0, handOffAnswer{Config: 3}},
--- a/internal/edge/pass.go
+++ b/internal/edge/pass.go
@@ -25,6 +25,7 @@
 			break
 		}
 		if v := n.sendHedged(ctx, p); v.final {
+			p.answeredByTarget = true
 			return v.answer
 		}
 	}
