Partition instances from all targets in the soak

Links to the targets are per instance now, told apart by the address from which a proxy is dialled, and one in six faults partitions one instance, a failure domain, half or all of them from all targets: silent, refused, or new connections only. The other faults and their random draws are as before. Targets answer health checks.

TestSoakShort passes.

--- a/internal/emulator/link/proxy.go
+++ b/internal/emulator/link/proxy.go
@@ -12,18 +12,25 @@
 // Proxy forwards TCP connections to an address over links, to inject faults between real
 // processes.
 type Proxy struct {
-	ln       net.Listener
-	links    *Links
-	from, to Point
-	addr     string
-	ctx      context.Context // ends with Close
-	cancel   context.CancelFunc
-	work     sync.WaitGroup
+	ln     net.Listener
+	links  *Links
+	from   func(dialer net.Addr) Point
+	to     Point
+	addr   string
+	ctx    context.Context // ends with Close
+	cancel context.CancelFunc
+	work   sync.WaitGroup
 }
 
 // NewProxy starts a proxy that forwards each connection of ln to addr, as from one point to
 // another, until Close.
 func NewProxy(ln net.Listener, links *Links, from, to Point, addr string) *Proxy {
+	return NewProxyFrom(ln, links, func(net.Addr) Point { return from }, to, addr)
+}
+
+// NewProxyFrom is NewProxy for connections from several points, which from tells by the addresses of
+// their dialers.
+func NewProxyFrom(ln net.Listener, links *Links, from func(dialer net.Addr) Point, to Point, addr string) *Proxy {
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Proxy{ln: ln, links: links, from: from, to: to, addr: addr, ctx: ctx, cancel: cancel}
 	p.work.Go(p.serve)
@@ -53,7 +60,7 @@
 
 // forward copies one connection in both directions. If one side fails, the other is reset.
 func (p *Proxy) forward(near net.Conn) {
-	far, err := p.links.DialFrom(p.ctx, sourceAddr(near), p.from, p.to, p.addr)
+	far, err := p.links.DialFrom(p.ctx, sourceAddr(near), p.from(near.RemoteAddr()), p.to, p.addr)
 	if err != nil {
 		abort(near)
 		return
--- a/internal/soak/fault_test.go
+++ b/internal/soak/fault_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"syscall"
 	"time"
 
@@ -43,11 +44,11 @@
 		return "reload " + e.name
 	case 4, 5:
 		f := []link.Fault{{Partition: true}, {Refuse: true}, {Delay: 60 * time.Millisecond}, {Loss: 0.3}}[c.rng.IntN(4)]
-		c.injectLinkFault(e.name, "store", f, length)
+		c.injectLinkFault([]string{e.name}, "store", f, length)
 		return fmt.Sprintf("link from %s to the store: %+v", e.name, f)
 	case 6, 7:
 		f := []link.Fault{{Partition: true}, {Refuse: true}, {Delay: 100 * time.Millisecond}, {Loss: 0.3}}[c.rng.IntN(4)]
-		c.injectLinkFault("edges", t.domain, f, length)
+		c.injectLinkFault(c.edgeNames(), t.domain, f, length)
 		return fmt.Sprintf("link to the targets of %s: %+v", t.domain, f)
 	case 8:
 		f := storeFaults[c.rng.IntN(len(storeFaults))]
@@ -117,20 +118,68 @@
 	})
 }
 
-// injectLinkFault injects a fault into a link, in one direction or in both at random.
-func (c *cluster) injectLinkFault(from, to string, fault link.Fault, length time.Duration) {
+// edgeNames returns the names of all instances.
+func (c *cluster) edgeNames() []string {
+	var names []string
+	for _, e := range c.edges {
+		names = append(names, e.name)
+	}
+	return names
+}
+
+// injectLinkFault injects a fault into the links from some instances, in one direction or in both at
+// random.
+func (c *cluster) injectLinkFault(from []string, to string, fault link.Fault, length time.Duration) {
 	both := c.rng.IntN(2) == 0
-	c.startFault(from+to, func() {
+	c.startFault(strings.Join(from, "")+to, func() {
 		c.notices.addFaults(to, 1)
 		defer c.notices.addFaults(to, -1)
-		c.links.Set(from, to, fault)
+		c.setLinks(from, to, fault, both)
+		time.Sleep(length)
+		c.setLinks(from, to, link.Fault{}, true)
+	})
+}
+
+// setLinks sets a fault of the links from some instances, and also of the links back if both is set.
+func (c *cluster) setLinks(from []string, to string, fault link.Fault, both bool) {
+	for _, name := range from {
+		c.links.Set(name, to, fault)
 		if both {
-			c.links.Set(to, from, fault)
+			c.links.Set(to, name, fault)
+		}
+	}
+}
+
+// partitionStream separates the random stream for partitions from the targets from the other streams
+// of the same seed.
+const partitionStream = 0x9a7
+
+// faultsPerPartition is the average number of other faults for each partition from the targets.
+const faultsPerPartition = 6
+
+// maybePartition partitions some instances from all targets at random: one, those of a failure
+// domain, half, or all. It returns a description, "" if it doesn't.
+func (c *cluster) maybePartition() string {
+	rng := c.partitionRNG
+	if rng.IntN(faultsPerPartition) != 0 {
+		return ""
+	}
+	names := c.edgeNames()
+	cut := [][]string{names[:1], names[1:2], {names[0], names[2]}, names[:2], names}[rng.IntN(5)]
+	fault := []link.Fault{{Partition: true}, {Refuse: true}, {RefuseNew: true}}[rng.IntN(3)]
+	length := time.Duration(300+rng.IntN(2000)) * time.Millisecond
+	c.startFault("targets", func() {
+		for _, domain := range []string{"n1", "n2"} {
+			c.notices.addFaults(domain, 1)
+			defer c.notices.addFaults(domain, -1)
+			c.setLinks(cut, domain, fault, true)
 		}
 		time.Sleep(length)
-		c.links.Set(from, to, link.Fault{})
-		c.links.Set(to, from, link.Fault{})
+		for _, domain := range []string{"n1", "n2"} {
+			c.setLinks(cut, domain, link.Fault{}, true)
+		}
 	})
+	return fmt.Sprintf("%v partitioned from all targets: %+v, %s", cut, fault, length)
 }
 
 // maxSnapshots limits the snapshots of the store that are kept, so the oldest is a few seconds old.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -83,6 +83,9 @@
 	for time.Since(begin) < runTime {
 		at := time.Since(begin).Round(time.Millisecond)
 		events = append(events, at.String()+" "+c.injectFault())
+		if partitioned := c.maybePartition(); partitioned != "" {
+			events = append(events, at.String()+" "+partitioned)
+		}
 		if restored := c.maybeRestore(); restored != "" {
 			events = append(events, at.String()+" "+restored)
 		}
--- a/internal/soak/target_test.go
+++ b/internal/soak/target_test.go
@@ -39,7 +39,8 @@
 }
 
 const (
-	crashPath = "/get/crash"
+	crashPath  = "/get/crash"
+	healthPath = "/health"
 	// crashDelay is how long a target works on a poison request before it crashes, and
 	// restartDelay how long it then takes to restart.
 	crashDelay   = 10 * time.Millisecond
@@ -54,7 +55,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	t.proxy = link.NewProxy(ln, c.links, link.At("edges"), link.At(domain), t.server.Listener.Addr().String())
+	t.proxy = link.NewProxyFrom(ln, c.links, c.locate, link.At(domain), t.server.Listener.Addr().String())
 	return t
 }
 
@@ -96,7 +97,7 @@
 		ln.Close()
 		return
 	}
-	t.proxy = link.NewProxy(ln, t.cluster.links, link.At("edges"), link.At(t.domain), t.server.Listener.Addr().String())
+	t.proxy = link.NewProxyFrom(ln, t.cluster.links, t.cluster.locate, link.At(t.domain), t.server.Listener.Addr().String())
 	t.runs++
 	t.crashing = false
 	t.mu.Unlock()
@@ -135,6 +136,10 @@
 
 // ServeHTTP answers a request, or injects one of the faults of targets.
 func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == healthPath {
+		w.Header().Set("Instance-Id", t.id())
+		return
+	}
 	id := r.Header.Get("Request-Id")
 	if own := t.id(); r.Header.Get("Target-Instance") != own {
 		w.Header().Set("Instance-Id", own)
