Let serve's connections fail soon when the other side is silent

A TCP_USER_TIMEOUT that is set decides when keep-alive probes give up, whatever their count. All connections of edge to targets, peers and the store come from tcp.NewDialer, where both ways end after 2 s: the count of one and the timeout of 700 ms, as a first probe comes after 1 s and a second is due 1 s later. Those of serve to targets and peers came from the standard dialer: 150 s of silence by probes, and retransmissions for minutes.

Accepted connections keep the system's defaults: what waits on them is bounded by deadlines of requests and idle timeouts. pkg/caller leaves the choice of a dialer to its user.

--- a/internal/instance/config.go
+++ b/internal/instance/config.go
@@ -43,7 +43,7 @@
 	Seed       uint64 // seed of random choices; 0 draws a random one
 
 	Store    docstore.Store                                      // required
-	Dial     targets.Dial                                        // dials targets and peers; nil for the standard dialer
+	Dial     targets.Dial                                        // dials targets and peers; nil for targets.DialFrom(Source)
 	Packet   func(address string) (net.PacketConn, error)        // opens the peers' UDP socket; nil for net.ListenPacket
 	Listen   func(network, address string) (net.Listener, error) // opens the TCP sockets; nil for net.Listen
 	Checks   *invariant.Counter                                  // nil creates one
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -69,7 +69,7 @@
 	if err := cfg.Validate(); err != nil {
 		return nil, err
 	}
-	if cfg.Dial == nil && cfg.Source != "" {
+	if cfg.Dial == nil {
 		cfg.Dial = targets.DialFrom(cfg.Source)
 	}
 	in := &Instance{
--- a/internal/targets/client.go
+++ b/internal/targets/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/firlever/firlever/internal/once"
+	"github.com/firlever/firlever/internal/tcp"
 )
 
 // Limits of connections.
@@ -21,7 +22,7 @@
 	maxHeader     = 64 << 10
 )
 
-// Dial opens a connection. The default is net.Dialer.DialContext.
+// Dial opens a connection. The default is DialFrom("").
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 // withDialTimeout returns dial with a timeout of dialTimeout. Nothing has been sent when it
@@ -34,11 +35,9 @@
 	}
 }
 
-// DialFrom returns a Dial whose connections come from one IP of this machine.
-func DialFrom(ip string) Dial {
-	d := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}
-	return d.DialContext
-}
+// DialFrom returns a Dial whose connections come from one IP of this machine, or from any if ip is "",
+// and fail soon when the peer is silent.
+func DialFrom(ip string) Dial { return tcp.NewDialer(ip).DialContext }
 
 // Client sends attempts of requests. It is safe for concurrent use.
 type Client struct {
@@ -55,11 +54,10 @@
 	return conn.Close()
 }
 
-// New returns a Client that opens connections with dial, or with the standard dialer if
-// dial is nil.
+// New returns a Client that opens connections with dial, or with DialFrom("") if dial is nil.
 func New(dial Dial) *Client {
 	if dial == nil {
-		dial = (&net.Dialer{}).DialContext
+		dial = DialFrom("")
 	}
 	return &Client{transport: &http.Transport{
 		DialContext:            trackWrites(withDialTimeout(dial)),
--- a/internal/tcp/dialer.go
+++ b/internal/tcp/dialer.go
@@ -23,11 +23,16 @@
 	ProbeIdle = time.Second
 	// ProbeInterval is the time between two probes: the minimum that the kernel accepts.
 	ProbeInterval = time.Second
-	probeCount    = 1 // unanswered probes after which a connection fails
+	// probeCount is how many probes may be unanswered. The kernel ignores it, as TCP_USER_TIMEOUT is
+	// set: a connection fails at the first probe that is due with one unanswered and nothing received
+	// for AckTimeout.
+	probeCount = 1
+	// SilenceTimeout is how long a connection on which nothing is sent survives a silent peer.
+	SilenceTimeout = ProbeIdle + ProbeInterval
 )
 
 // NewDialer returns a dialer whose connections fail within AckTimeout if the peer
-// doesn't acknowledge sent data, and within 2 s if it is unreachable while an answer
+// doesn't acknowledge sent data, and within SilenceTimeout if it is unreachable while an answer
 // is awaited. ip is their source address; "" lets the system choose.
 func NewDialer(ip string) *net.Dialer {
 	d := &net.Dialer{
