Serve what peers hand off until callers must be gone, too, in a stop

A peer that had begun to stop declined hand-offs at once, though it serves callers for three times a look-up's life more. If it was the last one that reached targets, those requests were refused for nothing. It now declines from the moment on from which it refuses callers.

--- a/internal/edge/handoff_forward.go
+++ b/internal/edge/handoff_forward.go
@@ -81,7 +81,7 @@
 		setHandOff(resp.Header, handOffAnswer{Config: n.configVersion()})
 		return resp
 	}
-	if reason := n.declines(q); reason != "" {
+	if reason := n.declines(r, q); reason != "" {
 		return n.decline(r, reason)
 	}
 	a, refused := n.admit(r, info)
@@ -106,9 +106,9 @@
 }
 
 // declines returns why a request of a peer is declined; "" if it isn't.
-func (n *Node) declines(q handOffRequest) string {
+func (n *Node) declines(r *http1.Request, q handOffRequest) string {
 	switch {
-	case n.stopping.Load():
+	case n.tooLate(r.ReceivedAt):
 		return declinedStopping
 	case n.rules.Load() == nil || n.configVersion() < q.Config:
 		return declinedOldConfig
@@ -145,7 +145,7 @@
 	if takeHandOff(header, &q) != nil {
 		return nil // refused by handleHandOff
 	}
-	if reason := n.declines(q); reason != "" {
+	if reason := n.declines(r, q); reason != "" {
 		return n.decline(r, reason)
 	}
 	return nil
--- a/internal/edge/partition_test.go
+++ b/internal/edge/partition_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/firlever/firlever/internal/emulator/link"
+	"github.com/firlever/firlever/internal/emulator/store"
 )
 
 // partitionRig is a rig of four instances in two failure domains, whose links to the targets can
@@ -235,3 +236,53 @@
 		t.Errorf("got %d bad of %d answers, want none", bad, answers)
 	}
 }
+
+// Callers of a partitioned instance are served beside other trouble: while the store is away, while a
+// peer stops, when it has just started, and when one instance after the other is partitioned.
+func TestPartitionBesideTrouble(t *testing.T) {
+	refused := link.Fault{Refuse: true}
+	tests := map[string]func(t *testing.T, r *partitionRig) (asked []string){
+		"the store is away": func(_ *testing.T, r *partitionRig) []string {
+			r.store.SetFaults(store.Faults{Refuse: true})
+			r.partition(refused, "e1", "e2")
+			return []string{"e1", "e2"}
+		},
+		"a peer stops": func(t *testing.T, r *partitionRig) []string {
+			r.partition(refused, "e1")
+			go r.nodes["e2"].Stop()
+			t.Cleanup(func() { r.eventually("it has stopped", func() bool { return r.nodes["e2"].ctx.Err() != nil }) })
+			return []string{"e1"}
+		},
+		"since its start": func(_ *testing.T, r *partitionRig) []string {
+			r.partition(link.Fault{Partition: true}, "e9")
+			r.nodes["e9"] = r.startInstance("e9", "n1")
+			r.eventually("it is ready", func() bool { return r.nodes["e9"].Ready() && r.usable(r.nodes["e9"]) > 0 })
+			return []string{"e9"}
+		},
+		"in turn": func(_ *testing.T, r *partitionRig) []string {
+			for _, name := range partitionNames {
+				r.partition(refused, name)
+				r.load(500*time.Millisecond, "/do/x", partitionNames...)
+				r.partition(link.Fault{}, name)
+			}
+			r.partition(refused, "e4")
+			return partitionNames
+		},
+	}
+	for name, begin := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newPartitionRig(t, "good")
+			asked := begin(t, r)
+			r.load(partitionDetection, "/do/x", asked...)
+			for instance, c := range r.load(time.Second, "/do/x", asked...) {
+				if c.good*50 < c.sent*49 {
+					t.Errorf("%s: got %+v, want 49 of 50 served", instance, c)
+				}
+			}
+			if sent := int(r.lastID.Load()); r.runs() > sent {
+				t.Errorf("got %d runs of %d requests, want none twice", r.runs(), sent)
+			}
+		})
+	}
+}
