Choose peers and targets to probe at a cost that doesn't grow with the fleet

The choice of peers keeps the first three alone: 20 us at 1,000, 34 us at 2,000. A check samples 32 targets of each service that follow each other by hash: 50 us at 40 and at 20,000.

--- a/internal/edge/handoff.go
+++ b/internal/edge/handoff.go
@@ -240,31 +240,40 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.updateLists()
-	var list []handOffPeer
-	add := func(records []record) {
-		cores, link := largest(records)
-		var ranked []rankedRecord
-		for _, r := range records {
-			if r.Peers != self.Peers && r.HandOffs != "" && regions.Allows(r.Region) && !avoid(r.Peers) {
-				ranked = append(ranked, rankedRecord{r, -math.Log(hashFraction(request, r.Peers)) / r.size(cores, link)})
-			}
-		}
-		slices.SortFunc(ranked, func(a, b rankedRecord) int { return cmp.Compare(a.rank, b.rank) })
-		for _, r := range ranked {
-			if peer := (handOffPeer{r.Peers, r.HandOffs}); len(list) < limit && !slices.Contains(list, peer) {
-				list = append(list, peer)
-			}
-		}
+	may := func(r *record) bool {
+		return r.Peers != self.Peers && r.HandOffs != "" && regions.Allows(r.Region) && !avoid(r.Peers)
 	}
-	add(i.reaching.byRegion[self.Region])
+	list := firstPeers(i.reaching.byRegion[self.Region], request, limit, may)
 	if len(list) < limit {
-		add(i.reaching.all)
+		far := firstPeers(i.reaching.all, request, limit, func(r *record) bool { return r.Region != self.Region && may(r) })
+		list = append(list, far[:min(limit-len(list), len(far))]...)
 	}
 	return list
 }
 
-// rankedRecord is a record with its rank for a request; the lowest comes first.
-type rankedRecord struct {
-	record
-	rank float64
+// firstPeers returns those of the records that rank first for a request, limit at most.
+func firstPeers(records []record, request string, limit int, may func(r *record) bool) []handOffPeer {
+	type ranked struct {
+		handOffPeer
+		rank float64
+	}
+	cores, link := largest(records)
+	var first []ranked
+	for k := range records {
+		r := &records[k]
+		if !may(r) {
+			continue
+		}
+		rank := -math.Log(hashFraction(request, r.Peers)) / r.size(cores, link)
+		at, _ := slices.BinarySearchFunc(first, rank, func(a ranked, rank float64) int { return cmp.Compare(a.rank, rank) })
+		if at < limit {
+			first = slices.Insert(first, at, ranked{handOffPeer{r.Peers, r.HandOffs}, rank})
+			first = first[:min(limit, len(first))]
+		}
+	}
+	peers := make([]handOffPeer, 0, len(first))
+	for _, f := range first {
+		peers = append(peers, f.handOffPeer)
+	}
+	return peers
 }
--- a/internal/edge/handoff_test.go
+++ b/internal/edge/handoff_test.go
@@ -5,14 +5,17 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/firlever/firlever/internal/emulator/link"
+	"github.com/firlever/firlever/internal/routes"
 )
 
 // handOffTo hands a request off to a node, as a peer does, and returns its answer.
@@ -192,3 +195,54 @@
 		t.Error("got no end of the request within 200 ms, want it before the route's timeout")
 	}
 }
+
+func TestHandOffPeers(t *testing.T) {
+	var known instances
+	for name, r := range map[string]record{
+		"self":        {Region: "north", Cores: 1},
+		"small":       {Region: "north", Cores: 0.25},
+		"large":       {Region: "north", Cores: 1},
+		"partitioned": {Region: "north", Cores: 1, Partitioned: true},
+		"leaving":     {Region: "north", Cores: 1, Leaving: true},
+		"far":         {Region: "south", Cores: 1},
+		"old":         {Region: "north", Cores: 1},
+	} {
+		r.Callers, r.Peers, r.HandOffs = name, name, name+"-handoffs"
+		if name == "old" {
+			r.HandOffs = "" // of a version that takes none
+		}
+		known.put(name, r)
+	}
+	tests := map[string]struct {
+		regions routes.Regions
+		avoided string
+		want    string // peers, in the order of their names
+		first   string // the peer that comes first most often
+	}{
+		"any region":          {nil, "", "far large small", "large"},
+		"own region":          {routes.Regions{"north"}, "", "large small", "large"},
+		"another region":      {routes.Regions{"south"}, "", "far", "far"},
+		"one is avoided":      {nil, "large", "far small", "small"},
+		"none in the regions": {routes.Regions{"west"}, "", "", ""},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			seen, first := make(map[string]bool), make(map[string]int)
+			for request := range 1000 {
+				list := known.handOffPeers(record{Peers: "self", Region: "north"}, fmt.Sprint(request), tt.regions, 3, func(peer string) bool { return peer == tt.avoided })
+				for _, peer := range list {
+					seen[peer.name] = true
+				}
+				if len(list) > 0 {
+					first[list[0].name]++
+				}
+			}
+			if got := strings.Join(slices.Sorted(maps.Keys(seen)), " "); got != tt.want {
+				t.Errorf("got peers %q, want %q", got, tt.want)
+			}
+			if tt.first != "" && first[tt.first] < 700 {
+				t.Errorf("got %v first, want mostly %s", first, tt.first)
+			}
+		})
+	}
+}
--- a/internal/steer/probe.go
+++ b/internal/steer/probe.go
@@ -2,47 +2,53 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
 
+// probeSample is how many targets of each service are considered for probes: enough to have some of
+// each failure domain.
+const probeSample = 32
+
 // ProbeTargets returns targets that show whether this instance reaches any: n at most, in as many
 // failure domains as possible, and others with each call. Targets that may not get requests are left
 // out, and cold ones come last.
 func (f *Fleet) ProbeTargets(now time.Time, n int) []Target {
 	f.probeRounds++
-	firsts := make(map[string]*target) // by failure domain
-	for _, t := range f.targets {
-		if first := firsts[t.Domain]; f.available(t) && (first == nil || f.compareForProbe(now, t, first) < 0) {
-			firsts[t.Domain] = t
-		}
+	var sample []*target
+	for _, name := range slices.Sorted(maps.Keys(f.services)) {
+		sample = f.sampleForProbe(sample, f.services[name])
 	}
-	var list, others []*target
-	for _, t := range f.targets {
-		switch {
-		case !f.available(t):
-		case firsts[t.Domain] == t:
-			list = f.insertForProbe(now, list, t, n)
-		default:
-			others = f.insertForProbe(now, others, t, n)
+	slices.SortFunc(sample, func(a, b *target) int { return f.compareForProbe(now, a, b) })
+	domains := make(map[string]bool)
+	var list, others []Target
+	for _, t := range sample {
+		if domains[t.Domain] {
+			others = append(others, t.Target)
+			continue
 		}
+		domains[t.Domain] = true
+		list = append(list, t.Target)
 	}
 	list = append(list, others...)
-	targets := make([]Target, 0, n)
-	for _, t := range list[:min(n, len(list))] {
-		targets = append(targets, t.Target)
-	}
-	return targets
+	return list[:min(n, len(list))]
 }
 
-// insertForProbe inserts a target into a sorted list of n at most.
-func (f *Fleet) insertForProbe(now time.Time, list []*target, t *target, n int) []*target {
-	i, _ := slices.BinarySearchFunc(list, t, func(a, b *target) int { return f.compareForProbe(now, a, b) })
-	if i == n {
-		return list
+// sampleForProbe adds up to probeSample targets of a service that may get requests. They are in the
+// order of their hashes, so that those that follow each other are in different failure domains.
+func (f *Fleet) sampleForProbe(sample []*target, s *service) []*target {
+	if len(s.targets) == 0 {
+		return sample
 	}
-	list = slices.Insert(list, i, t)
-	return list[:min(n, len(list))]
+	begin := int(mix(hash(s.limits.Name), f.probeRounds) % uint64(len(s.targets)))
+	for i, found := 0, 0; i < len(s.targets) && found < probeSample; i++ {
+		if t := s.targets[(begin+i)%len(s.targets)]; f.available(t) {
+			sample = append(sample, t)
+			found++
+		}
+	}
+	return sample
 }
 
 // compareForProbe orders targets for this round of probes: warm ones first, then by a hash.
--- a/internal/steer/probe_test.go
+++ b/internal/steer/probe_test.go
@@ -49,3 +49,15 @@
 		})
 	}
 }
+
+// BenchmarkCapacityProbeTargets measures the choice of targets for a check, which holds the lock.
+func BenchmarkCapacityProbeTargets(b *testing.B) {
+	for _, n := range []int{40, 300, 10_000, 20_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			f := newBenchFleet(b, n, 8)
+			for b.Loop() {
+				f.ProbeTargets(start, 5)
+			}
+		})
+	}
+}
