Undo nothing of a configuration that callers have seen through a peer

Found in review: an instance whose peers had a later configuration in force answered its callers by it through hand-offs and by its own, older one from the end of the partition on, and refused with 404 what the later one has. Until it has that configuration, it goes on handing off, and refuses with 503 what its own doesn't allow.

In the same review: a check that runs into the end of the process finds no partition; a second check can't begin while a partition is watched; a caller that leaves keeps no peer from later requests; and the wait for a check ends with the deadline. TestBehindPeers fails without the first (404).

--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -39,6 +39,7 @@
 	refusedNoRoute    = &refusal{status: http.StatusNotFound, reason: "no-route"}
 	refusedNoKey      = &refusal{status: http.StatusUnauthorized, reason: "no-key"}
 	refusedUnknownKey = &refusal{status: http.StatusUnauthorized, reason: "unknown-key"}
+	refusedBehind     = &refusal{status: http.StatusServiceUnavailable, reason: "old-config", retryAfter: retryAfterNoConfig}
 	refusedStaleKeys  = &refusal{status: http.StatusServiceUnavailable, reason: "old-keys", retryAfter: retryAfterStaleKeys}
 )
 
@@ -60,8 +61,18 @@
 }
 
 // admit finds the route of a request and the workspace that sends it, or returns the
-// refusal.
+// refusal. What the configuration in force here doesn't allow may be allowed by a later one by which a
+// peer has answered requests of this instance.
 func (n *Node) admit(r *http1.Request, info platform.Request) (admission, *refusal) {
+	a, refused := n.check(r, info)
+	if refused != nil && a.rules != nil && n.handOffs.ahead(a.rules.Config().Version) {
+		return a, refusedBehind
+	}
+	return a, refused
+}
+
+// check checks a request against the configuration in force.
+func (n *Node) check(r *http1.Request, info platform.Request) (admission, *refusal) {
 	a := admission{rules: n.rules.Load()}
 	if a.rules == nil {
 		return a, refusedNoConfig
--- a/internal/edge/handoff.go
+++ b/internal/edge/handoff.go
@@ -98,7 +98,9 @@
 		if !r.refused {
 			return r
 		}
-		h.avoid(boottime.Now(), peer.name)
+		if ctx.Err() == nil {
+			h.avoid(boottime.Now(), peer.name)
+		}
 	}
 	r.refused = true
 	return r
@@ -179,6 +181,13 @@
 	return max(h.config, h.node.configVersion())
 }
 
+// ahead reports whether a peer has handled a request by a later version than the given one.
+func (h *handOffs) ahead(version uint64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.config > version
+}
+
 func (h *handOffs) raiseConfig(version uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/edge/handoff_forward.go
+++ b/internal/edge/handoff_forward.go
@@ -20,6 +20,24 @@
 	if p.from != "" {
 		return n.refusePartitioned(p)
 	}
+	if resp := n.handOff(ctx, p); resp != nil {
+		return resp
+	}
+	return n.refusePartitioned(p)
+}
+
+// forwardIfBehind hands a request off while peers have answered others by a later configuration than
+// is in force here: what callers have seen of it must not be undone. It returns nil if there is no such
+// peer or none takes the request.
+func (n *Node) forwardIfBehind(ctx context.Context, p *pendingRequest) *http1.Response {
+	if p.from != "" || !n.handOffs.ahead(p.rules.Config().Version) {
+		return nil
+	}
+	return n.handOff(ctx, p)
+}
+
+// handOff hands a request off and returns the answer; nil if no peer takes it.
+func (n *Node) handOff(ctx context.Context, p *pendingRequest) *http1.Response {
 	sent := boottime.Now()
 	r := n.handOffs.send(ctx, p, n.handOffRequest(p))
 	p.peer, p.cause = r.peer, r.err
@@ -30,13 +48,17 @@
 		if r.resp != nil {
 			r.resp.Discard()
 		}
-		return n.refusePartitioned(p)
+		p.peer = ""
+		return nil
 	}
 	ran := p.mayHaveRun || r.ran
 	p.choice, p.ending, p.reached = steer.Choice{}, steer.Answered, p.reached+1
 	switch {
 	case r.err != nil:
 		p.mayHaveRun, p.ending = true, steer.Failed
+		if ctx.Err() != nil {
+			p.ending = steer.CallerLeft
+		}
 		return ownAnswer(p.info, p.status(boottime.Now(), p.deadline))
 	case r.resp.Status == http.StatusServiceUnavailable && p.mayHaveRun:
 		// The peer promises only that it has not run the request itself.
--- a/internal/edge/handoff_test.go
+++ b/internal/edge/handoff_test.go
@@ -246,3 +246,33 @@
 		})
 	}
 }
+
+// What callers have seen of a configuration through a peer is not undone by an instance that doesn't
+// have it in force yet.
+func TestBehindPeers(t *testing.T) {
+	t.Parallel()
+	r := newPartitionRig(t, "good")
+	n := r.nodes["e1"]
+	later := *n.rules.Load().Config()
+	later.Version++
+	for _, name := range []string{"e2", "e3", "e4"} {
+		r.nodes[name].rules.Store(newRules(later))
+	}
+	if got := r.request(n, "/none/x"); got != http.StatusNotFound {
+		t.Errorf("got %d before anything was handed off, want 404", got)
+	}
+	r.partition(link.Fault{Refuse: true}, "e1")
+	r.load(time.Second, "/get/x", "e1")
+	r.partition(link.Fault{}, "e1")
+	r.eventually("the partition is over", func() bool { return !n.partition.partitioned() })
+	if got := r.request(n, "/none/x"); got != http.StatusServiceUnavailable {
+		t.Errorf("got %d for what the later configuration may have, want 503", got)
+	}
+	if got := r.request(n, "/get/x"); got != http.StatusOK {
+		t.Errorf("got %d, want 200 by a peer", got)
+	}
+	n.rules.Store(newRules(later))
+	if got := r.request(n, "/none/x"); got != http.StatusNotFound {
+		t.Errorf("got %d once the later configuration is in force, want 404", got)
+	}
+}
--- a/internal/edge/partition.go
+++ b/internal/edge/partition.go
@@ -123,14 +123,14 @@
 func (m *partitionMonitor) confirmReached(failed time.Time) bool {
 	for {
 		m.mu.Lock()
-		checked := m.detector.CheckedSince(failed)
+		checked := m.detector.CheckedSince(failed) || m.detector.Partitioned()
 		if !checked && m.detector.BeginCheck(boottime.Now()) {
 			m.startCheck()
 		}
 		ended := m.ended
 		m.mu.Unlock()
 		<-ended
-		if checked || m.partitioned() {
+		if checked {
 			return !m.partitioned()
 		}
 	}
@@ -143,9 +143,11 @@
 	return m.detector.AnsweredSince(t)
 }
 
-// awaitCheck waits until the check under way, if any, has ended, and reports whether no target can be
-// reached.
-func (m *partitionMonitor) awaitCheck(ctx context.Context) bool {
+// awaitCheck waits until the check under way, if any, has ended, or until a deadline, and reports
+// whether no target can be reached.
+func (m *partitionMonitor) awaitCheck(ctx context.Context, deadline time.Time) bool {
+	ctx, cancel := context.WithDeadline(ctx, boottime.ToRuntime(deadline))
+	defer cancel()
 	m.mu.Lock()
 	ended := m.ended
 	m.mu.Unlock()
@@ -160,6 +162,9 @@
 func (m *partitionMonitor) check(ended chan struct{}) {
 	for {
 		results := m.probe()
+		if m.node.ctx.Err() != nil {
+			results = nil // the probes ended with the node
+		}
 		m.mu.Lock()
 		now := boottime.Now()
 		changed := m.detector.EndCheck(now, results)
--- a/internal/edge/pass.go
+++ b/internal/edge/pass.go
@@ -20,6 +20,9 @@
 		if n.partition.partitioned() {
 			return n.forwardElsewhere(ctx, p)
 		}
+		if resp := n.forwardIfBehind(ctx, p); resp != nil {
+			return resp
+		}
 		p.choice = n.pick(p)
 		if p.choice.Reason != "" {
 			break
@@ -29,7 +32,7 @@
 			return v.answer
 		}
 	}
-	if p.onlyUnsent() && n.partition.awaitCheck(ctx) {
+	if p.onlyUnsent() && n.partition.awaitCheck(ctx, p.deadline) {
 		return n.forwardElsewhere(ctx, p)
 	}
 	return n.failureAnswer(p)
