--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -155,8 +155,8 @@
 	return net.JoinHostPort(s.IP, strconv.Itoa(s.Ports.First))
 }
 
-// chooseHandOffAddress returns the address at which other instances hand requests off: the internal
-// port after that of peers, or one that the system chooses.
+// chooseHandOffAddress returns the address at which other instances hand requests off: the second
+// internal port, or one that the system chooses if there is none.
 func chooseHandOffAddress(s *platform.Settings) string {
 	port := 0
 	if s.Ports.First > 0 && s.Ports.First < s.Ports.Last {
