--- a/internal/edge/instances_test.go
+++ b/internal/edge/instances_test.go
@@ -126,3 +126,31 @@
 		t.Errorf("got %d bytes a record with 2,000 instances, %d with 200", cost[2000], cost[200])
 	}
 }
+
+// Look-ups name instances that reach targets while there are any, and some in any case.
+func TestNearOfPartitioned(t *testing.T) {
+	all := []string{"n1a", "n1b", "n2a", "n2b", "s1a", "s1b"} // the first letter is the region, the first two the domain
+	tests := map[string]struct {
+		partitioned []string
+		want        []string
+	}{
+		"none":                   {nil, []string{"n1a", "n1b"}},
+		"one of the domain":      {[]string{"n1a"}, []string{"n1b", "n2a", "n2b"}},
+		"the domain":             {[]string{"n1a", "n1b"}, []string{"n2a", "n2b"}},
+		"all but one of it":      {[]string{"n1a", "n1b", "n2a"}, []string{"n2b"}},
+		"the region":             {all[:4], []string{"s1a", "s1b"}},
+		"all":                    {all, []string{"n1a", "n1b"}},
+		"another failure domain": {[]string{"s1a", "s1b"}, []string{"n1a", "n1b"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var i instances
+			for _, name := range all {
+				i.put(name, record{Callers: name, Peers: name, Domain: name[:2], Region: name[:1], Partitioned: slices.Contains(tt.partitioned, name)})
+			}
+			if got := i.near("n", "n1", "caller", 64); !slices.Equal(got, tt.want) {
+				t.Errorf("got %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/edge/order_test.go
+++ b/internal/edge/order_test.go
@@ -27,6 +27,8 @@
 		"report of another writer":  {"servers/a", target(5, 8, "draining"), `{"state":"ready"}`, 0},
 		"leaving instance":          {instancePrefix + "e1", instance(3, true), instance(3, false), 1},
 		"later run of an instance":  {instancePrefix + "e1", instance(3, true), instance(4, false), -1},
+		"later record of a run":     {instancePrefix + "e1", `{"run":3,"change":2,"partitioned":true}`, `{"run":3,"change":10}`, -1},
+		"leaving before a change":   {instancePrefix + "e1", `{"run":3,"change":2,"leaving":true}`, `{"run":3,"change":10}`, 1},
 		"evacuations have no order": {platform.EvacuatePrefix + "n1", "{}", "{ }", 0},
 	}
 	for name, tt := range tests {
