--- a/internal/procs/attempt_test.go
+++ b/internal/procs/attempt_test.go
@@ -80,7 +80,7 @@
 // keepLogs writes the logs of all processes into a directory that outlives the test:
 // a failure that does not recur can be traced only with them.
 func (f *fleet) keepLogs() {
-	dir, err := os.MkdirTemp("", "firlever-"+f.t.Name()+"-")
+	dir, err := os.MkdirTemp("", "firlever-"+strings.ReplaceAll(f.t.Name(), "/", "-")+"-")
 	if err != nil {
 		f.t.Errorf("create log directory: %v", err)
 		return
--- a/internal/procs/fleet_test.go
+++ b/internal/procs/fleet_test.go
@@ -30,7 +30,6 @@
 	service       = "shop/orders"
 	token         = "procs"
 	platformPoint = "platform" // link point of the platform
-	targetsPoint  = "targets"  // near end of all links to targets
 )
 
 // place gives the number of instances and targets of one place of a fleet.
@@ -146,6 +145,20 @@
 	return p.Addr()
 }
 
+// startTargetProxy is startProxy for a target, to which each node has a link of its own.
+func (f *fleet) startTargetProxy(name, addr string) string {
+	locate := func(dialer net.Addr) link.Point {
+		a, err := netip.ParseAddrPort(dialer.String())
+		if err != nil {
+			return link.Point{}
+		}
+		return f.pointByIP[a.Addr()]
+	}
+	p := link.NewProxyFrom(f.listen(), f.links, locate, link.At(name), addr)
+	f.t.Cleanup(func() { p.Close() })
+	return p.Addr()
+}
+
 func (f *fleet) startTargets(p place) {
 	for i := range p.targets {
 		cfg := target.Config{
@@ -193,7 +206,7 @@
 		for _, tg := range f.targets[p.name] {
 			name := tg.Config().Name
 			fmt.Fprintf(&places, "      - {name: %s, address: %q, slots: %d, connections: 100}\n",
-				name, f.startProxy(targetsPoint, name, tg.Addr()), f.opts.slots)
+				name, f.startTargetProxy(name, tg.Addr()), f.opts.slots)
 		}
 		f.createDocument("/places/"+p.name, fmt.Sprintf("region: coast\ndomain: %s\nlimit: %d\n", p.name, f.placeLimit(p)))
 	}
--- a/internal/procs/links_test.go
+++ b/internal/procs/links_test.go
@@ -18,16 +18,17 @@
 		large := f.load("bad-large", traffic{home: "a", idempotent: 4, size: 200 << 10, timeout: 2 * time.Second})
 		a := f.nodesIn("a")
 		name := func(i int) string { return f.targets["a"][i].Config().Name }
+		nodes := nodeIDs(f.nodes)
 		faults := []func(){
-			func() { f.links.Set(name(0), targetsPoint, link.Fault{Partition: true}) }, // answers are lost
-			func() { f.links.Set(targetsPoint, name(1), link.Fault{Partition: true}) }, // requests are lost
-			func() { f.links.SetBoth(targetsPoint, name(2), link.Fault{Delay: 300 * time.Millisecond}) },
-			func() { f.links.Set(name(3), targetsPoint, link.Fault{Bandwidth: 20 << 10}) },
+			func() { f.setOneWay([]string{name(0)}, nodes, link.Fault{Partition: true}) }, // answers are lost
+			func() { f.setOneWay(nodes, []string{name(1)}, link.Fault{Partition: true}) }, // requests are lost
+			func() { f.setFaults(nodes, []string{name(2)}, link.Fault{Delay: 300 * time.Millisecond}) },
+			func() { f.setOneWay([]string{name(3)}, nodes, link.Fault{Bandwidth: 20 << 10}) },
 			func() { f.links.Set(a[0].id, a[1].id, link.Fault{Partition: true}) }, // one direction only
 			func() {
 				f.links.SetBoth(a[0].id, f.nodesIn("b")[0].id, link.Fault{Loss: 0.3, Delay: 100 * time.Millisecond})
 			},
-			func() { f.links.SetBoth(targetsPoint, name(4), link.Fault{Refuse: true}) },
+			func() { f.setFaults(nodes, []string{name(4)}, link.Fault{Refuse: true}) },
 		}
 		for _, fault := range faults {
 			fault()
--- a/internal/procs/outage_test.go
+++ b/internal/procs/outage_test.go
@@ -49,6 +49,15 @@
 	}
 }
 
+// setOneWay sets a fault on all links from a group of points to another.
+func (f *fleet) setOneWay(from, to []string, fault link.Fault) {
+	for _, x := range from {
+		for _, y := range to {
+			f.links.Set(x, y, fault)
+		}
+	}
+}
+
 // nodeIDs returns the IDs of nodes, which are also their link points.
 func nodeIDs(nodes []*node) []string {
 	var list []string
--- a/internal/procs/standstill_test.go
+++ b/internal/procs/standstill_test.go
@@ -21,7 +21,7 @@
 		l := f.load("stall", traffic{home: "a", idempotent: 110, nonIdempotent: 20, timeout: 700 * time.Millisecond})
 		for range 5 {
 			for _, tg := range f.targets["a"] {
-				f.links.SetBoth(targetsPoint, tg.Config().Name, link.Fault{Partition: true})
+				f.setFaults(nodeIDs(f.nodes), []string{tg.Config().Name}, link.Fault{Partition: true})
 			}
 			time.Sleep(linkPause)
 			f.links.Clear()
@@ -50,11 +50,11 @@
 			}
 			time.Sleep(2 * time.Second)
 			for _, tg := range f.targets["a"] {
-				f.links.SetBoth(targetsPoint, tg.Config().Name, link.Fault{Partition: true})
+				f.setFaults(nodeIDs(f.nodes), []string{tg.Config().Name}, link.Fault{Partition: true})
 			}
 			time.Sleep(pause)
 			for _, tg := range f.targets["a"] {
-				f.links.SetBoth(targetsPoint, tg.Config().Name, link.Fault{})
+				f.setFaults(nodeIDs(f.nodes), []string{tg.Config().Name}, link.Fault{})
 			}
 			time.Sleep(2 * time.Second)
 		}
