Split the hand-offs by who sends, receives and chooses; report a crash of a target that is back at once

A report that waits for a check was dropped when the target answered the next probe before the check had ended. TestNoCrashReportsFromPartition has the case, which fails without the change. The baselines of serve begin no checks.

--- a/internal/core/crash.go
+++ b/internal/core/crash.go
@@ -108,7 +108,7 @@
 // aborts are recorded anew.
 func (n *Node) resolveAbort(now time.Time, ev Probed) {
 	b := n.crashes.aborts[ev.Target]
-	if b == nil || ev.Sent.Before(b.at) || ev.Err && !ev.Refused {
+	if b == nil || b.refused || ev.Sent.Before(b.at) || ev.Err && !ev.Refused {
 		return
 	}
 	if !ev.Refused {
--- a/internal/core/partition.go
+++ b/internal/core/partition.go
@@ -51,7 +51,7 @@
 	switch {
 	case ev.Result == Answered, ev.Result == NotRun && ev.Proof == once.ProofRefusal:
 		n.reach.detector.RecordAnswer(now, time.Time{})
-	case ev.CallerGone, n.baseline():
+	case ev.CallerGone:
 	case unconnected, ev.Result == Failed:
 		n.recordUnreached(now, partition.Failure{Target: nameOf(f.target), Began: now.Add(-ev.Took), Connect: unconnected})
 	}
@@ -62,6 +62,9 @@
 
 // recordUnreached records a failure on the path to a target.
 func (n *Node) recordUnreached(now time.Time, f partition.Failure) {
+	if n.baseline() {
+		return
+	}
 	n.reach.detector.SetTargets(len(n.owners.Owned()))
 	if n.reach.detector.RecordFailure(now, f) {
 		n.sendCheck(now)
--- a/internal/core/partition_test.go
+++ b/internal/core/partition_test.go
@@ -154,7 +154,12 @@
 
 // A target at which nothing listens is reported as crashed only if another is reached.
 func TestNoCrashReportsFromPartition(t *testing.T) {
-	tests := map[string]struct{ reached, want bool }{"others are reached": {true, true}, "none is reached": {false, false}}
+	tests := map[string]struct{ reached, back, want bool }{
+		"others are reached":          {true, false, true},
+		"none is reached":             {false, false, false},
+		"it is back at once":          {true, true, true},
+		"none is reached, it is back": {false, true, false},
+	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			n := partitionNode(t)
@@ -162,7 +167,11 @@
 			n.Step(now, request(1, "10.1.0.1"))
 			target := n.requests[1].target
 			n.Step(now, Finished{ID: 1, Result: Failed, Aborted: true, Took: time.Millisecond})
-			decisions, _ := n.answerProbes(now, n.Step(now, Probed{Target: target, Sent: now, Err: true, Refused: true}), tt.reached)
+			checks := n.Step(now, Probed{Target: target, Sent: now, Err: true, Refused: true})
+			if tt.back {
+				n.Step(now, Probed{Target: target, Sent: now, Healthy: true, Slots: 2})
+			}
+			decisions, _ := n.answerProbes(now, checks, tt.reached)
 			got := false
 			for _, d := range decisions {
 				_, sent := d.(SendCrashes)
--- a/internal/edge/handoff_forward.go
+++ b/internal/edge/handoff_receiver.go
@@ -4,96 +4,13 @@
 	"context"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/juju/errors"
 
-	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/http1"
-	"github.com/firlever/firlever/internal/steer"
 	"github.com/firlever/firlever/platform"
 )
 
-// forwardElsewhere serves a request while this instance is partitioned from all targets: a peer gets
-// it, one hop only. What no peer takes is refused at once.
-func (n *Node) forwardElsewhere(ctx context.Context, p *pendingRequest) *http1.Response {
-	if p.from != "" {
-		return n.refusePartitioned(p)
-	}
-	if resp := n.handOff(ctx, p); resp != nil {
-		return resp
-	}
-	return n.refusePartitioned(p)
-}
-
-// forwardIfBehind hands a request off while peers have answered others by a later configuration than
-// is in force here: what callers have seen of it must not be undone. It returns nil if there is no such
-// peer or none takes the request.
-func (n *Node) forwardIfBehind(ctx context.Context, p *pendingRequest) *http1.Response {
-	if p.from != "" || !n.handOffs.ahead(p.rules.Config().Version) {
-		return nil
-	}
-	return n.handOff(ctx, p)
-}
-
-// handOff hands a request off and returns the answer; nil if no peer takes it.
-func (n *Node) handOff(ctx context.Context, p *pendingRequest) *http1.Response {
-	sent := boottime.Now()
-	r := n.handOffs.send(ctx, p, n.handOffRequest(p))
-	p.peer, p.cause = r.peer, r.err
-	if r.target != "" {
-		n.applyPeersNotice(p, r, sent)
-	}
-	if r.refused {
-		if r.resp != nil {
-			r.resp.Discard()
-		}
-		p.peer = ""
-		return nil
-	}
-	ran := p.mayHaveRun || r.ran
-	p.choice, p.ending, p.reached = steer.Choice{}, steer.Answered, p.reached+1
-	switch {
-	case r.err != nil:
-		p.mayHaveRun, p.ending = true, steer.Failed
-		if ctx.Err() != nil {
-			p.ending = steer.CallerLeft
-		}
-		return ownAnswer(p.info, p.status(boottime.Now(), p.deadline))
-	case r.resp.Status == http.StatusServiceUnavailable && p.mayHaveRun:
-		// The peer promises only that it has not run the request itself.
-		r.resp.Discard()
-		return n.failureAnswer(p)
-	}
-	p.mayHaveRun = ran
-	return r.resp
-}
-
-// applyPeersNotice applies what the target of a peer announces in an answer that is passed on here: the
-// target may expect that this instance knows it from then on.
-func (n *Node) applyPeersNotice(p *pendingRequest, r handOffResult, sent time.Time) {
-	n.mu.Lock()
-	target, ok := n.fleet.Target(r.target)
-	n.mu.Unlock()
-	if ok {
-		n.applyNotice(p, target, sent, r.resp.Status, platform.ReadAnswer(r.resp.Status, r.resp.Header))
-	}
-}
-
-// handOffRequest returns what a peer needs to know of a request.
-func (n *Node) handOffRequest(p *pendingRequest) handOffRequest {
-	return handOffRequest{
-		From: n.cfg.Settings.Instance, Config: p.rules.Config().Version,
-		Attempts: p.reached + p.inFlight, Counted: p.counted, Tried: p.sentTo,
-	}
-}
-
-// refusePartitioned answers a request that neither this instance nor a peer can serve.
-func (n *Node) refusePartitioned(p *pendingRequest) *http1.Response {
-	p.choice = steer.Choice{Reason: reasonPartitioned, RetryAfter: retryAfterPartition}
-	return n.failureAnswer(p)
-}
-
 // handleHandOff answers a request that a peer has handed off.
 func (n *Node) handleHandOff(ctx context.Context, r *http1.Request) *http1.Response {
 	info := platform.ReadRequest(r.Header)
