--- a/internal/edge/partition.go
+++ b/internal/edge/partition.go
@@ -43,19 +43,19 @@
 	probes   *http1.Pool // keeps no connections
 	detected atomic.Bool // the state, for readers without the lock
 
-	mu       sync.Mutex
-	detector *partition.Detector // guarded by mu
-	ended    chan struct{}       // closed at the end of the check under way, or of the last one; guarded by mu
-	reached  context.Context     // cancelled when a partition is detected, replaced when it ends; guarded by mu
-	detect   context.CancelFunc  // cancels reached; guarded by mu
+	mu          sync.Mutex
+	detector    *partition.Detector // guarded by mu
+	checkDone   chan struct{}       // closed when the check under way, or the last one, has ended; guarded by mu
+	dialCtx     context.Context     // of connects for requests; cancelled when a partition is detected, replaced when it ends; guarded by mu
+	cancelDials context.CancelFunc  // cancels dialCtx; guarded by mu
 }
 
 func newPartitionMonitor(n *Node) *partitionMonitor {
 	m := &partitionMonitor{
-		node: n, dial: n.cfg.DialTargets, detector: partition.New(), ended: make(chan struct{}),
+		node: n, dial: n.cfg.DialTargets, detector: partition.New(), checkDone: make(chan struct{}),
 	}
-	close(m.ended)
-	m.reached, m.detect = context.WithCancel(context.Background())
+	close(m.checkDone)
+	m.dialCtx, m.cancelDials = context.WithCancel(context.Background())
 	m.probes = http1.NewPool(m.dialProbe, n.budget)
 	return m
 }
@@ -74,9 +74,9 @@
 	})
 	defer slow.Stop()
 	m.mu.Lock()
-	reached := m.reached
+	dialCtx := m.dialCtx
 	m.mu.Unlock()
-	stop := context.AfterFunc(reached, cancel)
+	stop := context.AfterFunc(dialCtx, cancel)
 	defer stop()
 	return m.dial(ctx, network, address)
 }
@@ -114,8 +114,8 @@
 
 // startCheck starts the check that the detector has begun. m.mu is held.
 func (m *partitionMonitor) startCheck() {
-	m.ended = make(chan struct{})
-	go m.check(m.ended)
+	m.checkDone = make(chan struct{})
+	go m.check(m.checkDone)
 }
 
 // confirmReached returns whether some target can be reached, by a check that begins after a failure.
@@ -127,9 +127,9 @@
 		if !checked && m.detector.BeginCheck(boottime.Now()) {
 			m.startCheck()
 		}
-		ended := m.ended
+		done := m.checkDone
 		m.mu.Unlock()
-		<-ended
+		<-done
 		if checked {
 			return !m.partitioned()
 		}
@@ -149,17 +149,17 @@
 	ctx, cancel := context.WithDeadline(ctx, boottime.ToRuntime(deadline))
 	defer cancel()
 	m.mu.Lock()
-	ended := m.ended
+	done := m.checkDone
 	m.mu.Unlock()
 	select {
-	case <-ended:
+	case <-done:
 	case <-ctx.Done():
 	}
 	return m.partitioned()
 }
 
-// check probes some targets, and goes on until one is reached.
-func (m *partitionMonitor) check(ended chan struct{}) {
+// check probes some targets, and goes on until one is reached. done is closed after the first probes.
+func (m *partitionMonitor) check(done chan struct{}) {
 	for {
 		results := m.probe()
 		if m.node.ctx.Err() != nil {
@@ -173,9 +173,9 @@
 			m.setState(partitioned)
 		}
 		m.mu.Unlock()
-		if ended != nil {
-			close(ended)
-			ended = nil
+		if done != nil {
+			close(done)
+			done = nil
 		}
 		if changed {
 			m.stateChanged(now, since, results)
@@ -196,10 +196,10 @@
 func (m *partitionMonitor) setState(partitioned bool) {
 	m.detected.Store(partitioned)
 	if partitioned {
-		m.detect()
+		m.cancelDials()
 		return
 	}
-	m.reached, m.detect = context.WithCancel(context.Background())
+	m.dialCtx, m.cancelDials = context.WithCancel(context.Background())
 }
 
 // stateChanged acts on a changed state. Failures during a partition say nothing about the targets.
--- a/internal/instance/log.go
+++ b/internal/instance/log.go
@@ -35,13 +35,17 @@
 
 // logPartition counts and logs the begin or the end of a partition from the place's targets.
 func (in *Instance) logPartition(d core.PartitionChanged) {
-	reason, message := "ended", "targets reached again"
+	reason := "ended"
 	if d.Partitioned {
-		reason, message = "began", "partitioned from targets"
+		reason = "began"
 	}
 	in.cfg.Metrics.CountDecision(metrics.Decision{Kind: "partition", Reason: reason})
-	if in.cfg.Log != nil {
-		in.cfg.Log.Warn(message, "place", in.cfg.Place, "probes", d.Probes, "since", d.Since)
+	switch {
+	case in.cfg.Log == nil:
+	case d.Partitioned:
+		in.cfg.Log.Warn("partitioned from targets", "place", in.cfg.Place, "probes", d.Probes, "first-failure", in.now().Sub(d.Since))
+	default:
+		in.cfg.Log.Info("targets reached again", "place", in.cfg.Place, "probes", d.Probes)
 	}
 }
 
--- a/internal/partition/detector.go
+++ b/internal/partition/detector.go
@@ -18,8 +18,8 @@
 	suspicionTTL = 2 * time.Second
 	// checkGap is the least time between two checks of an instance that reaches its targets.
 	checkGap = 500 * time.Millisecond
-	// healGap is the time between two checks of an instance that is partitioned.
-	healGap = 400 * time.Millisecond
+	// partitionedCheckGap is the time between two checks of an instance that is partitioned.
+	partitionedCheckGap = 400 * time.Millisecond
 )
 
 // Failure is an attempt that failed on its connection.
@@ -39,16 +39,19 @@
 	Answered
 )
 
+// String returns the name of the result for log lines.
+func (r Result) String() string { return [...]string{"unreached", "connected", "answered"}[r] }
+
 // Detector decides whether an instance is partitioned from all targets.
 type Detector struct {
 	partitioned bool
 	inUse       int                  // targets that the instance uses; 0: unknown, and not a few
-	since       time.Time            // of the first failure of the partition; zero if there is none
+	since       time.Time            // when the first attempt of a row of failures began
 	suspects    map[string]suspicion // by target: its last failure, which no answer has refuted
 	answeredAt  time.Time            // last answer of any target
 	freshAt     time.Time            // opening of the latest connection that carried an answer
 	checking    bool                 // a check is under way
-	checkBegan  time.Time            // of the last check
+	checkBegan  time.Time            // begin of the last check, or of the one under way
 	nextCheck   time.Time            // none begins before
 }
 
@@ -133,7 +136,7 @@
 	d.partitioned = len(results) > 0 && !d.reached(results)
 	d.nextCheck = now.Add(checkGap)
 	if d.partitioned {
-		d.nextCheck = now.Add(healGap)
+		d.nextCheck = now.Add(partitionedCheckGap)
 	}
 	if !d.partitioned {
 		clear(d.suspects)
--- a/internal/partition/detector_test.go
+++ b/internal/partition/detector_test.go
@@ -128,7 +128,7 @@
 	if got, want := d.Since(), start.Add(time.Millisecond); !got.Equal(want) {
 		t.Errorf("got %s, want the begin of the first failed attempt %s", got, want)
 	}
-	if got, want := d.NextCheck(), start.Add(time.Second+healGap); !got.Equal(want) {
+	if got, want := d.NextCheck(), start.Add(time.Second+partitionedCheckGap); !got.Equal(want) {
 		t.Errorf("got the next check at %s, want %s", got, want)
 	}
 }
