Take busy targets for no partition

Overloaded targets look the same, and then requests would have been refused at once by all.

Connections without an answer count as unreached only when no target has answered anything for 3 s. A check ends with the first answer, and probes during a partition may wait 3 s for theirs.

--- a/internal/edge/partition.go
+++ b/internal/edge/partition.go
@@ -25,8 +25,10 @@
 	slowConnect = 200 * time.Millisecond
 	// probeConnectTimeout is how long a probe may take to connect.
 	probeConnectTimeout = 300 * time.Millisecond
-	// probeAnswerTimeout is how long a probe may take: a target answers it when a slot is free.
-	probeAnswerTimeout = time.Second
+	// probeAnswerTimeout is how long a probe may take: a target answers it when a slot is free. During a
+	// partition it may take longer, as nothing else shows that a busy target is reached again.
+	probeAnswerTimeout     = time.Second
+	longProbeAnswerTimeout = 3 * time.Second
 	// retryAfterPartition: targets are probed about twice a second during a partition.
 	retryAfterPartition = 500 * time.Millisecond
 )
@@ -220,38 +222,49 @@
 	n.registrar.updateSoon()
 }
 
-// probe sends a health check to some targets at once and returns what each found.
+// probe sends a health check to some targets at once and returns what each found, until one has
+// answered.
 func (m *partitionMonitor) probe() []partition.Result {
 	n := m.node
 	n.mu.Lock()
 	targets := n.fleet.ProbeTargets(boottime.Now(), probeCount)
 	n.mu.Unlock()
+	timeout := probeAnswerTimeout
+	if m.partitioned() {
+		timeout = longProbeAnswerTimeout
+	}
+	ctx, cancel := context.WithTimeout(n.ctx, timeout)
+	defer cancel()
 	results := make([]partition.Result, len(targets))
 	var all sync.WaitGroup
 	for i, t := range targets {
-		all.Go(func() { results[i] = m.probeTarget(t) })
+		all.Go(func() {
+			if results[i] = m.probeTarget(ctx, t); results[i] == partition.Answered {
+				cancel()
+			}
+		})
 	}
 	all.Wait()
 	return results
 }
 
 // probeTarget sends a health check to a target. Where its service has none, a connection must do.
-func (m *partitionMonitor) probeTarget(t steer.Target) partition.Result {
+func (m *partitionMonitor) probeTarget(ctx context.Context, t steer.Target) partition.Result {
 	path := ""
 	if current := m.node.rules.Load(); current != nil {
 		path = current.Config().Services[t.Service].HealthPath
 	}
 	if path == "" {
-		conn, err := m.dialProbe(m.node.ctx, "tcp", t.Address)
+		conn, err := m.dialProbe(ctx, "tcp", t.Address)
 		if err != nil {
 			return partition.Unreached
 		}
 		conn.Close()
 		return partition.Answered
 	}
-	resp, err := m.probes.Do(m.node.ctx, &http1.Exchange{
+	resp, err := m.probes.Do(ctx, &http1.Exchange{
 		Request: &http1.Request{Method: http.MethodGet, URI: path, Host: t.Address}, Header: make(http.Header),
-		Target: t.ID, Address: t.Address, Deadline: boottime.Now().Add(probeAnswerTimeout),
+		Target: t.ID, Address: t.Address, Deadline: boottime.Now().Add(longProbeAnswerTimeout),
 		IsAnswer: func(int, http.Header) bool { return true }, KeepConn: func(*http1.Response) bool { return false },
 	})
 	var unsent *http1.NotSentError
--- a/internal/partition/detector.go
+++ b/internal/partition/detector.go
@@ -16,6 +16,9 @@
 	minSuspects = 2
 	// suspicionTTL is how long a failure counts.
 	suspicionTTL = 2 * time.Second
+	// silence is how long no target has answered anything before connections without an answer count
+	// as unreached: busy targets answer a health check late, but some request of an instance ends.
+	silence = 3 * time.Second
 	// checkGap is the least time between two checks of an instance that reaches its targets.
 	checkGap = 500 * time.Millisecond
 	// partitionedCheckGap is the time between two checks of an instance that is partitioned.
@@ -133,7 +136,7 @@
 func (d *Detector) EndCheck(now time.Time, results []Result) bool {
 	d.checking = false
 	before := d.partitioned
-	d.partitioned = len(results) > 0 && !d.reached(results)
+	d.partitioned = len(results) > 0 && !d.reached(now, results)
 	d.nextCheck = now.Add(checkGap)
 	if d.partitioned {
 		d.nextCheck = now.Add(partitionedCheckGap)
@@ -147,9 +150,9 @@
 }
 
 // reached reports whether the results show that some target is reachable. A connection on which
-// nothing is answered may end at a proxy whose own path is cut; it counts if targets still answer
-// elsewhere.
-func (d *Detector) reached(results []Result) bool {
+// nothing is answered may end at a proxy whose own path is cut, or at a target that is busy; it counts
+// if some target has answered lately.
+func (d *Detector) reached(now time.Time, results []Result) bool {
 	connected := false
 	for _, r := range results {
 		if r == Answered {
@@ -157,7 +160,7 @@
 		}
 		connected = connected || r == Connected
 	}
-	return connected && d.answeredAt.After(d.checkBegan)
+	return connected && now.Sub(d.answeredAt) < silence
 }
 
 // NextCheck returns when a partitioned instance is to be checked again.
--- a/internal/partition/detector_test.go
+++ b/internal/partition/detector_test.go
@@ -73,6 +73,19 @@
 			{at: 25 * ms, answered: true},
 			{at: 30 * ms, results: silent},
 		},
+		"connections without an answer, the last answer is 2 s old": {
+			{at: 10 * ms, answered: true},
+			{at: 2000 * ms, fail: "a", began: 20 * ms},
+			{at: 2010 * ms, fail: "b", began: 20 * ms, check: true},
+			{at: 2100 * ms, results: silent},
+		},
+		"connections without an answer, the last answer is 4 s old": {
+			{at: 10 * ms, answered: true},
+			{at: 4000 * ms, fail: "a", began: 20 * ms},
+			{at: 4010 * ms, fail: "b", began: 20 * ms, check: true},
+			{at: 4100 * ms, results: silent, cut: true},
+			{at: 4600 * ms, results: some},
+		},
 		"no targets": {
 			{at: 10 * ms, fail: "a", connect: true},
 			{at: 20 * ms, fail: "b", connect: true, check: true},
