Separate the estimate, the acceptance and the time to return in the choice of a target

All three stood in one loop. A query also tells priority, arrival and whether the request may run more than once; nothing decides by them yet.

--- a/internal/steer/pick.go
+++ b/internal/steer/pick.go
@@ -14,6 +14,9 @@
 	Regions    routes.Regions // where the target may be located
 	Objective  time.Duration  // latency within which an answer is worth most
 	Deadline   time.Time      // an answer after it is useless
+	ReceivedAt time.Time      // when the request arrived; zero if unknown
+	Priority   int            // 0 is the most urgent
+	Repeatable bool           // whether the request may run more than once
 	AnswerSize float64        // estimated bytes of the answer; 0 if unknown
 	Retry      bool           // whether the request was sent to another target before
 	Counted    bool           // whether the request counts in a retry budget already
@@ -134,9 +137,7 @@
 	if found.Target.ID != "" {
 		return found
 	}
-	if refused.Reason == LimitReached {
-		refused.RetryAfter = s.scheduleRetry(now, now.Add(refused.RetryAfter), f.limitRetryGap(now, s, q))
-	}
+	refused.RetryAfter = f.retryAfter(now, s, q, refused)
 	return refused
 }
 
@@ -152,9 +153,9 @@
 			limitedCount, limitRetry = limitedCount+1, min(limitRetry, wait)
 			continue
 		}
-		wait := c.queueWait(now, c.workTime(mean))
-		if wait > q.Objective || !q.Deadline.After(now.Add(wait)) || now.Before(c.shedUntil) {
-			refused.RetryAfter = min(refused.RetryAfter, max(minRetryAfter, mean/2, wait-q.Objective))
+		e := f.estimate(now, c, mean)
+		if !c.accepts(now, q, e) {
+			refused.RetryAfter = min(refused.RetryAfter, max(minRetryAfter, mean/2, e.wait-q.Objective))
 			continue
 		}
 		if q.Object != "" && !f.isHome(c, q) && !c.idle(now) {
@@ -165,13 +166,13 @@
 			refused.Reason, refused.RetryAfter = Cold, min(refused.RetryAfter, coldRetryAfter)
 			continue
 		}
-		cost := wait + f.penalty(c, q, mean) + c.excessLatency(now, mean)
+		cost := e.wait + f.penalty(c, q, mean) + c.excessLatency(now, mean)
 		if c.cold(now) {
 			cost += mean
 		}
 		if found.Target.ID == "" || cost < found.Cost {
 			found = Choice{
-				Target: c.Target, Wait: wait, Cost: cost, Home: c.globalRank == 0, Cold: c.cold(now), TargetAge: now.Sub(c.addedAt),
+				Target: c.Target, Wait: e.wait, Cost: cost, Home: c.globalRank == 0, Cold: c.cold(now), TargetAge: now.Sub(c.addedAt),
 			}.withLoadOf(now, c.target)
 		}
 	}
