Bring warm objects, changing speeds, priorities and bursts into the soak

Cause: the soak's targets worked equally long on all requests and reported a constant load, its routes had one priority, and its load never changed. Change: targets keep a few objects warm, run others three times as long, are slow at times, and report their load with a fourth figure that is at times missing or unreadable; one route is more urgent than the other; bursts bring three times the callers.

--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -37,6 +37,8 @@
 	rng           *rand.Rand
 	restoreRNG    *rand.Rand // decides when and how the store is restored
 	partitionRNG  *rand.Rand // decides when and how instances are partitioned from the targets
+	burstRNG      *rand.Rand // decides when additional callers come
+	bursts        int        // so far
 	links         *link.Links
 	store         *store.Store
 	journal       *journal
@@ -57,7 +59,7 @@
 
 func newCluster(t *testing.T, seed uint64) *cluster {
 	c := &cluster{
-		t: t, rng: rand.New(rand.NewPCG(seed, seed)), restoreRNG: rand.New(rand.NewPCG(seed, restoreStream)), partitionRNG: rand.New(rand.NewPCG(seed, partitionStream)), store: store.New(), journal: newJournal(), activeFaults: make(map[string]bool),
+		t: t, rng: rand.New(rand.NewPCG(seed, seed)), restoreRNG: rand.New(rand.NewPCG(seed, restoreStream)), partitionRNG: rand.New(rand.NewPCG(seed, partitionStream)), burstRNG: rand.New(rand.NewPCG(seed, burstStream)), store: store.New(), journal: newJournal(), activeFaults: make(map[string]bool),
 		links: link.New(nil, link.Latency{}, seed, nil),
 	}
 	c.notices, c.workspaces = newNoticeChecker(c.journal), newWorkspaceChecker(c.journal)
@@ -107,13 +109,13 @@
 // writeConfig writes the next version of the configuration to the store.
 func (c *cluster) writeConfig() {
 	version := c.configVersion.Add(1)
-	const route = `{"resource_kind":"routes","metadata":{"name":"%s"},"spec":{"host":"h","prefix":"/%s/","route_type":"%s","timeout":"%dms","target_latency":"100ms","max_attempts":%d,"service":"s","session_affinity":true}}`
+	const route = `{"resource_kind":"routes","metadata":{"name":"%s"},"spec":{"host":"h","prefix":"/%s/","route_type":"%s","timeout":"%dms","target_latency":"100ms","max_attempts":%d,"priority":%d,"service":"s","session_affinity":true}}`
 	const service = `{"resource_kind":"services","metadata":{"name":"s"},"spec":{"warmup":"300ms","cold_per_s":50,"health_check_path":"/health"}}`
 	const marker = `{"resource_kind":"routes","metadata":{"name":"at"},"spec":{"host":"h","prefix":"%s","route_type":"idempotent","timeout":"1s","target_latency":"1s","max_attempts":1,"service":"none","public":true}}`
 	c.store.Put(platform.ConfigKey, fmt.Appendf(nil, `{"version":%d,"resources":[%s,%s,%s,%s,%s,%s]}`, version,
 		fmt.Sprintf(marker, markerPath(version)),
-		fmt.Sprintf(route, "get", "get", "idempotent", routeTimeout.Milliseconds(), maxAttempts),
-		fmt.Sprintf(route, "do", "do", "non_idempotent", routeTimeout.Milliseconds(), maxAttempts), service,
+		fmt.Sprintf(route, "get", "get", "idempotent", routeTimeout.Milliseconds(), maxAttempts, 2),
+		fmt.Sprintf(route, "do", "do", "non_idempotent", routeTimeout.Milliseconds(), maxAttempts, 1), service,
 		unlimited.resource(), limited.resource()))
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -86,6 +86,9 @@
 		if partitioned := c.maybePartition(); partitioned != "" {
 			events = append(events, at.String()+" "+partitioned)
 		}
+		if burst := c.maybeBurst(seed); burst != "" {
+			events = append(events, at.String()+" "+burst)
+		}
 		if restored := c.maybeRestore(); restored != "" {
 			events = append(events, at.String()+" "+restored)
 		}
--- a/internal/soak/target_test.go
+++ b/internal/soak/target_test.go
@@ -25,6 +25,7 @@
 	name, domain string
 	cluster      *cluster
 	journal      *journal
+	work         *work
 	server       *httptest.Server
 	refusing     atomic.Bool  // it refuses all requests as not executed
 	faultPercent atomic.Int64 // percentage of the requests at which it misbehaves
@@ -49,7 +50,7 @@
 )
 
 func newTarget(c *cluster, name, domain string, seed uint64) *target {
-	t := &target{name: name, domain: domain, cluster: c, journal: c.journal, rng: rand.New(rand.NewPCG(seed, 1))}
+	t := &target{name: name, domain: domain, cluster: c, journal: c.journal, work: newWork(seed), rng: rand.New(rand.NewPCG(seed, 1))}
 	t.notice.Store(&notice.Notice{})
 	t.server = httptest.NewServer(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -108,8 +109,8 @@
 // register writes the entry of the target to the store.
 func (t *target) register(s *store.Store, state string, warmup time.Duration) {
 	s.Put(platform.TargetPrefix+t.id(), fmt.Appendf(nil,
-		`{"address":%q,"info":{"service":"s","version":"v1","zone":%q,"capacity":8},"status":{"state":%q,"sequence":%d,"warmup_left":"%dms"}}`,
-		t.address(), t.domain, state, t.sequence.Add(1), warmup.Milliseconds()))
+		`{"address":%q,"info":{"service":"s","version":"v1","zone":%q,"capacity":%d},"status":{"state":%q,"sequence":%d,"warmup_left":"%dms"}}`,
+		t.address(), t.domain, slots, state, t.sequence.Add(1), warmup.Milliseconds()))
 }
 
 func (t *target) close() {
@@ -176,11 +177,13 @@
 		<-r.Context().Done()
 		return
 	}
-	time.Sleep(time.Duration(2+t.randN(20)) * time.Millisecond)
+	length, load := t.work.begin(objectOf(r))
+	time.Sleep(length)
+	t.work.end()
 	h := w.Header()
 	h.Set("Request-Id", id)
 	h.Set("Response-Signature", "sig")
-	h.Set("Server-Load", "1,0,8")
+	h.Set("Server-Load", load)
 	if !misbehaves {
 		io.WriteString(w, answerTo(id, body))
 		return
@@ -199,6 +202,15 @@
 	}
 }
 
+// objectOf returns the object of a request; "" if it has none.
+func objectOf(r *http.Request) string {
+	c, err := r.Cookie("Affinity-Key")
+	if err != nil {
+		return ""
+	}
+	return c.Value
+}
+
 // writeBrokenAnswer writes to the connection an answer that breaks the protocol, by mode.
 func (t *target) writeBrokenAnswer(w http.ResponseWriter, mode int, id, body string) {
 	conn, _, err := w.(http.Hijacker).Hijack()
