--- a/internal/quota/world_test.go
+++ b/internal/quota/world_test.go
@@ -24,7 +24,9 @@
 	served         []time.Time // times of the served requests, in order
 	windowStart    int         // index in served of the first request within the window that ends now
 	refused        int
-	wronglyRefused int // refused although the limit allowed them
+	refusedBy      map[int]int // refused by priority
+	requestsBy     map[int]int // requests by priority
+	wronglyRefused int         // refused although the limit allowed them
 	requests       int
 }
 
@@ -70,7 +72,7 @@
 // as the others.
 func newSimulation(seed uint64, size int, limit Limit) *simulation {
 	w := &simulation{
-		rng: rand.New(rand.NewPCG(seed, 1)), now: simulationStart, limit: limit, lend: true,
+		rng: rand.New(rand.NewPCG(seed, 1)), now: simulationStart, limit: limit, lend: true, refusedBy: make(map[int]int), requestsBy: make(map[int]int),
 		bounds: Bounds{Window: 5 * time.Second, OverRatio: 0.1, Slack: 20},
 	}
 	for i := range size {
@@ -196,32 +198,33 @@
 func (n *node) kill() { n.up = false }
 
 // request is a request of a caller at an instance.
-func (n *node) request() {
+func (n *node) request(priority int) {
 	w := n.w
 	if !n.up {
 		return
 	}
 	w.requests++
-	d := n.ledger.Take(w.now, workspaceName)
+	w.requestsBy[priority]++
+	d := n.ledger.Take(w.now, workspaceName, priority)
 	if d.Allowed {
 		w.spend()
 		return
 	}
 	if !w.lend || len(d.Holders) == 0 {
-		n.refuse()
+		n.refuse(priority)
 		return
 	}
-	n.askNext(d.Holders, d.Want, n.run)
+	n.askNext(d.Holders, d.Want, n.run, priority)
 }
 
 // askNext asks one holder after the other.
-func (n *node) askNext(list []Member, want Want, run int) {
+func (n *node) askNext(list []Member, want Want, run, priority int) {
 	w := n.w
 	if !n.up || n.run != run {
 		return
 	}
 	if len(list) == 0 {
-		n.retry()
+		n.retry(priority)
 		return
 	}
 	asked, holder := w.now, w.nodeNamed(list[0].Name)
@@ -240,31 +243,32 @@
 			answered = true
 			n.ledger.Receive(w.now, asked, workspaceName, list[0], want, g)
 			if g.Tokens > 0 {
-				n.retry()
+				n.retry(priority)
 				return
 			}
-			n.askNext(list[1:], want, run)
+			n.askNext(list[1:], want, run, priority)
 		})
 	})
 	w.after(askTimeout+time.Millisecond, func() {
 		if !answered {
-			n.askNext(list[1:], want, run)
+			n.askNext(list[1:], want, run, priority)
 		}
 	})
 }
 
-func (n *node) retry() {
-	if n.ledger.Retry(n.w.now, workspaceName).Allowed {
+func (n *node) retry(priority int) {
+	if n.ledger.Retry(n.w.now, workspaceName, priority).Allowed {
 		n.w.spend()
 		return
 	}
-	n.refuse()
+	n.refuse(priority)
 }
 
 // refuse counts a refusal, and whether the limit would have allowed the request.
-func (n *node) refuse() {
+func (n *node) refuse(priority int) {
 	w := n.w
 	w.refused++
+	w.refusedBy[priority]++
 	if float64(w.inWindow()+1) <= w.limit.Rate*w.bounds.Window.Seconds()+w.limit.Burst {
 		w.wronglyRefused++
 	}
@@ -313,6 +317,11 @@
 
 // load sends requests at a rate for a while, distributed over the instances by their weights.
 func (w *simulation) load(from, length time.Duration, rate float64, weight func(n *node) float64) {
+	w.loadOf(0, from, length, rate, weight)
+}
+
+// loadOf adds requests of one priority, as load does.
+func (w *simulation) loadOf(priority int, from, length time.Duration, rate float64, weight func(n *node) float64) {
 	sum := 0.0
 	for _, n := range w.nodes {
 		sum += weight(n)
@@ -324,7 +333,7 @@
 			if at > from+length {
 				break
 			}
-			w.after(at, n.request)
+			w.after(at, func() { n.request(priority) })
 		}
 	}
 }
