Rank requests by the priority of their workspace, then of their route

Cause: where workspaces have priorities, which go before those of routes, all requests of a workspace had the same, and urgent routes could not go first. Change: the rank of a request is its priority and, among requests of one priority, that of its route; four of each are told apart, and those out of range count as the lowest.

--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -129,6 +129,21 @@
 	return a.route.Priority
 }
 
+// priorities is how many priorities of workspaces, and of routes, are told apart.
+const priorities = 4
+
+// rank orders requests for a service by urgency, 0 first: by priority, and among requests of one
+// priority by that of their route, as a workspace's own says nothing of its routes.
+func (a admission) rank() int { return priorities*inRange(a.priority()) + inRange(a.route.Priority) }
+
+// inRange returns a priority, the lowest one in place of those that are not told apart.
+func inRange(priority int) int {
+	if priority < 0 || priority >= priorities {
+		return priorities - 1
+	}
+	return priority
+}
+
 // refuseEarly refuses a request before its body is read, if it would be refused anyway.
 func (n *Node) refuseEarly(r *http1.Request) *http1.Response {
 	info := platform.ReadRequest(r.Header)
--- a/internal/edge/admit_test.go
+++ b/internal/edge/admit_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/firlever/firlever/internal/routes"
 	"github.com/firlever/firlever/platform"
 )
 
@@ -241,3 +242,30 @@
 		}
 	}
 }
+
+// The priority of a workspace goes before that of the route, which decides among requests of one
+// workspace. Priorities out of range are the lowest.
+func TestRank(t *testing.T) {
+	priority := func(n int) *int { return &n }
+	tests := map[string]struct {
+		workspace *routes.Workspace
+		route     int
+		want      int
+	}{
+		"no workspace":        {nil, 2, 10},
+		"most urgent":         {nil, 0, 0},
+		"workspace without":   {&routes.Workspace{}, 1, 5},
+		"workspace first":     {&routes.Workspace{Priority: priority(0)}, 2, 2},
+		"its less urgent one": {&routes.Workspace{Priority: priority(1)}, 0, 4},
+		"negative":            {&routes.Workspace{Priority: priority(-5)}, 0, 12},
+		"huge":                {nil, 1 << 40, 15},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			a := admission{route: &routes.Entry{Route: routes.Route{Priority: tt.route}}, workspace: tt.workspace}
+			if got := a.rank(); got != tt.want {
+				t.Errorf("got %d, want %d", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -118,7 +118,7 @@
 	q := steer.Query{
 		Service: p.service, SpreadKey: p.info.ID, Regions: p.regions(),
 		Objective: p.route.Objective, Deadline: p.deadline, ReceivedAt: p.in.ReceivedAt,
-		Priority: p.priority(), Repeatable: p.repeatable, AnswerSize: n.answerSizes[p.route.Name],
+		Priority: p.rank(), Repeatable: p.repeatable, AnswerSize: n.answerSizes[p.route.Name],
 		Retry: p.reached+p.inFlight > 0, Counted: p.counted, Tried: p.tried,
 	}
 	if p.route.Affinity {
