Use the slowdown that targets report in the choice of a target

Targets that share their machines send a fourth figure with their load: how long work takes there at this moment. It was read and dropped, so requests queued at targets that took 2.5 times as long.

The figure is read into Load.Slowdown (0 if it is missing, no number, below 1 or above 10,000) and kept with its age. Its weight at an age is learnt for each service by comparing each report with the one before from the same target: the slope of the later deviation from the mean on the earlier one. It prolongs the work of those ahead and of the request itself. Targets that report none, or always the same, have the factor 1 and are chosen as before (TestChoicesWithoutSlowdowns).

Instances tell it where peers would assume one that is wrong by a quarter, 200 a second over all instances at most: 12 bytes each, 2.4 KB/s.

The case "fourth figure" of TestReadAnswer required that the figure is dropped; it now requires that it is read. fleetSim counts, with countFrom zero, as before.

--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -199,7 +199,7 @@
 		a := platform.ReadAnswer(r.resp.Status, r.resp.Header)
 		o.WarmIn = a.WarmIn
 		if a.HasLoad {
-			o.Load = &steer.Load{Running: a.Load.Running, Waiting: a.Load.Waiting}
+			o.Load = &steer.Load{Running: a.Load.Running, Waiting: a.Load.Waiting, Slowdown: a.Load.Slowdown}
 		}
 	}
 	n.mu.Lock()
--- a/internal/steer/fleet.go
+++ b/internal/steer/fleet.go
@@ -20,6 +20,7 @@
 	byHash       map[uint64]*target // same targets by the hashes of their IDs
 	services     map[string]*service
 	reporting    []*target               // targets that reported their load to this instance since its last reports
+	nextSlowdown time.Time               // when the rate limit allows the next slowdown to be told; may be in the past
 	constraints  map[runKey]*constraints // of runs that sent any; kept for noticeTTL after the run is removed
 	evacuated    map[string]bool         // by failure domain
 	peers        []string                // instances that bounds are divided among, including this one; sorted
@@ -40,6 +41,7 @@
 	domainLatency map[string]time.Duration // meanLatency by failure domain of the targets
 	budget        *retry.Window            // additional attempts allowed to this instance
 	typicalLoad   float64                  // running mean of other instances' requests per slot of a target, from load reports; 0 or more
+	slowdowns     *slowdownStats           // nil until a target of the service reports a slowdown
 	split         *versionSplit            // nil if no rollout was ordered
 	retriesUntil  time.Time                // latest time at which a refused caller was asked to retry
 }
--- a/internal/steer/pick.go
+++ b/internal/steer/pick.go
@@ -49,6 +49,9 @@
 	TargetLoad     int           // estimated requests at the target, running and waiting
 	TypicalLoad    float64       // typical load of the service's targets per slot; replaces the target's own as LoadAge grows
 	LoadAge        time.Duration // time since the target last reported its load; -1 if it never did
+	Estimate       time.Duration // after which the answer is expected
+	Slowdown       float64       // estimated multiple of the usual time that work takes at the target
+	SlowdownAge    time.Duration // time since the target last reported its slowdown; -1 if it never did
 	LimitShare     *LimitShare   // limit of the target and this instance's share; nil if there is none
 	HedgeAt        time.Time     // time after which an answer is unlikely; another target may then be tried in parallel
 	Reason         Reason        // set if the request is refused
@@ -166,13 +169,13 @@
 			refused.Reason, refused.RetryAfter = Cold, min(refused.RetryAfter, coldRetryAfter)
 			continue
 		}
-		cost := e.wait + f.penalty(c, q, mean) + c.excessLatency(now, mean)
+		cost := e.wait + e.delay + f.penalty(c, q, mean) + c.excessLatency(now, mean)
 		if c.cold(now) {
 			cost += mean
 		}
 		if found.Target.ID == "" || cost < found.Cost {
 			found = Choice{
-				Target: c.Target, Wait: e.wait, Cost: cost, Home: c.globalRank == 0, Cold: c.cold(now), TargetAge: now.Sub(c.addedAt),
+				Target: c.Target, Wait: e.wait, Cost: cost, Estimate: e.back(), Home: c.globalRank == 0, Cold: c.cold(now), TargetAge: now.Sub(c.addedAt),
 			}.withLoadOf(now, c.target)
 		}
 	}
@@ -187,6 +190,7 @@
 // withLoadOf adds the load data of the target that the choice is based on.
 func (c Choice) withLoadOf(now time.Time, t *target) Choice {
 	c.TargetLoad, c.TypicalLoad, c.LoadAge = t.currentLoad(now), t.service.typicalLoad, t.loadAge(now)
+	c.Slowdown, c.SlowdownAge = t.slowdownFactor(now), t.slowdownAge(now)
 	c.LimitShare = t.limitShare()
 	return c
 }
--- a/internal/steer/report.go
+++ b/internal/steer/report.go
@@ -10,9 +10,12 @@
 // region exchange reports: with 195 instances, each gets an answer of a given target only every
 // few seconds, and without the exchange half of all requests went to targets that the instance
 // had no report of.
+//
+// A slowdown is told as a report about the complement of the hash. Instances that know no slowdowns
+// ignore it as one about an unknown target, and pass it on if they collect.
 type LoadReport struct {
-	Target uint64    // hash of the target's ID
-	Load   int       // requests at the target, running and waiting
+	Target uint64    // hash of the target's ID; its complement if Load is a slowdown
+	Load   int       // requests at the target, running and waiting, or its slowdown in percent
 	At     time.Time // when the target reported it
 }
 
@@ -37,12 +40,18 @@
 		return !t.reporting
 	})
 	for _, t := range f.reporting {
-		if f.targets[t.ID] != t || t.queueLength(t.ownLoad) == t.queueLength(t.peersEstimate(now)) {
+		if f.targets[t.ID] != t {
 			continue
 		}
-		r := LoadReport{Target: t.idHash, Load: t.ownLoad, At: t.ownLoadAt}
-		t.recordShared(r)
-		list = append(list, r)
+		if t.queueLength(t.ownLoad) != t.queueLength(t.peersEstimate(now)) {
+			r := LoadReport{Target: t.idHash, Load: t.ownLoad, At: t.ownLoadAt}
+			t.recordShared(r)
+			list = append(list, r)
+		}
+		if f.shouldTellSlowdown(now, t) {
+			t.sharedSlowdown = t.slowdown
+			list = append(list, t.slowdown.report(t))
+		}
 	}
 	return list
 }
@@ -67,7 +76,11 @@
 func (f *Fleet) ApplyReports(now time.Time, reports []LoadReport) {
 	for _, r := range reports {
 		t := f.byHash[r.Target]
-		if t == nil || r.At.After(now) || !r.At.After(t.reportedAt) || r.At.Before(t.addedAt) {
+		if t == nil {
+			f.applySlowdown(now, r)
+			continue
+		}
+		if r.At.After(now) || !r.At.After(t.reportedAt) || r.At.Before(t.addedAt) {
 			continue
 		}
 		t.recordShared(r)
@@ -83,6 +96,9 @@
 	}
 	t.ownLoad, t.ownLoadAt = l.Running+l.Waiting, now
 	t.setOtherLoad(now, t.ownLoad-t.inFlight())
+	if l.Slowdown > 0 {
+		t.recordSlowdown(now, l.Slowdown)
+	}
 	if t.Slots > 0 {
 		// Reports from peers are left out of the typical load: they are sent only where the load
 		// is not typical.
--- a/internal/steer/report_test.go
+++ b/internal/steer/report_test.go
@@ -144,6 +144,13 @@
 	exchanges   bool
 	exchangedAt time.Time // time of the last exchange
 
+	work      time.Duration // mean duration of a request
+	gap       time.Duration // between two requests
+	interval  time.Duration // between two exchanges
+	objective time.Duration
+	machines  *noisyMachines // nil: work takes as long at any time
+	countFrom time.Time      // requests that are sent before are not counted
+
 	late    int // answers later than the objective
 	ended   int
 	reports int // reports exchanged
@@ -153,12 +160,14 @@
 type simTarget struct {
 	running int
 	queue   []*simRequest
+	warm    map[string]bool // objects that it has served
 }
 
 // simRequest is a request at a target.
 type simRequest struct {
 	fleet  *Fleet
 	choice Choice
+	object string
 	sentAt time.Time // when it was sent
 	end    time.Time // when it finishes
 }
@@ -187,7 +196,10 @@
 
 func newFleetSim(t *testing.T, exchanges bool) *fleetSim {
 	t.Helper()
-	c := &fleetSim{rng: rand.New(rand.NewPCG(1, 2)), targets: make(map[string]*simTarget), now: start, exchangedAt: start, exchanges: exchanges}
+	c := &fleetSim{
+		rng: rand.New(rand.NewPCG(1, 2)), targets: make(map[string]*simTarget), now: start, exchangedAt: start, exchanges: exchanges,
+		work: fleetSimWork, gap: fleetSimGap, interval: fleetSimExchange, objective: fleetSimObjective,
+	}
 	for i := range fleetSimInstances {
 		f, err := New(config(fmt.Sprintf("i%02d", i), "n1"))
 		if err != nil {
@@ -197,7 +209,7 @@
 		for j := range fleetSimTargets {
 			id := fmt.Sprintf("t%02d", j)
 			f.Put(start, Target{ID: id, Service: "s", Domain: "n1", Slots: fleetSimSlots})
-			c.targets[id] = &simTarget{}
+			c.targets[id] = &simTarget{warm: make(map[string]bool)}
 		}
 		c.fleets = append(c.fleets, f)
 	}
@@ -207,15 +219,15 @@
 // run sends the given number of requests at fixed intervals.
 func (c *fleetSim) run(requests int) {
 	for i := range requests {
-		c.now = start.Add(time.Duration(i) * fleetSimGap)
+		c.now = start.Add(time.Duration(i) * c.gap)
 		c.finish()
-		if c.exchanges && c.now.Sub(c.exchangedAt) >= fleetSimExchange {
+		if c.exchanges && c.now.Sub(c.exchangedAt) >= c.interval {
 			c.exchange()
 		}
 		f := c.fleets[c.rng.IntN(len(c.fleets))]
-		q := Query{Service: "s", Object: fmt.Sprint(c.rng.IntN(300)), Objective: fleetSimObjective, Deadline: c.now.Add(20 * fleetSimWork)}
+		q := Query{Service: "s", Object: fmt.Sprint(c.rng.IntN(300)), Objective: c.objective, Deadline: c.now.Add(20 * c.work)}
 		if choice := f.Pick(c.now, q); choice.Reason == "" {
-			c.send(&simRequest{fleet: f, choice: choice, sentAt: c.now})
+			c.send(&simRequest{fleet: f, choice: choice, object: q.Object, sentAt: c.now})
 		}
 	}
 }
@@ -231,7 +243,11 @@
 
 func (c *fleetSim) start(s *simTarget, w *simRequest) {
 	s.running++
-	w.end = c.now.Add(fleetSimWork/2 + time.Duration(c.rng.Int64N(int64(fleetSimWork))))
+	work := c.work/2 + time.Duration(c.rng.Int64N(int64(c.work)))
+	w.end = c.now.Add(work)
+	if c.machines != nil {
+		w.end = c.machines.end(s, w, c.now, work)
+	}
 	heap.Push(&c.finishing, w)
 }
 
@@ -248,12 +264,15 @@
 			s.queue = s.queue[1:]
 			c.start(s, next)
 		}
-		c.ended++
-		if c.now.Sub(w.sentAt) > fleetSimObjective {
-			c.late++
+		if !w.sentAt.Before(c.countFrom) {
+			c.ended++
+			if c.now.Sub(w.sentAt) > c.objective {
+				c.late++
+			}
 		}
 		w.fleet.Done(c.now, w.choice.Target, Outcome{
-			Ending: Answered, Took: c.now.Sub(w.sentAt), Load: &Load{Running: s.running, Waiting: len(s.queue)},
+			Ending: Answered, Took: c.now.Sub(w.sentAt),
+			Load: &Load{Running: s.running, Waiting: len(s.queue), Slowdown: c.machines.told(w.choice.Target.ID, c.now)},
 		})
 	}
 	c.now = now
--- a/internal/steer/target.go
+++ b/internal/steer/target.go
@@ -32,8 +32,9 @@
 
 // Load is the load that a target reports, from all instances.
 type Load struct {
-	Running int
-	Waiting int
+	Running  int
+	Waiting  int
+	Slowdown int // how long work takes there now, in percent of the usual time; 0 if not reported
 }
 
 // target is a Target with the state that this instance keeps about it.
@@ -56,6 +57,8 @@
 	sharedLoad      int       // load in the last report that instances exchanged
 	sharedLoadUntil time.Time // the weight of that report falls to 0 until then; zero before the first
 	shedUntil       time.Time // counted as full until then
+	slowdown        slowdown  // last report, to whichever instance
+	sharedSlowdown  slowdown  // last report that instances exchanged
 
 	meanLatency time.Duration // running mean of the latency of one request
 	measuredAt  time.Time     // time of the last sample of meanLatency
