Shut out no route of a hot workspace, and lose no tokens to urgent ones

Cause: an instance asked for as many tokens for an urgent request as all its requests needed, and what the urgent ones left expired; the least urgent route of a workspace at twice its quota got 4% of its requests through. Change: it asks for as many as the requests that may use them need; one request in ten of each priority leaves no tokens for others.

--- a/internal/quota/demand.go
+++ b/internal/quota/demand.go
@@ -80,10 +80,10 @@
 	}
 }
 
-// want returns what to request from others: tokens for the demand of tokenLifetime, and the rate
-// that the share lacks for the demand.
+// want returns what to request from others for a request of a priority: tokens for the demand of
+// tokenLifetime that may use them, and the rate that the share lacks for the demand.
 func (q *quota) want(now time.Time, priority int) Want {
-	w := Want{Tokens: 1 + int(q.demand*tokenLifetime.Seconds()), Priority: priority}
+	w := Want{Tokens: 1 + int(q.demandFrom(now, priority)*tokenLifetime.Seconds()), Priority: priority}
 	if q.demand >= minBorrowDemand {
 		w.Rate = max(0, headroom*q.demand-q.available(now).rate)
 	}
--- a/internal/quota/urgency.go
+++ b/internal/quota/urgency.go
@@ -17,6 +17,9 @@
 	// minPriorityDemand is the demand below which a priority reserves nothing, in requests per second:
 	// nobody has asked for it for some seconds.
 	minPriorityDemand = 0.1
+	// openEach is how many requests of a priority come to one that leaves no tokens for others, so that
+	// no priority is shut out.
+	openEach = 10
 )
 
 // urgency divides the tokens of a workspace that asks for more than it may among its priorities: a
@@ -30,6 +33,7 @@
 	priority int       // 0 is the most urgent
 	demand   float64   // requests per second, smoothed over demandWindow
 	at       time.Time // the time of demand
+	requests int       // so far
 }
 
 // rate returns the demand at a time.
@@ -50,13 +54,19 @@
 	}
 	d := &u.classes[i]
 	d.demand, d.at = d.rate(now)+1/demandWindow.Seconds(), now
+	d.requests++
 }
 
 // total returns the demand of all priorities.
-func (u *urgency) total(now time.Time) float64 {
+func (u *urgency) total(now time.Time) float64 { return u.demandFrom(now, math.MaxInt) }
+
+// demandFrom returns the demand of the requests that are at least as urgent as a priority.
+func (u *urgency) demandFrom(now time.Time, priority int) float64 {
 	sum := 0.0
 	for i := range u.classes {
-		sum += u.classes[i].rate(now)
+		if d := &u.classes[i]; d.priority <= priority {
+			sum += d.rate(now)
+		}
 	}
 	return sum
 }
@@ -67,6 +77,9 @@
 	for i := range u.classes {
 		d := &u.classes[i]
 		if d.priority >= priority {
+			if d.priority == priority && d.requests%openEach == 0 {
+				return 0
+			}
 			break
 		}
 		if rate := d.rate(now); rate >= minPriorityDemand {
