Exchange loads more often where targets report slowdowns

A slowdown of 0.6 s is over when it is told each 0.5 s. Reports are now exchanged each 0.25 s for 10 s after a slowdown was reported or told, if up to 100 instances are known; otherwise each 0.5 s, as before (TestReportInterval).

Two faults of the slowdown's estimate go with it. After a long time of usual reports its weight had faded to 0, so the first slowdown counted for nothing: it returns to the prior now. A target that reports too low a figure got a queue without end: it counts as twice as fast as others at most. Both have a case in TestSlowdownFactor.

--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -8,6 +8,13 @@
 	"github.com/firlever/firlever/internal/steer"
 )
 
+// loadInterval returns after which time reports are to be exchanged again.
+func (n *Node) loadInterval() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.fleet.ReportInterval(boottime.Now())
+}
+
 // loadReports returns the loads and constraints that targets have reported to this instance itself
 // since a time.
 func (n *Node) loadReports(since time.Time) steer.TargetReports {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -111,7 +111,7 @@
 	n.bounds.Store(&s.Bounds)
 	n.peerAddress = choosePeerAddress(s)
 	n.mirror = mirror.New(n.store, n, mirror.Peers{Relays: n.relays, Fallbacks: n.others, Seeds: n.seeds(), FirstStart: s.FirstStart, Self: n.peerAddress, LinkMbps: s.LinkMbps, Registered: n.registeredPeers, Redundant: n.redundant}, compareItems)
-	n.loads = loads.New(loads.Peers{Name: s.Instance, Collector: n.collector, Reports: n.loadReports, Receive: n.receiveLoadReports, Failed: n.loadExchangeFailed})
+	n.loads = loads.New(loads.Peers{Name: s.Instance, Collector: n.collector, Interval: n.loadInterval, Reports: n.loadReports, Receive: n.receiveLoadReports, Failed: n.loadExchangeFailed})
 	n.registrar = newRegistrar(n)
 	n.crashes = newCrashTracker(n)
 	n.rollouts = newRolloutTracker(n)
--- a/internal/loads/exchange.go
+++ b/internal/loads/exchange.go
@@ -18,9 +18,8 @@
 const Path = "/loads"
 
 const (
-	// exchangeInterval is how often an instance exchanges reports with the collector: a request
-	// takes a second of work where reports matter most, so reports are younger than the work.
-	exchangeInterval = 500 * time.Millisecond
+	// shortestInterval bounds how often an instance exchanges reports with the collector.
+	shortestInterval = 100 * time.Millisecond
 	// answerTimeout is how long an answer may take: some round trips between regions.
 	answerTimeout = 400 * time.Millisecond
 	// collectorBackoff is how long a collector that gave no answer is not called.
@@ -35,6 +34,8 @@
 	Name string // of this instance
 	// Collector returns the address of the instance that collects; "" if it is this one.
 	Collector func() string
+	// Interval returns after which time to exchange reports again.
+	Interval func() time.Duration
 	// Reports returns the reports that this instance has received from targets itself since a time.
 	Reports func(since time.Time) steer.TargetReports
 	// Receive is called with reports that other instances received.
@@ -70,18 +71,21 @@
 
 // Run exchanges reports periodically until ctx ends.
 func (x *Exchange) Run(ctx context.Context) {
-	ticker := time.NewTicker(exchangeInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(x.interval())
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
+			timer.Reset(x.interval())
 			x.exchangeOnce(ctx, boottime.Now())
 		}
 	}
 }
 
+func (x *Exchange) interval() time.Duration { return max(shortestInterval, x.peers.Interval()) }
+
 // exchangeOnce exchanges reports once.
 func (x *Exchange) exchangeOnce(ctx context.Context, now time.Time) {
 	reports := x.peers.Reports(x.sentUntil)
--- a/internal/steer/fleet.go
+++ b/internal/steer/fleet.go
@@ -20,6 +20,7 @@
 	byHash       map[uint64]*target // same targets by the hashes of their IDs
 	services     map[string]*service
 	reporting    []*target               // targets that reported their load to this instance since its last reports
+	oftenUntil   time.Time               // reports are exchanged more often until then
 	nextSlowdown time.Time               // when the rate limit allows the next slowdown to be told; may be in the past
 	constraints  map[runKey]*constraints // of runs that sent any; kept for noticeTTL after the run is removed
 	evacuated    map[string]bool         // by failure domain
--- a/internal/steer/report.go
+++ b/internal/steer/report.go
@@ -31,6 +31,27 @@
 	Constraints []Constraint
 }
 
+const (
+	// reportInterval is how often instances exchange reports: a request takes a second of work where
+	// loads matter most, so reports are younger than the work.
+	reportInterval = 500 * time.Millisecond
+	// frequentInterval replaces it where targets report slowdowns, which change many times a second.
+	frequentInterval = 250 * time.Millisecond
+	// maxFrequentPeers is the most instances that exchange reports at frequentInterval: the collector
+	// of a region with a third of them answers 130 messages a second.
+	maxFrequentPeers = 100
+	// slowdownsLast is how long after the last report of a slowdown reports are exchanged frequently.
+	slowdownsLast = 10 * time.Second
+)
+
+// ReportInterval returns after which time instances are to exchange reports again.
+func (f *Fleet) ReportInterval(now time.Time) time.Duration {
+	if now.Before(f.oftenUntil) && len(f.peers) <= maxFrequentPeers {
+		return frequentInterval
+	}
+	return reportInterval
+}
+
 // Reports returns the loads that targets reported to this instance itself after since. It leaves
 // out those for which peers already estimate the same wait from the reports exchanged before.
 func (f *Fleet) Reports(now, since time.Time) []LoadReport {
@@ -98,6 +119,7 @@
 	t.setOtherLoad(now, t.ownLoad-t.inFlight())
 	if l.Slowdown > 0 {
 		t.recordSlowdown(now, l.Slowdown)
+		f.oftenUntil = now.Add(slowdownsLast)
 	}
 	if t.Slots > 0 {
 		// Reports from peers are left out of the typical load: they are sent only where the load
--- a/internal/steer/report_test.go
+++ b/internal/steer/report_test.go
@@ -146,7 +146,6 @@
 
 	work      time.Duration // mean duration of a request
 	gap       time.Duration // between two requests
-	interval  time.Duration // between two exchanges
 	objective time.Duration
 	machines  *noisyMachines // nil: work takes as long at any time
 	countFrom time.Time      // requests that are sent before are not counted
@@ -190,7 +189,6 @@
 	fleetSimSlots     = 4
 	fleetSimWork      = time.Second
 	fleetSimGap       = fleetSimWork / (fleetSimTargets * fleetSimSlots) * 10 / 7 // 0.7 of the targets' capacity
-	fleetSimExchange  = fleetSimWork / 2
 	fleetSimObjective = 2 * fleetSimWork
 )
 
@@ -198,7 +196,7 @@
 	t.Helper()
 	c := &fleetSim{
 		rng: rand.New(rand.NewPCG(1, 2)), targets: make(map[string]*simTarget), now: start, exchangedAt: start, exchanges: exchanges,
-		work: fleetSimWork, gap: fleetSimGap, interval: fleetSimExchange, objective: fleetSimObjective,
+		work: fleetSimWork, gap: fleetSimGap, objective: fleetSimObjective,
 	}
 	for i := range fleetSimInstances {
 		f, err := New(config(fmt.Sprintf("i%02d", i), "n1"))
@@ -221,7 +219,7 @@
 	for i := range requests {
 		c.now = start.Add(time.Duration(i) * c.gap)
 		c.finish()
-		if c.exchanges && c.now.Sub(c.exchangedAt) >= c.interval {
+		if c.exchanges && c.now.Sub(c.exchangedAt) >= c.fleets[0].ReportInterval(c.now) {
 			c.exchange()
 		}
 		f := c.fleets[c.rng.IntN(len(c.fleets))]
--- a/internal/steer/slowdown.go
+++ b/internal/steer/slowdown.go
@@ -13,9 +13,12 @@
 	// slowdownPriorLife is the time in which a slowdown is assumed to lose half of its weight before
 	// enough reports were compared: as long as it takes to be told to other instances.
 	slowdownPriorLife = 500 * time.Millisecond
-	// slowdownPriorSquare is the square of a deviation from the mean that the prior counts for. Real
-	// deviations, of a half and more, outweigh it after a few reports.
+	// slowdownPriorSquare is the mean square of deviations that the prior counts for. Real deviations,
+	// of a half and more, outweigh it after a few reports, and the prior holds again when there are none.
 	slowdownPriorSquare = 0.01
+	// minSlowdown bounds how much faster than others a target may count as: one that reports too low a
+	// figure must not get a queue without end.
+	minSlowdown = 0.5
 	// slowdownTellFactor is by how much the slowdown that peers assume must be wrong for a report
 	// to be sent.
 	slowdownTellFactor = 1.25
@@ -49,7 +52,8 @@
 // between the two.
 type slowdownBand struct {
 	product float64 // running mean of the product of the two deviations from the mean
-	square  float64 // running mean of the square of the earlier one; above 0
+	square  float64 // running mean of the square of the earlier one
+	prior   float64 // persistence that is assumed where there are no deviations
 }
 
 // slowdownBandUnit is the upper end of the first band. Each further band reaches twice as far.
@@ -58,9 +62,7 @@
 func newSlowdownStats(factor float64) *slowdownStats {
 	s := &slowdownStats{mean: factor}
 	for i := range s.bands {
-		age := slowdownBandUnit << i
-		s.bands[i].square = slowdownPriorSquare
-		s.bands[i].product = slowdownPriorSquare * math.Exp2(-float64(age)/float64(slowdownPriorLife))
+		s.bands[i].prior = math.Exp2(-float64(slowdownBandUnit<<i) / float64(slowdownPriorLife))
 	}
 	return s
 }
@@ -70,7 +72,7 @@
 	if i := slowdownBandOf(after.at.Sub(before.at)); before.factor > 0 && i < len(s.bands) {
 		b, deviation := &s.bands[i], before.factor-s.mean
 		b.product += slowdownWeight * (deviation*(after.factor-s.mean) - b.product)
-		b.square = max(slowdownPriorSquare, b.square+slowdownWeight*(deviation*deviation-b.square))
+		b.square += slowdownWeight * (deviation*deviation - b.square)
 	}
 	s.mean += slowdownWeight * (after.factor - s.mean)
 }
@@ -81,7 +83,8 @@
 	if i >= len(s.bands) {
 		return 0
 	}
-	return min(1, max(0, s.bands[i].product/s.bands[i].square))
+	b := &s.bands[i]
+	return min(1, max(0, (b.product+slowdownPriorSquare*b.prior)/(b.square+slowdownPriorSquare)))
 }
 
 // slowdownBandOf returns the index of the band of an age.
@@ -94,7 +97,7 @@
 	if last.factor == 0 {
 		return 1
 	}
-	return 1 + s.persistence(now.Sub(last.at))*(last.factor/s.mean-1)
+	return max(minSlowdown, 1+s.persistence(now.Sub(last.at))*(last.factor/s.mean-1))
 }
 
 // recordSlowdown records the slowdown that the target reported to this instance.
@@ -117,6 +120,7 @@
 	}
 	t.slowdown = slowdown{factor: float64(r.Load) / 100, at: r.At}
 	t.sharedSlowdown = t.slowdown
+	f.oftenUntil = now.Add(slowdownsLast)
 	if t.service.slowdowns == nil {
 		t.service.slowdowns = newSlowdownStats(1)
 	}
--- a/internal/steer/slowdown_test.go
+++ b/internal/steer/slowdown_test.go
@@ -38,6 +38,8 @@
 		"lasts, but is old":      {time.Second, lasting, time.Minute, 1, 1},
 		"fast":                   {time.Second, append(lasting, repeat(5, 100)...), time.Second, 0.5, 0.8},
 		"changes at each report": {time.Second, repeat(100, 100, 250), time.Second, 1, 1.05},
+		"slow after long":        {100 * time.Millisecond, append(repeat(1000, 100), 250), 50 * time.Millisecond, 1.5, 2.5},
+		"impossibly fast":        {time.Second, append(lasting, repeat(5, 1)...), 0, 0.5, 0.5},
 		"only just turned slow":  {time.Second, append(repeat(100, 100), 250), 100 * time.Millisecond, 1.5, 2.5},
 	}
 	for name, tt := range tests {
@@ -224,6 +226,35 @@
 	}
 }
 
+// Reports are exchanged more often only where targets report slowdowns, and where few instances do.
+func TestReportInterval(t *testing.T) {
+	tests := map[string]struct {
+		load  Load
+		age   time.Duration
+		peers int
+		want  time.Duration
+	}{
+		"no slowdown":    {Load{Running: 1}, 0, 26, reportInterval},
+		"slowdown":       {Load{Slowdown: 100}, 0, 26, frequentInterval},
+		"none any more":  {Load{Slowdown: 100}, slowdownsLast, 26, reportInterval},
+		"many instances": {Load{Slowdown: 100}, 0, maxFrequentPeers + 1, reportInterval},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1, 4)
+			var peers []string
+			for i := range tt.peers {
+				peers = append(peers, fmt.Sprint(i))
+			}
+			f.SetPeers(start, peers)
+			f.recordOwnLoad(start, f.targets["t00"], tt.load)
+			if got := f.ReportInterval(start.Add(tt.age)); got != tt.want {
+				t.Errorf("got %s, want %s", got, tt.want)
+			}
+		})
+	}
+}
+
 // A target that restarts, perhaps on another machine, has no slowdown.
 func TestRestartForgetsSlowdown(t *testing.T) {
 	f := newFleet(t, 1, 4)
--- a/internal/steer/slowdown_world_test.go
+++ b/internal/steer/slowdown_world_test.go
@@ -52,6 +52,17 @@
 	return at
 }
 
+// setPeers tells all instances of each other.
+func (c *fleetSim) setPeers() {
+	var names []string
+	for _, f := range c.fleets {
+		names = append(names, f.cfg.Instance)
+	}
+	for _, f := range c.fleets {
+		f.SetPeers(start, names)
+	}
+}
+
 // Targets share their machines with others: 15% of them take 2.5 times as long, for the same time each. The load
 // is what they can do at two thirds of their slots. Where targets report how long work takes, fewer answers must
 // be late, whatever the time, and none more where it is too short to be known.
@@ -72,8 +83,9 @@
 			var late, ended [2]int
 			for i := range late {
 				c := newFleetSim(t, true)
-				c.work, c.objective, c.interval, c.gap = work, 3*work, 500*time.Millisecond, work/(fleetSimTargets*fleetSimSlots)*5/3
+				c.work, c.objective, c.gap = work, 3*work, work/(fleetSimTargets*fleetSimSlots)*5/3
 				c.machines = &noisyMachines{period: tt.period, share: 0.15, factor: 2.5, cold: 3.3, tells: i == 1}
+				c.setPeers()
 				c.countFrom = start.Add(5 * time.Second) // cold runs make the answers late before
 				c.run(40000)
 				late[i], ended[i] = c.late, c.ended
