Estimate when an answer is back, and log and count it beside the truth

The cost by which a target is chosen says nothing of when its answer is back. Choice.Estimate does: the wait, the mean work, what the target's slowdown adds, the way there and back against the mean (least time to connect to the failure domain in 30 to 60 s), and a cold run's cost times its chance.

Log field back, metric return_seconds{service,kind}, column back of explain --by; http1.Response tells how long its connection took to open.

--- a/cmd/firlever/explain.go
+++ b/cmd/firlever/explain.go
@@ -21,7 +21,7 @@
 ways in which requests failed, each with a count and the ID of one such request.
 --by groups the requests that reached a target by fields of their lines, and
 prints for each group the number of requests, the share that ended late, the mean
-expected wait, the mean time taken, and the share that was decided by a load report
+expected wait, the mean expected and the mean true time taken, and the share that was decided by a load report
 less than a second old.
 
 --rollout shows the phases that the rollouts of a service reached, and why a version
@@ -140,11 +140,11 @@
 		return err
 	}
 	w := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintf(w, "%s\trequests\tlate\twait\ttook\tfresh\t\n", strings.Join(fields, "\t"))
+	fmt.Fprintf(w, "%s\trequests\tlate\twait\tback\ttook\tfresh\t\n", strings.Join(fields, "\t"))
 	for _, g := range explain.Groups(explain.Between(lines, from, until), fields) {
 		n := float64(g.Count)
-		fmt.Fprintf(w, "%s\t%d\t%.2f\t%s\t%s\t%.2f\t\n", strings.Join(g.Values, "\t"), g.Count,
-			float64(g.Late)/n, g.PredictedWait.Round(time.Millisecond), g.Took.Round(time.Millisecond), float64(g.FreshLoad)/n)
+		fmt.Fprintf(w, "%s\t%d\t%.2f\t%s\t%s\t%s\t%.2f\t\n", strings.Join(g.Values, "\t"), g.Count,
+			float64(g.Late)/n, g.PredictedWait.Round(time.Millisecond), g.PredictedBack.Round(time.Millisecond), g.Took.Round(time.Millisecond), float64(g.FreshLoad)/n)
 	}
 	return w.Flush()
 }
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -197,7 +197,7 @@
 	}
 	if r.resp != nil {
 		a := platform.ReadAnswer(r.resp.Status, r.resp.Header)
-		o.WarmIn = a.WarmIn
+		o.WarmIn, o.Connect = a.WarmIn, r.resp.DialTook()
 		if a.HasLoad {
 			o.Load = &steer.Load{Running: a.Load.Running, Waiting: a.Load.Waiting, Slowdown: a.Load.Slowdown}
 		}
@@ -208,6 +208,9 @@
 		n.recordSize(p.route.Name, r.resp)
 	}
 	n.mu.Unlock()
+	if o.Ending == steer.Answered {
+		n.cfg.Metrics.RecordReturn(p.service, r.choice.Estimate, o.Took)
+	}
 	n.recordRollout(now, p, r, v)
 	if ejected {
 		n.cfg.Log.Warn("target ejected", "target", target.ID, "service", p.service, "domain", target.Domain, "ending", v.ending)
--- a/internal/explain/groups.go
+++ b/internal/explain/groups.go
@@ -13,6 +13,7 @@
 	Count         int           // number of requests
 	Late          int           // requests that ended because their deadline had passed
 	PredictedWait time.Duration // mean predicted wait for a slot
+	PredictedBack time.Duration // mean predicted time until the target's answer is back
 	Took          time.Duration // mean time from reading the request to its response
 	FreshLoad     int           // requests whose target reported its load less than freshLoad before
 }
@@ -46,6 +47,7 @@
 	list := make([]Group, 0, len(byValues))
 	for _, g := range byValues {
 		g.PredictedWait /= time.Duration(g.Count)
+		g.PredictedBack /= time.Duration(g.Count)
 		g.Took /= time.Duration(g.Count)
 		list = append(list, *g)
 	}
@@ -53,10 +55,11 @@
 	return list
 }
 
-// add adds a request. Wait and Took hold sums until Groups divides them.
+// add adds a request. The mean times hold sums until Groups divides them.
 func (g *Group) add(l Line) {
 	g.Count++
 	g.PredictedWait += l.duration("wait")
+	g.PredictedBack += l.duration("back")
 	g.Took += l.duration("took")
 	if l.Field("ending") == "late" {
 		g.Late++
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -31,7 +31,8 @@
 	Rest       io.ReadCloser // rest of a long body; nil if Body is complete
 	BodyLength int64         // of the whole body if Rest is set; -1 if unknown
 
-	connOpenedAt time.Time // when its connection to the target was opened; zero for answers of this process
+	connOpenedAt time.Time     // when its connection to the target was opened; zero for answers of this process
+	dialTook     time.Duration // how long that took
 
 	budget *Budget
 	taken  int64 // bytes of budget that Body takes; 0 after Discard
@@ -40,6 +41,9 @@
 // ConnOpenedAt returns when the connection to the target was opened on which the answer came.
 func (r *Response) ConnOpenedAt() time.Time { return r.connOpenedAt }
 
+// DialTook returns how long it took to open that connection: about one round trip.
+func (r *Response) DialTook() time.Duration { return r.dialTook }
+
 // Discard drops the body of an answer that is not passed on, or that was. It may be called twice, by
 // one goroutine.
 func (r *Response) Discard() {
--- a/internal/http1/poolconn.go
+++ b/internal/http1/poolconn.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/firlever/firlever/internal/boottime"
 )
 
 const targetBufferSize = 4 << 10 // read buffer of a connection to a target; most answer heads fit
@@ -16,6 +18,7 @@
 	target             string
 	reader             *bufio.Reader
 	openedAt           time.Time                   // when the dial of the connection began
+	dialTook           time.Duration               // how long the dial took
 	reused             bool                        // at least one request was answered on it
 	idleSince          time.Time                   // when it was last added to the pool; zero if never
 	usableUntil        time.Time                   // not reused from then on
@@ -24,7 +27,7 @@
 }
 
 func newPoolConn(conn net.Conn, target string, openedAt time.Time) *poolConn {
-	return &poolConn{conn: conn, target: target, openedAt: openedAt, reader: bufio.NewReaderSize(conn, targetBufferSize)}
+	return &poolConn{conn: conn, target: target, openedAt: openedAt, dialTook: boottime.Since(openedAt), reader: bufio.NewReaderSize(conn, targetBufferSize)}
 }
 
 // usable reports whether an idle connection may be reused: nothing was received after
--- a/internal/metrics/set.go
+++ b/internal/metrics/set.go
@@ -20,6 +20,7 @@
 	prefix               = "firlever"
 	nameDecisions        = "decisions"            // counter; labels kind, service, reason
 	nameLatency          = "latency_seconds"      // histogram; label service; answered requests, from arrival to the last byte
+	nameReturn           = "return_seconds"       // histogram; labels service, kind; estimated and measured time until a target's answer is back
 	nameChecks           = "invariant_checks"     // gauge; label invariant
 	nameViolations       = "invariant_violations" // gauge; label invariant; a value other than 0 is a bug in firlever
 	nameLimit            = "limit"                // gauge; label service; slots that this instance may use now
@@ -63,6 +64,7 @@
 	mu               sync.Mutex
 	decisions        map[Decision]tally.Counter // guarded by mu
 	latency          map[string]tally.Histogram // by service; guarded by mu
+	returns          map[string]returnTimes     // by service; guarded by mu
 	quotaByWorkspace map[string]quotaCounters   // by workspace; guarded by mu
 }
 
@@ -83,6 +85,7 @@
 		handler:          promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
 		decisions:        make(map[Decision]tally.Counter),
 		latency:          make(map[string]tally.Histogram),
+		returns:          make(map[string]returnTimes),
 		quotaByWorkspace: make(map[string]quotaCounters),
 	}
 }
@@ -125,6 +128,28 @@
 	h.RecordValue(took.Seconds())
 }
 
+// returnTimes are the times until the answers of a service's targets are back.
+type returnTimes struct{ estimated, measured tally.Histogram }
+
+// RecordReturn records after which time a target's answer was expected back, and after which it was.
+func (s *Set) RecordReturn(service string, estimated, measured time.Duration) {
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	r, ok := s.returns[service]
+	if !ok {
+		histogram := func(kind string) tally.Histogram {
+			return s.scope.Tagged(map[string]string{"service": service, "kind": kind}).Histogram(nameReturn, latencyBuckets)
+		}
+		r = returnTimes{estimated: histogram("estimated"), measured: histogram("measured")}
+		s.returns[service] = r
+	}
+	s.mu.Unlock()
+	r.estimated.RecordValue(estimated.Seconds())
+	r.measured.RecordValue(measured.Seconds())
+}
+
 // CountPlatformFailure counts a failed call to the platform.
 func (s *Set) CountPlatformFailure(call string) {
 	if s == nil {
--- a/internal/steer/fleet.go
+++ b/internal/steer/fleet.go
@@ -24,6 +24,7 @@
 	nextSlowdown time.Time               // when the rate limit allows the next slowdown to be told; may be in the past
 	constraints  map[runKey]*constraints // of runs that sent any; kept for noticeTTL after the run is removed
 	evacuated    map[string]bool         // by failure domain
+	paths        map[string]*path        // by failure domain
 	peers        []string                // instances that bounds are divided among, including this one; sorted
 	peerHashes   []uint64                // hashes of peers
 	expiredPeers map[string]time.Time    // peers whose records were removed, with the time until which they count
@@ -40,6 +41,7 @@
 	targets       []*target                // sorted by the hashes of their IDs
 	meanLatency   time.Duration            // running mean of the latency of one request over all targets; 0 before the first sample
 	domainLatency map[string]time.Duration // meanLatency by failure domain of the targets
+	meanRoundTrip time.Duration            // running mean of the round-trip time to the targets of the same samples; 0 if not known
 	budget        *retry.Window            // additional attempts allowed to this instance
 	typicalLoad   float64                  // running mean of other instances' requests per slot of a target, from load reports; 0 or more
 	slowdowns     *slowdownStats           // nil until a target of the service reports a slowdown
@@ -61,6 +63,7 @@
 		services:     make(map[string]*service),
 		constraints:  make(map[runKey]*constraints),
 		evacuated:    make(map[string]bool),
+		paths:        make(map[string]*path),
 		expiredPeers: make(map[string]time.Time),
 	}
 	f.updatePart(cfg.Started)
@@ -96,6 +99,7 @@
 	}
 	s := f.service(now, t.Service)
 	n := newTarget(now, t, s, f.cfg.Regions[t.Domain])
+	n.path = f.pathTo(t.Domain)
 	n.constraints = f.constraints[runKeyOf(&t)]
 	f.targets[t.ID], f.byHash[n.idHash] = n, n
 	i, _ := slices.BinarySearchFunc(s.targets, n, compareHash)
--- a/internal/steer/outcome.go
+++ b/internal/steer/outcome.go
@@ -23,10 +23,11 @@
 
 // Outcome is the result of an attempt.
 type Outcome struct {
-	Ending Ending
-	Took   time.Duration // from sending the request to the end of the answer
-	Load   *Load         // load that the target reported; nil if none
-	WarmIn time.Duration // how much longer the target stays cold; 0 if not reported
+	Ending  Ending
+	Took    time.Duration // from sending the request to the end of the answer
+	Connect time.Duration // how long it took to open the connection on which the answer came; 0 if there was no answer
+	Load    *Load         // load that the target reported; nil if none
+	WarmIn  time.Duration // how much longer the target stays cold; 0 if not reported
 }
 
 // Done releases the slot that Pick reserved at a target, and records the outcome of the attempt.
@@ -41,6 +42,9 @@
 	if o.WarmIn > 0 {
 		t.WarmAt = later(t.WarmAt, now.Add(o.WarmIn))
 	}
+	if o.Connect > 0 {
+		t.path.record(now, o.Connect)
+	}
 	if o.Load != nil {
 		f.recordOwnLoad(now, t, *o.Load)
 	}
@@ -76,6 +80,9 @@
 	t.recordLatency(now, took)
 	s := f.services[t.Service]
 	s.meanLatency = smooth(s.meanLatency, took)
+	if roundTrip := t.path.roundTrip(); roundTrip > 0 {
+		s.meanRoundTrip = smooth(s.meanRoundTrip, roundTrip)
+	}
 	domainMean, found := s.domainLatency[t.Domain]
 	if !found {
 		domainMean = s.meanLatency // the first requests in a domain run cold, and say little about its latency
--- a/internal/steer/pick.go
+++ b/internal/steer/pick.go
@@ -175,7 +175,7 @@
 		}
 		if found.Target.ID == "" || cost < found.Cost {
 			found = Choice{
-				Target: c.Target, Wait: e.wait, Cost: cost, Estimate: e.back(), Home: c.globalRank == 0, Cold: c.cold(now), TargetAge: now.Sub(c.addedAt),
+				Target: c.Target, Wait: e.wait, Cost: cost, Estimate: f.back(c, q, e, mean), Home: c.globalRank == 0, Cold: c.cold(now), TargetAge: now.Sub(c.addedAt),
 			}.withLoadOf(now, c.target)
 		}
 	}
@@ -222,12 +222,17 @@
 
 // penalty returns the cost of a target for its location and for not being the object's home.
 func (f *Fleet) penalty(c *candidate, q *Query, mean time.Duration) time.Duration {
-	cost := time.Duration(0)
+	cost := f.missPenalty(c, q, mean)
 	if c.Domain != f.cfg.Domain {
 		cost += f.transferCost(q)
 	}
+	return cost
+}
+
+// missPenalty returns the cost of a first run of the object at the target, times the chance of one.
+func (f *Fleet) missPenalty(c *candidate, q *Query, mean time.Duration) time.Duration {
 	if q.Object == "" {
-		return cost
+		return 0
 	}
 	miss := float64(mean) * missCostFactor
 	missed := missCost(miss, c.globalRank)
@@ -239,7 +244,7 @@
 			missed = min(missed, domainHomeCost+missCost(miss, c.domainRank))
 		}
 	}
-	return cost + missed
+	return missed
 }
 
 // missCost returns the expected cost of a cache miss at the target with the given rank: none at
--- a/internal/steer/slowdown_test.go
+++ b/internal/steer/slowdown_test.go
@@ -64,9 +64,11 @@
 		target := f.services["s"].targets[rng.IntN(2)]
 		f.recordOwnLoad(now, target, Load{Running: 9, Slowdown: []int{1, 100, 10000}[rng.IntN(3)]})
 		for _, other := range f.services["s"].targets {
-			got := f.estimate(now, &candidate{target: other}, 100*time.Millisecond)
-			if math.IsNaN(other.slowdownFactor(now)) || got.wait < 0 || got.back() < 0 || got.back() > time.Hour {
-				t.Fatalf("got %+v with a factor of %g", got, other.slowdownFactor(now))
+			c := &candidate{target: other}
+			e := f.estimate(now, c, 100*time.Millisecond)
+			back := f.back(c, queryOf("x"), e, 100*time.Millisecond)
+			if math.IsNaN(other.slowdownFactor(now)) || e.wait < 0 || back <= 0 || back > time.Hour {
+				t.Fatalf("got %+v and %s with a factor of %g", e, back, other.slowdownFactor(now))
 			}
 		}
 	}
--- a/internal/steer/target.go
+++ b/internal/steer/target.go
@@ -42,6 +42,7 @@
 	Target
 
 	service     *service
+	path        *path        // to its failure domain
 	constraints *constraints // nil if the target announced none
 	idHash      uint64
 	region      string
