Reserve capacity for callers that return after a refusal

A refused caller was told the least of a few guesses, the same for all, so callers met again and were refused again. Package reservation gives callers moments of their own, apart by the rate at which this instance has requests served, for a quarter of that rate; callers are chosen by the hash of their request, up to a level that instances estimate alike, as they return to other instances. A return is recognised by the time that its caller has left. In force for routes with an objective at services whose targets report their loads.

Retries go first to what can still be answered within its objective, and then by priority.

--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -24,9 +24,11 @@
 	*attempts
 	admission
 
-	from             string // peer that handed the request off; "" if a caller sent it
-	counted          bool   // it counts in a retry budget
-	peer             string // that it was handed off to; "" if none
+	from             string    // peer that handed the request off; "" if a caller sent it
+	counted          bool      // it counts in a retry budget
+	returned         bool      // its caller was refused before and waited
+	returnFrom       time.Time // if it is refused, the return of its caller is recognised from then on; zero: never
+	peer             string    // that it was handed off to; "" if none
 	in               *http1.Request
 	info             platform.Request
 	service          string
@@ -103,7 +105,11 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now, q := boottime.Now(), n.query(p)
+	now := boottime.Now()
+	if !p.counted {
+		n.recognizeReturn(p)
+	}
+	q := n.query(p)
 	c := n.fleet.Pick(now, q)
 	p.counted = true
 	if q.Retry {
@@ -118,8 +124,8 @@
 	q := steer.Query{
 		Service: p.service, SpreadKey: p.info.ID, Regions: p.regions(),
 		Objective: p.route.Objective, Deadline: p.deadline, ReceivedAt: p.in.ReceivedAt,
-		Priority: p.priority(), Repeatable: p.repeatable, AnswerSize: n.answerSizes[p.route.Name],
-		Retry: p.reached+p.inFlight > 0, Counted: p.counted, Tried: p.tried,
+		Priority: p.priority(), Fingerprint: uint64(p.fingerprint), Returned: p.returned, ReturnFrom: p.returnFrom, Repeatable: p.repeatable, AnswerSize: n.answerSizes[p.route.Name],
+		Retry: p.reached+p.inFlight > 0, Parallel: p.inFlight > 0, Counted: p.counted, Tried: p.tried,
 	}
 	if p.route.Affinity {
 		q.Object = p.info.Object
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -21,6 +21,7 @@
 		n.cfg.Metrics.RecordLatency(p.service, took)
 	}
 	n.cfg.Metrics.CountDecision(metrics.Decision{Kind: statusKind(resp.Status), Service: p.service, Reason: p.outcome()})
+	n.countReturn(p)
 	limiter := n.failureLimiter
 	if good {
 		limiter = n.successLimiter
@@ -52,6 +53,9 @@
 		"busy", c.TargetLoad, "usual", c.TypicalLoad, "load-age", c.LoadAge, "store-age", n.mirror.Age(now),
 		"ending", p.outcome(), "peer", p.peer, "from", p.from, "ended", p.crashedTargets, "conn", p.in.ConnID,
 	}
+	if state := p.returnState(); state != "" {
+		line = append(line, "return", state)
+	}
 	if c.LimitShare != nil {
 		line = append(line, "limit", c.LimitShare.Limit, "part", c.LimitShare.Rate)
 	}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -20,6 +20,7 @@
 	"github.com/firlever/firlever/internal/logs"
 	"github.com/firlever/firlever/internal/mirror"
 	"github.com/firlever/firlever/internal/quota"
+	"github.com/firlever/firlever/internal/reservation"
 	"github.com/firlever/firlever/internal/routes"
 	"github.com/firlever/firlever/internal/steer"
 	"github.com/firlever/firlever/internal/tcp"
@@ -74,8 +75,9 @@
 	retryLimiter   *logs.Limiter
 
 	mu          sync.Mutex
-	fleet       *steer.Fleet       // guarded by mu
-	answerSizes map[string]float64 // average bytes of an answer by route; guarded by mu
+	fleet       *steer.Fleet                    // guarded by mu
+	answerSizes map[string]float64              // average bytes of an answer by route; guarded by mu
+	callers     map[string]*reservation.Callers // by route, how much time callers have left; guarded by mu
 
 	ctx        context.Context // ends with the node
 	cancel     context.CancelFunc
@@ -94,7 +96,7 @@
 	}
 	n := &Node{
 		cfg: cfg, store: platform.NewStore(s.Store), fleet: fleet,
-		evacuated: make(map[string]bool), answerSizes: make(map[string]float64),
+		evacuated: make(map[string]bool), answerSizes: make(map[string]float64), callers: make(map[string]*reservation.Callers),
 		successLimiter: logs.NewLimiter(cfg.SuccessLogRate), failureLimiter: logs.NewLimiter(failureLogRate),
 		changeLimiter: logs.NewLimiter(changeLogRate), retryLimiter: logs.NewLimiter(retryLogRate),
 	}
--- a/internal/steer/fleet.go
+++ b/internal/steer/fleet.go
@@ -2,12 +2,14 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
+	"github.com/firlever/firlever/internal/reservation"
 	"github.com/firlever/firlever/internal/retry"
 	"github.com/firlever/firlever/internal/routes"
 )
@@ -39,6 +41,10 @@
 	meanLatency   time.Duration            // running mean of the latency of one request over all targets; 0 before the first sample
 	domainLatency map[string]time.Duration // meanLatency by failure domain of the targets
 	budget        *retry.Window            // additional attempts allowed to this instance
+	retries       *retry.Demand            // divides budget among the requests
+	returns       *reservation.Schedule    // of callers that were refused for lack of capacity
+	served        reservation.Meter        // requests of this instance that were answered
+	reportsLoad   bool                     // some target has reported its load to this instance
 	typicalLoad   float64                  // running mean of other instances' requests per slot of a target, from load reports; 0 or more
 	split         *versionSplit            // nil if no rollout was ordered
 	retriesUntil  time.Time                // latest time at which a refused caller was asked to retry
@@ -191,7 +197,7 @@
 	}
 	for _, s := range f.services {
 		if newWindow {
-			s.budget = f.newBudget(now)
+			s.budget, s.retries = f.newBudget(now), retry.NewDemand(now, f.budgetSpan())
 			continue
 		}
 		s.budget.SetShare(f.retryShare())
@@ -219,14 +225,19 @@
 	s, ok := f.services[name]
 	if !ok {
 		s = &service{
-			limits: routes.Service{Name: name}, budget: f.newBudget(now),
-			domainLatency: make(map[string]time.Duration),
+			limits: routes.Service{Name: name}, budget: f.newBudget(now), retries: retry.NewDemand(now, f.budgetSpan()),
+			returns: reservation.NewSchedule(f.phase(name)), domainLatency: make(map[string]time.Duration),
 		}
 		f.services[name] = s
 	}
 	return s
 }
 
+// phase returns a number from 0 to 1 that differs between instances.
+func (f *Fleet) phase(service string) float64 {
+	return float64(mix(hash(service), hash(f.cfg.Instance))) / math.MaxUint64
+}
+
 // available reports whether a target is neither leaving nor evacuated.
 func (f *Fleet) available(t *target) bool { return !t.isLeaving() && !f.evacuated[t.Domain] }
 
--- a/internal/steer/outcome.go
+++ b/internal/steer/outcome.go
@@ -47,6 +47,7 @@
 	switch o.Ending {
 	case Answered:
 		t.recordSuccess()
+		t.service.served.Count(now)
 		f.measure(now, t, o.Took)
 	case Shed:
 		// A target that refuses although it reports free slots is not full. With half of the
--- a/internal/steer/pick.go
+++ b/internal/steer/pick.go
@@ -8,21 +8,28 @@
 
 // Query describes a request that needs a target.
 type Query struct {
-	Service    string
-	Object     string         // object that the request is about; "" if none
-	SpreadKey  string         // selects among equal targets if there is no Object; ID of the request
-	Regions    routes.Regions // where the target may be located
-	Objective  time.Duration  // latency within which an answer is worth most
-	Deadline   time.Time      // an answer after it is useless
-	ReceivedAt time.Time      // when the request arrived; zero if unknown
-	Priority   int            // 0 is the most urgent
-	Repeatable bool           // whether the request may run more than once
-	AnswerSize float64        // estimated bytes of the answer; 0 if unknown
-	Retry      bool           // whether the request was sent to another target before
-	Counted    bool           // whether the request counts in a retry budget already
-	Tried      []string       // IDs of the targets that it was sent to before
-
-	pool pool // where the target is looked for; set by Pick
+	Service     string
+	Object      string         // object that the request is about; "" if none
+	SpreadKey   string         // selects among equal targets if there is no Object; ID of the request
+	Regions     routes.Regions // where the target may be located
+	Objective   time.Duration  // latency within which an answer is worth most
+	Deadline    time.Time      // an answer after it is useless
+	ReceivedAt  time.Time      // when the request arrived; zero if unknown
+	Priority    int            // 0 is the most urgent
+	Fingerprint uint64         // of the request; the same when its caller sends it again
+	Returned    bool           // the caller was refused before and waited
+	ReturnFrom  time.Time      // if the caller is refused, its return is recognised from then on; zero: never
+	Repeatable  bool           // whether the request may run more than once
+	AnswerSize  float64        // estimated bytes of the answer; 0 if unknown
+	Retry       bool           // whether the request was sent to another target before
+	Parallel    bool           // whether another attempt is in flight, so that a refusal does not reach the caller
+	Counted     bool           // whether the request counts in a retry budget already
+	Tried       []string       // IDs of the targets that it was sent to before
+
+	pool         pool // where the target is looked for; set by Pick
+	anyObjective bool // the route has no objective, and Objective is the default; set by Pick
+	claimed      bool // it is admitted to the capacity that is reserved for returns; set by Pick
+	promised     bool // capacity is reserved for the caller's return; set by Pick
 }
 
 // Reason is why a request is refused.
@@ -53,6 +60,8 @@
 	HedgeAt        time.Time     // time after which an answer is unlikely; another target may then be tried in parallel
 	Reason         Reason        // set if the request is refused
 	RetryAfter     time.Duration // time after which a retry is worthwhile; set if the request is refused
+	Promised       bool          // capacity is reserved for the return after RetryAfter; set if the request is refused
+	Claimed        bool          // it was admitted to the capacity that is reserved for returns
 	FirstCandidate string        // ID of the first candidate; set if the request is refused
 }
 
@@ -80,21 +89,16 @@
 	f.expirePeers(now)
 	f.updatePart(now)
 	if q.Objective <= 0 {
-		q.Objective = DefaultObjective
+		q.Objective, q.anyObjective = DefaultObjective, true
 	}
 	if !q.Retry && !q.Counted {
 		s.budget.Request(now)
 	}
-	var c Choice
-	for _, q.pool = range f.pools(now, s, q) {
-		if c = f.best(now, s, &q); c.Target.ID != "" {
-			break
-		}
-	}
+	c := f.bestOfPools(now, s, &q)
 	if c.Target.ID == "" {
 		return c
 	}
-	if q.Retry && !s.budget.Spend(now) {
+	if q.Retry && !s.spendRetry(now, &q, c) {
 		return c.refuseRetry()
 	}
 	t := f.targets[c.Target.ID]
@@ -105,6 +109,29 @@
 	return c
 }
 
+// bestOfPools returns the target for a request from the first pool that has one.
+func (f *Fleet) bestOfPools(now time.Time, s *service, q *Query) Choice {
+	pools := f.pools(now, s, *q)
+	var c Choice
+	for _, q.pool = range pools {
+		if c = f.best(now, s, q); c.Target.ID != "" {
+			return c
+		}
+	}
+	if f.claimsReturn(now, s, q, c.Reason) {
+		q.claimed = true
+		for _, q.pool = range pools {
+			if claimed := f.best(now, s, q); claimed.Target.ID != "" {
+				claimed.Claimed = true
+				return claimed
+			}
+		}
+	}
+	c.RetryAfter = f.retryAfter(now, s, q, c)
+	c.Promised = q.promised
+	return c
+}
+
 // refuseRetry refuses a retry for which there was a target. The caller is asked to return when
 // that target has capacity, as its next request does not count as a retry here. With half of the
 // requests refused at all targets, this earned 0.899 of the credit of a day instead of 0.886.
@@ -137,7 +164,6 @@
 	if found.Target.ID != "" {
 		return found
 	}
-	refused.RetryAfter = f.retryAfter(now, s, q, refused)
 	return refused
 }
 
@@ -154,7 +180,7 @@
 			continue
 		}
 		e := f.estimate(now, c, mean)
-		if !c.accepts(now, q, e) {
+		if !c.accepts(now, q, e) && !c.acceptsReturn(now, q, e, mean) {
 			refused.RetryAfter = min(refused.RetryAfter, max(minRetryAfter, mean/2, e.wait-q.Objective))
 			continue
 		}
--- a/internal/steer/share.go
+++ b/internal/steer/share.go
@@ -16,12 +16,16 @@
 // instances and all their runs together spend what the requests of the window and of one span before
 // it have earned, so the ratio and the slack are those of a window that is longer by the span.
 func (f *Fleet) newBudget(now time.Time) *retry.Window {
-	span := time.Duration(retrySpan * float64(f.cfg.RetryWindow))
-	w := retry.NewWindow(now, span, f.retryShare())
+	w := retry.NewWindow(now, f.budgetSpan(), f.retryShare())
 	w.SetSlack(f.slack(), f.sharesFrom)
 	return w
 }
 
+// budgetSpan returns the time within which requests earn the retries that may be spent.
+func (f *Fleet) budgetSpan() time.Duration {
+	return time.Duration(retrySpan * float64(f.cfg.RetryWindow))
+}
+
 // retryShare returns how many retries a request earns.
 func (f *Fleet) retryShare() float64 { return f.cfg.RetryRatio / (1 + retrySpan) }
 
