Let callers return when targets that refused have capacity

Cause: a request that its targets had refused as full was told to return at once. Change: RefuseShed gives it a moment as any refusal for lack of capacity gets; with free slots it may still return at once.

--- a/internal/edge/notice.go
+++ b/internal/edge/notice.go
@@ -49,11 +49,11 @@
 	return n.fleet.Accepts(boottime.Now(), target)
 }
 
-// backOff returns how long all possible targets of a request are backing off.
-func (n *Node) backOff(p *pendingRequest) time.Duration {
+// refuseShed returns the refusal of a request that all targets which it was sent to have refused.
+func (n *Node) refuseShed(p *pendingRequest) steer.Choice {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.fleet.BackOff(boottime.Now(), n.query(p))
+	return n.fleet.RefuseShed(boottime.Now(), n.query(p))
 }
 
 // logNotice counts and logs a change in what a target accepts, with further fields.
--- a/internal/edge/pass.go
+++ b/internal/edge/pass.go
@@ -51,7 +51,8 @@
 	resp := ownAnswer(p.info, status)
 	if status == http.StatusServiceUnavailable {
 		if p.choice.Reason == "" {
-			p.choice.RetryAfter = n.backOff(p)
+			shed := n.refuseShed(p)
+			p.choice.RetryAfter, p.choice.Promised = shed.RetryAfter, shed.Promised
 		}
 		platform.SetRetryAfter(resp.Header, max(p.choice.RetryAfter, minRetryAfter))
 	}
--- a/internal/steer/notice.go
+++ b/internal/steer/notice.go
@@ -150,17 +150,6 @@
 	return c.withLoadOf(now, first), true
 }
 
-// BackOff returns the remaining time in which all targets of a service are backing off for this
-// instance; 0 if any may get a request now.
-func (f *Fleet) BackOff(now time.Time, q Query) time.Duration {
-	s, ok := f.services[q.Service]
-	if !ok || f.anyEligible(now, s, &q) {
-		return 0
-	}
-	c, _ := f.refuseBackingOff(now, s, &q)
-	return c.RetryAfter
-}
-
 // anyEligible reports whether some target may get a first attempt at the request.
 func (f *Fleet) anyEligible(now time.Time, s *service, q *Query) bool {
 	first := *q
--- a/internal/steer/retryafter.go
+++ b/internal/steer/retryafter.go
@@ -23,6 +23,31 @@
 	}
 }
 
+// RefuseShed returns the refusal of a request that the targets have refused, with the time after which its
+// caller should retry: when one has capacity, or when the first of them ends its back-off. It is
+// 0 if the caller may retry at once.
+func (f *Fleet) RefuseShed(now time.Time, q Query) Choice {
+	s, ok := f.services[q.Service]
+	if !ok {
+		return Choice{}
+	}
+	if !f.anyEligible(now, s, &q) {
+		c, _ := f.refuseBackingOff(now, s, &q)
+		return c
+	}
+	if q.Objective <= 0 || !s.reserves(&q) {
+		return Choice{}
+	}
+	q.Tried = nil
+	c := f.best(now, s, &q)
+	if !reservable(c.Reason) {
+		return Choice{}
+	}
+	c.RetryAfter = f.reserveReturn(now, s, &q, c)
+	c.Promised = q.promised
+	return c
+}
+
 // reservable reports whether a caller that is refused for a reason gets a moment of its own to return.
 func reservable(r Reason) bool { return r == NoCapacity || r == Cold }
 
--- a/internal/steer/returns_test.go
+++ b/internal/steer/returns_test.go
@@ -80,6 +80,33 @@
 	}
 }
 
+// All targets have refused a request. If they are full, its caller returns when there is capacity; if they have
+// free slots, at once.
+func TestReturnAfterRefusalsOfTargets(t *testing.T) {
+	tests := map[string]struct {
+		load     Load
+		promised bool
+	}{
+		"full":       {Load{Running: 4, Waiting: 4}, true},
+		"free slots": {Load{Running: 1}, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 2, 4)
+			q := query("x")
+			for range 2 {
+				c := f.Pick(start, q)
+				f.Done(start, c.Target, Outcome{Ending: Shed, Load: &tt.load})
+				q.Tried, q.Retry = append(q.Tried, c.Target.ID), true
+			}
+			c := f.RefuseShed(start, q)
+			if got := c.RetryAfter > 0; got != tt.promised || c.Promised != tt.promised {
+				t.Errorf("got %s and promised %t, want a time %t", c.RetryAfter, c.Promised, tt.promised)
+			}
+		})
+	}
+}
+
 // All targets refuse half of what they get for 8 s although they have free slots, and fewer retries are allowed than
 // even the most urgent third of the callers asks for. Once a span of the budget has shown that, nearly all go to these.
 func TestRetriesOfUrgentCallers(t *testing.T) {
