Bound moments to return by the caller's own time

Cause: a route's timeout is below what its callers wait, so a third of the time to the deadline of a request was less than the time until which its caller waits to return. Change: edge passes on a third of what the caller said. go test -run Return ./internal/steer passes.

--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -27,6 +27,7 @@
 	from             string    // peer that handed the request off; "" if a caller sent it
 	counted          bool      // it counts in a retry budget
 	returned         bool      // its caller was refused before and waited
+	returnBy         time.Time // if it is refused, its caller returns by then; zero: unknown
 	returnFrom       time.Time // if it is refused, the return of its caller is recognised from then on; zero: never
 	peer             string    // that it was handed off to; "" if none
 	in               *http1.Request
@@ -124,7 +125,7 @@
 	q := steer.Query{
 		Service: p.service, SpreadKey: p.info.ID, Regions: p.regions(),
 		Objective: p.route.Objective, Deadline: p.deadline, ReceivedAt: p.in.ReceivedAt,
-		Priority: p.priority(), Fingerprint: uint64(p.fingerprint), Returned: p.returned, ReturnFrom: p.returnFrom, Repeatable: p.repeatable, AnswerSize: n.answerSizes[p.route.Name],
+		Priority: p.priority(), Fingerprint: uint64(p.fingerprint), Returned: p.returned, ReturnFrom: p.returnFrom, ReturnBy: p.returnBy, Repeatable: p.repeatable, AnswerSize: n.answerSizes[p.route.Name],
 		Retry: p.reached+p.inFlight > 0, Parallel: p.inFlight > 0, Counted: p.counted, Tried: p.tried,
 	}
 	if p.route.Affinity {
--- a/internal/edge/returns.go
+++ b/internal/edge/returns.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"time"
+
 	"github.com/firlever/firlever/internal/metrics"
 	"github.com/firlever/firlever/internal/reservation"
 	"github.com/firlever/firlever/internal/steer"
@@ -19,6 +21,7 @@
 		n.callers[p.route.Name] = c
 	}
 	p.returned = c.Arrived(p.in.ReceivedAt, p.info.Timeout)
+	p.returnBy = p.in.ReceivedAt.Add(time.Duration(steer.MaxReturnShare * float64(p.info.Timeout)))
 	p.returnFrom = p.in.ReceivedAt.Add(c.Recognizable(p.info.Timeout))
 }
 
--- a/internal/steer/pick.go
+++ b/internal/steer/pick.go
@@ -19,6 +19,7 @@
 	Fingerprint uint64         // of the request; the same when its caller sends it again
 	Returned    bool           // the caller was refused before and waited
 	ReturnFrom  time.Time      // if the caller is refused, its return is recognised from then on; zero: never
+	ReturnBy    time.Time      // if the caller is refused, it returns by then, whatever it is told; zero: at a third of its time to Deadline
 	Repeatable  bool           // whether the request may run more than once
 	AnswerSize  float64        // estimated bytes of the answer; 0 if unknown
 	Retry       bool           // whether the request was sent to another target before
--- a/internal/steer/retryafter.go
+++ b/internal/steer/retryafter.go
@@ -7,9 +7,9 @@
 	"github.com/firlever/firlever/internal/retry"
 )
 
-// maxReturnShare is the part of its remaining time after which a refused caller returns at the latest,
+// MaxReturnShare is the part of its remaining time after which a refused caller returns at the latest,
 // whatever it is told.
-const maxReturnShare = 1.0 / 3
+const MaxReturnShare = 1.0 / 3
 
 // retryAfter returns after which time the caller of a refused request should retry.
 func (f *Fleet) retryAfter(now time.Time, s *service, q *Query, refused Choice) time.Duration {
@@ -58,10 +58,13 @@
 // reserveReturn returns after which time the caller of a request that was refused for lack of capacity should
 // retry. If no moment is left within the time that it waits, that is the time of the next one.
 func (f *Fleet) reserveReturn(now time.Time, s *service, q *Query, refused Choice) time.Duration {
-	left := q.Deadline.Sub(now)
+	latest := q.ReturnBy
+	if latest.IsZero() {
+		latest = now.Add(time.Duration(MaxReturnShare * float64(q.Deadline.Sub(now))))
+	}
 	caller := reservation.Caller{
 		Hash: q.Fingerprint, Priority: q.Priority, Returned: q.Returned, NotBefore: later(now.Add(refused.RetryAfter), q.ReturnFrom),
-		Latest: now.Add(time.Duration(maxReturnShare * float64(left))),
+		Latest: latest,
 	}
 	at, ok := s.returns.Reserve(now, caller, f.capacity(now, s, q))
 	q.promised = ok
