Plan the homes of objects by how much work they bring

Cause: objects are spread by rendezvous hash alone, so that some targets are homes of far more work than they can do while others idle, and large answers have homes in each region however few targets it has. Change: instances count the requests for objects, the one that collects loads sums them, and each instance plans the same homes from the sums: an object keeps its first target by hash as long as that is not planned beyond 1.25 times its part of all work, and goes to the next with room otherwise. Large answers stay in the own region as far as there is room. Moves are bounded, those between regions to 0.05 of the work in 2 s.

--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -5,6 +5,7 @@
 
 	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/metrics"
+	"github.com/firlever/firlever/internal/placement"
 	"github.com/firlever/firlever/internal/steer"
 )
 
@@ -28,6 +29,21 @@
 	}
 }
 
+// objectCounts returns up to most counts of the requests for objects since the last call.
+func (n *Node) objectCounts(most int) []placement.ServiceCounts {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.fleet.TakeObjectCounts(most)
+}
+
+// receiveObjectLoads applies the work of objects, and updates the plans of their homes.
+func (n *Node) receiveObjectLoads(now time.Time, b placement.Batch) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.fleet.ApplyObjectLoads(b)
+	n.fleet.PlaceObjects(now)
+}
+
 // loadExchangeFailed counts and logs a failed exchange of load reports.
 func (n *Node) loadExchangeFailed(err error) {
 	n.cfg.Metrics.CountDecision(metrics.Decision{Kind: "loads", Reason: "failed"})
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -49,6 +49,7 @@
 		"config", p.rules.Config().Version,
 		"status", resp.Status, "took", now.Sub(p.in.ReceivedAt), "left", p.deadline.Sub(now), "attempts", p.reached,
 		"target", c.Target.ID, "domain", c.Target.Domain, "wait", c.Wait, "cost", c.Cost, "home", c.Home, "cold", c.Cold,
+		"plan", c.PlannedHome, "planned", c.PlannedLoad,
 		"busy", c.TargetLoad, "usual", c.TypicalLoad, "load-age", c.LoadAge, "store-age", n.mirror.Age(now),
 		"ending", p.outcome(), "peer", p.peer, "from", p.from, "ended", p.crashedTargets, "conn", p.in.ConnID,
 	}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -43,6 +43,7 @@
 	store          *platform.Store
 	mirror         *mirror.Mirror
 	loads          *loads.Exchange
+	objects        *loads.ObjectExchange
 	quotas         *quota.Exchange
 	registrar      *registrar
 	budget         *http1.Budget // of bodies that are held for callers and targets
@@ -112,6 +113,7 @@
 	n.peerAddress = choosePeerAddress(s)
 	n.mirror = mirror.New(n.store, n, mirror.Peers{Relays: n.relays, Fallbacks: n.others, Seeds: n.seeds(), FirstStart: s.FirstStart, Self: n.peerAddress, LinkMbps: s.LinkMbps, Registered: n.registeredPeers, Redundant: n.redundant}, compareItems)
 	n.loads = loads.New(loads.Peers{Name: s.Instance, Collector: n.collector, Reports: n.loadReports, Receive: n.receiveLoadReports, Failed: n.loadExchangeFailed})
+	n.objects = loads.NewObjects(loads.ObjectPeers{Collector: n.collector, Counts: n.objectCounts, Receive: n.receiveObjectLoads, Failed: n.loadExchangeFailed})
 	n.registrar = newRegistrar(n)
 	n.crashes = newCrashTracker(n)
 	n.rollouts = newRolloutTracker(n)
@@ -146,6 +148,7 @@
 	n.background.Go(func() { n.mirror.Run(ctx) })
 	n.background.Go(func() { n.registrar.run(ctx) })
 	n.background.Go(func() { n.loads.Run(ctx) })
+	n.background.Go(func() { n.objects.Run(ctx) })
 	n.background.Go(func() { n.crashes.notifier.run(ctx) })
 	n.background.Go(func() { n.rollouts.run(ctx) })
 	n.background.Go(func() { n.updateGauges(ctx) })
@@ -241,6 +244,7 @@
 	r := chi.NewRouter()
 	r.Handle(mirror.RelayPath, n.mirror)
 	r.Handle(loads.Path, n.loads)
+	r.Handle(loads.ObjectsPath, n.objects)
 	r.Handle(quota.Path, n.quotas)
 	r.Handle(crashesPath, n.crashes)
 	r.Handle(rolloutsPath, n.rollouts)
--- /dev/null
+++ b/internal/placement/plan.go
@@ -0,0 +1,282 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// bound is the most work that a target is planned for, as a multiple of its part of all work.
+	bound = 1.25
+	// comfortShare is the part of a target's slots that may be busy in any case: at half of four
+	// slots, one request in six waits.
+	comfortShare = 0.5
+	// nearShare is the most of a region's slots that is planned for objects with large answers. At
+	// more, requests wait for longer than they take from another region.
+	nearShare = 0.7
+	// homeShare is the part of a target's slots that one object may keep busy. One that needs more
+	// gets another home.
+	homeShare = 0.5
+	// largeShare is the part of a target's limit from which on an object counts as large.
+	largeShare = 0.25
+	// MaxHomes is how many homes an object has at most.
+	MaxHomes = 4
+	// deepRanked is how many targets are looked at for an object that its first ones have no room for.
+	deepRanked = 24
+	// settle is how long a target must be over the bound before an object leaves it: about what a
+	// cold run costs.
+	settle = time.Second
+	// activeFor is how long a plan is kept in use after the last target was over the bound.
+	activeFor = 10 * time.Second
+	// moveShare is the part of a service's work that may move in one update, and crossShare the part
+	// that may move between regions in a crossWindow: a third of the usual cap on shifts, as callers
+	// that move use it too.
+	moveShare   = 0.1
+	crossShare  = 0.05
+	crossWindow = 2 * time.Second
+	// planInterval is the time between two updates, and more where there are many objects.
+	planInterval    = time.Second
+	planObjectsPerS = 20_000
+	// rankedPerUpdate is how many objects are ranked anew in one update.
+	rankedPerUpdate = 1000
+)
+
+// Target is a target that may get work.
+type Target struct {
+	ID     uint64
+	Region string
+	Slots  float64
+	Weight float64 // its part of the region's work, relative to the others
+	Own    float64 // part of its slots that is for the requests of the own region, 0 to 1
+	Near   bool    // it is in the own region
+}
+
+// Ranker returns the n targets of greatest weight for an object, the greatest first: those of the own
+// region before all others if the object is Near.
+type Ranker func(o Object, n int) []uint64
+
+// Homes are the targets that serve an object.
+type Homes struct {
+	ids [MaxHomes]uint64
+	n   int
+}
+
+// IDs returns the targets.
+func (h *Homes) IDs() []uint64 { return h.ids[:h.n] }
+
+func (h *Homes) add(id uint64) { h.ids[h.n] = id; h.n++ }
+
+// entry is an object with work.
+type entry struct {
+	Object
+	work      float64   // in slots; above 0
+	heard     int       // round in which the work was told
+	ranked    []uint64  // targets of greatest weight: MaxHomes, or deepRanked if these had no room
+	rankedFor int       // version of the targets that they were ranked for; 0: never
+	homes     Homes     // in use; none before the first update
+	next      Homes     // wanted
+	nextSince time.Time // next has been wanted since
+}
+
+// Plan places the objects of a service.
+type Plan struct {
+	entries     map[Object]*entry  // maxObjects at most
+	sorted      []*entry           // same entries, those with more work first; nil if outdated
+	round       int                // increases when all loads are told anew
+	inRound     bool               // a round has begun and not ended
+	maxHomes    int                // of an object, 1 to MaxHomes
+	version     int                // of the targets
+	activeUntil time.Time          // the plan is in use until then
+	updateAt    time.Time          // the next update
+	crossFrom   time.Time          // begin of the current crossWindow
+	crossed     float64            // work that has moved between regions within it
+	load        map[uint64]float64 // work of the homes in use by target
+	stats       Stats
+}
+
+// Stats describe a plan.
+type Stats struct {
+	Objects   int     // with known work
+	Displaced int     // that are not at their first target
+	Moves     uint64  // since the start
+	Work      float64 // of all objects, in slots
+	Highest   float64 // greatest planned load as a multiple of the target's bound
+}
+
+// NewPlan returns an empty plan.
+func NewPlan() *Plan {
+	return &Plan{entries: make(map[Object]*entry), maxHomes: MaxHomes, version: 1}
+}
+
+// SetHomes sets how many homes an object has at most.
+func (p *Plan) SetHomes(n int) { p.maxHomes = min(max(n, 1), MaxHomes) }
+
+// Begin starts a round in which all loads are told anew.
+func (p *Plan) Begin() { p.round, p.inRound = p.round+1, true }
+
+// End forgets the loads that the round did not tell.
+func (p *Plan) End() {
+	if !p.inRound {
+		return
+	}
+	p.inRound = false
+	for o, e := range p.entries {
+		if e.heard != p.round {
+			delete(p.entries, o)
+			p.sorted = nil
+		}
+	}
+}
+
+// Set sets the work of an object.
+func (p *Plan) Set(l Load) {
+	e := p.entries[l.Object]
+	switch work := l.Work(); {
+	case work == 0:
+		delete(p.entries, l.Object)
+	case e != nil:
+		e.work, e.heard = work, p.round
+	case len(p.entries) < maxObjects:
+		p.entries[l.Object] = &entry{Object: l.Object, work: work, heard: p.round}
+	}
+	p.sorted = nil
+}
+
+// TargetsChanged tells that targets came, went or changed.
+func (p *Plan) TargetsChanged() { p.version++ }
+
+// Homes returns the homes of an object; false if it is placed by its hash alone.
+func (p *Plan) Homes(now time.Time, o Object) (Homes, bool) {
+	if !now.Before(p.activeUntil) {
+		return Homes{}, false
+	}
+	e := p.entries[o]
+	if e == nil || e.homes.n == 0 {
+		return Homes{}, false
+	}
+	return e.homes, true
+}
+
+// Load returns the work that is planned at a target, in slots.
+func (p *Plan) Load(target uint64) float64 { return p.load[target] }
+
+// Stats returns what the last update found.
+func (p *Plan) Stats() Stats { return p.stats }
+
+// Due reports whether the plan is to be updated.
+func (p *Plan) Due(now time.Time) bool { return len(p.entries) > 0 && !now.Before(p.updateAt) }
+
+// Update plans anew and moves a few objects.
+func (p *Plan) Update(now time.Time, targets []Target, rank Ranker) {
+	p.updateAt = now.Add(planInterval + time.Duration(len(p.entries))*time.Second/planObjectsPerS)
+	p.sort()
+	p.rank(rank)
+	a := newAssignment(targets, p.sorted, p.maxHomes, rank)
+	if a.assign(p.sorted) {
+		p.activeUntil = now.Add(activeFor)
+	}
+	p.move(now, a)
+	p.describe(a)
+}
+
+// sort sorts the entries by octaves of work, so that a small change of work leaves the order as it is.
+func (p *Plan) sort() {
+	if p.sorted != nil {
+		return
+	}
+	p.sorted = make([]*entry, 0, len(p.entries))
+	for _, e := range p.entries {
+		p.sorted = append(p.sorted, e)
+	}
+	octave := func(e *entry) float64 { return math.Floor(math.Log2(e.work)) }
+	slices.SortFunc(p.sorted, func(a, b *entry) int {
+		return cmp.Or(compareBinding(Object{Near: a.Near}, Object{Near: b.Near}), cmp.Compare(octave(b), octave(a)), compareObjects(a.Object, b.Object))
+	})
+}
+
+// rank ranks the targets for entries whose ranking is missing or outdated, up to rankedPerUpdate.
+func (p *Plan) rank(rank Ranker) {
+	left := rankedPerUpdate
+	for _, e := range p.sorted {
+		if e.rankedFor == p.version {
+			continue
+		}
+		if left == 0 {
+			return
+		}
+		left--
+		e.ranked, e.rankedFor = rank(e.Object, MaxHomes), p.version
+	}
+}
+
+// move brings the homes in use nearer to those that are wanted.
+func (p *Plan) move(now time.Time, a *assignment) {
+	if now.Sub(p.crossFrom) >= crossWindow {
+		p.crossFrom, p.crossed = now, 0
+	}
+	moved := 0.0
+	for _, e := range p.sorted {
+		if e.homes.n == 0 {
+			e.homes = a.first(e, 1)
+		}
+		if e.next.n == 0 || e.homes == e.next {
+			e.nextSince = time.Time{}
+			continue
+		}
+		if e.nextSince.IsZero() {
+			e.nextSince = now
+		}
+		if a.lost(&e.homes) {
+			e.homes = e.next
+			p.stats.Moves++
+			continue
+		}
+		step, work := e.step()
+		if now.Sub(e.nextSince) < settle || moved > 0 && moved+work > moveShare*a.work {
+			continue
+		}
+		if a.crosses(e, &step) {
+			if p.crossed+work > crossShare*a.work {
+				continue
+			}
+			p.crossed += work
+		}
+		moved += work
+		e.homes = step
+		p.stats.Moves++
+	}
+}
+
+// step returns the next homes on the way to the wanted ones, and the work that moves: one home more,
+// or all at once.
+func (e *entry) step() (Homes, float64) {
+	n := e.homes.n
+	if n >= e.next.n || !slices.Equal(e.homes.IDs(), e.next.ids[:n]) {
+		return e.next, e.work
+	}
+	step := e.homes
+	step.add(e.next.ids[n])
+	return step, e.work / float64(n+1)
+}
+
+// describe sets what Load and Stats return.
+func (p *Plan) describe(a *assignment) {
+	p.load = make(map[uint64]float64, len(a.targets))
+	s := Stats{Objects: len(p.sorted), Moves: p.stats.Moves, Work: a.work}
+	for _, e := range p.sorted {
+		if first := a.first(e, 1); e.homes.n > 0 && first.n > 0 && first.ids[0] != e.homes.ids[0] {
+			s.Displaced++
+		}
+		for _, id := range e.homes.IDs() {
+			p.load[id] += e.work / float64(e.homes.n)
+		}
+	}
+	for i, t := range a.targets {
+		if a.limit[i] > 0 {
+			s.Highest = max(s.Highest, p.load[t.ID]/a.limit[i])
+		}
+	}
+	p.stats = s
+}
--- a/internal/steer/fleet.go
+++ b/internal/steer/fleet.go
@@ -2,12 +2,14 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
+	"github.com/firlever/firlever/internal/placement"
 	"github.com/firlever/firlever/internal/retry"
 	"github.com/firlever/firlever/internal/routes"
 )
@@ -15,7 +17,9 @@
 // Fleet holds the targets of all services and selects one for each request.
 type Fleet struct {
 	cfg          Config
-	region       string // of this instance
+	region       string            // of this instance
+	regionNames  []string          // of all regions; sorted
+	counts       *placement.Counts // requests for objects that others have not been told of
 	targets      map[string]*target
 	byHash       map[uint64]*target // same targets by the hashes of their IDs
 	services     map[string]*service
@@ -41,6 +45,10 @@
 	budget        *retry.Window            // additional attempts allowed to this instance
 	typicalLoad   float64                  // running mean of other instances' requests per slot of a target, from load reports; 0 or more
 	split         *versionSplit            // nil if no rollout was ordered
+	nameHash      uint64                   // hash of the name
+	warmLatency   time.Duration            // estimated duration of warm work; 0 before the first sample
+	reportsLoad   bool                     // a target has reported its load
+	plan          *placement.Plan          // of the objects' homes
 	retriesUntil  time.Time                // latest time at which a refused caller was asked to retry
 }
 
@@ -57,9 +65,11 @@
 		byHash:       make(map[uint64]*target),
 		services:     make(map[string]*service),
 		constraints:  make(map[runKey]*constraints),
+		counts:       placement.NewCounts(),
 		evacuated:    make(map[string]bool),
 		expiredPeers: make(map[string]time.Time),
 	}
+	f.regionNames = slices.Compact(slices.Sorted(maps.Values(cfg.Regions)))
 	f.updatePart(cfg.Started)
 	return f, nil
 }
@@ -221,6 +231,7 @@
 		s = &service{
 			limits: routes.Service{Name: name}, budget: f.newBudget(now),
 			domainLatency: make(map[string]time.Duration),
+			nameHash:      hash(name), plan: placement.NewPlan(),
 		}
 		f.services[name] = s
 	}
--- a/internal/steer/order.go
+++ b/internal/steer/order.go
@@ -35,6 +35,11 @@
 	domainRank int
 }
 
+// newCandidate returns a candidate without ranks.
+func newCandidate(t *target) candidate {
+	return candidate{target: t, globalRank: lowestRank, regionRank: lowestRank, domainRank: lowestRank}
+}
+
 // top holds the candidates with the greatest weights in descending order.
 type top struct {
 	list [rankedCount]candidate
@@ -71,10 +76,15 @@
 	if q.pool == canaryTargets {
 		return window{s.split.canaries, nil}
 	}
+	return s.windowOf(hash(q.key()))
+}
+
+// windowOf is the window of an object by its hash.
+func (s *service) windowOf(keyHash uint64) window {
 	if len(s.targets) <= windowSize {
 		return window{s.targets, nil}
 	}
-	first, _ := slices.BinarySearchFunc(s.targets, hash(q.key()), func(t *target, h uint64) int { return cmp.Compare(t.idHash, h) })
+	first, _ := slices.BinarySearchFunc(s.targets, keyHash, func(t *target, h uint64) int { return cmp.Compare(t.idHash, h) })
 	end := first + windowSize
 	if end <= len(s.targets) {
 		return window{s.targets[first:end], nil}
@@ -116,13 +126,15 @@
 	if !o.includeEjected {
 		o.size -= ejected
 	}
+	q.homes, q.plannedHome = 0, ""
 	keyHash := hash(q.key())
 	preference := f.regionPreference(slots)
 	for t := range o.targets.all {
 		if !f.isCandidate(now, t, q, o) {
 			continue
 		}
-		c := candidate{target: t, weight: f.weight(t, keyHash, preference), globalRank: lowestRank, regionRank: lowestRank, domainRank: lowestRank}
+		c := newCandidate(t)
+		c.weight = f.weight(t, keyHash, preference)
 		o.global.insert(c)
 		if t.region == f.region {
 			o.region.insert(c)
@@ -131,6 +143,11 @@
 			o.domain.insert(c)
 		}
 	}
+	if homes := f.plannedHomes(now, s, q); len(homes) > 0 {
+		if q.homes = f.promote(now, o, q, homes); q.homes > 0 {
+			q.plannedHome = o.global.list[0].ID
+		}
+	}
 	return o
 }
 
@@ -221,7 +238,7 @@
 	list := make([]candidate, 0, o.size)
 	for t := range o.targets.all {
 		if f.isCandidate(now, t, q, o) {
-			list = append(list, candidate{target: t, globalRank: lowestRank, regionRank: lowestRank, domainRank: lowestRank})
+			list = append(list, newCandidate(t))
 		}
 	}
 	begin := hash(q.key()) % uint64(len(list))
--- a/internal/steer/outcome.go
+++ b/internal/steer/outcome.go
@@ -75,6 +75,7 @@
 	}
 	t.recordLatency(now, took)
 	s := f.services[t.Service]
+	s.recordWarm(took)
 	s.meanLatency = smooth(s.meanLatency, took)
 	domainMean, found := s.domainLatency[t.Domain]
 	if !found {
--- a/internal/steer/pick.go
+++ b/internal/steer/pick.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/firlever/firlever/internal/placement"
 	"github.com/firlever/firlever/internal/routes"
 )
 
@@ -22,7 +23,10 @@
 	Counted    bool           // whether the request counts in a retry budget already
 	Tried      []string       // IDs of the targets that it was sent to before
 
-	pool pool // where the target is looked for; set by Pick
+	pool        pool             // where the target is looked for; set by Pick
+	object      placement.Object // set by Pick if there is an Object
+	homes       int              // of the object by plan, ranked first; 0 if it is placed by hash; set by order
+	plannedHome string           // ID of the first of them
 }
 
 // Reason is why a request is refused.
@@ -50,6 +54,8 @@
 	TypicalLoad    float64       // typical load of the service's targets per slot; replaces the target's own as LoadAge grows
 	LoadAge        time.Duration // time since the target last reported its load; -1 if it never did
 	LimitShare     *LimitShare   // limit of the target and this instance's share; nil if there is none
+	PlannedHome    string        // the object's first home by plan; "" if it is placed by hash alone
+	PlannedLoad    float64       // work planned at Target by this region's requests, in slots
 	HedgeAt        time.Time     // time after which an answer is unlikely; another target may then be tried in parallel
 	Reason         Reason        // set if the request is refused
 	RetryAfter     time.Duration // time after which a retry is worthwhile; set if the request is refused
@@ -85,6 +91,7 @@
 	if !q.Retry && !q.Counted {
 		s.budget.Request(now)
 	}
+	f.countObject(s, &q)
 	var c Choice
 	for _, q.pool = range f.pools(now, s, q) {
 		if c = f.best(now, s, &q); c.Target.ID != "" {
@@ -101,6 +108,7 @@
 	f.spendToken(now, t)
 	s.spendCanaryToken(t)
 	t.startRequest(now)
+	c.PlannedLoad = s.plan.Load(t.idHash)
 	c.HedgeAt = now.Add(c.Wait + max(q.Objective, hedgeFactor*s.latency(q.Objective)))
 	return c
 }
@@ -173,6 +181,7 @@
 		if found.Target.ID == "" || cost < found.Cost {
 			found = Choice{
 				Target: c.Target, Wait: e.wait, Cost: cost, Home: c.globalRank == 0, Cold: c.cold(now), TargetAge: now.Sub(c.addedAt),
+				PlannedHome: q.plannedHome,
 			}.withLoadOf(now, c.target)
 		}
 	}
@@ -191,18 +200,6 @@
 	return c
 }
 
-// isHome reports whether the target is one of those that keep the object warm.
-func (f *Fleet) isHome(c *candidate, q *Query) bool {
-	if c.globalRank < homeCount {
-		return true
-	}
-	return f.hasLocalHomes(q) && (c.target.region == f.region && c.regionRank < homeCount || c.Domain == f.cfg.Domain && c.domainRank < homeCount)
-}
-
-// hasLocalHomes reports whether the object also has homes in each failure domain and region
-// because its answers are too large to transfer from a single home.
-func (f *Fleet) hasLocalHomes(q *Query) bool { return f.transferCost(q) > domainHomeCost }
-
 // transferCost returns the cost of transferring the answer between failure domains.
 func (f *Fleet) transferCost(q *Query) time.Duration {
 	return time.Duration(f.cfg.ByteCost * q.AnswerSize)
@@ -215,32 +212,3 @@
 	}
 	return time.Duration(initialLatencyShare * float64(objective))
 }
-
-// penalty returns the cost of a target for its location and for not being the object's home.
-func (f *Fleet) penalty(c *candidate, q *Query, mean time.Duration) time.Duration {
-	cost := time.Duration(0)
-	if c.Domain != f.cfg.Domain {
-		cost += f.transferCost(q)
-	}
-	if q.Object == "" {
-		return cost
-	}
-	miss := float64(mean) * missCostFactor
-	missed := missCost(miss, c.globalRank)
-	if f.hasLocalHomes(q) {
-		if c.target.region == f.region {
-			missed = min(missed, regionHomeCost+missCost(miss, c.regionRank))
-		}
-		if c.Domain == f.cfg.Domain {
-			missed = min(missed, domainHomeCost+missCost(miss, c.domainRank))
-		}
-	}
-	return cost + missed
-}
-
-// missCost returns the expected cost of a cache miss at the target with the given rank: none at
-// the home, and half at the second, as that serves the requests that exceed the capacity of the
-// home.
-func missCost(miss float64, rank int) time.Duration {
-	return time.Duration(miss * (1 - 1/float64(uint64(1)<<min(rank, lowestRank))))
-}
--- /dev/null
+++ b/internal/steer/place.go
@@ -0,0 +1,218 @@
+package steer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/firlever/firlever/internal/placement"
+)
+
+const (
+	// warmQuantile is the quantile of the durations of requests that counts as the duration of warm
+	// work. Cold runs and those that waited are above it unless nearly all are.
+	warmQuantile = 0.25
+	// warmStep is the part by which a sample moves the estimate of the quantile.
+	warmStep = 0.05
+	// boundRegions is how many regions a set of regions can tell apart.
+	boundRegions = 15
+)
+
+// recordWarm moves the estimate of how long warm work takes towards a sample.
+func (s *service) recordWarm(took time.Duration) {
+	switch step := warmStep * float64(s.warmLatency); {
+	case s.warmLatency == 0:
+		s.warmLatency = took
+	case took < s.warmLatency:
+		s.warmLatency -= time.Duration(step * (1 - warmQuantile))
+	default:
+		s.warmLatency += time.Duration(step * warmQuantile)
+	}
+}
+
+// countObject counts the request's object. Only work at targets that report their load is planned.
+func (f *Fleet) countObject(s *service, q *Query) {
+	if q.Object == "" || !s.reportsLoad {
+		return
+	}
+	set, ok := f.regionSet(q)
+	if !ok {
+		return
+	}
+	q.object = placement.Object{Key: hash(q.Object), Regions: set, Near: f.hasLargeAnswers(q)}
+	if !q.Retry && !q.Counted {
+		f.counts.Add(s.nameHash, q.object)
+	}
+}
+
+// regionSet returns the regions that the request is bound to as a set; false if there are too many
+// regions.
+func (f *Fleet) regionSet(q *Query) (uint16, bool) {
+	if q.Regions == nil {
+		return 0, true
+	}
+	set := uint16(0)
+	for _, r := range q.Regions {
+		if i, ok := slices.BinarySearch(f.regionNames, r); ok {
+			set |= 1 << i
+		}
+	}
+	return set, set != 0 && len(f.regionNames) <= boundRegions
+}
+
+// inSet reports whether a region belongs to a set.
+func (f *Fleet) inSet(region string, set uint16) bool {
+	i, ok := slices.BinarySearch(f.regionNames, region)
+	return set == 0 || ok && set&(1<<i) != 0
+}
+
+// TakeObjectCounts returns up to most counts of the requests for objects since the last call.
+func (f *Fleet) TakeObjectCounts(most int) []placement.ServiceCounts {
+	return f.counts.Take(most, func(service uint64) time.Duration {
+		for _, s := range f.services {
+			if s.nameHash == service {
+				return s.warmLatency
+			}
+		}
+		return 0
+	})
+}
+
+// ApplyObjectLoads applies the work of objects as summed over the instances of the region.
+func (f *Fleet) ApplyObjectLoads(b placement.Batch) {
+	byHash := make(map[uint64]*service, len(f.services))
+	for _, s := range f.services {
+		byHash[s.nameHash] = s
+		if b.First {
+			s.plan.Begin()
+		}
+	}
+	for _, l := range b.Loads {
+		if s := byHash[l.Service]; s != nil {
+			s.plan.Set(l)
+		}
+	}
+	if b.End {
+		for _, s := range f.services {
+			s.plan.End()
+		}
+	}
+}
+
+// PlaceObjects updates the plans that are due.
+func (f *Fleet) PlaceObjects(now time.Time) {
+	for _, s := range f.services {
+		if s.plan.Due(now) {
+			r := f.newRanker(s)
+			s.plan.Update(now, r.targets(), r.rank)
+		}
+	}
+}
+
+// PlacementStats returns what is planned for a service.
+func (f *Fleet) PlacementStats(name string) placement.Stats {
+	if s, ok := f.services[name]; ok {
+		return s.plan.Stats()
+	}
+	return placement.Stats{}
+}
+
+// SetHomes sets how many homes an object of a service has at most.
+func (f *Fleet) SetHomes(name string, n int) {
+	if s, ok := f.services[name]; ok {
+		s.plan.SetHomes(n)
+	}
+}
+
+// ranker ranks the available targets of a service by the same weights as a choice.
+type ranker struct {
+	f          *Fleet
+	s          *service
+	preference map[uint16]float64 // by set of regions
+}
+
+func (f *Fleet) newRanker(s *service) *ranker {
+	return &ranker{f: f, s: s, preference: make(map[uint16]float64)}
+}
+
+// preferenceIn returns the preference for targets of the own region among those of a set.
+func (r *ranker) preferenceIn(set uint16) float64 {
+	p, ok := r.preference[set]
+	if !ok {
+		var slots regionSlots
+		for _, t := range r.s.targets {
+			if r.f.available(t) && r.f.inSet(t.region, set) {
+				slots.add(t.region, t.Slots)
+			}
+		}
+		p = r.f.regionPreference(slots)
+		r.preference[set] = p
+	}
+	return p
+}
+
+// targets returns the available targets. If all regions ask for as much and prefer their own targets
+// alike, own is the part of a target's work that comes from this region.
+func (r *ranker) targets() []placement.Target {
+	regions := float64(max(1, len(r.f.regionNames)))
+	preference := r.preferenceIn(0)
+	var list []placement.Target
+	for _, t := range r.s.targets {
+		if !r.f.available(t) {
+			continue
+		}
+		p := placement.Target{ID: t.idHash, Region: t.region, Slots: float64(t.Slots), Weight: 1, Own: 1 / (preference + regions - 1)}
+		if t.region == r.f.region {
+			p.Near, p.Weight, p.Own = true, preference, preference*p.Own
+		}
+		list = append(list, p)
+	}
+	return list
+}
+
+// rank returns the n targets of greatest weight for an object.
+func (r *ranker) rank(o placement.Object, n int) []uint64 {
+	preference := r.preferenceIn(o.Regions)
+	all, near := preferred{most: n}, preferred{most: n}
+	for t := range r.s.windowOf(o.Key).all {
+		switch w := r.f.weight(t, o.Key, preference); {
+		case !r.f.available(t) || !r.f.inSet(t.region, o.Regions):
+		case o.Near && t.region == r.f.region:
+			near.insert(t.idHash, w)
+		default:
+			all.insert(t.idHash, w)
+		}
+	}
+	ids := append(near.ids(), all.ids()...)
+	return ids[:min(n, len(ids))]
+}
+
+// preferred holds the targets of the greatest weights.
+type preferred struct {
+	list []weighted // sorted by weight, the greatest first
+	most int        // length of list at most
+}
+
+type weighted struct {
+	id     uint64
+	weight float64
+}
+
+func (p *preferred) insert(id uint64, weight float64) {
+	if len(p.list) == p.most {
+		if weight <= p.list[p.most-1].weight {
+			return
+		}
+		p.list = p.list[:p.most-1]
+	}
+	i, _ := slices.BinarySearchFunc(p.list, weight, func(w weighted, weight float64) int { return cmp.Compare(weight, w.weight) })
+	p.list = slices.Insert(p.list, i, weighted{id, weight})
+}
+
+func (p *preferred) ids() []uint64 {
+	ids := make([]uint64, len(p.list))
+	for i, w := range p.list {
+		ids[i] = w.id
+	}
+	return ids
+}
--- a/internal/steer/report.go
+++ b/internal/steer/report.go
@@ -81,6 +81,7 @@
 		t.reporting = true
 		f.reporting = append(f.reporting, t)
 	}
+	t.service.reportsLoad = true
 	t.ownLoad, t.ownLoadAt = l.Running+l.Waiting, now
 	t.setOtherLoad(now, t.ownLoad-t.inFlight())
 	if t.Slots > 0 {
--- a/internal/steer/rollout.go
+++ b/internal/steer/rollout.go
@@ -246,8 +246,9 @@
 	slices.SortFunc(list, func(a, b *target) int { return cmp.Compare(mix(a.idHash, seed), mix(b.idHash, seed)) })
 }
 
-// markOutdated has the canaries of a service chosen anew, as its targets have changed.
+// markOutdated has the canaries of a service chosen and its plan made anew, as its targets have changed.
 func (s *service) markOutdated() {
+	s.plan.TargetsChanged()
 	if s.split != nil {
 		s.split.outdated = true
 	}
