Bound moves of objects over all services, and search for room further

Change: one budget of the region's requests for all services; new objects go where they are wanted at once; all targets are looked at when 24 have no room; a second home costs what it did before unless at least a third of the service's requests run cold. Limits are 1.15 times the mean, or 0.6 of the slots; an object is told again when its work has doubled or halved. TestBound keeps its check: equal objects, four a target, failed it at 1.15 until all targets were looked at.

--- a/internal/placement/assign.go
+++ b/internal/placement/assign.go
@@ -15,6 +15,7 @@
 	work     float64        // of all objects
 	maxHomes int
 	rank     Ranker
+	searched int // entries for which all targets were looked at, searchedPerUpdate at most
 }
 
 // newAssignment returns an assignment in which nothing is placed. The limit of a target is bound
@@ -62,7 +63,8 @@
 		n := a.homes(e)
 		h := a.first(e, n)
 		switch {
-		case h.n == 0: // not ranked yet
+		case h.n == 0: // not ranked yet, or all ranked targets have ended
+			e.next = h
 			continue
 		case a.fits(e, &h):
 			a.place(e, h)
@@ -104,11 +106,11 @@
 	return h
 }
 
-// fits reports whether targets have room for an entry. One that nothing else is placed on has.
+// fits reports whether targets have room for an entry.
 func (a *assignment) fits(e *entry, h *Homes) bool {
 	part := e.work / float64(h.n)
 	for _, id := range h.IDs() {
-		if i := a.index[id]; a.load[i] > 0 && a.load[i]+part > a.limit[i] {
+		if i := a.index[id]; a.load[i]+part > a.limit[i] {
 			return false
 		}
 	}
@@ -118,13 +120,17 @@
 // next returns the first n targets of an entry that have room. If there are fewer, those that are
 // filled least are added.
 func (a *assignment) next(e *entry, n int) Homes {
-	h := a.roomy(e, n)
+	h := a.roomy(e, e.ranked, n)
 	if h.n < n && len(e.ranked) < deepRanked && len(e.ranked) < len(a.targets) {
 		e.ranked = a.rank(e.Object, deepRanked)
-		h = a.roomy(e, n)
+		h = a.roomy(e, e.ranked, n)
+	}
+	if h.n < n && a.searched < searchedPerUpdate && len(a.targets) > deepRanked {
+		a.searched++
+		h = a.roomy(e, a.rank(e.Object, len(a.targets)), n)
 	}
 	for h.n < n {
-		id, ok := a.leastFilled(e, &h)
+		id, ok := a.leastFilled(e, &h, e.work/float64(n))
 		if !ok {
 			break
 		}
@@ -133,11 +139,11 @@
 	return h
 }
 
-// roomy returns the first n ranked targets that have room for their parts of an entry.
-func (a *assignment) roomy(e *entry, n int) Homes {
+// roomy returns the first n of some targets that have room for their parts of an entry.
+func (a *assignment) roomy(e *entry, ranked []uint64, n int) Homes {
 	var h Homes
 	part := e.work / float64(n)
-	for _, id := range e.ranked {
+	for _, id := range ranked {
 		if i, ok := a.index[id]; ok && h.n < n && a.load[i]+part <= a.limit[i] {
 			h.add(id)
 		}
@@ -145,15 +151,16 @@
 	return h
 }
 
-// leastFilled returns the ranked target that is filled least and not among h; false if there is none.
-func (a *assignment) leastFilled(e *entry, h *Homes) (least uint64, found bool) {
+// leastFilled returns the ranked target that would be filled least by a part of an entry, and is not
+// among h; false if there is none.
+func (a *assignment) leastFilled(e *entry, h *Homes, part float64) (least uint64, found bool) {
 	fill := math.Inf(1)
 	for _, id := range e.ranked {
 		i, ok := a.index[id]
 		if !ok || slices.Contains(h.IDs(), id) {
 			continue
 		}
-		if f := a.load[i] / max(a.limit[i], leastWork); f < fill {
+		if f := (a.load[i] + part) / max(a.limit[i], leastWork); f < fill {
 			least, fill, found = id, f, true
 		}
 	}
--- a/internal/placement/ledger.go
+++ b/internal/placement/ledger.go
@@ -12,8 +12,8 @@
 	// one that is asked for twice a second, so that its work is known to about a third.
 	smoothing = 5 * time.Second
 	// levelDrift is by how many levels the work of an object must differ from the told level to be
-	// told anew. Smaller differences are mostly chance, and each may move an object.
-	levelDrift = 3
+	// told anew: by a factor of two. Smaller differences are mostly chance, and each may move an object.
+	levelDrift = 4
 	// forgetBelow is the number of requests within smoothing below which an object is forgotten.
 	forgetBelow = 0.05
 	// Retention is how long the end of an object's work is told. Who has heard nothing for longer asks
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -9,16 +9,18 @@
 
 const (
 	// bound is the most work that a target is planned for, as a multiple of its part of all work.
-	bound = 1.25
-	// comfortShare is the part of a target's slots that may be busy in any case: at half of four
-	// slots, one request in six waits.
-	comfortShare = 0.5
+	bound = 1.15
+	// comfortShare is the part of a target's slots that may be busy in any case: at 0.6 of four slots,
+	// less than a third of the requests wait, for less than one duration of work.
+	comfortShare = 0.6
 	// nearShare is the most of a region's slots that is planned for objects with large answers. At
 	// more, requests wait for longer than they take from another region.
 	nearShare = 0.7
 	// homeShare is the part of a target's slots that one object may keep busy. One that needs more
 	// gets another home.
 	homeShare = 0.5
+	// searchedPerUpdate is for how many objects all targets are looked at in one update.
+	searchedPerUpdate = 50
 	// largeShare is the part of a target's limit from which on an object counts as large.
 	largeShare = 0.25
 	// MaxHomes is how many homes an object has at most.
@@ -30,15 +32,12 @@
 	settle = time.Second
 	// activeFor is how long a plan is kept in use after the last target was over the bound.
 	activeFor = 10 * time.Second
-	// moveShare is the part of a service's work that may move in one update, and crossShare the part
-	// that may move between regions in a crossWindow: a third of the usual cap on shifts, as callers
-	// that move use it too.
-	moveShare   = 0.1
-	crossShare  = 0.05
-	crossWindow = 2 * time.Second
-	// planInterval is the time between two updates, and more where there are many objects.
-	planInterval    = time.Second
-	planObjectsPerS = 20_000
+	// moveShare is the part of a service's work that may move in one update.
+	moveShare = 0.1
+	// planInterval is the time between two updates, and more where there are many objects and targets, so
+	// that they take about 1% of a core.
+	planInterval = time.Second
+	plannedPerS  = 10_000
 	// rankedPerUpdate is how many objects are ranked anew in one update.
 	rankedPerUpdate = 1000
 )
@@ -83,6 +82,7 @@
 // Plan places the objects of a service.
 type Plan struct {
 	entries     map[Object]*entry  // maxObjects at most
+	work        float64            // of all entries, in slots
 	sorted      []*entry           // same entries, those with more work first; nil if outdated
 	round       int                // increases when all loads are told anew
 	inRound     bool               // a round has begun and not ended
@@ -90,8 +90,6 @@
 	version     int                // of the targets
 	activeUntil time.Time          // the plan is in use until then
 	updateAt    time.Time          // the next update
-	crossFrom   time.Time          // begin of the current crossWindow
-	crossed     float64            // work that has moved between regions within it
 	load        map[uint64]float64 // work of the homes in use by target
 	stats       Stats
 }
@@ -110,6 +108,9 @@
 	return &Plan{entries: make(map[Object]*entry), maxHomes: MaxHomes, version: 1}
 }
 
+// OneHome reports whether no object has a second home.
+func (p *Plan) OneHome() bool { return p.maxHomes == 1 }
+
 // SetHomes sets how many homes an object has at most.
 func (p *Plan) SetHomes(n int) { p.maxHomes = min(max(n, 1), MaxHomes) }
 
@@ -124,6 +125,7 @@
 	p.inRound = false
 	for o, e := range p.entries {
 		if e.heard != p.round {
+			p.work -= e.work
 			delete(p.entries, o)
 			p.sorted = nil
 		}
@@ -135,10 +137,15 @@
 	e := p.entries[l.Object]
 	switch work := l.Work(); {
 	case work == 0:
-		delete(p.entries, l.Object)
+		if e != nil {
+			p.work -= e.work
+			delete(p.entries, l.Object)
+		}
 	case e != nil:
+		p.work += work - e.work
 		e.work, e.heard = work, p.round
 	case len(p.entries) < maxObjects:
+		p.work += work
 		p.entries[l.Object] = &entry{Object: l.Object, work: work, heard: p.round}
 	}
 	p.sorted = nil
@@ -162,22 +169,26 @@
 // Load returns the work that is planned at a target, in slots.
 func (p *Plan) Load(target uint64) float64 { return p.load[target] }
 
+// Work returns the work of all objects, in slots.
+func (p *Plan) Work() float64 { return p.work }
+
 // Stats returns what the last update found.
 func (p *Plan) Stats() Stats { return p.stats }
 
 // Due reports whether the plan is to be updated.
 func (p *Plan) Due(now time.Time) bool { return len(p.entries) > 0 && !now.Before(p.updateAt) }
 
-// Update plans anew and moves a few objects.
-func (p *Plan) Update(now time.Time, targets []Target, rank Ranker) {
-	p.updateAt = now.Add(planInterval + time.Duration(len(p.entries))*time.Second/planObjectsPerS)
+// Update plans anew and moves a few objects, those between regions within the budget. perSlot is how many
+// requests a second keep a slot busy.
+func (p *Plan) Update(now time.Time, targets []Target, rank Ranker, budget *Budget, perSlot float64) {
+	p.updateAt = now.Add(planInterval + time.Duration(len(p.entries)+len(targets))*time.Second/plannedPerS)
 	p.sort()
 	p.rank(rank)
 	a := newAssignment(targets, p.sorted, p.maxHomes, rank)
 	if a.assign(p.sorted) {
 		p.activeUntil = now.Add(activeFor)
 	}
-	p.move(now, a)
+	p.move(now, a, budget, perSlot)
 	p.describe(a)
 }
 
@@ -211,14 +222,13 @@
 	}
 }
 
-// move brings the homes in use nearer to those that are wanted.
-func (p *Plan) move(now time.Time, a *assignment) {
-	if now.Sub(p.crossFrom) >= crossWindow {
-		p.crossFrom, p.crossed = now, 0
-	}
+// move brings the homes in use nearer to those that are wanted. An object that is new goes there at
+// once.
+func (p *Plan) move(now time.Time, a *assignment, budget *Budget, perSlot float64) {
 	moved := 0.0
 	for _, e := range p.sorted {
-		if e.homes.n == 0 {
+		isNew := e.homes.n == 0
+		if isNew {
 			e.homes = a.first(e, 1)
 		}
 		if e.next.n == 0 || e.homes == e.next {
@@ -234,18 +244,17 @@
 			continue
 		}
 		step, work := e.step()
-		if now.Sub(e.nextSince) < settle || moved > 0 && moved+work > moveShare*a.work {
+		if !isNew && (now.Sub(e.nextSince) < settle || moved > 0 && moved+work > moveShare*a.work) {
 			continue
 		}
-		if a.crosses(e, &step) {
-			if p.crossed+work > crossShare*a.work {
-				continue
-			}
-			p.crossed += work
+		if a.crosses(e, &step) && !budget.spend(work*perSlot) {
+			continue
 		}
-		moved += work
 		e.homes = step
-		p.stats.Moves++
+		if !isNew {
+			moved += work
+			p.stats.Moves++
+		}
 	}
 }
 
@@ -264,7 +273,7 @@
 // describe sets what Load and Stats return.
 func (p *Plan) describe(a *assignment) {
 	p.load = make(map[uint64]float64, len(a.targets))
-	s := Stats{Objects: len(p.sorted), Moves: p.stats.Moves, Work: a.work}
+	s := Stats{Objects: len(p.sorted), Moves: p.stats.Moves, Work: p.work}
 	for _, e := range p.sorted {
 		if first := a.first(e, 1); e.homes.n > 0 && first.n > 0 && first.ids[0] != e.homes.ids[0] {
 			s.Displaced++
--- a/internal/placement/plan_test.go
+++ b/internal/placement/plan_test.go
@@ -16,6 +16,7 @@
 type world struct {
 	targets []Target
 	loads   []Load
+	budget  Budget
 }
 
 // newWorld returns a world whose targets have 4 slots, in regions of the given sizes, the first of which
@@ -56,11 +57,17 @@
 	return ids[:min(n, len(ids))]
 }
 
+// update updates a plan; a slot does 4 requests a second.
+func (w *world) update(p *Plan, now time.Time) {
+	w.budget.Refill(now, 4*p.Work())
+	p.Update(now, w.targets, w.rank, &w.budget, 4)
+}
+
 // run updates a plan each second and returns the time after it.
 func (w *world) run(p *Plan, now time.Time, seconds int) time.Time {
 	for range seconds {
 		now = now.Add(time.Second)
-		p.Update(now, w.targets, w.rank)
+		w.update(p, now)
 	}
 	return now
 }
@@ -102,7 +109,7 @@
 			w := newWorld(1, []int{tt.targets}, tt.objects, tt.part, tt.skew)
 			p := w.plan()
 			w.run(p, start, 60)
-			limit := bound * p.Stats().Work / float64(tt.targets)
+			limit := bound * p.Work() / float64(tt.targets)
 			most := make(map[uint64]float64) // greatest work of one object by target
 			for _, e := range p.entries {
 				for _, id := range e.homes.IDs() {
@@ -204,7 +211,7 @@
 				sum += work
 			}
 		}
-		return sum / p.Stats().Work
+		return sum / p.Work()
 	}
 	last := 0.0
 	for range 60 {
@@ -214,7 +221,7 @@
 		}
 		last = far()
 	}
-	near, smallest := p.Stats().Work*(1-last), w.loads[len(w.loads)-1].Work()
+	near, smallest := p.Work()*(1-last), w.loads[len(w.loads)-1].Work()
 	if room := nearShare * 4 * 4; near > room || near < room-4*smallest {
 		t.Errorf("got %.1f slots planned near, want %.1f up to what is left for no object at 4 targets", near, room)
 	}
--- a/internal/steer/fleet.go
+++ b/internal/steer/fleet.go
@@ -20,6 +20,7 @@
 	region       string            // of this instance
 	regionNames  []string          // of all regions; sorted
 	counts       *placement.Counts // requests for objects that others have not been told of
+	moves        placement.Budget  // of objects between regions
 	targets      map[string]*target
 	byHash       map[uint64]*target // same targets by the hashes of their IDs
 	services     map[string]*service
--- a/internal/steer/homes.go
+++ b/internal/steer/homes.go
@@ -83,7 +83,7 @@
 	}
 	miss := float64(mean) * missCostFactor
 	if q.homes > 0 {
-		return cost + plannedMissCost(miss, c.globalRank-q.homes, q.Objective)
+		return cost + plannedMissCost(miss, c.globalRank-q.homes, q)
 	}
 	missed := missCost(miss, c.globalRank)
 	if f.hasLocalHomes(q) {
@@ -105,10 +105,15 @@
 }
 
 // plannedMissCost returns the expected cost of a cache miss at a target that is ranked after the
-// planned homes. Waiting at a home for less than the objective costs less, as it displaces nothing.
-func plannedMissCost(miss float64, after int, objective time.Duration) time.Duration {
+// planned homes. If it would push out what is warm there, waiting at the home for less than the
+// objective costs less.
+func plannedMissCost(miss float64, after int, q *Query) time.Duration {
 	if after < 0 {
 		return 0
 	}
-	return max(missCost(miss, after+1), objective)
+	cost := missCost(miss, after+1)
+	if q.oneHome {
+		return max(cost, q.Objective)
+	}
+	return cost
 }
--- a/internal/steer/order.go
+++ b/internal/steer/order.go
@@ -145,7 +145,7 @@
 	}
 	if homes := f.plannedHomes(now, s, q); len(homes) > 0 {
 		if q.homes = f.promote(now, o, q, homes); q.homes > 0 {
-			q.plannedHome = o.global.list[0].ID
+			q.plannedHome, q.oneHome = o.global.list[0].ID, s.oneHome()
 		}
 	}
 	return o
--- a/internal/steer/pick.go
+++ b/internal/steer/pick.go
@@ -27,6 +27,7 @@
 	object      placement.Object // set by Pick if there is an Object
 	homes       int              // of the object by plan, ranked first; 0 if it is placed by hash; set by order
 	plannedHome string           // ID of the first of them
+	oneHome     bool             // the object's other targets would push out what is warm; set by order
 }
 
 // Reason is why a request is refused.
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -14,6 +15,9 @@
 	warmQuantile = 0.25
 	// warmStep is the part by which a sample moves the estimate of the quantile.
 	warmStep = 0.05
+	// thrashRatio is the mean duration of requests, as a multiple of that of warm work, from which on
+	// targets are taken to have more objects than they keep warm: a third of the requests run cold then.
+	thrashRatio = 1.75
 	// boundRegions is how many regions a set of regions can tell apart.
 	boundRegions = 15
 )
@@ -30,6 +34,11 @@
 	}
 }
 
+// oneHome reports whether objects have one home, as another would push out what is warm there.
+func (s *service) oneHome() bool {
+	return s.plan.OneHome() || s.warmLatency > 0 && float64(s.meanLatency) > thrashRatio*float64(s.warmLatency)
+}
+
 // countObject counts the request's object. Only work at targets that report their load is planned.
 func (f *Fleet) countObject(s *service, q *Query) {
 	if q.Object == "" || !s.reportsLoad {
@@ -99,14 +108,40 @@
 	}
 }
 
-// PlaceObjects updates the plans that are due.
-func (f *Fleet) PlaceObjects(now time.Time) {
+// Placement is what is planned for a service.
+type Placement struct {
+	Service string
+	placement.Stats
+}
+
+// PlaceObjects updates the plans that are due, and returns those in which objects have moved.
+func (f *Fleet) PlaceObjects(now time.Time) []Placement {
+	requests := 0.0
 	for _, s := range f.services {
-		if s.plan.Due(now) {
-			r := f.newRanker(s)
-			s.plan.Update(now, r.targets(), r.rank)
+		requests += s.plan.Work() * s.perSlot()
+	}
+	f.moves.Refill(now, requests)
+	var moved []Placement
+	for _, name := range slices.Sorted(maps.Keys(f.services)) {
+		s := f.services[name]
+		if !s.plan.Due(now) {
+			continue
 		}
+		r, before := f.newRanker(s), s.plan.Stats().Moves
+		s.plan.Update(now, r.targets(), r.rank, &f.moves, s.perSlot())
+		if after := s.plan.Stats(); after.Moves != before {
+			moved = append(moved, Placement{name, after})
+		}
+	}
+	return moved
+}
+
+// perSlot returns how many requests a second keep a slot busy if they are warm.
+func (s *service) perSlot() float64 {
+	if s.warmLatency == 0 {
+		return 0
 	}
+	return float64(time.Second) / float64(s.warmLatency)
 }
 
 // PlacementStats returns what is planned for a service.
--- a/internal/steer/place_test.go
+++ b/internal/steer/place_test.go
@@ -125,11 +125,12 @@
 	}
 }
 
-// An object's home is full. Requests wait there as long as they are answered within the objective, as
-// others push out what is warm elsewhere, and go to the next target only then.
+// An object's home is full, and any other target would push out what is warm there. Requests wait as long
+// as they get a slot within the objective, and go to the next target only then.
 func TestSecondHomeOfPlan(t *testing.T) {
 	work := equalWork(64, 0.5)
 	f, now := placed(t, "n1", work, false)
+	f.SetHomes("s", 1)
 	home := pickOf(f, now, "1", nil).Target.ID
 	f.services["s"].meanLatency = 200 * time.Millisecond
 	used := make(map[string]int)
@@ -144,3 +145,24 @@
 		t.Errorf("got %v, want 12 at %s and 1 at another", used, home)
 	}
 }
+
+// One object needs the slots of several targets. Its requests are spread over its homes, and wait at none
+// while another has a free slot.
+func TestHotObject(t *testing.T) {
+	work := equalWork(32, 0.2)
+	work["hot"] = 5
+	f, now := placed(t, "n1", work, false)
+	used := make(map[string]int)
+	for range 12 {
+		q := query("hot")
+		q.Deadline = now.Add(time.Minute)
+		c := f.Pick(now, q)
+		if c.Wait > 0 {
+			t.Errorf("got a wait of %s at %s, want none", c.Wait, c.Target.ID)
+		}
+		used[c.Target.ID]++
+	}
+	if len(used) != 3 {
+		t.Errorf("got %v, want 4 at each of 3 homes", used)
+	}
+}
