--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -39,9 +39,14 @@
 // receiveObjectLoads applies the work of objects, and updates the plans of their homes.
 func (n *Node) receiveObjectLoads(now time.Time, b placement.Batch) {
 	n.mu.Lock()
-	defer n.mu.Unlock()
 	n.fleet.ApplyObjectLoads(b)
-	n.fleet.PlaceObjects(now)
+	moved := n.fleet.PlaceObjects(now)
+	n.mu.Unlock()
+	for _, m := range moved {
+		if suppressed, ok := n.changeLimiter.Allow(now); ok {
+			n.cfg.Log.Info("homes moved", "service", m.Service, "objects", m.Objects, "displaced", m.Displaced, "moves", m.Moves, "work", m.Work, "highest", m.Highest, "suppressed", suppressed)
+		}
+	}
 }
 
 // loadExchangeFailed counts and logs a failed exchange of load reports.
--- a/internal/metrics/edge.go
+++ b/internal/metrics/edge.go
@@ -23,6 +23,15 @@
 	nameUsableTargets = "targets_usable"    // by service: targets that are neither leaving, evacuated, ejected nor backing off
 )
 
+// Names of the gauges of the plan of a service's homes.
+const (
+	namePlacedObjects    = "placement_objects"      // with known work
+	nameDisplacedObjects = "placement_displaced"    // not at the target that their hash alone gives
+	namePlacementMoves   = "placement_moves"        // of objects since the start of the process
+	namePlacementWork    = "placement_work_slots"   // slots that the region's objects keep busy if warm
+	namePlacementHighest = "placement_load_highest" // greatest planned load of a target as a multiple of its bound
+)
+
 // Names of the gauges of a bound over all instances, with labels bound and service. Those of quotas
 // are in tokens per second, of all workspaces together.
 const (
@@ -73,9 +82,19 @@
 
 // EdgeService holds the values of a service's gauges.
 type EdgeService struct {
-	Name    string
-	Targets int
-	Usable  int
+	Name      string
+	Targets   int
+	Usable    int
+	Placement Placement
+}
+
+// Placement holds the values of the gauges of the plan of a service's homes.
+type Placement struct {
+	Objects   int
+	Displaced int
+	Moves     uint64
+	Work      float64
+	Highest   float64
 }
 
 // SetEdgeGauges sets the gauges of an instance on the users' platform.
@@ -95,6 +114,13 @@
 		scope := s.scope.Tagged(map[string]string{"service": v.Name})
 		scope.Gauge(nameTargets).Update(float64(v.Targets))
 		scope.Gauge(nameUsableTargets).Update(float64(v.Usable))
+		if p := v.Placement; p.Objects > 0 {
+			scope.Gauge(namePlacedObjects).Update(float64(p.Objects))
+			scope.Gauge(nameDisplacedObjects).Update(float64(p.Displaced))
+			scope.Gauge(namePlacementMoves).Update(float64(p.Moves))
+			scope.Gauge(namePlacementWork).Update(p.Work)
+			scope.Gauge(namePlacementHighest).Update(p.Highest)
+		}
 	}
 	for _, b := range e.Bounds {
 		scope := s.scope.Tagged(map[string]string{"bound": b.Name, "service": b.Service})
