--- a/internal/steer/fleet.go
+++ b/internal/steer/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
+	"github.com/firlever/firlever/internal/placement"
 	"github.com/firlever/firlever/internal/reservation"
 	"github.com/firlever/firlever/internal/retry"
 	"github.com/firlever/firlever/internal/routes"
@@ -17,7 +19,10 @@
 // Fleet holds the targets of all services and selects one for each request.
 type Fleet struct {
 	cfg          Config
-	region       string // of this instance
+	region       string            // of this instance
+	regionNames  []string          // of all regions; sorted
+	counts       *placement.Counts // requests for objects that others have not been told of
+	moves        placement.Budget  // of objects between regions
 	targets      map[string]*target
 	byHash       map[uint64]*target // same targets by the hashes of their IDs
 	services     map[string]*service
@@ -52,6 +57,9 @@
 	typicalLoad   float64                  // running mean of other instances' requests per slot of a target, from load reports; 0 or more
 	slowdowns     *slowdownStats           // nil until a target of the service reports a slowdown
 	split         *versionSplit            // nil if no rollout was ordered
+	nameHash      uint64                   // hash of the name
+	warmLatency   time.Duration            // estimated duration of warm work; 0 before the first sample
+	plan          *placement.Plan          // of the objects' homes
 	retriesUntil  time.Time                // latest time at which a refused caller was asked to retry
 }
 
@@ -68,10 +76,12 @@
 		byHash:       make(map[uint64]*target),
 		services:     make(map[string]*service),
 		constraints:  make(map[runKey]*constraints),
+		counts:       placement.NewCounts(),
 		evacuated:    make(map[string]bool),
 		paths:        make(map[string]*path),
 		expiredPeers: make(map[string]time.Time),
 	}
+	f.regionNames = slices.Compact(slices.Sorted(maps.Values(cfg.Regions)))
 	f.updatePart(cfg.Started)
 	return f, nil
 }
@@ -234,6 +244,7 @@
 		s = &service{
 			limits: routes.Service{Name: name}, budget: f.newBudget(now), retries: retry.NewDemand(now, f.budgetSpan()),
 			returns: reservation.NewSchedule(f.phase(name)), domainLatency: make(map[string]time.Duration),
+			nameHash: hash(name), plan: placement.NewPlan(),
 		}
 		f.services[name] = s
 	}
--- a/internal/steer/outcome.go
+++ b/internal/steer/outcome.go
@@ -80,6 +80,7 @@
 	}
 	t.recordLatency(now, took)
 	s := f.services[t.Service]
+	s.recordWarm(took)
 	s.meanLatency = smooth(s.meanLatency, took)
 	if roundTrip := t.path.roundTrip(); roundTrip > 0 {
 		s.meanRoundTrip = smooth(s.meanRoundTrip, roundTrip)
