--- a/internal/edge/quota.go
+++ b/internal/edge/quota.go
@@ -43,7 +43,7 @@
 	if a.workspace == nil || a.workspace.Rate <= 0 {
 		return nil
 	}
-	d := n.quotas.Take(ctx, a.workspace.Name, a.route.Priority)
+	d := n.quotas.Take(ctx, a.workspace.Name)
 	n.cfg.Metrics.CountQuotaRequest(a.workspace.Name, d.Allowed)
 	if d.Allowed {
 		return nil
@@ -67,7 +67,7 @@
 		askedMembers = append(askedMembers, m.Name)
 	}
 	n.cfg.Log.Warn("request", "id", info.ID, "route", a.route.Name, "workspace", a.workspaceName(), "status", http.StatusTooManyRequests,
-		"reason", "over-quota", "priority", a.route.Priority, "tokens", d.TokensLeft, "reserved", d.Reserved, "rate", d.Rate, "demand", d.Demand, "asked", askedMembers, "wanted", d.Want.Tokens,
+		"reason", "over-quota", "tokens", d.TokensLeft, "rate", d.Rate, "demand", d.Demand, "asked", askedMembers, "wanted", d.Want.Tokens,
 		"again", d.RetryAfter, "took", now.Sub(r.ReceivedAt), "config", a.rules.Config().Version, "store-age", n.mirror.Age(now), "suppressed", suppressed)
 }
 
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -30,12 +30,10 @@
 	until time.Time
 }
 
-// tokenBatch is a number of tokens that another instance gave for requests of a priority. More urgent
-// ones may use them too.
+// tokenBatch is a number of tokens that another instance gave.
 type tokenBatch struct {
-	count    int
-	priority int
-	until    time.Time
+	count int
+	until time.Time
 }
 
 // available returns the rate and capacity of the bucket at a time, with its loans.
@@ -86,31 +84,30 @@
 	return sum
 }
 
-// take takes a token for a request of a priority, preferably a borrowed one, because those expire. It
-// leaves reserve tokens in the stock.
-func (b *bucket) take(now time.Time, priority int, reserve float64) bool {
-	b.borrowedTokens = slices.DeleteFunc(b.borrowedTokens, func(t tokenBatch) bool { return t.count == 0 || !now.Before(t.until) })
-	for i := range b.borrowedTokens {
-		if t := &b.borrowedTokens[i]; t.priority >= priority {
-			t.count--
+// take takes a token, preferably a borrowed one, because those expire.
+func (b *bucket) take(now time.Time) bool {
+	for len(b.borrowedTokens) > 0 {
+		first := &b.borrowedTokens[0]
+		if first.count > 0 && now.Before(first.until) {
+			first.count--
 			return true
 		}
+		b.borrowedTokens = b.borrowedTokens[1:]
 	}
-	if b.stock < 1+reserve {
+	if b.stock < 1 {
 		return false
 	}
 	b.stock--
 	return true
 }
 
-// give removes tokens for another instance: as many as it requests, and at most half of what the stock
-// holds beyond reserve, or the last one.
-func (b *bucket) give(want int, reserve float64) int {
-	left := b.stock - reserve
-	if left < 1 {
+// give removes tokens for another instance: as many as it requests, and at most half of the stock,
+// or the last one.
+func (b *bucket) give(want int) int {
+	if b.stock < 1 {
 		return 0
 	}
-	given := min(want, max(1, int(left/2)))
+	given := min(want, max(1, int(b.stock/2)))
 	b.stock -= float64(given)
 	return given
 }
--- a/internal/quota/demand.go
+++ b/internal/quota/demand.go
@@ -23,29 +23,16 @@
 // quota is this instance's state of a workspace's quota.
 type quota struct {
 	bucket
-	urgency
 
 	limit   Limit
 	divided bool     // share and holders match the current members and bounds
 	holders []Member // the other holders, the nearest first
 
-	avoided map[string]avoidance // by name: holders that gave less than requested
+	avoidUntil map[string]time.Time // by name: holders that gave less than requested aren't asked before
 
 	demand      float64   // requests per second, smoothed over demandWindow
 	demandAt    time.Time // the time of demand
 	lastRetryAt time.Time // the latest time at which a refused caller was told to retry
-	nextTokenAt time.Time // the earliest time at which a holder that was asked will have a token
-}
-
-// avoidance keeps a holder from being asked for requests of a priority, and of less urgent ones.
-type avoidance struct {
-	priority int
-	until    time.Time
-}
-
-// covers reports whether the holder is not asked for a request of a priority.
-func (a avoidance) covers(now time.Time, priority int) bool {
-	return now.Before(a.until) && priority >= a.priority
 }
 
 // decayDemand decays the demand to a time.
@@ -62,39 +49,21 @@
 	q.demand += 1 / demandWindow.Seconds()
 }
 
-// reserve returns how many tokens a request of a priority leaves for more urgent ones: none while the
-// workspace asks for no more than the share.
-func (q *quota) reserve(now time.Time, priority int) float64 {
-	available := q.available(now)
-	if q.urgency.total(now) <= available.rate {
-		return 0
-	}
-	return q.urgency.reserve(now, priority, available.maxStock)
-}
-
-// recordPromise records that a holder which was asked has its next token after a time.
-func (q *quota) recordPromise(now time.Time, after time.Duration) {
-	at := now.Add(after)
-	if !q.nextTokenAt.After(now) || at.Before(q.nextTokenAt) {
-		q.nextTokenAt = at
-	}
-}
-
-// want returns what to request from others for a request of a priority: tokens for the demand of
-// tokenLifetime that may use them, and the rate that the share lacks for the demand.
-func (q *quota) want(now time.Time, priority int) Want {
-	w := Want{Tokens: 1 + int(q.demandFrom(now, priority)*tokenLifetime.Seconds()), Priority: priority}
+// want returns what to request from others: tokens for the demand of tokenLifetime, and the rate
+// that the share lacks for the demand.
+func (q *quota) want(now time.Time) Want {
+	w := Want{Tokens: 1 + int(q.demand*tokenLifetime.Seconds())}
 	if q.demand >= minBorrowDemand {
 		w.Rate = max(0, headroom*q.demand-q.available(now).rate)
 	}
 	return w
 }
 
-// holdersToAsk returns the holders that may have tokens for a request of a priority, at most maxAsked.
-func (q *quota) holdersToAsk(now time.Time, priority int) []Member {
+// holdersToAsk returns the holders that may have tokens, at most maxAsked.
+func (q *quota) holdersToAsk(now time.Time) []Member {
 	var list []Member
 	for _, m := range q.holders {
-		if len(list) < maxAsked && !q.avoided[m.Name].covers(now, priority) {
+		if len(list) < maxAsked && !now.Before(q.avoidUntil[m.Name]) {
 			list = append(list, m)
 		}
 	}
@@ -104,19 +73,15 @@
 // pruneAvoided removes instances that hold nothing of this quota any more. Instances are replaced
 // all the time, so the map would grow.
 func (q *quota) pruneAvoided() {
-	maps.DeleteFunc(q.avoided, func(name string, _ avoidance) bool {
+	maps.DeleteFunc(q.avoidUntil, func(name string, _ time.Time) bool {
 		return !slices.ContainsFunc(q.holders, func(m Member) bool { return m.Name == name })
 	})
 }
 
-// untilNextToken returns how long it takes until the bucket holds a token or, if nothing flows into it,
-// until a holder has one.
+// untilNextToken returns how long it takes until the bucket holds a token.
 func (q *quota) untilNextToken(now time.Time) time.Duration {
 	rate := q.available(now).rate
 	if rate <= 0 {
-		if q.nextTokenAt.After(now) {
-			return q.nextTokenAt.Sub(now)
-		}
 		return partialBackoff
 	}
 	return time.Duration(max(0, 1-q.stock) / rate * float64(time.Second))
--- a/internal/quota/exchange.go
+++ b/internal/quota/exchange.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"maps"
@@ -66,11 +65,11 @@
 }
 
 // Take takes a token for a request of a workspace, from another instance if necessary. Requests
-// that wait for the same holders' answers share them. Priority 0 is the most urgent.
-func (x *Exchange) Take(ctx context.Context, workspace string, priority int) Decision {
+// that wait for the same holders' answers share them.
+func (x *Exchange) Take(ctx context.Context, workspace string) Decision {
 	now := boottime.Now()
 	x.mu.Lock()
-	d := x.ledger.Take(now, workspace, priority)
+	d := x.ledger.Take(now, workspace)
 	x.mu.Unlock()
 	if d.Allowed {
 		return d
@@ -81,7 +80,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	asked := d
-	d = x.ledger.Retry(boottime.Now(), workspace, priority)
+	d = x.ledger.Retry(boottime.Now(), workspace)
 	d.Holders, d.Want = asked.Holders, asked.Want
 	return d
 }
@@ -166,7 +165,7 @@
 	want.Tokens = min(want.Tokens, maxWanted)
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
-	query := url.Values{"workspace": {workspace}, "tokens": {strconv.Itoa(want.Tokens)}, "rate": {strconv.FormatFloat(want.Rate, 'g', -1, 64)}, "priority": {strconv.Itoa(want.Priority)}}
+	query := url.Values{"workspace": {workspace}, "tokens": {strconv.Itoa(want.Tokens)}, "rate": {strconv.FormatFloat(want.Rate, 'g', -1, 64)}}
 	b, err := x.client.Post(ctx, address, Path, query, nil)
 	if err != nil {
 		return answer{}, err
@@ -187,13 +186,8 @@
 		http.Error(w, "tokens or rate is not a valid number", http.StatusBadRequest)
 		return
 	}
-	priority, err := strconv.Atoi(cmp.Or(query.Get("priority"), "0")) // earlier versions send none
-	if err != nil {
-		http.Error(w, "priority is not a valid number", http.StatusBadRequest)
-		return
-	}
 	x.mu.Lock()
-	g := x.ledger.Give(boottime.Now(), query.Get("workspace"), Want{Tokens: tokens, Rate: rate, Priority: priority})
+	g := x.ledger.Give(boottime.Now(), query.Get("workspace"), Want{Tokens: tokens, Rate: rate})
 	x.mu.Unlock()
 	b, err := json.Marshal(answer{Tokens: g.Tokens, Rate: g.Rate, MaxStock: g.MaxStock, RetryAfterMs: g.RetryAfter.Milliseconds()})
 	if err != nil {
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -21,9 +21,8 @@
 
 // Want is what an instance requests from another one.
 type Want struct {
-	Tokens   int
-	Rate     float64 // tokens per second, for rateLoanDuration; 0 if single tokens suffice
-	Priority int     // of the request that needs a token; 0 is the most urgent
+	Tokens int
+	Rate   float64 // tokens per second, for rateLoanDuration; 0 if single tokens suffice
 }
 
 // Grant is what an instance gives to another one.
@@ -140,7 +139,7 @@
 	for name, limit := range limits {
 		q, known := l.quotas[name]
 		if !known {
-			q = &quota{avoided: make(map[string]avoidance)}
+			q = &quota{avoidUntil: make(map[string]time.Time)}
 			l.quotas[name] = q
 		}
 		if q.limit != limit {
@@ -154,7 +153,6 @@
 	Allowed    bool
 	Limited    bool          // the workspace has a limit
 	TokensLeft float64       // tokens left at this instance
-	Reserved   float64       // of them, those that are kept for more urgent requests
 	Rate       float64       // tokens per second at this instance
 	Demand     float64       // requests per second of the workspace at this instance
 	Holders    []Member      // holders that may have tokens, in the order in which to ask them; empty if none is worth asking now
@@ -162,41 +160,38 @@
 	RetryAfter time.Duration // time after which to retry; set if not allowed
 }
 
-// Take takes a token for a request of a workspace, if there is one at this instance. Priority 0 is the
-// most urgent: while the workspace asks for more than this instance has, the last tokens go to it.
-func (l *Ledger) Take(now time.Time, workspace string, priority int) Decision {
+// Take takes a token for a request of a workspace, if there is one at this instance.
+func (l *Ledger) Take(now time.Time, workspace string) Decision {
 	q, limited := l.quotas[workspace]
 	if !limited {
 		return Decision{Allowed: true}
 	}
 	q.countRequest(now)
-	q.urgency.count(now, priority)
-	d := l.take(now, workspace, q, priority)
+	d := l.take(now, workspace, q)
 	if !d.Allowed {
-		d.Holders, d.Want = q.holdersToAsk(now, priority), q.want(now, priority)
+		d.Holders, d.Want = q.holdersToAsk(now), q.want(now)
 	}
 	return d
 }
 
 // Retry takes a token after others were asked for some, without counting the request again. A
 // request that gets none is refused.
-func (l *Ledger) Retry(now time.Time, workspace string, priority int) Decision {
+func (l *Ledger) Retry(now time.Time, workspace string) Decision {
 	q, limited := l.quotas[workspace]
 	if !limited {
 		return Decision{Allowed: true}
 	}
-	d := l.take(now, workspace, q, priority)
+	d := l.take(now, workspace, q)
 	if !d.Allowed {
 		d.RetryAfter = q.retryAfter(now)
 	}
 	return d
 }
 
-func (l *Ledger) take(now time.Time, workspace string, q *quota, priority int) Decision {
+func (l *Ledger) take(now time.Time, workspace string, q *quota) Decision {
 	l.fill(now, workspace, q)
-	reserve := q.reserve(now, priority)
-	allowed := q.take(now, priority, reserve)
-	return Decision{Allowed: allowed, Limited: true, TokensLeft: q.tokensLeft(now), Reserved: reserve, Rate: q.available(now).rate, Demand: q.demand}
+	allowed := q.take(now)
+	return Decision{Allowed: allowed, Limited: true, TokensLeft: q.tokensLeft(now), Rate: q.available(now).rate, Demand: q.demand}
 }
 
 // Give gives tokens to another instance, and lends it a part of this one's share that its own
@@ -208,16 +203,12 @@
 	}
 	l.fill(now, workspace, q)
 	q.decayDemand(now)
-	q.urgency.count(now, want.Priority)
-	g := Grant{Tokens: q.give(want.Tokens, q.reserve(now, want.Priority))}
+	g := Grant{Tokens: q.give(want.Tokens)}
 	if !now.Before(l.fillFrom) && !l.fillFrom.IsZero() {
 		part := q.lend(now, min(want.Rate, q.available(now).rate-headroom*q.demand))
 		g.Rate, g.MaxStock = part.rate, part.maxStock
 	}
-	switch {
-	case g.Tokens == 0 && g.Rate == 0:
-		g.RetryAfter = q.retryAfter(now)
-	case g.Tokens < want.Tokens:
+	if g.Tokens < want.Tokens {
 		g.RetryAfter = q.untilNextToken(now)
 	}
 	return g
@@ -233,13 +224,12 @@
 	l.fill(now, workspace, q)
 	switch {
 	case g.Tokens == 0 && g.Rate == 0:
-		q.avoided[from.Name] = avoidance{want.Priority, now.Add(emptyBackoff)}
-		q.recordPromise(now, g.RetryAfter)
+		q.avoidUntil[from.Name] = now.Add(emptyBackoff)
 	case g.Tokens < want.Tokens:
-		q.avoided[from.Name] = avoidance{want.Priority, now.Add(min(max(g.RetryAfter, minRetryAfter), partialBackoff))}
+		q.avoidUntil[from.Name] = now.Add(min(max(g.RetryAfter, minRetryAfter), partialBackoff))
 	}
 	if until := asked.Add(tokenLifetime); g.Tokens > 0 && now.Before(until) {
-		q.borrowedTokens = append(q.borrowedTokens, tokenBatch{count: g.Tokens, priority: want.Priority, until: until})
+		q.borrowedTokens = append(q.borrowedTokens, tokenBatch{count: g.Tokens, until: until})
 	}
 	if until := asked.Add(rateLoanDuration); g.Rate > 0 && now.Before(until) {
 		q.borrowed = append(q.borrowed, loan{share: share{rate: g.Rate, maxStock: g.MaxStock}, until: until})
