Estimate warm work from requests that found a free slot

Cause: the quartile of all durations counted waits and the first, cold runs as warm work, so that targets looked overloaded at first; and whether a second home pays was decided by waits too. An instance without an answer yet pulled the region's mean to 0. Change: the lowest tenth of the durations of requests for objects that found a free slot, begun at a third of the first one; objects have one home where half of such requests run cold (TestColdRuns). Instances that know no duration don't count in the mean (TestLedger).

--- a/internal/placement/ledger.go
+++ b/internal/placement/ledger.go
@@ -67,11 +67,7 @@
 		*l = Ledger{started: began, updated: began, updateAt: now.Add(ledgerInterval), rows: make(map[ledgerKey]*ledgerRow), warm: l.warm, first: l.last() + 1}
 	}
 	for _, s := range list {
-		if mean, ok := l.warm[s.Service]; ok {
-			l.warm[s.Service] = mean + time.Duration(warmWeight*float64(s.Warm-mean))
-		} else {
-			l.warm[s.Service] = s.Warm
-		}
+		l.addWarm(s.Service, s.Warm)
 		for _, c := range s.Counts {
 			key := ledgerKey{s.Service, c.Object}
 			r := l.rows[key]
@@ -87,6 +83,18 @@
 	}
 }
 
+// addWarm adds an instance's duration of warm work; 0 if it knows none.
+func (l *Ledger) addWarm(service uint64, warm time.Duration) {
+	mean, ok := l.warm[service]
+	switch {
+	case warm == 0:
+	case ok:
+		l.warm[service] = mean + time.Duration(warmWeight*float64(warm-mean))
+	default:
+		l.warm[service] = warm
+	}
+}
+
 // update updates the rates if it is time, and the levels that have changed.
 func (l *Ledger) update(now time.Time) {
 	if l.started.IsZero() || now.Before(l.updateAt) {
--- a/internal/placement/ledger_test.go
+++ b/internal/placement/ledger_test.go
@@ -13,7 +13,7 @@
 		for key, n := range requests {
 			s.Counts = append(s.Counts, Count{Object{Key: key}, n})
 		}
-		l.Add(now, []ServiceCounts{s})
+		l.Add(now, []ServiceCounts{s, {Service: 1}}) // the second instance has had no answer yet
 		l.update(now)
 	}
 	return now
--- a/internal/steer/fleet.go
+++ b/internal/steer/fleet.go
@@ -48,6 +48,7 @@
 	split         *versionSplit            // nil if no rollout was ordered
 	nameHash      uint64                   // hash of the name
 	warmLatency   time.Duration            // estimated duration of warm work; 0 before the first sample
+	objectLatency time.Duration            // running mean of the latency of requests for objects that found a free slot
 	reportsLoad   bool                     // a target has reported its load
 	plan          *placement.Plan          // of the objects' homes
 	retriesUntil  time.Time                // latest time at which a refused caller was asked to retry
--- a/internal/steer/outcome.go
+++ b/internal/steer/outcome.go
@@ -27,6 +27,7 @@
 	Took   time.Duration // from sending the request to the end of the answer
 	Load   *Load         // load that the target reported; nil if none
 	WarmIn time.Duration // how much longer the target stays cold; 0 if not reported
+	Object bool          // the request was about an object
 }
 
 // Done releases the slot that Pick reserved at a target, and records the outcome of the attempt.
@@ -48,6 +49,9 @@
 	case Answered:
 		t.recordSuccess()
 		f.measure(now, t, o.Took)
+		if o.Object && t.currentLoad(now) < t.Slots {
+			t.service.recordObjectLatency(o.Took)
+		}
 	case Shed:
 		// A target that refuses although it reports free slots is not full. With half of the
 		// requests refused this way at all targets for 8.5 of 50 s, this reduced the requests of
@@ -75,7 +79,6 @@
 	}
 	t.recordLatency(now, took)
 	s := f.services[t.Service]
-	s.recordWarm(took)
 	s.meanLatency = smooth(s.meanLatency, took)
 	domainMean, found := s.domainLatency[t.Domain]
 	if !found {
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -10,23 +10,27 @@
 )
 
 const (
-	// warmQuantile is the quantile of the durations of requests that counts as the duration of warm
-	// work. Cold runs and those that waited are above it unless nearly all are.
-	warmQuantile = 0.25
+	// warmQuantile is the quantile of the durations of requests for objects that found a free slot which
+	// counts as the duration of warm work: the others may have run cold.
+	warmQuantile = 0.1
+	// firstColdFactor is how much longer the first requests take than warm ones, as all run cold. Taken
+	// for warm, they would make targets look overloaded.
+	firstColdFactor = 3
 	// warmStep is the part by which a sample moves the estimate of the quantile.
-	warmStep = 0.05
-	// thrashRatio is the mean duration of requests, as a multiple of that of warm work, from which on
-	// targets are taken to have more objects than they keep warm: a third of the requests run cold then.
-	thrashRatio = 1.75
+	warmStep = 0.1
+	// thrashRatio is the mean duration of such requests, as a multiple of that of warm work, from which on
+	// targets are taken to have more objects than they keep warm: half of the requests run cold then.
+	thrashRatio = 2
 	// boundRegions is how many regions a set of regions can tell apart.
 	boundRegions = 15
 )
 
-// recordWarm moves the estimate of how long warm work takes towards a sample.
-func (s *service) recordWarm(took time.Duration) {
+// recordObjectLatency records how long a request for an object ran that had not to wait for a slot.
+func (s *service) recordObjectLatency(took time.Duration) {
+	s.objectLatency = smooth(s.objectLatency, took)
 	switch step := warmStep * float64(s.warmLatency); {
 	case s.warmLatency == 0:
-		s.warmLatency = took
+		s.warmLatency = took / firstColdFactor
 	case took < s.warmLatency:
 		s.warmLatency -= time.Duration(step * (1 - warmQuantile))
 	default:
@@ -36,7 +40,7 @@
 
 // oneHome reports whether objects have one home, as another would push out what is warm there.
 func (s *service) oneHome() bool {
-	return s.plan.OneHome() || s.warmLatency > 0 && float64(s.meanLatency) > thrashRatio*float64(s.warmLatency)
+	return s.plan.OneHome() || s.warmLatency > 0 && float64(s.objectLatency) > thrashRatio*float64(s.warmLatency)
 }
 
 // countObject counts the request's object. Only work at targets that report their load is planned.
--- a/internal/steer/place_test.go
+++ b/internal/steer/place_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -166,3 +167,35 @@
 		t.Errorf("got %v, want 4 at each of 3 homes", used)
 	}
 }
+
+// The first requests run cold, and later a part of them. The estimate is the duration of warm work from early
+// on, and only where most run cold, objects have one home.
+func TestColdRuns(t *testing.T) {
+	tests := map[string]struct {
+		cold float64
+		want bool
+	}{"few cold": {0.2, false}, "most cold": {0.7, true}}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 4, 4)
+			s, rng := f.services["s"], rand.New(rand.NewPCG(1, 1))
+			oneHome := 0
+			for i := range 1000 {
+				took := time.Duration(100+rng.IntN(20)) * time.Millisecond
+				if i < 20 || rng.Float64() < tt.cold {
+					took *= 3
+				}
+				f.Done(start, s.targets[i%4].Target, Outcome{Ending: Answered, Took: took, Object: true, Load: &Load{}})
+				if i >= 500 && s.oneHome() {
+					oneHome++
+				}
+				if w := s.warmLatency; i < 20 && w > 150*time.Millisecond || i > 200 && (w < 80*time.Millisecond || w > 150*time.Millisecond) {
+					t.Fatalf("request %d: got %s, want about 100ms", i, w)
+				}
+			}
+			if got := oneHome > 250; got != tt.want {
+				t.Errorf("got one home an object in %d of 500 choices, want in most: %t", oneHome, tt.want)
+			}
+		})
+	}
+}
