Keep a plan in use until its objects have moved back

Cause: a plan that went out of use with objects still away from their first targets would have moved these all at once, past the bound on moves between regions. Change: it stays in use while any object is displaced. TestBurst plays a burst that comes and goes in three regions and checks what changes its region in each 2 s. It doesn't show what this commit mends: with that taken out it passes.

--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -190,6 +190,9 @@
 	}
 	p.move(now, a, budget, perSlot)
 	p.describe(a)
+	if p.stats.Displaced > 0 {
+		p.activeUntil = now.Add(activeFor) // those that are left would move all at once
+	}
 }
 
 // sort sorts the entries by octaves of work, so that a small change of work leaves the order as it is.
--- a/internal/placement/plan_test.go
+++ b/internal/placement/plan_test.go
@@ -253,3 +253,43 @@
 		})
 	}
 }
+
+// A burst comes and goes. The plan comes into use and goes out of it, and at no time more of the work than
+// allowed changes its region within a crossWindow.
+func TestBurst(t *testing.T) {
+	w := newWorld(6, []int{20, 20, 20}, 240, 0.15, 0.3)
+	region := make(map[uint64]string)
+	for _, target := range w.targets {
+		region[target.ID] = target.Region
+	}
+	p, now, planned := w.plan(), start, 0
+	var before map[Object]string
+	for step := range 90 {
+		for _, l := range w.loads {
+			if step >= 15 && step < 45 {
+				l.Level += 9 // nearly five times the work
+			}
+			p.Set(l)
+		}
+		now = w.run(p, now, int(crossWindow/time.Second))
+		at, crossed := make(map[Object]string), 0.0
+		for o, e := range p.entries {
+			home := e.ranked[0]
+			if h, ok := p.Homes(now, o); ok {
+				home = h.IDs()[0]
+				planned++
+			}
+			at[o] = region[home]
+			if before != nil && at[o] != before[o] {
+				crossed += e.work
+			}
+		}
+		before = at
+		if share := crossed / p.Work(); share > crossShare+1e-9 {
+			t.Errorf("step %d: got %.3f of the work moved between regions, want %.3f at most", step, share, crossShare)
+		}
+	}
+	if _, ok := p.Homes(now, w.loads[0].Object); ok || planned == 0 {
+		t.Errorf("got %d planned homes and the plan still in use: %t, want some in the burst and none at the end", planned, ok)
+	}
+}
