Use a plan wherever the homes of an object are bounded

Cause: SetHomes had no effect while all targets had room, though what bounds homes is how many objects targets keep warm, not how busy they are. Change: a plan with less than the most homes is always in use (TestWithinBound). Nothing calls SetHomes yet, so no choice changes.

--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -111,7 +111,8 @@
 // OneHome reports whether no object has a second home.
 func (p *Plan) OneHome() bool { return p.maxHomes == 1 }
 
-// SetHomes sets how many homes an object has at most.
+// SetHomes sets how many homes an object has at most. A plan with less than MaxHomes is in use even where
+// all targets have room.
 func (p *Plan) SetHomes(n int) { p.maxHomes = min(max(n, 1), MaxHomes) }
 
 // Begin starts a round in which all loads are told anew.
@@ -156,7 +157,7 @@
 
 // Homes returns the homes of an object; false if it is placed by its hash alone.
 func (p *Plan) Homes(now time.Time, o Object) (Homes, bool) {
-	if !now.Before(p.activeUntil) {
+	if !now.Before(p.activeUntil) && p.maxHomes == MaxHomes {
 		return Homes{}, false
 	}
 	e := p.entries[o]
--- a/internal/placement/plan_test.go
+++ b/internal/placement/plan_test.go
@@ -128,7 +128,7 @@
 	}
 }
 
-// A light load is placed by hash alone.
+// A light load is placed by hash alone, unless the number of homes is bounded.
 func TestWithinBound(t *testing.T) {
 	w := newWorld(1, []int{60}, 2000, 0.2, 0)
 	p := w.plan()
@@ -136,6 +136,10 @@
 	if got := len(homes(p, now)); got > 0 {
 		t.Errorf("got %d objects with planned homes, want none", got)
 	}
+	p.SetHomes(1)
+	if got := len(homes(p, now)); got != 2000 {
+		t.Errorf("got %d objects with planned homes where they may have one, want 2000", got)
+	}
 }
 
 // Instances that learn the work in another order, and one that starts later, plan the same homes.
