Place hot objects where they exceed the limits least

Cause: an object that no target has room for went where it filled the least multiple of the limit. Change: it goes where it exceeds the limit least, as a part of the slots. TestHotObjectsSpread fails with the multiple (2 of 12 at one of 40 targets).

--- a/internal/placement/assign.go
+++ b/internal/placement/assign.go
@@ -179,8 +179,9 @@
 	return h
 }
 
-// leastFilled returns the ranked target that would be filled least by a part of an entry, and is not
-// among h; false if there is none.
+// leastFilled returns the ranked target that a part of an entry would bring least beyond its limit, and
+// that is not among h; false if there is none. A multiple of the limit would prefer targets of the own
+// region, whose limits are higher, however full they are.
 func (a *assignment) leastFilled(e *entry, h *Homes, part float64) (least uint64, found bool) {
 	fill := math.Inf(1)
 	for _, id := range e.ranked {
@@ -188,7 +189,7 @@
 		if !ok || slices.Contains(h.IDs(), id) {
 			continue
 		}
-		if f := (a.load[i] + part) / max(a.limit[i], leastWork); f < fill {
+		if f := (a.load[i] + part - a.limit[i]) / a.targets[i].Slots; f < fill {
 			least, fill, found = id, f, true
 		}
 	}
--- a/internal/placement/plan_test.go
+++ b/internal/placement/plan_test.go
@@ -258,6 +258,34 @@
 	}
 }
 
+// Twelve objects each need more than any target's limit, and the four targets of the own region have
+// higher limits than the others. No target gets two of them while others have none.
+func TestHotObjectsSpread(t *testing.T) {
+	w := newWorld(8, []int{4, 36}, 200, 0.1, 0)
+	for i := range w.targets {
+		if w.targets[i].Own = 0.2; w.targets[i].Near {
+			w.targets[i].Own, w.targets[i].Weight = 0.5, 2
+		}
+	}
+	for i := range 12 {
+		w.loads = append(w.loads, Load{Object: Object{Key: uint64(i + 1)}, Level: levelOf(1.8)})
+	}
+	p := w.plan()
+	now := w.run(p, start, 90)
+	hot := make(map[uint64]int)
+	for i := range 12 {
+		h, _ := p.Homes(now, Object{Key: uint64(i + 1)})
+		for _, id := range h.IDs() {
+			hot[id]++
+		}
+	}
+	for id, n := range hot {
+		if n > 1 {
+			t.Errorf("target %x: got %d hot objects of 12 at 40 targets, want 1", id, n)
+		}
+	}
+}
+
 // The work of a few objects doubles or halves each second. Objects that are warm at a target with room stay,
 // so that less moves than changes.
 func TestFewMoves(t *testing.T) {
