Tell runs at targets to the collector, and learn what targets keep

Cause: an instance alone sees too few runs of a target to tell how many objects came between two of one. Change: loads.RunExchange passes runs at sampled targets to the instance that collects loads, and the estimate back; steer feeds a learner for each service whose requests name objects. Line "kept objects", metric kept_objects. Nothing is decided by it. Tests of workingset, loads, explain, metrics, edge pass.

--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -191,7 +191,7 @@
 func (n *Node) recordOutcome(p *pendingRequest, r attempt, v attemptOutcome) {
 	now := boottime.Now()
 	target := r.choice.Target
-	o := steer.Outcome{Ending: v.ending, Took: now.Sub(r.start)}
+	o := steer.Outcome{Ending: v.ending, Took: now.Sub(r.start), Object: p.info.Object, Kind: p.route.Name, Wait: r.choice.Wait}
 	if r.resp == nil && n.partition.partitioned() {
 		o.Ending = steer.NotSent // says nothing about the target
 	}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -43,6 +43,7 @@
 	store          *platform.Store
 	mirror         *mirror.Mirror
 	loads          *loads.Exchange
+	runs           *loads.RunExchange
 	quotas         *quota.Exchange
 	registrar      *registrar
 	budget         *http1.Budget // of bodies that are held for callers and targets
@@ -76,6 +77,7 @@
 	mu          sync.Mutex
 	fleet       *steer.Fleet       // guarded by mu
 	answerSizes map[string]float64 // average bytes of an answer by route; guarded by mu
+	keptLogged  map[string]int     // objects that targets keep by service, as last logged; guarded by mu
 
 	ctx        context.Context // ends with the node
 	cancel     context.CancelFunc
@@ -94,7 +96,7 @@
 	}
 	n := &Node{
 		cfg: cfg, store: platform.NewStore(s.Store), fleet: fleet,
-		evacuated: make(map[string]bool), answerSizes: make(map[string]float64),
+		evacuated: make(map[string]bool), answerSizes: make(map[string]float64), keptLogged: make(map[string]int),
 		successLimiter: logs.NewLimiter(cfg.SuccessLogRate), failureLimiter: logs.NewLimiter(failureLogRate),
 		changeLimiter: logs.NewLimiter(changeLogRate), retryLimiter: logs.NewLimiter(retryLogRate),
 	}
@@ -112,6 +114,7 @@
 	n.peerAddress = choosePeerAddress(s)
 	n.mirror = mirror.New(n.store, n, mirror.Peers{Relays: n.relays, Fallbacks: n.others, Seeds: n.seeds(), FirstStart: s.FirstStart, Self: n.peerAddress, LinkMbps: s.LinkMbps, Registered: n.registeredPeers, Redundant: n.redundant}, compareItems)
 	n.loads = loads.New(loads.Peers{Name: s.Instance, Collector: n.collector, Reports: n.loadReports, Receive: n.receiveLoadReports, Failed: n.loadExchangeFailed})
+	n.runs = loads.NewRuns(loads.RunPeers{Collector: n.collector, Reports: n.keptReports, Receive: n.receiveKeptReports, Failed: n.loadExchangeFailed})
 	n.registrar = newRegistrar(n)
 	n.crashes = newCrashTracker(n)
 	n.rollouts = newRolloutTracker(n)
@@ -146,6 +149,7 @@
 	n.background.Go(func() { n.mirror.Run(ctx) })
 	n.background.Go(func() { n.registrar.run(ctx) })
 	n.background.Go(func() { n.loads.Run(ctx) })
+	n.background.Go(func() { n.runs.Run(ctx) })
 	n.background.Go(func() { n.crashes.notifier.run(ctx) })
 	n.background.Go(func() { n.rollouts.run(ctx) })
 	n.background.Go(func() { n.updateGauges(ctx) })
@@ -241,6 +245,7 @@
 	r := chi.NewRouter()
 	r.Handle(mirror.RelayPath, n.mirror)
 	r.Handle(loads.Path, n.loads)
+	r.Handle(loads.RunsPath, n.runs)
 	r.Handle(quota.Path, n.quotas)
 	r.Handle(crashesPath, n.crashes)
 	r.Handle(rolloutsPath, n.rollouts)
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -78,7 +78,7 @@
 	"relay lost": true, "store followed through a peer": true, "lease not renewed": true, "lease renewed again": true, "lease ended": true,
 	"registration verified": true, "store restored": true,
 	"configuration in force": true, "evacuation": true, "settings reloaded": true, "log lines dropped": true,
-	"loads not exchanged": true, "registration unusable": true, "tokens not asked for": true,
+	"loads not exchanged": true, "kept objects": true, "registration unusable": true, "tokens not asked for": true,
 	"machine was suspended": true, "partitioned from targets": true, "targets reached again": true, "partition not written": true,
 }
 
--- a/internal/metrics/edge.go
+++ b/internal/metrics/edge.go
@@ -21,6 +21,7 @@
 	nameOverloadShare = "overload_share"    // fraction of new requests refused because the process is overloaded
 	nameTargets       = "targets"           // by service: registered targets
 	nameUsableTargets = "targets_usable"    // by service: targets that are neither leaving, evacuated, ejected nor backing off
+	nameKeptObjects   = "kept_objects"      // by service: objects that each target keeps warm; not set before it is known
 )
 
 // Names of the gauges of a bound over all instances, with labels bound and service. Those of quotas
@@ -76,6 +77,7 @@
 	Name    string
 	Targets int
 	Usable  int
+	Kept    int // objects that each target keeps warm; 0 if not known
 }
 
 // SetEdgeGauges sets the gauges of an instance on the users' platform.
@@ -95,6 +97,9 @@
 		scope := s.scope.Tagged(map[string]string{"service": v.Name})
 		scope.Gauge(nameTargets).Update(float64(v.Targets))
 		scope.Gauge(nameUsableTargets).Update(float64(v.Usable))
+		if v.Kept > 0 {
+			scope.Gauge(nameKeptObjects).Update(float64(v.Kept))
+		}
 	}
 	for _, b := range e.Bounds {
 		scope := s.scope.Tagged(map[string]string{"bound": b.Name, "service": b.Service})
--- a/internal/steer/fleet.go
+++ b/internal/steer/fleet.go
@@ -10,6 +10,7 @@
 
 	"github.com/firlever/firlever/internal/retry"
 	"github.com/firlever/firlever/internal/routes"
+	"github.com/firlever/firlever/internal/workingset"
 )
 
 // Fleet holds the targets of all services and selects one for each request.
@@ -30,6 +31,7 @@
 	countedUntil time.Time               // the others count this instance until then
 	part         float64                 // of bounds that is divided among instances like this one: dividedShare or uncountedShare
 	probeRounds  uint64                  // calls of ProbeTargets
+	keptRound    int                     // calls of KeptReports
 }
 
 // service is the state of one service.
@@ -42,6 +44,9 @@
 	typicalLoad   float64                  // running mean of other instances' requests per slot of a target, from load reports; 0 or more
 	split         *versionSplit            // nil if no rollout was ordered
 	retriesUntil  time.Time                // latest time at which a refused caller was asked to retry
+
+	learner         *workingset.Learner // nil until a request names an object
+	sampledOutdated bool                // the learner doesn't know the targets
 }
 
 // New returns an empty fleet, or a *ConfigError if cfg is invalid.
--- a/internal/steer/outcome.go
+++ b/internal/steer/outcome.go
@@ -27,6 +27,9 @@
 	Took   time.Duration // from sending the request to the end of the answer
 	Load   *Load         // load that the target reported; nil if none
 	WarmIn time.Duration // how much longer the target stays cold; 0 if not reported
+	Object string        // object that the request is about; "" if none
+	Kind   string        // requests of a kind take about the same time; their route
+	Wait   time.Duration // part of Took that was expected to be a wait for a slot
 }
 
 // Done releases the slot that Pick reserved at a target, and records the outcome of the attempt.
@@ -47,6 +50,7 @@
 	switch o.Ending {
 	case Answered:
 		t.recordSuccess()
+		f.observe(now, t, &o)
 		f.measure(now, t, o.Took)
 	case Shed:
 		// A target that refuses although it reports free slots is not full. With half of the
--- a/internal/steer/rollout.go
+++ b/internal/steer/rollout.go
@@ -246,8 +246,10 @@
 	slices.SortFunc(list, func(a, b *target) int { return cmp.Compare(mix(a.idHash, seed), mix(b.idHash, seed)) })
 }
 
-// markOutdated has the canaries of a service chosen anew, as its targets have changed.
+// markOutdated has the canaries and the sampled targets of a service chosen anew, as its targets have
+// changed.
 func (s *service) markOutdated() {
+	s.sampledOutdated = s.learner != nil
 	if s.split != nil {
 		s.split.outdated = true
 	}
--- a/internal/workingset/config.go
+++ b/internal/workingset/config.go
@@ -27,7 +27,7 @@
 
 // Defaults of Config.
 const (
-	defaultSampledTargets = 16
+	defaultSampledTargets = 128
 	defaultMaxKeeps       = 512
 	// defaultMinSlowdown: below it, a move of objects costs more than warm runs save.
 	defaultMinSlowdown = 1.5
--- a/internal/workingset/learner.go
+++ b/internal/workingset/learner.go
@@ -17,9 +17,9 @@
 	settleInterval = 250 * time.Millisecond
 	// maxRunTime bounds what a run can have taken; longer is no measurement.
 	maxRunTime = 10 * time.Minute
-	// maxPending bounds the runs that are collected: of 16 targets at 150 runs a second each.
+	// maxPending bounds the runs that are collected: 2,700 a second.
 	maxPending = 4096
-	// completeTTL is after which time without a cut report one more target is told.
+	// completeTTL is after which time without a cut report more targets are told again.
 	completeTTL = 30 * time.Second
 	// maxKinds is how many kinds of work are told apart; the others share one mean.
 	maxKinds = 64
@@ -36,10 +36,10 @@
 type Learner struct {
 	cfg        Config
 	collecting bool
-	rank       map[uint64]int     // of each sampled target; 0 to cfg.SampledTargets-1
+	rank       map[uint64]int     // of each sampled target, 0 to cfg.SampledTargets-1
 	stacks     map[uint64]*stack  // of sampled targets; empty unless collecting
 	complete   int                // sampled targets of which all runs are told; 0 to cfg.SampledTargets
-	growAt     time.Time          // one more target is told then
+	growAt     time.Time          // more targets are told then
 	pending    []Run              // of sampled targets, not yet in order or told; at most maxPending
 	settleAt   time.Time          // pending runs are put in order then
 	kinds      map[uint32]samples // logarithms of the seconds of a kind's first kindRuns runs; at most maxKinds+1
@@ -139,10 +139,11 @@
 	}
 }
 
-// Tell returns a report for the peer that collects or, if this instance collects, for the others.
-func (l *Learner) Tell(now time.Time) Report {
+// Tell returns a report for the peer that collects or, if this instance collects, for the others. If
+// there are more than so many runs to tell, they are left for the next report.
+func (l *Learner) Tell(now time.Time, most int) Report {
 	if l.complete < l.cfg.SampledTargets && !now.Before(l.growAt) {
-		l.complete, l.growAt = l.complete+1, now.Add(completeTTL)
+		l.complete, l.growAt = min(l.cfg.SampledTargets, l.complete+1+l.complete/8), now.Add(completeTTL)
 	}
 	if l.collecting {
 		l.settle(now)
@@ -151,8 +152,10 @@
 	for len(l.pending) > maxRuns {
 		l.cut(now, l.complete/2)
 	}
-	r := Report{Runs: l.pending, Complete: l.complete, Estimate: l.estimate()}
-	l.pending = nil
+	r := Report{Complete: l.complete, Estimate: l.estimate()}
+	if len(l.pending) <= most {
+		r.Runs, l.pending = l.pending, nil
+	}
 	return r
 }
 
--- a/internal/workingset/learner_test.go
+++ b/internal/workingset/learner_test.go
@@ -64,7 +64,7 @@
 	for _, wrong := range []int{3, 48} {
 		w := newWorld(t, 8, 48, 12, 600, 0)
 		for _, l := range w.instances {
-			l.Merge(w.now, Report{Complete: 16, Estimate: Estimate{Keeps: wrong, Slowdown: 3, Confidence: 1, At: w.now}})
+			l.Merge(w.now, Report{Complete: 128, Estimate: Estimate{Keeps: wrong, Slowdown: 3, Confidence: 1, At: w.now}})
 		}
 		if got := w.instances[0].Keeps().Keeps; got != wrong {
 			t.Errorf("got %d, want %d from peers at first", got, wrong)
@@ -121,7 +121,7 @@
 	for i := range 1000 {
 		w.instances[1].Observe(w.now, Run{Target: w.targets[i%16], Object: uint64(i)})
 	}
-	r := w.instances[1].Tell(w.now)
+	r := w.instances[1].Tell(w.now, maxRuns)
 	w.instances[0].Merge(w.now, r)
 	if len(r.Runs) > maxRuns || r.Complete != 1 || w.instances[0].complete != 1 {
 		t.Errorf("got %d runs of %d targets, %d at the peer, want at most %d of 1", len(r.Runs), r.Complete, w.instances[0].complete, maxRuns)
@@ -143,7 +143,7 @@
 		"without time": {Keeps: 12, Slowdown: 3},
 	} {
 		l.Merge(w.now, Report{Complete: -1, Estimate: e, Runs: []Run{{Target: w.targets[0], Took: -1, At: w.now.Add(time.Hour)}}})
-		if got := l.Keeps(); got != (Estimate{}) || len(l.pending) > 0 || l.complete != 16 {
+		if got := l.Keeps(); got != (Estimate{}) || len(l.pending) > 0 || l.complete != 128 {
 			t.Errorf("%s: got %+v, %d runs and %d targets", name, got, len(l.pending), l.complete)
 		}
 	}
@@ -162,7 +162,7 @@
 	for i := range 300_000 {
 		w.instances[0].Observe(w.now, Run{Target: w.targets[i%16], Object: uint64(i % 100_000)})
 		if i%1000 == 0 {
-			w.instances[0].Tell(w.now.Add(2 * settleTime))
+			w.instances[0].Tell(w.now.Add(2*settleTime), maxRuns)
 		}
 	}
 	runtime.GC()
--- a/internal/workingset/report.go
+++ b/internal/workingset/report.go
@@ -34,7 +34,7 @@
 		e.Confidence >= 0 && e.Confidence <= 1 && e.Repeats >= 0
 }
 
-// maxRuns is how many runs a report holds at most: about 1.7 KB, twice a second at most.
+// maxRuns is how many runs a report holds at most: 1.5 KB.
 const maxRuns = 64
 
 // Report is what instances tell each other about a service: its latest runs at sampled targets to
