--- a/internal/steer/fleet.go
+++ b/internal/steer/fleet.go
@@ -2,12 +2,16 @@
 
 import (
 	"cmp"
+	"maps"
+	"math"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
+	"github.com/firlever/firlever/internal/placement"
+	"github.com/firlever/firlever/internal/reservation"
 	"github.com/firlever/firlever/internal/retry"
 	"github.com/firlever/firlever/internal/routes"
 	"github.com/firlever/firlever/internal/workingset"
@@ -16,13 +20,19 @@
 // Fleet holds the targets of all services and selects one for each request.
 type Fleet struct {
 	cfg          Config
-	region       string // of this instance
+	region       string            // of this instance
+	regionNames  []string          // of all regions; sorted
+	counts       *placement.Counts // requests for objects that others have not been told of
+	moves        placement.Budget  // of objects between regions
 	targets      map[string]*target
 	byHash       map[uint64]*target // same targets by the hashes of their IDs
 	services     map[string]*service
 	reporting    []*target               // targets that reported their load to this instance since its last reports
+	oftenUntil   time.Time               // reports are exchanged more often until then
+	nextSlowdown time.Time               // when the rate limit allows the next slowdown to be told; may be in the past
 	constraints  map[runKey]*constraints // of runs that sent any; kept for noticeTTL after the run is removed
 	evacuated    map[string]bool         // by failure domain
+	paths        map[string]*path        // by failure domain
 	peers        []string                // instances that bounds are divided among, including this one; sorted
 	peerHashes   []uint64                // hashes of peers
 	expiredPeers map[string]time.Time    // peers whose records were removed, with the time until which they count
@@ -40,9 +50,18 @@
 	targets       []*target                // sorted by the hashes of their IDs
 	meanLatency   time.Duration            // running mean of the latency of one request over all targets; 0 before the first sample
 	domainLatency map[string]time.Duration // meanLatency by failure domain of the targets
+	meanRoundTrip time.Duration            // running mean of the round-trip time to the targets of the same samples; 0 if not known
 	budget        *retry.Window            // additional attempts allowed to this instance
+	retries       *retry.Demand            // divides budget among the requests
+	returns       *reservation.Schedule    // of callers that were refused for lack of capacity
+	served        reservation.Meter        // requests of this instance that were answered
+	reportsLoad   bool                     // some target has reported its load to this instance
 	typicalLoad   float64                  // running mean of other instances' requests per slot of a target, from load reports; 0 or more
+	slowdowns     *slowdownStats           // nil until a target of the service reports a slowdown
 	split         *versionSplit            // nil if no rollout was ordered
+	nameHash      uint64                   // hash of the name
+	warmLatency   time.Duration            // estimated duration of warm work; 0 before the first sample
+	plan          *placement.Plan          // of the objects' homes
 	retriesUntil  time.Time                // latest time at which a refused caller was asked to retry
 
 	learner         *workingset.Learner // nil until a request names an object
@@ -62,9 +81,12 @@
 		byHash:       make(map[uint64]*target),
 		services:     make(map[string]*service),
 		constraints:  make(map[runKey]*constraints),
+		counts:       placement.NewCounts(),
 		evacuated:    make(map[string]bool),
+		paths:        make(map[string]*path),
 		expiredPeers: make(map[string]time.Time),
 	}
+	f.regionNames = slices.Compact(slices.Sorted(maps.Values(cfg.Regions)))
 	f.updatePart(cfg.Started)
 	return f, nil
 }
@@ -98,6 +120,7 @@
 	}
 	s := f.service(now, t.Service)
 	n := newTarget(now, t, s, f.cfg.Regions[t.Domain])
+	n.path = f.pathTo(t.Domain)
 	n.constraints = f.constraints[runKeyOf(&t)]
 	f.targets[t.ID], f.byHash[n.idHash] = n, n
 	i, _ := slices.BinarySearchFunc(s.targets, n, compareHash)
@@ -196,7 +219,7 @@
 	}
 	for _, s := range f.services {
 		if newWindow {
-			s.budget = f.newBudget(now)
+			s.budget, s.retries = f.newBudget(now), retry.NewDemand(now, f.budgetSpan())
 			continue
 		}
 		s.budget.SetShare(f.retryShare())
@@ -224,14 +247,20 @@
 	s, ok := f.services[name]
 	if !ok {
 		s = &service{
-			limits: routes.Service{Name: name}, budget: f.newBudget(now),
-			domainLatency: make(map[string]time.Duration),
+			limits: routes.Service{Name: name}, budget: f.newBudget(now), retries: retry.NewDemand(now, f.budgetSpan()),
+			returns: reservation.NewSchedule(f.phase(name)), domainLatency: make(map[string]time.Duration),
+			nameHash: hash(name), plan: placement.NewPlan(),
 		}
 		f.services[name] = s
 	}
 	return s
 }
 
+// phase returns a number from 0 to 1 that differs between instances.
+func (f *Fleet) phase(service string) float64 {
+	return float64(mix(hash(service), hash(f.cfg.Instance))) / math.MaxUint64
+}
+
 // available reports whether a target is neither leaving nor evacuated.
 func (f *Fleet) available(t *target) bool { return !t.isLeaving() && !f.evacuated[t.Domain] }
 
--- a/internal/steer/outcome.go
+++ b/internal/steer/outcome.go
@@ -23,13 +23,14 @@
 
 // Outcome is the result of an attempt.
 type Outcome struct {
-	Ending Ending
-	Took   time.Duration // from sending the request to the end of the answer
-	Load   *Load         // load that the target reported; nil if none
-	WarmIn time.Duration // how much longer the target stays cold; 0 if not reported
-	Object string        // object that the request is about; "" if none
-	Kind   string        // requests of a kind take about the same time; their route
-	Wait   time.Duration // part of Took that was expected to be a wait for a slot
+	Ending  Ending
+	Took    time.Duration // from sending the request to the end of the answer
+	Connect time.Duration // how long it took to open the connection on which the answer came; 0 if there was no answer
+	Load    *Load         // load that the target reported; nil if none
+	WarmIn  time.Duration // how much longer the target stays cold; 0 if not reported
+	Object  string        // object that the request is about; "" if none
+	Kind    string        // requests of a kind take about the same time; their route
+	Wait    time.Duration // part of Took that was expected to be a wait for a slot
 }
 
 // Done releases the slot that Pick reserved at a target, and records the outcome of the attempt.
@@ -44,6 +45,9 @@
 	if o.WarmIn > 0 {
 		t.WarmAt = later(t.WarmAt, now.Add(o.WarmIn))
 	}
+	if o.Connect > 0 {
+		t.path.record(now, o.Connect)
+	}
 	if o.Load != nil {
 		f.recordOwnLoad(now, t, *o.Load)
 	}
@@ -51,6 +55,7 @@
 	case Answered:
 		t.recordSuccess()
 		f.observe(now, t, &o)
+		t.service.served.Count(now)
 		f.measure(now, t, o.Took)
 	case Shed:
 		// A target that refuses although it reports free slots is not full. With half of the
@@ -79,7 +84,11 @@
 	}
 	t.recordLatency(now, took)
 	s := f.services[t.Service]
+	s.recordWarm(took)
 	s.meanLatency = smooth(s.meanLatency, took)
+	if roundTrip := t.path.roundTrip(); roundTrip > 0 {
+		s.meanRoundTrip = smooth(s.meanRoundTrip, roundTrip)
+	}
 	domainMean, found := s.domainLatency[t.Domain]
 	if !found {
 		domainMean = s.meanLatency // the first requests in a domain run cold, and say little about its latency
--- a/internal/steer/pick.go
+++ b/internal/steer/pick.go
@@ -3,26 +3,39 @@
 import (
 	"time"
 
+	"github.com/firlever/firlever/internal/placement"
 	"github.com/firlever/firlever/internal/routes"
 )
 
 // Query describes a request that needs a target.
 type Query struct {
-	Service    string
-	Object     string         // object that the request is about; "" if none
-	SpreadKey  string         // selects among equal targets if there is no Object; ID of the request
-	Regions    routes.Regions // where the target may be located
-	Objective  time.Duration  // latency within which an answer is worth most
-	Deadline   time.Time      // an answer after it is useless
-	ReceivedAt time.Time      // when the request arrived; zero if unknown
-	Priority   int            // 0 is the most urgent
-	Repeatable bool           // whether the request may run more than once
-	AnswerSize float64        // estimated bytes of the answer; 0 if unknown
-	Retry      bool           // whether the request was sent to another target before
-	Counted    bool           // whether the request counts in a retry budget already
-	Tried      []string       // IDs of the targets that it was sent to before
-
-	pool pool // where the target is looked for; set by Pick
+	Service     string
+	Object      string         // object that the request is about; "" if none
+	SpreadKey   string         // selects among equal targets if there is no Object; ID of the request
+	Regions     routes.Regions // where the target may be located
+	Objective   time.Duration  // latency within which an answer is worth most
+	Deadline    time.Time      // an answer after it is useless
+	ReceivedAt  time.Time      // when the request arrived; zero if unknown
+	Priority    int            // 0 is the most urgent
+	Fingerprint uint64         // of the request; the same when its caller sends it again
+	Returned    bool           // the caller was refused before and waited
+	ReturnFrom  time.Time      // if the caller is refused, its return is recognised from then on; zero: never
+	ReturnBy    time.Time      // if the caller is refused, it returns by then, whatever it is told; zero: at a third of its time to Deadline
+	Repeatable  bool           // whether the request may run more than once
+	AnswerSize  float64        // estimated bytes of the answer; 0 if unknown
+	Retry       bool           // whether the request was sent to another target before
+	Parallel    bool           // whether another attempt is in flight, so that a refusal does not reach the caller
+	Counted     bool           // whether the request counts in a retry budget already
+	Tried       []string       // IDs of the targets that it was sent to before
+
+	pool         pool             // where the target is looked for; set by Pick
+	anyObjective bool             // the route has no objective, and Objective is the default; set by Pick
+	claimed      bool             // it is admitted to the capacity that is reserved for returns; set by Pick
+	promised     bool             // capacity is reserved for the caller's return; set by Pick
+	object       placement.Object // set by Pick if there is an Object
+	homes        int              // of the object by plan, ranked first; 0 if it is placed by hash; set by order
+	plannedHome  string           // ID of the first of them
+	oneHome      bool             // the object's other targets would push out what is warm; set by order
 }
 
 // Reason is why a request is refused.
@@ -49,10 +62,17 @@
 	TargetLoad     int           // estimated requests at the target, running and waiting
 	TypicalLoad    float64       // typical load of the service's targets per slot; replaces the target's own as LoadAge grows
 	LoadAge        time.Duration // time since the target last reported its load; -1 if it never did
+	Estimate       time.Duration // after which the answer is expected
+	Slowdown       float64       // estimated multiple of the usual time that work takes at the target
+	SlowdownAge    time.Duration // time since the target last reported its slowdown; -1 if it never did
 	LimitShare     *LimitShare   // limit of the target and this instance's share; nil if there is none
+	PlannedHome    string        // the object's first home by plan; "" if it is placed by hash alone
+	PlannedLoad    float64       // work planned at Target by this region's requests, in slots
 	HedgeAt        time.Time     // time after which an answer is unlikely; another target may then be tried in parallel
 	Reason         Reason        // set if the request is refused
 	RetryAfter     time.Duration // time after which a retry is worthwhile; set if the request is refused
+	Promised       bool          // capacity is reserved for the return after RetryAfter; set if the request is refused
+	Claimed        bool          // it was admitted to the capacity that is reserved for returns
 	FirstCandidate string        // ID of the first candidate; set if the request is refused
 }
 
@@ -80,31 +100,51 @@
 	f.expirePeers(now)
 	f.updatePart(now)
 	if q.Objective <= 0 {
-		q.Objective = DefaultObjective
+		q.Objective, q.anyObjective = DefaultObjective, true
 	}
 	if !q.Retry && !q.Counted {
 		s.budget.Request(now)
 	}
-	var c Choice
-	for _, q.pool = range f.pools(now, s, q) {
-		if c = f.best(now, s, &q); c.Target.ID != "" {
-			break
-		}
-	}
+	f.countObject(s, &q)
+	c := f.bestOfPools(now, s, &q)
 	if c.Target.ID == "" {
 		return c
 	}
-	if q.Retry && !s.budget.Spend(now) {
+	if q.Retry && !s.spendRetry(now, &q, c) {
 		return c.refuseRetry()
 	}
 	t := f.targets[c.Target.ID]
 	f.spendToken(now, t)
 	s.spendCanaryToken(t)
 	t.startRequest(now)
+	c.PlannedLoad = s.plan.Load(t.idHash)
 	c.HedgeAt = now.Add(c.Wait + max(q.Objective, hedgeFactor*s.latency(q.Objective)))
 	return c
 }
 
+// bestOfPools returns the target for a request from the first pool that has one.
+func (f *Fleet) bestOfPools(now time.Time, s *service, q *Query) Choice {
+	pools := f.pools(now, s, *q)
+	var c Choice
+	for _, q.pool = range pools {
+		if c = f.best(now, s, q); c.Target.ID != "" {
+			return c
+		}
+	}
+	if f.claimsReturn(now, s, q, c.Reason) {
+		q.claimed = true
+		for _, q.pool = range pools {
+			if claimed := f.best(now, s, q); claimed.Target.ID != "" {
+				claimed.Claimed = true
+				return claimed
+			}
+		}
+	}
+	c.RetryAfter = f.retryAfter(now, s, q, c)
+	c.Promised = q.promised
+	return c
+}
+
 // refuseRetry refuses a retry for which there was a target. The caller is asked to return when
 // that target has capacity, as its next request does not count as a retry here. With half of the
 // requests refused at all targets, this earned 0.899 of the credit of a day instead of 0.886.
@@ -137,7 +177,6 @@
 	if found.Target.ID != "" {
 		return found
 	}
-	refused.RetryAfter = f.retryAfter(now, s, q, refused)
 	return refused
 }
 
@@ -154,7 +193,7 @@
 			continue
 		}
 		e := f.estimate(now, c, mean)
-		if !c.accepts(now, q, e) {
+		if !c.accepts(now, q, e) && !c.acceptsReturn(now, q, e, mean) {
 			refused.RetryAfter = min(refused.RetryAfter, max(minRetryAfter, mean/2, e.wait-q.Objective))
 			continue
 		}
@@ -166,13 +205,14 @@
 			refused.Reason, refused.RetryAfter = Cold, min(refused.RetryAfter, coldRetryAfter)
 			continue
 		}
-		cost := e.wait + f.penalty(c, q, mean) + c.excessLatency(now, mean)
+		cost := e.wait + e.delay + f.penalty(c, q, mean) + c.excessLatency(now, mean)
 		if c.cold(now) {
 			cost += mean
 		}
 		if found.Target.ID == "" || cost < found.Cost {
 			found = Choice{
-				Target: c.Target, Wait: e.wait, Cost: cost, Home: c.globalRank == 0, Cold: c.cold(now), TargetAge: now.Sub(c.addedAt),
+				Target: c.Target, Wait: e.wait, Cost: cost, Estimate: f.back(c, q, e, mean), Home: c.globalRank == 0, Cold: c.cold(now), TargetAge: now.Sub(c.addedAt),
+				PlannedHome: q.plannedHome,
 			}.withLoadOf(now, c.target)
 		}
 	}
@@ -187,22 +227,11 @@
 // withLoadOf adds the load data of the target that the choice is based on.
 func (c Choice) withLoadOf(now time.Time, t *target) Choice {
 	c.TargetLoad, c.TypicalLoad, c.LoadAge = t.currentLoad(now), t.service.typicalLoad, t.loadAge(now)
+	c.Slowdown, c.SlowdownAge = t.slowdownFactor(now), t.slowdownAge(now)
 	c.LimitShare = t.limitShare()
 	return c
 }
 
-// isHome reports whether the target is one of those that keep the object warm.
-func (f *Fleet) isHome(c *candidate, q *Query) bool {
-	if c.globalRank < homeCount {
-		return true
-	}
-	return f.hasLocalHomes(q) && (c.target.region == f.region && c.regionRank < homeCount || c.Domain == f.cfg.Domain && c.domainRank < homeCount)
-}
-
-// hasLocalHomes reports whether the object also has homes in each failure domain and region
-// because its answers are too large to transfer from a single home.
-func (f *Fleet) hasLocalHomes(q *Query) bool { return f.transferCost(q) > domainHomeCost }
-
 // transferCost returns the cost of transferring the answer between failure domains.
 func (f *Fleet) transferCost(q *Query) time.Duration {
 	return time.Duration(f.cfg.ByteCost * q.AnswerSize)
@@ -215,32 +244,3 @@
 	}
 	return time.Duration(initialLatencyShare * float64(objective))
 }
-
-// penalty returns the cost of a target for its location and for not being the object's home.
-func (f *Fleet) penalty(c *candidate, q *Query, mean time.Duration) time.Duration {
-	cost := time.Duration(0)
-	if c.Domain != f.cfg.Domain {
-		cost += f.transferCost(q)
-	}
-	if q.Object == "" {
-		return cost
-	}
-	miss := float64(mean) * missCostFactor
-	missed := missCost(miss, c.globalRank)
-	if f.hasLocalHomes(q) {
-		if c.target.region == f.region {
-			missed = min(missed, regionHomeCost+missCost(miss, c.regionRank))
-		}
-		if c.Domain == f.cfg.Domain {
-			missed = min(missed, domainHomeCost+missCost(miss, c.domainRank))
-		}
-	}
-	return cost + missed
-}
-
-// missCost returns the expected cost of a cache miss at the target with the given rank: none at
-// the home, and half at the second, as that serves the requests that exceed the capacity of the
-// home.
-func missCost(miss float64, rank int) time.Duration {
-	return time.Duration(miss * (1 - 1/float64(uint64(1)<<min(rank, lowestRank))))
-}
