Bound the homes of objects by what targets keep

Cause: objects of a service may have two homes and more although its targets can't keep them there. Change: where what targets keep is known and the region's objects don't fit with two homes each into the region's part of the targets, they get as many as fit: by plan (SetHomes) and by hash. Metrics kept_needed and kept_room, fields needed and room of "kept objects".

--- a/internal/edge/gauges.go
+++ b/internal/edge/gauges.go
@@ -49,7 +49,8 @@
 	defer n.mu.Unlock()
 	for _, name := range slices.Sorted(maps.Keys(current.Config().Services)) {
 		all, usable := n.fleet.CountTargets(at, name)
-		e.Services = append(e.Services, metrics.EdgeService{Name: name, Targets: all, Usable: usable, Kept: n.fleet.Kept(name).Keeps, Placement: metrics.Placement(n.fleet.PlacementStats(name))})
+		needed, room := n.fleet.KeptNeeded(name)
+		e.Services = append(e.Services, metrics.EdgeService{Name: name, Targets: all, Usable: usable, Kept: n.fleet.Kept(name).Keeps, Room: room, Needed: needed, Placement: metrics.Placement(n.fleet.PlacementStats(name))})
 	}
 	return e
 }
--- a/internal/edge/runs.go
+++ b/internal/edge/runs.go
@@ -32,7 +32,8 @@
 		}
 		n.keptLogged[name] = e.Keeps
 		if suppressed, ok := n.changeLimiter.Allow(now); ok {
-			n.cfg.Log.Info("kept objects", "service", name, "objects", e.Keeps, "slowdown", e.Slowdown, "lifetime", e.Lifetime, "confidence", e.Confidence, "suppressed", suppressed)
+			needed, room := n.fleet.KeptNeeded(name)
+			n.cfg.Log.Info("kept objects", "service", name, "objects", e.Keeps, "needed", needed, "room", room, "slowdown", e.Slowdown, "lifetime", e.Lifetime, "confidence", e.Confidence, "suppressed", suppressed)
 		}
 	}
 }
--- a/internal/metrics/edge.go
+++ b/internal/metrics/edge.go
@@ -22,6 +22,8 @@
 	nameTargets       = "targets"           // by service: registered targets
 	nameUsableTargets = "targets_usable"    // by service: targets that are neither leaving, evacuated, ejected nor backing off
 	nameKeptObjects   = "kept_objects"      // by service: objects that each target keeps warm; not set before it is known
+	nameKeptRoom      = "kept_room"         // by service: objects of this region that all targets keep
+	nameKeptNeeded    = "kept_needed"       // by service: objects that they would have to keep so that each object has all its homes
 )
 
 // Names of the gauges of the plan of a service's homes.
@@ -87,6 +89,8 @@
 	Targets   int
 	Usable    int
 	Kept      int // objects that each target keeps warm; 0 if not known
+	Room      int // objects of this region that all targets keep
+	Needed    int // objects that they would have to keep so that each has all its homes
 	Placement Placement
 }
 
@@ -118,6 +122,8 @@
 		scope.Gauge(nameUsableTargets).Update(float64(v.Usable))
 		if v.Kept > 0 {
 			scope.Gauge(nameKeptObjects).Update(float64(v.Kept))
+			scope.Gauge(nameKeptRoom).Update(float64(v.Room))
+			scope.Gauge(nameKeptNeeded).Update(float64(v.Needed))
 		}
 		if p := v.Placement; p.Objects > 0 {
 			scope.Gauge(namePlacedObjects).Update(float64(p.Objects))
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -172,6 +172,13 @@
 // Work returns the work of all objects, in slots.
 func (p *Plan) Work() float64 { return p.work }
 
+// EachWork calls a function with the work of each object, in slots.
+func (p *Plan) EachWork(f func(work float64)) {
+	for _, e := range p.entries {
+		f(e.work)
+	}
+}
+
 // Stats returns what the last update found.
 func (p *Plan) Stats() Stats { return p.stats }
 
--- a/internal/steer/fleet.go
+++ b/internal/steer/fleet.go
@@ -66,6 +66,7 @@
 
 	learner         *workingset.Learner // nil until a request names an object
 	sampledOutdated bool                // the learner doesn't know the targets
+	fit             workingset.Plan     // how many homes objects may have, from what targets keep
 }
 
 // New returns an empty fleet, or a *ConfigError if cfg is invalid.
--- a/internal/steer/homes.go
+++ b/internal/steer/homes.go
@@ -59,10 +59,11 @@
 	if q.homes > 0 {
 		return c.globalRank <= q.homes
 	}
-	if c.globalRank < homeCount {
+	n := c.service.maxHomes()
+	if c.globalRank < n {
 		return true
 	}
-	return f.hasLocalHomes(q) && (c.target.region == f.region && c.regionRank < homeCount || c.Domain == f.cfg.Domain && c.domainRank < homeCount)
+	return f.hasLocalHomes(q) && (c.target.region == f.region && c.regionRank < n || c.Domain == f.cfg.Domain && c.domainRank < n)
 }
 
 // hasLocalHomes reports whether the object also has homes in each failure domain and region
--- a/internal/steer/kept.go
+++ b/internal/steer/kept.go
@@ -2,11 +2,13 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
 	"github.com/juju/errors"
 
+	"github.com/firlever/firlever/internal/placement"
 	"github.com/firlever/firlever/internal/workingset"
 )
 
@@ -106,6 +108,48 @@
 	s.learner.SetTargets(all)
 }
 
+// fitHomes bounds the homes of objects by what targets keep warm. Of each target, the part counts that
+// is for the own region, as the objects do.
+func (s *service) fitHomes(targets []placement.Target) {
+	if s.learner == nil {
+		return
+	}
+	own, slots := 0.0, 0.0
+	for _, t := range targets {
+		own += t.Own
+		slots += t.Slots
+	}
+	if slots == 0 {
+		return
+	}
+	slots /= float64(len(targets))
+	w := workingset.Service{Estimate: s.learner.Keeps(), Targets: int(math.Round(own)), Homes: homeCount}
+	s.plan.EachWork(func(work float64) { w.Heats.Add(work/slots, workingset.Place{}) })
+	s.fit = workingset.MakePlan(workingset.Config{}, w, s.fit)
+	if s.fit.Restricted() {
+		s.plan.SetHomes(s.fit.Homes())
+	} else {
+		s.plan.SetHomes(placement.MaxHomes)
+	}
+}
+
+// maxHomes returns how many homes an object has that is placed by its hash.
+func (s *service) maxHomes() int {
+	if s.fit.Restricted() {
+		return min(homeCount, s.fit.Homes())
+	}
+	return homeCount
+}
+
+// KeptNeeded returns how many objects the targets of a service would have to keep for this region, over
+// all targets, and how many they keep; 0 if that is not known.
+func (f *Fleet) KeptNeeded(name string) (needed, room int) {
+	if s, ok := f.services[name]; ok {
+		return s.fit.Needed(), s.fit.Room()
+	}
+	return 0, 0
+}
+
 // runHash returns the hash of the target's run: one that restarts keeps nothing.
 func (t *target) runHash() uint64 { return mix(t.idHash, uint64(t.Started.UnixNano())) }
 
--- a/internal/steer/kept_test.go
+++ b/internal/steer/kept_test.go
@@ -6,6 +6,9 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/firlever/firlever/internal/placement"
+	"github.com/firlever/firlever/internal/workingset"
 )
 
 // Objects with two homes are more than targets keep, which is 6 each: cold runs take three times as
@@ -44,3 +47,27 @@
 		t.Errorf("got %+v, want %d objects", got, keeps)
 	}
 }
+
+// The region's objects with two homes each are more than targets keep: they get one. Where they fit,
+// or it isn't known what targets keep, the number of homes is as it was.
+func TestHomesFitKeptObjects(t *testing.T) {
+	for name, tt := range map[string]struct{ keeps, objects, want int }{
+		"fit":           {20, 30, homeCount},
+		"fit once":      {20, 70, 1},
+		"fit not":       {20, 500, 1},
+		"keeps unknown": {0, 500, homeCount},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 8, 4)
+			s := f.services["s"]
+			f.learn(s).Merge(start, workingset.Report{Complete: 128, Estimate: workingset.Estimate{Keeps: tt.keeps, Slowdown: 3, Confidence: 1, At: start}})
+			for i := range tt.objects {
+				s.plan.Set(placement.Load{Object: placement.Object{Key: uint64(i + 1)}, Level: 20})
+			}
+			f.PlaceObjects(start)
+			if got := s.maxHomes(); got != tt.want || s.plan.OneHome() != (tt.want == 1) {
+				t.Errorf("got %d homes, one planned %t, want %d", got, s.plan.OneHome(), tt.want)
+			}
+		})
+	}
+}
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -128,7 +128,9 @@
 			continue
 		}
 		r, before := f.newRanker(s), s.plan.Stats().Moves
-		s.plan.Update(now, r.targets(), r.rank, &f.moves, s.perSlot())
+		targets := r.targets()
+		s.fitHomes(targets)
+		s.plan.Update(now, targets, r.rank, &f.moves, s.perSlot())
 		if after := s.plan.Stats(); after.Moves != before {
 			moved = append(moved, Placement{name, after})
 		}
--- a/internal/workingset/plan.go
+++ b/internal/workingset/plan.go
@@ -187,6 +187,9 @@
 // Restricted reports whether the plan restricts homes.
 func (p *Plan) Restricted() bool { return p.restricted }
 
+// Homes returns how many homes an object has that is kept warm, unless its load needs more.
+func (p *Plan) Homes() int { return p.homes }
+
 // Overflow returns the number of overflow targets.
 func (p *Plan) Overflow() int { return p.overflow }
 
