--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -78,6 +78,14 @@
 	}
 }
 
+// object returns the object that the request is about, "" if its route has no affinity.
+func (p *pendingRequest) object() string {
+	if !p.route.Affinity {
+		return ""
+	}
+	return p.info.Object
+}
+
 // fingerprintOf returns the fingerprint of a request.
 func fingerprintOf(r *http1.Request, info platform.Request) crash.Fingerprint {
 	return crash.Request{Method: r.Method, Host: r.Host, URI: r.URI, Caller: info.Key, Object: info.Object, Body: r.Body}.Fingerprint()
@@ -123,14 +131,11 @@
 // query returns the criteria for choosing a target. n.mu is held.
 func (n *Node) query(p *pendingRequest) steer.Query {
 	q := steer.Query{
-		Service: p.service, SpreadKey: p.info.ID, Regions: p.regions(),
+		Service: p.service, Object: p.object(), SpreadKey: p.info.ID, Regions: p.regions(),
 		Objective: p.route.Objective, Deadline: p.deadline, ReceivedAt: p.in.ReceivedAt,
 		Priority: p.rank(), Fingerprint: uint64(p.fingerprint), Returned: p.returned, ReturnFrom: p.returnFrom, ReturnBy: p.returnBy, Repeatable: p.repeatable, AnswerSize: n.answerSizes[p.route.Name],
 		Retry: p.reached+p.inFlight > 0, Parallel: p.inFlight > 0, Counted: p.counted, Tried: p.tried,
 	}
-	if p.route.Affinity {
-		q.Object = p.info.Object
-	}
 	return q
 }
 
@@ -198,7 +203,7 @@
 func (n *Node) recordOutcome(p *pendingRequest, r attempt, v attemptOutcome) {
 	now := boottime.Now()
 	target := r.choice.Target
-	o := steer.Outcome{Ending: v.ending, Took: now.Sub(r.start), Object: p.route.Affinity && p.info.Object != ""}
+	o := steer.Outcome{Ending: v.ending, Took: now.Sub(r.start), Object: p.object(), Kind: p.route.Name, Wait: r.choice.Wait}
 	if r.resp == nil && n.partition.partitioned() {
 		o.Ending = steer.NotSent // says nothing about the target
 	}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -44,6 +44,7 @@
 	store          *platform.Store
 	mirror         *mirror.Mirror
 	loads          *loads.Exchange
+	runs           *loads.RunExchange
 	objects        *loads.ObjectExchange
 	quotas         *quota.Exchange
 	registrar      *registrar
@@ -79,6 +80,7 @@
 	fleet       *steer.Fleet                    // guarded by mu
 	answerSizes map[string]float64              // average bytes of an answer by route; guarded by mu
 	callers     map[string]*reservation.Callers // by route, how much time callers have left; guarded by mu
+	keptLogged  map[string]int                  // objects that targets keep by service, as last logged; guarded by mu
 
 	ctx        context.Context // ends with the node
 	cancel     context.CancelFunc
@@ -97,7 +99,7 @@
 	}
 	n := &Node{
 		cfg: cfg, store: platform.NewStore(s.Store), fleet: fleet,
-		evacuated: make(map[string]bool), answerSizes: make(map[string]float64), callers: make(map[string]*reservation.Callers),
+		evacuated: make(map[string]bool), answerSizes: make(map[string]float64), keptLogged: make(map[string]int), callers: make(map[string]*reservation.Callers),
 		successLimiter: logs.NewLimiter(cfg.SuccessLogRate), failureLimiter: logs.NewLimiter(failureLogRate),
 		changeLimiter: logs.NewLimiter(changeLogRate), retryLimiter: logs.NewLimiter(retryLogRate),
 	}
@@ -116,6 +118,7 @@
 	n.mirror = mirror.New(n.store, n, mirror.Peers{Relays: n.relays, Fallbacks: n.others, Seeds: n.seeds(), FirstStart: s.FirstStart, Self: n.peerAddress, LinkMbps: s.LinkMbps, Registered: n.registeredPeers, Redundant: n.redundant}, compareItems)
 	n.loads = loads.New(loads.Peers{Name: s.Instance, Collector: n.collector, Interval: n.loadInterval, Reports: n.loadReports, Receive: n.receiveLoadReports, Failed: n.loadExchangeFailed})
 	n.objects = loads.NewObjects(loads.ObjectPeers{Collector: n.collector, Counts: n.objectCounts, Receive: n.receiveObjectLoads, Failed: n.loadExchangeFailed})
+	n.runs = loads.NewRuns(loads.RunPeers{Collector: n.collector, Reports: n.keptReports, Receive: n.receiveKeptReports, Failed: n.loadExchangeFailed})
 	n.registrar = newRegistrar(n)
 	n.crashes = newCrashTracker(n)
 	n.rollouts = newRolloutTracker(n)
@@ -150,6 +153,7 @@
 	n.background.Go(func() { n.mirror.Run(ctx) })
 	n.background.Go(func() { n.registrar.run(ctx) })
 	n.background.Go(func() { n.loads.Run(ctx) })
+	n.background.Go(func() { n.runs.Run(ctx) })
 	n.background.Go(func() { n.objects.Run(ctx) })
 	n.background.Go(func() { n.crashes.notifier.run(ctx) })
 	n.background.Go(func() { n.rollouts.run(ctx) })
@@ -246,6 +250,7 @@
 	r := chi.NewRouter()
 	r.Handle(mirror.RelayPath, n.mirror)
 	r.Handle(loads.Path, n.loads)
+	r.Handle(loads.RunsPath, n.runs)
 	r.Handle(loads.ObjectsPath, n.objects)
 	r.Handle(quota.Path, n.quotas)
 	r.Handle(crashesPath, n.crashes)
--- a/internal/steer/fleet.go
+++ b/internal/steer/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/firlever/firlever/internal/reservation"
 	"github.com/firlever/firlever/internal/retry"
 	"github.com/firlever/firlever/internal/routes"
+	"github.com/firlever/firlever/internal/workingset"
 )
 
 // Fleet holds the targets of all services and selects one for each request.
@@ -40,6 +41,7 @@
 	countedUntil time.Time               // the others count this instance until then
 	part         float64                 // of bounds that is divided among instances like this one: dividedShare or uncountedShare
 	probeRounds  uint64                  // calls of ProbeTargets
+	keptRound    int                     // calls of KeptReports
 }
 
 // service is the state of one service.
@@ -62,6 +64,10 @@
 	objectLatency time.Duration            // running mean of the latency of requests for objects that found a free slot
 	plan          *placement.Plan          // of the objects' homes
 	retriesUntil  time.Time                // latest time at which a refused caller was asked to retry
+
+	learner         *workingset.Learner // nil until a request names an object
+	sampledOutdated bool                // the learner doesn't know the targets
+	fit             workingset.Plan     // how many homes objects may have, from what targets keep
 }
 
 // New returns an empty fleet, or a *ConfigError if cfg is invalid.
--- a/internal/steer/outcome.go
+++ b/internal/steer/outcome.go
@@ -28,7 +28,9 @@
 	Connect time.Duration // how long it took to open the connection on which the answer came; 0 if there was no answer
 	Load    *Load         // load that the target reported; nil if none
 	WarmIn  time.Duration // how much longer the target stays cold; 0 if not reported
-	Object  bool          // the request was about an object
+	Object  string        // object that the request is about; "" if none
+	Kind    string        // requests of a kind take about the same time; their route
+	Wait    time.Duration // part of Took that was expected to be a wait for a slot
 }
 
 // Done releases the slot that Pick reserved at a target, and records the outcome of the attempt.
@@ -52,9 +54,10 @@
 	switch o.Ending {
 	case Answered:
 		t.recordSuccess()
+		f.observe(now, t, &o)
 		t.service.served.Count(now)
 		f.measure(now, t, o.Took)
-		if o.Object && t.currentLoad(now) < t.Slots {
+		if o.Object != "" && t.currentLoad(now) < t.Slots {
 			t.service.recordObjectLatency(o.Took)
 		}
 	case Shed:
--- a/internal/steer/place_test.go
+++ b/internal/steer/place_test.go
@@ -185,7 +185,7 @@
 				if i < 20 || rng.Float64() < tt.cold {
 					took *= 3
 				}
-				f.Done(start, s.targets[i%4].Target, Outcome{Ending: Answered, Took: took, Object: true, Load: &Load{}})
+				f.Done(start, s.targets[i%4].Target, Outcome{Ending: Answered, Took: took, Object: "x", Load: &Load{}})
 				if i >= 500 && s.oneHome() {
 					oneHome++
 				}
