Tell no hours after a lull, and reserve by an even share then

Found in review: capacity followed a rate that never ends, so that callers were told up to an hour after a lull.

--- a/internal/reservation/schedule.go
+++ b/internal/reservation/schedule.go
@@ -29,6 +29,9 @@
 	// surgeSpan is how soon a surge of refused callers must be noticed: before many of them have been
 	// given moments that the others' returns will take.
 	surgeSpan = 150 * time.Millisecond
+	// maxBeyond bounds the time that a caller without a moment is told, as the load may change within
+	// seconds.
+	maxBeyond = 10 * time.Second
 	// classCount is the number of classes of callers; those of lower priorities are in the last.
 	classCount = 8
 )
@@ -97,7 +100,7 @@
 		at = later(at, taken.Add(gap))
 	}
 	if c.Returned || at.After(c.Latest) || !c.within(rate, s.refused[class].peak(now)) || len(s.reserved) >= maxReserved {
-		return later(at, c.Latest.Add(gap)), false
+		return later(c.Latest, earlier(later(at, c.Latest.Add(gap)), c.Latest.Add(maxBeyond))), false
 	}
 	i, _ := slices.BinarySearchFunc(s.reserved, at, time.Time.Compare)
 	s.reserved = slices.Insert(s.reserved, i, at)
@@ -156,6 +159,13 @@
 	return true
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/steer/retryafter.go
+++ b/internal/steer/retryafter.go
@@ -86,10 +86,14 @@
 	return q.claimed && q.Deadline.After(now.Add(e.wait+mean)) && !now.Before(c.shedUntil)
 }
 
+// minServed is the number of answers per second below which the last one is too long ago to tell
+// anything about the capacity.
+const minServed = 0.25
+
 // capacity returns how many requests per second this instance can have served at a service: as many as
-// were lately, or, as long as there were none, an even share of what the slots allow.
+// were lately, or, as long as there were hardly any, an even share of what the slots allow.
 func (f *Fleet) capacity(now time.Time, s *service, q *Query) float64 {
-	if rate := s.served.PerSecond(now); rate > 0 {
+	if rate := s.served.PerSecond(now); rate >= minServed {
 		return rate
 	}
 	slots := 0
--- a/internal/steer/returns_test.go
+++ b/internal/steer/returns_test.go
@@ -92,6 +92,34 @@
 	}
 }
 
+// A burst after a lull, in which no request was served: the capacity is not taken for none.
+func TestBurstAfterALull(t *testing.T) {
+	for _, lull := range []time.Duration{2 * time.Second, 5 * time.Second, time.Minute} {
+		t.Run(lull.String(), func(t *testing.T) {
+			f := newFleet(t, 2, 4)
+			request := func(now time.Time) Choice {
+				q := query("x")
+				q.Objective, q.Deadline, q.ReturnFrom = returnObjective, now.Add(returnDeadline), now
+				return f.Pick(now, q)
+			}
+			f.Done(start, request(start).Target, Outcome{Ending: Answered, Took: returnWork, Load: &Load{}})
+			now, promised := start.Add(lull), 0
+			for range 100 {
+				c := request(now)
+				if c.Promised {
+					promised++
+				}
+				if c.RetryAfter > time.Minute/4 {
+					t.Fatalf("got a refusal for %s, want a quarter of a minute at most", c.RetryAfter)
+				}
+			}
+			if promised == 0 {
+				t.Error("got no moment for any caller, want some")
+			}
+		})
+	}
+}
+
 // All targets have refused a request. If they are full, its caller returns when there is capacity; if they have
 // free slots, at once.
 func TestReturnAfterRefusalsOfTargets(t *testing.T) {
