--- a/internal/steer/retryafter.go
+++ b/internal/steer/retryafter.go
@@ -52,8 +52,10 @@
 func reservable(r Reason) bool { return r == NoCapacity || r == Cold }
 
 // reserves reports whether the service reserves capacity for the return of a refused caller: its targets
-// report their loads, and the route of the request has an objective.
-func (s *service) reserves(q *Query) bool { return s.reportsLoad && !q.anyObjective && !q.Parallel }
+// report their loads, the route of the request has an objective, and the return would be recognised.
+func (s *service) reserves(q *Query) bool {
+	return s.reportsLoad && !q.anyObjective && !q.Parallel && !q.ReturnFrom.IsZero()
+}
 
 // reserveReturn returns after which time the caller of a request that was refused for lack of capacity should
 // retry. If no moment is left within the time that it waits, that is the time of the next one.
--- a/internal/steer/returns_test.go
+++ b/internal/steer/returns_test.go
@@ -120,6 +120,18 @@
 	}
 }
 
+// Callers whose return would not be recognised are promised nothing, and are told what they were without reservations.
+func TestUnrecognizable(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	f.recordOwnLoad(start, f.targets["t00"], Load{Running: 9, Waiting: 9})
+	q := query("x")
+	q.Objective, q.Deadline = 100*time.Millisecond, start.Add(returnDeadline)
+	want := f.best(start, f.services["s"], &q).RetryAfter
+	if got := f.Pick(start, q); got.Reason != NoCapacity || got.Promised || got.RetryAfter != want {
+		t.Errorf("got %s, promised %t, after %s, want no promise, after %s", got.Reason, got.Promised, got.RetryAfter, want)
+	}
+}
+
 // All targets have refused a request. If they are full, its caller returns when there is capacity; if they have
 // free slots, at once.
 func TestReturnAfterRefusalsOfTargets(t *testing.T) {
@@ -134,6 +146,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t, 2, 4)
 			q := query("x")
+			q.ReturnFrom = start
 			for range 2 {
 				c := f.Pick(start, q)
 				f.Done(start, c.Target, Outcome{Ending: Shed, Load: &tt.load})
--- a/internal/steer/returns_world_test.go
+++ b/internal/steer/returns_world_test.go
@@ -161,6 +161,7 @@
 	if w.policy == "before" {
 		f.services["s"].reportsLoad = false
 	}
+	q.ReturnFrom = w.now
 	if w.policy == "reserved" {
 		q.Returned = w.callers[i].Arrived(w.now, left)
 		q.ReturnFrom = w.now.Add(w.callers[i].Recognizable(left))
