--- a/internal/reservation/schedule.go
+++ b/internal/reservation/schedule.go
@@ -159,6 +159,9 @@
 	return true
 }
 
+// Unclaim takes back the last claim, of a caller for which there was no target.
+func (s *Schedule) Unclaim() { s.claims++ }
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/internal/steer/pick.go
+++ b/internal/steer/pick.go
@@ -139,6 +139,7 @@
 				return claimed
 			}
 		}
+		s.returns.Unclaim()
 	}
 	c.RetryAfter = f.retryAfter(now, s, q, c)
 	c.Promised = q.promised
