--- a/internal/steer/retryafter.go
+++ b/internal/steer/retryafter.go
@@ -116,7 +116,7 @@
 	if begin.IsZero() {
 		begin = now
 	}
-	if now.Add(c.Wait + s.latency(q.Objective)).After(begin.Add(q.Objective)) {
+	if !q.anyObjective && now.Add(c.Wait+s.latency(q.Objective)).After(begin.Add(q.Objective)) {
 		class += retry.Classes / 2
 	}
 	return s.retries.Spend(now, s.budget, class)
