--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -110,7 +110,10 @@
 		}
 		return nil, &NoAnswerError{Err: err, Reused: c.reused}
 	}
-	a.response.connOpenedAt, a.response.dialTook = c.openedAt, c.dialTook
+	a.response.connOpenedAt = c.openedAt
+	if !c.reused {
+		a.response.dialTook = c.dialTook
+	}
 	if a.response.Rest != nil {
 		a.response.Rest = &restReader{Reader: a.response.Rest, conn: c}
 		return a.response, nil
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -32,7 +32,7 @@
 	BodyLength int64         // of the whole body if Rest is set; -1 if unknown
 
 	connOpenedAt time.Time     // when its connection to the target was opened; zero for answers of this process
-	dialTook     time.Duration // how long that took
+	dialTook     time.Duration // how long that took; 0 if the connection was reused
 
 	budget *Budget
 	taken  int64 // bytes of budget that Body takes; 0 after Discard
@@ -41,7 +41,8 @@
 // ConnOpenedAt returns when the connection to the target was opened on which the answer came.
 func (r *Response) ConnOpenedAt() time.Time { return r.connOpenedAt }
 
-// DialTook returns how long it took to open that connection: about one round trip.
+// DialTook returns how long it took to open that connection, about one round trip; 0 if it was
+// opened for an earlier request.
 func (r *Response) DialTook() time.Duration { return r.dialTook }
 
 // Discard drops the body of an answer that is not passed on, or that was. It may be called twice, by
--- a/internal/steer/outcome.go
+++ b/internal/steer/outcome.go
@@ -25,7 +25,7 @@
 type Outcome struct {
 	Ending  Ending
 	Took    time.Duration // from sending the request to the end of the answer
-	Connect time.Duration // how long it took to open the connection on which the answer came; 0 if there was no answer
+	Connect time.Duration // how long it took to open a connection for this attempt; 0 if there was no answer, or it was reused
 	Load    *Load         // load that the target reported; nil if none
 	WarmIn  time.Duration // how much longer the target stays cold; 0 if not reported
 	Object  string        // object that the request is about; "" if none
--- a/internal/steer/path.go
+++ b/internal/steer/path.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// pathWindow is the time within which the least round-trip time counts: long enough for some
-// connections to each failure domain, and short enough that a path that has become longer shows.
+// pathWindow is the time within which the least round-trip time counts, while connections are opened: long
+// enough for some to each failure domain, and short enough that a path that has become longer shows.
 const pathWindow = 30 * time.Second
 
 // path is the way from this instance to the targets of a failure domain.
