--- a/internal/steer/estimate.go
+++ b/internal/steer/estimate.go
@@ -16,7 +16,10 @@
 	if c.slowdown.factor == 0 {
 		return estimate{wait: c.queueWait(now, work), work: work}
 	}
-	slow := time.Duration(c.slowdownFactor(now) * float64(work))
+	slow := time.Duration(c.slowdownFactor(now) * float64(mean))
+	if work > mean {
+		slow = max(slow, work) // the latency of a slow domain holds the slowdowns of its targets already
+	}
 	return estimate{wait: c.queueWait(now, slow), work: work, delay: slow - work}
 }
 
--- a/internal/steer/estimate_test.go
+++ b/internal/steer/estimate_test.go
@@ -79,3 +79,27 @@
 		})
 	}
 }
+
+// All targets of a failure domain work slowly, so its latency has grown: their slowdowns are not counted a second time.
+func TestEstimateInSlowDomain(t *testing.T) {
+	const usual, slow, slots = time.Second, 2500 * time.Millisecond, 4
+	f := newFleet(t, 8, slots)
+	s, now := f.services["s"], start
+	for range 600 {
+		now = now.Add(50 * time.Millisecond)
+		for _, target := range s.targets {
+			took, percent := usual, 100
+			if target.Domain == "s1" {
+				took, percent = slow, 250
+			}
+			f.measure(now, target, took)
+			f.recordOwnLoad(now, target, Load{Running: slots, Slowdown: percent})
+		}
+	}
+	for _, target := range s.targets {
+		c := &candidate{target: target}
+		if got, want := f.estimate(now, c, s.latency(usual)).wait, s.domainLatency[target.Domain]*11/10/slots; target.Domain == "s1" && got > want {
+			t.Errorf("%s: got a wait of %s for one slot of %d, want %s at most", target.ID, got, slots, want)
+		}
+	}
+}
