--- a/internal/steer/report_test.go
+++ b/internal/steer/report_test.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -142,7 +143,8 @@
 	finishing   finishQueue
 	now         time.Time
 	exchanges   bool
-	exchangedAt time.Time // time of the last exchange
+	exchangedAt time.Time     // time of the last exchange
+	interval    time.Duration // between exchanges; 0: as the instances ask for
 
 	work      time.Duration // mean duration of a request
 	gap       time.Duration // between two requests
@@ -219,7 +221,7 @@
 	for i := range requests {
 		c.now = start.Add(time.Duration(i) * c.gap)
 		c.finish()
-		if c.exchanges && c.now.Sub(c.exchangedAt) >= c.fleets[0].ReportInterval(c.now) {
+		if c.exchanges && c.now.Sub(c.exchangedAt) >= cmp.Or(c.interval, c.fleets[0].ReportInterval(c.now)) {
 			c.exchange()
 		}
 		f := c.fleets[c.rng.IntN(len(c.fleets))]
--- a/internal/steer/slowdown_world_test.go
+++ b/internal/steer/slowdown_world_test.go
@@ -85,6 +85,7 @@
 				c := newFleetSim(t, true)
 				c.work, c.objective, c.gap = work, 3*work, work/(fleetSimTargets*fleetSimSlots)*5/3
 				c.machines = &noisyMachines{period: tt.period, share: 0.15, factor: 2.5, cold: 3.3, tells: i == 1}
+				c.interval = frequentInterval // in both, so that only the use of the figure differs
 				c.setPeers()
 				c.countFrom = start.Add(5 * time.Second) // cold runs make the answers late before
 				c.run(40000)
