--- a/internal/placement/move.go
+++ b/internal/placement/move.go
@@ -36,8 +36,8 @@
 		if !isNew && (now.Sub(e.unwantedSince) < wait || moved > 0 && moved+work > moveShare*a.work) {
 			continue
 		}
-		if a.crosses(e, &step) && !budget.spend(work*perSlot) {
-			continue
+		if a.crosses(e, &step) && (perSlot == 0 || !budget.spend(work*perSlot)) {
+			continue // or it isn't known how many requests would move
 		}
 		e.homes = step
 		if !isNew {
