--- a/internal/placement/assign.go
+++ b/internal/placement/assign.go
@@ -120,7 +120,9 @@
 	if slots <= 0 {
 		return 1
 	}
-	return int(min(math.Ceil(e.work/(homeShare*slots)), float64(a.maxHomes)))
+	least := math.Ceil(e.work / (mostShare * slots)) // with fewer, requests wait at its homes for good
+	most := min(max(float64(a.maxHomes), least), MaxHomes)
+	return int(min(math.Ceil(e.work/(homeShare*slots)), most))
 }
 
 // first returns the first n targets of an entry.
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -19,6 +19,9 @@
 	// homeShare is the part of a target's slots that one object may keep busy. One that needs more
 	// gets another home.
 	homeShare = 0.5
+	// mostShare is the part of the slots up to which requests for an object wait for less than they run
+	// on average. One that needs more gets another home although SetHomes allows fewer.
+	mostShare = 0.8
 	// searchedPerUpdate is for how many objects all targets are looked at in one update.
 	searchedPerUpdate = 50
 	// largeShare is the part of a target's limit from which on an object counts as large.
@@ -117,7 +120,7 @@
 // OneHome reports whether no object has a second home.
 func (p *Plan) OneHome() bool { return p.maxHomes == 1 }
 
-// SetHomes sets how many homes an object has at most. A plan with less than MaxHomes is in use even where
+// SetHomes sets how many homes an object has at most, unless its work needs more. A plan with less than MaxHomes is in use even where
 // all targets have room.
 func (p *Plan) SetHomes(n int) { p.maxHomes = min(max(n, 1), MaxHomes) }
 
--- a/internal/placement/plan_test.go
+++ b/internal/placement/plan_test.go
@@ -231,17 +231,19 @@
 	}
 }
 
-// One object needs more than a target has. It gets as many homes as it needs and no more than set.
+// One object needs more than a target has. It gets as many homes as it needs, and no more than set
+// unless its requests would wait there for good.
 func TestHotObject(t *testing.T) {
 	tests := map[string]struct {
 		work     float64
 		maxHomes int
 		want     int
 	}{
-		"small": {1, MaxHomes, 1},
-		"hot":   {5, MaxHomes, 3},
-		"set":   {5, 2, 2},
-		"huge":  {40, MaxHomes, MaxHomes},
+		"small":       {1, MaxHomes, 1},
+		"hot":         {5, MaxHomes, 3},
+		"set":         {5, 2, 2},
+		"too few set": {5, 1, 2},
+		"huge":        {40, MaxHomes, MaxHomes},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
