Sample as many targets again after a burst

Found in review: with four instances 16 of 128 targets were sampled for 20 minutes after a burst; reports left for the next exchange were dropped.

--- a/internal/steer/kept.go
+++ b/internal/steer/kept.go
@@ -75,8 +75,8 @@
 			panic(errors.ErrorStack(err)) // the defaults are valid
 		}
 		s.sampledOutdated = true
+		f.updateSampled(s)
 	}
-	f.updateSampled(s)
 	return s.learner
 }
 
--- a/internal/workingset/learner.go
+++ b/internal/workingset/learner.go
@@ -10,14 +10,14 @@
 )
 
 const (
-	// settleTime is how long runs are collected before they are put in order: reports are sent
-	// twice a second, and take some round trips.
-	settleTime = 1500 * time.Millisecond
+	// settleTime is how long runs are collected before they are put in order: reports are sent once a
+	// second, those of some services a second later, and take some round trips.
+	settleTime = 2500 * time.Millisecond
 	// settleInterval is how often they are put in order, however many instances report.
 	settleInterval = 250 * time.Millisecond
 	// maxRunTime bounds what a run can have taken; longer is no measurement.
 	maxRunTime = 10 * time.Minute
-	// maxPending bounds the runs that are collected: 2,700 a second.
+	// maxPending bounds the runs that are collected: 1,600 a second.
 	maxPending = 4096
 	// completeTTL is after which time without a cut report more targets are told again.
 	completeTTL = 30 * time.Second
@@ -38,7 +38,8 @@
 	collecting bool
 	rank       map[uint64]int     // of each sampled target, 0 to cfg.SampledTargets-1
 	stacks     map[uint64]*stack  // of sampled targets; empty unless collecting
-	complete   int                // sampled targets of which all runs are told; 0 to cfg.SampledTargets
+	complete   int                // sampled targets of which all runs are told; 1 to cfg.SampledTargets
+	grownFrom  int                // complete before it grew last; who reports as many has not heard of more yet
 	growAt     time.Time          // more targets are told then
 	pending    []Run              // of sampled targets, not yet in order or told; at most maxPending
 	settleAt   time.Time          // pending runs are put in order then
@@ -58,7 +59,7 @@
 		return nil, errors.Annotate(err, "workingset.New")
 	}
 	return &Learner{
-		cfg: cfg, rank: make(map[uint64]int), stacks: make(map[uint64]*stack), complete: cfg.SampledTargets,
+		cfg: cfg, rank: make(map[uint64]int), stacks: make(map[uint64]*stack), complete: cfg.SampledTargets, grownFrom: cfg.SampledTargets,
 		kinds: make(map[uint32]samples), repeats: newRepeats(2 * cfg.MaxKeeps), slowFrom: math.Inf(1), pairs: newRecent[uint64, int64](cfg.MaxPairs),
 	}, nil
 }
@@ -127,10 +128,10 @@
 // cut reduces the number of targets that are sampled to n.
 func (l *Learner) cut(now time.Time, n int) {
 	l.growAt = now.Add(completeTTL)
-	if n >= l.complete {
+	if n = max(n, 1); n >= l.complete {
 		return
 	}
-	l.complete = n
+	l.complete, l.grownFrom = n, n
 	l.pending = slices.DeleteFunc(l.pending, func(r Run) bool { return l.rank[r.Target] >= n })
 	for t := range l.stacks {
 		if l.rank[t] >= n {
@@ -142,16 +143,15 @@
 // Tell returns a report for the peer that collects or, if this instance collects, for the others. If
 // there are more than so many runs to tell, they are left for the next report.
 func (l *Learner) Tell(now time.Time, most int) Report {
-	if l.complete < l.cfg.SampledTargets && !now.Before(l.growAt) {
-		l.complete, l.growAt = min(l.cfg.SampledTargets, l.complete+1+l.complete/8), now.Add(completeTTL)
-	}
 	if l.collecting {
+		l.grow(now)
 		l.settle(now)
 		return Report{Complete: l.complete, Estimate: l.estimate()}
 	}
-	for len(l.pending) > maxRuns {
+	for len(l.pending) > maxRuns && l.complete > 1 {
 		l.cut(now, l.complete/2)
 	}
+	l.pending = l.pending[:min(len(l.pending), maxRuns)]
 	r := Report{Complete: l.complete, Estimate: l.estimate()}
 	if len(l.pending) <= most {
 		r.Runs, l.pending = l.pending, nil
@@ -159,9 +159,22 @@
 	return r
 }
 
+// grow increases the number of targets that are sampled some time after the last cut. The instance that
+// collects decides it, as the lowest number counts: if each did, one that is a moment late would undo it.
+func (l *Learner) grow(now time.Time) {
+	if l.complete < l.cfg.SampledTargets && !now.Before(l.growAt) {
+		l.grownFrom = l.complete
+		l.complete, l.growAt = min(l.cfg.SampledTargets, l.complete+1+l.complete/8), now.Add(completeTTL)
+	}
+}
+
 // Merge adds the report of a peer.
 func (l *Learner) Merge(now time.Time, r Report) {
-	if r.Complete >= 0 && r.Complete < l.complete {
+	switch {
+	case r.Complete < 1:
+	case !l.collecting && r.Complete > l.complete:
+		l.complete = min(r.Complete, l.cfg.SampledTargets)
+	case r.Complete < l.complete && (!l.collecting || r.Complete < l.grownFrom):
 		l.cut(now, r.Complete)
 	}
 	if r.Estimate.valid(&l.cfg) && r.Estimate.At.After(l.told.At) && !r.Estimate.At.After(now) {
@@ -194,6 +207,9 @@
 
 // learn adds the next run of a sampled target.
 func (l *Learner) learn(now time.Time, r Run) {
+	if _, ok := l.rank[r.Target]; !ok {
+		return // the targets have changed since
+	}
 	s, ok := l.stacks[r.Target]
 	if !ok {
 		s = &stack{most: 2 * l.cfg.MaxKeeps}
--- a/internal/workingset/learner_test.go
+++ b/internal/workingset/learner_test.go
@@ -183,3 +183,31 @@
 		w.instances[0].Warm(w.now, 1, 2)
 	}
 }
+
+// One instance has more runs for a second than it can tell, once. Afterwards all sample as many targets as
+// before, although their reports come one after another.
+func TestSamplesMoreAgain(t *testing.T) {
+	w := newWorld(t, 4, 128, 12, 600, 0)
+	for i := range 4 * maxRuns {
+		w.instances[1].Observe(w.now, Run{Target: w.targets[i%128], Object: uint64(i), Took: time.Second})
+	}
+	const delay = 50 * time.Millisecond
+	collector := w.instances[0]
+	collector.Collect(true)
+	for i := range 1200 {
+		now := w.now.Add(time.Duration(i) * time.Second)
+		for j, l := range w.instances[1:] {
+			at := now.Add(time.Duration(j) * 200 * time.Millisecond)
+			collector.Merge(at.Add(delay), l.Tell(at, maxRuns))
+			l.Merge(at.Add(2*delay), collector.Tell(at.Add(delay), 0))
+		}
+		if got := collector.complete; i == 0 && got >= 128 {
+			t.Fatalf("got %d targets after the cut, want fewer", got)
+		}
+	}
+	for i, l := range w.instances {
+		if l.complete != 128 {
+			t.Errorf("instance %d: got %d targets, want 128", i, l.complete)
+		}
+	}
+}
