--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -21,7 +21,7 @@
 		n.cfg.Metrics.RecordLatency(p.service, took)
 	}
 	n.cfg.Metrics.CountDecision(metrics.Decision{Kind: statusKind(resp.Status), Service: p.service, Reason: p.outcome()})
-	n.countReturn(p)
+	n.countReturn(p, resp.Status)
 	limiter := n.failureLimiter
 	if good {
 		limiter = n.successLimiter
@@ -57,7 +57,7 @@
 	if c.SlowdownAge >= 0 {
 		line = append(line, "slowdown", c.Slowdown, "slowdown-age", c.SlowdownAge)
 	}
-	if state := p.returnState(); state != "" {
+	if state := p.returnState(resp.Status); state != "" {
 		line = append(line, "return", state)
 	}
 	if c.LimitShare != nil {
--- a/internal/edge/returns.go
+++ b/internal/edge/returns.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/firlever/firlever/internal/metrics"
@@ -30,18 +31,19 @@
 	returnPromised   = "promised"   // refused, with capacity reserved for the caller's return
 	returnUnpromised = "unpromised" // refused, and there is no capacity to reserve in the time that the caller waits
 	returnKept       = "kept"       // of a caller that has returned, admitted to the reserved capacity
-	returnServed     = "served"     // of a caller that has returned, served like others
+	returnServed     = "served"     // of a caller that has returned, answered like others
 	returnRefused    = "refused"    // of a caller that has returned, refused again
 )
 
-// returnState returns what was decided about the return of a request's caller; "" if nothing was.
-func (p *pendingRequest) returnState() string {
+// returnState returns what was decided about the return of the caller of a request that was answered with
+// a status; "" if nothing was.
+func (p *pendingRequest) returnState(status int) string {
 	c := p.choice
 	switch {
+	case p.returned && (c.Reason != "" || status == http.StatusServiceUnavailable):
+		return returnRefused
 	case p.returned && c.Claimed:
 		return returnKept
-	case p.returned && c.Reason != "":
-		return returnRefused
 	case p.returned:
 		return returnServed
 	case c.Promised:
@@ -53,8 +55,8 @@
 }
 
 // countReturn counts what was decided about the return of a request's caller.
-func (n *Node) countReturn(p *pendingRequest) {
-	if state := p.returnState(); state != "" {
+func (n *Node) countReturn(p *pendingRequest, status int) {
+	if state := p.returnState(status); state != "" {
 		n.cfg.Metrics.CountDecision(metrics.Decision{Kind: "return", Service: p.service, Reason: state})
 	}
 }
--- a/internal/edge/returns_test.go
+++ b/internal/edge/returns_test.go
@@ -52,19 +52,21 @@
 	tests := map[string]struct {
 		returned bool
 		choice   steer.Choice
+		status   int
 		want     string
 	}{
-		"served":             {false, steer.Choice{}, ""},
-		"refused, promised":  {false, steer.Choice{Reason: steer.NoCapacity, Promised: true}, returnPromised},
-		"refused":            {false, steer.Choice{Reason: steer.Cold}, returnUnpromised},
-		"no target":          {false, steer.Choice{Reason: steer.NoTarget}, ""},
-		"returned":           {true, steer.Choice{}, returnServed},
-		"returned, admitted": {true, steer.Choice{Claimed: true}, returnKept},
-		"returned, refused":  {true, steer.Choice{Reason: steer.NoBudget}, returnRefused},
+		"served":             {false, steer.Choice{}, 200, ""},
+		"refused, promised":  {false, steer.Choice{Reason: steer.NoCapacity, Promised: true}, 503, returnPromised},
+		"refused":            {false, steer.Choice{Reason: steer.Cold}, 503, returnUnpromised},
+		"no target":          {false, steer.Choice{Reason: steer.NoTarget}, 503, ""},
+		"returned":           {true, steer.Choice{}, 200, returnServed},
+		"returned, admitted": {true, steer.Choice{Claimed: true}, 200, returnKept},
+		"returned, refused":  {true, steer.Choice{Reason: steer.NoBudget}, 503, returnRefused},
+		"returned, shed":     {true, steer.Choice{Claimed: true}, 503, returnRefused},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			if got := (&pendingRequest{returned: tt.returned, choice: tt.choice}).returnState(); got != tt.want {
+			if got := (&pendingRequest{returned: tt.returned, choice: tt.choice}).returnState(tt.status); got != tt.want {
 				t.Errorf("got %q, want %q", got, tt.want)
 			}
 		})
