--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -221,7 +221,7 @@
 	}
 	n.mu.Unlock()
 	if o.Ending == steer.Answered {
-		n.cfg.Metrics.RecordReturn(p.service, r.choice.Estimate, o.Took)
+		n.cfg.Metrics.RecordAnswerTime(p.service, r.choice.Estimate, o.Took)
 	}
 	n.recordRollout(now, p, r, v)
 	if ejected {
--- a/internal/metrics/set.go
+++ b/internal/metrics/set.go
@@ -20,7 +20,7 @@
 	prefix               = "firlever"
 	nameDecisions        = "decisions"            // counter; labels kind, service, reason
 	nameLatency          = "latency_seconds"      // histogram; label service; answered requests, from arrival to the last byte
-	nameReturn           = "return_seconds"       // histogram; labels service, kind; estimated and measured time until a target's answer is back
+	nameAnswerTime       = "answer_seconds"       // histogram; labels service, kind; estimated and measured time until a target's answer is back
 	nameChecks           = "invariant_checks"     // gauge; label invariant
 	nameViolations       = "invariant_violations" // gauge; label invariant; a value other than 0 is a bug in firlever
 	nameLimit            = "limit"                // gauge; label service; slots that this instance may use now
@@ -64,7 +64,7 @@
 	mu               sync.Mutex
 	decisions        map[Decision]tally.Counter // guarded by mu
 	latency          map[string]tally.Histogram // by service; guarded by mu
-	returns          map[string]returnTimes     // by service; guarded by mu
+	returns          map[string]answerTimes     // by service; guarded by mu
 	quotaByWorkspace map[string]quotaCounters   // by workspace; guarded by mu
 }
 
@@ -85,7 +85,7 @@
 		handler:          promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
 		decisions:        make(map[Decision]tally.Counter),
 		latency:          make(map[string]tally.Histogram),
-		returns:          make(map[string]returnTimes),
+		returns:          make(map[string]answerTimes),
 		quotaByWorkspace: make(map[string]quotaCounters),
 	}
 }
@@ -128,11 +128,11 @@
 	h.RecordValue(took.Seconds())
 }
 
-// returnTimes are the times until the answers of a service's targets are back.
-type returnTimes struct{ estimated, measured tally.Histogram }
+// answerTimes are the times until the answers of a service's targets are back.
+type answerTimes struct{ estimated, measured tally.Histogram }
 
-// RecordReturn records after which time a target's answer was expected back, and after which it was.
-func (s *Set) RecordReturn(service string, estimated, measured time.Duration) {
+// RecordAnswerTime records after which time a target's answer was expected back, and after which it was.
+func (s *Set) RecordAnswerTime(service string, estimated, measured time.Duration) {
 	if s == nil {
 		return
 	}
@@ -140,9 +140,9 @@
 	r, ok := s.returns[service]
 	if !ok {
 		histogram := func(kind string) tally.Histogram {
-			return s.scope.Tagged(map[string]string{"service": service, "kind": kind}).Histogram(nameReturn, latencyBuckets)
+			return s.scope.Tagged(map[string]string{"service": service, "kind": kind}).Histogram(nameAnswerTime, latencyBuckets)
 		}
-		r = returnTimes{estimated: histogram("estimated"), measured: histogram("measured")}
+		r = answerTimes{estimated: histogram("estimated"), measured: histogram("measured")}
 		s.returns[service] = r
 	}
 	s.mu.Unlock()
--- a/internal/retry/demand.go
+++ b/internal/retry/demand.go
@@ -3,7 +3,7 @@
 import "time"
 
 // Classes is the number of classes of retries that a Demand distinguishes, the most useful first.
-const Classes = 16
+const Classes = 32
 
 // Demand divides the retries that a Window allows among classes of requests: those that gain most
 // go first. It counts how many retries each class has asked for within the length of the window.
--- a/internal/steer/kept.go
+++ b/internal/steer/kept.go
@@ -133,6 +133,14 @@
 	}
 }
 
+// liftBound drops the bound on homes, as no object is asked for.
+func (s *service) liftBound() {
+	if s.fit.Restricted() {
+		s.fit = workingset.Plan{}
+		s.plan.SetHomes(placement.MaxHomes)
+	}
+}
+
 // maxHomes returns how many homes an object has that is placed by its hash.
 func (s *service) maxHomes() int {
 	if s.fit.Restricted() {
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -128,6 +128,9 @@
 	var moved []Placement
 	for _, name := range slices.Sorted(maps.Keys(f.services)) {
 		s := f.services[name]
+		if s.plan.Work() == 0 {
+			s.liftBound()
+		}
 		if !s.plan.Due(now) {
 			continue
 		}
--- a/internal/steer/retryafter.go
+++ b/internal/steer/retryafter.go
@@ -85,7 +85,7 @@
 // acceptsReturn reports whether the candidate gets a request that is admitted to the reserved capacity: it
 // can answer before the deadline.
 func (c *candidate) acceptsReturn(now time.Time, q *Query, e estimate, mean time.Duration) bool {
-	return q.claimed && q.Deadline.After(now.Add(e.wait+mean)) && !now.Before(c.shedUntil)
+	return q.claimed && q.Deadline.After(now.Add(e.wait+mean+e.delay)) && !now.Before(c.shedUntil)
 }
 
 // minServed is the number of answers per second below which the last one is too long ago to tell
