Decide who waits by priority while a service is short of room

Cause: a wait of up to the whole objective was accepted, whatever the priority and the time that the request had been here: at three times the load what waits ends late. Change: internal/admission keeps a level for each service: how many requests a second the instance may send, learnt from the loads of all targets, divided by priority. Who isn't let in takes free slots only, and if others go before, none at targets that were full lately. What would be late for its wait doesn't wait. Refusals say "overload". Nothing changes while a tenth of the slots is free, for routes without an objective, for services whose targets tell no load, and for retries. With the level switched off TestBurst fails, with priorities ignored TestBurst and TestAgreement.

--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -106,6 +106,7 @@
 	now, q := boottime.Now(), n.query(p)
 	c := n.fleet.Pick(now, q)
 	p.counted = true
+	n.logRoom(p.service, c.Admission)
 	if q.Retry {
 		n.recordRetry(now, p, c)
 	}
--- a/internal/edge/gauges.go
+++ b/internal/edge/gauges.go
@@ -49,7 +49,7 @@
 	defer n.mu.Unlock()
 	for _, name := range slices.Sorted(maps.Keys(current.Config().Services)) {
 		all, usable := n.fleet.CountTargets(at, name)
-		e.Services = append(e.Services, metrics.EdgeService{Name: name, Targets: all, Usable: usable})
+		e.Services = append(e.Services, metrics.EdgeService{Name: name, Targets: all, Usable: usable, Admitted: n.fleet.AdmittedShares(name)})
 	}
 	return e
 }
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/firlever/firlever/internal/boottime"
@@ -21,6 +22,9 @@
 		n.cfg.Metrics.RecordLatency(p.service, took)
 	}
 	n.cfg.Metrics.CountDecision(metrics.Decision{Kind: statusKind(resp.Status), Service: p.service, Reason: p.outcome()})
+	if p.choice.Reason == steer.Overloaded {
+		n.cfg.Metrics.CountDecision(metrics.Decision{Kind: "not-admitted", Service: p.service, Reason: "priority-" + strconv.Itoa(p.choice.Admission.Priority)})
+	}
 	limiter := n.failureLimiter
 	if good {
 		limiter = n.successLimiter
@@ -52,6 +56,9 @@
 		"busy", c.TargetLoad, "usual", c.TypicalLoad, "load-age", c.LoadAge, "store-age", n.mirror.Age(now),
 		"ending", p.outcome(), "peer", p.peer, "from", p.from, "ended", p.crashedTargets, "conn", p.in.ConnID,
 	}
+	if a := c.Admission; a.Short {
+		line = append(line, "short", true, "priority", a.Priority, "admitted", a.Share, "expected", a.Answer)
+	}
 	if c.LimitShare != nil {
 		line = append(line, "limit", c.LimitShare.Limit, "part", c.LimitShare.Rate)
 	}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -77,6 +77,8 @@
 	fleet       *steer.Fleet       // guarded by mu
 	answerSizes map[string]float64 // average bytes of an answer by route; guarded by mu
 
+	shortServices map[string]bool // that are short of room; guarded by mu
+
 	ctx        context.Context // ends with the node
 	cancel     context.CancelFunc
 	background sync.WaitGroup // goroutines that Start started
@@ -94,7 +96,7 @@
 	}
 	n := &Node{
 		cfg: cfg, store: platform.NewStore(s.Store), fleet: fleet,
-		evacuated: make(map[string]bool), answerSizes: make(map[string]float64),
+		evacuated: make(map[string]bool), answerSizes: make(map[string]float64), shortServices: make(map[string]bool),
 		successLimiter: logs.NewLimiter(cfg.SuccessLogRate), failureLimiter: logs.NewLimiter(failureLogRate),
 		changeLimiter: logs.NewLimiter(changeLogRate), retryLimiter: logs.NewLimiter(retryLogRate),
 	}
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -79,7 +79,7 @@
 	"registration verified": true, "store restored": true,
 	"configuration in force": true, "evacuation": true, "settings reloaded": true, "log lines dropped": true,
 	"loads not exchanged": true, "registration unusable": true, "tokens not asked for": true,
-	"machine was suspended": true, "partitioned from targets": true, "targets reached again": true, "partition not written": true,
+	"machine was suspended": true, "service short of room": true, "service has room again": true, "partitioned from targets": true, "targets reached again": true, "partition not written": true,
 }
 
 // Timeline returns the lines that explain a request, ordered by time, or nil if no
--- a/internal/metrics/edge.go
+++ b/internal/metrics/edge.go
@@ -1,6 +1,7 @@
 package metrics
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -23,6 +24,10 @@
 	nameUsableTargets = "targets_usable"    // by service: targets that are neither leaving, evacuated, ejected nor backing off
 )
 
+// nameAdmittedShare is a gauge of the share of the requests for a service that is admitted: service,
+// priority.
+const nameAdmittedShare = "admitted_share"
+
 // Names of the gauges of a bound over all instances, with labels bound and service. Those of quotas
 // are in tokens per second, of all workspaces together.
 const (
@@ -76,6 +81,8 @@
 	Name    string
 	Targets int
 	Usable  int
+
+	Admitted map[int]float64 // by priority, the share of the requests that is admitted, 0 to 1
 }
 
 // SetEdgeGauges sets the gauges of an instance on the users' platform.
@@ -95,6 +102,9 @@
 		scope := s.scope.Tagged(map[string]string{"service": v.Name})
 		scope.Gauge(nameTargets).Update(float64(v.Targets))
 		scope.Gauge(nameUsableTargets).Update(float64(v.Usable))
+		for priority, share := range v.Admitted {
+			scope.Tagged(map[string]string{"priority": strconv.Itoa(priority)}).Gauge(nameAdmittedShare).Update(share)
+		}
 	}
 	for _, b := range e.Bounds {
 		scope := s.scope.Tagged(map[string]string{"bound": b.Name, "service": b.Service})
--- a/internal/steer/fleet.go
+++ b/internal/steer/fleet.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
+	"github.com/firlever/firlever/internal/admission"
 	"github.com/firlever/firlever/internal/retry"
 	"github.com/firlever/firlever/internal/routes"
 )
@@ -41,6 +42,9 @@
 	budget        *retry.Window            // additional attempts allowed to this instance
 	typicalLoad   float64                  // running mean of other instances' requests per slot of a target, from load reports; 0 or more
 	split         *versionSplit            // nil if no rollout was ordered
+	level         admission.Level          // of requests that are admitted
+	reportedAt    time.Time                // when a target last reported its load to this instance; zero before the first
+	warmLatency   time.Duration            // low quantile of the latency of one request; 0 before the first sample
 	retriesUntil  time.Time                // latest time at which a refused caller was asked to retry
 }
 
--- a/internal/steer/outcome.go
+++ b/internal/steer/outcome.go
@@ -76,6 +76,7 @@
 	t.recordLatency(now, took)
 	s := f.services[t.Service]
 	s.meanLatency = smooth(s.meanLatency, took)
+	s.recordWarmLatency(took)
 	domainMean, found := s.domainLatency[t.Domain]
 	if !found {
 		domainMean = s.meanLatency // the first requests in a domain run cold, and say little about its latency
--- a/internal/steer/pick.go
+++ b/internal/steer/pick.go
@@ -22,7 +22,10 @@
 	Counted    bool           // whether the request counts in a retry budget already
 	Tried      []string       // IDs of the targets that it was sent to before
 
-	pool pool // where the target is looked for; set by Pick
+	pool     pool          // where the target is looked for; set by Pick
+	maxWait  time.Duration // longest wait for a slot; set by Pick
+	yields   bool          // contended targets are left to more urgent requests; set by Pick
+	admitted bool          // the load of the service is considered; set by Pick
 }
 
 // Reason is why a request is refused.
@@ -35,6 +38,7 @@
 	NoBudget     Reason = "no-budget" // the retry budget is used up
 	Cold         Reason = "cold"      // the targets with capacity are cold and have had their share of requests
 	BackingOff   Reason = "resting"   // every target is backing off
+	Overloaded   Reason = "overload"  // the service is short of room, and others go before
 	LimitReached Reason = "limited"   // every target has a limit, and this instance's share of it is used up
 )
 
@@ -53,6 +57,7 @@
 	HedgeAt        time.Time     // time after which an answer is unlikely; another target may then be tried in parallel
 	Reason         Reason        // set if the request is refused
 	RetryAfter     time.Duration // time after which a retry is worthwhile; set if the request is refused
+	Admission      Admission     // zero if the load of the service decides nothing
 	FirstCandidate string        // ID of the first candidate; set if the request is refused
 }
 
@@ -79,18 +84,21 @@
 	}
 	f.expirePeers(now)
 	f.updatePart(now)
+	objective := q.Objective
 	if q.Objective <= 0 {
 		q.Objective = DefaultObjective
 	}
 	if !q.Retry && !q.Counted {
 		s.budget.Request(now)
 	}
+	f.admit(now, s, &q, objective)
 	var c Choice
 	for _, q.pool = range f.pools(now, s, q) {
 		if c = f.best(now, s, &q); c.Target.ID != "" {
 			break
 		}
 	}
+	c = s.recordAdmitted(now, &q, c)
 	if c.Target.ID == "" {
 		return c
 	}
--- a/internal/steer/report.go
+++ b/internal/steer/report.go
@@ -82,6 +82,8 @@
 		f.reporting = append(f.reporting, t)
 	}
 	t.ownLoad, t.ownLoadAt = l.Running+l.Waiting, now
+	t.service.reportedAt = now
+	t.recordContention(now, t.ownLoad)
 	t.setOtherLoad(now, t.ownLoad-t.inFlight())
 	if t.Slots > 0 {
 		// Reports from peers are left out of the typical load: they are sent only where the load
@@ -98,6 +100,7 @@
 		ownRequests++
 	}
 	t.setOtherLoad(r.At, r.Load-ownRequests)
+	t.recordContention(r.At, r.Load)
 }
 
 // setOtherLoad stores how many requests of other instances the target has.
--- a/internal/steer/target.go
+++ b/internal/steer/target.go
@@ -56,6 +56,7 @@
 	sharedLoad      int       // load in the last report that instances exchanged
 	sharedLoadUntil time.Time // the weight of that report falls to 0 until then; zero before the first
 	shedUntil       time.Time // counted as full until then
+	contendedUntil  time.Time // a report showed lately that all slots were in use
 
 	meanLatency time.Duration // running mean of the latency of one request
 	measuredAt  time.Time     // time of the last sample of meanLatency
