Hold the level at targets that are short of room themselves

Change: a service is short of room from one and a half requests a slot, and the level holds only at targets that had as many within 2 s. Where the work alone is over the objective, the most urgent priority waits as before. Tests: internal/admission, steer, metrics and explain pass.

--- a/internal/admission/level.go
+++ b/internal/admission/level.go
@@ -10,15 +10,18 @@
 	"time"
 )
 
+// ShortLoad is the load, in requests per slot, from which targets are short of room: requests wait half
+// of the time of their work in the mean.
+const ShortLoad = 1.5
+
 const (
-	// shortBusy is the share of the slots in use from which a service is short of room: what comes
-	// then waits, or makes others wait. Requests that wait at single targets while others have free
-	// slots are a matter of where they are sent.
+	// shortBusy is the share of the slots in use from which a service can be short of room. Requests
+	// that wait at some targets while others have free slots are a matter of where they are sent.
 	shortBusy = 0.9
 	// freeBusy is the share of the slots in use up to which the capacity follows each update alone:
 	// so many free slots show that too much is refused.
 	freeBusy = 0.8
-	// shortHold is how long a service stays short of room after its slots were last in use or
+	// shortHold is how long a service stays short of room after its slots were last in use, or
 	// a request was last refused: until instances have told each other of the load twice.
 	shortHold = 2 * period
 	// updateInterval is the least time between two updates.
@@ -68,8 +71,8 @@
 	return float64(r.Busy) / float64(r.Slots)
 }
 
-// short reports whether nearly all slots are in use.
-func (r Room) short() bool { return r.busy() >= shortBusy }
+// short reports whether nearly all slots are in use, and requests wait.
+func (r Room) short() bool { return r.busy() >= shortBusy && r.load() >= ShortLoad }
 
 // load returns the requests per slot.
 func (r Room) load() float64 {
@@ -207,9 +210,9 @@
 	return min(deadline.Sub(now)/3, time.Duration((0.5+uniform(key))*float64(period+drained)))
 }
 
-// MaxWait returns how long a request may wait at a target while the service is short of room, if
-// its work takes the given time and it came in before: so that it is in time, and so that more
-// urgent ones that wait behind it are.
+// MaxWait returns how long a request with an objective may wait at a target while the service is
+// short of room, if it came in some time before and its work takes the given time: so that it is in
+// time, and so that more urgent ones that wait behind it are.
 func (l *Level) MaxWait(now time.Time, priority int, latency, waited, work time.Duration) time.Duration {
 	strictest := l.demand.strictest(now, Priority(priority), latency)
 	return max(0, min(latency-max(0, waited), strictest)-work)
--- a/internal/steer/admit.go
+++ b/internal/steer/admit.go
@@ -19,30 +19,35 @@
 // lowQuantile is the quantile of latencies that is taken as the time of work whose object is warm.
 const lowQuantile = 0.25
 
-// contention is how long a target counts as contended after all of its slots were in use: other
-// instances know of a slot that became free since, and send to it too.
+// contention is how long a target counts as contended after it was as full as makes a service short
+// of room: other instances know of slots that became free since, and send to it too.
 const contention = 2 * time.Second
 
 // recordContention records a report of the target's load.
 func (t *target) recordContention(at time.Time, load int) {
-	if load >= t.Slots {
+	if float64(load) >= admission.ShortLoad*float64(t.Slots) {
 		t.contendedUntil = later(t.contendedUntil, at.Add(contention))
 	}
 }
 
 // accepts reports whether the request may be sent to the candidate: it gets a slot there soon enough
-// and before its deadline, and the target did not just refuse others.
+// and before its deadline, and the target did not just refuse others. While the service is short of
+// room, the limits of admit hold at contended targets.
 func (c *candidate) accepts(now time.Time, q *Query, e estimate) bool {
-	if q.yields && now.Before(c.contendedUntil) {
-		return false
+	maxWait := q.Objective
+	if q.short && now.Before(c.contendedUntil) {
+		if q.yields {
+			return false
+		}
+		maxWait = q.maxWait
 	}
-	return e.wait <= q.maxWait && q.Deadline.After(now.Add(e.wait)) && !now.Before(c.shedUntil)
+	return e.wait <= maxWait && q.Deadline.After(now.Add(e.wait)) && !now.Before(c.shedUntil)
 }
 
-// admit decides by the load of its service how long a request may wait for a slot. Requests without an objective, those that were sent before, and those for
-// services whose targets don't report their load are not concerned.
+// admit decides by the load of its service where a request may wait for a slot. Requests without an
+// objective, those that were sent before, and those for services whose targets don't report their
+// load are not concerned.
 func (f *Fleet) admit(now time.Time, s *service, q *Query, objective time.Duration) {
-	q.maxWait = q.Objective
 	q.admitted = objective > 0 && !q.Retry && s.reportedAt.After(now.Add(-loadReportTTL))
 	if !q.admitted {
 		return
@@ -52,15 +57,16 @@
 		l.Update(now, f.room(now, s))
 	}
 	mayWait, mostUrgent := l.MayWait(now, q.Priority, objective, hash(q.SpreadKey)), l.MostUrgent(q.Priority)
-	switch {
-	case !l.Short(now):
-	case s.latency(objective) > objective && mostUrgent:
-		// Where the work alone makes answers late, as at cold targets, nobody is in time because
-		// others don't wait.
-	case mayWait:
+	if s.latency(objective) > objective && mostUrgent {
+		// The work alone makes answers late, as at cold targets: nobody is in time because others
+		// don't wait.
+		return
+	}
+	q.short = l.Short(now)
+	if mayWait {
 		q.maxWait = l.MaxWait(now, q.Priority, objective, q.waited(now), s.warmLatency)
-	default:
-		q.maxWait, q.yields = 0, !mostUrgent
+	} else {
+		q.yields = !mostUrgent
 	}
 }
 
@@ -76,7 +82,7 @@
 		s.level.Sent()
 		c.Admission.Answer = q.waited(now) + c.Wait + s.latency(q.Objective)
 	case NoCapacity:
-		if c.Admission.Short {
+		if q.short {
 			c.Reason, c.RetryAfter = Overloaded, s.level.RetryAfter(now, q.Deadline, hash(q.SpreadKey))
 		}
 	}
--- a/internal/steer/capacity_test.go
+++ b/internal/steer/capacity_test.go
@@ -29,6 +29,21 @@
 	}
 }
 
+// Measures the cost of a choice if all targets report their load and the service is short of room.
+func BenchmarkCapacityPickShort(b *testing.B) {
+	for _, n := range []int{12, 100, 300, 1000, 10000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			f := newBenchFleet(b, n, 0)
+			for _, t := range f.targets {
+				f.recordOwnLoad(start, t, Load{Running: t.Slots, Waiting: t.Slots})
+				t.otherLoadUntil = start.Add(24 * time.Hour)
+			}
+			f.services["s"].reportedAt = start.Add(24 * time.Hour)
+			benchmarkPick(b, f)
+		})
+	}
+}
+
 // newBenchFleet returns a fleet with the given numbers of targets and of other instances.
 func newBenchFleet(b *testing.B, targets, others int) *Fleet {
 	b.Helper()
--- a/internal/steer/pick.go
+++ b/internal/steer/pick.go
@@ -23,8 +23,9 @@
 	Tried      []string       // IDs of the targets that it was sent to before
 
 	pool     pool          // where the target is looked for; set by Pick
-	maxWait  time.Duration // longest wait for a slot; set by Pick
-	yields   bool          // contended targets are left to more urgent requests; set by Pick
+	short    bool          // the service is short of room; set by Pick
+	maxWait  time.Duration // longest wait at contended targets then; set by Pick
+	yields   bool          // contended targets are left to more urgent requests then; set by Pick
 	admitted bool          // the load of the service is considered; set by Pick
 }
 
