--- a/internal/admission/level.go
+++ b/internal/admission/level.go
@@ -130,7 +130,7 @@
 	}
 	inflow = max(minInflow, inflow)
 	capacity := l.earlier.sent / inflow
-	if l.capacity == 0 || capacity == 0 {
+	if l.capacity == 0 {
 		l.capacity = capacity
 		return
 	}
@@ -146,7 +146,7 @@
 func (l *Level) fill(now time.Time) {
 	total, count := l.demand.total()
 	rate := l.current.askedSoFar(now.Sub(l.beganAt), l.earlier)
-	if total == 0 || rate == 0 {
+	if total == 0 || rate == 0 || l.capacity == 0 {
 		return
 	}
 	aim, step := highestAim, (highestAim-lowestAim)/float64(max(1, count-1))
--- a/internal/admission/level_test.go
+++ b/internal/admission/level_test.go
@@ -128,6 +128,24 @@
 	}
 }
 
+// An instance that starts while its service is short of room lets all in until it knows what it
+// may send.
+func TestStartInBurst(t *testing.T) {
+	now := time.UnixMilli(1_800_000_000_000)
+	var l Level
+	l.Update(now, Room{Requests: 200, Busy: 100, Slots: 100, Work: 100 * time.Millisecond})
+	for i := range 100 {
+		now = now.Add(time.Millisecond)
+		if !l.MayWait(now, i%2, time.Second, uint64(i)<<57) {
+			t.Fatalf("got request %d refused, want all let in", i)
+		}
+	}
+	l.Update(now.Add(updateInterval), Room{Requests: 200, Busy: 100, Slots: 100, Work: 100 * time.Millisecond})
+	if got := l.Share(1); got != 1 {
+		t.Errorf("got %.2f let in, want all while the capacity isn't known", got)
+	}
+}
+
 // TestWays prints the comparison of docs/design/admission.md.
 func TestWays(t *testing.T) {
 	if !*weigh {
