--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -82,6 +82,8 @@
 	callers     map[string]*reservation.Callers // by route, how much time callers have left; guarded by mu
 	keptLogged  map[string]int                  // objects that targets keep by service, as last logged; guarded by mu
 
+	shortServices map[string]bool // that are short of room; guarded by mu
+
 	ctx        context.Context // ends with the node
 	cancel     context.CancelFunc
 	background sync.WaitGroup // goroutines that Start started
@@ -99,7 +101,7 @@
 	}
 	n := &Node{
 		cfg: cfg, store: platform.NewStore(s.Store), fleet: fleet,
-		evacuated: make(map[string]bool), answerSizes: make(map[string]float64), keptLogged: make(map[string]int), callers: make(map[string]*reservation.Callers),
+		evacuated: make(map[string]bool), answerSizes: make(map[string]float64), shortServices: make(map[string]bool), keptLogged: make(map[string]int), callers: make(map[string]*reservation.Callers),
 		successLimiter: logs.NewLimiter(cfg.SuccessLogRate), failureLimiter: logs.NewLimiter(failureLogRate),
 		changeLimiter: logs.NewLimiter(changeLogRate), retryLimiter: logs.NewLimiter(retryLogRate),
 	}
--- a/internal/metrics/edge.go
+++ b/internal/metrics/edge.go
@@ -1,6 +1,7 @@
 package metrics
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -35,6 +36,10 @@
 	namePlacementHighest = "placement_load_highest" // greatest planned load of a target as a multiple of its bound
 )
 
+// nameAdmittedShare is a gauge of the share of the requests for a service that is admitted: service,
+// priority.
+const nameAdmittedShare = "admitted_share"
+
 // Names of the gauges of a bound over all instances, with labels bound and service. Those of quotas
 // are in tokens per second, of all workspaces together.
 const (
@@ -92,6 +97,7 @@
 	Room      int // objects of this region that all targets keep
 	Needed    int // objects that they would have to keep so that each has all its homes
 	Placement Placement
+	Admitted  map[int]float64 // by priority, the share of the requests that is admitted, 0 to 1
 }
 
 // Placement holds the values of the gauges of the plan of a service's homes.
@@ -132,6 +138,9 @@
 			scope.Gauge(namePlacementWork).Update(p.Work)
 			scope.Gauge(namePlacementHighest).Update(p.Highest)
 		}
+		for priority, share := range v.Admitted {
+			scope.Tagged(map[string]string{"priority": strconv.Itoa(priority)}).Gauge(nameAdmittedShare).Update(share)
+		}
 	}
 	for _, b := range e.Bounds {
 		scope := s.scope.Tagged(map[string]string{"bound": b.Name, "service": b.Service})
--- a/internal/steer/fleet.go
+++ b/internal/steer/fleet.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
+	"github.com/firlever/firlever/internal/admission"
 	"github.com/firlever/firlever/internal/placement"
 	"github.com/firlever/firlever/internal/reservation"
 	"github.com/firlever/firlever/internal/retry"
@@ -63,6 +64,9 @@
 	warmLatency   time.Duration            // estimated duration of warm work; 0 before the first sample
 	objectLatency time.Duration            // running mean of the latency of requests for objects that found a free slot
 	plan          *placement.Plan          // of the objects' homes
+	level         admission.Level          // of requests that are admitted
+	reportedAt    time.Time                // when a target last reported its load to this instance; zero before the first
+	lowLatency    time.Duration            // low quantile of the latency of one request; 0 before the first sample
 	retriesUntil  time.Time                // latest time at which a refused caller was asked to retry
 
 	learner         *workingset.Learner // nil until a request names an object
--- a/internal/steer/outcome.go
+++ b/internal/steer/outcome.go
@@ -91,6 +91,7 @@
 	if roundTrip := t.path.roundTrip(); roundTrip > 0 {
 		s.meanRoundTrip = smooth(s.meanRoundTrip, roundTrip)
 	}
+	s.recordLowLatency(took)
 	domainMean, found := s.domainLatency[t.Domain]
 	if !found {
 		domainMean = s.meanLatency // the first requests in a domain run cold, and say little about its latency
--- a/internal/steer/pick.go
+++ b/internal/steer/pick.go
@@ -36,6 +36,10 @@
 	homes        int              // of the object by plan, ranked first; 0 if it is placed by hash; set by order
 	plannedHome  string           // ID of the first of them
 	oneHome      bool             // the object's other targets would push out what is warm; set by order
+	short        bool             // the service is short of room; set by Pick
+	maxWait      time.Duration    // longest wait at contended targets then; set by Pick
+	yields       bool             // contended targets are left to more urgent requests then; set by Pick
+	admitted     bool             // the load of the service is considered; set by Pick
 }
 
 // Reason is why a request is refused.
@@ -48,6 +52,7 @@
 	NoBudget     Reason = "no-budget" // the retry budget is used up
 	Cold         Reason = "cold"      // the targets with capacity are cold and have had their share of requests
 	BackingOff   Reason = "resting"   // every target is backing off
+	Overloaded   Reason = "overload"  // the service is short of room, and others go before
 	LimitReached Reason = "limited"   // every target has a limit, and this instance's share of it is used up
 )
 
@@ -73,6 +78,7 @@
 	RetryAfter     time.Duration // time after which a retry is worthwhile; set if the request is refused
 	Promised       bool          // capacity is reserved for the return after RetryAfter; set if the request is refused
 	Claimed        bool          // it was admitted to the capacity that is reserved for returns
+	Admission      Admission     // zero if the load of the service decides nothing
 	FirstCandidate string        // ID of the first candidate; set if the request is refused
 }
 
@@ -99,14 +105,17 @@
 	}
 	f.expirePeers(now)
 	f.updatePart(now)
+	objective := q.Objective
 	if q.Objective <= 0 {
 		q.Objective, q.anyObjective = DefaultObjective, true
 	}
 	if !q.Retry && !q.Counted {
 		s.budget.Request(now)
 	}
+	f.admit(now, s, &q, objective)
 	f.countObject(s, &q)
 	c := f.bestOfPools(now, s, &q)
+	c = s.recordAdmitted(now, &q, c)
 	if c.Target.ID == "" {
 		return c
 	}
--- a/internal/steer/target.go
+++ b/internal/steer/target.go
@@ -60,6 +60,7 @@
 	shedUntil       time.Time // counted as full until then
 	slowdown        slowdown  // last report, to whichever instance
 	sharedSlowdown  slowdown  // last report that instances exchanged
+	contendedUntil  time.Time // a report showed lately that all slots were in use
 
 	meanLatency time.Duration // running mean of the latency of one request
 	measuredAt  time.Time     // time of the last sample of meanLatency
