--- a/cmd/firlever/edge.go
+++ b/cmd/firlever/edge.go
@@ -56,6 +56,7 @@
 	f.IntVar(&flags.metricsPort, "metrics", 0, "port that serves metrics; 0 for none")
 	f.IntVar(&cfg.SuccessLogRate, "log-rate", edge.DefaultSuccessLogRate, "log lines/s about successful requests")
 	f.DurationVar(&cfg.LookupTTL, "ttl", edge.DefaultLookupTTL, "how long callers may cache the answer to a look-up")
+	f.BoolVar(&cfg.Admission, "admission", false, "admit requests by priority while a service is short of room")
 	f.Float64Var(&cfg.ByteCost, "byte-cost", 0, "cost of a byte between failure domains, in nanoseconds of latency; 0 for the default")
 	return cmd
 }
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -22,6 +22,7 @@
 	Metrics        *metrics.Set
 	DialTargets    http1.Dial      // nil: TCP from the instance's address, with the time-outs of package tcp
 	Overload       *overload.Meter // of this process; with nil, no request is refused because of overload
+	Admission      bool            // requests are admitted by priority while a service is short of room
 	ByteCost       float64         // nanoseconds of latency that one byte between failure domains is worth; 0: the default
 	SuccessLogRate int             // lines a second about successful requests
 	LookupTTL      time.Duration   // how long callers may cache the answer to a look-up
@@ -63,7 +64,7 @@
 	s := &c.Settings
 	return steer.Config{
 		Instance: s.Instance, Domain: s.Domain, Regions: s.Regions,
-		Bounds: steerBounds(s.Bounds), ByteCost: c.ByteCost,
+		Bounds: steerBounds(s.Bounds), ByteCost: c.ByteCost, Admission: c.Admission,
 	}
 }
 
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/firlever/firlever/internal/boottime"
@@ -22,6 +23,9 @@
 	}
 	n.cfg.Metrics.CountDecision(metrics.Decision{Kind: statusKind(resp.Status), Service: p.service, Reason: p.outcome()})
 	n.countReturn(p, resp.Status)
+	if p.choice.Reason == steer.Overloaded {
+		n.cfg.Metrics.CountDecision(metrics.Decision{Kind: "not-admitted", Service: p.service, Reason: "priority-" + strconv.Itoa(p.choice.Admission.Priority)})
+	}
 	limiter := n.failureLimiter
 	if good {
 		limiter = n.successLimiter
@@ -60,6 +64,9 @@
 	if state := p.returnState(resp.Status); state != "" {
 		line = append(line, "return", state)
 	}
+	if a := c.Admission; a.Short {
+		line = append(line, "short", true, "priority", a.Priority, "admitted", a.Share, "expected", a.Answer)
+	}
 	if c.LimitShare != nil {
 		line = append(line, "limit", c.LimitShare.Limit, "part", c.LimitShare.Rate)
 	}
--- a/internal/steer/config.go
+++ b/internal/steer/config.go
@@ -25,7 +25,8 @@
 
 	Bounds
 
-	ByteCost float64 // nanoseconds of latency that one byte between failure domains is worth
+	ByteCost  float64 // nanoseconds of latency that one byte between failure domains is worth
+	Admission bool    // requests are admitted by priority while a service is short of room
 }
 
 // Bounds are limits that hold over all instances together.
--- a/internal/steer/report.go
+++ b/internal/steer/report.go
@@ -117,6 +117,8 @@
 	}
 	t.service.reportsLoad = true
 	t.ownLoad, t.ownLoadAt = l.Running+l.Waiting, now
+	t.service.reportedAt = now
+	t.recordContention(now, t.ownLoad)
 	t.setOtherLoad(now, t.ownLoad-t.inFlight())
 	if l.Slowdown > 0 {
 		t.recordSlowdown(now, l.Slowdown)
@@ -137,6 +139,7 @@
 		ownRequests++
 	}
 	t.setOtherLoad(r.At, r.Load-ownRequests)
+	t.recordContention(r.At, r.Load)
 }
 
 // setOtherLoad stores how many requests of other instances the target has.
