Tell failed exchanges apart, and name the factor of cold runs so

Found in review: exchanges of objects and runs that collectors of earlier versions don't know were logged as loads that are not exchanged; slowdown had two meanings.

--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -4,11 +4,26 @@
 	"time"
 
 	"github.com/firlever/firlever/internal/boottime"
+	"github.com/firlever/firlever/internal/loads"
 	"github.com/firlever/firlever/internal/metrics"
 	"github.com/firlever/firlever/internal/placement"
 	"github.com/firlever/firlever/internal/steer"
 )
 
+// newExchanges creates the exchanges of what the instances of a region learn of the targets.
+func (n *Node) newExchanges() {
+	n.loads = loads.New(loads.Peers{
+		Name: n.cfg.Settings.Instance, Collector: n.collector, Interval: n.loadInterval,
+		Reports: n.loadReports, Receive: n.receiveLoadReports, Failed: n.exchangeFailed("loads"),
+	})
+	n.objects = loads.NewObjects(loads.ObjectPeers{
+		Collector: n.collector, Counts: n.objectCounts, Receive: n.receiveObjectLoads, Failed: n.exchangeFailed("objects"),
+	})
+	n.runs = loads.NewRuns(loads.RunPeers{
+		Collector: n.collector, Reports: n.keptReports, Receive: n.receiveKeptReports, Failed: n.exchangeFailed("runs"),
+	})
+}
+
 // loadInterval returns after which time reports are to be exchanged again.
 func (n *Node) loadInterval() time.Duration {
 	n.mu.Lock()
@@ -56,11 +71,14 @@
 	}
 }
 
-// loadExchangeFailed counts and logs a failed exchange of load reports.
-func (n *Node) loadExchangeFailed(err error) {
-	n.cfg.Metrics.CountDecision(metrics.Decision{Kind: "loads", Reason: "failed"})
-	if suppressed, ok := n.failureLimiter.Allow(boottime.Now()); ok {
-		n.cfg.Log.Warn("loads not exchanged", "suppressed", suppressed, "err", err)
+// exchangeFailed returns a function that counts and logs a failed exchange. Collectors of earlier versions
+// don't know the exchanges of objects and of runs.
+func (n *Node) exchangeFailed(what string) func(err error) {
+	return func(err error) {
+		n.cfg.Metrics.CountDecision(metrics.Decision{Kind: what, Reason: "failed"})
+		if suppressed, ok := n.failureLimiter.Allow(boottime.Now()); ok {
+			n.cfg.Log.Warn("loads not exchanged", "what", what, "suppressed", suppressed, "err", err)
+		}
 	}
 }
 
--- a/internal/edge/runs.go
+++ b/internal/edge/runs.go
@@ -33,7 +33,7 @@
 		n.keptLogged[name] = e.Keeps
 		if suppressed, ok := n.changeLimiter.Allow(now); ok {
 			needed, room := n.fleet.KeptNeeded(name)
-			n.cfg.Log.Info("kept objects", "service", name, "objects", e.Keeps, "needed", needed, "room", room, "slowdown", e.Slowdown, "lifetime", e.Lifetime, "confidence", e.Confidence, "suppressed", suppressed)
+			n.cfg.Log.Info("kept objects", "service", name, "objects", e.Keeps, "needed", needed, "room", room, "cold-factor", e.ColdFactor, "lifetime", e.Lifetime, "confidence", e.Confidence, "suppressed", suppressed)
 		}
 	}
 }
--- a/internal/loads/run_message.go
+++ b/internal/loads/run_message.go
@@ -29,7 +29,7 @@
 	Complete   uint8
 	Confidence uint8 // in 255ths
 	Keeps      uint16
-	Slowdown   float32
+	ColdFactor float32
 	Lifetime   uint32 // in milliseconds
 	Repeats    float32
 	Age        uint32 // in milliseconds
@@ -51,7 +51,7 @@
 		e := &r.Estimate
 		entry := reportEntry{
 			Service: r.Service, Runs: uint16(len(r.Runs)), Complete: uint8(r.Complete), Confidence: uint8(255 * e.Confidence), Keeps: clamp(int64(e.Keeps)),
-			Slowdown: float32(e.Slowdown), Lifetime: clampLong(e.Lifetime), Repeats: float32(e.Repeats), Age: clampLong(now.Sub(e.At)),
+			ColdFactor: float32(e.ColdFactor), Lifetime: clampLong(e.Lifetime), Repeats: float32(e.Repeats), Age: clampLong(now.Sub(e.At)),
 		}
 		runs := make([]runEntry, 0, len(r.Runs))
 		for _, run := range r.Runs {
@@ -89,7 +89,7 @@
 			return nil, errors.Trace(&MessageError{Reason: err.Error()})
 		}
 		s := steer.KeptReport{Service: e.Service, Report: workingset.Report{Complete: int(e.Complete), Estimate: workingset.Estimate{
-			Keeps: int(e.Keeps), Slowdown: float64(e.Slowdown), Lifetime: time.Duration(e.Lifetime) * time.Millisecond,
+			Keeps: int(e.Keeps), ColdFactor: float64(e.ColdFactor), Lifetime: time.Duration(e.Lifetime) * time.Millisecond,
 			Confidence: float64(e.Confidence) / 255, Repeats: float64(e.Repeats), At: now.Add(-time.Duration(e.Age) * time.Millisecond),
 		}}}
 		for _, run := range entries {
--- a/internal/loads/runs_test.go
+++ b/internal/loads/runs_test.go
@@ -16,7 +16,7 @@
 
 func keptReport(runs int) steer.KeptReport {
 	r := steer.KeptReport{Service: 5, Report: workingset.Report{Complete: 16, Estimate: workingset.Estimate{
-		Keeps: 12, Slowdown: 3, Lifetime: 4 * time.Second, Confidence: 1, Repeats: 600, At: start.Add(-time.Second),
+		Keeps: 12, ColdFactor: 3, Lifetime: 4 * time.Second, Confidence: 1, Repeats: 600, At: start.Add(-time.Second),
 	}}}
 	for i := range runs {
 		r.Runs = append(r.Runs, workingset.Run{Target: 7, Object: uint64(i), Kind: 3, Took: 250 * time.Millisecond, At: start.Add(-501 * time.Millisecond)})
--- a/internal/steer/kept_test.go
+++ b/internal/steer/kept_test.go
@@ -60,7 +60,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t, 8, 4)
 			s := f.services["s"]
-			f.learn(s).Merge(start, workingset.Report{Complete: 128, Estimate: workingset.Estimate{Keeps: tt.keeps, Slowdown: 3, Confidence: 1, At: start}})
+			f.learn(s).Merge(start, workingset.Report{Complete: 128, Estimate: workingset.Estimate{Keeps: tt.keeps, ColdFactor: 3, Confidence: 1, At: start}})
 			for i := range tt.objects {
 				s.plan.Set(placement.Load{Object: placement.Object{Key: uint64(i + 1)}, Level: 20})
 			}
--- a/internal/workingset/config.go
+++ b/internal/workingset/config.go
@@ -19,7 +19,7 @@
 type Config struct {
 	SampledTargets int     // targets of a service whose runs are told and compared
 	MaxKeeps       int     // most objects that a target is taken to keep
-	MinSlowdown    float64 // from which factor a cold run counts as slower than a warm one
+	MinColdFactor  float64 // from which factor a cold run counts as slower than a warm one
 	MaxPairs       int     // pairs of a target and an object whose last run an instance remembers
 	Fill           float64 // fraction of what targets keep that is planned for
 	MaxLoad        float64 // fraction of a target's time that is planned for
@@ -29,9 +29,9 @@
 const (
 	defaultSampledTargets = 128
 	defaultMaxKeeps       = 512
-	// defaultMinSlowdown: below it, a move of objects costs more than warm runs save.
-	defaultMinSlowdown = 1.5
-	defaultMaxPairs    = 100_000
+	// defaultMinColdFactor: below it, a move of objects costs more than warm runs save.
+	defaultMinColdFactor = 1.5
+	defaultMaxPairs      = 100_000
 	// defaultFill leaves room for new objects.
 	defaultFill = 0.95
 	// defaultMaxLoad is the load up to which few requests wait for longer than they run.
@@ -48,7 +48,7 @@
 func (c *Config) Defaults() {
 	setDefault(&c.SampledTargets, defaultSampledTargets)
 	setDefault(&c.MaxKeeps, defaultMaxKeeps)
-	setDefault(&c.MinSlowdown, defaultMinSlowdown)
+	setDefault(&c.MinColdFactor, defaultMinColdFactor)
 	setDefault(&c.MaxPairs, defaultMaxPairs)
 	setDefault(&c.Fill, defaultFill)
 	setDefault(&c.MaxLoad, defaultMaxLoad)
@@ -69,7 +69,7 @@
 	}{
 		{c.SampledTargets >= 1 && c.SampledTargets <= 255, "sampled targets are not within 1 and 255"},
 		{c.MaxKeeps >= 2 && c.MaxKeeps <= 1<<16, "most objects kept are not within 2 and 65536"},
-		{c.MinSlowdown > 1, "least slowdown is not above 1"},
+		{c.MinColdFactor > 1, "least coldFactor is not above 1"},
 		{c.MaxPairs >= 2, "remembered pairs are less than 2"},
 		{c.Fill > 0 && c.Fill <= 1, "fill is not within 0 and 1"},
 		{c.MaxLoad > 0 && c.MaxLoad <= 1, "most load is not within 0 and 1"},
--- a/internal/workingset/estimate.go
+++ b/internal/workingset/estimate.go
@@ -20,12 +20,12 @@
 func (l *Learner) update(now time.Time) {
 	e := l.estimate()
 	e.Repeats, e.At = l.repeats.all.n, now
-	if s, ok := l.repeats.step(l.cfg.MinSlowdown); ok {
+	if s, ok := l.repeats.step(l.cfg.MinColdFactor); ok {
 		if ratio := float64(s.distance) / max(1, float64(e.Keeps)); ratio > estimateTolerance || ratio < 1/estimateTolerance {
 			e.Keeps = s.distance
 		}
-		e.Slowdown, e.Confidence = s.slowdown, min(1, s.deviation/certainDeviation)
-		l.slowFrom = s.warm + math.Log(l.cfg.MinSlowdown)
+		e.ColdFactor, e.Confidence = s.coldFactor, min(1, s.deviation/certainDeviation)
+		l.slowFrom = s.warm + math.Log(l.cfg.MinColdFactor)
 	} else if e.Known() {
 		e = l.probe(e)
 	} else {
--- a/internal/workingset/gate_test.go
+++ b/internal/workingset/gate_test.go
@@ -19,7 +19,7 @@
 		return newService(testServers, testSlots, testKeeps, w, nil)
 	}
 	s := newService(testServers, testSlots, testKeeps, w, NewGate())
-	s.estimate = Estimate{Keeps: testKeeps, Slowdown: 3, Confidence: 1}
+	s.estimate = Estimate{Keeps: testKeeps, ColdFactor: 3, Confidence: 1}
 	return s
 }
 
--- a/internal/workingset/learner_test.go
+++ b/internal/workingset/learner_test.go
@@ -64,7 +64,7 @@
 	for _, wrong := range []int{3, 48} {
 		w := newWorld(t, 8, 48, 12, 600, 0)
 		for _, l := range w.instances {
-			l.Merge(w.now, Report{Complete: 128, Estimate: Estimate{Keeps: wrong, Slowdown: 3, Confidence: 1, At: w.now}})
+			l.Merge(w.now, Report{Complete: 128, Estimate: Estimate{Keeps: wrong, ColdFactor: 3, Confidence: 1, At: w.now}})
 		}
 		if got := w.instances[0].Keeps().Keeps; got != wrong {
 			t.Errorf("got %d, want %d from peers at first", got, wrong)
@@ -97,7 +97,7 @@
 // Cold runs take no longer than warm ones: nothing is learnt.
 func TestNothingToKeep(t *testing.T) {
 	w := newWorld(t, 8, 48, 12, 600, 0)
-	w.slowdown = 1
+	w.coldFactor = 1
 	w.play(2 * time.Minute)
 	if got := w.instances[1].Keeps(); got.Known() {
 		t.Errorf("got %+v, want unknown", got)
@@ -133,14 +133,14 @@
 	w := newWorld(t, 1, 16, 12, 600, 0)
 	l := w.instances[0]
 	for name, e := range map[string]Estimate{
-		"negative":     {Keeps: -1, Slowdown: 3, At: w.now},
-		"huge":         {Keeps: 1 << 40, Slowdown: 3, At: w.now},
-		"no number":    {Keeps: 12, Slowdown: math.NaN(), At: w.now},
-		"infinite":     {Keeps: 12, Slowdown: 3, Repeats: math.Inf(1), At: w.now},
-		"faster cold":  {Keeps: 12, Slowdown: 0.5, At: w.now},
-		"later":        {Keeps: 12, Slowdown: 3, At: w.now.Add(time.Hour)},
-		"overly sure":  {Keeps: 12, Slowdown: 3, Confidence: 2, At: w.now},
-		"without time": {Keeps: 12, Slowdown: 3},
+		"negative":     {Keeps: -1, ColdFactor: 3, At: w.now},
+		"huge":         {Keeps: 1 << 40, ColdFactor: 3, At: w.now},
+		"no number":    {Keeps: 12, ColdFactor: math.NaN(), At: w.now},
+		"infinite":     {Keeps: 12, ColdFactor: 3, Repeats: math.Inf(1), At: w.now},
+		"faster cold":  {Keeps: 12, ColdFactor: 0.5, At: w.now},
+		"later":        {Keeps: 12, ColdFactor: 3, At: w.now.Add(time.Hour)},
+		"overly sure":  {Keeps: 12, ColdFactor: 3, Confidence: 2, At: w.now},
+		"without time": {Keeps: 12, ColdFactor: 3},
 	} {
 		l.Merge(w.now, Report{Complete: -1, Estimate: e, Runs: []Run{{Target: w.targets[0], Took: -1, At: w.now.Add(time.Hour)}}})
 		if got := l.Keeps(); got != (Estimate{}) || len(l.pending) > 0 || l.complete != 128 {
--- a/internal/workingset/plan.go
+++ b/internal/workingset/plan.go
@@ -146,7 +146,7 @@
 		return warm
 	}
 	hits := min(1, float64(overflow*s.Keeps)/d.objects)
-	cost := hits + (1-hits)*max(1, s.Slowdown)
+	cost := hits + (1-hits)*max(1, s.ColdFactor)
 	rest := min(d.rest, cfg.MaxLoad*float64(overflow)/cost)
 	return warm + rest*(hits+(1-hits)*coldWeight)
 }
--- a/internal/workingset/plan_test.go
+++ b/internal/workingset/plan_test.go
@@ -30,7 +30,7 @@
 	for i, load := range loads {
 		h.Add(load, places[i])
 	}
-	e := Estimate{Keeps: keeps, Slowdown: 3, Confidence: 1}
+	e := Estimate{Keeps: keeps, ColdFactor: 3, Confidence: 1}
 	p := MakePlan(Config{}, Service{Estimate: e, Targets: planTargets, Homes: 2, Heats: h}, before)
 	next := make([]Place, len(places))
 	for i := range next {
--- a/internal/workingset/repeats.go
+++ b/internal/workingset/repeats.go
@@ -72,10 +72,10 @@
 
 // step is the number of other objects from which on repeats are slow.
 type step struct {
-	distance  int
-	warm      float64 // mean of the repeats below it
-	slowdown  float64 // of the repeats from there on
-	deviation float64 // of the slowdown from 1, in standard deviations of its estimate
+	distance   int
+	warm       float64 // mean of the repeats below it
+	coldFactor float64 // of the repeats from there on
+	deviation  float64 // of the coldFactor from 1, in standard deviations of its estimate
 }
 
 // step returns the most likely step; false if there is none that is large and certain enough.
--- a/internal/workingset/report.go
+++ b/internal/workingset/report.go
@@ -17,7 +17,7 @@
 // Estimate is how many objects each target of a service keeps warm.
 type Estimate struct {
 	Keeps      int           // objects; 0 if not known
-	Slowdown   float64       // how many times as long a cold run takes
+	ColdFactor float64       // how many times as long a cold run takes
 	Lifetime   time.Duration // how long a target keeps an object that does not run again; 0 if for as long as was seen
 	Confidence float64       // 0 to 1
 	Repeats    float64       // number of repeated runs that it is based on
@@ -29,8 +29,8 @@
 
 // valid reports whether an estimate received from a peer can be used.
 func (e *Estimate) valid(cfg *Config) bool {
-	finite := !math.IsNaN(e.Slowdown) && !math.IsInf(e.Slowdown, 0) && !math.IsNaN(e.Repeats) && !math.IsInf(e.Repeats, 0)
-	return finite && e.Keeps >= 0 && e.Keeps <= cfg.MaxKeeps && (e.Slowdown >= 1 || e.Keeps == 0) && e.Lifetime >= 0 &&
+	finite := !math.IsNaN(e.ColdFactor) && !math.IsInf(e.ColdFactor, 0) && !math.IsNaN(e.Repeats) && !math.IsInf(e.Repeats, 0)
+	return finite && e.Keeps >= 0 && e.Keeps <= cfg.MaxKeeps && (e.ColdFactor >= 1 || e.Keeps == 0) && e.Lifetime >= 0 &&
 		e.Confidence >= 0 && e.Confidence <= 1 && e.Repeats >= 0
 }
 
--- a/internal/workingset/world_test.go
+++ b/internal/workingset/world_test.go
@@ -27,22 +27,22 @@
 // world plays requests for objects at targets, seen by instances of a region of which the first
 // collects.
 type world struct {
-	rng       *rand.Rand
-	now       time.Time
-	instances []*Learner
-	targets   []uint64
-	caches    []cache
-	keeps     int     // true number of objects that each target keeps
-	objects   int     // in use
-	skew      float64 // exponent of the objects' heat by rank; 0: equal heat
-	homes     int     // of each object
-	slowdown  float64 // of cold runs
-	heat      []float64
+	rng        *rand.Rand
+	now        time.Time
+	instances  []*Learner
+	targets    []uint64
+	caches     []cache
+	keeps      int     // true number of objects that each target keeps
+	objects    int     // in use
+	skew       float64 // exponent of the objects' heat by rank; 0: equal heat
+	homes      int     // of each object
+	coldFactor float64 // of cold runs
+	heat       []float64
 }
 
 func newWorld(t testing.TB, instances, targets, keeps, objects int, skew float64) *world {
 	w := &world{
-		rng: rand.New(rand.NewPCG(1, 1)), now: start, caches: make([]cache, targets), keeps: keeps, objects: objects, skew: skew, homes: 2, slowdown: 3,
+		rng: rand.New(rand.NewPCG(1, 1)), now: start, caches: make([]cache, targets), keeps: keeps, objects: objects, skew: skew, homes: 2, coldFactor: 3,
 	}
 	for range targets {
 		w.targets = append(w.targets, w.rng.Uint64())
@@ -95,7 +95,7 @@
 		target := w.home(object)
 		took := 0.2 * math.Exp(0.3*w.rng.NormFloat64()) * (1 + 0.3*float64(object%2))
 		if !w.caches[target].run(uint64(object), w.keeps) {
-			took *= w.slowdown
+			took *= w.coldFactor
 		}
 		r := Run{Target: w.targets[target], Object: uint64(object), Kind: uint32(object % 2)}
 		if w.rng.IntN(3) == 0 {
