--- a/internal/loads/exchange.go
+++ b/internal/loads/exchange.go
@@ -71,15 +71,20 @@
 
 // Run exchanges reports periodically until ctx ends.
 func (x *Exchange) Run(ctx context.Context) {
-	timer := time.NewTimer(x.interval())
+	repeat(ctx, x.interval, func() { x.exchangeOnce(ctx, boottime.Now()) })
+}
+
+// repeat calls do after each interval until ctx ends.
+func repeat(ctx context.Context, interval func() time.Duration, do func()) {
+	timer := time.NewTimer(interval())
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-timer.C:
-			timer.Reset(x.interval())
-			x.exchangeOnce(ctx, boottime.Now())
+			timer.Reset(interval())
+			do()
 		}
 	}
 }
--- a/internal/loads/objects.go
+++ b/internal/loads/objects.go
@@ -66,16 +66,7 @@
 
 // Run exchanges counts periodically until ctx ends.
 func (x *ObjectExchange) Run(ctx context.Context) {
-	ticker := time.NewTicker(objectInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			x.exchangeOnce(ctx, x.now())
-		}
-	}
+	repeat(ctx, func() time.Duration { return objectInterval }, func() { x.exchangeOnce(ctx, x.now()) })
 }
 
 // exchangeOnce exchanges counts once. An instance that has none to tell calls nobody.
--- a/internal/loads/runs.go
+++ b/internal/loads/runs.go
@@ -59,16 +59,7 @@
 
 // Run exchanges runs periodically until ctx ends.
 func (x *RunExchange) Run(ctx context.Context) {
-	ticker := time.NewTicker(runInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			x.exchangeOnce(ctx, boottime.Now())
-		}
-	}
+	repeat(ctx, func() time.Duration { return runInterval }, func() { x.exchangeOnce(ctx, boottime.Now()) })
 }
 
 // exchangeOnce tells the collector what there is to tell.
