--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -131,13 +131,13 @@
 
 // query returns the criteria for choosing a target. n.mu is held.
 func (n *Node) query(p *pendingRequest) steer.Query {
-	q := steer.Query{
+	return steer.Query{
 		Service: p.service, Object: p.object(), SpreadKey: p.info.ID, Regions: p.regions(),
-		Objective: p.route.Objective, Deadline: p.deadline, ReceivedAt: p.in.ReceivedAt,
-		Priority: p.rank(), Fingerprint: uint64(p.fingerprint), Returned: p.returned, ReturnFrom: p.returnFrom, ReturnBy: p.returnBy, Repeatable: p.repeatable, AnswerSize: n.answerSizes[p.route.Name],
-		Retry: p.reached+p.inFlight > 0, Parallel: p.inFlight > 0, Counted: p.counted, Tried: p.tried,
+		Objective: p.route.Objective, Deadline: p.deadline, ReceivedAt: p.in.ReceivedAt, Priority: p.rank(),
+		Fingerprint: uint64(p.fingerprint), Returned: p.returned, ReturnFrom: p.returnFrom, ReturnBy: p.returnBy,
+		AnswerSize: n.answerSizes[p.route.Name],
+		Retry:      p.reached+p.inFlight > 0, Parallel: p.inFlight > 0, Counted: p.counted, Tried: p.tried,
 	}
-	return q
 }
 
 func (n *Node) exchange(ctx context.Context, p *pendingRequest, target steer.Target) (*http1.Response, error) {
--- a/internal/steer/pick.go
+++ b/internal/steer/pick.go
@@ -21,25 +21,29 @@
 	Returned    bool           // the caller was refused before and waited
 	ReturnFrom  time.Time      // if the caller is refused, its return is recognised from then on; zero: never
 	ReturnBy    time.Time      // if the caller is refused, it returns by then, whatever it is told; zero: at a third of its time to Deadline
-	Repeatable  bool           // whether the request may run more than once
 	AnswerSize  float64        // estimated bytes of the answer; 0 if unknown
 	Retry       bool           // whether the request was sent to another target before
 	Parallel    bool           // whether another attempt is in flight, so that a refusal does not reach the caller
 	Counted     bool           // whether the request counts in a retry budget already
 	Tried       []string       // IDs of the targets that it was sent to before
 
-	pool         pool             // where the target is looked for; set by Pick
-	anyObjective bool             // the route has no objective, and Objective is the default; set by Pick
-	claimed      bool             // it is admitted to the capacity that is reserved for returns; set by Pick
-	promised     bool             // capacity is reserved for the caller's return; set by Pick
-	object       placement.Object // set by Pick if there is an Object
-	homes        int              // of the object by plan, ranked first; 0 if it is placed by hash; set by order
+	pickState
+}
+
+// pickState is what Pick finds out about a request.
+type pickState struct {
+	pool         pool             // where the target is looked for
+	anyObjective bool             // the route has no objective, and Objective is the default
+	claimed      bool             // it is admitted to the capacity that is reserved for returns
+	promised     bool             // capacity is reserved for the caller's return
+	object       placement.Object // set if there is an Object
+	homes        int              // of the object by plan, ranked first; 0 if it is placed by hash
 	plannedHome  string           // ID of the first of them
-	oneHome      bool             // the object's other targets would push out what is warm; set by order
-	short        bool             // the service is short of room; set by Pick
-	maxWait      time.Duration    // longest wait at contended targets then; set by Pick
-	yields       bool             // contended targets are left to more urgent requests then; set by Pick
-	admitted     bool             // the load of the service is considered; set by Pick
+	oneHome      bool             // the object's other targets would push out what is warm
+	short        bool             // the service is short of room
+	maxWait      time.Duration    // longest wait at contended targets then
+	yields       bool             // contended targets are left to more urgent requests then
+	admitted     bool             // the load of the service is considered
 }
 
 // Reason is why a request is refused.
--- a/internal/steer/report.go
+++ b/internal/steer/report.go
@@ -37,8 +37,8 @@
 	reportInterval = 500 * time.Millisecond
 	// frequentInterval replaces it where targets report slowdowns, which change many times a second.
 	frequentInterval = 250 * time.Millisecond
-	// maxFrequentPeers is the most instances that exchange reports at frequentInterval: the collector
-	// of a region with a third of them answers 130 messages a second.
+	// maxFrequentPeers is the most instances that exchange reports at frequentInterval: if all are in
+	// one region, its collector answers 400 messages a second.
 	maxFrequentPeers = 100
 	// slowdownsLast is how long after the last report of a slowdown reports are exchanged frequently.
 	slowdownsLast = 10 * time.Second
