--- a/internal/loads/run_message.go
+++ b/internal/loads/run_message.go
@@ -14,10 +14,10 @@
 )
 
 const (
-	// maxTold is how many runs a message holds at most: 6 KB. There is one message a second.
-	maxTold = 256
-	// maxToldServices is how many services a message holds at most.
-	maxToldServices = 64
+	// maxReported is how many runs a message holds at most: 6 KB. There is one message a second.
+	maxReported = 256
+	// maxReportedServices is how many services a message holds at most.
+	maxReportedServices = 64
 	// maxRunBytes bounds what is read of a message: somewhat more than its largest size.
 	maxRunBytes = 10 << 10
 )
@@ -75,14 +75,14 @@
 // values are possible is for the learner to check.
 func decodeRuns(now time.Time, b []byte) ([]steer.KeptReport, error) {
 	var reports []steer.KeptReport
-	left, r := maxTold, bytes.NewReader(b)
+	left, r := maxReported, bytes.NewReader(b)
 	for r.Len() > 0 {
 		var e reportEntry
 		if err := binary.Read(r, binary.LittleEndian, &e); err != nil {
 			return nil, errors.Trace(&MessageError{Reason: err.Error()})
 		}
-		if left -= int(e.Runs); left < 0 || len(reports) == maxToldServices {
-			return nil, errors.Trace(&MessageError{Reason: fmt.Sprintf("more than %d runs or %d services", maxTold, maxToldServices)})
+		if left -= int(e.Runs); left < 0 || len(reports) == maxReportedServices {
+			return nil, errors.Trace(&MessageError{Reason: fmt.Sprintf("more than %d runs or %d services", maxReported, maxReportedServices)})
 		}
 		entries := make([]runEntry, e.Runs)
 		if err := binary.Read(r, binary.LittleEndian, entries); err != nil {
--- a/internal/loads/runs.go
+++ b/internal/loads/runs.go
@@ -65,7 +65,7 @@
 // exchangeOnce tells the collector what there is to tell.
 func (x *RunExchange) exchangeOnce(ctx context.Context, now time.Time) {
 	address := x.peers.Collector()
-	reports := x.peers.Reports(now, maxTold, maxToldServices, address == "")
+	reports := x.peers.Reports(now, maxReported, maxReportedServices, address == "")
 	if address == "" || len(reports) == 0 || now.Before(x.backoffUntil) {
 		return
 	}
@@ -122,7 +122,7 @@
 		return
 	}
 	x.peers.Receive(now, reports)
-	body, err := encodeRuns(now, x.peers.Reports(now, 0, maxToldServices, x.peers.Collector() == ""))
+	body, err := encodeRuns(now, x.peers.Reports(now, 0, maxReportedServices, x.peers.Collector() == ""))
 	if err != nil {
 		x.peers.Failed(err)
 		http.Error(w, err.Error(), http.StatusInternalServerError)
--- a/internal/loads/runs_test.go
+++ b/internal/loads/runs_test.go
@@ -37,10 +37,10 @@
 	if err != nil || !reflect.DeepEqual(got, want) {
 		t.Errorf("got %+v, %v, want %+v", got, err, want)
 	}
-	if most, err := encodeRuns(start, []steer.KeptReport{keptReport(maxTold)}); err != nil || len(most) > 8<<10 {
+	if most, err := encodeRuns(start, []steer.KeptReport{keptReport(maxReported)}); err != nil || len(most) > 8<<10 {
 		t.Errorf("got %d bytes, %v, want at most 8 KB a second", len(most), err)
 	}
-	more, err := encodeRuns(start, []steer.KeptReport{keptReport(maxTold + 1)})
+	more, err := encodeRuns(start, []steer.KeptReport{keptReport(maxReported + 1)})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/steer/kept.go
+++ b/internal/steer/kept.go
@@ -30,7 +30,7 @@
 		s := f.services[name]
 		f.updateSampled(s)
 		s.learner.Collect(collecting)
-		r := KeptReport{hash(name), s.learner.Tell(now, runs)}
+		r := KeptReport{hash(name), s.learner.NextReport(now, runs)}
 		runs -= len(r.Runs)
 		reports = append(reports, r)
 	}
--- a/internal/workingset/config.go
+++ b/internal/workingset/config.go
@@ -17,7 +17,7 @@
 
 // Config holds the settings of a Learner and a Plan.
 type Config struct {
-	SampledTargets int     // targets of a service whose runs are told and compared
+	SampledTargets int     // targets of a service whose runs are reported and compared
 	MaxKeeps       int     // most objects that a target is taken to keep
 	MinColdFactor  float64 // from which factor a cold run counts as slower than a warm one
 	MaxPairs       int     // pairs of a target and an object whose last run an instance remembers
--- a/internal/workingset/estimate.go
+++ b/internal/workingset/estimate.go
@@ -32,7 +32,7 @@
 		return
 	}
 	if !e.Known() {
-		l.own, l.told = Estimate{}, Estimate{At: now}
+		l.own, l.received = Estimate{}, Estimate{At: now}
 		clear(l.kinds)
 		l.repeats, l.slowFrom = newRepeats(2*l.cfg.MaxKeeps), math.Inf(1)
 		return
--- a/internal/workingset/learner.go
+++ b/internal/workingset/learner.go
@@ -19,7 +19,7 @@
 	maxRunTime = 10 * time.Minute
 	// maxPending bounds the runs that are collected: 1,600 a second.
 	maxPending = 4096
-	// completeTTL is after which time without a cut report more targets are told again.
+	// completeTTL is after which time without a cut report more targets are sampled again.
 	completeTTL = 30 * time.Second
 	// maxKinds is how many kinds of work are told apart; the others share one mean.
 	maxKinds = 64
@@ -38,17 +38,17 @@
 	collecting bool
 	rank       map[uint64]int     // of each sampled target, 0 to cfg.SampledTargets-1
 	stacks     map[uint64]*stack  // of sampled targets; empty unless collecting
-	complete   int                // sampled targets of which all runs are told; 1 to cfg.SampledTargets
+	complete   int                // sampled targets of which all runs are reported; 1 to cfg.SampledTargets
 	grownFrom  int                // complete before it grew last; who reports as many has not heard of more yet
-	growAt     time.Time          // more targets are told then
-	pending    []Run              // of sampled targets, not yet in order or told; at most maxPending
+	growAt     time.Time          // more targets are sampled then
+	pending    []Run              // of sampled targets, not yet in order or reported; at most maxPending
 	settleAt   time.Time          // pending runs are put in order then
 	kinds      map[uint32]samples // logarithms of the seconds of a kind's first kindRuns runs; at most maxKinds+1
 	repeats    *repeats
 	slowFrom   float64                // mean of repeats from which they count as cold; infinite if not known
 	fresh      int                    // repeats since the last update; 0 to estimateEvery-1
 	own        Estimate               // from runs collected here
-	told       Estimate               // from the peer that collects
+	received   Estimate               // from the peer that collects
 	pairs      *recent[uint64, int64] // when a pair of a target and an object last ran, in Unix nanoseconds
 }
 
@@ -87,14 +87,14 @@
 	}
 }
 
-// Collect sets whether this instance collects the runs of its region. What it was told before
+// Collect sets whether this instance collects the runs of its region. What it received before
 // holds until it knows better.
 func (l *Learner) Collect(on bool) {
 	if l.collecting == on {
 		return
 	}
 	if !on {
-		l.told = l.estimate()
+		l.received = l.estimate()
 	}
 	l.collecting, l.own, l.fresh = on, Estimate{}, 0
 	l.pending, l.repeats, l.slowFrom = nil, newRepeats(2*l.cfg.MaxKeeps), math.Inf(1)
@@ -109,7 +109,7 @@
 	l.add(now, r)
 }
 
-// add keeps a run until it is told or put in order.
+// add keeps a run until it is reported or put in order.
 func (l *Learner) add(now time.Time, r Run) {
 	if rank, ok := l.rank[r.Target]; !ok || rank >= l.complete || r.At.After(now) {
 		return
@@ -140,9 +140,9 @@
 	}
 }
 
-// Tell returns a report for the peer that collects or, if this instance collects, for the others. If
+// NextReport returns a report for the peer that collects or, if this instance collects, for the others. If
 // there are more than so many runs to tell, they are left for the next report.
-func (l *Learner) Tell(now time.Time, most int) Report {
+func (l *Learner) NextReport(now time.Time, most int) Report {
 	if l.collecting {
 		l.grow(now)
 		l.settle(now)
@@ -177,8 +177,8 @@
 	case r.Complete < l.complete && (!l.collecting || r.Complete < l.grownFrom):
 		l.cut(now, r.Complete)
 	}
-	if r.Estimate.valid(&l.cfg) && r.Estimate.At.After(l.told.At) && !r.Estimate.At.After(now) {
-		l.told = r.Estimate
+	if r.Estimate.valid(&l.cfg) && r.Estimate.At.After(l.received.At) && !r.Estimate.At.After(now) {
+		l.received = r.Estimate
 	}
 	if !l.collecting {
 		return
@@ -252,7 +252,7 @@
 	if l.collecting && l.own.Known() {
 		return l.own
 	}
-	return l.told
+	return l.received
 }
 
 // Warm reports whether an object is likely to be warm at a target, from this instance's own runs.
--- a/internal/workingset/learner_test.go
+++ b/internal/workingset/learner_test.go
@@ -121,7 +121,7 @@
 	for i := range 1000 {
 		w.instances[1].Observe(w.now, Run{Target: w.targets[i%16], Object: uint64(i)})
 	}
-	r := w.instances[1].Tell(w.now, maxRuns)
+	r := w.instances[1].NextReport(w.now, maxRuns)
 	w.instances[0].Merge(w.now, r)
 	if len(r.Runs) > maxRuns || r.Complete != 1 || w.instances[0].complete != 1 {
 		t.Errorf("got %d runs of %d targets, %d at the peer, want at most %d of 1", len(r.Runs), r.Complete, w.instances[0].complete, maxRuns)
@@ -162,7 +162,7 @@
 	for i := range 300_000 {
 		w.instances[0].Observe(w.now, Run{Target: w.targets[i%16], Object: uint64(i % 100_000)})
 		if i%1000 == 0 {
-			w.instances[0].Tell(w.now.Add(2*settleTime), maxRuns)
+			w.instances[0].NextReport(w.now.Add(2*settleTime), maxRuns)
 		}
 	}
 	runtime.GC()
@@ -198,8 +198,8 @@
 		now := w.now.Add(time.Duration(i) * time.Second)
 		for j, l := range w.instances[1:] {
 			at := now.Add(time.Duration(j) * 200 * time.Millisecond)
-			collector.Merge(at.Add(delay), l.Tell(at, maxRuns))
-			l.Merge(at.Add(2*delay), collector.Tell(at.Add(delay), 0))
+			collector.Merge(at.Add(delay), l.NextReport(at, maxRuns))
+			l.Merge(at.Add(2*delay), collector.NextReport(at.Add(delay), 0))
 		}
 		if got := collector.complete; i == 0 && got >= 128 {
 			t.Fatalf("got %d targets after the cut, want fewer", got)
--- a/internal/workingset/world_test.go
+++ b/internal/workingset/world_test.go
@@ -109,9 +109,9 @@
 func (w *world) exchange() {
 	collector := w.instances[0]
 	for _, l := range w.instances[1:] {
-		collector.Merge(w.now, l.Tell(w.now, maxRuns))
+		collector.Merge(w.now, l.NextReport(w.now, maxRuns))
 	}
-	report := collector.Tell(w.now, maxRuns)
+	report := collector.NextReport(w.now, maxRuns)
 	for _, l := range w.instances[1:] {
 		l.Merge(w.now, report)
 	}
