Tell targets in use from those that the store holds

Cause: no line or counter told entries that were lost from a slow start: how many targets are in use, how many registrations the store holds, how many changes were left out. Change: line "targets counted" when a count has changed, once a second at most, and gauges targets_stored, items_kept, items_hidden, changes_redundant. No decision changes.

--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -122,6 +122,9 @@
 	}
 }
 
+// DroppedRedundant counts changes of the store that were not applied.
+func (n *Node) DroppedRedundant(changes int) { n.redundantDropped.Add(int64(changes)) }
+
 // Answered counts an answer to a peer.
 func (n *Node) Answered(kind mirror.AnswerKind) {
 	n.cfg.Metrics.CountDecision(metrics.Decision{Kind: "relay-answer", Reason: string(kind)})
--- a/internal/edge/gauges.go
+++ b/internal/edge/gauges.go
@@ -40,6 +40,9 @@
 		Revision: n.mirror.Revision().Count(), Epoch: n.store.Epoch(), StoreAge: n.mirror.Age(at), OverloadShare: n.cfg.Overload.Share(),
 		BodyBytes: n.budget.Held(), BodyLimit: n.budget.Limit(), Bounds: n.boundGauges(at),
 	}
+	counts := n.targetCounts()
+	e.TargetsStored, e.ItemsKept, e.ItemsHidden = counts.stored.Targets, counts.stored.Kept, counts.stored.Hidden
+	e.RedundantDropped = n.redundantDropped.Load()
 	current := n.rules.Load()
 	if current == nil {
 		return e
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -62,20 +62,21 @@
 	handOffAddress string // address for requests that peers hand off, IP:port
 	handOffLn      net.Listener
 
-	instances      instances
-	processStart   int64                 // start of this process, in Unix nanoseconds
-	hadRecord      bool                  // the store had a record of an earlier run; used by the mirror's goroutine alone
-	evacuated      map[string]bool       // used by the mirror's goroutine alone
-	delivery       mirror.Delivery       // the last; used by the mirror's goroutine alone
-	rules          atomic.Pointer[rules] // nil before the first configuration
-	bounds         atomic.Pointer[platform.Bounds]
-	storeListed    atomic.Bool // the store was read once
-	stopping       atomic.Bool
-	acceptUntil    atomic.Pointer[time.Time] // requests that arrive later are refused, as the instance stops; nil while it runs
-	successLimiter *logs.Limiter
-	failureLimiter *logs.Limiter
-	changeLimiter  *logs.Limiter
-	retryLimiter   *logs.Limiter
+	instances        instances
+	processStart     int64                 // start of this process, in Unix nanoseconds
+	hadRecord        bool                  // the store had a record of an earlier run; used by the mirror's goroutine alone
+	evacuated        map[string]bool       // used by the mirror's goroutine alone
+	delivery         mirror.Delivery       // the last; used by the mirror's goroutine alone
+	rules            atomic.Pointer[rules] // nil before the first configuration
+	bounds           atomic.Pointer[platform.Bounds]
+	storeListed      atomic.Bool  // the store was read once
+	redundantDropped atomic.Int64 // changes of the store that were not applied, as they say nothing new
+	stopping         atomic.Bool
+	acceptUntil      atomic.Pointer[time.Time] // requests that arrive later are refused, as the instance stops; nil while it runs
+	successLimiter   *logs.Limiter
+	failureLimiter   *logs.Limiter
+	changeLimiter    *logs.Limiter
+	retryLimiter     *logs.Limiter
 
 	mu          sync.Mutex
 	fleet       *steer.Fleet                    // guarded by mu
@@ -159,6 +160,7 @@
 	n.background.Go(func() { n.crashes.notifier.run(ctx) })
 	n.background.Go(func() { n.rollouts.run(ctx) })
 	n.background.Go(func() { n.updateGauges(ctx) })
+	n.background.Go(func() { n.logTargetCounts(ctx) })
 	return nil
 }
 
--- a/internal/edge/relay_tree_test.go
+++ b/internal/edge/relay_tree_test.go
@@ -231,6 +231,7 @@
 func (*versions) FollowingPeer(string)               {}
 func (*versions) RelayFailed(error)                  {}
 func (*versions) Received(mirror.Delivery)           {}
+func (*versions) DroppedRedundant(int)               {}
 func (*versions) AnswerFailed(error)                 {}
 func (*versions) Answered(mirror.AnswerKind)         {}
 
--- a/internal/metrics/edge.go
+++ b/internal/metrics/edge.go
@@ -20,6 +20,10 @@
 	nameBodyBytes     = "body_bytes"        // held for callers and targets
 	nameBodyLimit     = "body_bytes_limit"  // upper bound of body_bytes
 	nameOverloadShare = "overload_share"    // fraction of new requests refused because the process is overloaded
+	nameStoredTargets = "targets_stored"    // registrations in the store, as last known
+	nameKeptItems     = "items_kept"        // in use although the store lacks them or has an older state
+	nameHiddenItems   = "items_hidden"      // in the store and not in use, as they had been removed before
+	nameRedundant     = "changes_redundant" // of the store since the start that were not applied
 	nameTargets       = "targets"           // by service: registered targets
 	nameUsableTargets = "targets_usable"    // by service: targets that are neither leaving, evacuated, ejected nor backing off
 	nameKeptObjects   = "kept_objects"      // by service: objects that each target keeps warm; not set before it is known
@@ -63,19 +67,23 @@
 
 // EdgeGauges holds the values of the gauges of an instance on the users' platform.
 type EdgeGauges struct {
-	Ready         bool
-	Partitioned   bool
-	ConfigVersion uint64
-	Revision      uint64
-	Epoch         uint64
-	StoreAge      time.Duration
-	Instances     int
-	Connections   int
-	BodyBytes     int64   // bytes of bodies that are held for callers and targets
-	BodyLimit     int64   // upper bound of BodyBytes
-	OverloadShare float64 // fraction of new requests that are refused, 0 to 1
-	Services      []EdgeService
-	Bounds        []Bound
+	Ready            bool
+	Partitioned      bool
+	ConfigVersion    uint64
+	Revision         uint64
+	Epoch            uint64
+	StoreAge         time.Duration
+	Instances        int
+	Connections      int
+	BodyBytes        int64   // bytes of bodies that are held for callers and targets
+	BodyLimit        int64   // upper bound of BodyBytes
+	OverloadShare    float64 // fraction of new requests that are refused, 0 to 1
+	TargetsStored    int     // registrations in the store
+	ItemsKept        int     // in use although the store lacks them or has an older state
+	ItemsHidden      int     // in the store and not in use
+	RedundantDropped int64   // changes of the store that were not applied
+	Services         []EdgeService
+	Bounds           []Bound
 }
 
 // Bound holds the values of the gauges of a bound over all instances.
@@ -118,7 +126,8 @@
 		nameReady: asFloat(e.Ready), namePartitioned: asFloat(e.Partitioned), nameVersion: float64(e.ConfigVersion), nameRevision: float64(e.Revision), nameEpoch: float64(e.Epoch),
 		nameStoreAge: e.StoreAge.Seconds(), nameInstances: float64(e.Instances), nameConnections: float64(e.Connections),
 		nameBodyBytes: float64(e.BodyBytes), nameBodyLimit: float64(e.BodyLimit),
-		nameOverloadShare: e.OverloadShare,
+		nameOverloadShare: e.OverloadShare, nameStoredTargets: float64(e.TargetsStored), nameKeptItems: float64(e.ItemsKept),
+		nameHiddenItems: float64(e.ItemsHidden), nameRedundant: float64(e.RedundantDropped),
 	} {
 		s.scope.Gauge(name).Update(value)
 	}
--- a/internal/mirror/check.go
+++ b/internal/mirror/check.go
@@ -225,3 +225,6 @@
 
 // Revision returns the store's revision up to which all changes are known.
 func (m *Mirror) Revision() platform.Revision { return m.view.history.latest() }
+
+// Counts returns how much of the store is known, and how the view differs from it.
+func (m *Mirror) Counts() ReplicaCounts { return m.view.counts() }
--- a/internal/mirror/copy.go
+++ b/internal/mirror/copy.go
@@ -42,6 +42,7 @@
 	stored      map[string]platform.Item // what the store holds, by key
 	kept        map[string]keptItem      // used in place of what is stored, or although the store lacks it
 	hidden      map[string]time.Time     // keys in stored that the view lacks until then; none of them in kept
+	targets     int                      // keys of targets in stored
 	previous    previousStates           // states that were replaced or removed
 	removeAfter time.Time                // removals before this time are delayed until then
 }
@@ -114,6 +115,9 @@
 // put applies an item that the store holds now.
 func (r *Replica) put(now time.Time, item platform.Item) []Change {
 	old, existed := r.current(item.Key)
+	if _, stored := r.stored[item.Key]; !stored {
+		r.countTarget(item.Key, 1)
+	}
 	r.stored[item.Key] = item
 	switch {
 	case !existed && r.isResurrected(item):
@@ -154,6 +158,7 @@
 	old, existed := r.current(key)
 	delete(r.stored, key)
 	delete(r.hidden, key)
+	r.countTarget(key, -1)
 	switch {
 	case !existed:
 		return nil
@@ -171,6 +176,26 @@
 	return Change{Item: platform.Item{Key: old.Key, Changed: changed}, Removed: true}
 }
 
+// countTarget counts a key that was added to what the store holds, or removed from it, if it is that
+// of a target.
+func (r *Replica) countTarget(key string, n int) {
+	if _, ok := platform.TargetID(key); ok {
+		r.targets += n
+	}
+}
+
+// ReplicaCounts tells how much a replica holds, and how its view differs from that.
+type ReplicaCounts struct {
+	Targets int // registrations that the store holds
+	Kept    int // items of the view that the store lacks or has an older state of
+	Hidden  int // items that the store holds and the view lacks
+}
+
+// Counts returns how much the replica holds.
+func (r *Replica) Counts() ReplicaCounts {
+	return ReplicaCounts{Targets: r.targets, Kept: len(r.kept), Hidden: len(r.hidden)}
+}
+
 // NextDue returns when the next delay ends; zero if nothing is delayed.
 func (r *Replica) NextDue() time.Time {
 	var next time.Time
--- a/internal/mirror/copy_test.go
+++ b/internal/mirror/copy_test.go
@@ -108,3 +108,20 @@
 		t.Errorf("got %q, want %q", got, want)
 	}
 }
+
+// The counts tell registrations that the store holds from those that are only kept.
+func TestCounts(t *testing.T) {
+	r, now := NewReplica(nil), time.Now()
+	put := func(key string, at uint64) platform.Event {
+		return platform.Event{Item: platform.Item{Key: key, Value: []byte(key), Changed: platform.NewRevision(0, at)}}
+	}
+	r.Apply(now, []platform.Event{put(platform.TargetPrefix+"a", 1), put(platform.TargetPrefix+"b", 2), put("other", 3), put(platform.TargetPrefix+"a", 4)})
+	if got, want := r.Counts(), (ReplicaCounts{Targets: 2}); got != want {
+		t.Errorf("after two registrations: got %+v, want %+v", got, want)
+	}
+	r.MarkOutage(now)
+	r.Apply(now, []platform.Event{{Item: platform.Item{Key: platform.TargetPrefix + "a", Changed: platform.NewRevision(0, 5)}, Removed: true}})
+	if got, want := r.Counts(), (ReplicaCounts{Targets: 1, Kept: 1}); got != want {
+		t.Errorf("after a removal in an outage: got %+v, want %+v", got, want)
+	}
+}
--- a/internal/mirror/knowledge.go
+++ b/internal/mirror/knowledge.go
@@ -17,8 +17,8 @@
 }
 
 // view is a mirror's state of the store, and the history that it passes on to peers. It does no
-// input or output. Its history and excerpt are safe for concurrent use; all else is used by one
-// goroutine.
+// input or output. Its history, excerpt and counts are safe for concurrent use; all else is used by
+// one goroutine.
 type view struct {
 	mu        sync.Mutex // held while copy changes, and while another goroutine reads it
 	copy      *Replica
@@ -124,6 +124,13 @@
 	return changes
 }
 
+// counts returns how much the replica holds.
+func (v *view) counts() ReplicaCounts {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.copy.Counts()
+}
+
 // markOutage records that the store is unreachable at now.
 func (v *view) markOutage(now time.Time) {
 	v.mu.Lock()
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -71,6 +71,8 @@
 	// AnswerFailed reports that an answer to a peer could not be encoded. It is called by any
 	// goroutine.
 	AnswerFailed(err error)
+	// DroppedRedundant reports changes of the store that were not applied, as they are redundant.
+	DroppedRedundant(n int)
 	// Answered reports an answer to a peer. It is called by any goroutine.
 	Answered(kind AnswerKind)
 }
@@ -333,6 +335,7 @@
 	received := len(events)
 	if m.peers.Redundant != nil {
 		events = slices.DeleteFunc(events, m.peers.Redundant)
+		m.sink.DroppedRedundant(received - len(events))
 	}
 	now := boottime.Now()
 	m.sink.Received(Delivery{Changes: received, Revision: since, Age: now.Sub(begin), Took: now.Sub(begin)})
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -60,6 +60,8 @@
 
 func (s *sink) Received(Delivery) {}
 
+func (s *sink) DroppedRedundant(int) {}
+
 func (s *sink) Answered(AnswerKind) {}
 
 func (s *sink) RelayFailed(error) {
--- a/internal/steer/fleet.go
+++ b/internal/steer/fleet.go
@@ -234,6 +234,9 @@
 	return nil
 }
 
+// Len returns the number of targets.
+func (f *Fleet) Len() int { return len(f.targets) }
+
 // CountTargets returns the number of targets of a service, and how many of them may get requests now.
 func (f *Fleet) CountTargets(now time.Time, name string) (all, usable int) {
 	s, ok := f.services[name]
