Keep targets whose entries come back before their removal

Cause: mirror.watch left out an entry that came back as it was, as the target in use was as it says. That target was only kept in use until its removal, which is delayed by 2 s after an outage. Then it was removed, and the store had no further change to bring it back. Class: a change is compared with what is in use, not with the copy of what the store holds. Change: a change is redundant only if the store's copy has the key, and the view uses that. Why it works: an entry that returns is applied, which ends the delayed removal.

--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -220,8 +220,8 @@
 }
 
 // redundant reports whether a change of the store is a registration that says nothing new.
-func (n *Node) redundant(e platform.Event) bool {
-	if _, ok := platform.TargetID(e.Key); !ok || e.Removed {
+func (n *Node) redundant(_ platform.Item, e platform.Event) bool {
+	if _, ok := platform.TargetID(e.Key); !ok {
 		return false
 	}
 	r, err := platform.DecodeRegistration(e.Item)
--- a/internal/edge/rig_test.go
+++ b/internal/edge/rig_test.go
@@ -34,6 +34,7 @@
 	memory  int             // of the nodes, in MB; 0 if not known
 	load    *overload.Meter // of the nodes; with nil, none refuses for overload
 	reports int             // that targets have written
+	seeds   []string        // of the nodes
 }
 
 func newRig(t testing.TB) *rig {
@@ -72,7 +73,7 @@
 		LookupTTL: 50 * time.Millisecond,
 		Settings: platform.Settings{
 			Instance: name, Domain: domain, Region: regions[domain], Regions: regions,
-			MemoryMB: r.memory,
+			MemoryMB: r.memory, Seeds: r.seeds,
 			Callers:  anyPort, Ready: anyPort, Lookups: anyPort, Peers: anyPort, Store: r.url,
 			Bounds: platform.Bounds{
 				Grace: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 60, ColdFactor: 1.5, ColdSlack: 5,
@@ -196,6 +197,16 @@
 	})
 }
 
+// waitKnown waits until the node knows all changes of the store.
+func (r *rig) waitKnown() {
+	r.t.Helper()
+	latest, err := platform.NewStore(r.url).Revision(r.t.Context())
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.eventually("all changes are known", func() bool { return !latest.After(r.node.mirror.Revision()) })
+}
+
 // reply is an answer as the caller receives it.
 type reply struct {
 	status     int
--- a/internal/mirror/copy.go
+++ b/internal/mirror/copy.go
@@ -112,6 +112,24 @@
 	return changes
 }
 
+// WithoutRedundant returns the events without those that are redundant. An event can be redundant
+// only if the view uses what the store held of its key before. It can't if the item is kept in use
+// although the store lacks it, as it is due to be removed.
+func (r *Replica) WithoutRedundant(events []platform.Event, redundant func(stored platform.Item, e platform.Event) bool) []platform.Event {
+	return slices.DeleteFunc(events, func(e platform.Event) bool {
+		stored, ok := r.inUse(e.Key)
+		return ok && !e.Removed && redundant(stored, e)
+	})
+}
+
+// inUse returns the item that the store holds of a key; false if there is none or if the view differs.
+func (r *Replica) inUse(key string) (platform.Item, bool) {
+	_, kept := r.kept[key]
+	_, hidden := r.hidden[key]
+	item, stored := r.stored[key]
+	return item, stored && !kept && !hidden
+}
+
 // put applies an item that the store holds now.
 func (r *Replica) put(now time.Time, item platform.Item) []Change {
 	old, existed := r.current(item.Key)
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -125,9 +124,10 @@
 	// Registered returns the addresses of the instances whose records are among items of the store.
 	// It may be nil.
 	Registered func(items []platform.Item) []string
-	// Redundant reports whether a change of the store says nothing that doesn't follow from what is
-	// known. Such changes are neither applied nor passed on. It may be nil.
-	Redundant func(e platform.Event) bool
+	// Redundant reports whether a change of the store says nothing that doesn't follow from the item
+	// that the store held before, which is in use. Such changes are neither applied nor passed on. It
+	// may be nil.
+	Redundant func(stored platform.Item, e platform.Event) bool
 	// Transport is used for calls to peers. nil: TCP, with the time-outs of package tcp.
 	Transport http.RoundTripper
 	// FirstStart is set if the whole system starts for the first time.
@@ -334,7 +334,7 @@
 	}
 	received := len(events)
 	if m.peers.Redundant != nil {
-		events = slices.DeleteFunc(events, m.peers.Redundant)
+		events = m.view.copy.WithoutRedundant(events, m.peers.Redundant)
 		m.sink.DroppedRedundant(received - len(events))
 	}
 	now := boottime.Now()
