Keep targets that are removed and back in one batch of changes

What callers saw: nothing by itself in a small deployment; where an answer of the store is late, a target that lapsed and came back meanwhile gets no more requests, at every instance of the region. Cause: the changes of an answer were compared with what is in use before any of them was applied. The entry that came back was left out, the removal before it applied. Change: a change of a key that an earlier one of the batch changes isn't redundant. Evidence: TestEntryRemovedAndBackInOneBatch before: "not within 2s: 1 usable targets"; case "in the outage" of TestEntryBackBeforeItsRemoval: got 503, want 200. Both pass now. Why it works: changes that matter are applied in their order.

--- a/internal/edge/redundant_test.go
+++ b/internal/edge/redundant_test.go
@@ -16,6 +16,7 @@
 		backInOutage bool // the removal and the entry come in one batch
 	}{
 		"after the outage": {false},
+		"in the outage":    {true},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -49,3 +50,23 @@
 	checkedOutage  = 1500 * time.Millisecond // longer than the interval of the checks of the store
 	removalDelayed = 3 * time.Second         // longer than removals are delayed after an outage
 )
+
+// A target whose entry was removed and written again as it was between two answers of the store was lost.
+func TestEntryRemovedAndBackInOneBatch(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	target := r.target("good")
+	r.configure(1, "s")
+	r.report("a", target.address, "n1", "ready", 0, 1)
+	r.start()
+	r.waitUsable(1)
+	for version := 2; version < 7; version++ {
+		r.configure(version, "s")
+		r.eventually("the configuration is in force", func() bool { return r.node.configVersion() == uint64(version) })
+		// The next watch begins only after a pause, in which changes accumulate.
+		r.store.Remove(platform.TargetPrefix + "a")
+		r.report("a", target.address, "n1", "ready", 0, 1)
+		r.waitKnown()
+		r.waitUsable(1)
+	}
+}
--- a/internal/mirror/copy.go
+++ b/internal/mirror/copy.go
@@ -114,11 +114,16 @@
 
 // WithoutRedundant returns the events without those that are redundant. An event can be redundant
 // only if the view uses what the store held of its key before. It can't if the item is kept in use
-// although the store lacks it, as it is due to be removed.
+// although the store lacks it, as it is due to be removed, or if an earlier event changes the key.
 func (r *Replica) WithoutRedundant(events []platform.Event, redundant func(stored platform.Item, e platform.Event) bool) []platform.Event {
+	changed := make(map[string]bool)
 	return slices.DeleteFunc(events, func(e platform.Event) bool {
 		stored, ok := r.inUse(e.Key)
-		return ok && !e.Removed && redundant(stored, e)
+		if ok && !e.Removed && !changed[e.Key] && redundant(stored, e) {
+			return true
+		}
+		changed[e.Key] = true
+		return false
 	})
 }
 
