Take over reports that the store's copy lacks

What callers saw: requests at a leaving target, from an instance that had just started. Cause: a report that came late replaced a newer one in the store; instances keep the newer one in use. The next report says the same as that and was left out as redundant, so that the store's copy kept the late report, and whoever took the whole view from it used that. Change: a report is redundant only if the stored one says the same too. Evidence: TestLateReportHidesTheNextOne before: got 200 with a leaving target alone, want 503; passes now. Why it works: what is left out is now in the copy as well as in use, in the same words.

--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -219,8 +219,9 @@
 	return t
 }
 
-// redundant reports whether a change of the store is a registration that says nothing new.
-func (n *Node) redundant(_ platform.Item, e platform.Event) bool {
+// redundant reports whether a change of the store is a registration that says nothing new, neither
+// here nor to a peer that takes the stored one from this instance.
+func (n *Node) redundant(stored platform.Item, e platform.Event) bool {
 	if _, ok := platform.TargetID(e.Key); !ok {
 		return false
 	}
@@ -230,8 +231,13 @@
 	}
 	now := boottime.Now()
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.fleet.Redundant(now, targetOf(now, r))
+	known := n.fleet.Redundant(now, targetOf(now, r))
+	n.mu.Unlock()
+	if !known {
+		return false
+	}
+	old, err := platform.DecodeRegistration(stored)
+	return err == nil && r.SameTarget(old)
 }
 
 // dropUnusable removes the target of a store entry that can't be used, as it is uncertain
--- a/internal/edge/redundant_test.go
+++ b/internal/edge/redundant_test.go
@@ -70,3 +70,29 @@
 		r.waitUsable(1)
 	}
 }
+
+// After a report that came late, the next one was left out as redundant, as the target in use was as it
+// said. Whoever took the whole view from this instance got the old state and sent to a leaving target.
+func TestLateReportHidesTheNextOne(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	target := r.target("good")
+	r.configure(1, "s")
+	r.report("a", target.address, "n1", "ready", 0, 1)
+	r.start()
+	r.waitUsable(1)
+	for _, report := range []struct {
+		state    string
+		sequence int
+	}{{"draining", 5}, {"ready", 4}, {"draining", 6}} {
+		r.report("a", target.address, "n1", report.state, 0, report.sequence)
+		r.waitKnown()
+	}
+	r.store.SetFaults(store.Faults{Refuse: true})
+	r.seeds = []string{r.node.peerAddress}
+	follower := r.startInstance("e2", "n1")
+	r.eventually("the follower is ready", follower.Ready)
+	if got, want := r.sendTo(follower, "", "GET", "/get/x").status, http.StatusServiceUnavailable; got != want {
+		t.Errorf("got %d with a leaving target alone, want %d", got, want)
+	}
+}
