Go on accepting connections after a lack of descriptors

Cause: http1.Server.Serve returned at the first error of Accept, and edge dropped its error. Class: a loop ends at an error that passes. The same in net/http's servers for ENOBUFS, ENOMEM and errors of a single connection, in both engines, and in the proxies of the demo. Of all other loops that were read (mirror, registrar, exchanges, rollouts, notifier, partition, loads, reload, logs; serve's watch, list, sync, roster, UDP) none ends at an error. Line "connection not accepted", counter accept-failed. Why it works: only a closed listener ends the loop.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -18,6 +18,7 @@
 	"github.com/firlever/firlever/internal/http1"
 	"github.com/firlever/firlever/internal/loads"
 	"github.com/firlever/firlever/internal/logs"
+	"github.com/firlever/firlever/internal/metrics"
 	"github.com/firlever/firlever/internal/mirror"
 	"github.com/firlever/firlever/internal/quota"
 	"github.com/firlever/firlever/internal/reservation"
@@ -125,7 +126,7 @@
 	n.crashes = newCrashTracker(n)
 	n.rollouts = newRolloutTracker(n)
 	n.handOffServer = http1.NewServer(n.handOffHandlers())
-	n.server = http1.NewServer(http1.Handlers{Handle: n.handle, RefuseEarly: n.refuseEarly, Busy: cfg.Overload.Refuse, BusyAnswer: n.refuseOverloaded, Limits: n.limits, ErrorAnswer: n.refuseUnreadable, Budget: n.budget, NoMemory: n.refuseNoMemory})
+	n.server = http1.NewServer(http1.Handlers{Handle: n.handle, RefuseEarly: n.refuseEarly, Busy: cfg.Overload.Refuse, BusyAnswer: n.refuseOverloaded, Limits: n.limits, ErrorAnswer: n.refuseUnreadable, Budget: n.budget, NoMemory: n.refuseNoMemory, AcceptFailed: n.acceptFailed})
 	return n, nil
 }
 
@@ -286,10 +287,18 @@
 	*address = ln.Addr().String()
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	n.webServers = append(n.webServers, server)
-	go server.Serve(tcp.NewListener(ln, headerTimeout, idleTimeout))
+	go server.Serve(tcp.NewListener(ln, headerTimeout, idleTimeout, n.acceptFailed))
 	return nil
 }
 
+// acceptFailed logs and counts that a connection could not be accepted.
+func (n *Node) acceptFailed(err error) {
+	n.cfg.Metrics.CountDecision(metrics.Decision{Kind: "accept-failed"})
+	if suppressed, ok := n.failureLimiter.Allow(boottime.Now()); ok {
+		n.cfg.Log.Error("connection not accepted", "suppressed", suppressed, "err", err)
+	}
+}
+
 // Timeouts of connections for look-ups, readiness, peers and metrics.
 const (
 	headerTimeout = 5 * time.Second
--- a/internal/edge/rig_test.go
+++ b/internal/edge/rig_test.go
@@ -74,7 +74,7 @@
 		Settings: platform.Settings{
 			Instance: name, Domain: domain, Region: regions[domain], Regions: regions,
 			MemoryMB: r.memory, Seeds: r.seeds,
-			Callers:  anyPort, Ready: anyPort, Lookups: anyPort, Peers: anyPort, Store: r.url,
+			Callers: anyPort, Ready: anyPort, Lookups: anyPort, Peers: anyPort, Store: r.url,
 			Bounds: platform.Bounds{
 				Grace: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 60, ColdFactor: 1.5, ColdSlack: 5,
 				LookupTTL: 5 * time.Second, CanaryShare: 0.5,
--- a/internal/emulator/link/proxy.go
+++ b/internal/emulator/link/proxy.go
@@ -7,6 +7,8 @@
 	"sync"
 
 	"github.com/juju/errors"
+
+	"github.com/firlever/firlever/internal/tcp"
 )
 
 // Proxy forwards TCP connections to an address over links, to inject faults between real
@@ -32,7 +34,7 @@
 // their dialers.
 func NewProxyFrom(ln net.Listener, links *Links, from func(dialer net.Addr) Point, to Point, addr string) *Proxy {
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &Proxy{ln: ln, links: links, from: from, to: to, addr: addr, ctx: ctx, cancel: cancel}
+	p := &Proxy{ln: tcp.NewRetryListener(ln, nil), links: links, from: from, to: to, addr: addr, ctx: ctx, cancel: cancel}
 	p.work.Go(p.serve)
 	return p
 }
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/firlever/firlever/internal/tcp"
 )
 
 // Limits holds the limits on the size and duration of requests.
@@ -35,6 +37,8 @@
 	NoMemory func(r *Request) *Response
 	// Limits returns the limits in force. It is called for each request.
 	Limits func() Limits
+	// AcceptFailed is called with each error of the listener; it may be nil.
+	AcceptFailed func(error)
 	// ErrorAnswer returns the answer, with the given status, to a request that can't be
 	// read.
 	ErrorAnswer func(status int) *Response
@@ -63,12 +67,10 @@
 
 // Serve accepts connections until the listener is closed, and returns its error.
 func (s *Server) Serve(ln net.Listener) error {
+	ln = tcp.NewRetryListener(ln, s.callers.AcceptFailed)
 	for {
 		c, err := ln.Accept()
 		if err != nil {
-			if e, ok := err.(net.Error); ok && e.Timeout() {
-				continue
-			}
 			return err
 		}
 		s.start(c)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -246,7 +246,7 @@
 			IdleTimeout: idleTimeout, MaxHeaderBytes: headerLimits[i],
 		}
 		in.servers = append(in.servers, srv)
-		go srv.Serve(tcp.NewListener(ln, headerTimeout, idleTimeout))
+		go srv.Serve(tcp.NewListener(ln, headerTimeout, idleTimeout, in.acceptFailed))
 	}
 	for _, loop := range []func(context.Context){in.tick, in.watch, in.register, in.refreshInstances, in.maintainRoster, in.probe, in.runGrantRequests, in.sendCrashReports, in.sync, in.publishGauges, in.restoreLost} {
 		in.loops.Go(func() { loop(ctx) })
--- a/internal/instance/log.go
+++ b/internal/instance/log.go
@@ -18,6 +18,12 @@
 	}
 }
 
+// acceptFailed logs and counts that a connection could not be accepted.
+func (in *Instance) acceptFailed(err error) {
+	in.cfg.Metrics.CountDecision(metrics.Decision{Kind: "accept-failed"})
+	in.logError("connection not accepted", err)
+}
+
 // logRestored logs that the platform's store was restored from a snapshot.
 func (in *Instance) logRestored(epoch uint64) {
 	if in.cfg.Log != nil {
--- a/internal/tcp/listener.go
+++ b/internal/tcp/listener.go
@@ -11,9 +11,9 @@
 // idleTimeout before their first request, and have headerTimeout for its header from the first
 // byte on. http.Server itself counts the time for the first header from the accept of the
 // connection: it would close connections that callers open in advance, and a request that
-// arrives during the close is lost.
-func NewListener(ln net.Listener, headerTimeout, idleTimeout time.Duration) net.Listener {
-	return &listener{Listener: ln, headerTimeout: headerTimeout, idleTimeout: idleTimeout}
+// arrives during the close is lost. The listener goes on after errors as that of NewRetryListener does.
+func NewListener(ln net.Listener, headerTimeout, idleTimeout time.Duration, onError func(error)) net.Listener {
+	return &listener{Listener: NewRetryListener(ln, onError), headerTimeout: headerTimeout, idleTimeout: idleTimeout}
 }
 
 type listener struct {
--- a/internal/tcp/listener_test.go
+++ b/internal/tcp/listener_test.go
@@ -30,7 +30,7 @@
 		t.Fatal(err)
 	}
 	srv := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	go srv.Serve(NewListener(ln, headerTimeout, idleTimeout))
+	go srv.Serve(NewListener(ln, headerTimeout, idleTimeout, nil))
 	defer srv.Close()
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
