Blame no target for descriptors that are lacking here

What callers saw: nothing shown; after a lack of descriptors healthy targets would be ejected. Cause: a connect that fails for want of descriptors, memory or ports counted as a failure of its target. Change: such an attempt counts neither for nor against the target. It is sent elsewhere or refused as before. Evidence: TestTargetBlamedForLackOfDescriptors before: got failed, want withheld for EMFILE, ENOBUFS and EADDRNOTAVAIL; passes now. serve counts these as failures still (open). Why it works: the error of the system call tells whose lack it is.

--- a/internal/edge/failure.go
+++ b/internal/edge/failure.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"syscall"
 
 	"github.com/firlever/firlever/internal/http1"
@@ -41,3 +42,11 @@
 	}
 	return otherFailure
 }
+
+// lacksResources reports whether an attempt failed for want of descriptors, memory or ports here, which
+// says nothing about its target.
+func lacksResources(err error) bool {
+	return slices.ContainsFunc([]error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL}, func(lack error) bool {
+		return errors.Is(err, lack)
+	})
+}
--- a/internal/edge/failure_test.go
+++ b/internal/edge/failure_test.go
@@ -5,11 +5,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"syscall"
 	"testing"
 
 	"github.com/firlever/firlever/internal/http1"
+	"github.com/firlever/firlever/internal/steer"
 )
 
 func TestFailureOf(t *testing.T) {
@@ -39,3 +41,26 @@
 		})
 	}
 }
+
+// A target was ejected because this instance had no descriptor left for a connection to it.
+func TestTargetBlamedForLackOfDescriptors(t *testing.T) {
+	dial := func(err error) error {
+		return &http1.NotSentError{Err: &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", err)}}
+	}
+	tests := map[string]struct {
+		err  error
+		want steer.Ending
+	}{
+		"no descriptors": {dial(syscall.EMFILE), steer.NotSent},
+		"no memory":      {dial(syscall.ENOBUFS), steer.NotSent},
+		"no ports":       {dial(syscall.EADDRNOTAVAIL), steer.NotSent},
+		"refused":        {dial(syscall.ECONNREFUSED), steer.Failed},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := classify(context.Background(), nil, tt.err).ending; got != tt.want {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -172,6 +172,8 @@
 		return attemptOutcome{ending: steer.NotSent}
 	case errors.As(err, &unsent) && ctx.Err() != nil:
 		return attemptOutcome{ending: steer.CallerLeft}
+	case errors.As(err, &unsent) && lacksResources(err):
+		return attemptOutcome{ending: steer.NotSent}
 	case errors.As(err, &unsent):
 		return attemptOutcome{ending: steer.Failed}
 	case err != nil && ctx.Err() != nil:
