Let a final status of a rollout stand

Cause: an instance that stood still around the completion decided by what it knew, the deadline had passed, and wrote rolled_back: by Follows it replaced completed. Class: a decision is compared with what this instance has in force, and not refused by what the store has. Change: a final status isn't replaced by another of the same order; the store's final status is put in force also where an instance has ended the rollout in another way. Evidence: TestFinalStatusReplaced before: completed by rolled back: got true, want false.

--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -164,9 +164,15 @@
 	t.wakeRun()
 	if s.Order == r.order.ID {
 		r.adoptDeadline(now, s)
-		if s.Follows(r.status) {
-			t.setStatus(now, r, s)
-		}
+		t.adopt(now, r, s)
+	}
+}
+
+// adopt puts a status of the store in force. A final one holds also if this instance has ended the
+// rollout in another way. t.mu is held.
+func (t *rolloutTracker) adopt(now time.Time, r *serviceRollout, s rollout.Status) {
+	if s.Follows(r.status) || s.Phase.Final() && s.Phase != r.status.Phase {
+		t.setStatus(now, r, s)
 	}
 }
 
--- a/internal/edge/rollout_judge.go
+++ b/internal/edge/rollout_judge.go
@@ -90,7 +90,5 @@
 		return
 	}
 	r.stored = s
-	if s.Follows(r.status) {
-		t.setStatus(now, r, s)
-	}
+	t.adopt(now, r, s)
 }
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -9,7 +9,7 @@
 // Phase is a stage of a rollout.
 type Phase string
 
-// Phases of a rollout. They follow each other in this order; each but Completed may be followed by
+// Phases of a rollout. They follow each other in this order; each that isn't final may be followed by
 // RolledBack.
 const (
 	Canary     Phase = "canary"      // some targets of the new version get a bounded share of the requests
@@ -47,5 +47,7 @@
 	Deadline time.Time // of the order, by the clock of the instance that wrote the status
 }
 
-// Follows reports whether s may replace o.
-func (s Status) Follows(o Status) bool { return s.Order != o.Order || s.Phase.Compare(o.Phase) > 0 }
+// Follows reports whether s may replace o. A final status of an order is not replaced.
+func (s Status) Follows(o Status) bool {
+	return s.Order != o.Order || !o.Phase.Final() && s.Phase.Compare(o.Phase) > 0
+}
