Bar no version that was completed

Cause: changes of the operator come first in a batch, so an instance that learnt of a completion and the next order at once took the completed version for one that wasn't. A list shows only the last status, so that no order of application mends that alone; and an instance that started in between barred nothing. Class: a conclusion from what this instance saw, in place of what the store holds. Change: the status of a rollout names the barred versions. The first status of an order takes them from the one that it replaces, under the write's condition; who learns of the order takes them from the status of the one before until there is one. Rollouts' keys are applied in the order of their revisions. An instance that is behind doesn't write over a later order's status. Why it works: what is barred no longer depends on which changes an instance saw, or when.

--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -15,11 +15,16 @@
 	"github.com/firlever/firlever/platform"
 )
 
-// Changed applies changes of the store. The operator's come first: a batch may hold thousands of
-// registrations besides, which take seconds on a small machine.
+// Changed applies changes of the store. The operator's and those of rollouts come first, in the order
+// in which they were made: a batch may hold thousands of registrations besides, which take seconds on
+// a small machine.
 func (n *Node) Changed(changes []mirror.Change) {
 	slices.SortStableFunc(changes, func(a, b mirror.Change) int {
-		return boolToInt(platform.IsOperatorKey(b.Key)) - boolToInt(platform.IsOperatorKey(a.Key))
+		first, second := comesFirst(a.Key), comesFirst(b.Key)
+		if first && second {
+			return a.Changed.Compare(b.Changed)
+		}
+		return boolToInt(second) - boolToInt(first)
 	})
 	now := boottime.Now()
 	instances := false
@@ -51,6 +56,9 @@
 	}
 }
 
+// comesFirst reports whether changes of a key are applied before others.
+func comesFirst(key string) bool { return platform.IsOperatorKey(key) || isRolloutKey(key) }
+
 // Listed is called when the whole store has been read for the first time.
 func (n *Node) Listed() {
 	now := boottime.Now()
--- a/internal/edge/rig_test.go
+++ b/internal/edge/rig_test.go
@@ -65,6 +65,22 @@
 
 // startInstance starts a further node.
 func (r *rig) startInstance(name, domain string) *Node {
+	r.t.Helper()
+	n := r.newInstance(name, domain)
+	n.fleet.StartShares(boottime.Now().Add(-time.Minute), false) // as if it had run for a while
+	if err := n.Start(); err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() {
+		if !n.stopping.Load() {
+			n.Stop()
+		}
+	})
+	return n
+}
+
+// newInstance returns a node that isn't started.
+func (r *rig) newInstance(name, domain string) *Node {
 	r.t.Helper()
 	regions := map[string]string{"n1": "north", "s1": "south"}
 	n, err := New(Config{
@@ -84,15 +100,6 @@
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	n.fleet.StartShares(boottime.Now().Add(-time.Minute), false) // as if it had run for a while
-	if err := n.Start(); err != nil {
-		r.t.Fatal(err)
-	}
-	r.t.Cleanup(func() {
-		if !n.stopping.Load() {
-			n.Stop()
-		}
-	})
 	return n
 }
 
--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -35,15 +35,17 @@
 
 	mu        sync.Mutex
 	byService map[string]*serviceRollout // guarded by mu
+	early     map[string]rollout.Record  // by service: stored before an order is known; guarded by mu
 }
 
 // serviceRollout is the rollout of a service. Its fields are guarded by rolloutTracker.mu.
 type serviceRollout struct {
-	order      rollout.Order
-	status     rollout.Status
-	stored     rollout.Status // what the store has
-	promotedAt time.Time
-	barred     []string // versions of earlier orders that were not completed; maxBarred at most
+	order       rollout.Order
+	status      rollout.Status
+	stored      rollout.Record // what the store has
+	promotedAt  time.Time
+	barred      []string // versions of earlier orders that were not completed; rollout.MaxBarred at most
+	barredKnown bool     // barred follows from the final status of the order before, or from the store
 
 	counts       rollout.Counts             // of answers to this instance; rollout.MaxCounts at most
 	members      *rollout.Members           // reports to this instance
@@ -53,11 +55,8 @@
 	avoid        map[string]time.Time       // collectors that gave no permit, with the time until which they are not asked
 }
 
-// maxBarred bounds the versions that are remembered as rolled back.
-const maxBarred = 8
-
 func newRolloutTracker(n *Node) *rolloutTracker {
-	return &rolloutTracker{node: n, wake: make(chan struct{}, 1), client: peerhttp.New("", 1, maxRolloutMessage), byService: make(map[string]*serviceRollout)}
+	return &rolloutTracker{node: n, wake: make(chan struct{}, 1), client: peerhttp.New("", 1, maxRolloutMessage), byService: make(map[string]*serviceRollout), early: make(map[string]rollout.Record)}
 }
 
 // isRolloutKey reports whether a store key is one that rolloutTracker applies.
@@ -106,10 +105,13 @@
 		Schedule: rollout.Schedule{Began: now, Deadline: now.Add(o.Duration)},
 	}
 	next := newServiceRollout(order)
+	before := t.early[service]
 	if r != nil {
 		next.stored = r.stored
-		next.barred = r.barredAfter(o.Version)
+		before = r.record()
 	}
+	next.bar(before)
+	delete(t.early, service)
 	t.byService[service] = next
 	t.setStatus(now, next, rollout.Status{Order: id, Phase: rollout.Canary, Deadline: boottime.ToRuntime(order.Deadline)})
 }
@@ -121,14 +123,27 @@
 	}
 }
 
-// barredAfter returns the versions that are barred when another order follows for a version.
-func (r *serviceRollout) barredAfter(version string) []string {
-	barred := slices.Clone(r.barred)
-	if r.status.Phase != rollout.Completed && !slices.Contains(barred, r.order.Version) {
-		barred = append(barred, r.order.Version)
-	}
-	barred = slices.DeleteFunc(barred, func(v string) bool { return v == version || v == "" })
-	return barred[max(0, len(barred)-maxBarred):]
+// record returns the rollout as it is at this instance.
+func (r *serviceRollout) record() rollout.Record {
+	return rollout.Record{Status: r.status, Version: r.order.Version, Barred: r.barred}
+}
+
+// bar sets what is barred by the record of the order before.
+func (r *serviceRollout) bar(before rollout.Record) {
+	r.barred, r.barredKnown = before.BarredNext(r.order.Version), before.Phase.Final()
+}
+
+// adoptBarred adopts what is barred from a status of the store, and reports whether that changes it. A
+// status of the order before counts until there is one of this order.
+func (r *serviceRollout) adoptBarred(s rollout.Record) bool {
+	old := r.barred
+	switch {
+	case s.Order == r.order.ID && s.Barred != nil:
+		r.barred, r.barredKnown = s.Barred, true
+	case s.Order != r.order.ID && !r.barredKnown:
+		r.bar(s)
+	}
+	return !slices.Equal(old, r.barred)
 }
 
 // rejectOrder reports an order that can't be used. It changes nothing about a rollout of the
@@ -146,33 +161,39 @@
 
 // applyStatus applies a status that an instance has written. t.mu is held.
 func (t *rolloutTracker) applyStatus(now time.Time, service string, c mirror.Change) {
+	var s rollout.Record
+	if !c.Removed {
+		var err error
+		if s, err = platform.DecodeRolloutStatus(c.Key, c.Value); err != nil {
+			t.node.cfg.Log.Error("rollout status unreadable", "service", service, "revision", c.Changed, "err", err)
+			return
+		}
+	}
 	r := t.byService[service]
 	if r == nil {
-		return
-	}
-	if c.Removed {
-		r.stored = rollout.Status{}
-		t.wakeRun()
-		return
-	}
-	s, _, err := platform.DecodeRolloutStatus(c.Key, c.Value)
-	if err != nil {
-		t.node.cfg.Log.Error("rollout status unreadable", "service", service, "revision", c.Changed, "err", err)
+		t.early[service] = s
 		return
 	}
 	r.stored = s
 	t.wakeRun()
-	if s.Order == r.order.ID {
-		r.adoptDeadline(now, s)
+	if !c.Removed {
 		t.adopt(now, r, s)
 	}
 }
 
-// adopt puts a status of the store in force. A final one holds also if this instance has ended the
-// rollout in another way. t.mu is held.
-func (t *rolloutTracker) adopt(now time.Time, r *serviceRollout, s rollout.Status) {
-	if s.Follows(r.status) || s.Phase.Final() && s.Phase != r.status.Phase {
-		t.setStatus(now, r, s)
+// adopt puts in force what a status of the store says of a rollout. A final status of the store holds
+// also if this instance has ended the rollout in another way. t.mu is held.
+func (t *rolloutTracker) adopt(now time.Time, r *serviceRollout, s rollout.Record) {
+	changed := r.adoptBarred(s)
+	same := s.Order == r.order.ID
+	if same {
+		r.adoptDeadline(now, s.Status)
+	}
+	switch {
+	case same && (s.Follows(r.status) || s.Phase.Final() && s.Phase != r.status.Phase):
+		t.setStatus(now, r, s.Status)
+	case changed:
+		t.setStatus(now, r, r.status)
 	}
 }
 
@@ -204,10 +225,10 @@
 
 // setStatus puts a status in force at this instance. t.mu is held.
 func (t *rolloutTracker) setStatus(now time.Time, r *serviceRollout, s rollout.Status) {
-	r.status = s
-	if s.Phase == rollout.Promoting {
+	if s.Phase == rollout.Promoting && s != r.status {
 		r.promotedAt = now
 	}
+	r.status = s
 	t.active.Store(slices.ContainsFunc(slices.Collect(maps.Values(t.byService)), func(o *serviceRollout) bool { return !o.status.Phase.Final() }))
 	t.wakeRun()
 	n := t.node
@@ -318,7 +339,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, r := range t.byService {
-		r.stored = rollout.Status{}
+		r.stored = rollout.Record{}
 	}
 	t.wakeRun()
 }
--- a/internal/edge/rollout_judge.go
+++ b/internal/edge/rollout_judge.go
@@ -39,34 +39,43 @@
 		next.Phase, next.Reason = phase, reason
 	}
 	write := next != r.status || r.needsWrite()
-	version := r.order.Version
+	record := r.record()
+	record.Status = next
+	order, barredKnown := r.order, r.barredKnown
 	t.mu.Unlock()
 	if !write {
 		return
 	}
-	if err := t.writeStatus(ctx, now, service, version, next); err != nil {
+	if err := t.writeStatus(ctx, now, order, record, barredKnown); err != nil {
 		n.cfg.Metrics.CountPlatformFailure("rollouts")
 		n.cfg.Log.Warn("rollout status not written", "service", service, "phase", next.Phase, "reason", next.Reason, "err", err)
 	}
 }
 
-// writeStatus writes a status, unless the store has one of the same order that does not precede it:
-// that one is put in force here.
-func (t *rolloutTracker) writeStatus(ctx context.Context, now time.Time, service, version string, next rollout.Status) error {
-	key := platform.RolloutStatusPrefix + service
+// writeStatus writes the status of an order, unless the store has one of the same order that it doesn't
+// follow: that one is put in force here. barredKnown is whether the status tells what is barred;
+// otherwise that follows from the status that it replaces.
+func (t *rolloutTracker) writeStatus(ctx context.Context, now time.Time, order rollout.Order, next rollout.Record, barredKnown bool) error {
+	key := platform.RolloutStatusPrefix + order.Service
 	item, err := t.node.store.Get(ctx, key)
 	var missing *platform.MissingError
 	if err != nil && !errors.As(err, &missing) {
 		return err
 	}
 	if err == nil {
-		stored, _, err := platform.DecodeRolloutStatus(key, item.Value)
-		if err == nil && stored.Order == next.Order && !next.Follows(stored) {
-			t.markStored(now, service, stored)
+		stored, err := platform.DecodeRolloutStatus(key, item.Value)
+		switch {
+		case err != nil:
+		case stored.Order == next.Order && !next.Follows(stored.Status):
+			t.markStored(now, order.Service, stored)
 			return nil
+		case item.Changed.Epoch() == order.Epoch && rollout.LaterOrder(stored.Order, next.Order):
+			return &SupersededError{Order: next.Order, By: stored.Order}
+		case stored.Order != next.Order && !barredKnown:
+			next.Barred = stored.BarredNext(next.Version)
 		}
 	}
-	value, err := platform.EncodeRolloutStatus(service, version, next)
+	value, err := platform.EncodeRolloutStatus(order.Service, next)
 	if err != nil {
 		return err
 	}
@@ -77,12 +86,18 @@
 	if _, err := t.node.store.Do(ctx, txn); err != nil {
 		return err
 	}
-	t.markStored(now, service, next)
+	t.markStored(now, order.Service, next)
 	return nil
 }
 
+// SupersededError reports that the status of a rollout is not written, as the store has that of a later
+// order, which this instance doesn't know yet.
+type SupersededError struct{ Order, By string }
+
+func (e *SupersededError) Error() string { return "order " + e.Order + " is followed by " + e.By }
+
 // markStored records that the store has a status, and puts it in force.
-func (t *rolloutTracker) markStored(now time.Time, service string, s rollout.Status) {
+func (t *rolloutTracker) markStored(now time.Time, service string, s rollout.Record) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.byService[service]
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -51,3 +53,36 @@
 func (s Status) Follows(o Status) bool {
 	return s.Order != o.Order || !o.Phase.Final() && s.Phase.Compare(o.Phase) > 0
 }
+
+// MaxBarred bounds the versions that are remembered as not completed.
+const MaxBarred = 8
+
+// Record is the status of a rollout with what the next one has to know of it.
+type Record struct {
+	Status
+	Version string
+	Barred  []string // versions of earlier orders that were not completed; MaxBarred at most, nil if not known
+}
+
+// BarredNext returns the versions that are barred when an order for a version follows.
+func (r Record) BarredNext(version string) []string {
+	barred := slices.Clone(r.Barred)
+	if r.Phase != Completed && !slices.Contains(barred, r.Version) {
+		barred = append(barred, r.Version)
+	}
+	barred = slices.DeleteFunc(barred, func(v string) bool { return v == version || v == "" })
+	return barred[max(0, len(barred)-MaxBarred):]
+}
+
+// LaterOrder reports whether an order was given after another one for the same service and in the same
+// epoch of the store. IDs begin with the revision of the order.
+func LaterOrder(id, other string) bool {
+	at, err := orderRevision(id)
+	otherAt, otherErr := orderRevision(other)
+	return err == nil && otherErr == nil && at > otherAt
+}
+
+func orderRevision(id string) (uint64, error) {
+	revision, _, _ := strings.Cut(id, "-")
+	return strconv.ParseUint(revision, 10, 64)
+}
--- a/internal/rollout/order_test.go
+++ b/internal/rollout/order_test.go
@@ -25,3 +25,24 @@
 		})
 	}
 }
+
+// An instance that doesn't know the latest order must not replace its status by that of an earlier one.
+func TestLaterOrder(t *testing.T) {
+	tests := map[string]struct {
+		id, other string
+		want      bool
+	}{
+		"later":      {"12-v3", "5-v2", true},
+		"earlier":    {"5-v2", "12-v3", false},
+		"same":       {"12-v3", "12-v3", false},
+		"unreadable": {"x", "5-v2", false},
+		"none":       {"12-v3", "", false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := LaterOrder(tt.id, tt.other); got != tt.want {
+				t.Errorf("got %t, want %t", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/steer/rollout.go
+++ b/internal/steer/rollout.go
@@ -61,6 +61,7 @@
 func (f *Fleet) SetRollout(now time.Time, name string, r Rollout) {
 	s := f.service(now, name)
 	if s.split != nil && s.split.Version == r.Version && s.split.Began.Equal(r.Began) {
+		s.split.outdated = s.split.outdated || !slices.Equal(s.split.Barred, r.Barred)
 		s.split.Rollout = r
 		return
 	}
