Write an instance's record again when another replaced it

Cause: a write of the record that the store executed late, under an old lease, replaced the newer one and went with its lease. The instance renewed the other lease, and compared with nothing. Class: what is believed to be stored is not compared with what the store holds. Change: an instance that sees another record under its key than the last of its run, or none, reads the record and registers again if it isn't as written. Evidence: TestRecordReplacedByLateWrite before: not within 2s: the instance is registered again; passes now. Why it works: the store's own changes, which each instance gets anyway, tell of the loss.

--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -281,8 +281,12 @@
 
 func (n *Node) applyInstance(now time.Time, c mirror.Change) {
 	name := strings.TrimPrefix(c.Key, instancePrefix)
+	own := name == n.cfg.Settings.Instance
 	if c.Removed {
 		n.instances.remove(name)
+		if own {
+			n.registrar.observe(record{}, true)
+		}
 		if suppressed, ok := n.changeLimiter.Allow(now); ok {
 			n.cfg.Log.Info("instance gone", "name", name, "revision", c.Changed, "suppressed", suppressed)
 		}
@@ -294,8 +298,9 @@
 		return
 	}
 	n.instances.put(name, r)
-	if name == n.cfg.Settings.Instance && (r.Run != n.processStart || c.Created != c.Changed) {
-		n.hadRecord = true
+	if own {
+		n.registrar.observe(r, false)
+		n.hadRecord = n.hadRecord || r.Run != n.processStart || c.Created != c.Changed
 	}
 	if suppressed, ok := n.changeLimiter.Allow(now); ok {
 		n.cfg.Log.Info("instance", "name", name, "domain", r.Domain, "leaving", r.Leaving, "revision", c.Changed, "suppressed", suppressed)
--- a/internal/edge/register.go
+++ b/internal/edge/register.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/firlever/firlever/internal/boottime"
@@ -18,7 +19,7 @@
 type registrar struct {
 	node          *Node
 	leaving       chan struct{}     // asks run to write that this instance is leaving
-	storeRestored chan struct{}     // notifies run that the store was restored from a snapshot
+	check         chan struct{}     // asks run to check the record soon
 	update        chan struct{}     // asks run to write the record if it has changed
 	lease         platform.Lease    // zero if there is none
 	recordBytes   []byte            // the record under lease
@@ -26,10 +27,12 @@
 	partitioned   bool              // as written in the record
 	changes       int               // records written in this run
 	failing       bool              // the last call failed
+	written       atomic.Int64      // number of the last record of this run; 0 before the first
+	doubted       atomic.Bool       // the store was seen to have another record, or none
 }
 
 func newRegistrar(n *Node) *registrar {
-	return &registrar{node: n, leaving: make(chan struct{}, 1), storeRestored: make(chan struct{}, 1), update: make(chan struct{}, 1)}
+	return &registrar{node: n, leaving: make(chan struct{}, 1), check: make(chan struct{}, 1), update: make(chan struct{}, 1)}
 }
 
 // run registers the instance and renews its lease until ctx ends.
@@ -50,8 +53,8 @@
 				return
 			case <-r.leaving:
 				r.writeLeaving(ctx)
-			case <-r.storeRestored:
-				due, waiting = r.dueAfterRestore(due), true
+			case <-r.check:
+				due, waiting = r.dueSoon(due), true
 			case <-r.update:
 				r.writePartition(ctx)
 				waiting = true
@@ -69,20 +72,31 @@
 	n.fleet.ConfirmShares(boottime.Now(), recorded)
 }
 
-// dueAfterRestore returns when to check the registration after the store was restored from a
-// snapshot, at the latest when it is due anyway. The time is random, as all instances observe the
-// restore at once.
-func (r *registrar) dueAfterRestore(due time.Time) time.Time {
+// dueSoon returns when to check the registration, at the latest when it is due anyway. The time is
+// random, as all instances observe a restore of the store at once.
+func (r *registrar) dueSoon(due time.Time) time.Time {
 	if at := boottime.Now().Add(rand.N(restoreSpread)); at.Before(due) {
 		return at
 	}
 	return due
 }
 
-// checkSoon asks run to check the registration, as the store was restored from a snapshot.
+// observe checks whether a change of this instance's record is one that it has made. A write that the
+// store executes late replaces a newer record, and goes when its own lease ends.
+func (r *registrar) observe(stored record, removed bool) {
+	written := r.written.Load()
+	own := !removed && stored.Run == r.node.processStart && int64(stored.Change) >= written
+	if written == 0 || own {
+		return
+	}
+	r.doubted.Store(true)
+	r.checkSoon()
+}
+
+// checkSoon asks run to check the registration, as the store may have lost it.
 func (r *registrar) checkSoon() {
 	select {
-	case r.storeRestored <- struct{}{}:
+	case r.check <- struct{}{}:
 	default:
 	}
 }
@@ -160,11 +174,17 @@
 		r.node.cfg.Log.Warn("lease ended", "lease", r.lease.Number())
 		return false, nil
 	}
+	if err == nil && r.doubted.Swap(false) {
+		kept, err := r.verify(ctx)
+		if err != nil {
+			r.doubted.Store(true)
+		}
+		return kept, err
+	}
 	return err == nil, err
 }
 
-// verify returns whether a store that was restored from a snapshot still has the record as it was
-// written, under its lease. The lease's number proves nothing, as the store may have given it to
+// verify returns whether the store has the record as it was written, under its lease. The lease's number proves nothing, as the store may have given it to
 // another writer since.
 func (r *registrar) verify(ctx context.Context) (bool, error) {
 	item, err := r.node.store.Get(ctx, r.key())
@@ -200,6 +220,7 @@
 		return err
 	}
 	r.lease, r.recordBytes, r.revision, r.partitioned = lease, value, changed, partitioned
+	r.written.Store(int64(r.changes))
 	return nil
 }
 
--- a/internal/edge/register_test.go
+++ b/internal/edge/register_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"testing"
@@ -151,3 +152,27 @@
 	heartbeat(9, 0)
 	r.eventually("both know that the target is warm", func() bool { return sequence(r.node) == 9 && sequence(follower) == 9 })
 }
+
+// A write of the record that the store executed late replaced the record under the lease that is
+// renewed. It went with its own lease, and the instance, which went on renewing, was gone for all others.
+func TestRecordReplacedByLateWrite(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	r.configure(1, "s")
+	r.start()
+	r.eventually("the instance is registered", func() bool { return r.registered("e1") })
+	r.eventually("the record is known", func() bool { return len(r.node.instances.names()) == 1 })
+	late, err := decodeRecord(r.store.Get(instancePrefix + "e1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	late.Change--
+	value, err := json.Marshal(late)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.store.Put(instancePrefix+"e1", value)
+	r.waitKnown()
+	r.store.Remove(instancePrefix + "e1")
+	r.eventually("the instance is registered again", func() bool { return r.registered("e1") })
+}
