--- a/internal/edge/register.go
+++ b/internal/edge/register.go
@@ -17,18 +17,18 @@
 // registrar keeps this instance's record in the store while it runs. Its state is used only by
 // the goroutine of run, and by deregister after that.
 type registrar struct {
-	node          *Node
-	leaving       chan struct{}     // asks run to write that this instance is leaving
-	check         chan struct{}     // asks run to check the record soon
-	update        chan struct{}     // asks run to write the record if it has changed
-	lease         platform.Lease    // zero if there is none
-	recordBytes   []byte            // the record under lease
-	revision      platform.Revision // of the record
-	partitioned   bool              // as written in the record
-	changes       int               // records written in this run
-	failing       bool              // the last call failed
-	written       atomic.Int64      // number of the last record of this run; 0 before the first
-	doubted       atomic.Bool       // the store was seen to have another record, or none
+	node        *Node
+	leaving     chan struct{}     // asks run to write that this instance is leaving
+	check       chan struct{}     // asks run to check the record soon
+	update      chan struct{}     // asks run to write the record if it has changed
+	lease       platform.Lease    // zero if there is none
+	recordBytes []byte            // the record under lease
+	revision    platform.Revision // of the record
+	partitioned bool              // as written in the record
+	changes     int               // records written in this run
+	failing     bool              // the last call failed
+	written     atomic.Int64      // number of the last record of this run; 0 before the first
+	doubted     atomic.Bool       // the store was seen to have another record, or none
 }
 
 func newRegistrar(n *Node) *registrar {
