Let one exchange at a time read a long upload

Cause: the goroutine that sends a body goes on for a moment after its exchange has ended. If it reads the upload then, for the first time, the request has already been taken for one whose rest is unused, and two exchanges share the bytes. Change: each exchange reads the upload by a reader of its own, which is closed with the exchange. Whether the rest was used is settled under the same lock. Evidence: TestUploadLostBetweenTargets with the check of the closed reader taken out: got a read by the exchange that had ended, got "" for another target; passes now. Why it works: after the end of an exchange its sender can't take a byte, and before that each read marks the upload as used, so that it isn't sent again.

--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -98,6 +98,7 @@
 	sent := c.send(e)
 	a, err := c.receive(e, p.budget)
 	if err != nil {
+		c.upload.close()
 		c.conn.Close()
 		if broken := c.uploadFailed.Load(); broken != nil {
 			return nil, &NoAnswerError{Err: broken, Reused: c.reused}
@@ -118,6 +119,7 @@
 		a.response.Rest = &restReader{Reader: a.response.Rest, conn: c}
 		return a.response, nil
 	}
+	c.upload.close()
 	p.release(c, sent, a, e)
 	return a.response, nil
 }
@@ -141,6 +143,9 @@
 		done <- err
 		return done
 	}
+	if e.Request.Rest != nil {
+		c.upload = e.Request.Rest.newReader()
+	}
 	go func() { done <- c.sendLong(head.Bytes(), e.Request) }()
 	return done
 }
@@ -156,7 +161,7 @@
 	if _, err := c.conn.Write(head); err != nil {
 		return err
 	}
-	body := io.MultiReader(bytes.NewReader(r.Body), r.Rest)
+	body := io.MultiReader(bytes.NewReader(r.Body), c.upload)
 	err := copyBody(c.conn, body, r.Rest.length)
 	var broken *UploadError
 	if errors.As(err, &broken) {
@@ -195,7 +200,7 @@
 		c.conn.Close()
 		return
 	}
-	c.reused = true
+	c.reused, c.upload = true, nil
 	c.conn.SetDeadline(time.Time{})
 	p.putIdle(c, a.idleTimeout)
 }
@@ -288,5 +293,6 @@
 
 // Close closes the connection.
 func (r *restReader) Close() error {
+	r.conn.upload.close()
 	return r.conn.conn.Close()
 }
--- a/internal/http1/poolconn.go
+++ b/internal/http1/poolconn.go
@@ -22,6 +22,7 @@
 	reused             bool                        // at least one request was answered on it
 	idleSince          time.Time                   // when it was last added to the pool; zero if never
 	usableUntil        time.Time                   // not reused from then on
+	upload             *uploadReader               // of the exchange; nil if its request is sent without an upload
 	uploadFailed       atomic.Pointer[UploadError] // why the caller's body could not be sent whole; nil if it could
 	nonIdempotentUntil time.Time                   // the same for non-idempotent requests; at most usableUntil
 }
--- a/internal/http1/upload.go
+++ b/internal/http1/upload.go
@@ -46,6 +46,8 @@
 var (
 	errBodyTooLong  = errors.New("longer than the configuration allows")
 	errUploadClosed = errors.New("no longer wanted")
+	// errExchangeEnded is no *UploadError, as the body may be whole.
+	errExchangeEnded = errors.New("http1: the exchange has ended")
 )
 
 func newUpload(r *http.Request, conn net.Conn, limits Limits, received int64) *Upload {
@@ -55,6 +57,44 @@
 	}
 }
 
+// uploadReader reads an upload for one exchange. Once it is closed it takes nothing more, so that the
+// upload is whole for another exchange if it was not used before.
+type uploadReader struct {
+	upload *Upload
+	closed bool // guarded by upload.mu
+}
+
+func (u *Upload) newReader() *uploadReader { return &uploadReader{upload: u} }
+
+// Read reads from the upload as its Read does.
+func (r *uploadReader) Read(b []byte) (int, error) {
+	if !r.use() {
+		return 0, errExchangeEnded
+	}
+	return r.upload.Read(b)
+}
+
+// use marks the upload as used, unless the reader is closed.
+func (r *uploadReader) use() bool {
+	r.upload.mu.Lock()
+	defer r.upload.mu.Unlock()
+	if r.closed {
+		return false
+	}
+	r.upload.used.Store(true)
+	return true
+}
+
+// close ends reading. It may be called on nil.
+func (r *uploadReader) close() {
+	if r == nil {
+		return
+	}
+	r.upload.mu.Lock()
+	defer r.upload.mu.Unlock()
+	r.closed = true
+}
+
 // Used reports whether some of the rest was passed on, so that the request can't be sent again.
 func (u *Upload) Used() bool { return u.used.Load() }
 
--- a/internal/http1/upload_test.go
+++ b/internal/http1/upload_test.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"crypto/sha256"
@@ -159,3 +160,70 @@
 		}
 	}
 }
+
+// gatedConn is a connection whose writes beyond the head of a request wait, and succeed although the
+// connection was closed meanwhile.
+type gatedConn struct {
+	net.Conn
+	writes int
+	gate   chan struct{}
+}
+
+func (c *gatedConn) Write(b []byte) (int, error) {
+	c.writes++
+	if c.writes == 1 {
+		return c.Conn.Write(b)
+	}
+	<-c.gate
+	return len(b), nil
+}
+
+// signallingReader tells of each read.
+type signallingReader struct {
+	io.Reader
+	reads chan struct{}
+}
+
+func (r *signallingReader) Read(b []byte) (int, error) {
+	r.reads <- struct{}{}
+	return r.Reader.Read(b)
+}
+
+// A long body lost bytes if its first target answered before it had read the body: the exchange that had
+// ended read some of the rest while the next one did.
+func TestUploadLostBetweenTargets(t *testing.T) {
+	const rest = "the rest"
+	body := &signallingReader{Reader: strings.NewReader(rest), reads: make(chan struct{}, 8)}
+	caller, _ := net.Pipe()
+	upload := &Upload{length: maxWholeBody + int64(len(rest)), idle: time.Minute, conn: caller, done: make(chan struct{}), body: body, left: 1 << 20}
+	target, gate := make(chan net.Conn, 1), make(chan struct{})
+	p := NewPool(func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		target <- far
+		return &gatedConn{Conn: near, gate: gate}, nil
+	}, nil)
+	t.Cleanup(p.Close)
+	go func() {
+		c := <-target
+		defer c.Close()
+		http.ReadRequest(bufio.NewReader(c))
+		io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nId: mine\r\nContent-Length: 0\r\n\r\n")
+	}()
+	e := newExchange("unused")
+	e.Request.Method, e.Request.Body, e.Request.Rest = "POST", make([]byte, maxWholeBody), upload
+	if resp, err := p.Do(t.Context(), e); err != nil || resp.Status != http.StatusServiceUnavailable {
+		t.Fatalf("got %+v, %v, want an early answer", resp, err)
+	}
+	close(gate)
+	select {
+	case <-body.reads:
+		t.Error("got a read by the exchange that had ended, want none")
+	case <-time.After(100 * time.Millisecond):
+	}
+	if upload.Used() {
+		t.Error("got the rest used, want it left for another target")
+	}
+	if got, err := io.ReadAll(upload.newReader()); string(got) != rest || err != nil {
+		t.Errorf("got %q, %v for another target, want %q", got, err, rest)
+	}
+}
