Let a fleet that starts at once get its data from each other

Cause: an instance without data gave up its peers 0.5 s after the last news, 4 s in all, and was told of holders that were themselves receiving, which it polled once. Then it listed the store: hundreds of lists of 5 MB filled the store's link, each took 16.8 s, and instances that had the data could not renew their leases or follow changes. Class, as in the incident of the denied routes: a fallback that costs more than what it replaces, taken by all at once. Change: news that somebody has the data or receives it counts for 20 s; holders are named at random, polled in turn with the seeds, and again while they receive. In a large fleet, who turns to the store asks the instances of its first pages, and lists after a random part of 30 s, at once if nobody answers. Why it works: the data is copied by all that have it, and the store is listed by some, until the first of them has it.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -120,7 +120,7 @@
 	}
 	n.bounds.Store(&s.Bounds)
 	n.peerAddress = choosePeerAddress(s)
-	n.mirror = mirror.New(n.store, n, mirror.Peers{Relays: n.relays, Hops: n.relayHops, Fallbacks: n.others, Seeds: n.seeds(), FirstStart: s.FirstStart, Self: n.peerAddress, LinkMbps: s.LinkMbps, Registered: n.registeredPeers, Redundant: n.redundant}, compareItems)
+	n.mirror = mirror.New(n.store, n, mirror.Peers{Relays: n.relays, Hops: n.relayHops, Fallbacks: n.others, Seeds: n.seeds(), FirstStart: s.FirstStart, Self: n.peerAddress, LinkMbps: s.LinkMbps, Registered: registeredExcept(n.peerAddress), Redundant: n.redundant}, compareItems)
 	n.newExchanges()
 	n.registrar = newRegistrar(n)
 	n.crashes = newCrashTracker(n)
@@ -224,18 +224,21 @@
 	return seeds
 }
 
-// registeredPeers returns the addresses of the other instances whose records are among items.
-func (n *Node) registeredPeers(items []platform.Item) []string {
-	var list []string
-	for _, item := range items {
-		if !strings.HasPrefix(item.Key, instancePrefix) {
-			continue
-		}
-		if r, err := decodeRecord(item.Value); err == nil && r.Peers != "" && r.Peers != n.peerAddress {
-			list = append(list, r.Peers)
+// registeredExcept returns a function that returns the addresses of the instances whose records are
+// among items, but for one.
+func registeredExcept(self string) func(items []platform.Item) []string {
+	return func(items []platform.Item) []string {
+		var list []string
+		for _, item := range items {
+			if !strings.HasPrefix(item.Key, instancePrefix) {
+				continue
+			}
+			if r, err := decodeRecord(item.Value); err == nil && r.Peers != "" && r.Peers != self {
+				list = append(list, r.Peers)
+			}
 		}
+		return list
 	}
-	return list
 }
 
 // others returns the peers to ask while the store is unreachable: those of the region first, then
--- a/internal/mirror/bootstrap.go
+++ b/internal/mirror/bootstrap.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/firlever/firlever/internal/boottime"
+	"github.com/firlever/firlever/internal/peerhttp"
 	"github.com/firlever/firlever/platform"
 )
 
@@ -24,20 +25,31 @@
 	// between regions. With firstStartTimeout, 1,300 more of 4,600 requests were refused in the 2 s
 	// after a power loss of 195 instances, because the seeds came back last.
 	restartTimeout = 150 * time.Millisecond
-	seedRetryDelay = 50 * time.Millisecond // between two polls of instances without data
-	// progressTimeout is how long an instance goes on polling after one told that it reads the
-	// store, or named others that have the data.
+	// seedRetryDelay is the first pause between two polls of instances without data. It grows up to
+	// maxSeedRetryDelay, as a whole fleet may poll the seeds.
+	seedRetryDelay    = 50 * time.Millisecond
+	maxSeedRetryDelay = 200 * time.Millisecond
+	// progressTimeout is how long an instance goes on polling after news of where the data is.
 	progressTimeout = 500 * time.Millisecond
-	// bootstrapTimeout bounds the time in which the data is taken from other instances.
-	bootstrapTimeout = 4 * time.Second
+	// readingTimeout bounds the time in which it counts as news that another instance reads the store,
+	// which may be out of reach for that one alone.
+	readingTimeout = 4 * time.Second
+	// spreadTimeout bounds the time in which it counts as news that others have the data, or receive it.
+	// Each that has it sends it on, so that it gets to 2,000 instances in some seconds.
+	spreadTimeout = 20 * time.Second
+	// listSpread is the time over which the instances of a large fleet begin to list the store if none
+	// has the data. The first to do so gives it to the others meanwhile. If all list it at once, that
+	// takes longer than a tenth of a minute, as the store's link is full.
+	listSpread = 30 * time.Second
 	// maxCandidates bounds the instances that are polled at the start.
 	maxCandidates = 64
 )
 
 // Headers of an answer with status 503 to an instance that starts.
 const (
-	headerReading = "Firlever-Reading" // the instance reads the store and will have the data soon
-	headerHolders = "Firlever-Holders" // instances that have the data, separated by commas
+	headerReading   = "Firlever-Reading"   // the instance reads the store and will have the data soon
+	headerReceiving = "Firlever-Receiving" // the instance receives the data from another one
+	headerHolders   = "Firlever-Holders"   // instances that have the data or receive it, separated by commas
 )
 
 // paramFrom is the query parameter with the address of the peer that polls.
@@ -45,13 +57,14 @@
 
 // notYetError reports that an instance could not give its data, but told where it is to be had.
 type notYetError struct {
-	reading bool
-	holders []string
-	err     error
+	reading   bool
+	receiving bool
+	holders   []string
+	err       error
 }
 
 func (e *notYetError) Error() string {
-	return fmt.Sprintf("mirror: no data yet, reading: %t, %d holders: %v", e.reading, len(e.holders), e.err)
+	return fmt.Sprintf("mirror: no data yet, reading: %t, receiving: %t, %d holders: %v", e.reading, e.receiving, len(e.holders), e.err)
 }
 
 // Unwrap returns the cause.
@@ -59,42 +72,59 @@
 
 // withProgress adds what an answer tells about the data to the error of a failed poll.
 func withProgress(err error, h http.Header) error {
-	e := &notYetError{reading: h.Get(headerReading) != "", err: err}
+	e := &notYetError{reading: h.Get(headerReading) != "", receiving: h.Get(headerReceiving) != "", err: err}
 	if list := h.Get(headerHolders); list != "" {
 		e.holders = strings.Split(list, ",")
 	}
-	if !e.reading && e.holders == nil {
+	if !e.reading && !e.receiving && e.holders == nil {
 		return err
 	}
 	return e
 }
 
-// candidates are the instances that are polled at a start, in turn.
+// candidates are the instances that are polled at a start: those that were named as holders of the data,
+// each once, in turn with the sources, which are polled again and again.
 type candidates struct {
-	list []string // maxCandidates at most
-	next int
+	sources    []string // maxCandidates at most
+	nextSource int
+	holders    []string // maxCandidates at most
+	asked      string   // the holder that was taken last
+	holderTurn bool
 }
 
 // take returns the next candidate; "" if there is none.
 func (c *candidates) take() string {
-	if len(c.list) == 0 {
+	c.holderTurn = !c.holderTurn
+	if len(c.holders) > 0 && (c.holderTurn || len(c.sources) == 0) {
+		c.asked = c.holders[0]
+		c.holders = c.holders[1:]
+		return c.asked
+	}
+	if len(c.sources) == 0 {
 		return ""
 	}
-	address := c.list[c.next%len(c.list)]
-	c.next++
+	address := c.sources[c.nextSource%len(c.sources)]
+	c.nextSource++
 	return address
 }
 
-// add adds instances, which are polled next.
+// add adds holders, in random order: all that start at once are told the same ones.
 func (c *candidates) add(self string, addresses []string) {
-	for _, a := range addresses {
-		if a != self && !slices.Contains(c.list, a) && len(c.list) < maxCandidates {
-			at := c.next % max(1, len(c.list))
-			c.list = slices.Insert(c.list, at, a)
+	for _, k := range rand.Perm(len(addresses)) {
+		a := addresses[k]
+		if a != self && a != c.asked && !slices.Contains(c.holders, a) && len(c.holders) < maxCandidates {
+			c.holders = append(c.holders, a)
 		}
 	}
 }
 
+// retry has a candidate that will have the data soon polled again after the other holders.
+func (c *candidates) retry(address string) {
+	if !slices.Contains(c.sources, address) && len(c.holders) < maxCandidates {
+		c.holders = append(c.holders, address)
+	}
+}
+
 // bootstrap reads everything from a seed that has it, if there is one: a list of a large store takes
 // hundreds of calls. When all instances start at once, the seeds list the store, and the others wait
 // as long as they do. An instance that finds no seed with data lists the store.
@@ -103,41 +133,50 @@
 	if m.peers.FirstStart {
 		wait = firstStartTimeout
 	}
-	c := &candidates{list: slices.Clone(m.peers.Seeds), next: rand.IntN(max(1, len(m.peers.Seeds)))} // spreads the starts over the seeds
-	m.takeFrom(ctx, c, wait)
+	seeds := m.peers.Seeds
+	c := &candidates{sources: seeds, nextSource: rand.IntN(max(1, len(seeds)))} // spreads the starts over the seeds
+	m.takeFrom(ctx, c, boottime.Now().Add(wait))
 }
 
 // firstList lists the store, unless that is large and another instance gives the data meanwhile: in
 // a large fleet the first pages hold the records of instances to ask. Whoever has the data gives it
-// to some others and names these to further ones.
+// to some others and names these to further ones. As long as some of them answer, an instance waits
+// for a random part of listSpread.
 func (m *Mirror) firstList(ctx context.Context) ([]platform.Item, platform.Revision, error) {
 	m.reading.Store(len(m.peers.Seeds) == 0)
 	defer m.reading.Store(false)
+	asked := false
 	return m.store.ListUnless(ctx, "", false, func(items []platform.Item) bool {
-		if m.peers.Registered == nil || len(m.peers.Seeds) == 0 {
+		if asked || m.peers.Registered == nil || len(m.peers.Seeds) == 0 {
 			return false
 		}
 		registered := m.peers.Registered(items)
 		if len(registered) < minLargeFleet {
 			return false
 		}
+		asked = true
 		rand.Shuffle(len(registered), func(i, j int) { registered[i], registered[j] = registered[j], registered[i] })
-		c := &candidates{list: slices.Clone(m.peers.Seeds)}
-		c.add(m.peers.Self, registered)
-		taken := m.takeFrom(ctx, c, progressTimeout)
+		sources := slices.Concat(m.peers.Seeds, registered)
+		c := &candidates{sources: sources[:min(len(sources), maxCandidates)]}
+		taken := m.takeFrom(ctx, c, boottime.Now().Add(rand.N(listSpread)))
 		m.reading.Store(!taken)
 		return taken
 	})
 }
 
-// takeFrom polls candidates in turn until one gives its data, and reports whether one did. It gives
-// up after a time without news of where the data is.
-func (m *Mirror) takeFrom(ctx context.Context, c *candidates, wait time.Duration) bool {
-	ctx, cancel := context.WithTimeout(ctx, bootstrapTimeout)
+// takeFrom polls candidates in turn until one gives its data, and reports whether one did. It gives up
+// at a time, later while there is news of where the data is, and sooner if no candidate answers.
+func (m *Mirror) takeFrom(ctx context.Context, c *candidates, until time.Time) bool {
+	begin := boottime.Now()
+	ctx, cancel := context.WithDeadline(ctx, boottime.ToRuntime(begin.Add(listSpread+spreadTimeout)))
 	defer cancel()
-	until := boottime.Now().Add(wait)
-	for ctx.Err() == nil && len(c.list) > 0 && boottime.Now().Before(until) {
-		err := m.pollPeer(ctx, c.take(), url.Values{paramAnyAge: {"1"}, paramFrom: {m.peers.Self}}, boottime.Until(until))
+	silent, pause := 0, seedRetryDelay
+	for ctx.Err() == nil && boottime.Now().Before(until) {
+		address := c.take()
+		if address == "" {
+			return false
+		}
+		err := m.pollPeer(ctx, address, url.Values{paramAnyAge: {"1"}, paramFrom: {m.peers.Self}}, min(progressTimeout, boottime.Until(until)))
 		if err == nil {
 			return true
 		}
@@ -145,16 +184,49 @@
 			m.sink.RelayFailed(err) // its data was old: a relay or the store provides the rest
 			return true
 		}
+		now := boottime.Now()
 		var notYet *notYetError
 		if errors.As(err, &notYet) {
 			c.add(m.peers.Self, notYet.holders)
-			until = boottime.Now().Add(progressTimeout)
+			if notYet.receiving {
+				c.retry(address)
+			}
+			if at := now.Add(progressTimeout); now.Sub(begin) < notYet.newsTimeout() && at.After(until) {
+				until = at
+			}
+		}
+		if silent++; answered(err) {
+			silent = 0
+		}
+		if silent == maxSilent {
+			return false
+		}
+		if !c.holderTurn || len(c.holders) == 0 {
+			sleep(ctx, pause)
+			pause = min(maxSeedRetryDelay, pause+seedRetryDelay/4)
 		}
-		sleep(ctx, seedRetryDelay)
 	}
 	return false
 }
 
+// maxSilent is how many polls in a row may go without an answer until this instance is taken to be
+// partitioned from the others.
+const maxSilent = 5
+
+// newsTimeout returns how long after its start an instance waits because of what it was told.
+func (e *notYetError) newsTimeout() time.Duration {
+	if e.receiving || len(e.holders) > 0 {
+		return spreadTimeout
+	}
+	return readingTimeout
+}
+
+// answered reports whether the peer of a failed poll answered.
+func answered(err error) bool {
+	var failed *peerhttp.Error
+	return errors.As(err, &failed) && failed.Status != 0
+}
+
 // minLargeFleet is how many instances the first pages of a store have to name for one that starts to
 // look for the data among them.
 const minLargeFleet = 200
@@ -170,7 +242,10 @@
 }
 
 const (
-	maxHolders = 8
+	// maxHolders bounds the holders that are remembered, and maxNamed those that are named at once. They
+	// are chosen at random, as the latest ones are still receiving the data.
+	maxHolders = 64
+	maxNamed   = 8
 	// maxBacklog is how much sending may wait on the link before peers are sent to others.
 	maxBacklog = 150 * time.Millisecond
 	// defaultLinkMbps is assumed for a link of unknown bandwidth.
@@ -187,7 +262,10 @@
 		link = defaultLinkMbps
 	}
 	if h.busyUntil.Sub(now) > maxBacklog && len(h.addresses) > 0 {
-		return slices.Clone(h.addresses), false
+		for _, k := range rand.Perm(len(h.addresses))[:min(maxNamed, len(h.addresses))] {
+			others = append(others, h.addresses[k])
+		}
+		return others, false
 	}
 	took := time.Duration(float64(size) * 8 / (link * 1e6) * float64(time.Second))
 	if h.busyUntil.Before(now) {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -148,6 +148,7 @@
 	holders   holders
 	releases  releases
 	reading   atomic.Bool               // the whole store is being read for the first time
+	receiving atomic.Bool               // an answer of a peer is being received
 	appliedAt atomic.Pointer[time.Time] // when the store confirmed the view before the changes that are being applied; nil if none are
 
 	listed       bool
--- a/internal/mirror/peer_update.go
+++ b/internal/mirror/peer_update.go
@@ -60,6 +60,8 @@
 	if resp.StatusCode != http.StatusOK {
 		return peerUpdate{}, errors.Trace(withProgress(&peerhttp.Error{Address: address, Status: resp.StatusCode}, resp.Header))
 	}
+	m.receiving.Store(true)
+	defer m.receiving.Store(false)
 	begun := boottime.Now()
 	timer.Reset(idleTimeout)
 	body := &countingReader{r: io.LimitReader(resp.Body, maxAnswerBytes), received: func(n int64) { timer.Reset(answerTimeLeft(n, boottime.Since(begun))) }}
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -103,9 +103,7 @@
 	}
 	e := m.view.history.since(arrivedAt, since)
 	starting := r.URL.Query().Get(paramAnyAge) != ""
-	if starting && e.revision.IsZero() && m.reading.Load() {
-		w.Header().Set(headerReading, "1")
-		http.Error(w, "reading the store", http.StatusServiceUnavailable)
+	if starting && e.revision.IsZero() && m.tellProgress(w) {
 		return
 	}
 	atAnyAge := starting && !e.revision.IsZero()
@@ -142,6 +140,21 @@
 	a.write(w, r)
 }
 
+// tellProgress answers a peer that starts while this instance has no data yet, but will soon. It
+// reports whether it did.
+func (m *Mirror) tellProgress(w http.ResponseWriter) bool {
+	switch {
+	case m.receiving.Load():
+		w.Header().Set(headerReceiving, "1")
+	case m.reading.Load():
+		w.Header().Set(headerReading, "1")
+	default:
+		return false
+	}
+	http.Error(w, "receiving the data", http.StatusServiceUnavailable)
+	return true
+}
+
 // kind returns what a peer that gets the excerpt is answered.
 func (e excerpt) kind() AnswerKind {
 	switch {
