Bound what is read of a target that sends no answer

What callers saw: nothing shown; a target that sends bytes without end in place of a head fills an instance's memory until the request's deadline, and the instance ends. Cause: http.ReadResponse has no bound on a head, interim answers and the bodies of skipped answers were read without one. Change: 64 KB for a head with all interim answers before it, 1 MB for a skipped body; beyond that the attempt failed with an *EndlessError, and another target may be asked while there is time. Long bodies are passed on in bounded memory until the deadline, as before, and cut off. Why it works: each read of a head goes through the bounded reader of callers' requests.

--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -26,6 +26,10 @@
 	// has read the body.
 	maxSyncWrite = 4 << 10
 	maxStray     = 4 // answers to other requests that are skipped in one exchange
+	// maxAnswerHead bounds the head of an answer with all interim ones before it, and maxStrayBody the body
+	// of an answer that is skipped: a target in trouble may send bytes without end.
+	maxAnswerHead = 64 << 10
+	maxStrayBody  = 1 << 20
 )
 
 // Exchange is one attempt to send a request to a target.
@@ -75,6 +79,11 @@
 	return fmt.Sprintf("received %d answers to other requests", e.Count)
 }
 
+// EndlessError reports that a target sent more bytes than an answer has where none was to be passed on.
+type EndlessError struct{ Limit int64 }
+
+func (e *EndlessError) Error() string { return fmt.Sprintf("more than %d bytes that are no answer", e.Limit) }
+
 // Do sends the request and reads the answer. Its errors distinguish a request that was
 // not sent, a *NotSentError, from one that may have run. If Rest of the answer is set,
 // it must be closed. Do returns early when ctx ends.
@@ -234,7 +243,11 @@
 			return answer{}, err
 		}
 		if !e.IsAnswer(in.StatusCode, in.Header) {
-			if _, err := io.Copy(io.Discard, in.Body); err != nil {
+			n, err := io.Copy(io.Discard, io.LimitReader(in.Body, maxStrayBody))
+			if err == nil && n == maxStrayBody {
+				err = &EndlessError{Limit: maxStrayBody}
+			}
+			if err != nil {
 				return answer{}, err
 			}
 			continue
@@ -248,12 +261,16 @@
 
 // readFinal reads the head of an answer and skips interim (1xx) ones.
 func readFinal(c *poolConn, request *http.Request) (*http.Response, error) {
+	c.limited.remaining = maxAnswerHead
+	defer func() { c.limited.remaining = unlimited }()
 	for {
 		in, err := http.ReadResponse(c.reader, request)
-		if err != nil {
+		switch {
+		case err != nil && c.limited.remaining <= 0:
+			return nil, &EndlessError{Limit: maxAnswerHead}
+		case err != nil:
 			return nil, err
-		}
-		if in.StatusCode >= http.StatusOK {
+		case in.StatusCode >= http.StatusOK:
 			return in, nil
 		}
 	}
--- a/internal/http1/poolconn.go
+++ b/internal/http1/poolconn.go
@@ -15,6 +15,7 @@
 // poolConn is a connection to a target. It carries one request at a time.
 type poolConn struct {
 	conn               net.Conn
+	limited            *limitedConn // conn, as reader reads it
 	target             string
 	reader             *bufio.Reader
 	openedAt           time.Time                   // when the dial of the connection began
@@ -28,7 +29,11 @@
 }
 
 func newPoolConn(conn net.Conn, target string, openedAt time.Time) *poolConn {
-	return &poolConn{conn: conn, target: target, openedAt: openedAt, dialTook: boottime.Since(openedAt), reader: bufio.NewReaderSize(conn, targetBufferSize)}
+	limited := &limitedConn{conn: conn, remaining: unlimited}
+	return &poolConn{
+		conn: conn, limited: limited, target: target, openedAt: openedAt, dialTook: boottime.Since(openedAt),
+		reader: bufio.NewReaderSize(limited, targetBufferSize),
+	}
 }
 
 // usable reports whether an idle connection may be reused: nothing was received after
