--- a/internal/http1/endless_test.go
+++ b/internal/http1/endless_test.go
@@ -1,43 +1,14 @@
 package http1
 
 import (
-	"bufio"
 	"errors"
 	"io"
 	"net"
-	"net/http"
-	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
-)
 
-// endlessTarget sends begin and then repeats part until its connection is closed. sent counts its bytes,
-// and closed tells of the close.
-func endlessTarget(t *testing.T, begin, part string) (address string, sent *atomic.Int64, closed <-chan struct{}) {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	sent, done := &atomic.Int64{}, make(chan struct{})
-	go func() {
-		defer close(done)
-		c, err := ln.Accept()
-		if err != nil {
-			return
-		}
-		defer c.Close()
-		http.ReadRequest(bufio.NewReader(c))
-		for text := begin; err == nil; text = strings.Repeat(part, 4096/len(part)+1) {
-			var n int
-			n, err = io.WriteString(c, text)
-			sent.Add(int64(n))
-		}
-	}()
-	return ln.Addr().String(), sent, done
-}
+	"github.com/firlever/firlever/internal/emulator/endless"
+)
 
 // A target that sent bytes without end in place of an answer's head filled the memory until the deadline.
 func TestEndlessAnswer(t *testing.T) {
@@ -67,10 +38,14 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			address, sent, closed := endlessTarget(t, tt.begin, tt.part)
+			target, err := endless.New(tt.begin, tt.part)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(target.Close)
 			p := NewPool((&net.Dialer{}).DialContext, nil)
 			t.Cleanup(p.Close)
-			e := newExchange(address)
+			e := newExchange(target.Addr())
 			e.Deadline = time.Now().Add(3 * time.Second)
 			resp, err := p.Do(t.Context(), e)
 			if !time.Now().Before(e.Deadline) {
@@ -90,7 +65,7 @@
 				if err != nil || string(resp.Body) != "ok" {
 					t.Fatalf("got %+v, %v, want the answer", resp, err)
 				}
-				for sent.Load() <= int64(len(tt.begin)) {
+				for target.Sent() <= int64(len(tt.begin)) {
 					time.Sleep(time.Millisecond) // until bytes behind the answer have come
 				}
 				c, err := p.get(t.Context(), e)
@@ -101,12 +76,12 @@
 			case !errors.As(err, &failed):
 				t.Errorf("got %+v, %v, want a %T", resp, err, failed)
 			}
-			select {
-			case <-closed:
-			case <-time.After(time.Second):
-				t.Error("got a connection that stays open, want it closed")
+			for end := time.Now().Add(time.Second); target.Open() > 0; time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatal("got a connection that stays open, want it closed")
+				}
 			}
-			if got, limit := sent.Load(), int64(maxBuffered+maxStrayBody+socketBuffers); got > limit && !tt.streams {
+			if got, limit := target.Sent(), int64(maxBuffered+maxStrayBody+socketBuffers); got > limit && !tt.streams {
 				t.Errorf("got %d bytes read, want %d at most", got, limit)
 			}
 		})
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -82,7 +82,9 @@
 // EndlessError reports that a target sent more bytes than an answer has where none was to be passed on.
 type EndlessError struct{ Limit int64 }
 
-func (e *EndlessError) Error() string { return fmt.Sprintf("more than %d bytes that are no answer", e.Limit) }
+func (e *EndlessError) Error() string {
+	return fmt.Sprintf("more than %d bytes that are no answer", e.Limit)
+}
 
 // Do sends the request and reads the answer. Its errors distinguish a request that was
 // not sent, a *NotSentError, from one that may have run. If Rest of the answer is set,
