Tell why an instance reads the store at its start

Change: line "no data from other instances" and counter store-data/not-at-peers; takeFrom in two functions.

--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -130,6 +130,12 @@
 	}
 }
 
+// PeersGivenUp is called when this instance found no data at other instances.
+func (n *Node) PeersGivenUp(g mirror.GivenUp) {
+	n.cfg.Metrics.CountDecision(metrics.Decision{Kind: "store-data", Reason: "not-at-peers"})
+	n.cfg.Log.Warn("no data from other instances", "polls", g.Polls, "answered", g.Answered, "waited", g.Waited)
+}
+
 // DroppedRedundant counts changes of the store that were not applied.
 func (n *Node) DroppedRedundant(changes int) { n.redundantDropped.Add(int64(changes)) }
 
--- a/internal/edge/relay_tree_test.go
+++ b/internal/edge/relay_tree_test.go
@@ -232,6 +232,7 @@
 func (*versions) RelayFailed(error)                  {}
 func (*versions) Received(mirror.Delivery)           {}
 func (*versions) DroppedRedundant(int)               {}
+func (*versions) PeersGivenUp(mirror.GivenUp)        {}
 func (*versions) AnswerFailed(error)                 {}
 func (*versions) Answered(mirror.AnswerKind)         {}
 
--- a/internal/mirror/bootstrap.go
+++ b/internal/mirror/bootstrap.go
@@ -164,14 +164,22 @@
 	})
 }
 
+// GivenUp describes why the data is no longer asked for at other instances.
+type GivenUp struct {
+	Polls    int
+	Answered int           // of the polls
+	Waited   time.Duration // since the first poll
+}
+
 // takeFrom polls candidates in turn until one gives its data, and reports whether one did. It gives up
 // at a time, later while there is news of where the data is, and sooner if no candidate answers.
 func (m *Mirror) takeFrom(ctx context.Context, c *candidates, until time.Time) bool {
 	begin := boottime.Now()
 	ctx, cancel := context.WithDeadline(ctx, boottime.ToRuntime(begin.Add(listSpread+spreadTimeout)))
 	defer cancel()
+	var g GivenUp
 	silent, pause := 0, seedRetryDelay
-	for ctx.Err() == nil && boottime.Now().Before(until) {
+	for ctx.Err() == nil && boottime.Now().Before(until) && silent < maxSilent {
 		address := c.take()
 		if address == "" {
 			return false
@@ -184,31 +192,40 @@
 			m.sink.RelayFailed(err) // its data was old: a relay or the store provides the rest
 			return true
 		}
-		now := boottime.Now()
-		var notYet *notYetError
-		if errors.As(err, &notYet) {
-			c.add(m.peers.Self, notYet.holders)
-			if notYet.receiving {
-				c.retry(address)
-			}
-			if at := now.Add(progressTimeout); now.Sub(begin) < notYet.newsTimeout() && at.After(until) {
-				until = at
-			}
-		}
-		if silent++; answered(err) {
+		g.Polls++
+		silent++
+		if answered(err) {
+			g.Answered++
 			silent = 0
 		}
-		if silent == maxSilent {
-			return false
-		}
+		until = c.learn(m.peers.Self, address, err, begin, until)
 		if !c.holderTurn || len(c.holders) == 0 {
 			sleep(ctx, pause)
 			pause = min(maxSeedRetryDelay, pause+seedRetryDelay/4)
 		}
 	}
+	g.Waited = boottime.Since(begin)
+	m.sink.PeersGivenUp(g)
 	return false
 }
 
+// learn takes in what a candidate without data told, and returns until when others are polled.
+func (c *candidates) learn(self, address string, err error, begin, until time.Time) time.Time {
+	var notYet *notYetError
+	if !errors.As(err, &notYet) {
+		return until
+	}
+	c.add(self, notYet.holders)
+	if notYet.receiving {
+		c.retry(address)
+	}
+	now := boottime.Now()
+	if at := now.Add(progressTimeout); now.Sub(begin) < notYet.newsTimeout() && at.After(until) {
+		return at
+	}
+	return until
+}
+
 // maxSilent is how many polls in a row may go without an answer until this instance is taken to be
 // partitioned from the others.
 const maxSilent = 5
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -64,6 +64,8 @@
 	FollowingPeer(address string)
 	// RelayFailed reports that a relay failed and isn't polled for a while.
 	RelayFailed(err error)
+	// PeersGivenUp reports that this instance, which has no data yet, goes on to read the store.
+	PeersGivenUp(g GivenUp)
 	// Received describes data of the store that is about to be applied, before the changes that
 	// result from it are reported.
 	Received(d Delivery)
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -62,6 +62,8 @@
 
 func (s *sink) DroppedRedundant(int) {}
 
+func (s *sink) PeersGivenUp(GivenUp) {}
+
 func (s *sink) Answered(AnswerKind) {}
 
 func (s *sink) RelayFailed(error) {
