Keep what a stored status bars, and trim comments

Cause: read again as a newcomer. Change: the stored versions are kept. Comments say the reason only. Figures: the tests of rollouts pass.

--- a/internal/edge/register.go
+++ b/internal/edge/register.go
@@ -184,8 +184,9 @@
 	return err == nil, err
 }
 
-// verify returns whether the store has the record as it was written, under its lease. The lease's number proves nothing, as the store may have given it to
-// another writer since.
+// verify returns whether the store has the record as it was written, under its lease. The lease's
+// number proves nothing, as a store that was restored from a snapshot may have given it to another
+// writer since.
 func (r *registrar) verify(ctx context.Context) (bool, error) {
 	item, err := r.node.store.Get(ctx, r.key())
 	var missing *platform.MissingError
--- a/internal/edge/rollout_judge.go
+++ b/internal/edge/rollout_judge.go
@@ -73,6 +73,8 @@
 			return &SupersededError{Order: next.Order, By: stored.Order}
 		case stored.Order != next.Order && !barredKnown:
 			next.Barred = stored.BarredNext(next.Version)
+		case stored.Order == next.Order && stored.Barred != nil:
+			next.Barred = stored.Barred
 		}
 	}
 	value, err := platform.EncodeRolloutStatus(order.Service, next)
--- a/internal/mirror/bootstrap.go
+++ b/internal/mirror/bootstrap.go
@@ -35,11 +35,9 @@
 	// which may be out of reach for that one alone.
 	readingTimeout = 4 * time.Second
 	// spreadTimeout bounds the time in which it counts as news that others have the data, or receive it.
-	// Each that has it sends it on, so that it gets to 2,000 instances in some seconds.
 	spreadTimeout = 20 * time.Second
 	// listSpread is the time over which the instances of a large fleet begin to list the store if none
-	// has the data. The first to do so gives it to the others meanwhile. If all list it at once, that
-	// takes longer than a tenth of a minute, as the store's link is full.
+	// has the data: lists by all at once fill the store's link. The first one gives it to the others.
 	listSpread = 30 * time.Second
 	// maxCandidates bounds the instances that are polled at the start.
 	maxCandidates = 64
@@ -89,7 +87,7 @@
 	nextSource int
 	holders    []string // maxCandidates at most
 	asked      string   // the holder that was taken last
-	holderTurn bool
+	holderTurn bool     // the last one taken was a holder, if there was one
 }
 
 // take returns the next candidate; "" if there is none.
