Blame no target of serve for descriptors that are lacking here

What callers saw: nothing shown; as in edge, healthy targets would be ejected after a lack of descriptors, and a partition be checked for. Cause: a connect that fails for want of descriptors, memory or ports was told to the node as proof that the target refused the connection. Change: the end of an attempt says so, and counts neither for or against the target nor for a partition. Both engines tell it by tcp.LacksResources. Evidence: TestTargetBlamedForLackOfDescriptors of internal/core with the check in recordAttempt taken out: got a target that is reduced, want it warm; passes now. Why it works: the error of the system call tells whose lack it is.

--- a/internal/callers/exchange.go
+++ b/internal/callers/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/firlever/firlever/internal/once"
 	"github.com/firlever/firlever/internal/owner"
 	"github.com/firlever/firlever/internal/targets"
+	"github.com/firlever/firlever/internal/tcp"
 )
 
 // Prefixes of the paths that instances serve.
@@ -177,7 +178,7 @@
 func sendFailure(err error) core.Finished {
 	var notSent *targets.NotSentError
 	if errors.As(err, &notSent) {
-		return core.Finished{Result: core.NotRun, Proof: notSent.Proof()}
+		return core.Finished{Result: core.NotRun, Proof: notSent.Proof(), LackedHere: tcp.LacksResources(err)}
 	}
 	return core.Finished{Result: core.Failed}
 }
--- a/internal/core/gone_test.go
+++ b/internal/core/gone_test.go
@@ -1,6 +1,10 @@
 package core
 
-import "testing"
+import (
+	"testing"
+
+	"github.com/firlever/firlever/internal/once"
+)
 
 // TestGoneCallerKeepsTargetHealth checks that attempts count against a target's health
 // only if the target aborted them, and not the caller.
@@ -31,6 +35,32 @@
 	}
 }
 
+// A target was ejected because this instance had no descriptor left for a connection to it.
+func TestTargetBlamedForLackOfDescriptors(t *testing.T) {
+	tests := map[string]struct {
+		lacked bool
+		want   bool // the target stays warm
+	}{
+		"lacked here":           {true, true},
+		"target doesn't listen": {false, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			n := testNode(t, func(cfg *Config) { cfg.Settle = 1 })
+			at := begin
+			for i := range ID(20) {
+				at = at.Add(5)
+				n.Step(at, Tick{})
+				n.Step(at, request(i+1, "10.1.0.1"))
+				n.Step(at, Finished{ID: i + 1, Result: NotRun, Proof: once.ProofNoConn, LackedHere: tt.lacked})
+			}
+			if got := n.Status(at).Targets[0].Health; (got == "warm") != tt.want {
+				t.Errorf("got a target that is %s, want it warm: %t", got, tt.want)
+			}
+		})
+	}
+}
+
 // TestGoneCallerIsNotRetried checks that a request is not retried after its caller has
 // disconnected.
 func TestGoneCallerIsNotRetried(t *testing.T) {
--- a/internal/core/outcome.go
+++ b/internal/core/outcome.go
@@ -140,7 +140,7 @@
 		kind = health.Timeout
 	}
 	n.queue.Completed(now, f.req.Service, ev.Took)
-	if ev.CallerGone {
+	if ev.CallerGone || ev.LackedHere {
 		return
 	}
 	n.state(now, f.req.Service).health.Observe(now, f.target, kind, ev.Took)
--- a/internal/core/partition.go
+++ b/internal/core/partition.go
@@ -51,7 +51,7 @@
 	switch {
 	case ev.Result == Answered, ev.Result == NotRun && ev.Proof == once.ProofRefusal:
 		n.reach.detector.RecordAnswer(now, time.Time{})
-	case ev.CallerGone:
+	case ev.CallerGone, ev.LackedHere:
 	case unconnected, ev.Result == Failed:
 		n.recordUnreached(now, partition.Failure{Target: nameOf(f.target), Began: now.Add(-ev.Took), Connect: unconnected})
 	}
--- a/internal/edge/failure.go
+++ b/internal/edge/failure.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"syscall"
 
 	"github.com/firlever/firlever/internal/http1"
@@ -42,11 +41,3 @@
 	}
 	return otherFailure
 }
-
-// lacksResources reports whether an attempt failed for want of descriptors, memory or ports here, which
-// says nothing about its target.
-func lacksResources(err error) bool {
-	return slices.ContainsFunc([]error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL}, func(lack error) bool {
-		return errors.Is(err, lack)
-	})
-}
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -12,6 +12,7 @@
 	"github.com/firlever/firlever/internal/metrics"
 	"github.com/firlever/firlever/internal/routes"
 	"github.com/firlever/firlever/internal/steer"
+	"github.com/firlever/firlever/internal/tcp"
 	"github.com/firlever/firlever/platform"
 )
 
@@ -172,7 +173,7 @@
 		return attemptOutcome{ending: steer.NotSent}
 	case errors.As(err, &unsent) && ctx.Err() != nil:
 		return attemptOutcome{ending: steer.CallerLeft}
-	case errors.As(err, &unsent) && lacksResources(err):
+	case errors.As(err, &unsent) && tcp.LacksResources(err):
 		return attemptOutcome{ending: steer.NotSent}
 	case errors.As(err, &unsent):
 		return attemptOutcome{ending: steer.Failed}
