Never count more than the budget of bodies

What callers saw: nothing; a request could be refused for want of memory that was free. Cause: take added to what is held and took it back if that was too much, so that others saw more than the limit for a moment. Change: one atomic step. Why it works: what is held is compared and changed at once.

--- a/internal/http1/budget.go
+++ b/internal/http1/budget.go
@@ -18,11 +18,15 @@
 	if b == nil {
 		return true
 	}
-	if b.held.Add(n) <= b.limit {
-		return true
+	for {
+		held := b.held.Load()
+		if held+n > b.limit {
+			return false
+		}
+		if b.held.CompareAndSwap(held, held+n) {
+			return true
+		}
 	}
-	b.held.Add(-n)
-	return false
 }
 
 // release subtracts from the bytes that are held.
