--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -46,8 +46,9 @@
 
 // cases are the cases by name. Each returns whether the rule was broken, and a sentence on what was seen.
 var cases = map[string]func(trouble bool) (bool, string){
-	"changed-upload": changedUpload,
 	"slow-upload":    slowUpload,
+	"dead-in-lookup": deadInLookup,
+	"changed-upload": changedUpload,
 }
 
 func main() {
