review: case 6, holders of a quota that the store turns away use a share too much

A script: the store turns two of six machines away for 9 s, three others are killed and start again, and a tenant sends beyond its quota.

--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -35,6 +35,13 @@
 	folder    string
 	bounds    map[string]string
 	heartbeat time.Duration
+	tenants   []tenant
+}
+
+// tenant is a tenant of the configuration; rate 0 is no limit.
+type tenant struct {
+	name, key   string
+	rate, burst float64
 }
 
 // Ports of a machine, after the first.
@@ -230,6 +237,11 @@
 			"health_check_path": "/health", "max_connections": 330, "warmup": "3s", "cold_per_s": 14.0,
 		}})
 	}
+	for _, t := range d.tenants {
+		resources = append(resources, map[string]any{"resource_kind": "tenants", "metadata": map[string]string{"name": t.name}, "spec": map[string]any{
+			"api_keys": []string{t.key}, "rate_per_s": t.rate, "burst": t.burst, "allowed_regions": []string{},
+		}})
+	}
 	resources = append(resources, map[string]any{"resource_kind": "limits", "metadata": map[string]string{}, "spec": map[string]any{
 		"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout": "3000ms", "idle_timeout": "15000ms",
 	}})
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -49,6 +49,7 @@
 	"slow-upload":    slowUpload,
 	"dead-in-lookup": deadInLookup,
 	"changed-upload": changedUpload,
+	"quota-holders":  quotaHolders,
 }
 
 func main() {
