--- a/review/standin-2/changed_upload.go
+++ b/review/standin-2/changed_upload.go
@@ -14,53 +14,94 @@
 )
 
 const (
-	longUploads = 30
-	longBytes   = 1 << 20
-	longPiece   = 16 << 10
+	uploadRounds = 3
+	longUploads  = 30
+	longBytes    = 1 << 20
+	longPiece    = 16 << 10
 )
 
+// uploadCase is the deployment of changedUpload. a and c are alone in their regions.
+type uploadCase struct {
+	*deployment
+
+	a, c      *machine
+	upstreams []*upstream
+	cut       atomic.Bool   // a is cut off from the upstreams
+	probed    chan struct{} // gets a value when an upstream answers a health check of a
+}
+
 // changedUpload has clients upload long bodies through a machine that reaches its upstreams again after
-// a cut, while it and another machine are turned away by the store and so lack a new configuration.
+// a cut, while it and another machine are turned away by the store and so lack a new configuration. It
+// does so up to uploadRounds times.
 func changedUpload(trouble bool) (bool, string) {
 	zones := []zone{{"za", "ra"}, {"zb", "rb"}, {"zc", "rc"}}
-	d := newDeployment(zones, 1)
+	u := &uploadCase{deployment: newDeployment(zones, 1), probed: make(chan struct{}, 1)}
 	for i := range 3 {
-		d.machines = append(d.machines, &machine{name: fmt.Sprintf("edge-zb-%d", i+2), ip: fmt.Sprintf("127.0.0.%d", 30+i), zone: zones[1]})
+		u.machines = append(u.machines, &machine{name: fmt.Sprintf("edge-zb-%d", i+2), ip: fmt.Sprintf("127.0.0.%d", 30+i), zone: zones[1]})
+	}
+	u.ports = u.freePorts()
+	current = u.deployment
+	u.a, u.c = u.machines[0], u.machines[2]
+	u.configureUploads(1)
+	for i := range 6 {
+		u.addUpstream(i)
+	}
+	u.startAll()
+	changed, good, round := 0, 0, 0
+	for round < uploadRounds && changed == 0 {
+		round++
+		time.Sleep(4 * time.Second) // longer than stable_window
+		if trouble {
+			u.fallBehind(round)
+		}
+		u.configureUploads(round + 1)
+		time.Sleep(300 * time.Millisecond)
+		u.sendFew(round)
+		if trouble {
+			u.endCut()
+		}
+		c, g := u.upload(round)
+		changed, good = changed+c, good+g
+		u.store.turnAway(false, u.a.name, u.c.name)
+	}
+	return changed > 0, fmt.Sprintf("UNASKED: %d of %d uploads ran with a changed body, %d unchanged, in %d rounds", changed, round*longUploads, good, round)
+}
+
+func (u *uploadCase) addUpstream(i int) {
+	up := u.startUpstream(fmt.Sprintf("i-00%02d", i), "files", u.zones[i%len(u.zones)], func(w http.ResponseWriter, r *http.Request, run *run) {
+		if run.receive(r) == nil {
+			answer(w, run, fmt.Sprintf("%d bytes", len(run.body)))
+		}
+	})
+	up.resetTo = func(ip string) bool { return u.cut.Load() && ip == u.a.ip }
+	up.onProbe = func(ip string) {
+		if ip == u.a.ip {
+			select {
+			case u.probed <- struct{}{}:
+			default:
+			}
+		}
 	}
-	d.ports = d.freePorts()
-	current = d
+	u.upstreams = append(u.upstreams, up)
+}
+
+// configureUploads writes a version of the configuration, each with one route more.
+func (u *uploadCase) configureUploads(version int) {
 	routes := []route{
 		{prefix: "/up/", kind: "upload", service: "files", timeout: 6 * time.Second, attempts: 2},
 		{prefix: "/q/", kind: "idempotent", service: "files", timeout: 2 * time.Second, attempts: 2},
 	}
-	d.configure(1, routes...)
-	a, c := d.machines[0], d.machines[2]
-	var cut atomic.Bool
-	probed := make(chan struct{}, 1) // gets a value when an upstream answers a health check of a
-	var upstreams []*upstream
-	for i := range 6 {
-		u := d.startUpstream(fmt.Sprintf("i-00%02d", i), "files", zones[i%3], func(w http.ResponseWriter, r *http.Request, run *run) {
-			if run.receive(r) == nil {
-				answer(w, run, fmt.Sprintf("%d bytes", len(run.body)))
-			}
-		})
-		u.resetTo = func(ip string) bool { return cut.Load() && ip == a.ip }
-		u.onProbe = func(ip string) {
-			if ip == a.ip {
-				select {
-				case probed <- struct{}{}:
-				default:
-				}
-			}
-		}
-		upstreams = append(upstreams, u)
+	for v := 2; v <= version; v++ {
+		routes = append(routes, route{prefix: fmt.Sprintf("/new-%d/", v), kind: "idempotent", service: "files", timeout: 2 * time.Second, attempts: 2})
 	}
-	d.startAll()
-	time.Sleep(4 * time.Second)
+	u.configure(version, routes...)
+}
 
-	// Clients of a read all the while.
+// fallBehind cuts a off from the upstreams until its requests are served through other machines, and
+// then has the store turn a and c away.
+func (u *uploadCase) fallBehind(round int) {
 	var readers sync.WaitGroup
-	var served, read atomic.Int64
+	var served atomic.Int64
 	stop := make(chan struct{})
 	for k := range 4 {
 		readers.Go(func() {
@@ -70,61 +111,64 @@
 					return
 				case <-time.After(40 * time.Millisecond):
 				}
-				read.Add(1)
-				if getOnce(d.at(a, portFront), "/q/x", fmt.Sprintf("read-%d-%d", k, i)) == http.StatusOK {
+				if getOnce(u.at(u.a, portFront), "/q/x", fmt.Sprintf("read-%d-%d-%d", round, k, i)) == http.StatusOK {
 					served.Add(1)
 				}
 			}
 		})
 	}
-	time.Sleep(time.Second)
-	if trouble {
-		cut.Store(true)
-		note("%s is cut off from all upstreams", a.name)
-		awaitServed(&served, 12*time.Second)
-		close(stop)
-		readers.Wait()
-		d.store.turnAway(true, a.name, c.name)
-		note("the store turns %s and %s away", a.name, c.name)
-	}
-	d.configure(2, append(routes, route{prefix: "/new/", kind: "idempotent", service: "files", timeout: 2 * time.Second, attempts: 2})...)
-	time.Sleep(300 * time.Millisecond)
+	time.Sleep(500 * time.Millisecond)
+	u.cut.Store(true)
+	note("%s is cut off from all upstreams", u.a.name)
+	awaitServed(&served, 12*time.Second)
+	close(stop)
+	readers.Wait()
+	u.store.turnAway(true, u.a.name, u.c.name)
+	note("the store turns %s and %s away", u.a.name, u.c.name)
+}
+
+// sendFew sends a few reads to a.
+func (u *uploadCase) sendFew(round int) {
 	var few sync.WaitGroup
 	for i := range 3 {
-		few.Go(func() { getOnce(d.at(a, portFront), "/q/x", fmt.Sprintf("few-%d", i)) })
+		few.Go(func() { getOnce(u.at(u.a, portFront), "/q/x", fmt.Sprintf("few-%d-%d", round, i)) })
 	}
 	few.Wait()
-	if trouble {
-		drain(probed)
-		cut.Store(false)
-		note("%s reaches the upstreams again", a.name)
-		select {
-		case <-probed:
-		case <-time.After(5 * time.Second):
-			unable("%s doesn't check its upstreams", a.name)
-		}
-		time.Sleep(50 * time.Millisecond)
-	} else {
-		close(stop)
-		readers.Wait()
+}
+
+// endCut lets a reach the upstreams again, and waits until it has found out.
+func (u *uploadCase) endCut() {
+	select {
+	case <-u.probed:
+	default:
+	}
+	u.cut.Store(false)
+	note("%s reaches the upstreams again", u.a.name)
+	select {
+	case <-u.probed:
+	case <-time.After(5 * time.Second):
+		unable("%s doesn't check its upstreams", u.a.name)
 	}
+	time.Sleep(50 * time.Millisecond)
+}
 
+// upload sends uploads to a, and returns how many ran with a changed body and how many unchanged.
+func (u *uploadCase) upload(round int) (changed, good int) {
 	var all sync.WaitGroup
 	sums := make([][sha256.Size]byte, longUploads)
 	results := make([]outcome, longUploads)
 	for i := range longUploads {
-		body := bytes.Repeat([]byte(fmt.Sprintf("%07d,", i)), longBytes/8)
+		body := bytes.Repeat(fmt.Appendf(nil, "%07d,", i), longBytes/8)
 		for k := 0; k < len(body); k += 64 {
 			copy(body[k:], fmt.Sprintf("%08d", k))
 		}
 		sums[i] = sha256.Sum256(body)
-		all.Go(func() { results[i] = uploadChunked(d.at(a, portFront), fmt.Sprintf("upload-%d", i), body) })
+		all.Go(func() { results[i] = uploadChunked(u.at(u.a, portFront), fmt.Sprintf("upload-%d-%d", round, i), body) })
 	}
 	all.Wait()
-	changed, good := 0, 0
 	for i, o := range results {
-		for _, u := range upstreams {
-			r := u.run(o.id)
+		for _, up := range u.upstreams {
+			r := up.run(o.id)
 			if r == nil || !r.complete {
 				continue
 			}
@@ -133,10 +177,10 @@
 				continue
 			}
 			changed++
-			note("%s ran %s with a body of %d bytes in place of %d; the client got %d, signed %t", u.id, o.id, len(r.body), longBytes, o.status, o.signed)
+			note("%s ran %s with a body of %d bytes in place of %d; the client got %d, signed %t", up.id, o.id, len(r.body), longBytes, o.status, o.signed)
 		}
 	}
-	return changed > 0, fmt.Sprintf("UNASKED: %d of %d uploads ran with a changed body, %d unchanged", changed, longUploads, good)
+	return changed, good
 }
 
 // awaitServed waits until reads are served again.
@@ -151,13 +195,6 @@
 	note("reads are served through other machines")
 }
 
-func drain(c chan struct{}) {
-	select {
-	case <-c:
-	default:
-	}
-}
-
 // getOnce sends a request on a new connection, and returns the status of the answer; 0 if there is none.
 func getOnce(address, path, id string) int {
 	c, err := connect(address)
