--- a/review/standin-2/quota_holders.go
+++ b/review/standin-2/quota_holders.go
@@ -111,6 +111,7 @@
 	clients.Wait()
 	mu.Lock()
 	defer mu.Unlock()
+	note("the tenant has sent %d requests in %s", len(sentAt), hotFor)
 	most, at := 0, time.Time{}
 	slices.SortFunc(ran, func(a, b counted) int { return a.sent.Compare(b.sent) })
 	for i, first := range ran {
