Never send a body of which a part has gone elsewhere

Callers saw an upload of over 256 KiB answered 200, with the target's signature, although the target had run it with bytes missing (or, of an upload with a length, waited until the deadline for bytes that never came).

Cause: the rest of a long body is passed on as it comes, and each place that sends a request had to know whether an earlier exchange had taken some of it. forward asks canRetry at the head of its loop only; forwardIfBehind then hands the request off, a peer declines it by its head while bytes of the rest are on their way to it, and the loop goes on to pick a target. Pool.Do sent what the reader still gave as if it were the whole rest.

Change: Upload.open gives its reader to one exchange at a time and refuses, with a *PartialBodyError, once a byte of the rest was passed on. Pool.Do opens it before it connects and returns a *NotSentError, so that no path, this one or the next, can send such a body; nor can two exchanges read one body in turns, as the reader before is closed under the same lock. forward asks canRetry again after a declined hand-off, so that no target is chosen in vain; the caller gets 503, which is true, as the request has not run. Weighed: another check in forward alone, which is the third of its kind and leaves the next path open.

--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -166,10 +166,11 @@
 	var unsent *http1.NotSentError
 	var unwanted *http1.UnwantedError
 	var broken *http1.UploadError
+	var partial *http1.PartialBodyError
 	switch {
 	case errors.As(err, &broken):
 		return attemptOutcome{ending: steer.CallerLeft, sent: true}
-	case errors.As(err, &unwanted):
+	case errors.As(err, &unwanted), errors.As(err, &partial):
 		return attemptOutcome{ending: steer.NotSent}
 	case errors.As(err, &unsent) && ctx.Err() != nil:
 		return attemptOutcome{ending: steer.CallerLeft}
--- a/internal/edge/pass.go
+++ b/internal/edge/pass.go
@@ -23,6 +23,9 @@
 		if resp := n.forwardIfBehind(ctx, p); resp != nil {
 			return resp
 		}
+		if !p.canRetry() {
+			break // the hand-off has taken a part of the body
+		}
 		p.choice = n.pick(p)
 		if p.choice.Reason != "" {
 			break
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -92,10 +92,15 @@
 func (p *Pool) Do(ctx context.Context, e *Exchange) (*Response, error) {
 	ctx, cancel := context.WithDeadline(ctx, boottime.ToRuntime(e.Deadline))
 	defer cancel()
+	upload, err := e.Request.Rest.open()
+	if err != nil {
+		return nil, &NotSentError{Err: err}
+	}
 	c, err := p.get(ctx, e)
 	if err != nil {
 		return nil, &NotSentError{Err: err}
 	}
+	c.upload = upload
 	if e.ShouldSend != nil && !e.ShouldSend() {
 		c.conn.Close()
 		return nil, &NotSentError{Err: &UnwantedError{}}
@@ -154,9 +159,6 @@
 		done <- err
 		return done
 	}
-	if e.Request.Rest != nil {
-		c.upload = e.Request.Rest.newReader()
-	}
 	go func() { done <- c.sendLong(head.Bytes(), e.Request) }()
 	return done
 }
--- a/internal/http1/upload.go
+++ b/internal/http1/upload.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/firlever/firlever/internal/boottime"
@@ -22,7 +21,6 @@
 	length int64 // of the whole body; -1 if unknown
 	idle   time.Duration
 	conn   net.Conn
-	used   atomic.Bool
 	once   sync.Once
 	done   chan struct{} // closed when the body has ended or is no longer read
 
@@ -32,7 +30,9 @@
 	err     error // of the last read; io.EOF if the body has ended
 
 	mu     sync.Mutex
-	closed bool // guarded by mu
+	closed bool          // guarded by mu
+	used   bool          // some of the rest was passed on; guarded by mu
+	reader *uploadReader // the last that was opened, and the only one that may read; guarded by mu
 }
 
 // UploadError reports that a caller's body broke off, came too slowly or was too long.
@@ -43,6 +43,14 @@
 // Unwrap returns the cause.
 func (e *UploadError) Unwrap() error { return e.Err }
 
+// PartialBodyError reports that an earlier exchange has taken a part of a request's body, so that the
+// request can't be sent whole.
+type PartialBodyError struct{}
+
+func (e *PartialBodyError) Error() string {
+	return "http1: a part of the request's body was sent in an earlier exchange"
+}
+
 var (
 	errBodyTooLong  = errors.New("longer than the configuration allows")
 	errUploadClosed = errors.New("no longer wanted")
@@ -64,14 +72,31 @@
 	closed bool // guarded by upload.mu
 }
 
-func (u *Upload) newReader() *uploadReader { return &uploadReader{upload: u} }
+// open returns a reader of the whole rest, and closes the one before. It returns a *PartialBodyError
+// if some of the rest was passed on. It may be called on nil, which has no rest.
+func (u *Upload) open() (*uploadReader, error) {
+	if u == nil {
+		return nil, nil
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.used {
+		return nil, &PartialBodyError{}
+	}
+	if u.reader != nil {
+		u.reader.closed = true
+	}
+	u.reader = &uploadReader{upload: u}
+	return u.reader, nil
+}
 
-// Read reads from the upload as its Read does.
+// Read reads from the upload. Its errors are io.EOF at the end, a *UploadError, or errExchangeEnded if
+// the reader is closed.
 func (r *uploadReader) Read(b []byte) (int, error) {
 	if !r.use() {
 		return 0, errExchangeEnded
 	}
-	return r.upload.Read(b)
+	return r.upload.read(b)
 }
 
 // use marks the upload as used, unless the reader is closed.
@@ -81,7 +106,7 @@
 	if r.closed {
 		return false
 	}
-	r.upload.used.Store(true)
+	r.upload.used = true
 	return true
 }
 
@@ -96,11 +121,14 @@
 }
 
 // Used reports whether some of the rest was passed on, so that the request can't be sent again.
-func (u *Upload) Used() bool { return u.used.Load() }
+func (u *Upload) Used() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.used
+}
 
-// Read reads from the body. Its errors are io.EOF at the end, or a *UploadError.
-func (u *Upload) Read(b []byte) (int, error) {
-	u.used.Store(true)
+// read reads from the body. Its errors are io.EOF at the end, or a *UploadError.
+func (u *Upload) read(b []byte) (int, error) {
 	u.reading.Lock()
 	defer u.reading.Unlock()
 	if u.err == nil {
--- a/internal/http1/upload_test.go
+++ b/internal/http1/upload_test.go
@@ -37,7 +37,11 @@
 	n, err := h.Write(r.Body)
 	length := int64(n)
 	if r.Rest != nil {
-		more, copyErr := io.Copy(h, r.Rest)
+		rest, openErr := r.Rest.open()
+		if openErr != nil {
+			return &Response{Status: 500, Header: http.Header{}, Body: []byte(openErr.Error())}
+		}
+		more, copyErr := io.Copy(h, rest)
 		length, err = length+more, copyErr
 	}
 	text := fmt.Sprintf("%d %x", length, h.Sum(nil)[:4])
@@ -189,13 +193,25 @@
 	return r.Reader.Read(b)
 }
 
+// newTestUpload returns the rest of a body, which has a number of bytes.
+func newTestUpload(rest io.Reader, size int) *Upload {
+	caller, _ := net.Pipe()
+	return &Upload{length: maxWholeBody + int64(size), idle: time.Minute, conn: caller, done: make(chan struct{}), body: rest, left: 1 << 20}
+}
+
+// newUploadExchange returns an exchange whose request has a rest.
+func newUploadExchange(address string, rest *Upload) *Exchange {
+	e := newExchange(address)
+	e.Request.Method, e.Request.Body, e.Request.Rest = "POST", make([]byte, maxWholeBody), rest
+	return e
+}
+
 // A long body lost bytes if its first target answered before it had read the body: the exchange that had
 // ended read some of the rest while the next one did.
 func TestUploadLostBetweenTargets(t *testing.T) {
 	const rest = "the rest"
 	body := &signallingReader{Reader: strings.NewReader(rest), reads: make(chan struct{}, 8)}
-	caller, _ := net.Pipe()
-	upload := &Upload{length: maxWholeBody + int64(len(rest)), idle: time.Minute, conn: caller, done: make(chan struct{}), body: body, left: 1 << 20}
+	upload := newTestUpload(body, len(rest))
 	target, gate := make(chan net.Conn, 1), make(chan struct{})
 	p := NewPool(func(context.Context, string, string) (net.Conn, error) {
 		near, far := net.Pipe()
@@ -209,8 +225,7 @@
 		http.ReadRequest(bufio.NewReader(c))
 		io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nId: mine\r\nContent-Length: 0\r\n\r\n")
 	}()
-	e := newExchange("unused")
-	e.Request.Method, e.Request.Body, e.Request.Rest = "POST", make([]byte, maxWholeBody), upload
+	e := newUploadExchange("unused", upload)
 	if resp, err := p.Do(t.Context(), e); err != nil || resp.Status != http.StatusServiceUnavailable {
 		t.Fatalf("got %+v, %v, want an early answer", resp, err)
 	}
@@ -223,7 +238,51 @@
 	if upload.Used() {
 		t.Error("got the rest used, want it left for another target")
 	}
-	if got, err := io.ReadAll(upload.newReader()); string(got) != rest || err != nil {
+	reader, err := upload.open()
+	if err != nil {
+		t.Fatalf("got %v for another target, want the rest", err)
+	}
+	if got, err := io.ReadAll(reader); string(got) != rest || err != nil {
 		t.Errorf("got %q, %v for another target, want %q", got, err, rest)
 	}
 }
+
+// What an exchange had left of a body was sent as if it were all: a body of which a part is gone is not sent.
+func TestPartialBodyIsNotSent(t *testing.T) {
+	dials := 0
+	p := NewPool(func(context.Context, string, string) (net.Conn, error) {
+		dials++
+		return nil, io.ErrClosedPipe
+	}, nil)
+	t.Cleanup(p.Close)
+	upload := newTestUpload(strings.NewReader("the rest"), len("the rest"))
+	first, err := upload.open()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := first.Read(make([]byte, 3)); err != nil {
+		t.Fatal(err)
+	}
+	_, err = p.Do(t.Context(), newUploadExchange("unused", upload))
+	var unsent *NotSentError
+	var partial *PartialBodyError
+	if !errors.As(err, &unsent) || !errors.As(err, &partial) || dials != 0 {
+		t.Errorf("got %v after %d connects, want a *PartialBodyError in a *NotSentError after none", err, dials)
+	}
+}
+
+// Of two exchanges with one body, the one before reads nothing once the next one has begun.
+func TestUploadHasOneReader(t *testing.T) {
+	upload := newTestUpload(strings.NewReader("the rest"), len("the rest"))
+	first, _ := upload.open()
+	second, err := upload.open()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n, err := first.Read(make([]byte, 3)); n != 0 || !errors.Is(err, errExchangeEnded) {
+		t.Errorf("got %d bytes, %v, want none and %v", n, err, errExchangeEnded)
+	}
+	if got, err := io.ReadAll(second); string(got) != "the rest" || err != nil {
+		t.Errorf("got %q, %v, want all of the rest", got, err)
+	}
+}
