Ask a peer before a long body is handed off

Callers got 503 for an upload of over 256 KiB although targets were within reach: a peer had declined the hand-off by its head, and a part of the body, which can be sent once only, was gone by then.

Cause: the head of a hand-off and its body were sent at once. A peer declines by the head alone (declinedOldConfig, declinedPartitioned, declinedStopping, declinedOverloaded, declinedNoMemory), while the bytes on their way to it are lost.

Change: Exchange.AwaitContinue sends the head of a request with a rest alone, with Expect: 100-continue, and its body once the target asks for it. Only hand-offs use it, at one round trip for each long body; instances of earlier versions send 100 too. The server sends 100 also right after an earlier answer, which it still took for pending for some microseconds. Weighed: keeping what was sent until the peer accepts it, which takes from the budget of bodies for as long as a peer works.

--- a/internal/edge/handoff_sender.go
+++ b/internal/edge/handoff_sender.go
@@ -82,7 +82,7 @@
 	setHandOff(header, q)
 	resp, err := h.pool.Do(ctx, &http1.Exchange{
 		Request: p.in, Header: header, Target: peer.address, Group: "peers", Address: peer.address,
-		NonIdempotent: !p.repeatable, Deadline: p.deadline,
+		NonIdempotent: !p.repeatable, Deadline: p.deadline, AwaitContinue: true,
 		IsAnswer: func(status int, header http.Header) bool {
 			return platform.ReadAnswer(status, header).BelongsTo(p.info.ID)
 		},
--- a/internal/edge/handoff_upload_test.go
+++ b/internal/edge/handoff_upload_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -76,3 +77,29 @@
 		})
 	}
 }
+
+// A peer that declines a long upload does so before any of the body is sent: a target of this instance gets it whole.
+func TestUploadRefusedAfterDeclinedHandOff(t *testing.T) {
+	t.Parallel()
+	for name, chunks := range uploadCodings {
+		t.Run(name, func(t *testing.T) {
+			var whole atomic.Int64
+			r := newRig(t)
+			r.configureUploads()
+			r.register("t1", r.uploadTarget(&whole), "n1", "ready")
+			r.start()
+			r.startInstance("e2", "n1")
+			r.waitUsable(1)
+			r.eventually("the peer is known", func() bool { return len(r.node.instances.names()) == 2 })
+			r.node.handOffs.raiseConfig(laterVersion)
+			for k := range int64(5) {
+				r.node.handOffs.mu.Lock()
+				clear(r.node.handOffs.avoidUntil)
+				r.node.handOffs.mu.Unlock()
+				if got := r.upload(longUpload, longUpload, chunks); got != http.StatusOK || whole.Load() != k+1 {
+					t.Errorf("got status %d and %d whole uploads, want 200 and %d", got, whole.Load(), k+1)
+				}
+			}
+		})
+	}
+}
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -43,6 +43,7 @@
 	IsAnswer      func(status int, h http.Header) bool // reports whether an answer belongs to this request
 	KeepConn      func(resp *Response) bool            // reports whether the connection may be reused after an answer
 	Deadline      time.Time                            // deadline of the attempt
+	AwaitContinue bool                                 // a body with a rest is sent once the peer has accepted its head
 	ShouldSend    func() bool                          // reports whether to send the request; called once connected; nil: always
 }
 
@@ -52,7 +53,7 @@
 
 func (e *UnwantedError) Error() string { return "request no longer wanted" }
 
-// NotSentError reports that no byte of a request was sent: it can't have run.
+// NotSentError reports that no byte of a request, or of its body, was sent: it can't have run.
 type NotSentError struct{ Err error }
 
 func (e *NotSentError) Error() string { return "http1: request not sent: " + e.Err.Error() }
@@ -111,8 +112,19 @@
 	stop := context.AfterFunc(ctx, func() { c.conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	begin := boottime.Now()
-	sent := c.send(e)
-	a, err := c.receive(e, p.budget)
+	var early *http.Response
+	if e.awaitsContinue() {
+		early, err = c.awaitContinue(ctx, e)
+		if err != nil {
+			c.conn.Close()
+			return nil, &NotSentError{Err: err}
+		}
+	}
+	var sent <-chan error
+	if early == nil {
+		sent = c.send(e)
+	}
+	a, err := c.receive(e, early, p.budget)
 	if err != nil {
 		c.upload.close()
 		c.conn.Close()
@@ -151,7 +163,9 @@
 // yields the result of the write.
 func (c *poolConn) send(e *Exchange) <-chan error {
 	head := bytes.NewBuffer(make([]byte, 0, 512))
-	appendRequestHead(head, e.Request, e.Header)
+	if !e.awaitsContinue() {
+		appendRequestHead(head, e.Request, e.Header)
+	}
 	done := make(chan error, 1)
 	if e.Request.Rest == nil && head.Len()+len(e.Request.Body) <= maxSyncWrite {
 		head.Write(e.Request.Body)
@@ -207,7 +221,7 @@
 	select {
 	case err := <-sent:
 		whole = err == nil
-	default: // answered before the request was sent completely
+	default: // answered before the request was sent completely, if any of its body was
 	}
 	if !whole || !a.reusable || c.reader.Buffered() > 0 || !e.KeepConn(a.response) {
 		c.conn.Close()
@@ -237,15 +251,19 @@
 	idleTimeout time.Duration // announced by the target; 0 if none
 }
 
-// receive reads the answer to the request. It skips up to maxStray answers to other
-// requests.
-func (c *poolConn) receive(e *Exchange, budget *Budget) (answer, error) {
+// receive reads the answer to the request, of which early is the head unless it is nil. It skips up to
+// maxStray answers to other requests.
+func (c *poolConn) receive(e *Exchange, early *http.Response, budget *Budget) (answer, error) {
 	request := &http.Request{Method: e.Request.Method}
 	for stray := 0; stray <= maxStray; stray++ {
-		in, err := readFinal(c, request)
+		in, err := early, error(nil)
+		if early == nil {
+			in, err = readFinal(c, request)
+		}
 		if err != nil {
 			return answer{}, err
 		}
+		early = nil
 		if !e.IsAnswer(in.StatusCode, in.Header) {
 			n, err := io.Copy(io.Discard, io.LimitReader(in.Body, maxStrayBody))
 			if err == nil && n == maxStrayBody {
@@ -265,6 +283,11 @@
 
 // readFinal reads the head of an answer and skips interim (1xx) ones.
 func readFinal(c *poolConn, request *http.Request) (*http.Response, error) {
+	return readHead(c, request, func(status int) bool { return status >= http.StatusOK })
+}
+
+// readHead reads heads of answers until one has a status that is wanted.
+func readHead(c *poolConn, request *http.Request, wanted func(status int) bool) (*http.Response, error) {
 	c.limited.remaining = maxAnswerHead
 	defer func() { c.limited.remaining = unlimited }()
 	for {
@@ -274,7 +297,7 @@
 			return nil, &EndlessError{Limit: maxAnswerHead}
 		case err != nil:
 			return nil, err
-		case in.StatusCode >= http.StatusOK:
+		case wanted(in.StatusCode):
 			return in, nil
 		}
 	}
--- a/internal/http1/pool_test.go
+++ b/internal/http1/pool_test.go
@@ -301,7 +301,7 @@
 	for _, c := range list {
 		e := newExchange(address)
 		sent := c.send(e)
-		a, err := c.receive(e, nil)
+		a, err := c.receive(e, nil, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -61,7 +61,7 @@
 	previous := make(chan struct{})
 	close(previous)
 	for {
-		in := c.readNext()
+		in := c.readNext(previous)
 		if in.closed || !c.admit(in.last) {
 			c.server.callers.Budget.release(in.taken)
 			break
--- a/internal/http1/serverread.go
+++ b/internal/http1/serverread.go
@@ -23,8 +23,8 @@
 	taken   int64     // bytes of the budget that the body takes
 }
 
-// readNext reads the next request.
-func (c *serverConn) readNext() incoming {
+// readNext reads the next request. previous is closed when the earlier ones are answered.
+func (c *serverConn) readNext(previous <-chan struct{}) incoming {
 	limits := c.server.callers.Limits()
 	c.setIdleDeadline(limits)
 	if _, err := c.reader.Peek(1); err != nil {
@@ -55,7 +55,7 @@
 		}
 	}
 	if expects {
-		c.sendContinue()
+		c.sendContinue(previous)
 	}
 	return c.readBody(r, limits)
 }
@@ -112,13 +112,16 @@
 	return refuse(http.StatusBadRequest)
 }
 
-// sendContinue sends the interim answer that the caller expects before it sends the body,
-// unless answers to earlier requests are pending.
-func (c *serverConn) sendContinue() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.pending == 0 {
+// continueWait bounds the time that an interim answer waits for the answers to earlier requests.
+const continueWait = 50 * time.Millisecond
+
+// sendContinue sends the interim answer that the caller expects before it sends the body, unless answers
+// to earlier requests stay pending: the caller then sends the body without it.
+func (c *serverConn) sendContinue(previous <-chan struct{}) {
+	select {
+	case <-previous:
 		io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n")
+	case <-time.After(continueWait):
 	}
 }
 
