Let no attempt of serve send a body of which a part is gone

Cause: whether a long body can be sent again is decided in the core, by Finished.BodyConsumed; the place that sends would have sent what was left.

Change: body.forAttempt returns a *PartialBodyError once a part that isn't buffered was read. The attempt then counts as not sent, and not against its target.

Evidence: TestPartialBodyIsNotSent, which didn't build before, as forAttempt returned no error; with its check taken out it says "got <nil> for an attempt after a part was sent". go test -race ./internal/callers ./internal/core passes.

--- a/internal/callers/body.go
+++ b/internal/callers/body.go
@@ -48,8 +48,21 @@
 	stopped bool // guarded by mu
 }
 
-func (b *body) forAttempt(pace func(n int) error) *attemptBody {
-	return &attemptBody{body: b, buffered: bytes.NewReader(b.buffered), pace: pace}
+// forAttempt returns the whole body for an attempt. It returns a *PartialBodyError if an earlier one has
+// taken a part that is not buffered.
+func (b *body) forAttempt(pace func(n int) error) (*attemptBody, error) {
+	if b.consumed.Load() {
+		return nil, &PartialBodyError{}
+	}
+	return &attemptBody{body: b, buffered: bytes.NewReader(b.buffered), pace: pace}, nil
+}
+
+// PartialBodyError reports that an earlier attempt has taken a part of a request's body, so that the request
+// can't be sent whole.
+type PartialBodyError struct{}
+
+func (e *PartialBodyError) Error() string {
+	return "callers: a part of the request's body was sent in an earlier attempt"
 }
 
 // AttemptOverError is returned by reads of a body after its attempt has ended.
@@ -95,8 +108,11 @@
 	return !p.stopped
 }
 
-// stop prevents the attempt from starting another read of the remaining body.
+// stop prevents the attempt from starting another read of the remaining body. It may be called on nil.
 func (p *attemptBody) stop() {
+	if p == nil {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.stopped = true
--- a/internal/callers/body_test.go
+++ b/internal/callers/body_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -258,3 +259,26 @@
 	}
 	g.idle()
 }
+
+// What an attempt had left of a body could be sent as if it were all: each attempt gets the whole body or none.
+func TestPartialBodyIsNotSent(t *testing.T) {
+	r := httptest.NewRequest("PUT", "/", strings.NewReader(strings.Repeat("x", longBody)))
+	b, err := readBody(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	noPace := func(int) error { return nil }
+	first, err := b.forAttempt(noPace)
+	if err != nil {
+		t.Fatalf("got %v for the first attempt, want the body", err)
+	}
+	if _, err := io.CopyN(io.Discard, first, maxReplay+2); err != nil {
+		t.Fatal(err)
+	}
+	first.stop()
+	_, err = b.forAttempt(noPace)
+	var partial *PartialBodyError
+	if !errors.As(err, &partial) {
+		t.Errorf("got %v for an attempt after a part was sent, want a *PartialBodyError", err)
+	}
+}
--- a/internal/callers/exchange.go
+++ b/internal/callers/exchange.go
@@ -150,13 +150,18 @@
 	ctx, cancel := context.WithDeadline(ctx, boottime.ToRuntime(t.deadline))
 	defer cancel()
 	t.ctx = ctx
-	t.reqBody = x.body.forAttempt(func(n int) error { return x.s.pacer.wait(ctx, t.uploadRate, n) })
+	t.began = x.s.dispatcher.Now()
+	reqBody, err := x.body.forAttempt(func(n int) error { return x.s.pacer.wait(ctx, t.uploadRate, n) })
+	if err != nil {
+		x.fail(t, core.Finished{Result: core.NotRun, Proof: once.ProofNoByte, LackedHere: true}) // the target is not to blame
+		return false
+	}
+	t.reqBody = reqBody
 	defer t.reqBody.stop()
 	if x.body.size != 0 {
 		out.Body = t.reqBody
 	}
 	x.setReadDeadline(t.deadline.Add(replyTimeout))
-	t.began = x.s.dispatcher.Now()
 	setTimeLeft(out.Header, HeaderTimeout, t.began, t.deadline)
 	if !x.req.StartDeadline.IsZero() {
 		setTimeLeft(out.Header, HeaderStart, t.began, x.req.StartDeadline)
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -80,7 +80,7 @@
 	RetryAt      time.Time
 	Final        bool // part of the answer was sent to the caller, so no other attempt is possible
 	CallerGone   bool // the caller cancelled it, which says nothing about the target
-	LackedHere   bool // not sent for want of descriptors, memory or ports here, which says nothing about the target
+	LackedHere   bool // not sent for want of descriptors, memory, ports or a whole body here, which says nothing about the target
 	BodyConsumed bool // the body can't be sent again
 	Aborted      bool // the target closed the connection before a complete answer, without a timeout or cancellation
 }
