Pass over instances that ended while the store was down

Cause: a record lives as long as its lease, and nothing else removes it or makes it doubtful. Leases may pause while the store is down, so that one has all of its 4 s left at the return. The logs refute that the removal was told late: "instance gone" at all three within 0.7 ms, 3.7 s after the return, which is what the lease had left.

Change: from its first failed renewal until a lease after the store is back, each instance checks the next three living ones in an order that all share. One that refuses or ignores two connects in a row is passed over by its look-ups and hand-offs at once. When the store is back its record is marked as unconfirmed, which all learn on the usual way; an owner that lives sees a record that it didn't write and registers again. Look-ups name all if none is left, and who gets no answer at all passes nobody over. Shares, quotas and rollouts go on counting an unconfirmed instance, as it may live. Cost: 6 connects a second and instance around an outage, else nothing; two calls to the store for each instance that has ended, none for those that live (TestNoMarksWhileAllLive), and at most 16 checks a round at 985 instances (TestNeighborChecks). Weighed: a shorter lease, records that are confirmed by a write of each owner, checks of all, collectors; see docs/design/recovery.md.

Without neighbors.run the test fails:

TestDeadInstanceInLookupsAfterOutage: e4: got the instance named 3.000082621s after the store was back, want it left out (e2, e3 too)

go test -race ./internal/edge ./internal/mirror ./internal/emulator/... passes.

--- a/internal/edge/instances.go
+++ b/internal/edge/instances.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
 	"github.com/firlever/firlever/internal/quota"
@@ -26,7 +27,8 @@
 
 	HandOffs    string `json:"handoffs,omitempty"`    // address for requests of other instances, IP:port; "" if it takes none
 	Partitioned bool   `json:"partitioned,omitempty"` // it reaches no target itself
-	Change      int    `json:"change,omitempty"`      // number of the record within the run
+	Change      int    `json:"change,omitempty"`      // number of the record within the run; 0 if its owner has not written it
+	Unconfirmed bool   `json:"unconfirmed,omitempty"` // another instance could not reach the owner, which writes the record anew if it lives
 
 	Cores float64 `json:"cores"` // processor cores of its machine
 	Link  float64 `json:"link"`  // network link of its machine, in Mbit/s
@@ -43,12 +45,15 @@
 	mu      sync.Mutex
 	records map[string]record // by instance; guarded by mu
 
+	// Instances that could not be reached from here and have not written their record since; guarded by mu.
+	unreachable map[string]bool
+
 	// Instances that are not leaving, and the relays of each region. The lists are built when they
 	// are needed after records have changed: look-ups are a hundred times as frequent as changes,
 	// and many changes come at once when the whole system starts. Guarded by mu.
 	outdated bool
 	known    recordLists
-	reaching recordLists // known ones that reach targets
+	reaching recordLists // known ones that reach targets and can be reached, as far as is known
 	trees    map[string]relayTree
 }
 
@@ -89,13 +94,56 @@
 		i.records = make(map[string]record)
 	}
 	i.records[name] = r
+	delete(i.unreachable, name)
 	i.outdated = true
 }
 
+// setUnreachable replaces the instances that can't be reached from here.
+func (i *instances) setUnreachable(list []unreachableNeighbor) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if len(list) == 0 && len(i.unreachable) == 0 {
+		return
+	}
+	i.unreachable = make(map[string]bool)
+	for _, u := range list {
+		i.unreachable[u.name] = i.records[u.name] == u.record
+	}
+	i.outdated = true
+}
+
+// neighbor is another instance, as its record describes it.
+type neighbor struct {
+	name   string
+	record record
+}
+
+// neighbors returns the other instances in the order of the hashes of their names, from the one after
+// self on. Those that are leaving are excluded.
+func (i *instances) neighbors(self string) []neighbor {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	list := make([]neighbor, 0, len(i.records))
+	for name, r := range i.records {
+		if name != self && !r.Leaving && r.Peers != "" {
+			list = append(list, neighbor{name, r})
+		}
+	}
+	slices.SortFunc(list, func(a, b neighbor) int { return compareHashes(a.name, b.name) })
+	after, _ := slices.BinarySearchFunc(list, self, func(s neighbor, self string) int { return compareHashes(s.name, self) })
+	return slices.Concat(list[after:], list[:after])
+}
+
+// compareHashes orders names by their hashes, so that neighbors are in different failure domains.
+func compareHashes(a, b string) int {
+	return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+}
+
 func (i *instances) remove(name string) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	delete(i.records, name)
+	delete(i.unreachable, name)
 	i.outdated = true
 }
 
@@ -107,24 +155,25 @@
 	i.outdated = false
 	i.known, i.reaching = newRecordLists(), newRecordLists()
 	ranked := make(map[string][]relayCandidate)
+	all := make([]neighbor, 0, len(i.records))
 	for name, r := range i.records {
+		if !r.Leaving {
+			all = append(all, neighbor{name, r})
+		}
 		if !r.Leaving && r.Peers != "" {
 			ranked[r.Region] = append(ranked[r.Region], relayCandidate{name: name, domain: r.Domain, cores: r.Cores, peers: r.Peers})
 		}
 	}
+	slices.SortFunc(all, func(a, b neighbor) int { return cmp.Compare(a.record.Callers, b.record.Callers) })
 	i.trees = make(map[string]relayTree)
 	for region, list := range ranked {
 		slices.SortFunc(list, relayCandidate.compare)
 		i.trees[region] = newRelayTree(list)
 	}
-	records := slices.SortedFunc(maps.Values(i.records), func(a, b record) int { return cmp.Compare(a.Callers, b.Callers) })
-	for _, r := range records {
-		if r.Leaving {
-			continue
-		}
-		i.known.add(r)
-		if !r.Partitioned {
-			i.reaching.add(r)
+	for _, s := range all {
+		i.known.add(s.record)
+		if !s.record.Partitioned && !s.record.Unconfirmed && !i.unreachable[s.name] {
+			i.reaching.add(s.record)
 		}
 	}
 }
@@ -195,7 +244,7 @@
 }
 
 // near returns addresses for a caller in a failure domain, limit at most: of instances near it that
-// reach targets, or of any if none does. Leaving instances are excluded.
+// reach targets and can be reached, or of any if none does. Leaving instances are excluded.
 func (i *instances) near(region, domain, caller string, limit int) []string {
 	i.mu.Lock()
 	defer i.mu.Unlock()
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -49,6 +49,7 @@
 	objects        *loads.ObjectExchange
 	quotas         *quota.Exchange
 	registrar      *registrar
+	neighbors      *neighbors
 	budget         *http1.Budget // of bodies that are held for callers and targets
 	pool           *http1.Pool
 	partition      *partitionMonitor
@@ -123,6 +124,7 @@
 	n.mirror = mirror.New(n.store, n, mirror.Peers{Relays: n.relays, Hops: n.relayHops, Fallbacks: n.others, Seeds: n.seeds(), FirstStart: s.FirstStart, Self: n.peerAddress, LinkMbps: s.LinkMbps, Registered: registeredExcept(n.peerAddress), Redundant: n.redundant}, compareItems)
 	n.newExchanges()
 	n.registrar = newRegistrar(n)
+	n.neighbors = newNeighbors(n)
 	n.crashes = newCrashTracker(n)
 	n.rollouts = newRolloutTracker(n)
 	n.handOffServer = http1.NewServer(n.handOffHandlers())
@@ -155,6 +157,7 @@
 	n.background.Go(func() { boottime.Watch(ctx) })
 	n.background.Go(func() { n.mirror.Run(ctx) })
 	n.background.Go(func() { n.registrar.run(ctx) })
+	n.background.Go(func() { n.neighbors.run(ctx) })
 	n.background.Go(func() { n.loads.Run(ctx) })
 	n.background.Go(func() { n.runs.Run(ctx) })
 	n.background.Go(func() { n.objects.Run(ctx) })
--- a/internal/edge/register.go
+++ b/internal/edge/register.go
@@ -241,10 +241,12 @@
 		r.node.cfg.Metrics.CountPlatformFailure("lease")
 		if !r.failing {
 			r.node.cfg.Log.Warn("lease not renewed", "err", err)
+			r.node.neighbors.storeLost()
 		}
 		r.failing = true
 	case r.failing:
 		r.failing = false
+		r.node.neighbors.storeBack(boottime.Now())
 		r.node.cfg.Log.Info("lease renewed again")
 	}
 }
--- a/internal/emulator/store/config.go
+++ b/internal/emulator/store/config.go
@@ -48,6 +48,7 @@
 	Silent         bool      // calls are not answered
 	Until          time.Time // end of those two faults; zero: they last until the next SetFaults
 	SuppressEvents bool      // watches return no changes
+	PauseLeases    bool      // leases don't run
 
 	Delay       time.Duration // calls are executed at once and answered this much later
 	LateShare   float64       // 0 to 1; share of the writes that are executed only after Delay, and not answered
--- a/internal/emulator/store/serve.go
+++ b/internal/emulator/store/serve.go
@@ -42,6 +42,9 @@
 func (s *Store) SetFaults(f Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if f.PauseLeases != s.faults.PauseLeases {
+		s.pauseLeases(f.PauseLeases)
+	}
 	s.faults = f
 	s.notifyWatches()
 }
--- a/internal/emulator/store/write.go
+++ b/internal/emulator/store/write.go
@@ -87,7 +87,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	l.timer.Reset(l.ttl)
+	l.run(l.ttl)
 	reply(w, http.StatusOK, map[string]string{"ttl_time": l.ttl.String()})
 }
 
@@ -114,12 +114,21 @@
 // lease is a lease that has not ended.
 type lease struct {
 	ttl   time.Duration
+	end   time.Time
 	timer *time.Timer // ends it
+
+	ttlLeft time.Duration // when it was last paused
+}
+
+// run lets the lease end after a time.
+func (l *lease) run(left time.Duration) {
+	l.end = time.Now().Add(left)
+	l.timer.Reset(left)
 }
 
 // startLease adds a lease and starts its timer. s.mu is held.
 func (s *Store) startLease(id uint64, ttl time.Duration) {
-	l := &lease{ttl: ttl}
+	l := &lease{ttl: ttl, end: time.Now().Add(ttl)}
 	l.timer = time.AfterFunc(ttl, func() { s.expireLease(id, l) })
 	s.leases[id] = l
 }
@@ -147,6 +156,19 @@
 	}
 }
 
+// pauseLeases stops all leases, or lets them run with the time that they had left. s.mu is held.
+func (s *Store) pauseLeases(pause bool) {
+	now := time.Now()
+	for _, l := range s.leases {
+		if pause {
+			l.timer.Stop()
+			l.ttlLeft = l.end.Sub(now)
+		} else {
+			l.run(l.ttlLeft)
+		}
+	}
+}
+
 // RevokeLeases ends all leases at once and removes their keys.
 func (s *Store) RevokeLeases() {
 	s.mu.Lock()
