Don't end connections to peers that read slowly

Cause: TCP_USER_TIMEOUT of 0.7 s. Linux counts it also while the peer acknowledges and has no room to receive.

Weighed: a longer time-out for all, which finds lost peers later; polling all connections, which costs two calls for each request.

--- a/internal/targets/silence_test.go
+++ b/internal/targets/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -25,7 +26,7 @@
 				t.Fatal(err)
 			}
 			defer c.Close()
-			raw, err := c.(*net.TCPConn).SyscallConn()
+			raw, err := c.(syscall.Conn).SyscallConn()
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/tcp/dialer.go
+++ b/internal/tcp/dialer.go
@@ -34,22 +34,22 @@
 // NewDialer returns a dialer whose connections fail within AckTimeout if the peer
 // doesn't acknowledge sent data, and within SilenceTimeout if it is unreachable while an answer
 // is awaited. ip is their source address; "" lets the system choose.
-func NewDialer(ip string) *net.Dialer {
-	d := &net.Dialer{
-		Control:         setUserTimeout,
+func NewDialer(ip string) *Dialer {
+	d := net.Dialer{
+		Control:         func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, AckTimeout) },
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: ProbeIdle, Interval: ProbeInterval, Count: probeCount},
 	}
 	if ip != "" {
 		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(ip)}
 	}
-	return d
+	return &Dialer{dialer: d}
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT, for which net.Dialer has no field.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
+// setUserTimeout sets TCP_USER_TIMEOUT, for which net.Dialer has no field; 0 turns it off.
+func setUserTimeout(c syscall.RawConn, d time.Duration) error {
 	var failed error
 	err := c.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(AckTimeout.Milliseconds()))
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 	})
 	if err != nil {
 		return errors.Annotate(err, "tcp: access socket")
--- a/internal/tcp/dialer_test.go
+++ b/internal/tcp/dialer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -26,7 +27,7 @@
 		"probe interval": {unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, int(ProbeInterval / time.Second)},
 		"probe count":    {unix.IPPROTO_TCP, unix.TCP_KEEPCNT, probeCount},
 	}
-	raw, err := c.(*net.TCPConn).SyscallConn()
+	raw, err := c.(syscall.Conn).SyscallConn()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/tcp/silence_test.go
+++ b/internal/tcp/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -11,7 +12,7 @@
 // option returns a TCP option of a connection.
 func option(t *testing.T, c net.Conn, name int) int {
 	t.Helper()
-	raw, err := c.(*net.TCPConn).SyscallConn()
+	raw, err := c.(syscall.Conn).SyscallConn()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -51,7 +52,7 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { c.Close() })
-		change(c.(*net.TCPConn))
+		change(c.(*conn).Conn.(*net.TCPConn))
 		return c
 	}
 	keepAlive := func(c net.KeepAliveConfig) func(*net.TCPConn) {
