Ask for a body only when there is memory for it

Callers of a long upload got 503 when the peer that it was handed off to lacked memory: the peer asked for the body first and looked for room after that, so that a part of the body was gone.

Cause: sendContinue came before the budget of bodies was asked.

Change: readBody sends 100 once the budget has room.

Evidence: TestNoContinueWithoutMemory got 100 before, in place of 503. go test -race ./internal/http1, and uploads and hand-offs of ./internal/edge, pass.

--- a/internal/http1/continue_test.go
+++ b/internal/http1/continue_test.go
@@ -110,3 +110,15 @@
 		io.Copy(io.Discard, resp.Body)
 	}
 }
+
+// A body that doesn't fit into the budget is not asked for, so that its sender has it whole for another instance.
+func TestNoContinueWithoutMemory(t *testing.T) {
+	c := newUploadServer(t, NewBudget(maxWholeBody-1), digest)()
+	defer c.Close()
+	io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n")
+	c.SetReadDeadline(time.Now().Add(time.Second))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("got %+v, %v, want 503 at once", resp, err)
+	}
+}
--- a/internal/http1/serverread.go
+++ b/internal/http1/serverread.go
@@ -54,14 +54,16 @@
 			return incoming{refusal: resp, last: true}
 		}
 	}
+	proceed := func() {}
 	if expects {
-		c.sendContinue(previous)
+		proceed = func() { c.sendContinue(previous) }
 	}
-	return c.readBody(r, limits)
+	return c.readBody(r, limits, proceed)
 }
 
-// readBody reads the body of a request, or the beginning of a long one.
-func (c *serverConn) readBody(r *http.Request, limits Limits) incoming {
+// readBody reads the body of a request, or the beginning of a long one. It calls proceed when there is room
+// for it.
+func (c *serverConn) readBody(r *http.Request, limits Limits, proceed func()) incoming {
 	size := int64(maxWholeBody)
 	if r.ContentLength >= 0 {
 		size = min(size, r.ContentLength)
@@ -69,6 +71,7 @@
 	if !c.server.callers.Budget.take(size) {
 		return incoming{refusal: c.server.callers.NoMemory(c.newRequest(r, nil)), last: true}
 	}
+	proceed()
 	due := boottime.Now().Add(limits.IdleTimeout)
 	c.conn.SetReadDeadline(boottime.ToRuntime(due))
 	body := bytes.NewBuffer(make([]byte, 0, min(size, max(0, r.ContentLength))+bytes.MinRead))
