Split the start of an exchange off, and name the monitor of neighbors

No change of behaviour: Pool.Do had grown by the wait for an interim answer, which begin now holds; neighbors was the name of a type, a field and a method. go test -race ./internal/http1 ./internal/tcp and the tests of neighbors, uploads and hand-offs of ./internal/edge pass.

--- a/internal/edge/instances.go
+++ b/internal/edge/instances.go
@@ -130,7 +130,7 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b neighbor) int { return compareHashes(a.name, b.name) })
-	after, _ := slices.BinarySearchFunc(list, self, func(s neighbor, self string) int { return compareHashes(s.name, self) })
+	after, _ := slices.BinarySearchFunc(list, self, func(nb neighbor, self string) int { return compareHashes(nb.name, self) })
 	return slices.Concat(list[after:], list[:after])
 }
 
@@ -170,10 +170,10 @@
 		slices.SortFunc(list, relayCandidate.compare)
 		i.trees[region] = newRelayTree(list)
 	}
-	for _, s := range all {
-		i.known.add(s.record)
-		if !s.record.Partitioned && !s.record.Unconfirmed && !i.unreachable[s.name] {
-			i.reaching.add(s.record)
+	for _, nb := range all {
+		i.known.add(nb.record)
+		if !nb.record.Partitioned && !nb.record.Unconfirmed && !i.unreachable[nb.name] {
+			i.reaching.add(nb.record)
 		}
 	}
 }
--- a/internal/edge/neighbors.go
+++ b/internal/edge/neighbors.go
@@ -28,12 +28,12 @@
 	unreachableMisses = 2
 )
 
-// neighbors finds out which instances have ended while the store was down. Leases may stand still with
+// neighborMonitor finds out which instances have ended while the store was down. Leases may stand still with
 // the store, so that the records of such instances remain for up to a lease after it is back. From its
 // first failed renewal until a lease after the store is back, each instance checks the next ones in an
 // order that all share, and asks those that can't be reached to confirm their records: it marks the record
 // as unconfirmed, and the owner, if it lives, writes it anew.
-type neighbors struct {
+type neighborMonitor struct {
 	node    *Node
 	dial    http1.Dial
 	changed chan struct{} // signals that the store was lost or is back
@@ -43,84 +43,84 @@
 	backAt  time.Time // when they ceased to; zero before; guarded by mu
 }
 
-func newNeighbors(n *Node) *neighbors {
-	return &neighbors{node: n, dial: tcp.NewDialer(n.cfg.Settings.IP).DialContext, changed: make(chan struct{}, 1)}
+func newNeighborMonitor(n *Node) *neighborMonitor {
+	return &neighborMonitor{node: n, dial: tcp.NewDialer(n.cfg.Settings.IP).DialContext, changed: make(chan struct{}, 1)}
 }
 
 // storeLost records that renewals of this instance's lease have begun to fail.
-func (w *neighbors) storeLost() {
-	w.mu.Lock()
-	w.outages, w.backAt = w.outages+1, time.Time{}
-	w.mu.Unlock()
-	w.signal()
+func (m *neighborMonitor) storeLost() {
+	m.mu.Lock()
+	m.outages, m.backAt = m.outages+1, time.Time{}
+	m.mu.Unlock()
+	m.signal()
 }
 
 // storeBack records that renewals have ceased to fail.
-func (w *neighbors) storeBack(now time.Time) {
-	w.mu.Lock()
-	w.backAt = now
-	w.mu.Unlock()
-	w.signal()
+func (m *neighborMonitor) storeBack(now time.Time) {
+	m.mu.Lock()
+	m.backAt = now
+	m.mu.Unlock()
+	m.signal()
 }
 
-func (w *neighbors) signal() {
+func (m *neighborMonitor) signal() {
 	select {
-	case w.changed <- struct{}{}:
+	case m.changed <- struct{}{}:
 	default:
 	}
 }
 
 // storeBackAt returns when the store was back; zero while it is lost.
-func (w *neighbors) storeBackAt() time.Time {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.backAt
+func (m *neighborMonitor) storeBackAt() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.backAt
 }
 
 // due returns the number of the outage for which neighbors are to be checked; 0 if they aren't. Records
 // that the store kept through an outage end a lease after it.
-func (w *neighbors) due(now time.Time) int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.backAt.IsZero() || now.Before(w.backAt.Add(w.node.cfg.leaseDuration())) {
-		return w.outages
+func (m *neighborMonitor) due(now time.Time) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.backAt.IsZero() || now.Before(m.backAt.Add(m.node.cfg.leaseDuration())) {
+		return m.outages
 	}
 	return 0
 }
 
 // run checks neighbors, when that is due, until ctx ends.
-func (w *neighbors) run(ctx context.Context) {
+func (m *neighborMonitor) run(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-w.changed:
-			w.watch(ctx)
+		case <-m.changed:
+			m.watch(ctx)
 		}
 	}
 }
 
 // watch checks neighbors as long as that is due.
-func (w *neighbors) watch(ctx context.Context) {
+func (m *neighborMonitor) watch(ctx context.Context) {
 	var o *outage
 	for ctx.Err() == nil {
-		number := w.due(boottime.Now())
+		number := m.due(boottime.Now())
 		if number == 0 {
 			break
 		}
 		if o == nil || o.number != number {
 			o = newOutage(number)
 		}
-		unreachable := w.check(ctx, o)
-		w.node.instances.setUnreachable(unreachable)
-		w.mark(ctx, o, unreachable)
+		unreachable := m.check(ctx, o)
+		m.node.instances.setUnreachable(unreachable)
+		m.mark(ctx, o, unreachable)
 		select {
 		case <-ctx.Done():
-		case <-w.changed:
+		case <-m.changed:
 		case <-time.After(neighborInterval):
 		}
 	}
-	w.node.instances.setUnreachable(nil)
+	m.node.instances.setUnreachable(nil)
 }
 
 // outage is what was learned of the neighbors in one outage of the store and after it. It is used by one
@@ -137,13 +137,13 @@
 }
 
 // confirmed reports whether the owner of a record has written it since the neighbor was first seen.
-func (o *outage) confirmed(s neighbor) bool {
-	first, ok := o.records[s.name]
+func (o *outage) confirmed(nb neighbor) bool {
+	first, ok := o.records[nb.name]
 	if !ok {
-		o.records[s.name] = s.record
+		o.records[nb.name] = nb.record
 		return false
 	}
-	return !s.record.Unconfirmed && (s.record.Run != first.Run || s.record.Change != first.Change)
+	return !nb.record.Unconfirmed && (nb.record.Run != first.Run || nb.record.Change != first.Change)
 }
 
 // unreachableNeighbor is an instance that has ended or can't be reached.
@@ -155,14 +155,14 @@
 
 // check checks the next neighbors until enough of them live, and returns those that can't be reached. It
 // returns none if the fault may be on this instance's side.
-func (w *neighbors) check(ctx context.Context, o *outage) []unreachableNeighbor {
-	list := w.node.instances.neighbors(w.node.cfg.Settings.Instance)
+func (m *neighborMonitor) check(ctx context.Context, o *outage) []unreachableNeighbor {
+	list := m.node.instances.neighbors(m.node.cfg.Settings.Instance)
 	var unreachable []unreachableNeighbor
 	living, answered, checks := 0, 0, 0
 	for len(list) > 0 && living < neighborCount && checks < maxNeighborChecks {
 		batch := list[:min(neighborCount-living, maxNeighborChecks-checks, len(list))]
 		list, checks = list[len(batch):], checks+len(batch)
-		for k, err := range w.connect(ctx, o, batch) {
+		for k, err := range m.connect(ctx, o, batch) {
 			name := batch[k].name
 			if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
 				answered++
@@ -174,7 +174,7 @@
 			}
 			if o.misses[name]++; o.misses[name] >= unreachableMisses {
 				unreachable = append(unreachable, unreachableNeighbor{batch[k], living})
-				w.logUnreachable(batch[k], o.misses[name], err)
+				m.logUnreachable(batch[k], o.misses[name], err)
 			}
 		}
 	}
@@ -185,17 +185,17 @@
 }
 
 // connect connects to neighbors and returns the errors, nil for those that live.
-func (w *neighbors) connect(ctx context.Context, o *outage, batch []neighbor) []error {
+func (m *neighborMonitor) connect(ctx context.Context, o *outage, batch []neighbor) []error {
 	errs := make([]error, len(batch))
 	var all sync.WaitGroup
-	for k, s := range batch {
-		if o.confirmed(s) {
+	for k, nb := range batch {
+		if o.confirmed(nb) {
 			continue
 		}
 		all.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, neighborTimeout)
 			defer cancel()
-			c, err := w.dial(ctx, "tcp", s.record.Peers)
+			c, err := m.dial(ctx, "tcp", nb.record.Peers)
 			if err == nil {
 				c.Close()
 			}
@@ -208,8 +208,8 @@
 
 // mark marks the records of neighbors that can't be reached, once the store is back. Of the instances
 // that check the same one, each gives those before it time to do so.
-func (w *neighbors) mark(ctx context.Context, o *outage, unreachable []unreachableNeighbor) {
-	back := w.storeBackAt()
+func (m *neighborMonitor) mark(ctx context.Context, o *outage, unreachable []unreachableNeighbor) {
+	back := m.storeBackAt()
 	if back.IsZero() {
 		return
 	}
@@ -222,20 +222,20 @@
 			o.marked[u.name] = true
 			continue
 		}
-		marked, err := w.markUnconfirmed(ctx, u.neighbor)
+		marked, err := m.markUnconfirmed(ctx, u.neighbor)
 		o.marked[u.name] = err == nil
-		w.logMark(u, marked, err)
+		m.logMark(u, marked, err)
 	}
 }
 
 // markUnconfirmed marks a record as unconfirmed under the lease that it has, and reports whether it has
 // done so. It does nothing if the record has gone or changed.
-func (w *neighbors) markUnconfirmed(ctx context.Context, s neighbor) (bool, error) {
+func (m *neighborMonitor) markUnconfirmed(ctx context.Context, nb neighbor) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	var missing *platform.MissingError
 	var conflict *platform.ConflictError
-	item, err := w.node.store.Get(ctx, instancePrefix+s.name)
+	item, err := m.node.store.Get(ctx, instancePrefix+nb.name)
 	if errors.As(err, &missing) {
 		return false, nil
 	}
@@ -246,7 +246,7 @@
 	if err != nil {
 		return false, err
 	}
-	if r != s.record {
+	if r != nb.record {
 		return false, nil
 	}
 	r.Unconfirmed, r.Change = true, 0
@@ -254,7 +254,7 @@
 	if err != nil {
 		return false, err
 	}
-	_, err = w.node.store.Do(ctx, platform.Txn{
+	_, err = m.node.store.Do(ctx, platform.Txn{
 		If:  []platform.Condition{{Key: item.Key, Changed: item.Changed}},
 		Put: []platform.Write{{Key: item.Key, Value: value, Lease: item.Lease}},
 	})
@@ -265,18 +265,18 @@
 }
 
 // logUnreachable counts and logs a neighbor that can't be reached, each time that it is checked.
-func (w *neighbors) logUnreachable(s neighbor, misses int, err error) {
-	n := w.node
+func (m *neighborMonitor) logUnreachable(nb neighbor, misses int, err error) {
+	n := m.node
 	n.cfg.Metrics.CountDecision(metrics.Decision{Kind: "neighbor", Reason: "unreachable"})
 	if suppressed, ok := n.changeLimiter.Allow(boottime.Now()); ok && misses == unreachableMisses {
-		n.cfg.Log.Warn("instance unreachable", "name", s.name, "domain", s.record.Domain, "address", s.record.Peers, "misses", misses,
+		n.cfg.Log.Warn("instance unreachable", "name", nb.name, "domain", nb.record.Domain, "address", nb.record.Peers, "misses", misses,
 			"store-age", n.mirror.Age(boottime.Now()), "suppressed", suppressed, "err", err)
 	}
 }
 
 // logMark counts and logs the mark of a record.
-func (w *neighbors) logMark(u unreachableNeighbor, marked bool, err error) {
-	n := w.node
+func (m *neighborMonitor) logMark(u unreachableNeighbor, marked bool, err error) {
+	n := m.node
 	reason := "marked"
 	switch {
 	case err != nil:
@@ -286,7 +286,7 @@
 	}
 	n.cfg.Metrics.CountDecision(metrics.Decision{Kind: "neighbor", Reason: reason})
 	if suppressed, ok := n.changeLimiter.Allow(boottime.Now()); ok {
-		n.cfg.Log.Warn("instance unconfirmed", "name", u.name, "outcome", reason, "rank", u.rank, "store-back", boottime.Since(w.storeBackAt()),
+		n.cfg.Log.Warn("instance unconfirmed", "name", u.name, "outcome", reason, "rank", u.rank, "store-back", boottime.Since(m.storeBackAt()),
 			"suppressed", suppressed, "err", err)
 	}
 }
--- a/internal/emulator/store/write.go
+++ b/internal/emulator/store/write.go
@@ -117,7 +117,7 @@
 	end   time.Time
 	timer *time.Timer // ends it
 
-	ttlLeft time.Duration // when it was last paused
+	left time.Duration // when it was last paused
 }
 
 // run lets the lease end after a time.
@@ -162,9 +162,9 @@
 	for _, l := range s.leases {
 		if pause {
 			l.timer.Stop()
-			l.ttlLeft = l.end.Sub(now)
+			l.left = l.end.Sub(now)
 		} else {
-			l.run(l.ttlLeft)
+			l.run(l.left)
 		}
 	}
 }
--- a/internal/http1/continue.go
+++ b/internal/http1/continue.go
@@ -16,9 +16,21 @@
 // awaitsContinue reports whether the head of the request is sent alone.
 func (e *Exchange) awaitsContinue() bool { return e.AwaitContinue && e.Request.Rest != nil }
 
+// begin sends the request. If the target has answered the head of one that is sent alone, it returns the head
+// of that answer and sends no body. With an error, no byte of a body was sent. sent yields the result of the
+// write; it is nil if there was none.
+func (c *poolConn) begin(ctx context.Context, e *Exchange) (sent <-chan error, early *http.Response, err error) {
+	if e.awaitsContinue() {
+		early, err = c.awaitContinue(ctx, e)
+		if early != nil || err != nil {
+			return nil, early, err
+		}
+	}
+	return c.send(e), nil, nil
+}
+
 // awaitContinue sends the head of a request and waits until the target asks for the body. It returns the
-// head of the final answer if the target has answered instead, nil if the body is to be sent. With an
-// error, the request can't have run, as no byte of its body was sent.
+// head of the final answer if the target has answered instead, nil if the body is to be sent.
 func (c *poolConn) awaitContinue(ctx context.Context, e *Exchange) (*http.Response, error) {
 	header := e.Header.Clone()
 	header.Set("Expect", "100-continue")
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -43,7 +43,7 @@
 	IsAnswer      func(status int, h http.Header) bool // reports whether an answer belongs to this request
 	KeepConn      func(resp *Response) bool            // reports whether the connection may be reused after an answer
 	Deadline      time.Time                            // deadline of the attempt
-	AwaitContinue bool                                 // a body with a rest is sent once the peer has accepted its head
+	AwaitContinue bool                                 // a long body is sent only when the target asks for it
 	ShouldSend    func() bool                          // reports whether to send the request; called once connected; nil: always
 }
 
@@ -53,7 +53,7 @@
 
 func (e *UnwantedError) Error() string { return "request no longer wanted" }
 
-// NotSentError reports that no byte of a request, or of its body, was sent: it can't have run.
+// NotSentError reports that no byte of a request, or none of its body, was sent: it can't have run.
 type NotSentError struct{ Err error }
 
 func (e *NotSentError) Error() string { return "http1: request not sent: " + e.Err.Error() }
@@ -112,17 +112,10 @@
 	stop := context.AfterFunc(ctx, func() { c.conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	begin := boottime.Now()
-	var early *http.Response
-	if e.awaitsContinue() {
-		early, err = c.awaitContinue(ctx, e)
-		if err != nil {
-			c.conn.Close()
-			return nil, &NotSentError{Err: err}
-		}
-	}
-	var sent <-chan error
-	if early == nil {
-		sent = c.send(e)
+	sent, early, err := c.begin(ctx, e)
+	if err != nil {
+		c.conn.Close()
+		return nil, &NotSentError{Err: err}
 	}
 	a, err := c.receive(e, early, p.budget)
 	if err != nil {
@@ -256,14 +249,14 @@
 func (c *poolConn) receive(e *Exchange, early *http.Response, budget *Budget) (answer, error) {
 	request := &http.Request{Method: e.Request.Method}
 	for stray := 0; stray <= maxStray; stray++ {
-		in, err := early, error(nil)
-		if early == nil {
-			in, err = readFinal(c, request)
-		}
-		if err != nil {
-			return answer{}, err
-		}
+		in := early
 		early = nil
+		if in == nil {
+			var err error
+			if in, err = readFinal(c, request); err != nil {
+				return answer{}, err
+			}
+		}
 		if !e.IsAnswer(in.StatusCode, in.Header) {
 			n, err := io.Copy(io.Discard, io.LimitReader(in.Body, maxStrayBody))
 			if err == nil && n == maxStrayBody {
@@ -275,6 +268,7 @@
 			continue
 		}
 		a := answer{reusable: stray == 0 && !in.Close, idleTimeout: keepAliveTimeout(in.Header)}
+		var err error
 		a.response, err = readBody(in, budget)
 		return a, err
 	}
