Fit the lines of the capacity report alike on all processors

TestPage failed on a machine with arm64, on as well: the page in docs/ has slopes that were computed without fused multiply-adds.

Cause: Go fuses x*y + z where the processor can, which rounds once less, so that two of the page's figures came out as 22007 and 20.3 in place of 22008 and 20.2.

Change: the products are converted, which forbids the fusion.

The page and its record are as they were.

--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -40,7 +40,7 @@
 }
 
 // At returns the cost at a size; never below zero.
-func (l Line) At(size float64) float64 { return max(l.Fixed+l.Slope*size, 0) }
+func (l Line) At(size float64) float64 { return max(l.Fixed+float64(l.Slope*size), 0) }
 
 // Fit returns the least-squares line through the medians.
 func (m Measure) Fit() Line { return m.fit(Point.Median) }
@@ -61,6 +61,8 @@
 	return low, high
 }
 
+// fit returns the line of least squares. The conversions forbid fused multiply-adds, with which processors
+// round differently.
 func (m Measure) fit(value func(Point) float64) Line {
 	var n, x, y, xx, xy float64
 	for _, p := range m.Points {
@@ -68,11 +70,11 @@
 		n++
 		x += p.Size
 		y += cost
-		xx += p.Size * p.Size
-		xy += p.Size * cost
+		xx += float64(p.Size * p.Size)
+		xy += float64(p.Size * cost)
 	}
-	slope := (n*xy - x*y) / (n*xx - x*x)
-	return Line{Fixed: (y - slope*x) / n, Slope: slope}
+	slope := (float64(n*xy) - float64(x*y)) / (float64(n*xx) - float64(x*x))
+	return Line{Fixed: (y - float64(slope*x)) / n, Slope: slope}
 }
 
 // benchmarkLine matches a line of go test for a capacity benchmark.
