Decide about neighbors in a package without input or output

No change of behaviour is meant. neighborMonitor held connects, writes and decisions together; the decisions (whom to check, who counts as unreachable, whose record is marked when) are now internal/neighbor, with tests in virtual time, and edge/neighbors.go connects, writes and logs. The line "instance unreachable" gives the result of the last check in place of its error, and the metric counts instances that become unreachable in place of checks.

go test -race ./internal/neighbor ./internal/tcp ./internal/http1 and the tests of look-ups, uploads and outages of ./internal/edge pass; TestNeighborChecks and TestNeighborsCheckEachOther are TestRound and TestRing now, with the same bounds.

--- a/internal/edge/handoff_upload_test.go
+++ b/internal/edge/handoff_upload_test.go
@@ -54,8 +54,7 @@
 
 var uploadCodings = map[string]bool{"with a length": false, "in chunks": true}
 
-// An upload ran with a changed body: a peer declined it after it had taken a part, and the remainder was sent to
-// a target as if it were all.
+// An upload ran with bytes missing after a peer had taken a part of its body and declined the hand-off.
 func TestUploadChangedAfterDeclinedHandOff(t *testing.T) {
 	t.Parallel()
 	for name, chunks := range uploadCodings {
--- a/internal/edge/instances.go
+++ b/internal/edge/instances.go
@@ -7,9 +7,9 @@
 	"slices"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
+	"github.com/firlever/firlever/internal/neighbor"
 	"github.com/firlever/firlever/internal/quota"
 )
 
@@ -35,6 +35,11 @@
 	Run   int64   `json:"run"`   // start of its process, in Unix nanoseconds; distinguishes runs
 }
 
+// neighborRecord returns what identifies the record.
+func (r record) neighborRecord() neighbor.Record {
+	return neighbor.Record{Run: r.Run, Change: r.Change, Unconfirmed: r.Unconfirmed}
+}
+
 func decodeRecord(value []byte) (record, error) {
 	var r record
 	return r, errors.Annotate(json.Unmarshal(value, &r), "instance record")
@@ -98,8 +103,9 @@
 	i.outdated = true
 }
 
-// setUnreachable replaces the instances that can't be reached from here.
-func (i *instances) setUnreachable(list []unreachableNeighbor) {
+// setUnreachable replaces the instances that can't be reached from here. Those that have written another
+// record since they were checked are left out.
+func (i *instances) setUnreachable(list []neighbor.Unreachable) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if len(list) == 0 && len(i.unreachable) == 0 {
@@ -107,36 +113,24 @@
 	}
 	i.unreachable = make(map[string]bool)
 	for _, u := range list {
-		i.unreachable[u.name] = i.records[u.name] == u.record
+		if i.records[u.Name].neighborRecord() == u.Record {
+			i.unreachable[u.Name] = true
+		}
 	}
 	i.outdated = true
 }
 
-// neighbor is another instance, as its record describes it.
-type neighbor struct {
-	name   string
-	record record
-}
-
-// neighbors returns the other instances in the order of the hashes of their names, from the one after
-// self on. Those that are leaving are excluded.
-func (i *instances) neighbors(self string) []neighbor {
+// peers returns the records of the instances that are not leaving and have an address for peers, by name.
+func (i *instances) peers() map[string]record {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	list := make([]neighbor, 0, len(i.records))
+	all := make(map[string]record, len(i.records))
 	for name, r := range i.records {
-		if name != self && !r.Leaving && r.Peers != "" {
-			list = append(list, neighbor{name, r})
+		if !r.Leaving && r.Peers != "" {
+			all[name] = r
 		}
 	}
-	slices.SortFunc(list, func(a, b neighbor) int { return compareHashes(a.name, b.name) })
-	after, _ := slices.BinarySearchFunc(list, self, func(nb neighbor, self string) int { return compareHashes(nb.name, self) })
-	return slices.Concat(list[after:], list[:after])
-}
-
-// compareHashes orders names by their hashes, so that neighbors are in different failure domains.
-func compareHashes(a, b string) int {
-	return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+	return all
 }
 
 func (i *instances) remove(name string) {
@@ -155,25 +149,27 @@
 	i.outdated = false
 	i.known, i.reaching = newRecordLists(), newRecordLists()
 	ranked := make(map[string][]relayCandidate)
-	all := make([]neighbor, 0, len(i.records))
+	named := make([]string, 0, len(i.records))
 	for name, r := range i.records {
-		if !r.Leaving {
-			all = append(all, neighbor{name, r})
+		if r.Leaving {
+			continue
 		}
-		if !r.Leaving && r.Peers != "" {
+		named = append(named, name)
+		if r.Peers != "" {
 			ranked[r.Region] = append(ranked[r.Region], relayCandidate{name: name, domain: r.Domain, cores: r.Cores, peers: r.Peers})
 		}
 	}
-	slices.SortFunc(all, func(a, b neighbor) int { return cmp.Compare(a.record.Callers, b.record.Callers) })
+	slices.SortFunc(named, func(a, b string) int { return cmp.Compare(i.records[a].Callers, i.records[b].Callers) })
 	i.trees = make(map[string]relayTree)
 	for region, list := range ranked {
 		slices.SortFunc(list, relayCandidate.compare)
 		i.trees[region] = newRelayTree(list)
 	}
-	for _, nb := range all {
-		i.known.add(nb.record)
-		if !nb.record.Partitioned && !nb.record.Unconfirmed && !i.unreachable[nb.name] {
-			i.reaching.add(nb.record)
+	for _, name := range named {
+		r := i.records[name]
+		i.known.add(r)
+		if !r.Partitioned && !r.Unconfirmed && !i.unreachable[name] {
+			i.reaching.add(r)
 		}
 	}
 }
--- a/internal/edge/neighbors_test.go
+++ b/internal/edge/neighbors_test.go
@@ -1,18 +1,14 @@
 package edge
 
 import (
-	"context"
 	"fmt"
-	"net"
 	"slices"
 	"strings"
-	"sync"
-	"syscall"
 	"testing"
 	"time"
 
-	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/emulator/store"
+	"github.com/firlever/firlever/internal/neighbor"
 )
 
 // losePower ends a node without a planned stop.
@@ -38,8 +34,7 @@
 	}
 }
 
-// Look-ups named an instance that had ended while the store was down for as long as its lease had left when
-// the store was back.
+// Look-ups named an instance that died in an outage of the store until its paused lease had ended after it.
 func TestDeadInstanceInLookupsAfterOutage(t *testing.T) {
 	t.Parallel()
 	const outage, bound = 6 * time.Second, 3 * time.Second
@@ -77,7 +72,7 @@
 	}
 }
 
-// An instance that lives but could not be reached confirms its record, and is named again.
+// A live instance that could not be reached confirms its record, and is named again.
 func TestUnreachableInstanceConfirmsItsRecord(t *testing.T) {
 	t.Parallel()
 	r := newRig(t)
@@ -85,14 +80,14 @@
 	r.start()
 	other := r.startInstance("e2", "n1")
 	r.eventually("each knows the other", func() bool {
-		return len(r.node.instances.neighbors("e1")) == 1 && len(other.instances.neighbors("e2")) == 1
+		return len(r.node.instances.peers()) == 2 && len(other.instances.peers()) == 2
 	})
-	s := r.node.instances.neighbors("e1")[0]
+	known := r.node.instances.peers()["e2"]
 	lease := r.leaseOf("e2")
-	if marked, err := r.node.neighbors.markUnconfirmed(t.Context(), s); !marked || err != nil {
+	if marked, err := r.node.neighbors.mark(t.Context(), "e2", known); !marked || err != nil {
 		t.Fatalf("got %t, %v, want the record marked", marked, err)
 	}
-	unconfirmed := func() bool { return r.node.instances.neighbors("e1")[0].record.Unconfirmed }
+	unconfirmed := func() bool { return r.node.instances.peers()["e2"].Unconfirmed }
 	if got := r.leaseOf("e2"); got != lease {
 		t.Errorf("got lease %d of the marked record, want %d", got, lease)
 	}
@@ -104,113 +99,12 @@
 	if got := r.node.instances.near("north", "n1", "127.0.0.1", 64); len(got) != 2 {
 		t.Errorf("got look-up %v, want both instances", got)
 	}
-	if marked, err := r.node.neighbors.markUnconfirmed(t.Context(), s); marked || err != nil {
+	if marked, err := r.node.neighbors.mark(t.Context(), "e2", known); marked || err != nil {
 		t.Errorf("got %t, %v for a record that was confirmed since, want no mark", marked, err)
 	}
 }
 
-// Each instance checks a few neighbors, whatever the size of the fleet, and takes none for ended if it
-// may be cut off itself.
-func TestNeighborChecks(t *testing.T) {
-	timeout, refused := context.DeadlineExceeded, error(syscall.ECONNREFUSED)
-	tests := map[string]struct {
-		instances int
-		fails     func(position int) error // connects to the neighbor at a position
-		dials     int                      // in one round
-		want      int                      // neighbors that are unreachable
-	}{
-		"all live":                 {985, func(int) error { return nil }, neighborCount, 0},
-		"the next has ended":       {985, func(k int) error { return errorIf(k == 0, timeout) }, neighborCount + 1, 1},
-		"every second has ended":   {985, func(k int) error { return errorIf(k%2 == 0, timeout) }, 2 * neighborCount, neighborCount},
-		"many have ended":          {985, func(k int) error { return errorIf(k < 100, refused) }, maxNeighborChecks, maxNeighborChecks},
-		"cut off from all":         {985, func(int) error { return timeout }, maxNeighborChecks, 0},
-		"one neighbor, refused":    {2, func(int) error { return refused }, 1, 1},
-		"one neighbor, no answer":  {2, func(int) error { return timeout }, 1, 1},
-		"two neighbors, no answer": {3, func(int) error { return timeout }, 2, 0},
-		"alone":                    {1, nil, 0, 0},
-	}
-	for name, tt := range tests {
-		t.Run(name, func(t *testing.T) {
-			n := newRig(t).newInstance("e0", "n1")
-			for k := range tt.instances {
-				n.instances.put(fmt.Sprint("e", k), record{Callers: fmt.Sprint("c", k), Peers: fmt.Sprint("p", k)})
-			}
-			position := make(map[string]int)
-			for k, s := range n.instances.neighbors("e0") {
-				position[s.record.Peers] = k
-			}
-			var mu sync.Mutex
-			dials := 0
-			n.neighbors.dial = func(_ context.Context, _, address string) (net.Conn, error) {
-				mu.Lock()
-				dials++
-				mu.Unlock()
-				near, _ := net.Pipe()
-				return near, tt.fails(position[address])
-			}
-			o := newOutage(1)
-			var got []unreachableNeighbor
-			for range unreachableMisses {
-				dials = 0
-				got = n.neighbors.check(t.Context(), o)
-			}
-			if dials != tt.dials {
-				t.Errorf("got %d connects, want %d", dials, tt.dials)
-			}
-			if len(got) != tt.want {
-				t.Errorf("got %d unreachable, want %d", len(got), tt.want)
-			}
-			n.instances.setUnreachable(got)
-			if list := n.instances.near("", "", "127.0.0.1", 2000); len(list) == 0 {
-				t.Error("got an empty look-up")
-			}
-		})
-	}
-}
-
-func errorIf(fails bool, err error) error {
-	if fails {
-		return err
-	}
-	return nil
-}
-
-// An instance that has ended is checked by several others, also if others have ended with it.
-func TestNeighborsCheckEachOther(t *testing.T) {
-	var known instances
-	ended := make(map[string]bool)
-	const count = 40
-	for k := range count {
-		name := fmt.Sprint("e", k)
-		known.put(name, record{Callers: name, Peers: name})
-		ended[name] = k%3 == 0
-	}
-	checked := make(map[string]int)
-	for k := range count {
-		self := fmt.Sprint("e", k)
-		if ended[self] {
-			continue
-		}
-		living := 0
-		for _, s := range known.neighbors(self) {
-			if living == neighborCount {
-				break
-			}
-			if ended[s.name] {
-				checked[s.name]++
-				continue
-			}
-			living++
-		}
-	}
-	for name, is := range ended {
-		if is && checked[name] != neighborCount {
-			t.Errorf("got %s checked by %d, want %d", name, checked[name], neighborCount)
-		}
-	}
-}
-
-// An outage in which all live costs the store nothing besides the renewals, and leaves nobody out.
+// An outage in which no instance dies costs the store no write, and leaves nobody out of look-ups.
 func TestNoMarksWhileAllLive(t *testing.T) {
 	t.Parallel()
 	r := newRig(t)
@@ -226,11 +120,11 @@
 	for _, n := range nodes {
 		n.neighbors.storeLost()
 	}
-	time.Sleep(3 * neighborInterval)
+	time.Sleep(3 * neighbor.RoundInterval)
 	for _, n := range nodes {
-		n.neighbors.storeBack(boottime.Now())
+		n.neighbors.storeBack()
 	}
-	time.Sleep(3 * neighborInterval)
+	time.Sleep(3 * neighbor.RoundInterval)
 	if got := r.store.Calls("/kv-txn"); got != writes {
 		t.Errorf("got %d writes, want none", got-writes)
 	}
@@ -240,3 +134,35 @@
 		}
 	}
 }
+
+// Look-ups pass over instances that are unreachable or unconfirmed, and name all if no others are left.
+func TestLookupsPassOverUnreachable(t *testing.T) {
+	tests := map[string]struct{ unreachable, unconfirmed, want string }{
+		"all are reached":   {"", "", "e1 e2 e3"},
+		"one unreachable":   {"e1", "", "e2 e3"},
+		"one unconfirmed":   {"", "e2", "e1 e3"},
+		"one of each":       {"e1", "e2", "e3"},
+		"all unreachable":   {"e1 e2 e3", "", "e1 e2 e3"},
+		"all unconfirmed":   {"", "e1 e2 e3", "e1 e2 e3"},
+		"none without mark": {"e3", "e1 e2", "e1 e2 e3"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var known instances
+			var list []neighbor.Unreachable
+			for _, name := range []string{"e1", "e2", "e3"} {
+				r := record{Callers: name, Peers: name, Region: "north", Unconfirmed: strings.Contains(tt.unconfirmed, name)}
+				known.put(name, r)
+				if strings.Contains(tt.unreachable, name) {
+					list = append(list, neighbor.Unreachable{Instance: neighbor.Instance{Name: name, Record: r.neighborRecord()}})
+				}
+			}
+			known.setUnreachable(list)
+			got := known.near("north", "n1", "127.0.0.1", 64)
+			slices.Sort(got)
+			if got := strings.Join(got, " "); got != tt.want {
+				t.Errorf("got look-up %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -49,7 +49,7 @@
 	objects        *loads.ObjectExchange
 	quotas         *quota.Exchange
 	registrar      *registrar
-	neighbors      *neighborMonitor
+	neighbors      *neighborChecks
 	budget         *http1.Budget // of bodies that are held for callers and targets
 	pool           *http1.Pool
 	partition      *partitionMonitor
@@ -124,7 +124,7 @@
 	n.mirror = mirror.New(n.store, n, mirror.Peers{Relays: n.relays, Hops: n.relayHops, Fallbacks: n.others, Seeds: n.seeds(), FirstStart: s.FirstStart, Self: n.peerAddress, LinkMbps: s.LinkMbps, Registered: registeredExcept(n.peerAddress), Redundant: n.redundant}, compareItems)
 	n.newExchanges()
 	n.registrar = newRegistrar(n)
-	n.neighbors = newNeighborMonitor(n)
+	n.neighbors = newNeighborChecks(n)
 	n.crashes = newCrashTracker(n)
 	n.rollouts = newRolloutTracker(n)
 	n.handOffServer = http1.NewServer(n.handOffHandlers())
--- a/internal/edge/register.go
+++ b/internal/edge/register.go
@@ -246,7 +246,7 @@
 		r.failing = true
 	case r.failing:
 		r.failing = false
-		r.node.neighbors.storeBack(boottime.Now())
+		r.node.neighbors.storeBack()
 		r.node.cfg.Log.Info("lease renewed again")
 	}
 }
--- a/internal/http1/continue_test.go
+++ b/internal/http1/continue_test.go
@@ -90,8 +90,7 @@
 	}
 }
 
-// A connection is used for a body as soon as its last answer is read: the server must not take that answer
-// for pending and leave the body waiting.
+// A body that follows an answer at once was left waiting, as the server took that answer for pending.
 func TestContinueAfterPipelinedAnswer(t *testing.T) {
 	_, dial := serve(t, func(ctx context.Context, r *Request) *Response {
 		time.Sleep(continueWait / 5)
--- a/internal/tcp/conn.go
+++ b/internal/tcp/conn.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// maxUnwatched is how many bytes may be sent without an answer before acknowledgements are watched: a
-	// peer that doesn't read takes more than these.
+	// maxUnwatched is how many bytes may be sent without an answer before acknowledgements are watched. It
+	// fits into the receive buffer of a peer that doesn't read.
 	maxUnwatched  = 4 << 10
 	watchInterval = 100 * time.Millisecond
 )
@@ -46,8 +46,8 @@
 }
 
 // conn is a connection whose peer may read slowly. TCP_USER_TIMEOUT also ends a connection whose peer
-// acknowledges but has no room to receive. While more than maxUnwatched bytes wait for their
-// acknowledgement, it is therefore off, and conn watches the acknowledgements itself.
+// acknowledges but has a closed receive window. It is therefore off while more than maxUnwatched bytes are
+// unacknowledged, and conn watches the acknowledgements itself.
 type conn struct {
 	net.Conn
 	raw syscall.RawConn
@@ -115,13 +115,14 @@
 	defer ticker.Stop()
 	var m ackMonitor
 	for range ticker.C {
-		if c.watchEnds(&m) {
+		if c.checkAcks(&m) {
 			return
 		}
 	}
 }
 
-func (c *conn) watchEnds(m *ackMonitor) bool {
+// checkAcks closes the connection if the peer is silent. It reports whether the watch has ended.
+func (c *conn) checkAcks(m *ackMonitor) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	info, err := tcpInfo(c.raw)
@@ -155,16 +156,15 @@
 
 // ackMonitor finds out whether a peer has ceased to acknowledge.
 type ackMonitor struct {
-	since time.Time // something has waited for an acknowledgement without any since then; zero if nothing waits
+	since time.Time // when the wait for an acknowledgement began; zero if nothing is unacknowledged
 }
 
-// maxLostProbes is how many probes in a row a peer without room to receive may leave unanswered: Linux
-// limits its answers to two a second.
+// maxLostProbes is how many zero-window probes in a row a live peer may leave unanswered: Linux limits its
+// answers to two a second.
 const maxLostProbes = 1
 
-// silent reports whether nothing has been acknowledged for AckTimeout although something waited for it. The
-// time since the last acknowledgement alone is no proof: while the peer has no room to receive, probes are
-// seconds apart.
+// silent reports whether nothing has been acknowledged for AckTimeout although data or probes were sent. The
+// time since the last acknowledgement alone is no proof: zero-window probes are seconds apart.
 func (m *ackMonitor) silent(now time.Time, info *unix.TCPInfo) bool {
 	lastAck := now.Add(-time.Duration(info.Last_ack_recv) * time.Millisecond)
 	switch {
