Test what many hostile clients cost edge and serve

Cause: nothing checked the memory and the descriptors of a process beside clients that send what costs most.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 FUZZTIME ?= 10s
 SOAKTIME ?= 1h
 
-.PHONY: build test lint fuzz soak capacity generate ci
+.PHONY: build test lint fuzz flood soak capacity generate ci
 
 build:
 	go build -o bin/firlever ./cmd/firlever
@@ -24,6 +24,10 @@
 		done; \
 	done
 
+# Runs the tests of hostile clients, one at a time; nothing else should run beside them.
+flood:
+	FIRLEVER_FLOOD=1 go test -count=1 ./internal/flood
+
 # Runs the random tests for SOAKTIME; a failure prints the seed that replays it.
 soak:
 	FIRLEVER_SOAK=$(SOAKTIME) go test -count=1 -timeout 0 -run '^TestSoak' ./...
