Charge edge's requests by the memory that they hold

What callers saw: a process ran out of memory and ended, with all requests in flight, when clients sent requests of legal size made of very many short header lines. So could targets end it by the heads of their answers. Cause: the budget counted bodies only. A head holds up to 15 times its bytes once parsed, is copied for each attempt, and up to 64 requests of a connection wait at once; the ports for look-ups, readiness, peers and metrics allowed 1 MB. Change: heads take from the budget while they are read, by bytes and lines, and as often as they are copied; so do queries, pipelined requests and bodies on the other ports, at two places that all pass: the connection of http1, and a guard of net/http's servers. The first 8 KiB of a head need nothing, so that ordinary requests are not refused for a flood. The collector knows the limit. Why it works: what is held is bounded before it is kept, whatever its shape.

--- a/cmd/firlever/edge.go
+++ b/cmd/firlever/edge.go
@@ -87,6 +87,7 @@
 	if err != nil {
 		return &usageError{Command: cmd.CommandPath(), Reason: err.Error()}
 	}
+	cfg.LimitMemory()
 	cfg.Log = logger
 	cfg.Metrics = metrics.New()
 	signals := make(chan os.Signal, 4)
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -11,7 +11,6 @@
 	"github.com/firlever/firlever/internal/metrics"
 	"github.com/firlever/firlever/internal/overload"
 	"github.com/firlever/firlever/internal/steer"
-	"github.com/firlever/firlever/internal/tcp"
 	"github.com/firlever/firlever/platform"
 )
 
@@ -46,9 +45,6 @@
 	if c.LookupTTL == 0 {
 		c.LookupTTL = DefaultLookupTTL
 	}
-	if c.DialTargets == nil {
-		c.DialTargets = tcp.NewDialer(c.Settings.IP).DialContext
-	}
 }
 
 // Check returns an error that names every invalid field of the configuration.
@@ -74,23 +70,6 @@
 	return max(b.Stable+leaseMargin, minLease, b.LeaseMin)
 }
 
-const (
-	// bodyMemoryShare is the part of an instance's memory that bodies of requests and answers may
-	// take. The collector lets the heap grow to twice its size, and connections have buffers.
-	bodyMemoryShare = 0.25
-	// defaultMemoryMB is assumed if the platform sets no limit.
-	defaultMemoryMB = 256
-)
-
-// bodyBytes returns how many bytes bodies may take that are held for callers and targets.
-func (c *Config) bodyBytes() int64 {
-	memory := c.Settings.MemoryMB
-	if memory <= 0 {
-		memory = defaultMemoryMB
-	}
-	return int64(bodyMemoryShare * float64(memory) * (1 << 20))
-}
-
 // Timing of registration, stop and reload.
 const (
 	// leaseMargin is added to the platform's stable window to get the lease duration. Look-ups
--- a/internal/edge/gauges.go
+++ b/internal/edge/gauges.go
@@ -38,7 +38,7 @@
 	e := metrics.EdgeGauges{
 		Ready: n.Ready(), Partitioned: n.partition.partitioned(), Connections: n.server.ConnCount(), Instances: len(n.instances.names()),
 		Revision: n.mirror.Revision().Count(), Epoch: n.store.Epoch(), StoreAge: n.mirror.Age(at), OverloadShare: n.cfg.Overload.Share(),
-		BodyBytes: n.budget.Held(), BodyLimit: n.budget.Limit(), Bounds: n.boundGauges(at),
+		BodyBytes: n.resources.budget.Held(), BodyLimit: n.resources.budget.Limit(), Bounds: n.boundGauges(at),
 	}
 	counts := n.targetCounts()
 	e.TargetsStored, e.ItemsKept, e.ItemsHidden = counts.stored.Targets, counts.stored.Kept, counts.stored.Hidden
--- a/internal/edge/handoff_sender.go
+++ b/internal/edge/handoff_sender.go
@@ -34,7 +34,7 @@
 }
 
 func newHandOffs(n *Node, dial http1.Dial) *handOffs {
-	return &handOffs{node: n, pool: http1.NewPool(dial, n.budget), avoidUntil: make(map[string]time.Time)}
+	return &handOffs{node: n, pool: http1.NewPool(dial, n.resources.budget), avoidUntil: make(map[string]time.Time)}
 }
 
 // handOffResult is what became of a request that was handed off.
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -50,7 +50,7 @@
 	quotas         *quota.Exchange
 	registrar      *registrar
 	neighbors      *neighborChecks
-	budget         *http1.Budget // of bodies that are held for callers and targets
+	resources      *resources
 	pool           *http1.Pool
 	partition      *partitionMonitor
 	handOffs       *handOffs
@@ -109,10 +109,13 @@
 		successLimiter: logs.NewLimiter(cfg.SuccessLogRate), failureLimiter: logs.NewLimiter(failureLogRate),
 		changeLimiter: logs.NewLimiter(changeLogRate), retryLimiter: logs.NewLimiter(retryLogRate),
 	}
-	n.budget = http1.NewBudget(cfg.bodyBytes())
+	n.resources = newResources(n)
+	if n.cfg.DialTargets == nil {
+		n.cfg.DialTargets = tcp.NewDialer(s.IP).DialContext
+	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.partition = newPartitionMonitor(n)
-	n.pool = http1.NewPool(n.partition.dialTarget, n.budget)
+	n.pool = http1.NewPool(n.partition.dialTarget, n.resources.budget)
 	n.handOffs = newHandOffs(n, tcp.NewDialer(s.IP).DialContext)
 	n.store.OnCallDone(n.countStoreCall)
 	n.processStart = time.Now().UnixNano()
@@ -128,7 +131,7 @@
 	n.crashes = newCrashTracker(n)
 	n.rollouts = newRolloutTracker(n)
 	n.handOffServer = http1.NewServer(n.handOffHandlers())
-	n.server = http1.NewServer(http1.Handlers{Handle: n.handle, RefuseEarly: n.refuseEarly, Busy: cfg.Overload.Refuse, BusyAnswer: n.refuseOverloaded, Limits: n.limits, ErrorAnswer: n.refuseUnreadable, Budget: n.budget, NoMemory: n.refuseNoMemory, AcceptFailed: n.acceptFailed})
+	n.server = http1.NewServer(http1.Handlers{Handle: n.handle, RefuseEarly: n.refuseEarly, Busy: cfg.Overload.Refuse, BusyAnswer: n.refuseOverloaded, Limits: n.limits, ErrorAnswer: n.refuseUnreadable, Budget: n.resources.budget, NoMemory: n.refuseNoMemory, AcceptFailed: n.acceptFailed})
 	return n, nil
 }
 
@@ -146,10 +149,14 @@
 	if err := n.listenHandOffs(); err != nil {
 		return err
 	}
-	for address, handler := range map[*string]http.Handler{
-		&s.Lookups: n.lookupHandler(), &s.Ready: n.readinessHandler(), &n.peerAddress: n.peerHandler(),
+	for _, port := range []struct {
+		name    string
+		address *string
+		handler http.Handler
+	}{
+		{"look-ups", &s.Lookups, n.lookupHandler()}, {"ready", &s.Ready, n.readinessHandler()}, {"peers", &n.peerAddress, n.peerHandler()},
 	} {
-		if err := n.serveWeb(address, handler); err != nil {
+		if err := n.serveWeb(port.name, port.address, port.handler); err != nil {
 			return err
 		}
 	}
@@ -265,7 +272,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(MetricsPath, n.cfg.Metrics.Handler())
 	address := net.JoinHostPort(n.cfg.Settings.IP, strconv.Itoa(port))
-	return n.serveWeb(&address, mux)
+	return n.serveWeb("metrics", &address, mux)
 }
 
 // PeerAddress returns the address for other instances, IP:port.
@@ -285,15 +292,17 @@
 }
 
 // serveWeb serves HTTP at an address, and writes the port that was chosen into it.
-func (n *Node) serveWeb(address *string, handler http.Handler) error {
+func (n *Node) serveWeb(port string, address *string, handler http.Handler) error {
 	ln, err := net.Listen("tcp", *address)
 	if err != nil {
 		return errors.Annotate(err, "listen")
 	}
 	*address = ln.Addr().String()
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxWebHeader}
+	guard := n.resources.guard(port)
+	guard.Protect(server)
 	n.webServers = append(n.webServers, server)
-	go server.Serve(tcp.NewListener(ln, headerTimeout, idleTimeout, n.acceptFailed))
+	go server.Serve(guard.Listen(tcp.NewListener(ln, headerTimeout, idleTimeout, n.acceptFailed)))
 	return nil
 }
 
@@ -342,7 +351,7 @@
 	return n.refuse(&http1.Request{}, platform.Request{}, why)
 }
 
-// refuseNoMemory answers a request whose body doesn't fit into the memory that is left for bodies.
+// refuseNoMemory answers a request that doesn't fit into the memory that is left for requests.
 func (n *Node) refuseNoMemory(r *http1.Request) *http1.Response {
 	return n.refuse(r, platform.ReadRequest(r.Header), refusedNoMemory)
 }
--- a/internal/edge/partition.go
+++ b/internal/edge/partition.go
@@ -58,7 +58,7 @@
 	}
 	close(m.checkDone)
 	m.dialCtx, m.cancelDials = context.WithCancel(context.Background())
-	m.probes = http1.NewPool(m.dialProbe, n.budget)
+	m.probes = http1.NewPool(m.dialProbe, n.resources.budget)
 	return m
 }
 
--- /dev/null
+++ b/internal/edge/resources.go
@@ -0,0 +1,59 @@
+package edge
+
+import (
+	"net/http"
+	"runtime/debug"
+
+	"github.com/firlever/firlever/internal/boottime"
+	"github.com/firlever/firlever/internal/http1"
+	"github.com/firlever/firlever/internal/metrics"
+	"github.com/firlever/firlever/platform"
+)
+
+// resources divides the memory of the process.
+type resources struct {
+	node   *Node
+	budget *http1.Budget // of what is held for callers, targets and peers
+}
+
+func newResources(n *Node) *resources {
+	return &resources{node: n, budget: http1.NewBudget(http1.RequestMemory(n.cfg.memoryMB()))}
+}
+
+// defaultMemoryMB is assumed if the platform sets no limit.
+const defaultMemoryMB = 256
+
+func (c *Config) memoryMB() int {
+	if c.Settings.MemoryMB > 0 {
+		return c.Settings.MemoryMB
+	}
+	return defaultMemoryMB
+}
+
+// LimitMemory makes the garbage collector keep the process within its memory, if the platform limits that.
+func (c *Config) LimitMemory() {
+	if c.Settings.MemoryMB > 0 {
+		debug.SetMemoryLimit(http1.HeapLimit(c.Settings.MemoryMB))
+	}
+}
+
+// maxWebHeader bounds heads at the ports for look-ups, readiness, peers and metrics, in bytes.
+const maxWebHeader = 256 << 10
+
+// guard returns the guard of a port for look-ups, readiness, peers or metrics.
+func (r *resources) guard(port string) *http1.Guard {
+	n := r.node
+	return &http1.Guard{
+		Budget: r.budget, Copies: 1,
+		Refuse: func(w http.ResponseWriter, _ *http.Request) {
+			platform.SetRetryAfter(w.Header(), retryAfterNoMemory)
+			w.WriteHeader(http.StatusServiceUnavailable)
+		},
+		OnFull: func(err error) {
+			n.cfg.Metrics.CountDecision(metrics.Decision{Kind: "refuse", Service: port, Reason: refusedNoMemory.reason})
+			if suppressed, ok := n.failureLimiter.Allow(boottime.Now()); ok {
+				n.cfg.Log.Warn("request not read", "port", port, "reason", refusedNoMemory.reason, "held", r.budget.Held(), "limit", r.budget.Limit(), "suppressed", suppressed, "err", err)
+			}
+		},
+	}
+}
--- a/internal/edge/upload_test.go
+++ b/internal/edge/upload_test.go
@@ -174,7 +174,7 @@
 	t.Cleanup(server.Close)
 	r.report("t1", server.Listener.Addr().String(), "n1", "ready", 0, 1)
 	r.waitUsable(1)
-	limit := r.node.budget.Limit()
+	limit := r.node.resources.budget.Limit()
 	var most atomic.Int64
 	stop := make(chan struct{})
 	go func() {
@@ -183,7 +183,7 @@
 			case <-stop:
 				return
 			case <-time.After(time.Millisecond):
-				most.Store(max(most.Load(), r.node.budget.Held()))
+				most.Store(max(most.Load(), r.node.resources.budget.Held()))
 			}
 		}
 	}()
@@ -220,7 +220,7 @@
 	if most.Load() > limit {
 		t.Errorf("got %d bytes held, want %d at most", most.Load(), limit)
 	}
-	r.eventually("nothing is held", func() bool { return r.node.budget.Held() == 0 })
+	r.eventually("nothing is held", func() bool { return r.node.resources.budget.Held() == 0 })
 }
 
 // newUploadRig starts a node with a memory limit in MB and a target for uploads.
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -109,6 +109,7 @@
 	c.conn.SetDeadline(boottime.ToRuntime(e.Deadline))
 	p.trackPending(c, e.Deadline)
 	defer p.untrackPending(c)
+	defer c.dropHead()
 	stop := context.AfterFunc(ctx, func() { c.conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	begin := boottime.Now()
@@ -265,12 +266,17 @@
 			if err != nil {
 				return answer{}, err
 			}
+			c.dropHead()
 			continue
 		}
 		a := answer{reusable: stray == 0 && !in.Close, idleTimeout: keepAliveTimeout(in.Header)}
 		var err error
-		a.response, err = readBody(in, budget)
-		return a, err
+		if a.response, err = readBody(in, budget); err != nil {
+			return answer{}, err
+		}
+		a.response.taken += c.headTaken
+		c.headTaken = 0
+		return a, nil
 	}
 	return answer{}, &StrayError{Count: maxStray + 1}
 }
@@ -280,23 +286,57 @@
 	return readHead(c, request, func(status int) bool { return status >= http.StatusOK })
 }
 
-// readHead reads heads of answers until one has a status that is wanted.
+// readHead reads heads of answers until one has a status that is wanted, and takes what that one holds from
+// the budget.
 func readHead(c *poolConn, request *http.Request, wanted func(status int) bool) (*http.Response, error) {
+	received, _ := c.reader.Peek(c.reader.Buffered())
 	c.limited.remaining = maxAnswerHead
+	c.limited.head.begin(c.budget.takeReserved, received)
 	defer func() { c.limited.remaining = unlimited }()
 	for {
 		in, err := http.ReadResponse(c.reader, request)
 		switch {
-		case err != nil && c.limited.remaining <= 0:
-			return nil, &EndlessError{Limit: maxAnswerHead}
 		case err != nil:
-			return nil, err
+			c.budget.release(c.limited.head.end())
+			return nil, c.headError(err)
 		case wanted(in.StatusCode):
-			return in, nil
+			return in, c.keepHead(in)
 		}
 	}
 }
 
+// headError returns the error for a head that could not be read.
+func (c *poolConn) headError(err error) error {
+	switch {
+	case c.limited.head.full:
+		return &NoMemoryError{Bytes: c.limited.head.size}
+	case c.limited.remaining <= 0:
+		return &EndlessError{Limit: maxAnswerHead}
+	}
+	return err
+}
+
+// answerCopies is how often an answer's head is held: parsed, and as it is sent to the caller.
+const answerCopies = 2
+
+// keepHead takes from the budget what a head holds that was read.
+func (c *poolConn) keepHead(in *http.Response) error {
+	taken := c.limited.head.end()
+	needed := max(0, answerCopies*headBytes(len(in.Status), in.Header)-ordinaryHead)
+	if !c.budget.takeReserved(needed - taken) {
+		c.budget.release(taken)
+		return &NoMemoryError{Bytes: needed}
+	}
+	c.headTaken += needed
+	return nil
+}
+
+// dropHead gives back what a head took that no response holds.
+func (c *poolConn) dropHead() {
+	c.budget.release(c.headTaken)
+	c.headTaken = 0
+}
+
 // readBody reads the body of an answer, or the beginning of one that is longer than maxBuffered or
 // than the budget allows.
 func readBody(in *http.Response, budget *Budget) (*Response, error) {
@@ -304,10 +344,7 @@
 	if in.ContentLength >= 0 {
 		most = min(most, in.ContentLength)
 	}
-	if !budget.take(most) {
-		most = min(most, minBuffered)
-		budget = nil
-	}
+	most = takeForBody(budget, most)
 	body := bytes.NewBuffer(make([]byte, 0, min(max(0, in.ContentLength), most)+bytes.MinRead))
 	n, err := io.Copy(body, io.LimitReader(in.Body, most))
 	if err != nil {
@@ -323,6 +360,17 @@
 	return resp, nil
 }
 
+// takeForBody takes n bytes from a budget for a body, or fewer if there is no room, and returns how many.
+func takeForBody(budget *Budget, n int64) int64 {
+	if budget.take(n) {
+		return n
+	}
+	if n = min(n, minBuffered); budget.takeReserved(n) {
+		return n
+	}
+	return 0
+}
+
 // restReader reads the rest of an answer; its connection is not reused.
 type restReader struct {
 	io.Reader
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -28,7 +28,7 @@
 type Pool struct {
 	dial   Dial
 	stop   chan struct{}
-	budget *Budget // of answers' bodies
+	budget *Budget // of answers
 
 	idleLimits idleLimits
 
@@ -41,7 +41,7 @@
 // Dial opens a connection.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
-// NewPool returns a pool that opens connections with dial. Bodies of answers take from the budget.
+// NewPool returns a pool that opens connections with dial. Answers take from the budget.
 func NewPool(dial Dial, budget *Budget) *Pool {
 	p := &Pool{budget: budget, idle: make(map[string][]*poolConn), pending: make(map[*poolConn]time.Time), stop: make(chan struct{}), dial: dial}
 	go p.sweep()
@@ -132,7 +132,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newPoolConn(conn, target, began), nil
+	return newPoolConn(conn, p.budget, target, began), nil
 }
 
 // CheckConnection opens a connection to a target and adds it to the pool. It returns an error if the
--- a/internal/http1/poolconn.go
+++ b/internal/http1/poolconn.go
@@ -16,6 +16,8 @@
 type poolConn struct {
 	conn               net.Conn
 	limited            *limitedConn // conn, as reader reads it
+	budget             *Budget      // of heads of answers
+	headTaken          int64        // bytes of budget for a head that no response holds yet
 	target             string
 	reader             *bufio.Reader
 	openedAt           time.Time                   // when the dial of the connection began
@@ -28,10 +30,10 @@
 	nonIdempotentUntil time.Time                   // the same for non-idempotent requests; at most usableUntil
 }
 
-func newPoolConn(conn net.Conn, target string, openedAt time.Time) *poolConn {
+func newPoolConn(conn net.Conn, budget *Budget, target string, openedAt time.Time) *poolConn {
 	limited := &limitedConn{conn: conn, remaining: unlimited}
 	return &poolConn{
-		conn: conn, limited: limited, target: target, openedAt: openedAt, dialTook: boottime.Since(openedAt),
+		conn: conn, limited: limited, budget: budget, target: target, openedAt: openedAt, dialTook: boottime.Since(openedAt),
 		reader: bufio.NewReaderSize(limited, targetBufferSize),
 	}
 }
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -31,9 +31,10 @@
 	// BusyAnswer returns the answer to such a request. It is called by the goroutine that
 	// reads the connection.
 	BusyAnswer func(r *Request) *Response
-	// Budget is what bodies of requests take from.
+	// Budget is what requests take from.
 	Budget *Budget
-	// NoMemory returns the answer to a request whose body doesn't fit into the budget.
+	// NoMemory returns the answer to a request that doesn't fit into the budget. If its head doesn't, only
+	// the number of its connection is known.
 	NoMemory func(r *Request) *Response
 	// Limits returns the limits in force. It is called for each request.
 	Limits func() Limits
--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -63,7 +63,7 @@
 	for {
 		in := c.readNext(previous)
 		if in.closed || !c.admit(in.last) {
-			c.server.callers.Budget.release(in.taken)
+			c.server.callers.Budget.release(in.taken + in.place)
 			break
 		}
 		mine := make(chan struct{})
@@ -145,15 +145,17 @@
 	defer c.handlers.Done()
 	defer close(mine)
 	defer func() { <-c.slots }()
+	defer c.server.callers.Budget.release(in.place)
 	resp := c.respond(in)
 	defer resp.Discard()
-	c.server.callers.Budget.release(in.taken)
 	if in.request != nil && in.request.Rest != nil {
 		c.endUpload(in.request.Rest)
 	}
+	head := in.request != nil && in.request.Method == http.MethodHead
+	in.request = nil // it is no longer held
+	c.server.callers.Budget.release(in.taken)
 	<-previous
 	closing := c.decideClose()
-	head := in.request != nil && in.request.Method == http.MethodHead
 	if err := c.write(resp, head, closing); err != nil {
 		c.cancel()
 		c.conn.Close()
--- a/internal/http1/serverread.go
+++ b/internal/http1/serverread.go
@@ -20,9 +20,18 @@
 	refusal *Response // of a request whose body was not read; nil if none
 	last    bool      // no further request is read
 	closed  bool      // the connection ended without a further request
-	taken   int64     // bytes of the budget that the body takes
+	taken   int64     // bytes of the budget that the request takes
+	place   int64     // bytes of the budget for handling it beside earlier requests of the connection
 }
 
+const (
+	// RequestCopies is how often a request's head is held: parsed, and as it is sent to two targets.
+	RequestCopies = 3
+	// requestPlace is what handling a request holds: stacks, buffers of its connection to a target, and an
+	// ordinary head. The first request of a connection has a place already.
+	requestPlace = 24 << 10
+)
+
 // readNext reads the next request. previous is closed when the earlier ones are answered.
 func (c *serverConn) readNext(previous <-chan struct{}) incoming {
 	limits := c.server.callers.Limits()
@@ -30,35 +39,76 @@
 	if _, err := c.reader.Peek(1); err != nil {
 		return incoming{closed: true}
 	}
-	c.limited.remaining = int64(limits.HeaderBytes + headerSlack)
 	due := boottime.Now().Add(limits.HeaderTimeout)
 	c.setReading(due)
+	r, taken, err := c.readHead(limits)
+	if err != nil {
+		in := c.classifyReadError(err, due)
+		in.taken = taken
+		return in
+	}
+	return c.accept(r, limits, previous, taken)
+}
+
+// readHead reads the head of a request. It returns what the head takes of the budget, also with an error.
+func (c *serverConn) readHead(limits Limits) (*http.Request, int64, error) {
+	received, _ := c.reader.Peek(c.reader.Buffered())
+	c.limited.remaining = int64(limits.HeaderBytes + headerSlack)
+	c.limited.head.begin(c.server.callers.Budget.take, received)
 	r, err := http.ReadRequest(c.reader)
+	taken := c.limited.head.end()
 	if err != nil {
-		return c.classifyReadError(err, due)
+		return nil, taken, err
 	}
 	c.limited.remaining = unlimited
+	return r, taken, nil
+}
+
+// accept refuses a request whose head was read, or reads its body. taken is what the head takes of the budget.
+func (c *serverConn) accept(r *http.Request, limits Limits, previous <-chan struct{}, taken int64) incoming {
 	if r.ContentLength > limits.BodyBytes {
-		return refuse(http.StatusRequestEntityTooLarge)
+		in := refuse(http.StatusRequestEntityTooLarge)
+		in.taken = taken
+		return in
 	}
 	expects := r.Header.Get("Expect") != ""
 	incomplete := c.bodyIncomplete(r)
+	place := c.placeOf(previous)
+	needed := max(0, RequestCopies*headBytes(len(r.RequestURI), r.Header)-ordinaryHead)
+	if !c.server.callers.Budget.take(needed + place - taken) {
+		return incoming{refusal: c.server.callers.NoMemory(c.newRequest(r, nil)), last: true, taken: taken}
+	}
+	in := incoming{taken: needed, place: place}
 	if c.server.callers.Busy() {
 		if !incomplete {
 			io.Copy(io.Discard, r.Body) // the whole body is in the buffer
 		}
-		return incoming{refusal: c.server.callers.BusyAnswer(c.newRequest(r, nil)), last: r.Close || incomplete}
+		in.refusal, in.last = c.server.callers.BusyAnswer(c.newRequest(r, nil)), r.Close || incomplete
+		return in
 	}
 	if incomplete {
 		if resp := c.server.callers.RefuseEarly(c.newRequest(r, nil)); resp != nil {
-			return incoming{refusal: resp, last: true}
+			in.refusal, in.last = resp, true
+			return in
 		}
 	}
 	proceed := func() {}
 	if expects {
 		proceed = func() { c.sendContinue(previous) }
 	}
-	return c.readBody(r, limits, proceed)
+	body := c.readBody(r, limits, proceed)
+	body.taken += in.taken
+	body.place = in.place
+	return body
+}
+
+// placeOf returns what a request takes of the budget besides its head and body: nothing if all requests of
+// the connection before it are answered.
+func (c *serverConn) placeOf(previous <-chan struct{}) int64 {
+	if isClosed(previous) {
+		return 0
+	}
+	return requestPlace
 }
 
 // readBody reads the body of a request, or the beginning of a long one. It calls proceed when there is room
@@ -105,6 +155,8 @@
 func (c *serverConn) classifyReadError(err error, due time.Time) incoming {
 	var network net.Error
 	switch {
+	case c.limited.head.full:
+		return incoming{refusal: c.server.callers.NoMemory(&Request{ConnID: c.id}), last: true}
 	case c.limited.remaining <= 0:
 		return refuse(http.StatusRequestHeaderFieldsTooLarge)
 	case !boottime.Now().Before(due):
@@ -144,10 +196,12 @@
 // unlimited is the value of limitedConn.remaining that sets no limit in practice.
 const unlimited = 1 << 62
 
-// limitedConn limits the bytes that are read from a connection, to bound a header.
+// limitedConn limits the bytes that are read from a connection, to bound a header, and meters what a head
+// holds.
 type limitedConn struct {
 	conn      net.Conn
 	remaining int64
+	head      headMeter
 }
 
 func (l *limitedConn) Read(b []byte) (int, error) {
@@ -159,5 +213,8 @@
 	}
 	n, err := l.conn.Read(b)
 	l.remaining -= int64(n)
+	if !l.head.add(b[:n]) {
+		return 0, &NoMemoryError{Bytes: l.head.size}
+	}
 	return n, err
 }
