Charge serve's requests by the memory that they hold

What callers saw: serve ran out of memory in the same way as edge, by heads of callers and peers and by bodies of control calls, which had no bound. Cause: nothing counted heads; twirp reads whole bodies whatever their length. Change: the three servers accept through the guard, with one budget for all. A request without a key that doesn't fit is refused as no-memory; the connection of one with a key is closed, as it may have run before. Heads of answers take from the budget too. Why it works: each server passes the one place that takes.

--- a/cmd/firlever/serve.go
+++ b/cmd/firlever/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"github.com/firlever/firlever/internal/core"
 	"github.com/firlever/firlever/internal/docstore"
+	"github.com/firlever/firlever/internal/http1"
 	"github.com/firlever/firlever/internal/instance"
 	"github.com/firlever/firlever/internal/invariant"
 	"github.com/firlever/firlever/internal/logs"
@@ -66,6 +68,8 @@
 	f.StringVar(&cfg.Bootstrap, "bootstrap", "", "hex SHA-256 of a token with full access until the system team has a token")
 	f.DurationVar(&cfg.Linger, "linger", 6*time.Second, "longest time that a planned stop keeps serving callers with cached look-ups")
 	f.BoolVar(&cfg.ListProves, "list-proves", false, "the platform's list keeps an instance until its process has certainly ended")
+	f.IntVar(&cfg.MemoryMB, "memory", 0, "memory of the process in MB, which requests and connections share; 0 for that of the machine")
+	f.IntVar(&cfg.Descriptors, "descriptors", 0, "descriptors of the process, which connections share; 0 for its limit")
 	f.StringVar(&flags.platform, "platform", "", "address of the platform's key-value service, IP:port")
 	f.StringVar(&flags.policy, "policy", string(core.PolicyOwner), "policy that chooses targets; those other than owner are for measurements")
 	f.StringVar(&flags.logLevel, "log", "info", "lowest level that is logged: debug, info, warn, error")
@@ -97,6 +101,7 @@
 	if err != nil {
 		return &usageError{Command: cmd.CommandPath(), Reason: err.Error()}
 	}
+	debug.SetMemoryLimit(http1.HeapLimit(cfg.MemoryMB))
 	inst.Start()
 	logger.Info("serving", "instance", cfg.ID, "callers", inst.Callers(), "peers", inst.Peers(), "operators", inst.Operators())
 	select {
--- a/internal/callers/body.go
+++ b/internal/callers/body.go
@@ -17,6 +17,9 @@
 	aborted   atomic.Bool // a read of remaining failed, so the caller aborted the body
 }
 
+// MaxHeldBody is how many bytes of a request's body are held at most.
+const MaxHeldBody = maxReplay + 1
+
 // readBody reads up to maxReplay bytes of a request's body. It returns a *BadRequestError if the
 // read fails.
 func readBody(r *http.Request) (*body, error) {
--- a/internal/callers/busy.go
+++ b/internal/callers/busy.go
@@ -50,3 +50,19 @@
 type OverloadedError struct{}
 
 func (*OverloadedError) Error() string { return "callers: this instance is overloaded" }
+
+// RefuseNoMemory refuses a request that doesn't fit into the memory for requests. One with a key may have run
+// before: its connection is closed instead, which promises nothing.
+func (s *Server) RefuseNoMemory(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get(HeaderKey) != "" {
+		panic(http.ErrAbortHandler)
+	}
+	now := s.dispatcher.Now()
+	setRetry(w.Header(), now, now.Add(minRetryDelay+rand.N(overloadRetrySpread)))
+	s.refuseEarly(w, http.StatusServiceUnavailable, core.ReasonNoMemory, &NoMemoryError{})
+}
+
+// NoMemoryError means that the memory of this process for requests is used up.
+type NoMemoryError struct{}
+
+func (*NoMemoryError) Error() string { return "callers: no memory is left for this request" }
--- a/internal/callers/exchange.go
+++ b/internal/callers/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/core"
 	"github.com/firlever/firlever/internal/dispatch"
+	"github.com/firlever/firlever/internal/http1"
 	"github.com/firlever/firlever/internal/once"
 	"github.com/firlever/firlever/internal/owner"
 	"github.com/firlever/firlever/internal/targets"
@@ -174,6 +175,10 @@
 		return false
 	}
 	defer resp.Body.Close()
+	if err := http1.HoldAnswer(x.r.Context(), resp); err != nil {
+		x.fail(t, core.Finished{Result: core.Failed, LackedHere: true})
+		return false
+	}
 	return read(t, resp)
 }
 
--- a/internal/core/decision.go
+++ b/internal/core/decision.go
@@ -53,6 +53,7 @@
 	ReasonLimited         Reason = "limited"         // the targets are at the limits that they announced
 	ReasonPartitioned     Reason = "partitioned"     // this instance reaches no target
 	ReasonOverloaded      Reason = "overloaded"      // this process has no processor time to spare
+	ReasonNoMemory        Reason = "no-memory"       // this process has no memory to spare
 	ReasonNoEnd           Reason = "answer-no-end"   // a complete answer can't be distinguished from a truncated one
 )
 
--- a/internal/instance/config.go
+++ b/internal/instance/config.go
@@ -37,6 +37,9 @@
 
 	Bootstrap string // hex SHA-256 of a token with full access until the system team has a token
 
+	MemoryMB    int // memory of the process; 0 for that of the machine
+	Descriptors int // descriptors of the process; 0 for its limit
+
 	ListProves bool          // the platform's list keeps an instance until its process has certainly ended
 	Linger     time.Duration // longest time that a planned stop keeps serving callers with cached look-ups
 	Policy     core.Policy
@@ -95,6 +98,8 @@
 		f.address("join", a)
 	}
 	f.require(c.Linger >= 0, "linger is negative")
+	f.require(c.MemoryMB >= 0, "memory is negative")
+	f.require(c.Descriptors >= 0, "descriptors is negative")
 	f.require(c.Store != nil, "platform is not set")
 	if len(f.list) > 0 {
 		return &ConfigError{Faults: f.list}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -17,6 +17,7 @@
 	"github.com/firlever/firlever/internal/core"
 	"github.com/firlever/firlever/internal/dispatch"
 	"github.com/firlever/firlever/internal/docstore"
+	"github.com/firlever/firlever/internal/http1"
 	"github.com/firlever/firlever/internal/metrics"
 	"github.com/firlever/firlever/internal/targets"
 	"github.com/firlever/firlever/internal/tcp"
@@ -55,6 +56,7 @@
 	newerRosterPeers chan docstore.Instance // peers of the place with a newer roster version
 	restoration      *restoration
 	rpc              *http.Client // client for control calls to peers
+	resources        *resources
 
 	listeners []net.Listener // for callers, peers and operators, in this order
 	servers   []*http.Server // one per listener
@@ -69,13 +71,9 @@
 	if err := cfg.Validate(); err != nil {
 		return nil, err
 	}
-	if cfg.Dial == nil {
-		cfg.Dial = targets.DialFrom(cfg.Source)
-	}
 	in := &Instance{
 		cfg:              cfg,
 		incarnation:      uint64(time.Now().UnixNano()),
-		client:           targets.New(cfg.Dial),
 		rosterSwaps:      make(chan core.SwapRoster, 1),
 		probes:           make(chan core.Probe, queueLength),
 		grantRequests:    make(chan core.AskGrant, queueLength),
@@ -84,8 +82,9 @@
 		newerRosterPeers: make(chan docstore.Instance, 1),
 		restoration:      newRestoration(),
 		replaced:         make(chan struct{}),
-		rpc:              &http.Client{Transport: &http.Transport{DialContext: cfg.Dial}, Timeout: syncTimeout},
 	}
+	in.resources = newResources(in)
+	in.openClients()
 	in.cfg.Store = &epochStore{Store: cfg.Store, observe: in.observeRevision}
 	if err := in.listen(); err != nil {
 		return nil, errors.Annotate(err, "instance.New")
@@ -97,6 +96,18 @@
 	return in, nil
 }
 
+// openClients creates the clients of targets and peers. Only the connections of the first count for the limit
+// on descriptors, so that control calls have some left.
+func (in *Instance) openClients() {
+	dialTargets := in.cfg.Dial
+	if in.cfg.Dial == nil {
+		dialer := tcp.NewDialer(in.cfg.Source)
+		in.cfg.Dial, dialTargets = dialer.DialContext, dialer.DialContext
+	}
+	in.client = targets.New(dialTargets)
+	in.rpc = &http.Client{Transport: &http.Transport{DialContext: in.cfg.Dial}, Timeout: syncTimeout}
+}
+
 // listen opens the three TCP listeners and stores the ports that the system chose in cfg.
 func (in *Instance) listen() error {
 	for _, address := range []*string{&in.cfg.Callers, &in.cfg.Peers, &in.cfg.Operators} {
@@ -238,15 +249,22 @@
 func (in *Instance) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	in.cancel = cancel
-	handlers := []http.Handler{in.server.Callers(), in.peerHandler(), in.operators}
-	headerLimits := []int{maxRequestHeader, maxRequestHeader, maxOperatorHeader}
-	for i, ln := range in.listeners {
+	for i, port := range []struct {
+		handler   http.Handler
+		maxHeader int
+		guard     *http1.Guard
+	}{
+		{in.server.Callers(), maxRequestHeader, in.resources.guard("callers", callers.MaxHeldBody, in.server.RefuseNoMemory)},
+		{in.peerHandler(), maxRequestHeader, in.resources.guard("peers", callers.MaxHeldBody, in.server.RefuseNoMemory)},
+		{in.operators, maxOperatorHeader, in.resources.guard("operators", 0, refuseOperator)},
+	} {
 		srv := &http.Server{
-			Handler: handlers[i], ReadHeaderTimeout: headerTimeout,
-			IdleTimeout: idleTimeout, MaxHeaderBytes: headerLimits[i],
+			Handler: port.handler, ReadHeaderTimeout: headerTimeout,
+			IdleTimeout: idleTimeout, MaxHeaderBytes: port.maxHeader,
 		}
+		port.guard.Protect(srv)
 		in.servers = append(in.servers, srv)
-		go srv.Serve(tcp.NewListener(ln, headerTimeout, idleTimeout, in.acceptFailed))
+		go srv.Serve(port.guard.Listen(tcp.NewListener(in.listeners[i], headerTimeout, idleTimeout, in.acceptFailed)))
 	}
 	for _, loop := range []func(context.Context){in.tick, in.watch, in.register, in.refreshInstances, in.maintainRoster, in.probe, in.runGrantRequests, in.sendCrashReports, in.sync, in.publishGauges, in.restoreLost} {
 		in.loops.Go(func() { loop(ctx) })
--- /dev/null
+++ b/internal/instance/resources.go
@@ -0,0 +1,52 @@
+package instance
+
+import (
+	"net/http"
+
+	"github.com/firlever/firlever/internal/boottime"
+	"github.com/firlever/firlever/internal/http1"
+	"github.com/firlever/firlever/internal/logs"
+	"github.com/firlever/firlever/internal/metrics"
+)
+
+// resourceLogRate bounds the log lines a second about what doesn't fit.
+const resourceLogRate = 10
+
+// resources divides the memory of the process.
+type resources struct {
+	in     *Instance
+	budget *http1.Budget
+	lines  *logs.Limiter
+}
+
+func newResources(in *Instance) *resources {
+	return &resources{in: in, budget: http1.NewBudget(http1.RequestMemory(in.cfg.MemoryMB)), lines: logs.NewLimiter(resourceLogRate)}
+}
+
+// full counts and logs that a request doesn't fit into the memory for requests.
+func (r *resources) full(port string, err error) {
+	r.in.cfg.Metrics.CountDecision(metrics.Decision{Kind: "refuse", Service: port, Reason: "no-memory"})
+	r.warn("request not read", "port", port, "reason", "no-memory", "held", r.budget.Held(), "limit", r.budget.Limit(), "err", err)
+}
+
+func (r *resources) warn(message string, fields ...any) {
+	if suppressed, ok := r.lines.Allow(boottime.Now()); ok && r.in.cfg.Log != nil {
+		r.in.cfg.Log.Warn(message, append(fields, "suppressed", suppressed)...)
+	}
+}
+
+// guard returns the guard of a port. Only maxHeld bytes of a body are held there; 0 if all are.
+func (r *resources) guard(port string, maxHeld int64, refuse http.HandlerFunc) *http1.Guard {
+	return &http1.Guard{
+		Budget: r.budget, Refuse: refuse, Copies: http1.RequestCopies, HeldBody: maxHeld,
+		OnFull: func(err error) { r.full(port, err) },
+	}
+}
+
+// memoryRetryAfter is after how many seconds an operator may retry a request that didn't fit.
+const memoryRetryAfter = "1"
+
+func refuseOperator(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Retry-After", memoryRetryAfter)
+	http.Error(w, "no memory is left for this request", http.StatusServiceUnavailable)
+}
--- a/internal/instance/sync.go
+++ b/internal/instance/sync.go
@@ -10,6 +10,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/firlever/firlever/internal/docstore"
+	"github.com/firlever/firlever/internal/http1"
 	"github.com/firlever/firlever/internal/replica"
 	"github.com/firlever/firlever/internal/wire"
 	"github.com/firlever/firlever/pkg/settings"
@@ -183,7 +184,7 @@
 	r := chi.NewRouter()
 	in.server.Peers(r)
 	twirp := wire.NewPeerServer(&peerServer{in: in})
-	r.Mount(twirp.PathPrefix(), twirp)
+	r.Mount(twirp.PathPrefix(), http1.HoldBodies(twirp))
 	return r
 }
 
