Bound the connections that edge and serve accept

What callers saw: while many idle connections to one port were open, no request was answered within 20 s, at that port and then at the others. Cause: nothing bounded connections; max_fds of the platform's settings was read nowhere. Without descriptors, connections to the store and to targets failed too. Change: a gate counts the connections of all ports. At its bound a new one takes the place of the one that has waited longest for a request, at the port with the most; connections with requests in progress stay. Connections to targets leave an eighth of the descriptors to the store and peers. Why it works: a descriptor for a new caller is there as long as any connection waits, and a flood of a port closes its own connections first.

--- a/internal/edge/resources.go
+++ b/internal/edge/resources.go
@@ -1,23 +1,36 @@
 package edge
 
 import (
+	"context"
+	"errors"
+	"net"
 	"net/http"
 	"runtime/debug"
 
 	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/http1"
 	"github.com/firlever/firlever/internal/metrics"
+	"github.com/firlever/firlever/internal/tcp"
 	"github.com/firlever/firlever/platform"
 )
 
-// resources divides the memory of the process.
+// resources divides the memory and the descriptors of the process between what callers, targets and peers
+// send and their connections.
 type resources struct {
 	node   *Node
-	budget *http1.Budget // of what is held for callers, targets and peers
+	budget *http1.Budget  // of what is held for callers, targets and peers
+	gate   *tcp.Gate      // of accepted connections
+	dialed *tcp.DialLimit // of connections to targets
 }
 
 func newResources(n *Node) *resources {
-	return &resources{node: n, budget: http1.NewBudget(http1.RequestMemory(n.cfg.memoryMB()))}
+	s := &n.cfg.Settings
+	memory := n.cfg.memoryMB()
+	descriptors := tcp.NewDescriptors(s.Descriptors)
+	r := &resources{node: n, budget: http1.NewBudget(http1.RequestMemory(memory))}
+	r.gate = tcp.NewGate(min(descriptors.Accepted(), http1.MaxConns(memory)), r.connClosed)
+	r.dialed = tcp.NewDialLimit(descriptors.Dialed(), r.gate.Open)
+	return r
 }
 
 // defaultMemoryMB is assumed if the platform sets no limit.
@@ -37,6 +50,30 @@
 	}
 }
 
+// connClosed counts and logs that a connection was closed for another, or that there was no place for it.
+func (r *resources) connClosed(port string, reason tcp.GateReason) {
+	n := r.node
+	n.cfg.Metrics.CountDecision(metrics.Decision{Kind: "connection-closed", Service: port, Reason: string(reason)})
+	if suppressed, ok := n.failureLimiter.Allow(boottime.Now()); ok {
+		n.cfg.Log.Warn("connection closed", "port", port, "reason", reason, "open", r.gate.Open(), "limit", r.gate.Limit(), "suppressed", suppressed)
+	}
+}
+
+// dialTargets returns a dial of connections to targets within the limit on descriptors. If they are used up,
+// it closes those that are idle.
+func (r *resources) dialTargets(dialer *tcp.Dialer) http1.Dial {
+	dialer = dialer.Limited(r.dialed)
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dialer.DialContext(ctx, network, address)
+		var full *tcp.DialLimitError
+		if !errors.As(err, &full) {
+			return c, err
+		}
+		r.node.pool.CloseIdle()
+		return dialer.DialContext(ctx, network, address)
+	}
+}
+
 // maxWebHeader bounds heads at the ports for look-ups, readiness, peers and metrics, in bytes.
 const maxWebHeader = 256 << 10
 
@@ -44,7 +81,7 @@
 func (r *resources) guard(port string) *http1.Guard {
 	n := r.node
 	return &http1.Guard{
-		Budget: r.budget, Copies: 1,
+		Budget: r.budget, Port: r.gate.Port(port), Copies: 1,
 		Refuse: func(w http.ResponseWriter, _ *http.Request) {
 			platform.SetRetryAfter(w.Header(), retryAfterNoMemory)
 			w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/http1/guard.go
+++ b/internal/http1/guard.go
@@ -8,11 +8,15 @@
 	"net/http"
 	"strings"
 	"sync"
+
+	"github.com/firlever/firlever/internal/tcp"
 )
 
-// Guard takes from a budget what the requests of an http.Server hold. It closes connections whose heads don't fit, and refuses requests that don't.
+// Guard takes from a budget what the requests of an http.Server hold, and from a gate the places of its
+// connections. It closes connections whose heads don't fit, and refuses requests that don't.
 type Guard struct {
 	Budget *Budget
+	Port   *tcp.Port        // nil admits all connections
 	Refuse http.HandlerFunc // answers a request that doesn't fit, with a status that promises that it has not run
 	// Copies is how often the head of a request is held at most.
 	Copies int
@@ -41,7 +45,7 @@
 	}
 }
 
-// Listen returns a listener whose connections the guard meters.
+// Listen returns a listener that admits connections of another one.
 func (g *Guard) Listen(ln net.Listener) net.Listener { return &guardListener{Listener: ln, guard: g} }
 
 type guardListener struct {
@@ -49,15 +53,19 @@
 	guard *Guard
 }
 
-// Accept waits for the next connection.
+// Accept waits for the next connection that is admitted.
 func (l *guardListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if slot, ok := l.guard.Port.Admit(c); ok {
+			gc := &guardConn{Conn: c, guard: l.guard, slot: slot}
+			gc.beginHead()
+			return gc, nil
+		}
 	}
-	gc := &guardConn{Conn: c, guard: l.guard}
-	gc.beginHead()
-	return gc, nil
 }
 
 // serve handles a request that fits into the budget.
@@ -67,6 +75,10 @@
 		next.ServeHTTP(w, r)
 		return
 	}
+	if !c.slot.Begin() {
+		panic(http.ErrAbortHandler) // closed for another connection; the request has not run
+	}
+	defer c.slot.End()
 	defer c.endRequest()
 	if err := c.keepHead(int64(g.Copies)*headBytes(len(r.RequestURI), r.Header) + queryBytes(r.URL.RawQuery)); err != nil {
 		g.full(err)
@@ -120,6 +132,7 @@
 type guardConn struct {
 	net.Conn
 	guard *Guard
+	slot  *tcp.Slot
 
 	mu     sync.Mutex
 	head   headMeter // of the request that is read; guarded by mu
@@ -152,6 +165,7 @@
 
 // Close closes the connection and gives back what it holds.
 func (c *guardConn) Close() error {
+	c.slot.Release()
 	c.mu.Lock()
 	c.closed = true
 	c.guard.Budget.release(c.head.end() + c.taken)
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -33,6 +33,8 @@
 	BusyAnswer func(r *Request) *Response
 	// Budget is what requests take from.
 	Budget *Budget
+	// Port admits connections; nil admits all.
+	Port *tcp.Port
 	// NoMemory returns the answer to a request that doesn't fit into the budget. If its head doesn't, only
 	// the number of its connection is known.
 	NoMemory func(r *Request) *Response
@@ -74,12 +76,14 @@
 		if err != nil {
 			return err
 		}
-		s.start(c)
+		if slot, ok := s.callers.Port.Admit(c); ok {
+			s.start(c, slot)
+		}
 	}
 }
 
-func (s *Server) start(c net.Conn) {
-	sc := newServerConn(s, c, s.lastConnID.Add(1))
+func (s *Server) start(c net.Conn, slot *tcp.Slot) {
+	sc := newServerConn(s, c, slot, s.lastConnID.Add(1))
 	s.mu.Lock()
 	s.conns[sc] = struct{}{}
 	s.mu.Unlock()
--- a/internal/http1/server_test.go
+++ b/internal/http1/server_test.go
@@ -369,6 +369,6 @@
 			io.WriteString(far, send)
 			far.Close()
 		}()
-		newServerConn(s, near, 1).run()
+		newServerConn(s, near, nil, 1).run()
 	})
 }
--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/firlever/firlever/internal/boottime"
+	"github.com/firlever/firlever/internal/tcp"
 )
 
 const (
@@ -31,6 +32,7 @@
 	server   *Server
 	conn     net.Conn
 	id       uint64
+	slot     *tcp.Slot
 	limited  *limitedConn
 	reader   *bufio.Reader
 	slots    chan struct{} // semaphore: one element for each request being handled
@@ -45,17 +47,18 @@
 	closedIdle bool // closing, but not announced in an answer: a partly received request is still accepted; guarded by mu
 }
 
-func newServerConn(s *Server, c net.Conn, id uint64) *serverConn {
+func newServerConn(s *Server, c net.Conn, slot *tcp.Slot, id uint64) *serverConn {
 	ctx, cancel := context.WithCancel(context.Background())
 	limit := &limitedConn{conn: c, remaining: unlimited}
 	return &serverConn{
-		server: s, conn: c, id: id, limited: limit, reader: bufio.NewReaderSize(limit, readBufferSize),
+		server: s, conn: c, id: id, slot: slot, limited: limit, reader: bufio.NewReaderSize(limit, readBufferSize),
 		slots: make(chan struct{}, maxPipelined), ctx: ctx, cancel: cancel,
 	}
 }
 
 // run serves the connection until it is closed and all its requests are answered.
 func (c *serverConn) run() {
+	defer c.slot.Release()
 	defer c.conn.Close()
 	defer c.cancel()
 	previous := make(chan struct{})
@@ -108,7 +111,7 @@
 func (c *serverConn) admit(last bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing && !c.closedIdle {
+	if c.closing && !c.closedIdle || !c.slot.Begin() {
 		return false
 	}
 	c.closedIdle, c.reading = false, false
@@ -145,6 +148,7 @@
 	defer c.handlers.Done()
 	defer close(mine)
 	defer func() { <-c.slots }()
+	defer c.slot.End()
 	defer c.server.callers.Budget.release(in.place)
 	resp := c.respond(in)
 	defer resp.Discard()
--- a/internal/metrics/edge.go
+++ b/internal/metrics/edge.go
@@ -17,6 +17,8 @@
 	nameStoreAge      = "store_age_seconds" // time since the store last confirmed that revision
 	nameInstances     = "instances"         // registered instances
 	nameConnections   = "connections"       // open connections of callers
+	nameAccepted      = "accepted"          // open connections of all ports
+	nameAcceptedLimit = "accepted_limit"    // upper bound of accepted, beside the reserves of the ports
 	nameBodyBytes     = "body_bytes"        // held for callers and targets
 	nameBodyLimit     = "body_bytes_limit"  // upper bound of body_bytes
 	nameOverloadShare = "overload_share"    // fraction of new requests refused because the process is overloaded
@@ -75,6 +77,8 @@
 	StoreAge         time.Duration
 	Instances        int
 	Connections      int
+	Accepted         int
+	AcceptedLimit    int
 	BodyBytes        int64   // bytes of bodies that are held for callers and targets
 	BodyLimit        int64   // upper bound of BodyBytes
 	OverloadShare    float64 // fraction of new requests that are refused, 0 to 1
@@ -124,7 +128,7 @@
 	}
 	for name, value := range map[string]float64{
 		nameReady: asFloat(e.Ready), namePartitioned: asFloat(e.Partitioned), nameVersion: float64(e.ConfigVersion), nameRevision: float64(e.Revision), nameEpoch: float64(e.Epoch),
-		nameStoreAge: e.StoreAge.Seconds(), nameInstances: float64(e.Instances), nameConnections: float64(e.Connections),
+		nameStoreAge: e.StoreAge.Seconds(), nameInstances: float64(e.Instances), nameConnections: float64(e.Connections), nameAccepted: float64(e.Accepted), nameAcceptedLimit: float64(e.AcceptedLimit),
 		nameBodyBytes: float64(e.BodyBytes), nameBodyLimit: float64(e.BodyLimit),
 		nameOverloadShare: e.OverloadShare, nameStoredTargets: float64(e.TargetsStored), nameKeptItems: float64(e.ItemsKept),
 		nameHiddenItems: float64(e.ItemsHidden), nameRedundant: float64(e.RedundantDropped),
--- a/internal/tcp/conn.go
+++ b/internal/tcp/conn.go
@@ -20,7 +20,14 @@
 )
 
 // Dialer opens connections that detect an unreachable peer.
-type Dialer struct{ dialer net.Dialer }
+type Dialer struct {
+	dialer net.Dialer
+	limit  *DialLimit
+}
+
+// Limited returns a dialer whose connections count for a limit. It returns a *DialLimitError in place of a
+// connection beyond it.
+func (d *Dialer) Limited(limit *DialLimit) *Dialer { return &Dialer{dialer: d.dialer, limit: limit} }
 
 // Dial opens a connection.
 func (d *Dialer) Dial(network, address string) (net.Conn, error) {
@@ -29,20 +36,28 @@
 
 // DialContext opens a connection. It gives up when ctx ends.
 func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	c, err := d.dialer.DialContext(ctx, network, address)
+	if err := d.limit.take(); err != nil {
+		return nil, &net.OpError{Op: "dial", Net: network, Err: err}
+	}
+	c, err := d.dial(ctx, network, address)
 	if err != nil {
+		d.limit.release()
 		return nil, err
 	}
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return c, nil
+	return c, nil
+}
+
+func (d *Dialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := d.dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
 	}
-	raw, err := sc.SyscallConn()
+	raw, err := c.(*net.TCPConn).SyscallConn()
 	if err != nil {
 		_ = c.Close() // it is closed already
 		return nil, err
 	}
-	return &conn{Conn: c, raw: raw}, nil
+	return &conn{Conn: c, raw: raw, limit: d.limit}, nil
 }
 
 // conn is a connection whose peer may read slowly. TCP_USER_TIMEOUT also ends a connection whose peer
@@ -50,7 +65,9 @@
 // unacknowledged, and conn watches the acknowledgements itself.
 type conn struct {
 	net.Conn
-	raw syscall.RawConn
+	raw   syscall.RawConn
+	limit *DialLimit
+	once  sync.Once // gives the place in limit back
 
 	mu       sync.Mutex
 	sent     int  // bytes since the last that were received; guarded by mu
@@ -62,6 +79,13 @@
 // SyscallConn returns the raw connection.
 func (c *conn) SyscallConn() (syscall.RawConn, error) { return c.raw, nil }
 
+// Close closes the connection.
+func (c *conn) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(c.limit.release)
+	return err
+}
+
 // CloseWrite closes the writing side.
 func (c *conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
