Don't take a reset for the end of an answer

What callers saw: a part of an answer as a complete one. The target had answered a long upload at once, without a length, and reset the connection while the upload was still being written. Cause: the kernel reports a reset once, to whichever system call comes first. If that is the write, reads return the end of the stream. Change: when a stream ends, connections look at their state: CLOSE after a reset, CLOSE_WAIT after a proper end; the pending error or that of the first write tells a reset after a proper end (EPIPE). Why it works: the state stays, whoever got the error. All that speaks to targets, peers and the store dials through this package.

--- a/internal/tcp/conn.go
+++ b/internal/tcp/conn.go
@@ -57,7 +57,7 @@
 		_ = c.Close() // it is closed already
 		return nil, err
 	}
-	return &conn{Conn: c, raw: raw, limit: d.limit}, nil
+	return &conn{Conn: c, raw: raw, ending: ending{raw: raw}, limit: d.limit}, nil
 }
 
 // conn is a connection whose peer may read slowly. TCP_USER_TIMEOUT also ends a connection whose peer
@@ -65,9 +65,10 @@
 // unacknowledged, and conn watches the acknowledgements itself.
 type conn struct {
 	net.Conn
-	raw   syscall.RawConn
-	limit *DialLimit
-	once  sync.Once // gives the place in limit back
+	raw    syscall.RawConn
+	ending ending
+	limit  *DialLimit
+	once   sync.Once // gives the place in limit back
 
 	mu       sync.Mutex
 	sent     int  // bytes since the last that were received; guarded by mu
@@ -88,13 +89,15 @@
 
 // CloseWrite closes the writing side.
 func (c *conn) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
 	}
-	return errors.ErrUnsupported
+	c.ending.closedWrite()
+	return half.CloseWrite()
 }
 
-// Read reads from the connection.
+// Read reads from the connection. It returns ECONNRESET in place of io.EOF if the peer has reset it.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
@@ -102,13 +105,14 @@
 		c.sent = 0
 		c.mu.Unlock()
 	}
-	return n, c.cause("read", err)
+	return n, c.cause("read", c.ending.check(c, err))
 }
 
 // Write writes to the connection.
 func (c *conn) Write(b []byte) (int, error) {
 	watched := c.beginWrite(len(b))
 	n, err := c.Conn.Write(b)
+	c.ending.wrote(err)
 	if watched {
 		c.mu.Lock()
 		c.writing--
