Refuse heads that other parsers read in another way

What callers saw: an answer of a target in trouble with a line such as X A: 1 passed on, or with a body that was not the target's, where Content-Length : 2 was not taken for a length. Cause: net/http's parser accepts blanks in the names of fields, for old peers. Change: one check of the parsed head, names as tokens, values without control bytes, called by all that read answers: edge and hand-offs for every head, and a transport for serve, health checks, pkg/caller, the store, peers and operators. Requests of edge's callers are checked as well, and refused with 400.

--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -299,7 +299,12 @@
 		case err != nil:
 			c.budget.release(c.limited.head.end())
 			return nil, c.headError(err)
-		case wanted(in.StatusCode):
+		}
+		if err := CheckResponse(in); err != nil {
+			c.budget.release(c.limited.head.end())
+			return nil, err
+		}
+		if wanted(in.StatusCode) {
 			return in, c.keepHead(in)
 		}
 	}
--- a/internal/http1/serverread.go
+++ b/internal/http1/serverread.go
@@ -61,7 +61,7 @@
 		return nil, taken, err
 	}
 	c.limited.remaining = unlimited
-	return r, taken, nil
+	return r, taken, checkRequest(r)
 }
 
 // accept refuses a request whose head was read, or reads its body. taken is what the head takes of the budget.
@@ -154,6 +154,7 @@
 // the network's timeout error by errors of its own.
 func (c *serverConn) classifyReadError(err error, due time.Time) incoming {
 	var network net.Error
+	var malformed *MalformedError
 	switch {
 	case c.limited.head.full:
 		return incoming{refusal: c.server.callers.NoMemory(&Request{ConnID: c.id}), last: true}
@@ -161,6 +162,8 @@
 		return refuse(http.StatusRequestHeaderFieldsTooLarge)
 	case !boottime.Now().Before(due):
 		return refuse(http.StatusRequestTimeout)
+	case errors.As(err, &malformed):
+		return refuse(http.StatusBadRequest)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &network):
 		return incoming{closed: true}
 	}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -105,7 +105,7 @@
 		in.cfg.Dial, dialTargets = dialer.DialContext, in.resources.dialTargets(dialer)
 	}
 	in.client = targets.New(dialTargets)
-	in.rpc = &http.Client{Transport: &http.Transport{DialContext: in.cfg.Dial}, Timeout: syncTimeout}
+	in.rpc = &http.Client{Transport: http1.NewTransport(&http.Transport{DialContext: in.cfg.Dial}), Timeout: syncTimeout}
 }
 
 // listen opens the three TCP listeners and stores the ports that the system chose in cfg.
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/firlever/firlever/internal/boottime"
+	"github.com/firlever/firlever/internal/http1"
 	"github.com/firlever/firlever/internal/tcp"
 	"github.com/firlever/firlever/platform"
 )
@@ -173,7 +174,7 @@
 // New returns a mirror of a store.
 func New(store *platform.Store, sink Sink, peers Peers, order Order) *Mirror {
 	if peers.Transport == nil {
-		peers.Transport = &http.Transport{DialContext: tcp.NewDialer("").DialContext, MaxIdleConnsPerHost: 1}
+		peers.Transport = http1.NewTransport(&http.Transport{DialContext: tcp.NewDialer("").DialContext, MaxIdleConnsPerHost: 1})
 	}
 	return &Mirror{
 		store: store, sink: sink, peers: peers, client: &http.Client{Transport: peers.Transport},
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"time"
 
+	"github.com/firlever/firlever/internal/http1"
 	"github.com/firlever/firlever/pkg/settings"
 )
 
@@ -55,7 +56,7 @@
 // NewClient returns a client for the instance at address, IP:port.
 func NewClient(address, token string) *Client {
 	t := &http.Transport{DisableCompression: true, IdleConnTimeout: time.Minute}
-	return &Client{address: address, token: token, http: &http.Client{Transport: t}}
+	return &Client{address: address, token: token, http: &http.Client{Transport: http1.NewTransport(t)}}
 }
 
 // Close closes the idle connections.
--- a/internal/peerhttp/client.go
+++ b/internal/peerhttp/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/firlever/firlever/internal/http1"
 	"github.com/firlever/firlever/internal/tcp"
 )
 
@@ -23,7 +24,7 @@
 // New returns a client that reads answers of up to maxAnswer bytes and keeps up to idle idle
 // connections to each instance. It connects from the address ip; "" lets the system choose.
 func New(ip string, idle int, maxAnswer int64) *Client {
-	transport := &http.Transport{DialContext: tcp.NewDialer(ip).DialContext, MaxIdleConnsPerHost: idle}
+	transport := http1.NewTransport(&http.Transport{DialContext: tcp.NewDialer(ip).DialContext, MaxIdleConnsPerHost: idle})
 	return &Client{http: &http.Client{Transport: transport}, maxAnswer: maxAnswer}
 }
 
--- a/internal/targets/client.go
+++ b/internal/targets/client.go
@@ -10,6 +10,7 @@
 	"net/http/httptrace"
 	"time"
 
+	"github.com/firlever/firlever/internal/http1"
 	"github.com/firlever/firlever/internal/once"
 	"github.com/firlever/firlever/internal/tcp"
 )
@@ -19,7 +20,6 @@
 	idleTimeout   = 90 * time.Second
 	idlePerTarget = 64
 	dialTimeout   = 500 * time.Millisecond // short enough that an attempt that can't connect is retried elsewhere within its deadline
-	maxHeader     = 64 << 10
 )
 
 // Dial opens a connection. The default is DialFrom("").
@@ -41,13 +41,14 @@
 
 // Client sends attempts of requests. It is safe for concurrent use.
 type Client struct {
-	transport *http.Transport
+	transport *http1.Transport
+	dial      Dial
 }
 
 // CheckConnection opens a connection to an address and closes it. Its error shows whether the address
 // accepts connections.
 func (c *Client) CheckConnection(ctx context.Context, address string) error {
-	conn, err := c.transport.DialContext(ctx, "tcp", address)
+	conn, err := c.dial(ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
@@ -59,13 +60,13 @@
 	if dial == nil {
 		dial = DialFrom("")
 	}
-	return &Client{transport: &http.Transport{
-		DialContext:            trackWrites(withDialTimeout(dial)),
-		DisableCompression:     true,
-		MaxIdleConnsPerHost:    idlePerTarget,
-		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: maxHeader,
-	}}
+	dial = withDialTimeout(dial)
+	return &Client{dial: dial, transport: http1.NewTransport(&http.Transport{
+		DialContext:         trackWrites(dial),
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: idlePerTarget,
+		IdleConnTimeout:     idleTimeout,
+	})}
 }
 
 // Close closes idle connections.
--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -10,13 +10,15 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/firlever/firlever/internal/http1"
 )
 
 // Client looks up services and sends requests. It is safe for concurrent use;
 // a program needs only one.
 type Client struct {
 	cfg       Config
-	transport *http.Transport
+	transport *http1.Transport
 	budget    *budget
 
 	mu       sync.Mutex
@@ -43,12 +45,12 @@
 		services: map[string]*serviceState{},
 		avoided:  newAvoidList(cfg.Avoid, cfg.Connect),
 	}
-	c.transport = &http.Transport{
+	c.transport = http1.NewTransport(&http.Transport{
 		DialContext:         c.dial,
 		DisableCompression:  true, // responses are passed on unchanged, with their original length
 		MaxIdleConnsPerHost: cfg.Idle,
 		IdleConnTimeout:     time.Minute,
-	}
+	})
 	return c, nil
 }
 
