Refuse answers whose status is none

What callers saw, on other systems: an answer with status 000. Here net/http's transport returned status 0, and edge skipped all below 200 as interim answers, so that with an empty body the next head passed as the answer; 600 and 999 were passed on. Cause: net/http takes any three characters that form a number as a status. Evidence: with the check taken out TestAnswerWithoutStatusIsNoAnswer fails in 12 cases, for 000, 042, 099, +20, 600 and 999. Change: the check of heads accepts 100 to 599, and not 101, which no request asks for, wherever answers are read. Why it works: each head passes it before it is taken for interim or final.

--- a/internal/http1/check.go
+++ b/internal/http1/check.go
@@ -16,9 +16,16 @@
 	return fmt.Sprintf("http1: malformed %s: %q", e.What, e.Value)
 }
 
+// maxStatus is the highest status that RFC 9110 allows.
+const maxStatus = 599
+
 // CheckResponse returns a *MalformedError if the head of an answer is none of HTTP/1: net/http accepts names of
-// fields that contain blanks.
+// fields that contain blanks, and statuses of any three characters that form a number.
 func CheckResponse(resp *http.Response) error {
+	unasked := resp.StatusCode == http.StatusSwitchingProtocols // no request asks for it
+	if resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus || unasked {
+		return &MalformedError{What: "status", Value: clip(resp.Status)}
+	}
 	if resp.ProtoMajor != 1 {
 		return &MalformedError{What: "version", Value: clip(resp.Proto)}
 	}
--- a/internal/http1/check_test.go
+++ b/internal/http1/check_test.go
@@ -78,6 +78,34 @@
 	}
 }
 
+// An answer of a target in trouble whose status was none was passed on, or skipped as an interim one, so that the
+// next head passed as the answer.
+func TestAnswerWithoutStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "042", "099", "101", "+20", "-10", "600", "999", "2x0", "20"} {
+		for kind, text := range map[string]string{
+			"body":       "HTTP/1.1 " + status + " OK\r\nContent-Length: 2\r\n\r\nok",
+			"empty body": "HTTP/1.1 " + status + " OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		} {
+			t.Run(status+", "+kind, func(t *testing.T) {
+				answer := abrupt.Answer{Text: text}
+				resp, err := doOnce(t, answer)
+				var none *NoAnswerError
+				if !errors.As(err, &none) {
+					t.Errorf("got %+v, %v, want a *NoAnswerError", resp, err)
+				}
+				target := httptest.NewServer(answer)
+				defer target.Close()
+				client := http.Client{Transport: NewTransport(&http.Transport{})}
+				defer client.CloseIdleConnections()
+				if resp, err := client.Get(target.URL); err == nil {
+					resp.Body.Close()
+					t.Errorf("got %+v from the transport, want an error", resp)
+				}
+			})
+		}
+	}
+}
+
 // A request with such a name means one thing here and may mean another at the target, which may take its body for
 // a request.
 func TestRequestWithMalformedFieldIsRefused(t *testing.T) {
@@ -158,13 +186,15 @@
 func (c connOf) SetReadDeadline(time.Time) error  { return nil }
 func (c connOf) SetWriteDeadline(time.Time) error { return nil }
 
-// FuzzAnswerHead checks that whatever a target sends, what is accepted has proper fields, gives
+// FuzzAnswerHead checks that whatever a target sends, what is accepted has a proper status and proper fields, gives
 // the same head when it is written and read again, and gives its part of the budget back.
 func FuzzAnswerHead(f *testing.F) {
 	for _, line := range malformedFields {
 		f.Add([]byte("HTTP/1.1 200 OK\r\n" + line + "Content-Length: 2\r\n\r\nok"))
 	}
 	f.Add([]byte("HTTP/1.1 103 Early Hints\r\nX: 1\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 000 \r\n\r\nHTTP/1.1 200 OK\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 700 \r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, sent []byte) {
 		budget := NewBudget(1 << 20)
@@ -183,6 +213,9 @@
 // requireProper fails the test unless an accepted head means the same to the next reader.
 func requireProper(t *testing.T, in *http.Response) {
 	t.Helper()
+	if in.StatusCode < 200 || in.StatusCode > 599 {
+		t.Errorf("got status %d accepted", in.StatusCode)
+	}
 	resp := &Response{Status: in.StatusCode, Header: in.Header}
 	removeConnectionHeaders(resp.Header)
 	var b bytes.Buffer
