Bound the targets of which reports are collected

What callers saw: nothing so far; found by reading. Cause: an instance that collects reports keeps a row for each target that a message on the peers' port names, whether it knows it or not, for five seconds. Change: rows of 131,072 targets at most; known ones go on being updated. Why it works: all reports pass merge.

--- a/internal/loads/board.go
+++ b/internal/loads/board.go
@@ -14,6 +14,10 @@
 // maxReportAge is the age up to which a report is passed on: about as long as it is used.
 const maxReportAge = 5 * time.Second
 
+// maxRows is how many targets the reports are kept of, some times those of the largest region. Anybody who
+// reaches the port for peers can name further ones.
+const maxRows = 1 << 17
+
 // report is what instances exchange about a target.
 type report interface {
 	// About returns the hash of the target's ID.
@@ -58,7 +62,8 @@
 	defer t.mu.Unlock()
 	var newer []R
 	for _, r := range reports {
-		if old, ok := t.rows[r.About()]; ok && !r.Made().After(old.report.Made()) {
+		old, known := t.rows[r.About()]
+		if known && !r.Made().After(old.report.Made()) || !known && len(t.rows) >= maxRows {
 			continue
 		}
 		t.last++
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -182,6 +182,25 @@
 	}
 }
 
+// Whoever reached the port for peers could have a collector keep reports of any number of targets.
+func TestReportsOfEndlessTargets(t *testing.T) {
+	b := newReportTable[steer.LoadReport]()
+	for k := range uint64(maxRows + 1000) {
+		b.merge(1, []steer.LoadReport{{Target: k, Load: 1, At: start}})
+	}
+	if got := len(b.rows); got != maxRows {
+		t.Errorf("got reports of %d targets, want %d", got, maxRows)
+	}
+	known := steer.LoadReport{Target: 7, Load: 2, At: start.Add(time.Second)}
+	if got := b.merge(1, []steer.LoadReport{known}); len(got) != 1 {
+		t.Errorf("got %v of a known target, want its newer report", got)
+	}
+	b.since(start.Add(2*maxReportAge), 0, 0, 1)
+	if got := len(b.rows); got != 0 {
+		t.Errorf("got %d old reports kept, want none", got)
+	}
+}
+
 // Targets that report again and again, and those that cease to, leave nothing at the collector.
 func TestReplacedReportsAreForgotten(t *testing.T) {
 	b := newReportTable[steer.LoadReport]()
