--- a/internal/edge/gauges.go
+++ b/internal/edge/gauges.go
@@ -36,7 +36,7 @@
 // gauges returns the values of the gauges.
 func (n *Node) gauges(at time.Time) metrics.EdgeGauges {
 	e := metrics.EdgeGauges{
-		Ready: n.Ready(), Partitioned: n.partition.partitioned(), Connections: n.server.ConnCount(), Accepted: n.resources.gate.Open(), AcceptedLimit: n.resources.gate.Limit(), Instances: len(n.instances.names()),
+		Ready: n.Ready(), Partitioned: n.partition.partitioned(), Connections: n.server.ConnCount(), Accepted: n.resources.accepted.Open(), AcceptedLimit: n.resources.accepted.Limit(), Instances: len(n.instances.names()),
 		Revision: n.mirror.Revision().Count(), Epoch: n.store.Epoch(), StoreAge: n.mirror.Age(at), OverloadShare: n.cfg.Overload.Share(),
 		BodyBytes: n.resources.budget.Held(), BodyLimit: n.resources.budget.Limit(), Bounds: n.boundGauges(at),
 	}
--- a/internal/edge/handoff_receiver.go
+++ b/internal/edge/handoff_receiver.go
@@ -76,7 +76,7 @@
 		Busy:        n.cfg.Overload.Refuse,
 		BusyAnswer:  func(r *http1.Request) *http1.Response { return n.decline(r, declinedOverloaded) },
 		NoMemory:    func(r *http1.Request) *http1.Response { return n.decline(r, declinedNoMemory) },
-		Limits:      n.handOffLimits, ErrorAnswer: n.refuseUnreadable, Budget: n.resources.budget, Port: n.resources.gate.Port("hand-offs"), AcceptFailed: n.acceptFailed,
+		Limits:      n.handOffLimits, ErrorAnswer: n.refuseUnreadable, Budget: n.resources.budget, Port: n.resources.accepted.Port("hand-offs"), AcceptFailed: n.acceptFailed,
 	}
 }
 
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -111,7 +111,7 @@
 	}
 	n.resources = newResources(n)
 	if n.cfg.DialTargets == nil {
-		n.cfg.DialTargets = n.resources.dialTargets(tcp.NewDialer(s.IP))
+		n.cfg.DialTargets = tcp.NewDialer(s.IP).Limited(n.resources.dialed).DialContext
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.partition = newPartitionMonitor(n)
@@ -131,7 +131,7 @@
 	n.crashes = newCrashTracker(n)
 	n.rollouts = newRolloutTracker(n)
 	n.handOffServer = http1.NewServer(n.handOffHandlers())
-	n.server = http1.NewServer(http1.Handlers{Handle: n.handle, RefuseEarly: n.refuseEarly, Busy: cfg.Overload.Refuse, BusyAnswer: n.refuseOverloaded, Limits: n.limits, ErrorAnswer: n.refuseUnreadable, Budget: n.resources.budget, Port: n.resources.gate.Port("callers"), NoMemory: n.refuseNoMemory, AcceptFailed: n.acceptFailed})
+	n.server = http1.NewServer(http1.Handlers{Handle: n.handle, RefuseEarly: n.refuseEarly, Busy: cfg.Overload.Refuse, BusyAnswer: n.refuseOverloaded, Limits: n.limits, ErrorAnswer: n.refuseUnreadable, Budget: n.resources.budget, Port: n.resources.accepted.Port("callers"), NoMemory: n.refuseNoMemory, AcceptFailed: n.acceptFailed})
 	return n, nil
 }
 
--- a/internal/edge/resources.go
+++ b/internal/edge/resources.go
@@ -1,9 +1,6 @@
 package edge
 
 import (
-	"context"
-	"errors"
-	"net"
 	"net/http"
 	"runtime/debug"
 
@@ -17,10 +14,10 @@
 // resources divides the memory and the descriptors of the process between what callers, targets and peers
 // send and their connections.
 type resources struct {
-	node   *Node
-	budget *http1.Budget  // of what is held for callers, targets and peers
-	gate   *tcp.Gate      // of accepted connections
-	dialed *tcp.DialLimit // of connections to targets
+	node     *Node
+	budget   *http1.Budget  // of what is held for callers, targets and peers
+	accepted *tcp.ConnLimit // of accepted connections
+	dialed   *tcp.DialLimit // of connections to targets
 }
 
 func newResources(n *Node) *resources {
@@ -28,8 +25,8 @@
 	memory := n.cfg.memoryMB()
 	descriptors := tcp.NewDescriptors(s.Descriptors)
 	r := &resources{node: n, budget: http1.NewBudget(http1.RequestMemory(memory))}
-	r.gate = tcp.NewGate(min(descriptors.Accepted(), http1.MaxConns(memory)), r.connClosed)
-	r.dialed = tcp.NewDialLimit(descriptors.Dialed(), r.gate.Open)
+	r.accepted = tcp.NewConnLimit(min(descriptors.Accepted(), http1.MaxConns(memory)), r.connClosed)
+	r.dialed = tcp.NewDialLimit(descriptors.Dialed(), r.accepted.Open, func() { n.pool.CloseIdle() })
 	return r
 }
 
@@ -50,27 +47,12 @@
 	}
 }
 
-// connClosed counts and logs that a connection was closed for another, or that there was no place for it.
-func (r *resources) connClosed(port string, reason tcp.GateReason) {
+// connClosed counts and logs that a connection was closed for another, or that there were too many.
+func (r *resources) connClosed(port string, reason tcp.CloseReason) {
 	n := r.node
 	n.cfg.Metrics.CountDecision(metrics.Decision{Kind: "connection-closed", Service: port, Reason: string(reason)})
 	if suppressed, ok := n.failureLimiter.Allow(boottime.Now()); ok {
-		n.cfg.Log.Warn("connection closed", "port", port, "reason", reason, "open", r.gate.Open(), "limit", r.gate.Limit(), "suppressed", suppressed)
-	}
-}
-
-// dialTargets returns a dial of connections to targets within the limit on descriptors. If they are used up,
-// it closes those that are idle.
-func (r *resources) dialTargets(dialer *tcp.Dialer) http1.Dial {
-	dialer = dialer.Limited(r.dialed)
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := dialer.DialContext(ctx, network, address)
-		var full *tcp.DialLimitError
-		if !errors.As(err, &full) {
-			return c, err
-		}
-		r.node.pool.CloseIdle()
-		return dialer.DialContext(ctx, network, address)
+		n.cfg.Log.Warn("connection closed", "port", port, "reason", reason, "open", r.accepted.Open(), "limit", r.accepted.Limit(), "suppressed", suppressed)
 	}
 }
 
@@ -81,7 +63,7 @@
 func (r *resources) guard(port string) *http1.Guard {
 	n := r.node
 	return &http1.Guard{
-		Budget: r.budget, Port: r.gate.Port(port), Copies: 1,
+		Budget: r.budget, Port: r.accepted.Port(port), Copies: 1,
 		Refuse: func(w http.ResponseWriter, _ *http.Request) {
 			platform.SetRetryAfter(w.Header(), retryAfterNoMemory)
 			w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/http1/guard.go
+++ b/internal/http1/guard.go
@@ -12,8 +12,7 @@
 	"github.com/firlever/firlever/internal/tcp"
 )
 
-// Guard takes from a budget what the requests of an http.Server hold, and from a gate the places of its
-// connections. It closes connections whose heads don't fit, and refuses requests that don't.
+// Guard takes from a budget what the requests of an http.Server hold, and counts its connections. It closes connections whose heads don't fit, and refuses requests that don't.
 type Guard struct {
 	Budget *Budget
 	Port   *tcp.Port        // nil admits all connections
--- a/internal/http1/guard_test.go
+++ b/internal/http1/guard_test.go
@@ -25,7 +25,7 @@
 		t.Fatal(err)
 	}
 	g := &Guard{
-		Budget: budget, Port: tcp.NewGate(4, nil).Port("test"), Copies: RequestCopies,
+		Budget: budget, Port: tcp.NewConnLimit(4, nil).Port("test"), Copies: RequestCopies,
 		Refuse: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
 	}
 	s := &http.Server{Handler: handler, MaxHeaderBytes: 1 << 20}
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -9,7 +9,7 @@
 	// lineBytes is what a header line holds besides its own bytes once it is parsed: an entry of a map
 	// that is half full, its slice of values and their string headers.
 	lineBytes = 128
-	// ordinaryHead is what a head may hold that is covered by the place of its connection or request.
+	// ordinaryHead is what a head may hold that counts with its connection or request.
 	ordinaryHead = 8 << 10
 	// chargeStep is how many bytes are taken from the budget at a time while a head is read.
 	chargeStep = 16 << 10
--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -66,7 +66,7 @@
 	for {
 		in := c.readNext(previous)
 		if in.closed || !c.admit(in.last) {
-			c.server.callers.Budget.release(in.taken + in.place)
+			c.server.callers.Budget.release(in.taken + in.overhead)
 			break
 		}
 		mine := make(chan struct{})
@@ -149,7 +149,7 @@
 	defer close(mine)
 	defer func() { <-c.slots }()
 	defer c.slot.End()
-	defer c.server.callers.Budget.release(in.place)
+	defer c.server.callers.Budget.release(in.overhead)
 	resp := c.respond(in)
 	defer resp.Discard()
 	if in.request != nil && in.request.Rest != nil {
--- a/internal/http1/serverread.go
+++ b/internal/http1/serverread.go
@@ -15,21 +15,21 @@
 // incoming is the result of reading from a connection: a request, a refusal or its
 // status, or the end of the connection.
 type incoming struct {
-	request *Request
-	status  int       // of the refusal of a request that can't be read; 0 if none
-	refusal *Response // of a request whose body was not read; nil if none
-	last    bool      // no further request is read
-	closed  bool      // the connection ended without a further request
-	taken   int64     // bytes of the budget that the request takes
-	place   int64     // bytes of the budget for handling it beside earlier requests of the connection
+	request  *Request
+	status   int       // of the refusal of a request that can't be read; 0 if none
+	refusal  *Response // of a request whose body was not read; nil if none
+	last     bool      // no further request is read
+	closed   bool      // the connection ended without a further request
+	taken    int64     // bytes of the budget that the request takes
+	overhead int64     // bytes of the budget for handling it beside earlier requests of the connection
 }
 
 const (
 	// RequestCopies is how often a request's head is held: parsed, and as it is sent to two targets.
 	RequestCopies = 3
-	// requestPlace is what handling a request holds: stacks, buffers of its connection to a target, and an
-	// ordinary head. The first request of a connection has a place already.
-	requestPlace = 24 << 10
+	// requestOverhead is what handling a request holds: stacks, buffers of its connection to a target, and an
+	// ordinary head. That of one request counts with the connection.
+	requestOverhead = 24 << 10
 )
 
 // readNext reads the next request. previous is closed when the earlier ones are answered.
@@ -73,12 +73,12 @@
 	}
 	expects := r.Header.Get("Expect") != ""
 	incomplete := c.bodyIncomplete(r)
-	place := c.placeOf(previous)
+	overhead := c.overheadOf(previous)
 	needed := max(0, RequestCopies*headBytes(len(r.RequestURI), r.Header)-ordinaryHead)
-	if !c.server.callers.Budget.take(needed + place - taken) {
+	if !c.server.callers.Budget.take(needed + overhead - taken) {
 		return incoming{refusal: c.server.callers.NoMemory(c.newRequest(r, nil)), last: true, taken: taken}
 	}
-	in := incoming{taken: needed, place: place}
+	in := incoming{taken: needed, overhead: overhead}
 	if c.server.callers.Busy() {
 		if !incomplete {
 			io.Copy(io.Discard, r.Body) // the whole body is in the buffer
@@ -98,17 +98,17 @@
 	}
 	body := c.readBody(r, limits, proceed)
 	body.taken += in.taken
-	body.place = in.place
+	body.overhead = in.overhead
 	return body
 }
 
-// placeOf returns what a request takes of the budget besides its head and body: nothing if all requests of
+// overheadOf returns what a request takes of the budget besides its head and body: nothing if all requests of
 // the connection before it are answered.
-func (c *serverConn) placeOf(previous <-chan struct{}) int64 {
+func (c *serverConn) overheadOf(previous <-chan struct{}) int64 {
 	if isClosed(previous) {
 		return 0
 	}
-	return requestPlace
+	return requestOverhead
 }
 
 // readBody reads the body of a request, or the beginning of a long one. It calls proceed when there is room
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -102,7 +102,7 @@
 	dialTargets := in.cfg.Dial
 	if in.cfg.Dial == nil {
 		dialer := tcp.NewDialer(in.cfg.Source)
-		in.cfg.Dial, dialTargets = dialer.DialContext, in.resources.dialTargets(dialer)
+		in.cfg.Dial, dialTargets = dialer.DialContext, dialer.Limited(in.resources.dialed).DialContext
 	}
 	in.client = targets.New(dialTargets)
 	in.rpc = &http.Client{Transport: http1.NewTransport(&http.Transport{DialContext: in.cfg.Dial}), Timeout: syncTimeout}
--- a/internal/instance/resources.go
+++ b/internal/instance/resources.go
@@ -1,16 +1,12 @@
 package instance
 
 import (
-	"context"
-	"errors"
-	"net"
 	"net/http"
 
 	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/http1"
 	"github.com/firlever/firlever/internal/logs"
 	"github.com/firlever/firlever/internal/metrics"
-	"github.com/firlever/firlever/internal/targets"
 	"github.com/firlever/firlever/internal/tcp"
 )
 
@@ -20,25 +16,25 @@
 // resources divides the memory and the descriptors of the process between what callers, targets and peers
 // send and their connections.
 type resources struct {
-	in     *Instance
-	budget *http1.Budget
-	gate   *tcp.Gate
-	dialed *tcp.DialLimit
-	lines  *logs.Limiter
+	in       *Instance
+	budget   *http1.Budget
+	accepted *tcp.ConnLimit
+	dialed   *tcp.DialLimit
+	lines    *logs.Limiter
 }
 
 func newResources(in *Instance) *resources {
 	descriptors := tcp.NewDescriptors(in.cfg.Descriptors)
 	r := &resources{in: in, budget: http1.NewBudget(http1.RequestMemory(in.cfg.MemoryMB)), lines: logs.NewLimiter(resourceLogRate)}
-	r.gate = tcp.NewGate(min(descriptors.Accepted(), http1.MaxConns(in.cfg.MemoryMB)), r.connClosed)
-	r.dialed = tcp.NewDialLimit(descriptors.Dialed(), r.gate.Open)
+	r.accepted = tcp.NewConnLimit(min(descriptors.Accepted(), http1.MaxConns(in.cfg.MemoryMB)), r.connClosed)
+	r.dialed = tcp.NewDialLimit(descriptors.Dialed(), r.accepted.Open, func() { in.client.Close() })
 	return r
 }
 
-// connClosed counts and logs that a connection was closed for another, or that there was no place for it.
-func (r *resources) connClosed(port string, reason tcp.GateReason) {
+// connClosed counts and logs that a connection was closed for another, or that there were too many.
+func (r *resources) connClosed(port string, reason tcp.CloseReason) {
 	r.in.cfg.Metrics.CountDecision(metrics.Decision{Kind: "connection-closed", Service: port, Reason: string(reason)})
-	r.warn("connection closed", "port", port, "reason", reason, "open", r.gate.Open(), "limit", r.gate.Limit())
+	r.warn("connection closed", "port", port, "reason", reason, "open", r.accepted.Open(), "limit", r.accepted.Limit())
 }
 
 // full counts and logs that a request doesn't fit into the memory for requests.
@@ -53,25 +49,10 @@
 	}
 }
 
-// dialTargets returns a dial of connections to targets within the limit on descriptors. If they are used up,
-// it closes those that are idle.
-func (r *resources) dialTargets(dialer *tcp.Dialer) targets.Dial {
-	dialer = dialer.Limited(r.dialed)
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := dialer.DialContext(ctx, network, address)
-		var full *tcp.DialLimitError
-		if !errors.As(err, &full) {
-			return c, err
-		}
-		r.in.client.Close()
-		return dialer.DialContext(ctx, network, address)
-	}
-}
-
 // guard returns the guard of a port. Only maxHeld bytes of a body are held there; 0 if all are.
 func (r *resources) guard(port string, maxHeld int64, refuse http.HandlerFunc) *http1.Guard {
 	return &http1.Guard{
-		Budget: r.budget, Port: r.gate.Port(port), Refuse: refuse, Copies: http1.RequestCopies, HeldBody: maxHeld,
+		Budget: r.budget, Port: r.accepted.Port(port), Refuse: refuse, Copies: http1.RequestCopies, HeldBody: maxHeld,
 		OnFull: func(err error) { r.full(port, err) },
 	}
 }
--- a/internal/tcp/conn.go
+++ b/internal/tcp/conn.go
@@ -68,7 +68,7 @@
 	raw    syscall.RawConn
 	ending ending
 	limit  *DialLimit
-	once   sync.Once // gives the place in limit back
+	once   sync.Once // of limit.release
 
 	mu       sync.Mutex
 	sent     int  // bytes since the last that were received; guarded by mu
--- a/internal/tcp/gate_test.go
+++ b/internal/tcp/connlimit_test.go
@@ -19,10 +19,10 @@
 	return nil
 }
 
-// At the limit a new connection takes the place of the one that has waited longest at the port with the most.
-func TestGateReplacesTheLongestWaiting(t *testing.T) {
+// At the limit a new connection replaces the one that has waited longest at the port with the most.
+func TestConnLimitReplacesTheLongestWaiting(t *testing.T) {
 	var closed []string
-	g := NewGate(4, func(port string, reason GateReason) { closed = append(closed, port+" "+string(reason)) })
+	g := NewConnLimit(4, func(port string, reason CloseReason) { closed = append(closed, port+" "+string(reason)) })
 	many, few := g.Port("many"), g.Port("few")
 	var conns []*admitted
 	var slots []*Slot
@@ -37,7 +37,7 @@
 	}
 	admit(few)
 	if !slots[0].Begin() {
-		t.Fatal("got no place for a request on an open connection")
+		t.Fatal("got no request begun on an open connection")
 	}
 	if !admit(many) || !conns[1].closed || conns[0].closed {
 		t.Errorf("got closed %v, %v, want the second, which waits longest", conns[0].closed, conns[1].closed)
@@ -62,8 +62,8 @@
 }
 
 // Connections with requests in progress are never closed for new ones, and each port keeps its reserve.
-func TestGateFull(t *testing.T) {
-	g := NewGate(16, nil)
+func TestConnLimitFull(t *testing.T) {
+	g := NewConnLimit(16, nil)
 	busy, idle := g.Port("busy"), g.Port("idle")
 	for range 16 {
 		s, _ := busy.Admit(&admitted{})
@@ -74,7 +74,7 @@
 		t.Error("got one more connection admitted, want it closed")
 	}
 	if _, ok := idle.Admit(&admitted{}); !ok {
-		t.Error("got no place at a port without connections, want its reserve")
+		t.Error("got no connection admitted at a port that has none, want its reserve")
 	}
 }
 
@@ -85,8 +85,12 @@
 		t.Fatal(err)
 	}
 	defer ln.Close()
-	d := NewDialer("").Limited(NewDialLimit(3, func() int { return 1 }))
-	var conns []net.Conn
+	var idle, conns []net.Conn
+	d := NewDialer("").Limited(NewDialLimit(3, func() int { return 1 }, func() {
+		for _, c := range idle {
+			c.Close()
+		}
+	}))
 	for range 2 {
 		c, err := d.Dial("tcp", ln.Addr().String())
 		if err != nil {
@@ -105,6 +109,9 @@
 	if err != nil {
 		t.Fatalf("got %v after one was closed, want a connection", err)
 	}
-	c.Close()
+	idle = []net.Conn{c}
+	if _, err := d.Dial("tcp", ln.Addr().String()); err != nil {
+		t.Errorf("got %v although one was idle, want that closed for a connection", err)
+	}
 	conns[1].Close()
 }
--- a/internal/tcp/descriptors.go
+++ b/internal/tcp/descriptors.go
@@ -28,7 +28,7 @@
 	return Descriptors{total: limit}
 }
 
-// Accepted returns how many connections a Gate may admit.
+// Accepted returns how many connections a ConnLimit may admit.
 func (d Descriptors) Accepted() int { return int(acceptedShare * float64(d.total)) }
 
 // Dialed returns how many connections may be open to targets, together with those that are accepted.
@@ -37,14 +37,16 @@
 // DialLimit bounds the connections that are open to targets. It is safe for concurrent use; a nil DialLimit
 // has no bound.
 type DialLimit struct {
-	limit    int
-	accepted func() int // connections that count besides
-	open     atomic.Int64
+	limit     int
+	accepted  func() int // connections that count besides
+	closeIdle func()
+	open      atomic.Int64
 }
 
 // NewDialLimit returns a limit on the connections that a dialer has open and those that accepted counts.
-func NewDialLimit(limit int, accepted func() int) *DialLimit {
-	return &DialLimit{limit: limit, accepted: accepted}
+// closeIdle is called to close some of the first when the limit is reached.
+func NewDialLimit(limit int, accepted func() int, closeIdle func()) *DialLimit {
+	return &DialLimit{limit: limit, accepted: accepted, closeIdle: closeIdle}
 }
 
 // DialLimitError reports that no connection is opened, as descriptors are left for what keeps the process in
@@ -60,14 +62,22 @@
 
 // take counts a connection that is to be opened. It returns a *DialLimitError if there are too many.
 func (l *DialLimit) take() error {
-	if l == nil {
+	if l == nil || l.tryTake() {
 		return nil
 	}
-	if int(l.open.Add(1))+l.accepted() > l.limit {
-		l.open.Add(-1)
-		return &DialLimitError{Limit: l.limit}
+	l.closeIdle()
+	if l.tryTake() {
+		return nil
+	}
+	return &DialLimitError{Limit: l.limit}
+}
+
+func (l *DialLimit) tryTake() bool {
+	if int(l.open.Add(1))+l.accepted() <= l.limit {
+		return true
 	}
-	return nil
+	l.open.Add(-1)
+	return false
 }
 
 // release counts a connection that was closed.
