Charge messages by what they hold once decoded

What callers saw: a process ends by memory when the store, a relay or a peer sends messages of many empty elements. Cause: bodies were bounded by bytes, 16 MB for the store and relays, and three bytes of JSON or two of a control call hold hundreds once decoded. Change: a transport charges the answers that are read whole, by bytes and objects, to the reserve of the budget; control calls are counted by the fields of their message before they are decoded. What doesn't fit counts as lost. Why it works: the count is an upper bound and comes before the decoder.

--- a/internal/docstore/client.go
+++ b/internal/docstore/client.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/firlever/firlever/internal/http1"
 	"github.com/firlever/firlever/platform"
 )
 
@@ -46,6 +47,9 @@
 	return &Client{store: store, registrations: make(map[string]registration)}
 }
 
+// SetBudget makes the platform's answers take from a budget what they hold. It must be called before the first call.
+func (c *Client) SetBudget(b *http1.Budget) { c.store.SetBudget(b) }
+
 // Close closes the idle connections to the platform.
 func (c *Client) Close() { c.store.Close() }
 
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -118,13 +118,14 @@
 	n.pool = http1.NewPool(n.partition.dialTarget, n.resources.budget)
 	n.handOffs = newHandOffs(n, tcp.NewDialer(s.IP).DialContext)
 	n.store.OnCallDone(n.countStoreCall)
+	n.store.SetBudget(n.resources.budget)
 	n.processStart = time.Now().UnixNano()
 	if n.quotas, err = n.newQuotas(); err != nil {
 		return nil, errors.Annotate(err, "edge.New")
 	}
 	n.bounds.Store(&s.Bounds)
 	n.peerAddress = choosePeerAddress(s)
-	n.mirror = mirror.New(n.store, n, mirror.Peers{Relays: n.relays, Hops: n.relayHops, Fallbacks: n.others, Seeds: n.seeds(), FirstStart: s.FirstStart, Self: n.peerAddress, LinkMbps: s.LinkMbps, Registered: registeredExcept(n.peerAddress), Redundant: n.redundant}, compareItems)
+	n.mirror = mirror.New(n.store, n, mirror.Peers{Relays: n.relays, Hops: n.relayHops, Fallbacks: n.others, Seeds: n.seeds(), FirstStart: s.FirstStart, Self: n.peerAddress, LinkMbps: s.LinkMbps, Registered: registeredExcept(n.peerAddress), Redundant: n.redundant, Budget: n.resources.budget}, compareItems)
 	n.newExchanges()
 	n.registrar = newRegistrar(n)
 	n.neighbors = newNeighborChecks(n)
--- a/internal/flood/edge_test.go
+++ b/internal/flood/edge_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -11,6 +12,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,10 +40,15 @@
 
 // startEdge starts an instance of edge beside a stand-in of the store and one target.
 func startEdge(t *testing.T) *process {
+	return startEdgeBeside(t, func(s http.Handler) http.Handler { return s }, "")
+}
+
+// startEdgeBeside is startEdge with something before the store, and the address of a seed; "" for none.
+func startEdgeBeside(t *testing.T, wrap func(http.Handler) http.Handler, seed string) *process {
 	t.Helper()
 	requireMachine(t)
 	s := store.New()
-	storeServer := httptest.NewServer(s)
+	storeServer := httptest.NewServer(wrap(s))
 	t.Cleanup(func() {
 		storeServer.CloseClientConnections()
 		storeServer.Close()
@@ -61,14 +68,15 @@
 	p := newProcess(t, callersPort, lookupsPort, readyPort, metricsPort, peersPort, handOffsPort)
 	settings := filepath.Join(t.TempDir(), "boot.yaml")
 	text := fmt.Sprintf(`{node: e1, ip: %q, zone: n1, region: north, zones: {n1: north},
-listen: {front: %q, ready: %q, directory: %q, control: %q}, internal_ports: [%d, %d], platform: {address: %q, ttl_min: 500ms},
+listen: {front: %q, ready: %q, directory: %q, control: %q}, internal_ports: [%d, %d], seeds: [%q], platform: {address: %q, ttl_min: 500ms},
 limits: {memory_mb: %d, max_fds: %d},
 bounds: {grace: 3s, ttl_max: 1s, retry_budget_ratio: 0.2, retry_budget_slack: 50, warmup_overage: 1.5, warmup_slack: 5}}`,
 		p.ip, p.ports[callersPort], p.ports[readyPort], p.ports[lookupsPort], p.ports[peersPort],
-		portOf(t, p.ports[handOffsPort])-1, portOf(t, p.ports[handOffsPort]), storeServer.Listener.Addr(), memoryMB, descriptors)
+		portOf(t, p.ports[handOffsPort])-1, portOf(t, p.ports[handOffsPort]), seed, storeServer.Listener.Addr(), memoryMB, descriptors)
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
+	p.store = s
 	p.ordinary[callersPort] = "http://" + p.ports[callersPort] + fastPath
 	p.ordinary[lookupsPort] = "http://" + p.ports[lookupsPort] + platform.LookupPath + "?name=h&region=north&zone=n1"
 	p.ordinary[readyPort] = "http://" + p.ports[readyPort] + platform.ReadyPath
@@ -179,6 +187,47 @@
 	}
 }
 
+// TestEdgeAnswersOfStoreAndPeersExceedMemory guards against a process that runs out of memory by answers of the store or
+// of a peer, of which each element holds many times its bytes.
+func TestEdgeAnswersOfStoreAndPeersExceedMemory(t *testing.T) {
+	elements := []byte(strings.TrimSuffix(strings.Repeat("{},", 5<<20), ","))
+	answer := func(w http.ResponseWriter, start string) {
+		io.WriteString(w, start)
+		w.Write(elements)
+		io.WriteString(w, "]}")
+	}
+	t.Run("watch", func(t *testing.T) {
+		var hostile atomic.Bool
+		p := startEdgeBeside(t, func(s http.Handler) http.Handler {
+			return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if hostile.Load() && r.URL.Path == "/kv-watch" {
+					answer(w, `{"as_of":1000,"events":[`)
+					return
+				}
+				s.ServeHTTP(w, r)
+			})
+		}, "127.0.0.1:1")
+		hostile.Store(true)
+		p.store.Put("x", nil) // ends the watch that waits
+		time.Sleep(holdTime)
+		p.requireWithinMachine()
+		hostile.Store(false)
+		p.requireAnswers(answerTimeout)
+	})
+	t.Run("relay", func(t *testing.T) {
+		seed := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			answer(w, `{"events":[`)
+		}))
+		t.Cleanup(func() {
+			seed.CloseClientConnections()
+			seed.Close()
+		})
+		p := startEdgeBeside(t, func(s http.Handler) http.Handler { return s }, seed.Listener.Addr().String())
+		time.Sleep(holdTime)
+		p.requireWithinMachine()
+	})
+}
+
 // TestEdgeIdleConnectionsTakeDescriptors guards against a process whose descriptors are taken by idle
 // connections, so that it accepts no other.
 func TestEdgeIdleConnectionsTakeDescriptors(t *testing.T) {
--- a/internal/flood/process_test.go
+++ b/internal/flood/process_test.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/firlever/firlever/internal/emulator/store"
 )
 
 const (
@@ -35,6 +37,7 @@
 	out      tail
 	done     chan struct{} // closed when it has exited
 	ip       string
+	store    *store.Store      // stand-in of the store; nil for serve
 	ports    map[string]string // address by name of the port
 	ordinary map[string]string // URLs of ordinary requests that are answered with 200, by name of the port
 }
--- a/internal/flood/serve_test.go
+++ b/internal/flood/serve_test.go
@@ -111,6 +111,15 @@
 	}
 }
 
+// TestServeControlMessagesExceedMemory guards against a process that runs out of memory by control calls of few bytes whose
+// messages hold many times that once they are decoded.
+func TestServeControlMessagesExceedMemory(t *testing.T) {
+	const document = "\x0a\x00" // an empty element of a repeated field
+	body := strings.Repeat(document, 1<<20)
+	call := requestHead("POST", "/twirp/firlever.wire.Peer/Push", "h") + fmt.Sprintf("Content-Type: application/protobuf\r\nContent-Length: %d\r\n\r\n", len(body)) + body
+	requireSurvival(t, startServe(t), client{peersPort, connections, []byte(call)})
+}
+
 // TestServeIdleConnectionsTakeDescriptors guards against a process whose descriptors are taken by idle
 // connections, so that it accepts no other.
 func TestServeIdleConnectionsTakeDescriptors(t *testing.T) {
--- a/internal/http1/guard.go
+++ b/internal/http1/guard.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -92,11 +93,27 @@
 }
 
 // HoldBodies returns a handler that holds whole bodies of requests, on a port whose other handlers pass them on.
-func HoldBodies(next http.Handler) http.Handler {
+// decoded returns how many bytes a body holds once it is decoded.
+func HoldBodies(next http.Handler, decoded func(r *http.Request, body []byte) int64) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if body, ok := r.Body.(*guardBody); ok {
-			body.held = 0
+		guarded, ok := r.Body.(*guardBody)
+		if !ok {
+			next.ServeHTTP(w, r)
+			return
 		}
+		guarded.held = 0
+		body, err := io.ReadAll(r.Body)
+		c := guarded.conn
+		if err == nil {
+			err = c.hold(decoded(r, body), c.guard.Budget.take)
+		}
+		if err != nil {
+			c.guard.full(err)
+			w.Header().Set("Connection", "close")
+			c.guard.Refuse(w, r)
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
 		next.ServeHTTP(w, r)
 	})
 }
@@ -224,9 +241,6 @@
 	c.taken = 0
 }
 
-// bodyCopies is how often a body is held that a handler holds whole: as bytes, which may grow, and decoded.
-const bodyCopies = 3
-
 // guardBody is a body that takes from the budget as it is read.
 type guardBody struct {
 	io.ReadCloser
@@ -238,7 +252,7 @@
 // Read reads from the body. It returns a *NoMemoryError if what is read doesn't fit into the budget.
 func (b *guardBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if size := b.sizeOf(int64(n)); size > 0 {
+	if size := b.sizeOf(p[:n]); size > 0 {
 		if full := b.conn.hold(size, b.conn.guard.Budget.take); full != nil {
 			b.conn.guard.full(full)
 			return 0, full
@@ -248,11 +262,11 @@
 }
 
 // sizeOf counts bytes that were read, and returns how many bytes of memory they hold.
-func (b *guardBody) sizeOf(n int64) int64 {
+func (b *guardBody) sizeOf(part []byte) int64 {
 	if b.held == 0 {
-		return bodyCopies * n
+		return messageBytes(part)
 	}
-	n = min(n, b.held-b.read)
+	n := min(int64(len(part)), b.held-b.read)
 	b.read += n
 	return n
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -84,6 +84,9 @@
 		replaced:         make(chan struct{}),
 	}
 	in.resources = newResources(in)
+	if c, ok := cfg.Store.(*docstore.Client); ok {
+		c.SetBudget(in.resources.budget)
+	}
 	in.openClients()
 	in.cfg.Store = &epochStore{Store: cfg.Store, observe: in.observeRevision}
 	if err := in.listen(); err != nil {
@@ -105,7 +108,7 @@
 		in.cfg.Dial, dialTargets = dialer.DialContext, dialer.Limited(in.resources.dialed).DialContext
 	}
 	in.client = targets.New(dialTargets)
-	in.rpc = &http.Client{Transport: http1.NewTransport(&http.Transport{DialContext: in.cfg.Dial}), Timeout: syncTimeout}
+	in.rpc = &http.Client{Transport: http1.HoldAnswers(http1.NewTransport(&http.Transport{DialContext: in.cfg.Dial}), in.resources.budget), Timeout: syncTimeout}
 }
 
 // listen opens the three TCP listeners and stores the ports that the system chose in cfg.
--- a/internal/instance/sync.go
+++ b/internal/instance/sync.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"path"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -184,7 +185,8 @@
 	r := chi.NewRouter()
 	in.server.Peers(r)
 	twirp := wire.NewPeerServer(&peerServer{in: in})
-	r.Mount(twirp.PathPrefix(), http1.HoldBodies(twirp))
+	decoded := func(r *http.Request, body []byte) int64 { return wire.DecodedBytes(path.Base(r.URL.Path), body) }
+	r.Mount(twirp.PathPrefix(), http1.HoldBodies(twirp, decoded))
 	return r
 }
 
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -133,6 +133,8 @@
 	Redundant func(stored platform.Item, e platform.Event) bool
 	// Transport is used for calls to peers. nil: TCP, with the time-outs of package tcp.
 	Transport http.RoundTripper
+	// Budget is what answers of peers take from; nil has no bound.
+	Budget *http1.Budget
 	// FirstStart is set if the whole system starts for the first time.
 	FirstStart bool
 }
@@ -177,7 +179,7 @@
 		peers.Transport = http1.NewTransport(&http.Transport{DialContext: tcp.NewDialer("").DialContext, MaxIdleConnsPerHost: 1})
 	}
 	return &Mirror{
-		store: store, sink: sink, peers: peers, client: &http.Client{Transport: peers.Transport},
+		store: store, sink: sink, peers: peers, client: &http.Client{Transport: http1.HoldAnswers(peers.Transport, peers.Budget)},
 		checkNow: make(chan struct{}, 1), storeBack: make(chan struct{}, 1),
 		holders: holders{linkMbps: peers.LinkMbps}, view: newView(order), avoidUntil: make(map[string]time.Time),
 	}
