--- a/internal/http1/budget.go
+++ b/internal/http1/budget.go
@@ -10,12 +10,12 @@
 // concurrent use; a nil Budget has no bound.
 type Budget struct {
 	limit   int64 // in bytes
-	reserve int64 // bytes beyond limit for answers to requests that have been sent
+	reserve int64 // bytes of limit for answers to requests that have been sent
 	held    atomic.Int64
 }
 
 // reserveShare is the reserve of a budget as a fraction of its limit.
-const reserveShare = 0.25
+const reserveShare = 0.2
 
 // NewBudget returns a budget of a number of bytes.
 func NewBudget(limit int64) *Budget {
@@ -29,11 +29,11 @@
 	return fmt.Sprintf("http1: %d bytes don't fit into the memory for requests", e.Bytes)
 }
 
-// take adds to the bytes that are held, unless they would exceed the limit.
-func (b *Budget) take(n int64) bool { return b == nil || b.takeUpTo(n, b.limit) }
+// take adds to the bytes that are held, unless they would exceed the limit without the reserve.
+func (b *Budget) take(n int64) bool { return b == nil || b.takeUpTo(n, b.limit-b.reserve) }
 
 // takeReserved is take for what belongs to a request that may already run: it may use the reserve.
-func (b *Budget) takeReserved(n int64) bool { return b == nil || b.takeUpTo(n, b.limit+b.reserve) }
+func (b *Budget) takeReserved(n int64) bool { return b == nil || b.takeUpTo(n, b.limit) }
 
 func (b *Budget) takeUpTo(n, limit int64) bool {
 	for {
@@ -54,7 +54,7 @@
 	}
 }
 
-// Held returns how many bytes are held.
+// Held returns how many bytes are held; the limit at most.
 func (b *Budget) Held() int64 {
 	if b == nil {
 		return 0
--- a/internal/http1/check.go
+++ b/internal/http1/check.go
@@ -22,8 +22,7 @@
 // CheckResponse returns a *MalformedError if the head of an answer is none of HTTP/1: net/http accepts names of
 // fields that contain blanks, and statuses of any three characters that form a number.
 func CheckResponse(resp *http.Response) error {
-	unasked := resp.StatusCode == http.StatusSwitchingProtocols // no request asks for it
-	if resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus || unasked {
+	if resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus {
 		return &MalformedError{What: "status", Value: clip(resp.Status)}
 	}
 	if resp.ProtoMajor != 1 {
--- a/internal/http1/check_test.go
+++ b/internal/http1/check_test.go
@@ -93,6 +93,9 @@
 				if !errors.As(err, &none) {
 					t.Errorf("got %+v, %v, want a *NoAnswerError", resp, err)
 				}
+				if status == "101" {
+					return // whoever uses the transport looks for it
+				}
 				target := httptest.NewServer(answer)
 				defer target.Close()
 				client := http.Client{Transport: NewTransport(&http.Transport{})}
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -109,17 +109,18 @@
 	c.conn.SetDeadline(boottime.ToRuntime(e.Deadline))
 	p.trackPending(c, e.Deadline)
 	defer p.untrackPending(c)
-	defer c.dropHead()
 	stop := context.AfterFunc(ctx, func() { c.conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	begin := boottime.Now()
 	sent, early, err := c.begin(ctx, e)
 	if err != nil {
+		c.dropHead()
 		c.conn.Close()
 		return nil, &NotSentError{Err: err}
 	}
 	a, err := c.receive(e, early, p.budget)
 	if err != nil {
+		c.dropHead()
 		c.upload.close()
 		c.conn.Close()
 		if broken := c.uploadFailed.Load(); broken != nil {
@@ -300,7 +301,7 @@
 			c.budget.release(c.limited.head.end())
 			return nil, c.headError(err)
 		}
-		if err := CheckResponse(in); err != nil {
+		if err := checkAnswer(in); err != nil {
 			c.budget.release(c.limited.head.end())
 			return nil, err
 		}
@@ -310,6 +311,15 @@
 	}
 }
 
+// checkAnswer returns a *MalformedError if a head is none of an answer to a request of a pool, of which none asks for
+// another protocol.
+func checkAnswer(in *http.Response) error {
+	if in.StatusCode == http.StatusSwitchingProtocols {
+		return &MalformedError{What: "status", Value: in.Status}
+	}
+	return CheckResponse(in)
+}
+
 // headError returns the error for a head that could not be read.
 func (c *poolConn) headError(err error) error {
 	switch {
@@ -336,7 +346,8 @@
 	return nil
 }
 
-// dropHead gives back what a head took that no response holds.
+// dropHead gives back what a head took that no response holds. It is called before another exchange may use the
+// connection.
 func (c *poolConn) dropHead() {
 	c.budget.release(c.headTaken)
 	c.headTaken = 0
--- a/internal/http1/memory.go
+++ b/internal/http1/memory.go
@@ -2,8 +2,8 @@
 
 import "golang.org/x/sys/unix"
 
-// The memory of a process is divided: a quarter for connections, a quarter for requests and their answers,
-// and half for the process itself and what the garbage collector has not freed yet.
+// The memory of a process is divided: a quarter for connections with an ordinary request each, a quarter for other
+// requests and their answers, and half for the process itself and what the garbage collector has not freed yet.
 const (
 	connShare    = 0.25
 	requestShare = 0.25
@@ -13,6 +13,8 @@
 	// connBytes is what a connection holds with one ordinary request: stacks, buffers, the request, its answer
 	// and the connection to a target.
 	connBytes = 32 << 10
+	// minConns may be accepted however small the memory is: the callers of a small deployment.
+	minConns = 512
 )
 
 // memoryBytes returns the memory of a process that may have memoryMB, or of the machine if that is 0.
@@ -34,7 +36,9 @@
 func RequestMemory(memoryMB int) int64 { return int64(requestShare * memoryBytes(memoryMB)) }
 
 // MaxConns returns how many connections such a process may accept.
-func MaxConns(memoryMB int) int { return int(connShare * memoryBytes(memoryMB) / connBytes) }
+func MaxConns(memoryMB int) int {
+	return max(minConns, int(connShare*memoryBytes(memoryMB)/connBytes))
+}
 
 // HeapLimit returns how many bytes the Go runtime of such a process should use at most.
 func HeapLimit(memoryMB int) int64 { return int64(heapShare * memoryBytes(memoryMB)) }
