--- a/internal/http1/check_test.go
+++ b/internal/http1/check_test.go
@@ -47,6 +47,29 @@
 	})
 }
 
+// requireNoAnswer fails the test if a pool takes a target's bytes for an answer.
+func requireNoAnswer(t *testing.T, text string) {
+	t.Helper()
+	resp, err := doOnce(t, abrupt.Answer{Text: text})
+	var none *NoAnswerError
+	if !errors.As(err, &none) {
+		t.Errorf("got %+v, %v, want a *NoAnswerError", resp, err)
+	}
+}
+
+// requireNoAnswerOfTransport does the same for a Transport.
+func requireNoAnswerOfTransport(t *testing.T, text string) {
+	t.Helper()
+	target := httptest.NewServer(abrupt.Answer{Text: text})
+	defer target.Close()
+	client := http.Client{Transport: NewTransport(&http.Transport{})}
+	defer client.CloseIdleConnections()
+	if resp, err := client.Get(target.URL); err == nil {
+		resp.Body.Close()
+		t.Errorf("got %+v from the transport, want an error", resp)
+	}
+}
+
 // An answer of a target in trouble, in whose head the name of a field held a blank, was passed on: with that line, or
 // with a body that was not the target's, as net/http ignores a length whose name ends with a blank.
 func TestAnswerWithMalformedFieldIsNoAnswer(t *testing.T) {
@@ -56,22 +79,9 @@
 			"interim": "HTTP/1.1 103 Early Hints\r\n" + line + "\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
 		} {
 			t.Run(name+", "+kind, func(t *testing.T) {
-				answer := abrupt.Answer{Text: text}
-				resp, err := doOnce(t, answer)
-				var none *NoAnswerError
-				if !errors.As(err, &none) {
-					t.Errorf("got %+v, %v, want a *NoAnswerError", resp, err)
-				}
-				if kind == "interim" {
-					return // net/http's transport drops them
-				}
-				target := httptest.NewServer(answer)
-				defer target.Close()
-				client := http.Client{Transport: NewTransport(&http.Transport{})}
-				defer client.CloseIdleConnections()
-				if resp, err := client.Get(target.URL); err == nil {
-					resp.Body.Close()
-					t.Errorf("got %+v from the transport, want an error", resp)
+				requireNoAnswer(t, text)
+				if kind != "interim" { // net/http's transport drops them
+					requireNoAnswerOfTransport(t, text)
 				}
 			})
 		}
@@ -87,22 +97,9 @@
 			"empty body": "HTTP/1.1 " + status + " OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
 		} {
 			t.Run(status+", "+kind, func(t *testing.T) {
-				answer := abrupt.Answer{Text: text}
-				resp, err := doOnce(t, answer)
-				var none *NoAnswerError
-				if !errors.As(err, &none) {
-					t.Errorf("got %+v, %v, want a *NoAnswerError", resp, err)
-				}
-				if status == "101" {
-					return // whoever uses the transport looks for it
-				}
-				target := httptest.NewServer(answer)
-				defer target.Close()
-				client := http.Client{Transport: NewTransport(&http.Transport{})}
-				defer client.CloseIdleConnections()
-				if resp, err := client.Get(target.URL); err == nil {
-					resp.Body.Close()
-					t.Errorf("got %+v from the transport, want an error", resp)
+				requireNoAnswer(t, text)
+				if status != "101" { // whoever uses the transport looks for it
+					requireNoAnswerOfTransport(t, text)
 				}
 			})
 		}
