--- a/internal/flood/edge_test.go
+++ b/internal/flood/edge_test.go
@@ -35,6 +35,8 @@
 	slowPath  = "/shop/slow"
 	fastPath  = "/shop/fast"
 	headsPath = "/shop/heads" // answered after slowWork with a head of many lines
+	longPath  = "/shop/long"  // answered at once with longBody bytes
+	longBody  = 4 << 20
 	slowWork  = 3 * time.Second
 )
 
@@ -126,7 +128,7 @@
 
 // serveTarget answers as a target.
 func serveTarget(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != "/health" && !strings.HasSuffix(r.URL.Path, fastPath) {
+	if r.URL.Path == slowPath || r.URL.Path == headsPath {
 		time.Sleep(slowWork)
 	}
 	if r.URL.Path == headsPath {
@@ -137,6 +139,10 @@
 	w.Header().Set("Instance-Id", targetID)
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	w.Header().Set("Response-Signature", "signature")
+	if r.URL.Path == longPath {
+		w.Write(make([]byte, longBody))
+		return
+	}
 	fmt.Fprint(w, "ok")
 }
 
@@ -191,6 +197,17 @@
 	p.requireWithinMachine()
 }
 
+// TestEdgeUnreadAnswersExceedMemory guards against a process that runs out of memory by long answers that clients don't read.
+func TestEdgeUnreadAnswersExceedMemory(t *testing.T) {
+	request := requestHead("GET", longPath, "h") + "\r\n"
+	for name, c := range map[string]client{
+		"one each":  {callersPort, 5 * connections, []byte(request)},
+		"pipelined": {callersPort, connections, repeat(request, pipelined)},
+	} {
+		t.Run(name, func(t *testing.T) { requireSurvival(t, startEdge(t), c) })
+	}
+}
+
 // TestEdgeBodiesExceedMemory guards against a process that runs out of memory by bodies of requests, which
 // may come in chunks of one byte, and by the fields of long queries.
 func TestEdgeBodiesExceedMemory(t *testing.T) {
