Close connections of clients that never read

What callers saw: nothing so far; found by reading. Clients that never read long answers, of metrics or of a relay, kept their connections for good, as requests in progress do, and with them the part of the limit that is for all ports. Cause: the servers for look-ups, readiness, metrics, peers and operators had no time-out for writes. Evidence: without the deadline TestGuardClosesWhoNeverReads fails: the answer is still being written after 10 s. Change: the guard, which all their requests pass, sets a deadline for the answer. Why it works: a write that the client doesn't take ends then, and its connection.

--- a/internal/edge/resources.go
+++ b/internal/edge/resources.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"runtime/debug"
+	"time"
 
 	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/http1"
@@ -59,11 +60,14 @@
 // maxWebHeader bounds heads at the ports for look-ups, readiness, peers and metrics, in bytes.
 const maxWebHeader = 256 << 10
 
+// webWriteTimeout bounds the time to answer at those ports: the longest answer of a relay takes ten seconds.
+const webWriteTimeout = 30 * time.Second
+
 // guard returns the guard of a port for look-ups, readiness, peers or metrics.
 func (r *resources) guard(port string) *http1.Guard {
 	n := r.node
 	return &http1.Guard{
-		Budget: r.budget, Port: r.accepted.Port(port), Copies: 1,
+		Budget: r.budget, Port: r.accepted.Port(port), Copies: 1, WriteTimeout: webWriteTimeout,
 		Refuse: func(w http.ResponseWriter, _ *http.Request) {
 			platform.SetRetryAfter(w.Header(), retryAfterNoMemory)
 			w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/http1/guard_test.go
+++ b/internal/http1/guard_test.go
@@ -17,6 +17,9 @@
 // guardLimit is the budget of a machine of 96 MB.
 var guardLimit = RequestMemory(96)
 
+// guardWriteTimeout is how long clients may take to receive answers.
+const guardWriteTimeout = 2 * time.Second
+
 // startGuarded starts a guarded server, and returns a connection to it.
 func startGuarded(t *testing.T, budget *Budget, handler http.HandlerFunc) net.Conn {
 	t.Helper()
@@ -25,7 +28,7 @@
 		t.Fatal(err)
 	}
 	g := &Guard{
-		Budget: budget, Port: tcp.NewConnLimit(4, nil).Port("test"), Copies: RequestCopies,
+		Budget: budget, Port: tcp.NewConnLimit(4, nil).Port("test"), Copies: RequestCopies, WriteTimeout: guardWriteTimeout,
 		Refuse: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
 	}
 	s := &http.Server{Handler: handler, MaxHeaderBytes: 1 << 20}
@@ -114,6 +117,26 @@
 	}
 }
 
+// A client that never reads its answer kept its connection, and its part of the limit on connections, for good.
+func TestGuardClosesWhoNeverReads(t *testing.T) {
+	budget := NewBudget(guardLimit)
+	ended := make(chan error, 1)
+	c := startGuarded(t, budget, func(w http.ResponseWriter, _ *http.Request) {
+		for {
+			if _, err := w.Write(make([]byte, 1<<20)); err != nil {
+				ended <- err
+				return
+			}
+		}
+	})
+	io.WriteString(c, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+	select {
+	case <-ended:
+	case <-time.After(5 * guardWriteTimeout):
+		t.Error("got the answer still written, want its connection closed")
+	}
+}
+
 // Heads of requests and answers take from the budget while they are held, and give all of it back.
 func TestHeadsTakeFromTheBudget(t *testing.T) {
 	budget := NewBudget(guardLimit)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -257,9 +257,9 @@
 		maxHeader int
 		guard     *http1.Guard
 	}{
-		{in.server.Callers(), maxRequestHeader, in.resources.guard("callers", callers.MaxHeldBody, in.server.RefuseNoMemory)},
-		{in.peerHandler(), maxRequestHeader, in.resources.guard("peers", callers.MaxHeldBody, in.server.RefuseNoMemory)},
-		{in.operators, maxOperatorHeader, in.resources.guard("operators", 0, refuseOperator)},
+		{in.server.Callers(), maxRequestHeader, in.resources.guard("callers", callers.MaxHeldBody, requestWriteTimeout, in.server.RefuseNoMemory)},
+		{in.peerHandler(), maxRequestHeader, in.resources.guard("peers", callers.MaxHeldBody, requestWriteTimeout, in.server.RefuseNoMemory)},
+		{in.operators, maxOperatorHeader, in.resources.guard("operators", 0, operatorWriteTimeout, refuseOperator)},
 	} {
 		srv := &http.Server{
 			Handler: port.handler, ReadHeaderTimeout: headerTimeout,
--- a/internal/instance/resources.go
+++ b/internal/instance/resources.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/firlever/firlever/internal/boottime"
 	"github.com/firlever/firlever/internal/http1"
@@ -49,10 +50,16 @@
 	}
 }
 
+// Times to answer, from when a request was read.
+const (
+	requestWriteTimeout  = 11 * time.Minute // at the ports of callers and peers: a request may take ten
+	operatorWriteTimeout = time.Minute
+)
+
 // guard returns the guard of a port. Only maxHeld bytes of a body are held there; 0 if all are.
-func (r *resources) guard(port string, maxHeld int64, refuse http.HandlerFunc) *http1.Guard {
+func (r *resources) guard(port string, maxHeld int64, timeout time.Duration, refuse http.HandlerFunc) *http1.Guard {
 	return &http1.Guard{
-		Budget: r.budget, Port: r.accepted.Port(port), Refuse: refuse, Copies: http1.RequestCopies, HeldBody: maxHeld,
+		Budget: r.budget, Port: r.accepted.Port(port), Refuse: refuse, Copies: http1.RequestCopies, HeldBody: maxHeld, WriteTimeout: timeout,
 		OnFull: func(err error) { r.full(port, err) },
 	}
 }
