--- a/internal/wire/size_test.go
+++ b/internal/wire/size_test.go
@@ -19,7 +19,7 @@
 		"empty elements":    bytes.Repeat([]byte{0x0a, 0x00}, 100_000),
 		"short elements":    bytes.Repeat([]byte{0x0a, 0x02, 0x10, 0x01}, 100_000),
 		"usual documents":   encode(t, &PushRequest{Documents: documents}),
-		"no message at all": bytes.Repeat([]byte{0xff}, 1000),
+		"no message at all": bytes.Repeat([]byte{0xff}, 1<<20),
 	} {
 		t.Run(name, func(t *testing.T) {
 			var m PushRequest
