Charge answers to control calls by the fields of their messages

What callers saw: a process of serve ends by memory when a peer answers a control call with many empty elements; found by looking for what was left open. Cause: answers of peers were charged by their bytes and braces; two bytes of such an answer hold some two hundred once decoded. Change: these answers are read whole and counted by their message's fields, as control calls are, before they are decoded. Why it works: the count is an upper bound and comes before the decoder.

--- a/internal/http1/hold.go
+++ b/internal/http1/hold.go
@@ -24,9 +24,16 @@
 	return &holdingTransport{RoundTripper: t, budget: budget}
 }
 
+// HoldDecoded is HoldAnswers for messages other than JSON. decoded returns how many bytes an answer holds once it is
+// decoded.
+func HoldDecoded(t http.RoundTripper, budget *Budget, decoded func(r *http.Request, body []byte) int64) http.RoundTripper {
+	return &holdingTransport{RoundTripper: t, budget: budget, decoded: decoded}
+}
+
 type holdingTransport struct {
 	http.RoundTripper
-	budget *Budget
+	budget  *Budget
+	decoded func(r *http.Request, body []byte) int64 // nil for JSON
 }
 
 // RoundTrip sends a request and returns the answer.
@@ -35,10 +42,29 @@
 	if err != nil {
 		return nil, err
 	}
-	resp.Body = &heldBody{ReadCloser: resp.Body, budget: t.budget}
+	held := &heldBody{ReadCloser: resp.Body, budget: t.budget}
+	resp.Body = held
+	if t.decoded == nil {
+		return resp, nil
+	}
+	body, err := io.ReadAll(held)
+	if err == nil {
+		err = held.take(t.decoded(r, body))
+	}
+	if err != nil {
+		held.Close()
+		return nil, err
+	}
+	resp.Body = &wholeBody{Reader: bytes.NewReader(body), Closer: held}
 	return resp, nil
 }
 
+// wholeBody is a body that was read whole. Closing it gives back what it holds.
+type wholeBody struct {
+	io.Reader
+	io.Closer
+}
+
 // CloseIdleConnections closes the idle connections.
 func (t *holdingTransport) CloseIdleConnections() {
 	if c, ok := t.RoundTripper.(interface{ CloseIdleConnections() }); ok {
@@ -56,12 +82,18 @@
 // Read reads from the body. It returns a *NoMemoryError if what is read doesn't fit into the budget.
 func (b *heldBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	size := messageBytes(p[:n])
+	if full := b.take(messageBytes(p[:n])); full != nil {
+		return 0, full
+	}
+	return n, err
+}
+
+func (b *heldBody) take(size int64) error {
 	if !b.budget.takeReserved(size) {
-		return 0, &NoMemoryError{Bytes: size}
+		return &NoMemoryError{Bytes: size}
 	}
 	b.taken += size
-	return n, err
+	return nil
 }
 
 // Close closes the body and gives back what it holds.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -108,7 +108,8 @@
 		in.cfg.Dial, dialTargets = dialer.DialContext, dialer.Limited(in.resources.dialed).DialContext
 	}
 	in.client = targets.New(dialTargets)
-	in.rpc = &http.Client{Transport: http1.HoldAnswers(http1.NewTransport(&http.Transport{DialContext: in.cfg.Dial}), in.resources.budget), Timeout: syncTimeout}
+	transport := http1.NewTransport(&http.Transport{DialContext: in.cfg.Dial})
+	in.rpc = &http.Client{Transport: http1.HoldDecoded(transport, in.resources.budget, controlAnswerBytes), Timeout: syncTimeout}
 }
 
 // listen opens the three TCP listeners and stores the ports that the system chose in cfg.
--- a/internal/instance/sync.go
+++ b/internal/instance/sync.go
@@ -185,11 +185,19 @@
 	r := chi.NewRouter()
 	in.server.Peers(r)
 	twirp := wire.NewPeerServer(&peerServer{in: in})
-	decoded := func(r *http.Request, body []byte) int64 { return wire.DecodedBytes(path.Base(r.URL.Path), body) }
-	r.Mount(twirp.PathPrefix(), http1.HoldBodies(twirp, decoded))
+	r.Mount(twirp.PathPrefix(), http1.HoldBodies(twirp, controlRequestBytes))
 	return r
 }
 
+// controlRequestBytes and controlAnswerBytes return how many bytes a control call holds once it is decoded.
+func controlRequestBytes(r *http.Request, body []byte) int64 {
+	return wire.RequestBytes(path.Base(r.URL.Path), body)
+}
+
+func controlAnswerBytes(r *http.Request, body []byte) int64 {
+	return wire.AnswerBytes(path.Base(r.URL.Path), body)
+}
+
 // peerServer serves the control calls of other instances.
 type peerServer struct{ in *Instance }
 
--- a/internal/wire/size.go
+++ b/internal/wire/size.go
@@ -13,14 +13,29 @@
 	packedBytes = 8
 )
 
-// DecodedBytes returns how many bytes the encoded request of a method holds at most once it is decoded; 0 if there is
+// RequestBytes returns how many bytes the encoded request of a method holds at most once it is decoded; 0 if there is
 // no such method.
-func DecodedBytes(method string, b []byte) int64 {
-	m := File_internal_wire_wire_proto.Services().ByName("Peer").Methods().ByName(protoreflect.Name(method))
-	if m == nil {
-		return 0
+func RequestBytes(method string, b []byte) int64 {
+	if m := methodOf(method); m != nil {
+		return decodedBytes(m.Input(), b)
 	}
-	return int64(packedBytes*len(b)) + fieldBytes*int64(countFields(m.Input(), b))
+	return 0
+}
+
+// AnswerBytes does the same for its answer.
+func AnswerBytes(method string, b []byte) int64 {
+	if m := methodOf(method); m != nil {
+		return decodedBytes(m.Output(), b)
+	}
+	return 0
+}
+
+func methodOf(name string) protoreflect.MethodDescriptor {
+	return File_internal_wire_wire_proto.Services().ByName("Peer").Methods().ByName(protoreflect.Name(name))
+}
+
+func decodedBytes(m protoreflect.MessageDescriptor, b []byte) int64 {
+	return int64(packedBytes*len(b)) + fieldBytes*int64(countFields(m, b))
 }
 
 // countFields counts the fields of a message and of those within it, up to the first that can't be decoded.
--- a/internal/wire/size_test.go
+++ b/internal/wire/size_test.go
@@ -9,8 +9,8 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// What a message holds once it is decoded is never more than DecodedBytes says.
-func TestDecodedBytes(t *testing.T) {
+// What a message holds once it is decoded is never more than RequestBytes says.
+func TestRequestBytes(t *testing.T) {
 	documents := make([]*Document, 1000)
 	for k := range documents {
 		documents[k] = &Document{Path: "/places/a", Version: 1, Value: []byte(strings.Repeat("x", 500))}
@@ -26,13 +26,13 @@
 			before := heap()
 			_ = proto.Unmarshal(encoded, &m)
 			got := heap() - before
-			if want := DecodedBytes("Push", encoded); got > want {
+			if want := RequestBytes("Push", encoded); got > want {
 				t.Errorf("got %d bytes held, want %d at most", got, want)
 			}
 			runtime.KeepAlive(&m)
 		})
 	}
-	if got, want := DecodedBytes("Push", encode(t, &PushRequest{Documents: documents})), int64(6<<20); got > want {
+	if got, want := RequestBytes("Push", encode(t, &PushRequest{Documents: documents})), int64(6<<20); got > want {
 		t.Errorf("got %d bytes for 1,000 documents of 500 bytes, want %d at most", got, want)
 	}
 }
