Refuse answers of HTTP/1.0 with a transfer coding

What callers saw: nothing so far; found by looking for what else the parser lets pass. The chunks of such an answer passed as its body. Cause: net/http ignores the coding in HTTP/1.0 and drops the line, so that nothing can check it afterwards. Evidence: without the check TestCodedAnswerOfOldVersionIsNoAnswer fails in each of its six answers. Change: edge scans the bytes of each head while they come, of requests too.

--- a/internal/http1/answerread.go
+++ b/internal/http1/answerread.go
@@ -19,13 +19,15 @@
 	c.limited.head.begin(c.budget.takeReserved, received)
 	defer func() { c.limited.remaining = unlimited }()
 	for {
+		received, _ := c.reader.Peek(c.reader.Buffered())
+		c.limited.scan.begin(received)
 		in, err := http.ReadResponse(c.reader, request)
 		switch {
 		case err != nil:
 			c.budget.release(c.limited.head.end())
 			return nil, c.headError(err)
 		}
-		if err := checkAnswer(in); err != nil {
+		if err := c.checkAnswer(in); err != nil {
 			c.budget.release(c.limited.head.end())
 			return nil, err
 		}
@@ -37,10 +39,13 @@
 
 // checkAnswer returns a *MalformedError if a head is none of an answer to a request of a pool, of which none asks for
 // another protocol.
-func checkAnswer(in *http.Response) error {
+func (c *poolConn) checkAnswer(in *http.Response) error {
 	if in.StatusCode == http.StatusSwitchingProtocols {
 		return &MalformedError{What: "status", Value: in.Status}
 	}
+	if err := c.limited.scan.check(in.ProtoMinor); err != nil {
+		return err
+	}
 	return CheckResponse(in)
 }
 
--- a/internal/http1/check_test.go
+++ b/internal/http1/check_test.go
@@ -29,6 +29,8 @@
 	"control byte in a value":            "X-A: 1\x002\r\n",
 	"carriage return in a value":         "X-A: 1\rY: 2\r\n",
 	"name of a separator":                "X(A): 1\r\n",
+	"no name":                            ": 1\r\n",
+	"no name behind proper ones":         "X-A: 1\r\n: 2\r\n",
 	"blank before the first field":       " X-A: 1\r\n",
 	"blank in a name behind proper ones": "X-A: 1\r\nX-B: 2\r\nX C: 3\r\n",
 }
@@ -106,6 +108,19 @@
 	}
 }
 
+// An answer of HTTP/1.0 with a transfer coding passed with the chunks as its body, as net/http ignores the coding there and
+// drops the line.
+func TestCodedAnswerOfOldVersionIsNoAnswer(t *testing.T) {
+	for _, line := range []string{"Transfer-Encoding: chunked", "transfer-ENCODING:chunked", "X: 1\r\nTransfer-Encoding: chunked"} {
+		requireNoAnswer(t, "HTTP/1.0 200 OK\r\n"+line+"\r\n\r\n2\r\nok\r\n0\r\n\r\n")
+		requireNoAnswer(t, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.0 200 OK\r\n"+line+"\r\n\r\n2\r\nok\r\n0\r\n\r\n")
+	}
+	resp, err := doOnce(t, abrupt.Answer{Text: "HTTP/1.0 200 OK\r\nX-Transfer-Encoding: chunked\r\n\r\nTransfer-Encoding: chunked\r\n"})
+	if err != nil || string(resp.Body) != "Transfer-Encoding: chunked\r\n" {
+		t.Errorf("got %v, %v for a proper answer whose body looks like a field, want it", resp, err)
+	}
+}
+
 // A request with such a name means one thing here and may mean another at the target, which may take its body for
 // a request.
 func TestRequestWithMalformedFieldIsRefused(t *testing.T) {
@@ -195,6 +210,8 @@
 	f.Add([]byte("HTTP/1.1 103 Early Hints\r\nX: 1\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 000 \r\n\r\nHTTP/1.1 200 OK\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 700 \r\n\r\n"))
+	f.Add([]byte("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok"))
+	f.Add([]byte("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.0 200 OK\nX: 1\n\nbody"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, sent []byte) {
 		budget := NewBudget(1 << 20)
@@ -202,6 +219,10 @@
 		in, err := readFinal(c, &http.Request{Method: http.MethodGet})
 		if err == nil {
 			requireProper(t, in)
+			last := headOf(sent[:len(sent)-c.reader.Buffered()])
+			if in.ProtoMinor == 0 && bytes.Contains(bytes.ToLower(last), []byte("\ntransfer-encoding:")) || bytes.Contains(last, []byte("\n:")) {
+				t.Errorf("got %q accepted", last)
+			}
 		}
 		c.dropHead()
 		if got := budget.Held(); got != 0 {
@@ -210,6 +231,15 @@
 	})
 }
 
+// headOf returns the last head of what was read up to the end of that head.
+func headOf(read []byte) []byte {
+	ends := bytes.TrimSuffix(bytes.ReplaceAll(read, []byte("\r\n"), []byte("\n")), []byte("\n\n"))
+	if at := bytes.LastIndex(ends, []byte("\n\n")); at >= 0 {
+		return ends[at+1:]
+	}
+	return ends
+}
+
 // requireProper fails the test unless an accepted head means the same to the next reader.
 func requireProper(t *testing.T, in *http.Response) {
 	t.Helper()
--- a/internal/http1/serverread.go
+++ b/internal/http1/serverread.go
@@ -55,12 +55,16 @@
 	received, _ := c.reader.Peek(c.reader.Buffered())
 	c.limited.remaining = int64(limits.HeaderBytes + headerSlack)
 	c.limited.head.begin(c.server.callers.Budget.take, received)
+	c.limited.scan.begin(received)
 	r, err := http.ReadRequest(c.reader)
 	taken := c.limited.head.end()
 	if err != nil {
 		return nil, taken, err
 	}
 	c.limited.remaining = unlimited
+	if err := c.limited.scan.check(r.ProtoMinor); err != nil {
+		return nil, taken, err
+	}
 	return r, taken, checkRequest(r)
 }
 
@@ -199,12 +203,13 @@
 // unlimited is the value of limitedConn.remaining that sets no limit in practice.
 const unlimited = 1 << 62
 
-// limitedConn limits the bytes that are read from a connection, to bound a header, and meters what a head
-// holds.
+// limitedConn limits the bytes that are read from a connection, to bound a header, meters what a head
+// holds, and scans it.
 type limitedConn struct {
 	conn      net.Conn
 	remaining int64
 	head      headMeter
+	scan      headScan
 }
 
 func (l *limitedConn) Read(b []byte) (int, error) {
@@ -216,6 +221,7 @@
 	}
 	n, err := l.conn.Read(b)
 	l.remaining -= int64(n)
+	l.scan.add(b[:n])
 	if !l.head.add(b[:n]) {
 		return 0, &NoMemoryError{Bytes: l.head.size}
 	}
