--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 		done; \
 	done
 
-# Runs the tests of hostile clients, one at a time; nothing else should run beside them.
+# Runs the tests of hostile callers and peers, one at a time; nothing else should run beside them.
 flood:
 	FIRLEVER_FLOOD=1 go test -count=1 ./internal/flood
 
--- a/internal/flood/edge_test.go
+++ b/internal/flood/edge_test.go
@@ -152,7 +152,7 @@
 	lines, long := shortLines(headBytes), shortLines(1<<20)
 	whole := func(path, more string) string { return requestHead("GET", path, "h") + more + "\r\n" }
 	unfinished := func(path, more string) string { return requestHead("GET", path, "h") + more }
-	for name, c := range map[string]client{
+	for name, c := range map[string]sender{
 		"pipelined":                {callersPort, connections, repeat(whole(slowPath, lines), pipelined)},
 		"pipelined, without route": {callersPort, connections, repeat(whole("/none", lines), pipelined)},
 		"unfinished":               {callersPort, 10 * connections, []byte(unfinished(slowPath, lines))},
@@ -175,7 +175,7 @@
 	for name, path := range map[string]string{"waiting": slowPath, "heads of answers": headsPath} {
 		t.Run(name, func(t *testing.T) {
 			p := startEdge(t)
-			f := flood(t, p, client{callersPort, connections, repeat(requestHead("GET", path, "h")+"\r\n", pipelined)})
+			f := flood(t, p, sender{callersPort, connections, repeat(requestHead("GET", path, "h")+"\r\n", pipelined)})
 			time.Sleep(slowWork)
 			p.requireWithinMachine()
 			f.close()
@@ -189,7 +189,7 @@
 // request each, where descriptors don't bound them.
 func TestEdgeConnectionsExceedMemory(t *testing.T) {
 	p := startEdgeBeside(t, edgeConfig{seed: noSeed, descriptors: 20_000})
-	f := flood(t, p, client{callersPort, 100 * connections, []byte(requestHead("GET", slowPath, "h") + "\r\n")})
+	f := flood(t, p, sender{callersPort, 100 * connections, []byte(requestHead("GET", slowPath, "h") + "\r\n")})
 	time.Sleep(slowWork)
 	p.requireWithinMachine()
 	f.close()
@@ -197,10 +197,10 @@
 	p.requireWithinMachine()
 }
 
-// TestEdgeUnreadAnswersExceedMemory guards against a process that runs out of memory by long answers that clients don't read.
+// TestEdgeUnreadAnswersExceedMemory guards against a process that runs out of memory by long answers that are not read.
 func TestEdgeUnreadAnswersExceedMemory(t *testing.T) {
 	request := requestHead("GET", longPath, "h") + "\r\n"
-	for name, c := range map[string]client{
+	for name, c := range map[string]sender{
 		"one each":  {callersPort, 5 * connections, []byte(request)},
 		"pipelined": {callersPort, connections, repeat(request, pipelined)},
 	} {
@@ -215,7 +215,7 @@
 	body := strings.Repeat("x", 8<<20)
 	length := func(n int) string { return fmt.Sprintf("Content-Length: %d\r\n\r\n", n) }
 	query := strings.TrimSuffix(strings.ReplaceAll(shortLines(headBytes*3), ":\r\n", "&"), "&")
-	for name, c := range map[string]client{
+	for name, c := range map[string]sender{
 		"callers":                  {callersPort, connections, []byte(requestHead("POST", slowPath, "h") + length(len(body)) + body)},
 		"callers, chunks":          {callersPort, connections, []byte(requestHead("POST", slowPath, "h") + "Transfer-Encoding: chunked\r\n\r\n" + chunks)},
 		"hand-offs":                {handOffsPort, connections, []byte(requestHead("POST", slowPath, "h") + length(len(body)) + body)},
--- a/internal/flood/client_test.go
+++ b/internal/flood/sender_test.go
@@ -15,9 +15,9 @@
 
 const (
 	headBytes   = 15 << 10 // of a head within the default limits of callers
-	pipelined   = 64       // requests that a client sends before the first is answered
+	pipelined   = 64       // requests that a sender sends before the first is answered
 	connections = 60
-	// holdTime is how long clients keep what they have sent.
+	// holdTime is how long senders keep their connections open.
 	holdTime = 2 * time.Second
 )
 
@@ -35,25 +35,25 @@
 	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: flood\r\n", method, path, address)
 }
 
-// client is what each connection of a flood sends.
-type client struct {
+// sender is what each connection of a flood sends.
+type sender struct {
 	port        string // name
 	connections int
 	data        []byte // sent once on each connection
 }
 
-// clients are the open connections of a flood.
-type clients struct {
+// senders are the open connections of a flood.
+type senders struct {
 	conns  []net.Conn
 	closed atomic.Bool
 	ended  sync.WaitGroup
 }
 
-// flood opens the connections of a flood and sends on all of them, and waits for holdTime. The clients
+// flood opens the connections of a flood and sends on all of them, and waits for holdTime. The senders
 // read nothing. The connections stay open until close is called.
-func flood(t *testing.T, p *process, c client) *clients {
+func flood(t *testing.T, p *process, c sender) *senders {
 	t.Helper()
-	f := &clients{}
+	f := &senders{}
 	t.Cleanup(f.close)
 	for range c.connections {
 		conn, err := net.DialTimeout("tcp", p.ports[c.port], 5*time.Second)
@@ -71,7 +71,7 @@
 }
 
 // close closes all connections.
-func (f *clients) close() {
+func (f *senders) close() {
 	if f.closed.Swap(true) {
 		return
 	}
@@ -83,7 +83,7 @@
 
 // requireSurvival runs a flood, and fails the test unless the process stays within its machine and answers
 // ordinary requests afterwards.
-func requireSurvival(t *testing.T, p *process, c client) {
+func requireSurvival(t *testing.T, p *process, c sender) {
 	t.Helper()
 	f := flood(t, p, c)
 	p.requireWithinMachine()
@@ -97,7 +97,7 @@
 func requireDescriptors(t *testing.T, p *process, port string) {
 	t.Helper()
 	p.limitDescriptors(descriptors)
-	flood(t, p, client{port: port, connections: 900})
+	flood(t, p, sender{port: port, connections: 900})
 	p.requireAnswers(answerTimeout)
 	p.requireWithinMachine()
 	if got := p.openDescriptors(); got > descriptors {
--- a/internal/flood/serve_test.go
+++ b/internal/flood/serve_test.go
@@ -93,7 +93,7 @@
 // of which each holds several times its bytes.
 func TestServeHeadsExceedMemory(t *testing.T) {
 	lines, operators := shortLines(serveHeadBytes), shortLines(operatorsBytes)
-	for name, c := range map[string]client{
+	for name, c := range map[string]sender{
 		"callers, whole":        {callersPort, connections, []byte(requestHead("GET", servePath, "h") + lines + "\r\n")},
 		"callers, unfinished":   {callersPort, connections, []byte(requestHead("GET", servePath, "h") + lines)},
 		"peers, whole":          {peersPort, connections, []byte(requestHead("GET", handOffPath, "h") + lines + "\r\n")},
@@ -106,12 +106,12 @@
 }
 
 // TestServeOddRequestsExceedMemory guards against a process that runs out of memory by what legal requests hold besides lines:
-// names in Connection, cookies, trailers, extensions of chunks, queries, and requests that clients pipeline.
+// names in Connection, cookies, trailers, extensions of chunks, queries, and pipelined requests.
 func TestServeOddRequestsExceedMemory(t *testing.T) {
 	get := func(path, more string) string { return requestHead("GET", path, "h") + more + "\r\n" }
 	chunked := requestHead("POST", servePath, "h") + "Transfer-Encoding: chunked\r\n\r\n"
 	query := strings.TrimSuffix(strings.ReplaceAll(shortLines(2*headBytes), ":\r\n", "&"), "&")
-	for name, c := range map[string]client{
+	for name, c := range map[string]sender{
 		"pipelined":       {callersPort, connections, repeat(get(servePath, ""), pipelined)},
 		"Connection":      {callersPort, connections, repeat(get(servePath, "Connection: "+strings.Repeat("a,", headBytes/2)+"\r\n"), pipelined)},
 		"cookies":         {callersPort, connections, repeat(get(servePath, "Cookie: "+strings.Repeat("a=b;", headBytes/4)+"\r\n"), pipelined)},
@@ -126,7 +126,7 @@
 }
 
 // TestServeAnswersExceedMemory guards against a process that runs out of memory by answers of targets: heads of many lines, and long
-// bodies that clients don't read.
+// bodies that are not read.
 func TestServeAnswersExceedMemory(t *testing.T) {
 	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch {
@@ -148,7 +148,7 @@
 		t.Run(name, func(t *testing.T) {
 			requireMachine(t)
 			p := startServeBeside(t, target.Listener.Addr().String(), slots)
-			requireSurvival(t, p, client{callersPort, 5 * connections, []byte(requestHead("GET", path, "h") + "\r\n")})
+			requireSurvival(t, p, sender{callersPort, 5 * connections, []byte(requestHead("GET", path, "h") + "\r\n")})
 		})
 	}
 }
@@ -160,7 +160,7 @@
 	post := func(path string) []byte {
 		return []byte(requestHead("POST", path, "h") + fmt.Sprintf("Content-Type: application/protobuf\r\nContent-Length: %d\r\n\r\n", len(body)+1) + body)
 	}
-	for name, c := range map[string]client{
+	for name, c := range map[string]sender{
 		"callers":              {callersPort, 5 * connections, post(servePath)},
 		"peers, hand-offs":     {peersPort, 5 * connections, post(handOffPath)},
 		"peers, control calls": {peersPort, connections, post("/twirp/firlever.wire.Peer/Push")},
@@ -176,7 +176,7 @@
 	const document = "\x0a\x00" // an empty element of a repeated field
 	body := strings.Repeat(document, 1<<20)
 	call := requestHead("POST", "/twirp/firlever.wire.Peer/Push", "h") + fmt.Sprintf("Content-Type: application/protobuf\r\nContent-Length: %d\r\n\r\n", len(body)) + body
-	requireSurvival(t, startServe(t), client{peersPort, connections, []byte(call)})
+	requireSurvival(t, startServe(t), sender{peersPort, connections, []byte(call)})
 }
 
 // TestServeControlAnswersExceedMemory guards against a process that runs out of memory by a peer whose answers to control calls hold many
--- a/internal/http1/answerread.go
+++ b/internal/http1/answerread.go
@@ -37,8 +37,8 @@
 	}
 }
 
-// checkAnswer returns a *MalformedError if a head is none of an answer to a request of a pool, of which none asks for
-// another protocol.
+// checkAnswer returns a *MalformedError if the head of an answer isn't valid. No request of a pool asks for another
+// protocol.
 func (c *poolConn) checkAnswer(in *http.Response) error {
 	if in.StatusCode == http.StatusSwitchingProtocols {
 		return &MalformedError{What: "status", Value: in.Status}
--- a/internal/http1/check.go
+++ b/internal/http1/check.go
@@ -6,7 +6,7 @@
 	"strings"
 )
 
-// MalformedError reports a head that net/http accepts and other parsers may read in another way.
+// MalformedError reports a head that net/http accepts and other parsers may read differently.
 type MalformedError struct {
 	What  string
 	Value string
@@ -19,7 +19,7 @@
 // maxStatus is the highest status that RFC 9110 allows.
 const maxStatus = 599
 
-// CheckResponse returns a *MalformedError if the head of an answer is none of HTTP/1: net/http accepts names of
+// CheckResponse returns a *MalformedError if the head of an answer isn't valid HTTP/1: net/http accepts names of
 // fields that contain blanks, and statuses of any three characters that form a number.
 func CheckResponse(resp *http.Response) error {
 	if resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus {
@@ -31,7 +31,7 @@
 	return checkFields(resp.Header)
 }
 
-// checkRequest returns a *MalformedError if a target may read the head of a request in another way.
+// checkRequest returns a *MalformedError if a target may read the head of a request differently.
 func checkRequest(r *http.Request) error {
 	if r.ProtoMajor != 1 {
 		return &MalformedError{What: "version", Value: clip(r.Proto)}
--- a/internal/http1/guard.go
+++ b/internal/http1/guard.go
@@ -24,7 +24,7 @@
 	// HeldBody is how many bytes of a body are held at most, the rest being passed on as it comes; 0 if
 	// handlers hold the whole body as bytes and decoded.
 	HeldBody int64
-	// WriteTimeout is how long a client may take to receive its answer, from when its request was read. Handlers
+	// WriteTimeout is how long a caller may take to receive its answer, from when its request was read. Handlers
 	// may set a deadline of their own.
 	WriteTimeout time.Duration
 	// OnFull is called when a head or body doesn't fit; it may be nil.
@@ -93,7 +93,7 @@
 	if r.Body != nil && r.Body != http.NoBody {
 		r.Body = &guardBody{ReadCloser: r.Body, conn: c, held: g.HeldBody}
 	}
-	// A client that doesn't read would keep its connection for good, as requests in progress do.
+	// Connections with requests in progress stay open, so a caller that doesn't read would keep its own for good.
 	if err := http.NewResponseController(w).SetWriteDeadline(time.Now().Add(g.WriteTimeout)); err != nil {
 		panic(http.ErrAbortHandler) // the connection is closed
 	}
--- a/internal/loads/board.go
+++ b/internal/loads/board.go
@@ -14,8 +14,8 @@
 // maxReportAge is the age up to which a report is passed on: about as long as it is used.
 const maxReportAge = 5 * time.Second
 
-// maxRows is how many targets the reports are kept of, some times those of the largest region. Anybody who
-// reaches the port for peers can name further ones.
+// maxRows bounds the targets of which reports are kept: several times those of a large region. Anybody who
+// reaches the port for peers can name others.
 const maxRows = 1 << 17
 
 // report is what instances exchange about a target.
